--- /dev/null
+++ b/internal/fleet/worker/worker.go
@@ -0,0 +1,44 @@
+// Package worker holds the domain types of the platform's workers and the
+// client of their HTTP API.
+package worker
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// Resources is an amount of what a worker has and a task needs.
+type Resources struct {
+	Cores        float64 // Cores is the number of processor cores.
+	Memory       int64   // Memory is in bytes.
+	Accelerators int
+}
+
+// Fits reports whether r is within available.
+func (r Resources) Fits(available Resources) bool {
+	return r.Cores <= available.Cores && r.Memory <= available.Memory && r.Accelerators <= available.Accelerators
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{Cores: r.Cores + o.Cores, Memory: r.Memory + o.Memory, Accelerators: r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{Cores: r.Cores - o.Cores, Memory: r.Memory - o.Memory, Accelerators: r.Accelerators - o.Accelerators}
+}
+
+// String formats the amount for messages.
+func (r Resources) String() string {
+	return fmt.Sprintf("%g cores, %d MB, %d accelerators", r.Cores, r.Memory/1_000_000, r.Accelerators)
+}
+
+// Worker is one machine of the platform.
+type Worker struct {
+	Name       string
+	Rack       string
+	DataCentre string
+	Address    netip.AddrPort // Address of the worker's HTTP API.
+	Capacity   Resources
+}
