--- /dev/null
+++ b/internal/record/journal/follower.go
@@ -0,0 +1,79 @@
+package journal
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"wasabihoist/internal/record/platformlog"
+)
+
+const (
+	pageEntries  = 500
+	longPoll     = 10 * time.Second
+	readBackoff  = 200 * time.Millisecond
+	snapshotWait = 5 * time.Second
+)
+
+// Reader reads records from an offset on. The log and peers are readers.
+type Reader interface {
+	Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error)
+}
+
+// SnapshotSource returns a state from which reading can go on, for a process
+// that has fallen behind the kept records.
+type SnapshotSource interface {
+	Snapshot(ctx context.Context) ([]byte, error)
+}
+
+// Follower keeps a journal up to date.
+type Follower struct {
+	journal   *Journal
+	reader    Reader
+	snapshots SnapshotSource
+}
+
+// NewFollower returns a follower that reads from reader and takes snapshots
+// from snapshots when records have expired.
+func NewFollower(j *Journal, reader Reader, snapshots SnapshotSource) *Follower {
+	return &Follower{journal: j, reader: reader, snapshots: snapshots}
+}
+
+// String names the controller.
+func (f *Follower) String() string { return "journal follower" }
+
+// Run reads until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(readBackoff):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	from := f.journal.Next()
+	page, err := f.reader.Read(ctx, from, pageEntries, longPoll)
+	if errors.Is(err, platformlog.ErrExpired) {
+		return f.restore(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	return f.journal.Apply(from, page)
+}
+
+func (f *Follower) restore(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, snapshotWait)
+	defer cancel()
+	data, err := f.snapshots.Snapshot(ctx)
+	if err != nil {
+		return fmt.Errorf("fetch snapshot: %w", err)
+	}
+	return f.journal.Restore(data)
+}
--- /dev/null
+++ b/internal/record/journal/journal.go
@@ -0,0 +1,199 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+
+	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// windowBytes bounds the recent payloads that are kept for peers. It covers
+// well over an hour of records at the planned rates, with a small part of the
+// memory limit of a process.
+const windowBytes = 8 << 20
+
+// ErrGap is returned when a page starts after the first offset that is missing.
+var ErrGap = errors.New("page starts beyond the next offset")
+
+// Observer is called for each folded record, in order. It must not block and
+// must not call the journal.
+type Observer func(writer string, sequence uint64, record Record, verdict Verdict)
+
+// Journal is the folded state of the log in this process. It is safe for
+// concurrent use.
+type Journal struct {
+	mu        sync.RWMutex
+	state     *state
+	window    []platformlog.Entry // window has ascending offsets and ends at state.next.
+	start     int64               // start is the first offset that the window covers.
+	size      int                 // size is the number of payload bytes in the window.
+	changed   chan struct{}       // changed is closed at the next change and then replaced.
+	observers []Observer
+}
+
+// New returns an empty journal.
+func New() *Journal {
+	return &Journal{state: newState(), start: 1, changed: make(chan struct{})}
+}
+
+// Observe adds an observer of all records that are folded from now on.
+func (j *Journal) Observe(o Observer) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.observers = append(j.observers, o)
+}
+
+// Apply folds a page that was read from an offset. Entries that were folded
+// before are skipped, so pages from different sources may overlap.
+func (j *Journal) Apply(from int64, page platformlog.Page) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if from > j.state.next {
+		return fmt.Errorf("%w: from %d, next %d", ErrGap, from, j.state.next)
+	}
+	before := j.state.next
+	for _, e := range page.Entries {
+		if e.Offset >= j.state.next {
+			j.applyEntry(e)
+		}
+	}
+	j.state.next = max(j.state.next, page.Next)
+	if j.state.next != before {
+		j.notify()
+	}
+	return nil
+}
+
+func (j *Journal) applyEntry(e platformlog.Entry) {
+	for _, r := range j.state.apply(e.Offset, e.Payload) {
+		for _, o := range j.observers {
+			o(r.writer, r.sequence, r.record, r.verdict)
+		}
+	}
+	j.window = append(j.window, e)
+	j.size += len(e.Payload)
+	for j.size > windowBytes {
+		j.size -= len(j.window[0].Payload)
+		j.start = j.window[0].Offset + 1
+		j.window = j.window[1:]
+	}
+}
+
+func (j *Journal) notify() {
+	close(j.changed)
+	j.changed = make(chan struct{})
+}
+
+// Page returns entries of the window from an offset on, for peers.
+func (j *Journal) Page(from int64, limit int) (platformlog.Page, error) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	page := platformlog.Page{Next: from, Earliest: j.start}
+	if from < j.start {
+		return page, fmt.Errorf("read journal from %d: %w", from, platformlog.ErrExpired)
+	}
+	if from >= j.state.next {
+		return page, nil
+	}
+	first, _ := slices.BinarySearchFunc(j.window, from, func(e platformlog.Entry, offset int64) int {
+		return int(e.Offset - offset)
+	})
+	last := min(len(j.window), first+limit)
+	page.Entries = slices.Clone(j.window[first:last])
+	page.Next = j.state.next
+	if last < len(j.window) {
+		page.Next = j.window[last].Offset
+	}
+	return page, nil
+}
+
+// Snapshot returns the encoded state and the first offset that it does not
+// cover.
+func (j *Journal) Snapshot() ([]byte, int64, error) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	data, err := j.state.encode()
+	return data, j.state.next, err
+}
+
+// Restore replaces the state by a snapshot, unless the snapshot is older.
+// Observers do not see the records that the snapshot covers.
+func (j *Journal) Restore(data []byte) error {
+	restored, err := decodeState(data)
+	if err != nil {
+		return err
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if restored.next <= j.state.next {
+		return nil
+	}
+	j.state = restored
+	j.window, j.size, j.start = nil, 0, restored.next
+	j.notify()
+	return nil
+}
+
+// Next returns the first offset that is not folded.
+func (j *Journal) Next() int64 {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.next
+}
+
+// Watch returns a channel that is closed at the next change.
+func (j *Journal) Watch() <-chan struct{} {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.changed
+}
+
+// Configuration returns the configuration in force. It must not be modified.
+func (j *Journal) Configuration() organisation.Configuration {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.configuration
+}
+
+// Job returns what is known of a job.
+func (j *Journal) Job(id request.Identity) (JobState, bool) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	if s := j.state.jobs[id]; s != nil {
+		return *s, true
+	}
+	return JobState{}, false
+}
+
+// Jobs returns all known jobs in order of submission.
+func (j *Journal) Jobs() []JobState {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	jobs := make([]JobState, 0, len(j.state.jobs))
+	for _, s := range j.state.jobs {
+		jobs = append(jobs, *s)
+	}
+	slices.SortFunc(jobs, func(a, b JobState) int { return int(a.Submitted - b.Submitted) })
+	return jobs
+}
+
+// Request returns what is known of a non-idempotent request.
+func (j *Journal) Request(id request.Identity) (RequestState, bool) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	if s := j.state.requests[id]; s != nil {
+		return *s, true
+	}
+	return RequestState{}, false
+}
+
+// AuditTrail returns the kept entries of the audit trail in order.
+func (j *Journal) AuditTrail() []AuditEntry {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return slices.Clone(j.state.audit)
+}
--- /dev/null
+++ b/internal/record/journal/snapshot.go
@@ -0,0 +1,178 @@
+package journal
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// encode writes the state in a form that is the same for equal states.
+func (s *state) encode() ([]byte, error) {
+	m := &wire.State{
+		Next:                 s.next,
+		ClockUnixNanos:       nanos(s.clock),
+		ConfigurationVersion: s.configuration.Version,
+		Configuration: configurationToWire(ConfigurationPublished{
+			Operator:      s.operator,
+			Organisations: s.configuration.Organisations,
+			Plans:         s.configuration.Plans,
+		}),
+	}
+	for _, j := range s.jobs {
+		m.Jobs = append(m.Jobs, jobStateToWire(j))
+	}
+	slices.SortFunc(m.Jobs, func(a, b *wire.JobState) int {
+		return cmp.Compare(a.GetSubmittedOffset(), b.GetSubmittedOffset())
+	})
+	for _, r := range s.requests {
+		m.Requests = append(m.Requests, requestStateToWire(r))
+	}
+	slices.SortFunc(m.Requests, func(a, b *wire.RequestState) int {
+		return cmp.Or(cmp.Compare(a.GetClaim(), b.GetClaim()),
+			cmp.Compare(a.GetIdentity().GetOrganisation(), b.GetIdentity().GetOrganisation()),
+			cmp.Compare(a.GetIdentity().GetId(), b.GetIdentity().GetId()))
+	})
+	for _, a := range s.audit {
+		m.Audit = append(m.Audit, &wire.AuditState{Offset: a.Offset, TimeUnixNanos: nanos(a.Time), Entry: auditToWire(a.Audit)})
+	}
+	for name, w := range s.writers {
+		m.Writers = append(m.Writers, &wire.WriterState{Writer: name, Sequence: w.sequence, ChangedUnixNanos: nanos(w.changed)})
+	}
+	slices.SortFunc(m.Writers, func(a, b *wire.WriterState) int { return cmp.Compare(a.GetWriter(), b.GetWriter()) })
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+}
+
+func decodeState(data []byte) (*state, error) {
+	var m wire.State
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	c, err := configurationFromWire(m.GetConfiguration())
+	if err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	s := newState()
+	s.next = max(1, m.GetNext())
+	s.clock = fromNanos(m.GetClockUnixNanos())
+	s.operator = c.Operator
+	s.configuration = organisation.Configuration{
+		Version:       m.GetConfigurationVersion(),
+		Organisations: c.Organisations,
+		Plans:         c.Plans,
+	}
+	for _, e := range m.GetJobs() {
+		j, err := jobStateFromWire(e)
+		if err != nil {
+			return nil, fmt.Errorf("decode snapshot: %w", err)
+		}
+		s.jobs[j.Job.Identity] = j
+	}
+	for _, e := range m.GetRequests() {
+		r := requestStateFromWire(e)
+		s.requests[r.Identity] = r
+	}
+	for _, e := range m.GetAudit() {
+		s.audit = append(s.audit, AuditEntry{e.GetOffset(), fromNanos(e.GetTimeUnixNanos()), auditFromWire(e.GetEntry())})
+	}
+	for _, e := range m.GetWriters() {
+		s.writers[e.GetWriter()] = &writerState{e.GetSequence(), fromNanos(e.GetChangedUnixNanos())}
+	}
+	s.rebuildEvictions()
+	return s, nil
+}
+
+// rebuildEvictions derives the eviction order. Entries of a running fold that
+// were overtaken by a later change have no effect, so the result is the same.
+func (s *state) rebuildEvictions() {
+	for id, j := range s.jobs {
+		if j.State == job.Ended {
+			s.evictions = append(s.evictions, eviction{j.Changed.Add(RepeatWindow), true, id})
+		}
+	}
+	for id, r := range s.requests {
+		s.evictions = append(s.evictions, eviction{r.Changed.Add(RepeatWindow), false, id})
+	}
+	slices.SortFunc(s.evictions, func(a, b eviction) int { return a.due.Compare(b.due) })
+}
+
+func jobStateToWire(j *JobState) *wire.JobState {
+	return &wire.JobState{
+		Job:              jobToWire(j.Job),
+		State:            int32(j.State),
+		SubmittedOffset:  j.Submitted,
+		Claim:            j.Claim,
+		Claimant:         j.Claimant,
+		DataCentre:       j.DataCentre,
+		Workers:          j.Workers,
+		Attempt:          int32(j.Attempt),
+		Failures:         int32(j.Failures),
+		Outcome:          int32(j.Outcome),
+		Reason:           j.Reason,
+		ChangedUnixNanos: nanos(j.Changed),
+		StartedUnixNanos: nanos(j.Started),
+		CancelRequested:  j.CancelRequested,
+		ProgressNanos:    int64(j.Progress),
+	}
+}
+
+func jobStateFromWire(m *wire.JobState) (*JobState, error) {
+	j, err := jobFromWire(m.GetJob())
+	if err != nil {
+		return nil, err
+	}
+	state := job.State(m.GetState())
+	if state < job.Queued || state > job.Ended {
+		return nil, fmt.Errorf("job %s: unknown state %d", j.Identity, m.GetState())
+	}
+	return &JobState{
+		Job:             j,
+		State:           state,
+		Submitted:       m.GetSubmittedOffset(),
+		Claim:           m.GetClaim(),
+		Claimant:        m.GetClaimant(),
+		DataCentre:      m.GetDataCentre(),
+		Workers:         m.GetWorkers(),
+		Attempt:         int(m.GetAttempt()),
+		Failures:        int(m.GetFailures()),
+		Outcome:         request.Outcome(m.GetOutcome()),
+		Reason:          m.GetReason(),
+		Changed:         fromNanos(m.GetChangedUnixNanos()),
+		Started:         fromNanos(m.GetStartedUnixNanos()),
+		CancelRequested: m.GetCancelRequested(),
+		Progress:        time.Duration(m.GetProgressNanos()),
+	}, nil
+}
+
+func requestStateToWire(r *RequestState) *wire.RequestState {
+	return &wire.RequestState{
+		Identity:          identityToWire(r.Identity),
+		Writer:            r.Writer,
+		Claim:             r.Claim,
+		DeadlineUnixNanos: nanos(r.Deadline),
+		Outcome:           int32(r.Outcome),
+		Reason:            r.Reason,
+		Body:              r.Body,
+		ChangedUnixNanos:  nanos(r.Changed),
+	}
+}
+
+func requestStateFromWire(m *wire.RequestState) *RequestState {
+	return &RequestState{
+		Identity: identityFromWire(m.GetIdentity()),
+		Writer:   m.GetWriter(),
+		Claim:    m.GetClaim(),
+		Deadline: fromNanos(m.GetDeadlineUnixNanos()),
+		Outcome:  request.Outcome(m.GetOutcome()),
+		Reason:   m.GetReason(),
+		Body:     m.GetBody(),
+		Changed:  fromNanos(m.GetChangedUnixNanos()),
+	}
+}
--- /dev/null
+++ b/internal/record/journal/state.go
@@ -0,0 +1,227 @@
+package journal
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+const (
+	// RepeatWindow is how long ended jobs and claimed requests are remembered,
+	// and so how long a repeated submission is recognised.
+	RepeatWindow = 24 * time.Hour
+	// MaxAttempts bounds the failed attempts of an idempotent job.
+	MaxAttempts = 3
+
+	auditKept = 1000
+	// A record moves the clock of the fold by at most maxClockStep, so that one
+	// host with a wrong clock cannot evict what others still need.
+	maxClockStep = time.Minute
+)
+
+// JobState is what the fold knows of a job.
+type JobState struct {
+	Job             job.Job
+	State           job.State
+	Submitted       int64    // Submitted is the offset of the submission.
+	Claim           int64    // Claim is the offset of the claim in force; 0 when there is none.
+	Claimant        string   // Claimant is the writer of the claim.
+	DataCentre      string   // DataCentre of the claim.
+	Workers         []string // Workers of the claim, one for each member.
+	Attempt         int      // Attempt counts claims.
+	Failures        int      // Failures counts attempts that ran and were lost.
+	Outcome         request.Outcome
+	Reason          string
+	Changed         time.Time // Changed is the clock of the fold at the last change.
+	Started         time.Time // Started is when the last attempt was reported to run.
+	CancelRequested bool
+	Progress        time.Duration // Progress is the run time that the last checkpoint keeps.
+}
+
+// RequestState is what the fold knows of a non-idempotent request.
+type RequestState struct {
+	Identity request.Identity
+	Writer   string // Writer of the claim; only it may finish or abandon the request.
+	Claim    int64  // Claim is the offset of the claim.
+	Deadline time.Time
+	Outcome  request.Outcome // Outcome is Pending until the request is finished.
+	Reason   string
+	Body     []byte
+	Changed  time.Time
+}
+
+// AuditEntry is one entry of the audit trail with its place on the log.
+type AuditEntry struct {
+	Offset int64
+	Time   time.Time
+	Audit  Audit
+}
+
+type writerState struct {
+	sequence uint64 // sequence is the highest that was folded.
+	changed  time.Time
+}
+
+type eviction struct {
+	due     time.Time
+	isJob   bool
+	subject request.Identity
+}
+
+// state is the result of folding the log. It is a pure function of the
+// payloads and their offsets.
+type state struct {
+	next          int64     // next is the first offset that is not folded.
+	clock         time.Time // clock never goes back.
+	configuration organisation.Configuration
+	operator      string
+	jobs          map[request.Identity]*JobState
+	requests      map[request.Identity]*RequestState
+	audit         []AuditEntry
+	writers       map[string]*writerState
+	evictions     []eviction // evictions have ascending due times.
+}
+
+func newState() *state {
+	return &state{
+		next:     1,
+		jobs:     map[request.Identity]*JobState{},
+		requests: map[request.Identity]*RequestState{},
+		writers:  map[string]*writerState{},
+	}
+}
+
+// judged is a record with the verdict on it.
+type judged struct {
+	writer   string
+	sequence uint64
+	record   Record
+	verdict  Verdict
+}
+
+// apply folds one payload. Payloads that cannot be decoded change nothing but
+// the offset, so that all readers agree on them.
+func (s *state) apply(offset int64, payload []byte) []judged {
+	s.next = offset + 1
+	b, err := decodeBatch(payload)
+	if err != nil {
+		return nil
+	}
+	results := make([]judged, 0, len(b.records))
+	for _, e := range b.records {
+		reason := s.applyRecord(offset, b.writer, e)
+		results = append(results, judged{b.writer, e.sequence, e.record, Verdict{offset, reason == "", reason}})
+	}
+	s.evict()
+	return results
+}
+
+// applyRecord returns why the record is not valid, or an empty string.
+func (s *state) applyRecord(offset int64, writer string, e envelope) string {
+	s.advanceClock(e.time)
+	w := s.writers[writer]
+	if w == nil {
+		w = &writerState{}
+		s.writers[writer] = w
+	}
+	if e.sequence <= w.sequence {
+		return "sequence number is not above the last one of the writer"
+	}
+	w.sequence = e.sequence
+	w.changed = s.clock
+	switch r := e.record.(type) {
+	case ConfigurationPublished:
+		return s.publish(offset, r)
+	case JobSubmitted:
+		return s.submitJob(offset, r)
+	case JobClaimed:
+		return s.claimJob(offset, writer, r)
+	case JobRunning:
+		return s.runJob(r, e.time)
+	case JobReleased:
+		return s.releaseJob(r)
+	case JobEnded:
+		return s.endJob(r)
+	case JobCancelled:
+		return s.cancelJob(r)
+	case RequestClaimed:
+		return s.claimRequest(offset, writer, r)
+	case RequestFinished:
+		return s.finishRequest(writer, r)
+	case RequestAbandoned:
+		return s.abandonRequest(writer, r)
+	case Audit:
+		s.addAudit(AuditEntry{offset, e.time, r})
+	}
+	return ""
+}
+
+func (s *state) advanceClock(t time.Time) {
+	if s.clock.IsZero() {
+		s.clock = t
+		return
+	}
+	if limit := s.clock.Add(maxClockStep); t.After(limit) {
+		t = limit
+	}
+	if t.After(s.clock) {
+		s.clock = t
+	}
+}
+
+func (s *state) publish(offset int64, r ConfigurationPublished) string {
+	if r.Base != s.configuration.Version {
+		return fmt.Sprintf("based on version %d, but version %d is in force", r.Base, s.configuration.Version)
+	}
+	s.configuration = organisation.Configuration{Version: offset, Organisations: r.Organisations, Plans: r.Plans}
+	s.operator = r.Operator
+	return ""
+}
+
+func (s *state) addAudit(e AuditEntry) {
+	if len(s.audit) >= auditKept {
+		s.audit = slices.Delete(s.audit, 0, len(s.audit)-auditKept+1)
+	}
+	s.audit = append(s.audit, e)
+}
+
+func (s *state) scheduleEviction(isJob bool, subject request.Identity) {
+	s.evictions = append(s.evictions, eviction{s.clock.Add(RepeatWindow), isJob, subject})
+}
+
+// evict forgets what has not changed within the repeat window.
+func (s *state) evict() {
+	for len(s.evictions) > 0 && s.evictions[0].due.Before(s.clock) {
+		e := s.evictions[0]
+		s.evictions = s.evictions[1:]
+		horizon := s.clock.Add(-RepeatWindow)
+		if e.isJob {
+			if j := s.jobs[e.subject]; j != nil && j.State == job.Ended && j.Changed.Before(horizon) {
+				delete(s.jobs, e.subject)
+			}
+			continue
+		}
+		if r := s.requests[e.subject]; r != nil && r.Changed.Before(horizon) {
+			delete(s.requests, e.subject)
+		}
+	}
+	s.evictWriters()
+}
+
+// evictWriters bounds the memory for incarnations of processes that are gone.
+func (s *state) evictWriters() {
+	const keepWriters = 4096
+	if len(s.writers) <= keepWriters {
+		return
+	}
+	horizon := s.clock.Add(-RepeatWindow)
+	for name, w := range s.writers {
+		if w.changed.Before(horizon) {
+			delete(s.writers, name)
+		}
+	}
+}
