--- /dev/null
+++ b/internal/cluster/transport/transport.go
@@ -0,0 +1,106 @@
+// Package transport makes the HTTP clients of the processes. It counts the
+// bytes that cross the region link, because that traffic is billed by volume.
+package transport
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleTimeout     = 15 * time.Second
+	idlePerHost     = 16
+	keepAliveProbes = 5 * time.Second
+)
+
+// Traffic counts bytes by whether they cross the region link.
+type Traffic struct {
+	LinkOut  atomic.Int64
+	LinkIn   atomic.Int64
+	LocalOut atomic.Int64
+	LocalIn  atomic.Int64
+}
+
+// Transport holds the HTTP transports of a process.
+type Transport struct {
+	traffic *Traffic
+	remote  func(netip.AddrPort) bool
+	shared  http.RoundTripper
+	fresh   http.RoundTripper
+}
+
+// Middleware wraps a round tripper. The demonstration uses it to add the
+// latencies of a deployment.
+type Middleware func(http.RoundTripper) http.RoundTripper
+
+// New returns a transport. remote reports whether an address is in another
+// region.
+func New(remote func(netip.AddrPort) bool, middleware Middleware) *Transport {
+	t := &Transport{traffic: &Traffic{}, remote: remote}
+	if middleware == nil {
+		middleware = func(next http.RoundTripper) http.RoundTripper { return next }
+	}
+	shared := t.base()
+	shared.MaxIdleConnsPerHost = idlePerHost
+	shared.IdleConnTimeout = idleTimeout
+	fresh := t.base()
+	fresh.DisableKeepAlives = true
+	t.shared = middleware(shared)
+	t.fresh = middleware(fresh)
+	return t
+}
+
+func (t *Transport) base() *http.Transport {
+	return &http.Transport{DialContext: t.dial}
+}
+
+// Shared returns the round tripper that reuses connections.
+func (t *Transport) Shared() http.RoundTripper { return t.shared }
+
+// Fresh returns the round tripper that opens a connection for each exchange.
+// Retries use it, because an open connection may have gone silent.
+func (t *Transport) Fresh() http.RoundTripper { return t.fresh }
+
+// Traffic returns the byte counters.
+func (t *Transport) Traffic() *Traffic { return t.traffic }
+
+func (t *Transport) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	target, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: not an IP address and port", address)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveProbes}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	counted := &countedConn{Conn: conn, in: &t.traffic.LocalIn, out: &t.traffic.LocalOut}
+	if t.remote != nil && t.remote(target) {
+		counted.in, counted.out = &t.traffic.LinkIn, &t.traffic.LinkOut
+	}
+	return counted, nil
+}
+
+type countedConn struct {
+	net.Conn
+	in  *atomic.Int64
+	out *atomic.Int64
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.out.Add(int64(n))
+	return n, err
+}
--- a/internal/record/journal/follower.go
+++ b/internal/record/journal/follower.go
@@ -11,7 +11,7 @@
 
 const (
 	pageEntries  = 500
-	longPoll     = 10 * time.Second
+	longPoll     = 2 * time.Second
 	readBackoff  = 200 * time.Millisecond
 	snapshotWait = 5 * time.Second
 )
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -33,6 +33,7 @@
 	size      int                 // size is the number of payload bytes in the window.
 	changed   chan struct{}       // changed is closed at the next change and then replaced.
 	observers []Observer
+	resumed   []func(folded func(writer string) uint64)
 }
 
 // New returns an empty journal.
@@ -47,6 +48,15 @@
 	j.observers = append(j.observers, o)
 }
 
+// ObserveRestore adds a function that is called after a snapshot has replaced
+// the state. It gets the highest folded sequence number of each writer. The
+// restrictions of Observer hold for it as well.
+func (j *Journal) ObserveRestore(resumed func(folded func(writer string) uint64)) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.resumed = append(j.resumed, resumed)
+}
+
 // Apply folds a page that was read from an offset. Entries that were folded
 // before are skipped, so pages from different sources may overlap.
 func (j *Journal) Apply(from int64, page platformlog.Page) error {
@@ -134,6 +144,9 @@
 	}
 	j.state = restored
 	j.window, j.size, j.start = nil, 0, restored.next
+	for _, resumed := range j.resumed {
+		resumed(restored.lastSequence)
+	}
 	j.notify()
 	return nil
 }
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -103,6 +103,21 @@
 	slices.SortFunc(s.evictions, func(a, b eviction) int { return a.due.Compare(b.due) })
 }
 
+// Chunks returns the snapshot chunks that a payload carries, with their writer.
+func Chunks(payload []byte) (string, []SnapshotChunk) {
+	b, err := decodeBatch(payload)
+	if err != nil {
+		return "", nil
+	}
+	var chunks []SnapshotChunk
+	for _, e := range b.records {
+		if chunk, ok := e.record.(SnapshotChunk); ok {
+			chunks = append(chunks, chunk)
+		}
+	}
+	return b.writer, chunks
+}
+
 func jobStateToWire(j *JobState) *wire.JobState {
 	return &wire.JobState{
 		Job:              jobToWire(j.Job),
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -160,6 +160,14 @@
 	return ""
 }
 
+// lastSequence returns the highest folded sequence number of a writer.
+func (s *state) lastSequence(writer string) uint64 {
+	if w := s.writers[writer]; w != nil {
+		return w.sequence
+	}
+	return 0
+}
+
 func (s *state) advanceClock(t time.Time) {
 	if s.clock.IsZero() {
 		s.clock = t
--- a/internal/record/journal/writer.go
+++ b/internal/record/journal/writer.go
@@ -43,10 +43,11 @@
 // submission is a record on its way to the log.
 type submission struct {
 	record   Record
-	sequence uint64       // sequence of the last append that carried it.
-	result   chan Verdict // result receives the verdict; buffered.
-	absent   chan struct{}
-	dropped  bool // dropped by its caller before it was sent.
+	sequence uint64        // sequence of the last append that carried it.
+	result   chan Verdict  // result receives the verdict; buffered.
+	absent   chan struct{} // absent is closed when the record will never be folded.
+	skipped  chan struct{} // skipped is closed when a snapshot hides the verdict.
+	dropped  bool          // dropped by its caller before it was sent.
 }
 
 // Writer appends the records of one process incarnation. Records that wait
@@ -79,6 +80,7 @@
 		wake:    make(chan struct{}, 1),
 	}
 	j.Observe(w.observe)
+	j.ObserveRestore(w.resume)
 	return w
 }
 
@@ -92,7 +94,12 @@
 // when the record certainly did not take effect, and ErrUnsettled when ctx
 // ended before that was known.
 func (w *Writer) Append(ctx context.Context, record Record) (Verdict, error) {
-	s := &submission{record: record, result: make(chan Verdict, 1), absent: make(chan struct{})}
+	s := &submission{
+		record:  record,
+		result:  make(chan Verdict, 1),
+		absent:  make(chan struct{}),
+		skipped: make(chan struct{}),
+	}
 	if !w.enqueue(s) {
 		return Verdict{}, fmt.Errorf("too many records wait: %w", ErrNotAppended)
 	}
@@ -101,6 +108,8 @@
 		return v, nil
 	case <-s.absent:
 		return Verdict{}, fmt.Errorf("append: %w", ErrNotAppended)
+	case <-s.skipped:
+		return Verdict{}, fmt.Errorf("a snapshot covers the record: %w", ErrUnsettled)
 	case <-ctx.Done():
 		return w.withdraw(s, ctx.Err())
 	}
@@ -302,3 +311,16 @@
 		}
 	}
 }
+
+// resume gives up on verdicts that a restored snapshot hides.
+func (w *Writer) resume(folded func(writer string) uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	last := folded(w.name)
+	for sequence, s := range w.sent {
+		if sequence <= last {
+			delete(w.sent, sequence)
+			close(s.skipped)
+		}
+	}
+}
--- a/internal/record/platformlog/client.go
+++ b/internal/record/platformlog/client.go
@@ -18,7 +18,7 @@
 
 const (
 	appendTimeout = 2 * time.Second
-	readSlack     = 2 * time.Second // readSlack is added to the long-poll time of a read.
+	readSlack     = time.Second // readSlack is added to the long-poll time of a read.
 	maxPageBytes  = 16 << 20
 )
 
@@ -103,7 +103,7 @@
 	}
 	defer func() { drain(resp.Body); _ = resp.Body.Close() }()
 	if resp.StatusCode == http.StatusGone {
-		return Page{}, fmt.Errorf("read log from %d: %w", from, ErrExpired)
+		return expiredPage(resp.Body), fmt.Errorf("read log from %d: %w", from, ErrExpired)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return Page{}, statusError("read", resp.StatusCode)
@@ -115,6 +115,15 @@
 	return pageFromReply(reply), nil
 }
 
+// expiredPage tells where the kept records begin, as far as the reply says so.
+func expiredPage(body io.Reader) Page {
+	var reply pageReply
+	if err := json.NewDecoder(io.LimitReader(body, 1<<16)).Decode(&reply); err != nil {
+		return Page{}
+	}
+	return Page{Next: reply.Earliest, Earliest: reply.Earliest}
+}
+
 func pageFromReply(reply pageReply) Page {
 	page := Page{Next: reply.Next, Earliest: reply.Earliest}
 	for _, e := range reply.Entries {
--- a/internal/record/platformlog/log.go
+++ b/internal/record/platformlog/log.go
@@ -24,7 +24,9 @@
 // log. Any other error of Append leaves that open.
 var ErrNotAppended = errors.New("not appended")
 
-// ErrExpired is returned when a read starts below the earliest kept offset.
+// ErrExpired is returned when a read starts below the earliest kept offset. The
+// page that comes with it gives that offset in Earliest, or 0 when the source
+// did not tell.
 var ErrExpired = errors.New("offset is no longer kept")
 
 // Log is the log service as the rest of the system uses it.
--- /dev/null
+++ b/internal/record/snapshot/publisher.go
@@ -0,0 +1,95 @@
+// Package snapshot writes snapshots of the folded state to the log and finds
+// them there, so that the state outlives the log's retention.
+package snapshot
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"wasabihoist/internal/record/journal"
+)
+
+// Options say how often snapshots are written.
+type Options struct {
+	Records   int64         // Records folded since the last snapshot that make a new one due.
+	Interval  time.Duration // Interval after which a new one is due when anything was folded.
+	Check     time.Duration // Check is the time between two looks at the journal.
+	ChunkSize int           // ChunkSize is in bytes and below the record limit of the log.
+}
+
+// Default returns options for a log that keeps at least 40,000 records and at
+// least four hours, so that a quarter of what is kept passes between two
+// snapshots.
+func Default() Options {
+	return Options{Records: 10_000, Interval: time.Hour, Check: time.Second, ChunkSize: 200 << 10}
+}
+
+// Publisher writes snapshots while this process holds the snapshot duty.
+type Publisher struct {
+	options Options
+	journal *journal.Journal
+	writer  *journal.Writer
+	held    func() bool
+
+	lastCovered atomic.Int64 // lastCovered is the offset up to which the last known snapshot covers the log.
+	lastWritten time.Time    // lastWritten is when this process wrote or first looked.
+}
+
+// NewPublisher returns a publisher that acts while held reports true.
+func NewPublisher(options Options, j *journal.Journal, w *journal.Writer, held func() bool) *Publisher {
+	p := &Publisher{options: options, journal: j, writer: w, held: held}
+	j.Observe(p.observe)
+	return p
+}
+
+// observe learns of snapshots that other processes write.
+func (p *Publisher) observe(_ string, _ uint64, record journal.Record, _ journal.Verdict) {
+	if c, ok := record.(journal.SnapshotChunk); ok && c.Index == c.Count-1 {
+		p.lastCovered.Store(max(p.lastCovered.Load(), c.Covers))
+	}
+}
+
+// String names the controller.
+func (p *Publisher) String() string { return "snapshot publisher" }
+
+// Run looks at the journal until ctx ends.
+func (p *Publisher) Run(ctx context.Context) error {
+	ticker := time.NewTicker(p.options.Check)
+	defer ticker.Stop()
+	p.lastWritten = time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if p.held() && p.due() {
+			// A failed snapshot is tried again at the next check.
+			_ = p.publish(ctx)
+		}
+	}
+}
+
+func (p *Publisher) due() bool {
+	folded := p.journal.Next() - p.lastCovered.Load()
+	return folded > p.options.Records || (folded > 1 && time.Since(p.lastWritten) > p.options.Interval)
+}
+
+func (p *Publisher) publish(ctx context.Context) error {
+	data, covers, err := p.journal.Snapshot()
+	if err != nil {
+		return fmt.Errorf("encode snapshot: %w", err)
+	}
+	count := max(1, (len(data)+p.options.ChunkSize-1)/p.options.ChunkSize)
+	for i := range count {
+		part := data[i*p.options.ChunkSize : min(len(data), (i+1)*p.options.ChunkSize)]
+		chunk := journal.SnapshotChunk{Covers: covers, Index: i, Count: count, State: part}
+		if _, err := p.writer.Append(ctx, chunk); err != nil {
+			return fmt.Errorf("append snapshot chunk %d of %d: %w", i+1, count, err)
+		}
+	}
+	p.lastWritten = time.Now()
+	return nil
+}
--- /dev/null
+++ b/internal/record/source/puller.go
@@ -0,0 +1,79 @@
+package source
+
+import (
+	"context"
+	"time"
+
+	"wasabihoist/internal/record/journal"
+)
+
+const (
+	// pullDelay gives the regular read a chance before a peer is asked.
+	pullDelay   = 300 * time.Millisecond
+	pullTimeout = time.Second
+	pullEntries = 500
+)
+
+// notice is the applied offset that a peer has reported.
+type notice struct {
+	peer   Peer
+	offset int64
+}
+
+// Puller reads from a peer that has folded more than this process. It keeps
+// configuration moving while the log is silent and a read of it hangs.
+type Puller struct {
+	journal *journal.Journal
+	dial    Dial
+	notices chan notice
+}
+
+// NewPuller returns a puller for the journal.
+func NewPuller(j *journal.Journal, dial Dial) *Puller {
+	return &Puller{journal: j, dial: dial, notices: make(chan notice, 1)}
+}
+
+// String names the controller.
+func (p *Puller) String() string { return "journal puller" }
+
+// Notice tells the puller what a peer has folded. It never blocks.
+func (p *Puller) Notice(peer Peer, offset int64) {
+	if offset <= p.journal.Next() {
+		return
+	}
+	select {
+	case p.notices <- notice{peer, offset}:
+	default:
+	}
+}
+
+// Run pulls until ctx ends.
+func (p *Puller) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case n := <-p.notices:
+			p.pull(ctx, n)
+		}
+	}
+}
+
+func (p *Puller) pull(ctx context.Context, n notice) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(pullDelay):
+	}
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	for from := p.journal.Next(); from < n.offset; from = p.journal.Next() {
+		page, err := p.dial(n.peer).Read(ctx, from, pullEntries, 0)
+		if err != nil || page.Next <= from {
+			return
+		}
+		if p.journal.Apply(from, page) != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/record/source/selector.go
@@ -0,0 +1,101 @@
+// Package source chooses where a process reads the records of the log: from
+// the log service, from the reader of its region, or from any peer while the
+// log is down.
+package source
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+)
+
+// Peer is a process whose journal can be read.
+type Peer struct {
+	Name    string
+	Address netip.AddrPort
+}
+
+// Directory tells which peers there are.
+type Directory interface {
+	// RegionReader returns the peer that reads the log for this region, unless
+	// this process reads the log itself.
+	RegionReader() (Peer, bool)
+	// Fallbacks returns the peers to try while the log cannot be read, the
+	// closest first.
+	Fallbacks() []Peer
+}
+
+// Dial returns a reader of the journal of a peer.
+type Dial func(Peer) PeerReader
+
+// PeerReader reads the journal of a peer.
+type PeerReader interface {
+	journal.Reader
+	journal.SnapshotSource
+}
+
+// maxFallbacks bounds the peers that are asked in one read.
+const maxFallbacks = 3
+
+// Selector implements journal.Reader and journal.SnapshotSource.
+type Selector struct {
+	log       platformlog.Log
+	scan      journal.SnapshotSource
+	directory Directory
+	dial      Dial
+}
+
+// NewSelector returns a selector. scan finds snapshots on the log itself.
+func NewSelector(log platformlog.Log, scan journal.SnapshotSource, directory Directory, dial Dial) *Selector {
+	return &Selector{log: log, scan: scan, directory: directory, dial: dial}
+}
+
+// Read implements journal.Reader.
+func (s *Selector) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
+	if reader, ok := s.directory.RegionReader(); ok {
+		page, err := s.dial(reader).Read(ctx, from, limit, wait)
+		if err == nil {
+			return page, nil
+		}
+	}
+	page, err := s.log.Read(ctx, from, limit, wait)
+	if err == nil || errors.Is(err, platformlog.ErrExpired) || ctx.Err() != nil {
+		return page, err
+	}
+	return s.readFromPeers(ctx, from, limit, err)
+}
+
+func (s *Selector) readFromPeers(ctx context.Context, from int64, limit int, cause error) (platformlog.Page, error) {
+	for i, p := range s.directory.Fallbacks() {
+		if i == maxFallbacks {
+			break
+		}
+		page, err := s.dial(p).Read(ctx, from, limit, 0)
+		if err == nil && page.Next > from {
+			return page, nil
+		}
+		if errors.Is(err, platformlog.ErrExpired) {
+			cause = err
+		}
+	}
+	return platformlog.Page{}, fmt.Errorf("no source of records: %w", cause)
+}
+
+// Snapshot implements journal.SnapshotSource: peers first, because their state
+// is newer and costs the log nothing.
+func (s *Selector) Snapshot(ctx context.Context) ([]byte, error) {
+	for i, p := range s.directory.Fallbacks() {
+		if i == maxFallbacks {
+			break
+		}
+		if data, err := s.dial(p).Snapshot(ctx); err == nil {
+			return data, nil
+		}
+	}
+	return s.scan.Snapshot(ctx)
+}
--- /dev/null
+++ b/internal/role/entry/codec.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"regexp"
+	"time"
+
+	"wasabihoist/internal/base/finding"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+const (
+	maxMembers        = 64
+	bytesPerMegabyte  = 1_000_000
+	maxRunTimeSeconds = 30 * 24 * 3600
+)
+
+var validID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
+
+type requestBody struct {
+	ID         string    `json:"id"`
+	Service    string    `json:"service"`
+	Kind       string    `json:"kind"`
+	Deadline   time.Time `json:"deadline"`
+	Idempotent bool      `json:"idempotent"`
+	Body       []byte    `json:"body"`
+}
+
+type jobBody struct {
+	ID           string    `json:"id"`
+	Kind         string    `json:"kind"`
+	Members      int       `json:"members"`
+	Accelerators int       `json:"accelerators-per-member"`
+	Adjacency    string    `json:"adjacency"`
+	Cores        float64   `json:"cores-per-member"`
+	MemoryMB     int64     `json:"memory-per-member-mb"`
+	RunTime      float64   `json:"run-time-s"`
+	Deadline     time.Time `json:"deadline"`
+	Idempotent   bool      `json:"idempotent"`
+	Urgent       bool      `json:"urgent"`
+	DataCentre   string    `json:"data-centre"`
+}
+
+type answerBody struct {
+	ID      string `json:"id,omitempty"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	Body    []byte `json:"body,omitempty"`
+}
+
+type jobStatusBody struct {
+	ID         string   `json:"id"`
+	State      string   `json:"state"`
+	Outcome    string   `json:"outcome"`
+	Reason     string   `json:"reason,omitempty"`
+	DataCentre string   `json:"data-centre,omitempty"`
+	Workers    []string `json:"workers,omitempty"`
+	Attempt    int      `json:"attempt"`
+}
+
+type explanationBody struct {
+	ID           string `json:"id"`
+	State        string `json:"state"`
+	WaitsFor     string `json:"waits-for,omitempty"`
+	BlockedBy    string `json:"blocked-by,omitempty"`
+	WouldStartIf string `json:"would-start-if,omitempty"`
+}
+
+type findingBody struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
+}
+
+type problemBody struct {
+	Error    string        `json:"error"`
+	Findings []findingBody `json:"findings,omitempty"`
+}
+
+// decodeJSON reads one JSON value without unknown keys.
+func decodeJSON(body io.Reader, into any) error {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("decode body: %w", err)
+	}
+	if decoder.More() {
+		return errors.New("decode body: more than one value")
+	}
+	return nil
+}
+
+func requestFromBody(b requestBody, name string) (request.Request, error) {
+	var findings finding.List
+	checkID(&findings, b.ID)
+	require(&findings, "service", b.Service)
+	require(&findings, "kind", b.Kind)
+	if b.Deadline.IsZero() {
+		findings.Addf("", 0, "deadline", "is missing: want a time such as 2026-05-04T10:00:00Z")
+	}
+	return request.Request{
+		Identity:   request.Identity{Organisation: name, ID: b.ID},
+		Service:    b.Service,
+		Kind:       b.Kind,
+		Deadline:   b.Deadline,
+		Idempotent: b.Idempotent,
+		Body:       b.Body,
+	}, findings.Err()
+}
+
+func jobFromBody(b jobBody, name string, now time.Time) (job.Job, error) {
+	var findings finding.List
+	checkID(&findings, b.ID)
+	require(&findings, "kind", b.Kind)
+	if b.Members < 1 || b.Members > maxMembers {
+		findings.Addf("", 0, "members", "is %d: want 1 to %d", b.Members, maxMembers)
+	}
+	if b.Accelerators < 0 {
+		findings.Addf("", 0, "accelerators-per-member", "is %d: want 0 or more", b.Accelerators)
+	}
+	if b.Cores < 0 {
+		findings.Addf("", 0, "cores-per-member", "is %g: want 0 or more", b.Cores)
+	}
+	if b.MemoryMB < 0 {
+		findings.Addf("", 0, "memory-per-member-mb", "is %d: want 0 or more", b.MemoryMB)
+	}
+	if b.RunTime <= 0 || b.RunTime > maxRunTimeSeconds {
+		findings.Addf("", 0, "run-time-s", "is %g: want more than 0 and at most %d", b.RunTime, maxRunTimeSeconds)
+	}
+	adjacency, err := organisation.ParseAdjacency(b.Adjacency)
+	if err != nil {
+		findings.Addf("", 0, "adjacency", "%v", err)
+	}
+	return job.Job{
+		Identity:   request.Identity{Organisation: name, ID: b.ID},
+		Kind:       b.Kind,
+		Shape:      organisation.Shape{Members: b.Members, Accelerators: b.Accelerators, Adjacency: adjacency},
+		Cores:      b.Cores,
+		Memory:     b.MemoryMB * bytesPerMegabyte,
+		RunTime:    time.Duration(b.RunTime * float64(time.Second)),
+		Deadline:   b.Deadline,
+		Idempotent: b.Idempotent,
+		Urgent:     b.Urgent,
+		DataCentre: b.DataCentre,
+		Submitted:  now,
+	}, findings.Err()
+}
+
+func checkID(findings *finding.List, id string) {
+	if !validID.MatchString(id) {
+		findings.Addf("", 0, "id", "is %q: want 1 to 128 letters, digits, dots, hyphens or underscores", id)
+	}
+}
+
+func require(findings *finding.List, key, value string) {
+	if value == "" {
+		findings.Addf("", 0, key, "is missing")
+	}
+}
+
+func jobStatusToBody(s journal.JobState) jobStatusBody {
+	return jobStatusBody{
+		ID:         s.Job.Identity.ID,
+		State:      s.State.String(),
+		Outcome:    s.Outcome.String(),
+		Reason:     s.Reason,
+		DataCentre: s.DataCentre,
+		Workers:    s.Workers,
+		Attempt:    s.Attempt,
+	}
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeAnswer(w http.ResponseWriter, status int, a request.Answer) {
+	writeJSON(w, status, answerBody{ID: a.Identity.ID, Outcome: a.Outcome.String(), Reason: a.Reason, Body: a.Body})
+}
+
+func writeProblem(w http.ResponseWriter, status int, message string) {
+	writeJSON(w, status, problemBody{Error: message})
+}
+
+// writeInvalid answers a call whose body was refused, with all findings.
+func writeInvalid(w http.ResponseWriter, err error) {
+	var findings *finding.List
+	if !errors.As(err, &findings) {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	body := problemBody{Error: "the body has findings"}
+	for _, f := range findings.All() {
+		body.Findings = append(body.Findings, findingBody(f))
+	}
+	writeJSON(w, http.StatusBadRequest, body)
+}
--- /dev/null
+++ b/internal/role/entry/entry.go
@@ -0,0 +1,170 @@
+// Package entry accepts the work of callers and the edits of operators over
+// HTTP with JSON. An entry keeps no lasting state; what must last is on the
+// log.
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// Router runs requests on agents.
+type Router interface {
+	// Run returns the answer by the deadline of the request.
+	Run(ctx context.Context, r request.Request) request.Answer
+	// Lookup returns the answer of a request that an agent still knows.
+	Lookup(ctx context.Context, id request.Identity) (request.Answer, bool)
+}
+
+// Explanation tells why a job waits.
+type Explanation struct {
+	WaitsFor     string
+	BlockedBy    string
+	WouldStartIf string
+}
+
+// DataCentre is the fleet of one data centre as its scheduler last reported.
+type DataCentre struct {
+	Name             string
+	Holder           string // Holder is the agent with the scheduler duty.
+	Workers          []worker.Worker
+	States           map[string]string // States of the workers by name.
+	FreeAccelerators int
+	LargestGang      int
+	Fragmentation    float64
+	Waiting          int
+	Running          int
+}
+
+// Fleet knows what the schedulers report.
+type Fleet interface {
+	// DataCentres returns the last reports, ordered by name.
+	DataCentres() []DataCentre
+	// CanEverRun returns why no data centre could run the job even when empty.
+	CanEverRun(j job.Job) error
+	// Feasible returns why the guarantees of a configuration cannot all be kept.
+	Feasible(c organisation.Configuration) error
+	// Explain asks the scheduler of the job.
+	Explain(ctx context.Context, state journal.JobState) (Explanation, error)
+}
+
+// Member is a process of the system as operators see it.
+type Member struct {
+	Name       string
+	Role       string
+	DataCentre string
+	Region     string
+	Address    string
+	State      string
+	Waiting    int
+	Running    int
+}
+
+// Options bound what an entry accepts.
+type Options struct {
+	Name          string
+	Tokens        map[string]string // Tokens of callers to their organisations.
+	OperatorToken string            // OperatorToken opens the operator interface; empty closes it.
+	MaxBody       int64             // MaxBody of a call, in bytes.
+	MaxInFlight   int               // MaxInFlight calls of callers; more are refused as not run.
+	MaxDeadline   time.Duration     // MaxDeadline is how far ahead a request may set its deadline.
+	SubmitWait    time.Duration     // SubmitWait is how long a submission waits for the log.
+	MaxWait       time.Duration     // MaxWait bounds a call that waits for a job.
+}
+
+// Default returns the options of an entry without tokens.
+func Default() Options {
+	return Options{
+		MaxBody:     1 << 20,
+		MaxInFlight: 2000,
+		MaxDeadline: 10 * time.Minute,
+		SubmitWait:  5 * time.Second,
+		MaxWait:     time.Minute,
+	}
+}
+
+// Entry serves callers and operators.
+type Entry struct {
+	options Options
+	journal *journal.Journal
+	writer  *journal.Writer
+	router  Router
+	fleet   Fleet
+	members func() []Member
+	now     func() time.Time
+
+	inFlight atomic.Int64
+	draining atomic.Bool
+	counters *Counters
+}
+
+// New returns an entry.
+func New(o Options, j *journal.Journal, w *journal.Writer, r Router, f Fleet, members func() []Member) *Entry {
+	return &Entry{
+		options:  o,
+		journal:  j,
+		writer:   w,
+		router:   r,
+		fleet:    f,
+		members:  members,
+		now:      time.Now,
+		counters: &Counters{},
+	}
+}
+
+// Counters returns the counters of the entry.
+func (e *Entry) Counters() *Counters { return e.counters }
+
+// Drain makes the health check fail, so that the balancer sends no new calls.
+func (e *Entry) Drain() { e.draining.Store(true) }
+
+// CallerHandler returns the HTTP handler for callers.
+func (e *Entry) CallerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", e.handleHealth)
+	mux.HandleFunc("POST /v1/requests", e.caller(e.handleRequest))
+	mux.HandleFunc("GET /v1/requests/{id}", e.caller(e.handleRequestStatus))
+	mux.HandleFunc("POST /v1/jobs", e.caller(e.handleJob))
+	mux.HandleFunc("GET /v1/jobs/{id}", e.caller(e.handleJobStatus))
+	mux.HandleFunc("DELETE /v1/jobs/{id}", e.caller(e.handleJobCancel))
+	mux.HandleFunc("GET /v1/jobs/{id}/explanation", e.caller(e.handleExplanation))
+	return mux
+}
+
+func (e *Entry) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	if e.draining.Load() {
+		http.Error(w, "draining", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+// callerFunc handles a call of an authenticated organisation.
+type callerFunc func(w http.ResponseWriter, r *http.Request, organisation string)
+
+func (e *Entry) caller(next callerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, ok := e.authenticate(r)
+		if !ok {
+			writeProblem(w, http.StatusUnauthorized, "the bearer token is missing or unknown")
+			return
+		}
+		if e.inFlight.Add(1) > int64(e.options.MaxInFlight) {
+			e.inFlight.Add(-1)
+			e.counters.Refused.Add(1)
+			writeAnswer(w, http.StatusServiceUnavailable, request.Answer{Outcome: request.NotRun, Reason: "the entry is at its limit of open calls"})
+			return
+		}
+		defer e.inFlight.Add(-1)
+		r.Body = http.MaxBytesReader(w, r.Body, e.options.MaxBody)
+		next(w, r, name)
+	}
+}
--- /dev/null
+++ b/internal/role/entry/jobs.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+func (e *Entry) handleJob(w http.ResponseWriter, r *http.Request, name string) {
+	var body jobBody
+	if err := decodeJSON(r.Body, &body); err != nil {
+		e.counters.Invalid.Add(1)
+		writeInvalid(w, err)
+		return
+	}
+	submitted, err := jobFromBody(body, name, e.now())
+	if err != nil {
+		e.counters.Invalid.Add(1)
+		writeInvalid(w, err)
+		return
+	}
+	e.counters.Jobs.Add(1)
+	if state, ok := e.journal.Job(submitted.Identity); ok {
+		writeJSON(w, http.StatusOK, jobStatusToBody(state))
+		return
+	}
+	if reason := e.refuseJob(submitted); reason != "" {
+		e.answerJob(w, submitted.Identity, request.NotRun, reason)
+		return
+	}
+	e.submitJob(r.Context(), w, submitted)
+}
+
+func (e *Entry) submitJob(ctx context.Context, w http.ResponseWriter, j job.Job) {
+	ctx, cancel := context.WithTimeout(ctx, e.options.SubmitWait)
+	defer cancel()
+	_, err := e.writer.Append(ctx, journal.JobSubmitted{Job: j})
+	// An invalid verdict means that the same identity was submitted first
+	// elsewhere; the caller gets that job.
+	state, known := e.journal.Job(j.Identity)
+	switch {
+	case known:
+		writeJSON(w, http.StatusAccepted, jobStatusToBody(state))
+	case errors.Is(err, journal.ErrNotAppended):
+		e.answerJob(w, j.Identity, request.NotRun, "the log does not take submissions now")
+	default:
+		e.answerJob(w, j.Identity, request.Unknown, "the log has not confirmed the submission; ask again by its id")
+	}
+}
+
+func (e *Entry) answerJob(w http.ResponseWriter, id request.Identity, o request.Outcome, reason string) {
+	e.counters.count(o)
+	writeAnswer(w, answerStatus(o), request.Answer{Identity: id, Outcome: o, Reason: reason})
+}
+
+// refuseJob returns why the job is not accepted.
+func (e *Entry) refuseJob(j job.Job) string {
+	plan, reason := e.plan(j.Identity.Organisation, j.Kind)
+	if reason != "" {
+		return reason
+	}
+	if total := j.Shape.Total(); total > plan.AcceleratorLimit {
+		return fmt.Sprintf("the job needs %d accelerators, plan %s allows %d", total, plan.Name, plan.AcceleratorLimit)
+	}
+	if j.Urgent && !plan.Urgent {
+		return fmt.Sprintf("plan %s does not include urgent jobs", plan.Name)
+	}
+	if err := e.fleet.CanEverRun(j); err != nil {
+		return err.Error()
+	}
+	return ""
+}
+
+func (e *Entry) handleJobStatus(w http.ResponseWriter, r *http.Request, name string) {
+	id := request.Identity{Organisation: name, ID: r.PathValue("id")}
+	wait, err := e.waitTime(r)
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	state, ok := e.awaitEnd(r.Context(), id, wait)
+	if !ok {
+		writeProblem(w, http.StatusNotFound, "no such job")
+		return
+	}
+	writeJSON(w, http.StatusOK, jobStatusToBody(state))
+}
+
+func (e *Entry) waitTime(r *http.Request) (time.Duration, error) {
+	text := r.URL.Query().Get("wait")
+	if text == "" {
+		return 0, nil
+	}
+	wait, err := time.ParseDuration(text)
+	if err != nil || wait < 0 {
+		return 0, fmt.Errorf("wait is %q: want a duration such as 30s", text)
+	}
+	return min(wait, e.options.MaxWait), nil
+}
+
+// awaitEnd returns the job when it has ended or the wait is over.
+func (e *Entry) awaitEnd(ctx context.Context, id request.Identity, wait time.Duration) (journal.JobState, bool) {
+	timeout := time.After(wait)
+	for {
+		changed := e.journal.Watch()
+		state, ok := e.journal.Job(id)
+		if !ok || state.State == job.Ended || wait == 0 {
+			return state, ok
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return state, true
+		case <-ctx.Done():
+			return state, true
+		}
+	}
+}
+
+func (e *Entry) handleJobCancel(w http.ResponseWriter, r *http.Request, name string) {
+	id := request.Identity{Organisation: name, ID: r.PathValue("id")}
+	state, ok := e.journal.Job(id)
+	if !ok {
+		writeProblem(w, http.StatusNotFound, "no such job")
+		return
+	}
+	if state.State == job.Ended {
+		writeJSON(w, http.StatusOK, jobStatusToBody(state))
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), e.options.SubmitWait)
+	defer cancel()
+	if _, err := e.writer.Append(ctx, journal.JobCancelled{Identity: id}); err != nil {
+		writeProblem(w, http.StatusServiceUnavailable, "the log has not confirmed the cancellation; ask again")
+		return
+	}
+	state, _ = e.journal.Job(id)
+	writeJSON(w, http.StatusAccepted, jobStatusToBody(state))
+}
+
+func (e *Entry) handleExplanation(w http.ResponseWriter, r *http.Request, name string) {
+	e.explain(r.Context(), w, request.Identity{Organisation: name, ID: r.PathValue("id")})
+}
+
+func (e *Entry) explain(ctx context.Context, w http.ResponseWriter, id request.Identity) {
+	state, ok := e.journal.Job(id)
+	if !ok {
+		writeProblem(w, http.StatusNotFound, "no such job")
+		return
+	}
+	body := explanationBody{ID: id.ID, State: state.State.String()}
+	if state.State != job.Queued {
+		body.WaitsFor = state.Reason
+		writeJSON(w, http.StatusOK, body)
+		return
+	}
+	explanation, err := e.fleet.Explain(ctx, state)
+	if err != nil {
+		writeProblem(w, http.StatusServiceUnavailable, err.Error())
+		return
+	}
+	body.WaitsFor = explanation.WaitsFor
+	body.BlockedBy = explanation.BlockedBy
+	body.WouldStartIf = explanation.WouldStartIf
+	writeJSON(w, http.StatusOK, body)
+}
--- /dev/null
+++ b/internal/role/entry/requests.go
@@ -0,0 +1,126 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request, name string) {
+	var body requestBody
+	if err := decodeJSON(r.Body, &body); err != nil {
+		e.counters.Invalid.Add(1)
+		writeInvalid(w, err)
+		return
+	}
+	submitted, err := requestFromBody(body, name)
+	if err != nil {
+		e.counters.Invalid.Add(1)
+		writeInvalid(w, err)
+		return
+	}
+	e.counters.Requests.Add(1)
+	answer := e.runRequest(r.Context(), submitted)
+	e.counters.count(answer.Outcome)
+	writeAnswer(w, answerStatus(answer.Outcome), answer)
+}
+
+func (e *Entry) runRequest(ctx context.Context, r request.Request) request.Answer {
+	if known, ok := e.finished(r.Identity); ok {
+		return known
+	}
+	if reason := e.refuseRequest(r); reason != "" {
+		return request.Answer{Identity: r.Identity, Outcome: request.NotRun, Reason: reason}
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	return e.router.Run(ctx, r)
+}
+
+// refuseRequest returns why the request is not accepted. A claimed identity is
+// never refused here, because its request may have run.
+func (e *Entry) refuseRequest(r request.Request) string {
+	if _, claimed := e.journal.Request(r.Identity); claimed {
+		return ""
+	}
+	now := e.now()
+	if !r.Deadline.After(now) {
+		return "the deadline has passed"
+	}
+	if r.Deadline.After(now.Add(e.options.MaxDeadline)) {
+		return fmt.Sprintf("the deadline is more than %s ahead", e.options.MaxDeadline)
+	}
+	plan, reason := e.plan(r.Identity.Organisation, r.Kind)
+	if reason != "" {
+		return reason
+	}
+	if !plan.AllowsService(r.Service) {
+		return fmt.Sprintf("plan %s does not include service %s", plan.Name, r.Service)
+	}
+	return ""
+}
+
+// plan returns the plan that allows the kind, or why there is none.
+func (e *Entry) plan(name, kind string) (organisation.Plan, string) {
+	o, plan, ok := e.journal.Configuration().PlanOf(name)
+	switch {
+	case !ok:
+		return plan, fmt.Sprintf("organisation %s has no plan", name)
+	case !o.Open(e.now()):
+		return plan, fmt.Sprintf("the plan of %s closed at %s", name, o.Closes.Format(time.RFC3339))
+	case !plan.AllowsKind(kind):
+		return plan, fmt.Sprintf("plan %s does not include kind %s", plan.Name, kind)
+	}
+	return plan, ""
+}
+
+// finished returns the journaled answer of a non-idempotent request.
+func (e *Entry) finished(id request.Identity) (request.Answer, bool) {
+	known, ok := e.journal.Request(id)
+	if !ok || known.Outcome == request.Pending {
+		return request.Answer{}, false
+	}
+	return request.Answer{Identity: id, Outcome: known.Outcome, Reason: known.Reason, Body: known.Body}, true
+}
+
+func (e *Entry) handleRequestStatus(w http.ResponseWriter, r *http.Request, name string) {
+	id := request.Identity{Organisation: name, ID: r.PathValue("id")}
+	if answer, ok := e.finished(id); ok {
+		writeAnswer(w, answerStatus(answer.Outcome), answer)
+		return
+	}
+	if answer, ok := e.router.Lookup(r.Context(), id); ok {
+		writeAnswer(w, answerStatus(answer.Outcome), answer)
+		return
+	}
+	if known, ok := e.journal.Request(id); ok {
+		writeAnswer(w, http.StatusOK, e.unfinished(id, known.Deadline))
+		return
+	}
+	writeProblem(w, http.StatusNotFound, "no agent and no record knows this request")
+}
+
+// unfinished is the answer for a claimed request that no agent knows.
+func (e *Entry) unfinished(id request.Identity, deadline time.Time) request.Answer {
+	if e.now().Before(deadline) {
+		return request.Answer{Identity: id, Outcome: request.Pending, Reason: "claimed by an agent"}
+	}
+	return request.Answer{Identity: id, Outcome: request.Unknown, Reason: "claimed by an agent that left no result"}
+}
+
+func answerStatus(o request.Outcome) int {
+	switch o {
+	case request.NotRun:
+		return http.StatusServiceUnavailable
+	case request.Unknown:
+		return http.StatusGatewayTimeout
+	case request.Pending:
+		return http.StatusAccepted
+	case request.Done, request.Failed:
+	}
+	return http.StatusOK
+}
--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -130,8 +130,8 @@
 	wait := min(maxWait, time.Duration(waitMillis)*time.Millisecond)
 	page, expired := s.awaitPage(r, from, min(limit, maxPerRead), wait)
 	if expired {
-		http.Error(w, "offset has expired", http.StatusGone)
-		return
+		w.WriteHeader(http.StatusGone)
+		page.Entries = nil
 	}
 	writeJSON(w, replyFromPage(page))
 }
