--- /dev/null
+++ b/internal/cluster/membership/repair.go
@@ -0,0 +1,159 @@
+package membership
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"wasabihoist/internal/cluster/wire"
+)
+
+// joinRetry lies between two attempts to join.
+const joinRetry = time.Second
+
+// join reads the whole member list from the first seed that answers.
+func (m *Membership) join(ctx context.Context) error {
+	for {
+		seeds := m.otherSeeds()
+		if len(seeds) == 0 {
+			break
+		}
+		for _, seed := range seeds {
+			if m.joinThrough(ctx, seed) {
+				m.count(func(s *Statistics) { s.Joined = true })
+				return nil
+			}
+		}
+		if !sleep(ctx, joinRetry) {
+			return nil
+		}
+	}
+	m.count(func(s *Statistics) { s.Joined = true })
+	return nil
+}
+
+// otherSeeds returns the seeds in random order without this process.
+func (m *Membership) otherSeeds() []netip.AddrPort {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var seeds []netip.AddrPort
+	for _, i := range m.random.Perm(len(m.options.Seeds)) {
+		if seed := m.options.Seeds[i]; seed != m.self.member.Address {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+func (m *Membership) joinThrough(ctx context.Context, seed netip.AddrPort) bool {
+	after := ""
+	for {
+		res, err := m.exchange(ctx, Member{Address: seed}, call{
+			timeout:    m.options.ExchangeTimeout,
+			anyName:    true,
+			prepare:    func(r *wire.ProbeRequest) { r.Join, r.PageAfter = true, after },
+			pageSource: listed,
+		})
+		if err != nil {
+			return false
+		}
+		next := lastName(res.page, after)
+		if !res.more || next == after {
+			return true
+		}
+		after = next
+	}
+}
+
+func lastName(page []Member, after string) string {
+	for _, p := range page {
+		after = max(after, p.Name)
+	}
+	return after
+}
+
+// repair compares a page of the list with another process, so that a change
+// that the piggybacked messages missed still arrives, and looks for members on
+// the other side of a healed partition.
+func (m *Membership) repair(ctx context.Context) error {
+	m.repairFromPeer(ctx)
+	m.reconnect(ctx)
+	m.repairFromSeed(ctx)
+	return nil
+}
+
+func (m *Membership) repairFromPeer(ctx context.Context) {
+	m.mu.Lock()
+	peers := m.pickPeers(1, "")
+	after := m.repairAfter
+	m.mu.Unlock()
+	for _, peer := range peers {
+		next, err := m.readPage(ctx, peer, after, false)
+		if err != nil {
+			return
+		}
+		m.mu.Lock()
+		m.repairAfter = next
+		m.mu.Unlock()
+	}
+}
+
+// readPage merges the page after a name and returns the name that the next
+// page starts after.
+func (m *Membership) readPage(ctx context.Context, peer Member, after string, anyName bool) (string, error) {
+	res, err := m.exchange(ctx, peer, call{
+		timeout:    m.options.ExchangeTimeout,
+		anyName:    anyName,
+		prepare:    func(r *wire.ProbeRequest) { r.Page, r.PageAfter = true, after },
+		pageSource: listed,
+	})
+	if err != nil {
+		return after, err
+	}
+	if !res.more {
+		return "", nil
+	}
+	return lastName(res.page, after), nil
+}
+
+// reconnect tries a random dead member of the data centre. After a partition
+// each side has declared the other one dead and no longer probes it.
+func (m *Membership) reconnect(ctx context.Context) {
+	m.mu.Lock()
+	var dead []Member
+	for _, r := range m.table.byCentre[m.self.member.DataCentre] {
+		if r.member.State == Dead {
+			dead = append(dead, r.member)
+		}
+	}
+	var target Member
+	if len(dead) > 0 {
+		target = dead[m.random.IntN(len(dead))]
+	}
+	m.mu.Unlock()
+	if len(dead) > 0 {
+		_, _ = m.exchange(ctx, target, call{timeout: m.options.DirectTimeout})
+	}
+}
+
+// repairFromSeed compares a page with a seed. Only one process of a data
+// centre does so, because the number of seeds does not grow with the fleet.
+// When a partition outlasts the retention of dead members, the parts find each
+// other in this way.
+func (m *Membership) repairFromSeed(ctx context.Context) {
+	m.mu.Lock()
+	delegate := m.isDelegate("seeds")
+	after := m.seedAfter
+	m.mu.Unlock()
+	seeds := m.otherSeeds()
+	if !delegate || len(seeds) == 0 {
+		return
+	}
+	next, err := m.readPage(ctx, Member{Address: seeds[0]}, after, true)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.seedAfter = next
+}
