Add the codec of plans and allowances

Cause: operators drive the system with plans.toml and allowances.toml only. Conclusion: publish, check and diff can be built on it.

--- /dev/null
+++ b/internal/tenancy/configuration/check.go
@@ -0,0 +1,165 @@
+package configuration
+
+import (
+	"regexp"
+
+	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/run/tomlfile"
+	"wasabihoist/internal/tenancy/organisation"
+)
+
+// Names of the arrays of tables in the two files.
+const (
+	organisationKey = "organisation"
+	planKey         = "plan"
+	guaranteeKey    = "guarantee"
+)
+
+// Bounds of a shape. A worker has at most 8 accelerators and a rack has 3
+// workers.
+const (
+	maxMembers            = 64
+	acceleratorsPerWorker = 8
+	acceleratorsPerRack   = 3 * acceleratorsPerWorker
+)
+
+// maxCount bounds the count of a guarantee. It is above the 7,200 accelerators
+// of the planned size, so no larger count can be placed.
+const maxCount = 10_000
+
+// maxName bounds names, because they are part of keys, log lines and metrics.
+const maxName = 63
+
+var nameForm = regexp.MustCompile(`^[a-z][a-z0-9]*(-[a-z0-9]+)*$`)
+
+func checkOrganisations(d *tomlfile.Document, organisations []organisationTable) {
+	seen := collection.NewSet[string]()
+	for i, o := range organisations {
+		key := tomlfile.Index(organisationKey, i)
+		checkUniqueName(d, tomlfile.Join(key, "name"), o.Name, seen)
+		checkName(d, tomlfile.Join(key, "plan"), o.Plan)
+	}
+}
+
+// checkReferences checks that the plans that organisations name exist.
+func checkReferences(d *tomlfile.Document, p plansFile, a allowancesFile) {
+	known := collection.NewSet[string]()
+	for _, t := range a.Plans {
+		known.Add(t.Name)
+	}
+	for i, o := range p.Organisations {
+		if o.Plan != "" && !known.Has(o.Plan) {
+			d.Reportf(tomlfile.Join(tomlfile.Index(organisationKey, i), "plan"), "unknown plan %q", o.Plan)
+		}
+	}
+}
+
+func checkPlanTables(d *tomlfile.Document, plans []planTable) {
+	seen := collection.NewSet[string]()
+	for i, p := range plans {
+		key := tomlfile.Index(planKey, i)
+		checkUniqueName(d, tomlfile.Join(key, "name"), p.Name, seen)
+		checkNames(d, tomlfile.Join(key, "services"), p.Services)
+		checkNames(d, tomlfile.Join(key, "kinds"), p.Kinds)
+		checkLimits(d, key, p)
+		checkGuarantees(d, key, p)
+	}
+}
+
+func checkLimits(d *tomlfile.Document, key string, p planTable) {
+	limit := tomlfile.Join(key, "accelerator-limit")
+	if !d.Has(limit) {
+		d.Reportf(limit, "missing")
+	}
+	checkAtLeast(d, limit, p.AcceleratorLimit, 0)
+	checkAtLeast(d, tomlfile.Join(key, "queue-limit"), p.QueueLimit, 1)
+	checkAtLeast(d, tomlfile.Join(key, "share"), p.Share, 1)
+}
+
+func checkGuarantees(d *tomlfile.Document, key string, p planTable) {
+	guaranteed := 0
+	for i, g := range p.Guarantees {
+		element := tomlfile.Index(tomlfile.Join(key, guaranteeKey), i)
+		if checkShape(d, element, g) {
+			guaranteed += g.Members * g.Accelerators * g.Count
+		}
+	}
+	limit := tomlfile.Join(key, "accelerator-limit")
+	if d.Has(limit) && p.AcceleratorLimit >= 0 && guaranteed > p.AcceleratorLimit {
+		d.Reportf(limit, "limit of %d is below the %d accelerators that are guaranteed",
+			p.AcceleratorLimit, guaranteed)
+	}
+}
+
+// checkShape reports whether all numbers of the guarantee are in range.
+func checkShape(d *tomlfile.Document, key string, g guaranteeTable) bool {
+	ok := checkRange(d, tomlfile.Join(key, "members"), g.Members, maxMembers)
+	ok = checkRange(d, tomlfile.Join(key, "accelerators"), g.Accelerators, acceleratorsPerWorker) && ok
+	ok = checkRange(d, tomlfile.Join(key, "count"), g.Count, maxCount) && ok
+	adjacencyKey := tomlfile.Join(key, "adjacency")
+	adjacency, err := organisation.ParseAdjacency(g.Adjacency)
+	if err != nil {
+		d.Reportf(adjacencyKey, "%v", err)
+		return ok
+	}
+	if ok {
+		checkAdjacency(d, adjacencyKey, adjacency, g.Members*g.Accelerators)
+	}
+	return ok
+}
+
+func checkAdjacency(d *tomlfile.Document, key string, a organisation.Adjacency, total int) {
+	if a == organisation.WithinWorker && total > acceleratorsPerWorker {
+		d.Reportf(key, "%d accelerators do not fit on one worker, which has at most %d", total, acceleratorsPerWorker)
+	}
+	if a == organisation.WithinRack && total > acceleratorsPerRack {
+		d.Reportf(key, "%d accelerators do not fit in one rack, which has at most %d", total, acceleratorsPerRack)
+	}
+}
+
+func checkUniqueName(d *tomlfile.Document, key, name string, seen collection.Set[string]) {
+	if !checkName(d, key, name) {
+		return
+	}
+	if seen.Has(name) {
+		d.Reportf(key, "duplicate name %q", name)
+	}
+	seen.Add(name)
+}
+
+func checkNames(d *tomlfile.Document, key string, names []string) {
+	if len(names) == 0 {
+		d.Reportf(key, "want at least one name")
+	}
+	seen := collection.NewSet[string]()
+	for i, name := range names {
+		checkUniqueName(d, tomlfile.Index(key, i), name, seen)
+	}
+}
+
+func checkName(d *tomlfile.Document, key, name string) bool {
+	switch {
+	case name == "":
+		d.Reportf(key, "missing")
+	case !nameForm.MatchString(name) || len(name) > maxName:
+		d.Reportf(key, "want a name in kebab case of at most %d characters, got %q", maxName, name)
+	default:
+		return true
+	}
+	return false
+}
+
+func checkAtLeast(d *tomlfile.Document, key string, n, least int) bool {
+	if n < least {
+		d.Reportf(key, "want at least %d, got %d", least, n)
+	}
+	return n >= least
+}
+
+func checkRange(d *tomlfile.Document, key string, n, most int) bool {
+	ok := n >= 1 && n <= most
+	if !ok {
+		d.Reportf(key, "want 1 to %d, got %d", most, n)
+	}
+	return ok
+}
