--- a/internal/run/tomlfile/decode.go
+++ b/internal/run/tomlfile/decode.go
@@ -4,7 +4,6 @@
 	"encoding"
 	"fmt"
 	"reflect"
-	"slices"
 	"strings"
 	"time"
 
@@ -182,36 +181,3 @@
 		return "a date or time"
 	}
 }
-
-// Keys returns the dotted keys that a tagged struct accepts, in ascending
-// order. Elements of arrays of tables are written as name[].
-func Keys(target any) []string {
-	keys := appendKeys(nil, "", reflect.TypeOf(target))
-	slices.Sort(keys)
-	return keys
-}
-
-func appendKeys(keys []string, prefix string, t reflect.Type) []string {
-	for i := range t.NumField() {
-		f := t.Field(i)
-		name := tagName(f)
-		if name == "" {
-			continue
-		}
-		key := Join(prefix, name)
-		switch {
-		case isTable(f.Type):
-			keys = appendKeys(keys, key, f.Type)
-		case f.Type.Kind() == reflect.Slice && isTable(f.Type.Elem()):
-			keys = appendKeys(keys, key+"[]", f.Type.Elem())
-		default:
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
-func isTable(t reflect.Type) bool {
-	text := reflect.TypeFor[encoding.TextUnmarshaler]()
-	return t.Kind() == reflect.Struct && !reflect.PointerTo(t).Implements(text)
-}
--- a/internal/run/tomlfile/document_test.go
+++ b/internal/run/tomlfile/document_test.go
@@ -79,6 +79,16 @@
 	c.Assert(target.Wait, qt.Equals, 2*time.Second)
 	c.Assert(target.Racks[0].Host[0].Address, qt.Equals, netip.MustParseAddrPort("127.0.0.1:80"))
 	c.Assert(d.Has("rack[0].host[0].cores"), qt.IsTrue)
-	c.Assert(tomlfile.Keys(target), qt.DeepEquals,
-		[]string{"name", "on", "rack[].host[].address", "rack[].host[].cores", "rack[].name", "rack[].slots", "wait"})
+	c.Assert(keys(target), qt.DeepEquals, []string{
+		"name (string)", "on (true or false)", "rack[].host[].address (IP address and port)",
+		"rack[].host[].cores (number)", "rack[].name (string)", "rack[].slots (array of whole number)", "wait (duration)",
+	})
+}
+
+func keys(target any) []string {
+	var names []string
+	for _, k := range tomlfile.Keys(target) {
+		names = append(names, k.Name+" ("+k.Type+")")
+	}
+	return names
 }
--- a/internal/run/tomlfile/locate.go
+++ b/internal/run/tomlfile/locate.go
@@ -1,7 +1,11 @@
 package tomlfile
 
 import (
+	"strings"
+
 	"github.com/pelletier/go-toml/v2/unstable"
+
+	"wasabihoist/internal/base/collection"
 )
 
 // locator walks the syntax tree of a file and notes the line of each key.
@@ -21,6 +25,19 @@
 	return l.lines, l.parser.Error()
 }
 
+// TopLevel returns the names of the tables and keys at the top of a file. After
+// a syntax error it returns those before it.
+func TopLevel(data []byte) collection.Set[string] {
+	names := collection.NewSet[string]()
+	lines, _ := locateKeys(data)
+	for key := range lines {
+		if !strings.ContainsAny(key, ".[") {
+			names.Add(key)
+		}
+	}
+	return names
+}
+
 func (l *locator) visit(n *unstable.Node) {
 	switch n.Kind {
 	case unstable.Table:
--- a/internal/tenancy/configuration/check.go
+++ b/internal/tenancy/configuration/check.go
@@ -149,11 +149,10 @@
 	return false
 }
 
-func checkAtLeast(d *tomlfile.Document, key string, n, least int) bool {
+func checkAtLeast(d *tomlfile.Document, key string, n, least int) {
 	if n < least {
 		d.Reportf(key, "want at least %d, got %d", least, n)
 	}
-	return n >= least
 }
 
 func checkRange(d *tomlfile.Document, key string, n, most int) bool {
