Add the operators' interface of the entry and the fleet reports

Cause: operators edit two lists and need to see members, fleet, jobs and the audit trail; admission needs to know what the data centres can run. Conclusion: a configuration is checked against the reported fleet before it is appended.

--- /dev/null
+++ b/internal/role/entry/audit.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"wasabihoist/internal/record/journal"
+)
+
+// auditFilter selects entries of the audit trail. Empty texts match all.
+type auditFilter struct {
+	actor   string
+	action  string
+	subject string // subject matches any part of the subject.
+	limit   int    // limit is the number of newest entries.
+}
+
+func auditFilterFromQuery(query url.Values) (auditFilter, error) {
+	f := auditFilter{
+		actor:   query.Get("actor"),
+		action:  query.Get("action"),
+		subject: query.Get("subject"),
+		limit:   defaultAuditEntries,
+	}
+	text := query.Get("limit")
+	if text == "" {
+		return f, nil
+	}
+	limit, err := strconv.Atoi(text)
+	if err != nil || limit < 1 {
+		return f, fmt.Errorf("limit is %q: want a number above 0", text)
+	}
+	f.limit = limit
+	return f, nil
+}
+
+// apply returns the newest matching entries, the oldest of them first.
+func (f auditFilter) apply(entries []journal.AuditEntry) []journal.AuditEntry {
+	var matching []journal.AuditEntry
+	for _, a := range entries {
+		if f.matches(a.Audit) {
+			matching = append(matching, a)
+		}
+	}
+	return matching[max(0, len(matching)-f.limit):]
+}
+
+func (f auditFilter) matches(a journal.Audit) bool {
+	return (f.actor == "" || a.Actor == f.actor) &&
+		(f.action == "" || a.Action == f.action) &&
+		strings.Contains(a.Subject, f.subject)
+}
--- /dev/null
+++ b/internal/role/entry/operator.go
@@ -0,0 +1,278 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wasabihoist/internal/base/finding"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/tenancy/configuration"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+const defaultAuditEntries = 100
+
+// OperatorHandler returns the HTTP handler for operators. It listens apart
+// from the callers' handler.
+func (e *Entry) OperatorHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/configuration", e.operator(e.handleConfiguration))
+	mux.HandleFunc("POST /v1/configuration", e.operator(e.handlePublish))
+	mux.HandleFunc("GET /v1/members", e.operator(e.handleMembers))
+	mux.HandleFunc("GET /v1/fleet", e.operator(e.handleFleet))
+	mux.HandleFunc("GET /v1/jobs", e.operator(e.handleJobs))
+	mux.HandleFunc("GET /v1/jobs/{organisation}/{id}/explanation", e.operator(e.handleOperatorExplanation))
+	mux.HandleFunc("GET /v1/audit", e.operator(e.handleAudit))
+	return mux
+}
+
+func (e *Entry) operator(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !e.isOperator(r) {
+			writeProblem(w, http.StatusUnauthorized, "the operator token is missing or wrong")
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, e.options.MaxBody)
+		next(w, r)
+	}
+}
+
+type configurationBody struct {
+	Version    int64  `json:"version"`
+	Plans      string `json:"plans"`
+	Allowances string `json:"allowances"`
+}
+
+type publishBody struct {
+	Base           int64  `json:"base"`
+	Operator       string `json:"operator"`
+	PlansPath      string `json:"plans-path"`
+	Plans          string `json:"plans"`
+	AllowancesPath string `json:"allowances-path"`
+	Allowances     string `json:"allowances"`
+}
+
+type publishedBody struct {
+	Version int64    `json:"version"`
+	Changes []string `json:"changes"`
+}
+
+type conflictBody struct {
+	Error   string   `json:"error"`
+	Version int64    `json:"version"`
+	Changes []string `json:"changes"`
+}
+
+func (e *Entry) handleConfiguration(w http.ResponseWriter, _ *http.Request) {
+	current := e.journal.Configuration()
+	plans, allowances, err := configuration.Format(current)
+	if err != nil {
+		writeProblem(w, http.StatusInternalServerError, err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, configurationBody{Version: current.Version, Plans: string(plans), Allowances: string(allowances)})
+}
+
+func (e *Entry) handlePublish(w http.ResponseWriter, r *http.Request) {
+	var body publishBody
+	if err := decodeJSON(r.Body, &body); err != nil {
+		writeInvalid(w, err)
+		return
+	}
+	edited, err := e.checkEdit(body)
+	if err != nil {
+		writeInvalid(w, err)
+		return
+	}
+	before := e.journal.Configuration()
+	ctx, cancel := context.WithTimeout(r.Context(), e.options.SubmitWait)
+	defer cancel()
+	verdict, err := e.writer.Append(ctx, journal.ConfigurationPublished{
+		Base:          body.Base,
+		Operator:      body.Operator,
+		Organisations: edited.Organisations,
+		Plans:         edited.Plans,
+	})
+	switch {
+	case errors.Is(err, journal.ErrNotAppended):
+		writeProblem(w, http.StatusServiceUnavailable, "not published: the log does not take records now")
+	case err != nil:
+		writeProblem(w, http.StatusGatewayTimeout, "not known whether the configuration was published; read the version in force before publishing again")
+	case !verdict.Valid:
+		e.writeConflict(w, verdict.Reason, edited)
+	default:
+		e.published(w, body, verdict.Offset, configuration.Difference(before, edited))
+	}
+}
+
+// checkEdit parses the two lists and checks that their guarantees are feasible
+// on the fleet that the schedulers last reported.
+func (e *Entry) checkEdit(body publishBody) (organisation.Configuration, error) {
+	edited, err := configuration.Parse(
+		configuration.Source{Path: body.PlansPath, Data: []byte(body.Plans)},
+		configuration.Source{Path: body.AllowancesPath, Data: []byte(body.Allowances)},
+	)
+	if err != nil {
+		return edited, err
+	}
+	if err := e.fleet.Feasible(edited); err != nil {
+		var findings *finding.List
+		if errors.As(err, &findings) {
+			return edited, err
+		}
+		list := &finding.List{}
+		list.Addf(body.AllowancesPath, 0, "", "%v", err)
+		return edited, list
+	}
+	return edited, nil
+}
+
+func (e *Entry) writeConflict(w http.ResponseWriter, reason string, edited organisation.Configuration) {
+	current := e.journal.Configuration()
+	writeJSON(w, http.StatusConflict, conflictBody{
+		Error:   "not published: " + reason,
+		Version: current.Version,
+		Changes: changeLines(configuration.Difference(current, edited)),
+	})
+}
+
+func (e *Entry) published(w http.ResponseWriter, body publishBody, version int64, changes []configuration.Change) {
+	e.writer.Audit(journal.Audit{
+		Actor:   body.Operator,
+		Action:  "publish configuration",
+		Subject: fmt.Sprintf("version %d", version),
+		Reason:  fmt.Sprintf("%d changes", len(changes)),
+		Before:  fmt.Sprintf("version %d", body.Base),
+		After:   fmt.Sprintf("version %d", version),
+	})
+	writeJSON(w, http.StatusOK, publishedBody{Version: version, Changes: changeLines(changes)})
+}
+
+func changeLines(changes []configuration.Change) []string {
+	lines := make([]string, 0, len(changes))
+	for _, c := range changes {
+		lines = append(lines, c.String())
+	}
+	return lines
+}
+
+type memberBody struct {
+	Name       string `json:"name"`
+	Role       string `json:"role"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data-centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+	Waiting    int    `json:"waiting"`
+	Running    int    `json:"running"`
+}
+
+func (e *Entry) handleMembers(w http.ResponseWriter, _ *http.Request) {
+	list := []memberBody{}
+	for _, m := range e.members() {
+		list = append(list, memberBody{
+			Name: m.Name, Role: m.Role, Region: m.Region, DataCentre: m.DataCentre,
+			Address: m.Address, State: m.State, Waiting: m.Waiting, Running: m.Running,
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+type workerBody struct {
+	Name         string  `json:"name"`
+	Rack         string  `json:"rack"`
+	State        string  `json:"state"`
+	Cores        float64 `json:"cores"`
+	MemoryMB     int64   `json:"memory-mb"`
+	Accelerators int     `json:"accelerators"`
+}
+
+type dataCentreBody struct {
+	Name             string       `json:"name"`
+	Scheduler        string       `json:"scheduler"`
+	FreeAccelerators int          `json:"free-accelerators"`
+	LargestGang      int          `json:"largest-gang"`
+	Fragmentation    float64      `json:"fragmentation"`
+	Waiting          int          `json:"waiting"`
+	Running          int          `json:"running"`
+	Workers          []workerBody `json:"workers"`
+}
+
+func (e *Entry) handleFleet(w http.ResponseWriter, _ *http.Request) {
+	list := []dataCentreBody{}
+	for _, d := range e.fleet.DataCentres() {
+		list = append(list, dataCentreToBody(d))
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func dataCentreToBody(d DataCentre) dataCentreBody {
+	body := dataCentreBody{
+		Name:             d.Name,
+		Scheduler:        d.Holder,
+		FreeAccelerators: d.FreeAccelerators,
+		LargestGang:      d.LargestGang,
+		Fragmentation:    d.Fragmentation,
+		Waiting:          d.Waiting,
+		Running:          d.Running,
+		Workers:          []workerBody{},
+	}
+	for _, w := range d.Workers {
+		body.Workers = append(body.Workers, workerBody{
+			Name: w.Name, Rack: w.Rack, State: d.States[w.Name], Cores: w.Capacity.Cores,
+			MemoryMB: w.Capacity.Memory / bytesPerMegabyte, Accelerators: w.Capacity.Accelerators,
+		})
+	}
+	return body
+}
+
+type operatorJobBody struct {
+	Organisation string `json:"organisation"`
+	jobStatusBody
+}
+
+func (e *Entry) handleJobs(w http.ResponseWriter, r *http.Request) {
+	only := r.URL.Query().Get("organisation")
+	list := []operatorJobBody{}
+	for _, s := range e.journal.Jobs() {
+		if only == "" || s.Job.Identity.Organisation == only {
+			list = append(list, operatorJobBody{s.Job.Identity.Organisation, jobStatusToBody(s)})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (e *Entry) handleOperatorExplanation(w http.ResponseWriter, r *http.Request) {
+	e.explain(r.Context(), w, request.Identity{Organisation: r.PathValue("organisation"), ID: r.PathValue("id")})
+}
+
+type auditBody struct {
+	Offset  int64     `json:"offset"`
+	Time    time.Time `json:"time"`
+	Actor   string    `json:"actor"`
+	Action  string    `json:"action"`
+	Subject string    `json:"subject"`
+	Reason  string    `json:"reason"`
+	Before  string    `json:"before,omitempty"`
+	After   string    `json:"after,omitempty"`
+}
+
+func (e *Entry) handleAudit(w http.ResponseWriter, r *http.Request) {
+	filter, err := auditFilterFromQuery(r.URL.Query())
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	list := []auditBody{}
+	for _, a := range filter.apply(e.journal.AuditTrail()) {
+		list = append(list, auditBody{
+			Offset: a.Offset, Time: a.Time, Actor: a.Audit.Actor, Action: a.Audit.Action,
+			Subject: a.Audit.Subject, Reason: a.Audit.Reason, Before: a.Audit.Before, After: a.Audit.After,
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
