--- a/internal/tenancy/configuration/configuration_test.go
+++ b/internal/tenancy/configuration/configuration_test.go
@@ -136,6 +136,6 @@
 	c.Assert(lines, qt.DeepEquals, []string{
 		"organisation a removed: plan big, closes 2027-03-31T12:00:00Z",
 		"organisation b added: plan big, closes open",
-		"plan big: share: 1 -> 3",
+		"plan big changed: share: 1 -> 3",
 	})
 }
--- a/internal/tenancy/configuration/difference.go
+++ b/internal/tenancy/configuration/difference.go
@@ -25,18 +25,42 @@
 	New     string // New is empty when the entry was removed.
 }
 
-// String describes the change in one line.
-func (c Change) String() string {
+// The actions of a change.
+const (
+	Added   = "added"
+	Removed = "removed"
+	Changed = "changed"
+)
+
+// Action returns Added, Removed or Changed.
+func (c Change) Action() string {
 	switch {
 	case c.Old == "":
-		return fmt.Sprintf("%s %s added: %s", c.Subject, c.Name, c.New)
+		return Added
 	case c.New == "":
-		return fmt.Sprintf("%s %s removed: %s", c.Subject, c.Name, c.Old)
+		return Removed
 	default:
-		return fmt.Sprintf("%s %s: %s: %s -> %s", c.Subject, c.Name, c.Field, c.Old, c.New)
+		return Changed
 	}
 }
 
+// Detail describes the values of the change.
+func (c Change) Detail() string {
+	switch c.Action() {
+	case Added:
+		return c.New
+	case Removed:
+		return c.Old
+	default:
+		return fmt.Sprintf("%s: %s -> %s", c.Field, c.Old, c.New)
+	}
+}
+
+// String describes the change in one line.
+func (c Change) String() string {
+	return fmt.Sprintf("%s %s %s: %s", c.Subject, c.Name, c.Action(), c.Detail())
+}
+
 // field is one value of an entry as text.
 type field struct{ name, value string }
 
--- /dev/null
+++ b/main.go
@@ -0,0 +1,11 @@
+// Command wasabihoist schedules multi-accelerator jobs and short requests. See
+// docs/design.md.
+package main
+
+import (
+	"os"
+
+	"wasabihoist/cmd"
+)
+
+func main() { os.Exit(cmd.Main()) }
