--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -64,7 +64,10 @@
 	if err != nil {
 		return report(env, "", err)
 	}
-	_, err = parser.ParseArgs(helpArgs(args))
+	rest, err := parser.ParseArgs(helpArgs(args))
+	if err == nil && len(rest) > 0 {
+		err = usageError{fmt.Sprintf("unexpected argument %q", rest[0])}
+	}
 	name := ""
 	if parser.Active != nil {
 		name = parser.Active.Name
--- a/cmd/diff.go
+++ b/cmd/diff.go
@@ -26,7 +26,7 @@
 Exit codes: 0 whether or not the versions differ, 1 when a file has findings or cannot be read, 2 for wrong usage.`,
 		examples: []string{
 			"wasabihoist diff old new",
-			"wasabihoist diff --output json old/plans.toml old/allowances.toml new/plans.toml new/allowances.toml",
+			"wasabihoist diff --output json old new",
 		},
 		runner: &diffCommand{},
 	}
--- a/internal/run/tomlfile/decode.go
+++ b/internal/run/tomlfile/decode.go
@@ -3,6 +3,7 @@
 import (
 	"encoding"
 	"fmt"
+	"net/netip"
 	"reflect"
 	"strings"
 	"time"
@@ -121,7 +122,13 @@
 		d.refuse(key, "want a string, got %s", describeValue(value))
 		return
 	}
-	if err := target.UnmarshalText([]byte(text)); err != nil {
+	err := target.UnmarshalText([]byte(text))
+	if _, isAddress := target.(*netip.AddrPort); isAddress && err != nil {
+		// The error of netip does not say what is expected.
+		d.refuse(key, `want an IP address and port such as "127.0.0.1:7000", got %q`, text)
+		return
+	}
+	if err != nil {
 		d.refuse(key, "%v", err)
 	}
 }
