Add the commands of callers and operators

Cause: callers and operators need a command line over the entry's interfaces. Change: move the JSON bodies to internal/role/restapi, add its client and the commands submit, status, wait, cancel, configuration, publish, members, fleet, jobs, explain and audit.

--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -19,8 +19,19 @@
 // text. A new command is added here.
 func commands() []command {
 	return []command{
+		submitEntry(),
+		statusEntry(),
+		waitEntry(),
+		cancelEntry(),
 		checkEntry(),
 		diffEntry(),
+		configurationEntry(),
+		publishEntry(),
+		membersEntry(),
+		fleetEntry(),
+		jobsEntry(),
+		explainEntry(),
+		auditEntry(),
 		versionEntry(),
 		helpEntry(),
 	}
--- /dev/null
+++ b/cmd/status.go
@@ -0,0 +1,108 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"wasabihoist/internal/role/restapi"
+)
+
+// waitStep is how long one call waits; an entry bounds it as well.
+const waitStep = 30 * time.Second
+
+type statusCommand struct {
+	callerOptions
+	outputOption
+	Request bool `long:"request" description:"The id is that of a request; without this option it is that of a job"`
+	Args    struct {
+		ID string `positional-arg-name:"ID"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func statusEntry() command {
+	return command{
+		name:  "status",
+		short: "Show a job or a request",
+		long: `Shows what is known of a job, or of a request with --request. Any entry can be asked.
+
+Exit codes: 0 when it is known (for a request: when it is done), 1 otherwise, 2 for wrong usage.`,
+		examples: []string{"wasabihoist status --entry 10.0.0.1:8080 match-17"},
+		runner:   &statusCommand{},
+	}
+}
+
+// Run implements runner.
+func (c *statusCommand) Run(ctx context.Context, env environment) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := withTimeout(ctx)
+	defer cancel()
+	if c.Request {
+		answer, err := client.Request(ctx, c.Args.ID)
+		if err != nil {
+			return err
+		}
+		return writeAnswer(env.stdout, c.outputOption, answer)
+	}
+	status, err := client.Job(ctx, c.Args.ID, 0)
+	if err != nil {
+		return err
+	}
+	return writeJobStatus(env.stdout, c.outputOption, status)
+}
+
+type waitCommand struct {
+	callerOptions
+	outputOption
+	Timeout time.Duration `long:"timeout" default:"10m" description:"How long to wait"`
+	Args    struct {
+		ID string `positional-arg-name:"ID"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+func waitEntry() command {
+	return command{
+		name:  "wait",
+		short: "Wait until a job has ended",
+		long: `Waits until a job has ended and shows its outcome.
+
+Exit codes: 0 when the job is done, 1 for any other outcome or when the time is over, 2 for wrong usage.`,
+		examples: []string{"wasabihoist wait --entry 10.0.0.1:8080 --timeout 1h match-17"},
+		runner:   &waitCommand{},
+	}
+}
+
+// Run implements runner.
+func (c *waitCommand) Run(ctx context.Context, env environment) error {
+	client, err := c.client()
+	if err != nil {
+		return err
+	}
+	deadline := time.Now().Add(c.Timeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(defaultCallTimeout))
+	defer cancel()
+	for {
+		wait := min(waitStep, time.Until(deadline))
+		status, err := client.Job(ctx, c.Args.ID, max(wait, time.Millisecond))
+		if err != nil {
+			return err
+		}
+		if ended(status) || !time.Now().Before(deadline) {
+			return c.finish(env, status)
+		}
+	}
+}
+
+func (c *waitCommand) finish(env environment, status restapi.JobStatus) error {
+	if err := writeJobStatus(env.stdout, c.outputOption, status); err != nil {
+		return err
+	}
+	if status.Outcome != "done" {
+		return errFindings
+	}
+	return nil
+}
+
+func ended(s restapi.JobStatus) bool { return s.State == "ended" }
--- a/internal/role/entry/codec.go
+++ b/internal/role/entry/codec.go
@@ -12,6 +12,7 @@
 	"wasabihoist/internal/base/finding"
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
 )
@@ -24,67 +25,6 @@
 
 var validID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
 
-type requestBody struct {
-	ID         string    `json:"id"`
-	Service    string    `json:"service"`
-	Kind       string    `json:"kind"`
-	Deadline   time.Time `json:"deadline"`
-	Idempotent bool      `json:"idempotent"`
-	Body       []byte    `json:"body"`
-}
-
-type jobBody struct {
-	ID           string    `json:"id"`
-	Kind         string    `json:"kind"`
-	Members      int       `json:"members"`
-	Accelerators int       `json:"accelerators-per-member"`
-	Adjacency    string    `json:"adjacency"`
-	Cores        float64   `json:"cores-per-member"`
-	MemoryMB     int64     `json:"memory-per-member-mb"`
-	RunTime      float64   `json:"run-time-s"`
-	Deadline     time.Time `json:"deadline"`
-	Idempotent   bool      `json:"idempotent"`
-	Urgent       bool      `json:"urgent"`
-	DataCentre   string    `json:"data-centre"`
-}
-
-type answerBody struct {
-	ID      string `json:"id,omitempty"`
-	Outcome string `json:"outcome"`
-	Reason  string `json:"reason,omitempty"`
-	Body    []byte `json:"body,omitempty"`
-}
-
-type jobStatusBody struct {
-	ID         string   `json:"id"`
-	State      string   `json:"state"`
-	Outcome    string   `json:"outcome"`
-	Reason     string   `json:"reason,omitempty"`
-	DataCentre string   `json:"data-centre,omitempty"`
-	Workers    []string `json:"workers,omitempty"`
-	Attempt    int      `json:"attempt"`
-}
-
-type explanationBody struct {
-	ID           string `json:"id"`
-	State        string `json:"state"`
-	WaitsFor     string `json:"waits-for,omitempty"`
-	BlockedBy    string `json:"blocked-by,omitempty"`
-	WouldStartIf string `json:"would-start-if,omitempty"`
-}
-
-type findingBody struct {
-	File    string `json:"file,omitempty"`
-	Line    int    `json:"line,omitempty"`
-	Key     string `json:"key,omitempty"`
-	Message string `json:"message"`
-}
-
-type problemBody struct {
-	Error    string        `json:"error"`
-	Findings []findingBody `json:"findings,omitempty"`
-}
-
 // decodeJSON reads one JSON value without unknown keys.
 func decodeJSON(body io.Reader, into any) error {
 	decoder := json.NewDecoder(body)
@@ -98,7 +38,7 @@
 	return nil
 }
 
-func requestFromBody(b requestBody, name string) (request.Request, error) {
+func requestFromBody(b restapi.Request, name string) (request.Request, error) {
 	var findings finding.List
 	checkID(&findings, b.ID)
 	require(&findings, "service", b.Service)
@@ -116,7 +56,7 @@
 	}, findings.Err()
 }
 
-func jobFromBody(b jobBody, name string, now time.Time) (job.Job, error) {
+func jobFromBody(b restapi.Job, name string, now time.Time) (job.Job, error) {
 	var findings finding.List
 	checkID(&findings, b.ID)
 	require(&findings, "kind", b.Kind)
@@ -166,8 +106,8 @@
 	}
 }
 
-func jobStatusToBody(s journal.JobState) jobStatusBody {
-	return jobStatusBody{
+func jobStatusToBody(s journal.JobState) restapi.JobStatus {
+	return restapi.JobStatus{
 		ID:         s.Job.Identity.ID,
 		State:      s.State.String(),
 		Outcome:    s.Outcome.String(),
@@ -185,11 +125,11 @@
 }
 
 func writeAnswer(w http.ResponseWriter, status int, a request.Answer) {
-	writeJSON(w, status, answerBody{ID: a.Identity.ID, Outcome: a.Outcome.String(), Reason: a.Reason, Body: a.Body})
+	writeJSON(w, status, restapi.Answer{ID: a.Identity.ID, Outcome: a.Outcome.String(), Reason: a.Reason, Body: a.Body})
 }
 
 func writeProblem(w http.ResponseWriter, status int, message string) {
-	writeJSON(w, status, problemBody{Error: message})
+	writeJSON(w, status, restapi.Problem{Error: message})
 }
 
 // writeInvalid answers a call whose body was refused, with all findings.
@@ -199,9 +139,9 @@
 		writeProblem(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	body := problemBody{Error: "the body has findings"}
+	body := restapi.Problem{Error: "the body has findings"}
 	for _, f := range findings.All() {
-		body.Findings = append(body.Findings, findingBody(f))
+		body.Findings = append(body.Findings, restapi.Finding(f))
 	}
 	writeJSON(w, http.StatusBadRequest, body)
 }
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -9,11 +9,12 @@
 
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/traffic/request"
 )
 
 func (e *Entry) handleJob(w http.ResponseWriter, r *http.Request, name string) {
-	var body jobBody
+	var body restapi.Job
 	if err := decodeJSON(r.Body, &body); err != nil {
 		e.counters.Invalid.Add(1)
 		writeInvalid(w, err)
@@ -154,7 +155,7 @@
 		writeProblem(w, http.StatusNotFound, "no such job")
 		return
 	}
-	body := explanationBody{ID: id.ID, State: state.State.String()}
+	body := restapi.Explanation{ID: id.ID, State: state.State.String()}
 	if state.State != job.Queued {
 		body.WaitsFor = state.Reason
 		writeJSON(w, http.StatusOK, body)
--- a/internal/role/entry/operator.go
+++ b/internal/role/entry/operator.go
@@ -5,10 +5,10 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"time"
 
 	"wasabihoist/internal/base/finding"
 	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/tenancy/configuration"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
@@ -41,32 +41,6 @@
 	}
 }
 
-type configurationBody struct {
-	Version    int64  `json:"version"`
-	Plans      string `json:"plans"`
-	Allowances string `json:"allowances"`
-}
-
-type publishBody struct {
-	Base           int64  `json:"base"`
-	Operator       string `json:"operator"`
-	PlansPath      string `json:"plans-path"`
-	Plans          string `json:"plans"`
-	AllowancesPath string `json:"allowances-path"`
-	Allowances     string `json:"allowances"`
-}
-
-type publishedBody struct {
-	Version int64    `json:"version"`
-	Changes []string `json:"changes"`
-}
-
-type conflictBody struct {
-	Error   string   `json:"error"`
-	Version int64    `json:"version"`
-	Changes []string `json:"changes"`
-}
-
 func (e *Entry) handleConfiguration(w http.ResponseWriter, _ *http.Request) {
 	current := e.journal.Configuration()
 	plans, allowances, err := configuration.Format(current)
@@ -74,11 +48,11 @@
 		writeProblem(w, http.StatusInternalServerError, err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, configurationBody{Version: current.Version, Plans: string(plans), Allowances: string(allowances)})
+	writeJSON(w, http.StatusOK, restapi.Configuration{Version: current.Version, Plans: string(plans), Allowances: string(allowances)})
 }
 
 func (e *Entry) handlePublish(w http.ResponseWriter, r *http.Request) {
-	var body publishBody
+	var body restapi.Publish
 	if err := decodeJSON(r.Body, &body); err != nil {
 		writeInvalid(w, err)
 		return
@@ -111,7 +85,7 @@
 
 // checkEdit parses the two lists and checks that their guarantees are feasible
 // on the fleet that the schedulers last reported.
-func (e *Entry) checkEdit(body publishBody) (organisation.Configuration, error) {
+func (e *Entry) checkEdit(body restapi.Publish) (organisation.Configuration, error) {
 	edited, err := configuration.Parse(
 		configuration.Source{Path: body.PlansPath, Data: []byte(body.Plans)},
 		configuration.Source{Path: body.AllowancesPath, Data: []byte(body.Allowances)},
@@ -133,14 +107,14 @@
 
 func (e *Entry) writeConflict(w http.ResponseWriter, reason string, edited organisation.Configuration) {
 	current := e.journal.Configuration()
-	writeJSON(w, http.StatusConflict, conflictBody{
+	writeJSON(w, http.StatusConflict, restapi.Conflict{
 		Error:   "not published: " + reason,
 		Version: current.Version,
 		Changes: changeLines(configuration.Difference(current, edited)),
 	})
 }
 
-func (e *Entry) published(w http.ResponseWriter, body publishBody, version int64, changes []configuration.Change) {
+func (e *Entry) published(w http.ResponseWriter, body restapi.Publish, version int64, changes []configuration.Change) {
 	e.writer.Audit(journal.Audit{
 		Actor:   body.Operator,
 		Action:  "publish configuration",
@@ -149,7 +123,7 @@
 		Before:  fmt.Sprintf("version %d", body.Base),
 		After:   fmt.Sprintf("version %d", version),
 	})
-	writeJSON(w, http.StatusOK, publishedBody{Version: version, Changes: changeLines(changes)})
+	writeJSON(w, http.StatusOK, restapi.Published{Version: version, Changes: changeLines(changes)})
 }
 
 func changeLines(changes []configuration.Change) []string {
@@ -160,21 +134,10 @@
 	return lines
 }
 
-type memberBody struct {
-	Name       string `json:"name"`
-	Role       string `json:"role"`
-	Region     string `json:"region"`
-	DataCentre string `json:"data-centre"`
-	Address    string `json:"address"`
-	State      string `json:"state"`
-	Waiting    int    `json:"waiting"`
-	Running    int    `json:"running"`
-}
-
 func (e *Entry) handleMembers(w http.ResponseWriter, _ *http.Request) {
-	list := []memberBody{}
+	list := []restapi.Member{}
 	for _, m := range e.members() {
-		list = append(list, memberBody{
+		list = append(list, restapi.Member{
 			Name: m.Name, Role: m.Role, Region: m.Region, DataCentre: m.DataCentre,
 			Address: m.Address, State: m.State, Waiting: m.Waiting, Running: m.Running,
 		})
@@ -182,36 +145,16 @@
 	writeJSON(w, http.StatusOK, list)
 }
 
-type workerBody struct {
-	Name         string  `json:"name"`
-	Rack         string  `json:"rack"`
-	State        string  `json:"state"`
-	Cores        float64 `json:"cores"`
-	MemoryMB     int64   `json:"memory-mb"`
-	Accelerators int     `json:"accelerators"`
-}
-
-type dataCentreBody struct {
-	Name             string       `json:"name"`
-	Scheduler        string       `json:"scheduler"`
-	FreeAccelerators int          `json:"free-accelerators"`
-	LargestGang      int          `json:"largest-gang"`
-	Fragmentation    float64      `json:"fragmentation"`
-	Waiting          int          `json:"waiting"`
-	Running          int          `json:"running"`
-	Workers          []workerBody `json:"workers"`
-}
-
 func (e *Entry) handleFleet(w http.ResponseWriter, _ *http.Request) {
-	list := []dataCentreBody{}
+	list := []restapi.DataCentre{}
 	for _, d := range e.fleet.DataCentres() {
 		list = append(list, dataCentreToBody(d))
 	}
 	writeJSON(w, http.StatusOK, list)
 }
 
-func dataCentreToBody(d DataCentre) dataCentreBody {
-	body := dataCentreBody{
+func dataCentreToBody(d DataCentre) restapi.DataCentre {
+	body := restapi.DataCentre{
 		Name:             d.Name,
 		Scheduler:        d.Holder,
 		FreeAccelerators: d.FreeAccelerators,
@@ -219,10 +162,10 @@
 		Fragmentation:    d.Fragmentation,
 		Waiting:          d.Waiting,
 		Running:          d.Running,
-		Workers:          []workerBody{},
+		Workers:          []restapi.Worker{},
 	}
 	for _, w := range d.Workers {
-		body.Workers = append(body.Workers, workerBody{
+		body.Workers = append(body.Workers, restapi.Worker{
 			Name: w.Name, Rack: w.Rack, State: d.States[w.Name], Cores: w.Capacity.Cores,
 			MemoryMB: w.Capacity.Memory / bytesPerMegabyte, Accelerators: w.Capacity.Accelerators,
 		})
@@ -230,17 +173,12 @@
 	return body
 }
 
-type operatorJobBody struct {
-	Organisation string `json:"organisation"`
-	jobStatusBody
-}
-
 func (e *Entry) handleJobs(w http.ResponseWriter, r *http.Request) {
 	only := r.URL.Query().Get("organisation")
-	list := []operatorJobBody{}
+	list := []restapi.OperatorJob{}
 	for _, s := range e.journal.Jobs() {
 		if only == "" || s.Job.Identity.Organisation == only {
-			list = append(list, operatorJobBody{s.Job.Identity.Organisation, jobStatusToBody(s)})
+			list = append(list, restapi.OperatorJob{Organisation: s.Job.Identity.Organisation, JobStatus: jobStatusToBody(s)})
 		}
 	}
 	writeJSON(w, http.StatusOK, list)
@@ -250,26 +188,15 @@
 	e.explain(r.Context(), w, request.Identity{Organisation: r.PathValue("organisation"), ID: r.PathValue("id")})
 }
 
-type auditBody struct {
-	Offset  int64     `json:"offset"`
-	Time    time.Time `json:"time"`
-	Actor   string    `json:"actor"`
-	Action  string    `json:"action"`
-	Subject string    `json:"subject"`
-	Reason  string    `json:"reason"`
-	Before  string    `json:"before,omitempty"`
-	After   string    `json:"after,omitempty"`
-}
-
 func (e *Entry) handleAudit(w http.ResponseWriter, r *http.Request) {
 	filter, err := auditFilterFromQuery(r.URL.Query())
 	if err != nil {
 		writeProblem(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	list := []auditBody{}
+	list := []restapi.AuditEntry{}
 	for _, a := range filter.apply(e.journal.AuditTrail()) {
-		list = append(list, auditBody{
+		list = append(list, restapi.AuditEntry{
 			Offset: a.Offset, Time: a.Time, Actor: a.Audit.Actor, Action: a.Audit.Action,
 			Subject: a.Audit.Subject, Reason: a.Audit.Reason, Before: a.Audit.Before, After: a.Audit.After,
 		})
--- a/internal/role/entry/requests.go
+++ b/internal/role/entry/requests.go
@@ -6,12 +6,13 @@
 	"net/http"
 	"time"
 
+	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
 )
 
 func (e *Entry) handleRequest(w http.ResponseWriter, r *http.Request, name string) {
-	var body requestBody
+	var body restapi.Request
 	if err := decodeJSON(r.Body, &body); err != nil {
 		e.counters.Invalid.Add(1)
 		writeInvalid(w, err)
--- /dev/null
+++ b/internal/role/restapi/bodies.go
@@ -0,0 +1,155 @@
+// Package restapi holds the JSON bodies of the HTTP interfaces for callers and
+// operators, and the client of both. docs/api.md describes them.
+package restapi
+
+import "time"
+
+// Request is a request as a caller submits it.
+type Request struct {
+	ID         string    `json:"id"`
+	Service    string    `json:"service"`
+	Kind       string    `json:"kind"`
+	Deadline   time.Time `json:"deadline"`
+	Idempotent bool      `json:"idempotent"`
+	Body       []byte    `json:"body"`
+}
+
+// Job is a gang job as a caller submits it.
+type Job struct {
+	ID           string    `json:"id"`
+	Kind         string    `json:"kind"`
+	Members      int       `json:"members"`
+	Accelerators int       `json:"accelerators-per-member"`
+	Adjacency    string    `json:"adjacency"`
+	Cores        float64   `json:"cores-per-member"`
+	MemoryMB     int64     `json:"memory-per-member-mb"`
+	RunTime      float64   `json:"run-time-s"`
+	Deadline     time.Time `json:"deadline"`
+	Idempotent   bool      `json:"idempotent"`
+	Urgent       bool      `json:"urgent"`
+	DataCentre   string    `json:"data-centre"`
+}
+
+// Answer is the answer to a request, or the refusal of a job.
+type Answer struct {
+	ID      string `json:"id,omitempty"`
+	Outcome string `json:"outcome"`
+	Reason  string `json:"reason,omitempty"`
+	Body    []byte `json:"body,omitempty"`
+}
+
+// JobStatus is what is known of a job.
+type JobStatus struct {
+	ID         string   `json:"id"`
+	State      string   `json:"state"`
+	Outcome    string   `json:"outcome"`
+	Reason     string   `json:"reason,omitempty"`
+	DataCentre string   `json:"data-centre,omitempty"`
+	Workers    []string `json:"workers,omitempty"`
+	Attempt    int      `json:"attempt"`
+}
+
+// Explanation is why a job waits.
+type Explanation struct {
+	ID           string `json:"id"`
+	State        string `json:"state"`
+	WaitsFor     string `json:"waits-for,omitempty"`
+	BlockedBy    string `json:"blocked-by,omitempty"`
+	WouldStartIf string `json:"would-start-if,omitempty"`
+}
+
+// Finding is one problem in an input, with its place.
+type Finding struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
+}
+
+// Problem is the answer to a call that was not carried out.
+type Problem struct {
+	Error    string    `json:"error"`
+	Findings []Finding `json:"findings,omitempty"`
+}
+
+// Configuration is the configuration in force, as the two TOML files.
+type Configuration struct {
+	Version    int64  `json:"version"`
+	Plans      string `json:"plans"`
+	Allowances string `json:"allowances"`
+}
+
+// Publish is an edit of the two lists, based on a version.
+type Publish struct {
+	Base           int64  `json:"base"`
+	Operator       string `json:"operator"`
+	PlansPath      string `json:"plans-path"`
+	Plans          string `json:"plans"`
+	AllowancesPath string `json:"allowances-path"`
+	Allowances     string `json:"allowances"`
+}
+
+// Published is the version that an edit became.
+type Published struct {
+	Version int64    `json:"version"`
+	Changes []string `json:"changes"`
+}
+
+// Conflict is the answer to an edit that was based on an old version.
+type Conflict struct {
+	Error   string   `json:"error"`
+	Version int64    `json:"version"`
+	Changes []string `json:"changes"`
+}
+
+// Member is a process of the system.
+type Member struct {
+	Name       string `json:"name"`
+	Role       string `json:"role"`
+	Region     string `json:"region"`
+	DataCentre string `json:"data-centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+	Waiting    int    `json:"waiting"`
+	Running    int    `json:"running"`
+}
+
+// Worker is a worker and its state.
+type Worker struct {
+	Name         string  `json:"name"`
+	Rack         string  `json:"rack"`
+	State        string  `json:"state"`
+	Cores        float64 `json:"cores"`
+	MemoryMB     int64   `json:"memory-mb"`
+	Accelerators int     `json:"accelerators"`
+}
+
+// DataCentre is the fleet of one data centre.
+type DataCentre struct {
+	Name             string   `json:"name"`
+	Scheduler        string   `json:"scheduler"`
+	FreeAccelerators int      `json:"free-accelerators"`
+	LargestGang      int      `json:"largest-gang"`
+	Fragmentation    float64  `json:"fragmentation"`
+	Waiting          int      `json:"waiting"`
+	Running          int      `json:"running"`
+	Workers          []Worker `json:"workers"`
+}
+
+// OperatorJob is a job of any organisation.
+type OperatorJob struct {
+	Organisation string `json:"organisation"`
+	JobStatus
+}
+
+// AuditEntry is one entry of the audit trail.
+type AuditEntry struct {
+	Offset  int64     `json:"offset"`
+	Time    time.Time `json:"time"`
+	Actor   string    `json:"actor"`
+	Action  string    `json:"action"`
+	Subject string    `json:"subject"`
+	Reason  string    `json:"reason"`
+	Before  string    `json:"before,omitempty"`
+	After   string    `json:"after,omitempty"`
+}
--- /dev/null
+++ b/internal/role/restapi/client.go
@@ -0,0 +1,241 @@
+package restapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+const (
+	maxReply       = 16 << 20
+	connectionIdle = 10 * time.Second
+)
+
+// Error is an answer that reports a problem.
+type Error struct {
+	Status   int
+	Problem  Problem
+	Conflict Conflict // Conflict is set when an edit was based on an old version.
+	Answer   Answer   // Answer is set when work was refused or its outcome is unknown.
+}
+
+// Error implements error. Findings are listed one a line.
+func (e *Error) Error() string {
+	if e.Answer.Outcome != "" {
+		return fmt.Sprintf("%s: %s", e.Answer.Outcome, e.Answer.Reason)
+	}
+	text := e.Problem.Error
+	for _, f := range e.Problem.Findings {
+		text += "\n" + f.line()
+	}
+	if e.Status == http.StatusConflict {
+		text = e.Conflict.Error
+		for _, c := range e.Conflict.Changes {
+			text += "\n  " + c
+		}
+	}
+	if text == "" {
+		text = fmt.Sprintf("status %d", e.Status)
+	}
+	return text
+}
+
+func (f Finding) line() string {
+	place := f.File
+	if f.Line > 0 {
+		place = fmt.Sprintf("%s:%d", f.File, f.Line)
+	}
+	for _, part := range []string{f.Key, f.Message} {
+		if part != "" && place != "" {
+			place += ": "
+		}
+		place += part
+	}
+	return place
+}
+
+// Client calls the caller or operator interface of an entry.
+type Client struct {
+	base *sling.Sling
+	http *http.Client
+}
+
+// NewClient returns a client of the entry at address. A nil transport means a
+// default one.
+func NewClient(address netip.AddrPort, token string, transport http.RoundTripper) *Client {
+	if transport == nil {
+		transport = &http.Transport{IdleConnTimeout: connectionIdle, MaxIdleConnsPerHost: 64}
+	}
+	return &Client{
+		base: sling.New().Base("http://"+address.String()).Set("Authorization", "Bearer "+token),
+		http: &http.Client{Transport: transport},
+	}
+}
+
+// Run submits a request and waits for its answer. Answers of every outcome are
+// returned without an error.
+func (c *Client) Run(ctx context.Context, r Request) (Answer, error) {
+	var answer Answer
+	err := c.call(ctx, c.base.New().Post("/v1/requests").BodyJSON(r), &answer)
+	return answerOf(answer, err)
+}
+
+// Request returns what is known of a request.
+func (c *Client) Request(ctx context.Context, id string) (Answer, error) {
+	var answer Answer
+	err := c.call(ctx, c.base.New().Get("/v1/requests/"+url.PathEscape(id)), &answer)
+	return answerOf(answer, err)
+}
+
+// answerOf turns a refusal into its answer.
+func answerOf(answer Answer, err error) (Answer, error) {
+	var failure *Error
+	if errors.As(err, &failure) && failure.Answer.Outcome != "" {
+		return failure.Answer, nil
+	}
+	return answer, err
+}
+
+// Submit submits a job. A refused job is an *Error with its answer.
+func (c *Client) Submit(ctx context.Context, j Job) (JobStatus, error) {
+	var status JobStatus
+	err := c.call(ctx, c.base.New().Post("/v1/jobs").BodyJSON(j), &status)
+	return status, err
+}
+
+// Job returns what is known of a job, after it has ended or wait has passed.
+func (c *Client) Job(ctx context.Context, id string, wait time.Duration) (JobStatus, error) {
+	var status JobStatus
+	path := "/v1/jobs/" + url.PathEscape(id)
+	if wait > 0 {
+		path += "?wait=" + url.QueryEscape(wait.String())
+	}
+	err := c.call(ctx, c.base.New().Get(path), &status)
+	return status, err
+}
+
+// Cancel asks for the end of a job.
+func (c *Client) Cancel(ctx context.Context, id string) (JobStatus, error) {
+	var status JobStatus
+	err := c.call(ctx, c.base.New().Delete("/v1/jobs/"+url.PathEscape(id)), &status)
+	return status, err
+}
+
+// Explain returns why a job of the caller waits.
+func (c *Client) Explain(ctx context.Context, id string) (Explanation, error) {
+	var explanation Explanation
+	err := c.call(ctx, c.base.New().Get("/v1/jobs/"+url.PathEscape(id)+"/explanation"), &explanation)
+	return explanation, err
+}
+
+// ExplainAny returns why a job of any organisation waits; for operators.
+func (c *Client) ExplainAny(ctx context.Context, organisation, id string) (Explanation, error) {
+	var explanation Explanation
+	path := "/v1/jobs/" + url.PathEscape(organisation) + "/" + url.PathEscape(id) + "/explanation"
+	err := c.call(ctx, c.base.New().Get(path), &explanation)
+	return explanation, err
+}
+
+// Configuration returns the configuration in force; for operators.
+func (c *Client) Configuration(ctx context.Context) (Configuration, error) {
+	var configuration Configuration
+	err := c.call(ctx, c.base.New().Get("/v1/configuration"), &configuration)
+	return configuration, err
+}
+
+// Publish appends an edit of the two lists; for operators.
+func (c *Client) Publish(ctx context.Context, p Publish) (Published, error) {
+	var published Published
+	err := c.call(ctx, c.base.New().Post("/v1/configuration").BodyJSON(p), &published)
+	return published, err
+}
+
+// Members lists the processes; for operators.
+func (c *Client) Members(ctx context.Context) ([]Member, error) {
+	var members []Member
+	err := c.call(ctx, c.base.New().Get("/v1/members"), &members)
+	return members, err
+}
+
+// Fleet lists the data centres and their workers; for operators.
+func (c *Client) Fleet(ctx context.Context) ([]DataCentre, error) {
+	var centres []DataCentre
+	err := c.call(ctx, c.base.New().Get("/v1/fleet"), &centres)
+	return centres, err
+}
+
+// Jobs lists the jobs of one organisation, or of all when it is empty; for
+// operators.
+func (c *Client) Jobs(ctx context.Context, organisation string) ([]OperatorJob, error) {
+	var jobs []OperatorJob
+	err := c.call(ctx, c.base.New().Get("/v1/jobs?organisation="+url.QueryEscape(organisation)), &jobs)
+	return jobs, err
+}
+
+// AuditFilter selects entries of the audit trail. Empty fields match all.
+type AuditFilter struct {
+	Actor   string `url:"actor,omitempty"`
+	Action  string `url:"action,omitempty"`
+	Subject string `url:"subject,omitempty"`
+	Limit   int    `url:"limit,omitempty"`
+}
+
+// Audit lists the newest entries of the audit trail; for operators.
+func (c *Client) Audit(ctx context.Context, f AuditFilter) ([]AuditEntry, error) {
+	var entries []AuditEntry
+	err := c.call(ctx, c.base.New().Get("/v1/audit").QueryStruct(f), &entries)
+	return entries, err
+}
+
+func (c *Client) call(ctx context.Context, s *sling.Sling, into any) error {
+	req, err := s.Request()
+	if err != nil {
+		return fmt.Errorf("build call: %w", err)
+	}
+	resp, err := c.http.Do(req.WithContext(ctx))
+	if err != nil {
+		return fmt.Errorf("call entry: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return fmt.Errorf("read answer of entry: %w", err)
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return decodeError(resp.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("decode answer of entry: %w", err)
+	}
+	return nil
+}
+
+// decodeError reads whichever of the error bodies the answer holds.
+func decodeError(status int, body []byte) error {
+	failure := &Error{Status: status}
+	for _, part := range []any{&failure.Problem, &failure.Answer, &failure.Conflict} {
+		if err := json.Unmarshal(body, part); err != nil {
+			failure.Problem.Error = fmt.Sprintf("status %d: %s", status, firstLine(body))
+		}
+	}
+	return failure
+}
+
+func firstLine(body []byte) string {
+	const most = 200
+	text := string(body[:min(len(body), most)])
+	for i, r := range text {
+		if r == '\n' {
+			return text[:i]
+		}
+	}
+	return text
+}
