--- a/internal/fleet/placement/decision.go
+++ b/internal/fleet/placement/decision.go
@@ -47,11 +47,13 @@
 	Holding                     // Holding jobs have a place that others have yet to leave.
 	Starting                    // Starting jobs have been decided on but have not reported a start.
 	Running                     // Running jobs occupy their workers.
+	Moving                      // Moving jobs occupy their old and their new workers.
 	Reclaiming                  // Reclaiming jobs still occupy their workers and have been asked to leave.
 )
 
 var stateNames = map[State]string{
-	Waiting: "waiting", Holding: "holding", Starting: "starting", Running: "running", Reclaiming: "reclaiming",
+	Waiting: "waiting", Holding: "holding", Starting: "starting", Running: "running",
+	Moving: "moving", Reclaiming: "reclaiming",
 }
 
 // String returns the name used in messages.
--- a/internal/tenancy/guarantee/ledger.go
+++ b/internal/tenancy/guarantee/ledger.go
@@ -48,6 +48,7 @@
 	racks     [][2]int // racks are ranges of bins.
 	units     []*unit
 	byID      map[UnitID]*unit
+	byTenant  map[string][]*unit
 	last      UnitID
 	missing   int  // missing counts units without a place.
 	inexact   bool // inexact is true when a unit is missing after an exhausted search.
@@ -58,7 +59,7 @@
 // NewLedger returns a ledger without workers and entitlements. steps bounds
 // each search; see EvaluationSteps.
 func NewLedger(steps int) *Ledger {
-	return &Ledger{steps: steps, byName: map[string]*bin{}, byID: map[UnitID]*unit{}}
+	return &Ledger{steps: steps, byName: map[string]*bin{}, byID: map[UnitID]*unit{}, byTenant: map[string][]*unit{}}
 }
 
 // SetWorker adds a worker or replaces what is known of it. It returns the units
@@ -162,6 +163,10 @@
 			delete(l.byID, u.id)
 		}
 	}
+	l.byTenant = map[string][]*unit{}
+	for _, u := range l.units {
+		l.byTenant[u.organisation] = append(l.byTenant[u.organisation], u)
+	}
 	l.countMissing()
 	l.settle(added)
 	l.recover()
@@ -200,8 +205,8 @@
 // not held and has a place, with the fewest accelerators.
 func (l *Ledger) Find(name string, wanted organisation.Shape) (UnitID, organisation.Shape, bool) {
 	var best *unit
-	for _, u := range l.units {
-		if u.organisation != name || u.held || u.place == nil || !Covers(u.shape, wanted) {
+	for _, u := range l.byTenant[name] {
+		if u.held || u.place == nil || !Covers(u.shape, wanted) {
 			continue
 		}
 		if best == nil || u.shape.Total() < best.shape.Total() {
@@ -214,6 +219,26 @@
 	return best.id, best.shape, true
 }
 
+// Unheld returns how many units of the organisation have a place that no job
+// holds.
+func (l *Ledger) Unheld(name string) int {
+	count := 0
+	for _, u := range l.byTenant[name] {
+		if !u.held && u.place != nil {
+			count++
+		}
+	}
+	return count
+}
+
+// Shape returns the shape of the unit.
+func (l *Ledger) Shape(id UnitID) organisation.Shape {
+	if u := l.byID[id]; u != nil {
+		return u.shape
+	}
+	return organisation.Shape{}
+}
+
 // Place returns the place of the unit, one worker for each member of its shape.
 func (l *Ledger) Place(id UnitID) []string {
 	u := l.byID[id]
@@ -228,18 +253,18 @@
 }
 
 // Hold pins the unit to a place, one worker for each member of its shape, while
-// a job runs there. It returns false and changes nothing when some unit that
+// a job runs there. A unit that is held already moves there. It returns false and changes nothing when some unit that
 // has a place would be left without one.
 func (l *Ledger) Hold(id UnitID, workers []string) bool {
 	u := l.byID[id]
-	if u == nil || u.held || len(workers) != u.shape.Members {
+	if u == nil || len(workers) != u.shape.Members {
 		return false
 	}
 	place, ok := l.resolve(workers)
 	if !ok || !adjacent(u.shape.Adjacency, place) {
 		return false
 	}
-	saved := l.save()
+	saved, held := l.save(), u.held
 	l.vacate(u)
 	l.occupy(u, place)
 	u.held = true
@@ -248,7 +273,7 @@
 		return true
 	}
 	l.restore(saved)
-	u.held = false
+	u.held = held
 	return false
 }
 
