--- /dev/null
+++ b/internal/run/bench/placementbench/placementbench_test.go
@@ -0,0 +1,31 @@
+package placementbench_test
+
+import (
+	"context"
+	"os"
+	"strconv"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/run/bench/placementbench"
+)
+
+// Guards against a policy that breaks a guarantee, splits a gang, puts more on a
+// worker than it has, or leaves a job waiting for ever. PLACEMENT_SEED replays
+// another seed and prints the result.
+func TestReplayKeepsThePromises(t *testing.T) {
+	c := qt.New(t)
+	o := placementbench.Default()
+	if seed, err := strconv.ParseUint(os.Getenv("PLACEMENT_SEED"), 10, 64); err == nil {
+		o.Seed, o.Output = seed, os.Stdout
+	}
+	result, err := placementbench.Run(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	for name, f := range result.Policies {
+		c.Check(f.GuaranteeViolations, qt.Equals, 0, qt.Commentf("%s", name))
+		c.Check(f.GangsSplit, qt.Equals, 0, qt.Commentf("%s", name))
+		c.Check(f.Oversubscribed, qt.Equals, 0, qt.Commentf("%s", name))
+		c.Check(f.Unfinished, qt.Equals, 0, qt.Commentf("%s", name))
+	}
+}
--- /dev/null
+++ b/internal/run/bench/placementbench/replay.go
@@ -0,0 +1,493 @@
+package placementbench
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/placement"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/tenancy/guarantee"
+	"wasabihoist/internal/traffic/request"
+)
+
+const (
+	startLatency  = time.Second
+	moveLatency   = 30 * time.Second
+	usageLag      = 20 * time.Second
+	usageInterval = 2 * time.Minute
+	failLatency   = 2 * time.Second
+	claimDelay    = 2 * time.Second // claimDelay is when other data centres may claim a job.
+	tick          = 15 * time.Second
+	quarantine    = time.Minute
+	// drainLimit bounds a replay after the last arrival.
+	drainLimit = 200 * time.Hour
+)
+
+// instance is one job in the plain model of the fleet.
+type instance struct {
+	arrival
+	home    *centre // home is the data centre that runs the job; nil while it waits.
+	workers []string
+	started time.Time // started is when the current run began.
+	left    time.Duration
+	run     int // run grows with each start, move and stop, so that events of earlier runs are ignored.
+	leaving bool
+	ended   bool
+	attempt int
+}
+
+// centre is one data centre with its planner.
+type centre struct {
+	name     string
+	planner  *placement.Planner
+	workers  map[string]worker.Worker // workers that are present.
+	broken   map[string]bool          // broken workers fail everything they start.
+	failures map[string]int           // failures in a row of each worker.
+	running  []*instance
+	entitled []guarantee.Entitlement
+	held     bool // held is the value of the independent predicate after the last decisions.
+}
+
+// event is something that happens at a time.
+type event struct {
+	at       time.Time
+	sequence int
+	apply    func()
+}
+
+type events []event
+
+func (h events) Len() int { return len(h) }
+func (h events) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].sequence < h[j].sequence
+}
+func (h events) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *events) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// replay runs one workload through one policy.
+type replay struct {
+	now      time.Time
+	queue    events
+	count    int
+	centres  []*centre
+	byID     map[request.Identity]*instance
+	open     int // open jobs have not ended.
+	fleet    []worker.Worker
+	random   *rand.Rand
+	checker  checker
+	measured measures
+}
+
+// measures is what one replay has measured.
+type measures struct {
+	completion  *hdrhistogram.Histogram // completion times in seconds.
+	decision    *hdrhistogram.Histogram // decision times in nanoseconds.
+	urgentWait  *hdrhistogram.Histogram // urgentWait is the time from submission to start of urgent jobs in milliseconds.
+	deadlines   int
+	late        int
+	violations  int
+	split       int
+	oversubs    int
+	reclaims    int
+	moves       int
+	lostHours   float64 // lostHours are accelerator-hours of work lost to reclaim.
+	free        float64 // free accelerators x seconds.
+	largest     float64 // largest gang x seconds.
+	unfinished  int
+	impossible  int
+	lastArrival time.Time
+}
+
+func newMeasures() measures {
+	return measures{
+		completion: hdrhistogram.New(1, int64(1e7), 3), decision: hdrhistogram.New(1, int64(1e10), 3),
+		urgentWait: hdrhistogram.New(1, int64(1e10), 3),
+	}
+}
+
+func newReplay(d deployment, w workload, policy placement.Policy, options placement.Options) *replay {
+	r := &replay{now: epoch, byID: map[request.Identity]*instance{}, fleet: d.workers(),
+		random: rand.New(rand.NewPCG(1, hash(w.name))), checker: checker{known: map[string]bool{}}, measured: newMeasures()}
+	c := configuration()
+	divided, _ := guarantee.Divide(guarantee.Entitlements(c, epoch), r.fleet)
+	for _, name := range d.dataCentres {
+		x := &centre{name: name, planner: placement.New(policy, options), workers: map[string]worker.Worker{},
+			broken: map[string]bool{}, failures: map[string]int{}, entitled: divided[name], held: true}
+		x.planner.SetConfiguration(c)
+		x.planner.SetEntitlements(divided[name])
+		r.centres = append(r.centres, x)
+	}
+	for _, k := range r.fleet {
+		x := r.centre(k.DataCentre)
+		x.workers[k.Name] = k
+		x.planner.AddWorker(k)
+	}
+	for _, x := range r.centres {
+		r.decide(x)
+	}
+	for _, a := range w.arrivals {
+		r.at(a.job.Submitted, func() { r.submit(a) })
+		r.measured.lastArrival = a.job.Submitted
+	}
+	for _, f := range w.faults {
+		r.at(f.from, func() { r.fail(f) })
+		r.at(f.until, func() { r.repair(f) })
+	}
+	r.at(epoch.Add(tick), r.tick)
+	return r
+}
+
+func (r *replay) centre(name string) *centre {
+	return r.centres[slices.IndexFunc(r.centres, func(x *centre) bool { return x.name == name })]
+}
+
+func (r *replay) at(t time.Time, apply func()) {
+	r.count++
+	heap.Push(&r.queue, event{at: t, sequence: r.count, apply: apply})
+}
+
+func (r *replay) after(d time.Duration, apply func()) { r.at(r.now.Add(d), apply) }
+
+// run applies all events.
+func (r *replay) run() {
+	for len(r.queue) > 0 && r.now.Sub(epoch) < recorded+drainLimit {
+		e := heap.Pop(&r.queue).(event)
+		r.account(e.at.Sub(r.now))
+		r.now = e.at
+		e.apply()
+	}
+	r.measured.unfinished = r.open
+}
+
+// account adds the time since the last event to the fragmentation, while jobs
+// arrive.
+func (r *replay) account(d time.Duration) {
+	if r.now.After(r.measured.lastArrival) {
+		return
+	}
+	for _, x := range r.centres {
+		free, largest := x.fragments()
+		r.measured.free += float64(free) * d.Seconds()
+		r.measured.largest += float64(largest) * d.Seconds()
+	}
+}
+
+// fragments returns the free accelerators and the most of them in one rack.
+func (x *centre) fragments() (free, largest int) {
+	used := x.used()
+	racks := map[string]int{}
+	for name, k := range x.workers {
+		left := max(k.Capacity.Accelerators-used[name], 0)
+		free += left
+		racks[k.Rack] += left
+	}
+	for _, n := range racks {
+		largest = max(largest, n)
+	}
+	return free, largest
+}
+
+// used returns the accelerators in use on each worker.
+func (x *centre) used() map[string]int {
+	used := make(map[string]int, len(x.workers))
+	for _, i := range x.running {
+		for _, name := range i.workers {
+			used[name] += i.job.Shape.Accelerators
+		}
+	}
+	return used
+}
+
+// tick lets planners act on time alone.
+func (r *replay) tick() {
+	for _, x := range r.centres {
+		r.decide(x)
+	}
+	if r.open > 0 || r.now.Before(r.measured.lastArrival) {
+		r.after(tick, r.tick)
+	}
+}
+
+func (r *replay) submit(a arrival) {
+	i := &instance{arrival: a, left: a.runTime}
+	possible := slices.DeleteFunc(slices.Clone(r.centres), func(x *centre) bool {
+		return x.planner.CanEverRun(a.job) != nil
+	})
+	if len(possible) == 0 {
+		r.measured.impossible++
+		return
+	}
+	r.byID[a.job.Identity] = i
+	r.open++
+	if !a.cancelAt.IsZero() {
+		r.at(a.cancelAt, func() { r.cancel(i) })
+	}
+	r.offer(i, possible)
+}
+
+// offer submits the job to its preferred data centre, and to the others when it
+// has not started there after the claim delay.
+func (r *replay) offer(i *instance, possible []*centre) {
+	first := int(hash(i.job.Identity.ID) % uint64(len(possible)))
+	possible[first].planner.Submit(i.job)
+	r.decide(possible[first])
+	r.after(claimDelay, func() {
+		for _, x := range possible {
+			if i.home == nil && !i.ended {
+				x.planner.Submit(i.job)
+				r.decide(x)
+			}
+		}
+	})
+}
+
+func (r *replay) cancel(i *instance) {
+	if i.ended {
+		return
+	}
+	i.ended = true
+	r.open--
+	home := i.home
+	r.stop(i)
+	for _, x := range r.centres {
+		x.planner.Cancel(i.job.Identity)
+	}
+	if home != nil {
+		r.decide(home)
+	}
+}
+
+// stop takes the job off its workers.
+func (r *replay) stop(i *instance) {
+	i.run++
+	if i.home != nil {
+		i.home.running = slices.DeleteFunc(i.home.running, func(o *instance) bool { return o == i })
+	}
+	i.home, i.workers, i.leaving = nil, nil, false
+}
+
+// begin runs the job at the place that was decided on.
+func (r *replay) begin(x *centre, i *instance, workers []string) {
+	for _, o := range r.centres {
+		if o != x {
+			o.planner.Cancel(i.job.Identity)
+		}
+	}
+	i.run++
+	i.home, i.workers = x, workers
+	x.running = append(x.running, i)
+	run := i.run
+	if bad := slices.IndexFunc(workers, func(name string) bool { return x.broken[name] }); bad >= 0 {
+		r.after(failLatency, func() {
+			if i.run == run {
+				r.failTask(x, i, workers[bad])
+			}
+		})
+		return
+	}
+	r.after(startLatency, func() {
+		if i.run != run {
+			return
+		}
+		i.started = r.now
+		if i.job.Urgent && i.attempt == 0 {
+			_ = r.measured.urgentWait.RecordValue(max(r.now.Sub(i.job.Submitted).Milliseconds(), 1))
+		}
+		i.attempt++
+		x.planner.Started(i.job.Identity, r.now)
+		r.decide(x)
+		r.after(i.left, func() { r.end(i, run) })
+		r.after(usageInterval, func() { r.report(i, run, 1) })
+	})
+}
+
+// failTask ends an attempt on a worker that fails everything, and puts the
+// worker into quarantine after three failures in a row.
+func (r *replay) failTask(x *centre, i *instance, name string) {
+	r.stop(i)
+	x.planner.Released(i.job.Identity)
+	if x.failures[name]++; x.failures[name] >= 3 {
+		x.failures[name] = 0
+		x.planner.SetSchedulable(name, false)
+		r.after(quarantine, func() {
+			x.planner.SetSchedulable(name, true)
+			r.decide(x)
+		})
+	}
+	r.decide(x)
+}
+
+func (r *replay) end(i *instance, run int) {
+	if i.run != run || i.ended {
+		return
+	}
+	x := i.home
+	i.ended = true
+	r.open--
+	r.stop(i)
+	x.planner.Ended(i.job.Identity, r.now, request.Done)
+	taken := r.now.Sub(i.job.Submitted)
+	_ = r.measured.completion.RecordValue(max(int64(taken.Seconds()), 1))
+	if !i.job.Deadline.IsZero() {
+		r.measured.deadlines++
+		if r.now.After(i.job.Deadline) {
+			r.measured.late++
+		}
+	}
+	r.decide(x)
+}
+
+// report sends what the members used some time ago. Memory grows to its peak
+// over the first three reports.
+func (r *replay) report(i *instance, run, number int) {
+	if i.run != run || i.ended {
+		return
+	}
+	x, used := i.home, i.used
+	used.Memory = int64(float64(used.Memory) * min(float64(number)/3, 1))
+	for member := range i.workers {
+		x.planner.ObserveUsage(i.job.Identity, member, used, r.now.Add(-usageLag))
+	}
+	r.decide(x)
+	if number < 4 {
+		r.after(usageInterval, func() { r.report(i, run, number+1) })
+	}
+}
+
+func (r *replay) fail(f fault) {
+	k := r.fleet[f.worker]
+	x := r.centre(k.DataCentre)
+	if !f.lost {
+		x.broken[k.Name] = true
+		return
+	}
+	delete(x.workers, k.Name)
+	lost := x.planner.RemoveWorker(k.Name)
+	x.held = r.holds(x)
+	for _, id := range lost {
+		r.stop(r.byID[id])
+		x.planner.Released(id)
+	}
+	r.decide(x)
+}
+
+func (r *replay) repair(f fault) {
+	k := r.fleet[f.worker]
+	x := r.centre(k.DataCentre)
+	x.broken[k.Name] = false
+	if _, ok := x.workers[k.Name]; !ok {
+		x.workers[k.Name] = k
+		x.planner.AddWorker(k)
+		x.held = r.holds(x)
+	}
+	r.decide(x)
+}
+
+// reclaim carries out the decision to take accelerators back.
+func (r *replay) reclaim(x *centre, i *instance, d placement.Decision) {
+	if !d.Checkpoint {
+		r.lose(i, r.now.Sub(i.started))
+		r.release(x, i)
+		return
+	}
+	run := i.run
+	i.leaving = true
+	takes := time.Duration((2 + 8*r.random.Float64()) * float64(time.Second))
+	r.after(takes, func() {
+		if i.run != run || i.ended {
+			return
+		}
+		if !i.started.IsZero() {
+			i.left -= max(r.now.Sub(i.started)-takes, 0)
+			r.lose(i, min(takes, r.now.Sub(i.started)))
+		}
+		r.release(x, i)
+	})
+}
+
+// lose counts work that has to be done again.
+func (r *replay) lose(i *instance, d time.Duration) {
+	if i.started.IsZero() {
+		return
+	}
+	r.measured.lostHours += max(d, 0).Hours() * float64(i.job.Shape.Total())
+}
+
+// release ends a reclaimed run; the job waits again, in all data centres.
+func (r *replay) release(x *centre, i *instance) {
+	r.stop(i)
+	i.started = time.Time{}
+	x.planner.Released(i.job.Identity)
+	for _, o := range r.centres {
+		if o != x && o.planner.CanEverRun(i.job) == nil {
+			o.planner.Submit(i.job)
+		}
+	}
+	r.after(0, func() {
+		for _, o := range r.centres {
+			r.decide(o)
+		}
+	})
+}
+
+// move starts the job again on other workers from its checkpoint.
+func (r *replay) move(x *centre, i *instance, workers []string) {
+	r.measured.moves++
+	i.left -= r.now.Sub(i.started)
+	i.run++
+	run := i.run
+	i.workers = workers
+	r.lose(i, moveLatency)
+	r.after(moveLatency, func() {
+		if i.run != run || i.ended {
+			return
+		}
+		i.started = r.now
+		x.planner.Started(i.job.Identity, r.now)
+		r.decide(x)
+		r.after(max(i.left, time.Second), func() { r.end(i, run) })
+	})
+}
+
+// decide asks the planner and carries out what it says. The time of the planner
+// is measured without the checks.
+func (r *replay) decide(x *centre) {
+	begin := time.Now()
+	decisions := x.planner.Decide(r.now)
+	_ = r.measured.decision.RecordValue(max(time.Since(begin).Nanoseconds(), 1))
+	guaranteed := r.guaranteed(x)
+	for _, d := range decisions {
+		i := r.byID[d.Job]
+		r.inspect(x, i, d, guaranteed)
+		switch d.Kind {
+		case placement.Start:
+			r.begin(x, i, d.Workers)
+		case placement.Move:
+			r.move(x, i, d.Workers)
+		case placement.Reclaim:
+			r.measured.reclaims++
+			r.reclaim(x, i, d)
+			r.after(placement.Default().Checkpoint, func() { r.decide(x) })
+			r.after(placement.Default().UrgentCheckpoint, func() { r.decide(x) })
+		}
+	}
+	if len(decisions) > 0 {
+		r.verify(x)
+	}
+}
+
+// member returns the declared resources; the checks use accelerators only.
+func member(j job.Job) int { return j.Shape.Accelerators }
