Add operator address, operator token and log region to the settings

Cause: the operator interface needs an address and a token of its own, and processes must know whether the log service is in their region.

--- a/internal/fleet/report/client.go
+++ b/internal/fleet/report/client.go
@@ -32,6 +32,7 @@
 // Holder is the agent with the scheduler duty of a data centre.
 type Holder struct {
 	DataCentre string
+	Region     string // Region of the data centre.
 	Address    netip.AddrPort
 }
 
--- a/internal/run/settings/check.go
+++ b/internal/run/settings/check.go
@@ -55,6 +55,9 @@
 // member checks what the roles entry and agent share.
 func (c checker) member(s Settings) {
 	c.peerAddress("log-address", s.LogAddress)
+	if s.LogRegion != "" {
+		c.name("log-region", s.LogRegion)
+	}
 	if s.Role == Agent && len(s.Seeds) == 0 {
 		c.d.Reportf("seeds", "want at least one address")
 	}
@@ -69,6 +72,7 @@
 
 func (c checker) entry(s EntrySettings) {
 	c.address("entry.caller-address", s.CallerAddress)
+	c.operators(s)
 	c.atLeast("entry.link-bytes-per-second", s.LinkBytesPerSecond, 1)
 	if len(s.Tokens) == 0 {
 		c.d.Reportf("entry.token", "want at least one token")
@@ -81,6 +85,17 @@
 	}
 }
 
+// operators checks the operator interface, which is off without an address.
+func (c checker) operators(s EntrySettings) {
+	if !s.OperatorAddress.IsValid() {
+		return
+	}
+	c.address("entry.operator-address", s.OperatorAddress)
+	if len(s.OperatorToken) < minSecret {
+		c.d.Reportf("entry.operator-token", "want at least %d characters", minSecret)
+	}
+}
+
 // secret keeps the value out of its messages.
 func (c checker) secret(key, secret string, seen collection.Set[string]) {
 	switch {
@@ -233,6 +248,7 @@
 		{"listen-address", s.ListenAddress},
 		{"metrics-address", s.MetricsAddress},
 		{"entry.caller-address", s.Entry.CallerAddress},
+		{"entry.operator-address", s.Entry.OperatorAddress},
 		{"agent.announce-address", s.Agent.AnnounceAddress},
 	}
 	for _, o := range own {
--- a/internal/run/settings/file.go
+++ b/internal/run/settings/file.go
@@ -19,6 +19,7 @@
 	ListenAddress  netip.AddrPort   `toml:"listen-address"`
 	MetricsAddress netip.AddrPort   `toml:"metrics-address"`
 	LogAddress     netip.AddrPort   `toml:"log-address"`
+	LogRegion      string           `toml:"log-region"`
 	Seeds          []netip.AddrPort `toml:"seeds"`
 	LogLevel       string           `toml:"log-level"`
 	Timeouts       timeoutsTable    `toml:"timeouts"`
@@ -43,6 +44,8 @@
 
 type entryTable struct {
 	CallerAddress      netip.AddrPort `toml:"caller-address"`
+	OperatorAddress    netip.AddrPort `toml:"operator-address"`
+	OperatorToken      string         `toml:"operator-token"`
 	LinkBytesPerSecond int64          `toml:"link-bytes-per-second"`
 	Tokens             []tokenTable   `toml:"token"`
 }
@@ -113,6 +116,7 @@
 		ListenAddress:  s.ListenAddress,
 		MetricsAddress: s.MetricsAddress,
 		LogAddress:     s.LogAddress,
+		LogRegion:      s.LogRegion,
 		Seeds:          s.Seeds,
 		LogLevel:       s.LogLevel,
 		Timeouts:       timeoutsTable(s.Timeouts),
@@ -130,7 +134,12 @@
 }
 
 func entryFromDomain(s EntrySettings) entryTable {
-	t := entryTable{CallerAddress: s.CallerAddress, LinkBytesPerSecond: s.LinkBytesPerSecond}
+	t := entryTable{
+		CallerAddress:      s.CallerAddress,
+		OperatorAddress:    s.OperatorAddress,
+		OperatorToken:      s.OperatorToken,
+		LinkBytesPerSecond: s.LinkBytesPerSecond,
+	}
 	for _, token := range s.Tokens {
 		t.Tokens = append(t.Tokens, tokenTable(token))
 	}
@@ -171,6 +180,7 @@
 		ListenAddress:  f.ListenAddress,
 		MetricsAddress: f.MetricsAddress,
 		LogAddress:     f.LogAddress,
+		LogRegion:      f.LogRegion,
 		Seeds:          f.Seeds,
 		LogLevel:       f.LogLevel,
 		Timeouts:       Timeouts(f.Timeouts),
@@ -186,7 +196,12 @@
 }
 
 func (t entryTable) toDomain() EntrySettings {
-	s := EntrySettings{CallerAddress: t.CallerAddress, LinkBytesPerSecond: t.LinkBytesPerSecond}
+	s := EntrySettings{
+		CallerAddress:      t.CallerAddress,
+		OperatorAddress:    t.OperatorAddress,
+		OperatorToken:      t.OperatorToken,
+		LinkBytesPerSecond: t.LinkBytesPerSecond,
+	}
 	for _, token := range t.Tokens {
 		s.Tokens = append(s.Tokens, Token(token))
 	}
--- a/internal/run/settings/load.go
+++ b/internal/run/settings/load.go
@@ -72,6 +72,7 @@
 // roleKeys lists the top-level keys that only some roles use.
 var roleKeys = map[string][]Role{
 	"log-address":         {Entry, Agent},
+	"log-region":          {Entry, Agent},
 	"seeds":               {Entry, Agent},
 	"timeouts":            {Entry, Agent},
 	string(Entry):         {Entry},
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -70,6 +70,7 @@
 	ListenAddress  netip.AddrPort   // ListenAddress serves peers, or the API of a stand-in.
 	MetricsAddress netip.AddrPort   // MetricsAddress serves metrics; the zero value serves none.
 	LogAddress     netip.AddrPort   // LogAddress of the platform's log service; entry and agent.
+	LogRegion      string           // LogRegion is the region of the log service; empty when it is the region of the process.
 	Seeds          []netip.AddrPort // Seeds are listen addresses of processes through which to join; entry and agent.
 	LogLevel       string           // LogLevel is debug, info, warn or error.
 	Timeouts       Timeouts         // Timeouts of entry and agent.
@@ -101,6 +102,8 @@
 // EntrySettings are those of the role entry.
 type EntrySettings struct {
 	CallerAddress      netip.AddrPort // CallerAddress serves callers' HTTP.
+	OperatorAddress    netip.AddrPort // OperatorAddress serves operators' HTTP; the zero value serves none.
+	OperatorToken      string         // OperatorToken is what operators must bear; it must not be logged.
 	LinkBytesPerSecond int64          // LinkBytesPerSecond caps what this entry sends over the region link, in bytes.
 	Tokens             []Token
 }
