--- /dev/null
+++ b/internal/traffic/minion/client.go
@@ -0,0 +1,194 @@
+package minion
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"wasabihoist/internal/traffic/request"
+)
+
+// Errors of an exchange. ErrNotSent and ErrRefused prove that the minion did
+// not run the request; after all others it may have run.
+var (
+	ErrNotSent   = errors.New("request was not sent")
+	ErrRefused   = errors.New("minion refused the request")
+	ErrCrossed   = errors.New("answer belongs to another request or incarnation")
+	ErrTruncated = errors.New("answer is not whole")
+	ErrLost      = errors.New("answer was lost")
+)
+
+// Errors of Ask.
+var (
+	ErrRunning  = errors.New("request is still running")
+	ErrNotKnown = errors.New("minion does not know the request")
+)
+
+const maxAnswer = 16 << 20
+
+// Options bound what a client does.
+type Options struct {
+	Connections int           // Connections bounds the open connections to the minion.
+	Dial        time.Duration // Dial bounds the time to open a connection.
+}
+
+// DefaultOptions fit the limits of a minion.
+func DefaultOptions() Options {
+	return Options{Connections: 64, Dial: time.Second}
+}
+
+// Work is one request for the minion.
+type Work struct {
+	Identity    request.Identity
+	Kind        string
+	Body        []byte
+	Incarnation int64 // Incarnation that must answer; 0 accepts any.
+	Fresh       bool  // Fresh work gets a new connection, because a kept one may be closed or silent.
+}
+
+// Answer is a checked answer of the minion.
+type Answer struct {
+	Body        []byte
+	Failed      bool // Failed answers report a failure of the work itself.
+	Incarnation int64
+}
+
+// Status is the answer to a probe.
+type Status struct {
+	Incarnation int64
+	State       State
+}
+
+// Client exchanges requests with one minion. It is safe for concurrent use.
+type Client struct {
+	base  *sling.Sling
+	kept  *http.Transport // kept reuses connections.
+	fresh *http.Transport // fresh opens a connection for each exchange.
+}
+
+// NewClient returns a client of the minion at address.
+func NewClient(address netip.AddrPort, options Options) *Client {
+	dial := newLimitedDialer(options).dial
+	return &Client{
+		base:  sling.New().Base("http://" + address.String()),
+		kept:  &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 8, IdleConnTimeout: 10 * time.Second, DisableCompression: true},
+		fresh: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.kept.CloseIdleConnections()
+	c.fresh.CloseIdleConnections()
+}
+
+// Work sends a request and waits for its answer until ctx ends.
+func (c *Client) Work(ctx context.Context, w Work) (Answer, error) {
+	req, err := c.base.New().Post(PathWork).Body(bytes.NewReader(w.Body)).Request()
+	if err != nil {
+		return Answer{}, fmt.Errorf("build work: %w: %w", ErrNotSent, err)
+	}
+	// Without GetBody the transport never sends the body a second time.
+	req.GetBody = nil
+	req.ContentLength = int64(len(w.Body))
+	req.Header.Set(HeaderRequestID, RequestID(w.Identity))
+	req.Header.Set(HeaderOrganisation, w.Identity.Organisation)
+	req.Header.Set(HeaderKind, w.Kind)
+	transport := c.kept
+	if w.Fresh {
+		transport = c.fresh
+	}
+	return c.exchange(ctx, transport, req, w.Identity, w.Incarnation)
+}
+
+// Ask asks for the answer of a request that was sent before. It never makes
+// the minion run anything.
+func (c *Client) Ask(ctx context.Context, id request.Identity, incarnation int64) (Answer, error) {
+	req, err := c.base.New().Get(PathWork).Request()
+	if err != nil {
+		return Answer{}, fmt.Errorf("build question: %w", err)
+	}
+	req.Header.Set(HeaderRequestID, RequestID(id))
+	return c.exchange(ctx, c.fresh, req, id, incarnation)
+}
+
+// Probe asks the minion for its state.
+func (c *Client) Probe(ctx context.Context) (Status, error) {
+	req, err := c.base.New().Get(PathProbe).Request()
+	if err != nil {
+		return Status{}, fmt.Errorf("build probe: %w", err)
+	}
+	resp, err := c.kept.RoundTrip(req.WithContext(ctx))
+	if err != nil {
+		c.Close()
+		return Status{}, fmt.Errorf("probe minion: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<16))
+	if resp.StatusCode != http.StatusOK {
+		return Status{}, fmt.Errorf("probe minion: status %d", resp.StatusCode)
+	}
+	incarnation, err := strconv.ParseInt(resp.Header.Get(HeaderIncarnation), 10, 64)
+	if err != nil {
+		return Status{}, fmt.Errorf("probe minion: incarnation: %w", err)
+	}
+	return Status{Incarnation: incarnation, State: State(resp.Header.Get(HeaderState))}, nil
+}
+
+func (c *Client) exchange(ctx context.Context, transport *http.Transport, req *http.Request, id request.Identity, incarnation int64) (Answer, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		c.Close()
+		if !connected.Load() {
+			return Answer{}, fmt.Errorf("minion exchange: %w: %w", ErrNotSent, err)
+		}
+		return Answer{}, fmt.Errorf("minion exchange: %w: %w", ErrLost, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := readAnswer(resp, id, incarnation)
+	if errors.Is(err, ErrCrossed) || errors.Is(err, ErrTruncated) {
+		c.Close()
+	}
+	return answer, err
+}
+
+// readAnswer reads the body and checks identity, incarnation, length and
+// checksum.
+func readAnswer(resp *http.Response, id request.Identity, incarnation int64) (Answer, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusInternalServerError:
+	case http.StatusServiceUnavailable:
+		return Answer{}, fmt.Errorf("minion exchange: %w: %s", ErrRefused, bytes.TrimSpace(body))
+	case http.StatusAccepted:
+		return Answer{}, ErrRunning
+	case http.StatusNotFound:
+		return Answer{}, ErrNotKnown
+	default:
+		return Answer{}, fmt.Errorf("minion exchange: %w: status %d", ErrLost, resp.StatusCode)
+	}
+	if got := resp.Header.Get(HeaderRequestID); got != RequestID(id) {
+		return Answer{}, fmt.Errorf("minion exchange: %w: identity %q", ErrCrossed, got)
+	}
+	if err != nil || len(body) > maxAnswer || resp.Header.Get(HeaderChecksum) != Checksum(body) {
+		return Answer{}, fmt.Errorf("minion exchange: %w: %d bytes", ErrTruncated, len(body))
+	}
+	answer := Answer{Body: body, Failed: resp.StatusCode != http.StatusOK}
+	answer.Incarnation, err = strconv.ParseInt(resp.Header.Get(HeaderIncarnation), 10, 64)
+	if err != nil || (incarnation != 0 && answer.Incarnation != incarnation) {
+		return Answer{}, fmt.Errorf("minion exchange: %w: incarnation %q", ErrCrossed, resp.Header.Get(HeaderIncarnation))
+	}
+	return answer, nil
+}
