Add the agent: admission, fair queue, claims and draining

Cause: minions need one process beside them that bounds their work and runs non-idempotent requests at most once. Change: internal/role/agent with admission, joined duplicates, kept answers, claims before the start, finished records before the answer, abandoned records for claims that are not started, probes, announcements and Drain. The service for other processes is Server.Service(), because Run is that of the controller.

--- /dev/null
+++ b/internal/role/agent/harness_test.go
@@ -0,0 +1,190 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/role/agent"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/standin/minionhost"
+	"wasabihoist/internal/traffic/request"
+)
+
+// eventually bounds what needs only a few exchanges on an idle machine.
+const eventually = 10 * time.Second
+
+// node is an agent process with its minion.
+type node struct {
+	name     string
+	agent    *agent.Server
+	journal  *journal.Journal
+	minion   *minionhost.Host
+	server   *httptest.Server
+	process  *group.Group // process holds the agent and its journal writer and follower.
+	minions  *group.Group
+	received atomic.Int32 // received counts calls of other processes.
+}
+
+type cluster struct {
+	t          *testing.T
+	logService *logservice.Service
+	log        platformlog.Log
+	nodes      []*node
+}
+
+func newCluster(t *testing.T, nodes int, adjust func(*agent.Options)) *cluster {
+	t.Helper()
+	cl := &cluster{t: t, logService: logservice.New(logservice.DefaultLimits())}
+	server := httptest.NewServer(cl.logService.Handler())
+	t.Cleanup(server.Close)
+	cl.log = platformlog.NewClient(netip.MustParseAddrPort(server.Listener.Addr().String()), nil)
+	for i := range nodes {
+		cl.nodes = append(cl.nodes, cl.startNode(fmt.Sprintf("agent-%d", i), adjust))
+	}
+	return cl
+}
+
+func writerOptions() journal.WriterOptions {
+	o := journal.DefaultWriterOptions()
+	o.Spacing, o.Backoff = 5*time.Millisecond, 20*time.Millisecond
+	return o
+}
+
+// startJournal runs a journal that follows the log.
+func (cl *cluster) startJournal(g *group.Group, name string) (*journal.Journal, *journal.Writer) {
+	j := journal.New()
+	w := journal.NewWriter(fmt.Sprintf("%s@%d", name, time.Now().UnixNano()), cl.log, j, writerOptions())
+	g.Go("writer", w.Run)
+	g.Go("follower", journal.NewFollower(j, cl.log, nil).Run)
+	return j, w
+}
+
+func (cl *cluster) startNode(name string, adjust func(*agent.Options)) *node {
+	cl.t.Helper()
+	n := &node{name: name, process: group.New(context.Background()), minions: group.New(context.Background())}
+	j, w := cl.startJournal(n.process, name)
+	n.journal = j
+	local := httptest.NewUnstartedServer(nil)
+	options := minionhost.DefaultOptions()
+	options.Agent = "http://" + local.Listener.Addr().String()
+	options.AnnounceEvery = 50 * time.Millisecond
+	minion, err := minionhost.New(options)
+	if err != nil {
+		cl.t.Fatal(err)
+	}
+	n.minion = minion
+	o := agent.DefaultOptions()
+	o.Name = name
+	o.AskAfter = 200 * time.Millisecond
+	if adjust != nil {
+		adjust(&o)
+	}
+	n.agent = agent.New(o, j, w)
+	local.Config.Handler = n.agent.Handler()
+	local.Start()
+	twirp := wire.NewAgentServer(n.agent.Service())
+	n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.received.Add(1)
+		twirp.ServeHTTP(w, r)
+	}))
+	n.process.Go("agent", n.agent.Run)
+	n.startMinion()
+	cl.t.Cleanup(func() {
+		n.kill()
+		n.minions.Stop()
+		_ = n.minions.Wait()
+		local.Close()
+	})
+	cl.awaitTrue("the minion announces itself", func() bool {
+		return cl.run(n, cl.request("warm-up", true, 0), eventually).Outcome == request.Done
+	})
+	return n
+}
+
+// startMinion runs an incarnation of the minion.
+func (n *node) startMinion() {
+	n.minions.Go("minion", func(ctx context.Context) error {
+		_ = n.minion.Run(ctx)
+		return nil
+	})
+}
+
+// kill ends the agent process at once: its server, its connections and its
+// journal writer.
+func (n *node) kill() {
+	n.process.Stop()
+	_ = n.server.Listener.Close()
+	n.server.CloseClientConnections()
+	_ = n.process.Wait()
+	n.server.Close()
+}
+
+func (cl *cluster) awaitTrue(what string, condition func() bool) {
+	cl.t.Helper()
+	for end := time.Now().Add(eventually); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	cl.t.Fatalf("not within %v: %s", eventually, what)
+}
+
+func (cl *cluster) request(id string, idempotent bool, work time.Duration) request.Request {
+	return request.Request{
+		Identity:   request.Identity{Organisation: "serido", ID: id},
+		Service:    "folha-app",
+		Kind:       "check",
+		Idempotent: idempotent,
+		Body:       minionhost.Body(work, 2000),
+	}
+}
+
+// run calls an agent directly.
+func (cl *cluster) run(n *node, q request.Request, timeout time.Duration) request.Answer {
+	cl.t.Helper()
+	reply, err := n.agent.Service().Run(context.Background(), wireRequest(q, timeout))
+	if err != nil {
+		cl.t.Error(err)
+		return request.Answer{}
+	}
+	return request.Answer{Outcome: request.Outcome(reply.Outcome), Reason: reply.Reason, Body: reply.Body, Retryable: reply.Retryable}
+}
+
+func wireRequest(q request.Request, timeout time.Duration) *wire.RunRequest {
+	return &wire.RunRequest{
+		Identity:          &wire.Identity{Organisation: q.Identity.Organisation, Id: q.Identity.ID},
+		Service:           q.Service,
+		Kind:              q.Kind,
+		DeadlineUnixNanos: time.Now().Add(timeout).UnixNano(),
+		Idempotent:        q.Idempotent,
+		Body:              q.Body,
+	}
+}
+
+// executions counts the runs of an identity on all minions.
+func (cl *cluster) executions(id request.Identity) int {
+	count := 0
+	for _, n := range cl.nodes {
+		count += n.minion.Executions(id)
+	}
+	return count
+}
+
+// assertDone checks for the whole answer of the right request.
+func assertDone(c *qt.C, q request.Request, a request.Answer) {
+	c.Helper()
+	c.Assert(a.Outcome, qt.Equals, request.Done, qt.Commentf("%s", a.Reason))
+	c.Assert(string(a.Body), qt.Equals, string(minionhost.Answer(q.Identity, q.Body)))
+}
