--- a/internal/run/tomlfile/document.go
+++ b/internal/run/tomlfile/document.go
@@ -8,6 +8,8 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
@@ -98,8 +100,14 @@
 	d.findings.Addf(d.file, line, strings.Join(decode.Key(), "."), "column %d: %s", column, message)
 }
 
-// Join returns the dotted key of a name within a table.
+var bareKey = regexp.MustCompile(`^[A-Za-z0-9_-]+$`)
+
+// Join returns the dotted key of a name within a table. Names that are not
+// bare keys of TOML are quoted.
 func Join(table, name string) string {
+	if !bareKey.MatchString(name) {
+		name = strconv.Quote(name)
+	}
 	if table == "" {
 		return name
 	}
--- /dev/null
+++ b/internal/tenancy/configuration/page_test.go
@@ -0,0 +1,28 @@
+package configuration
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/run/tomlfile"
+)
+
+// Guards against a page for operators that leaves out keys of the two files or
+// names keys that they do not have.
+func TestPageListsEveryKey(t *testing.T) {
+	c := qt.New(t)
+	page, err := os.ReadFile("../../../docs/operations/change-a-plan.md")
+	c.Assert(err, qt.IsNil)
+	var documented, known []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\| ").FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, row[1])
+	}
+	for _, k := range append(tomlfile.Keys(plansFile{}), tomlfile.Keys(allowancesFile{})...) {
+		known = append(known, k.Name[strings.LastIndex(k.Name, ".")+1:])
+	}
+	c.Assert(documented, qt.ContentEquals, known)
+}
