Test the checks that mutations showed to be untested

The metrics test failed with -count=3, because registries outlive a test. Change: add cases for racks, limits, names, policies, weights, duplicate workers, ports, number ranges and the order of entries. Use a new registry in each run of the metrics test.

--- a/internal/run/metrics/metrics_test.go
+++ b/internal/run/metrics/metrics_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net"
@@ -21,7 +22,8 @@
 // process use the same names, and against figures that mix between them.
 func TestDuplicateNamesShareOrSeparate(t *testing.T) {
 	c := qt.New(t)
-	first, again, other := metrics.For("agent-1"), metrics.For("agent-1"), metrics.For("agent-2")
+	name := rand.Text() // registries outlive the test, which may be repeated
+	first, again, other := metrics.For(name), metrics.For(name), metrics.For(name+"-other")
 	first.Counter("requests", "requests", "Requests that were answered.").Add(2)
 	again.Counter("requests", "requests", "Another text.").Add(1)
 	other.Counter("requests", "requests", "Requests that were answered.").Add(5)
@@ -35,7 +37,7 @@
 
 // Guards against a counter that goes down.
 func TestCounterIgnoresNegativeSteps(t *testing.T) {
-	counter := metrics.For("negative").Counter("n", "", "")
+	counter := metrics.For(rand.Text()).Counter("n", "", "")
 	counter.Add(3)
 	counter.Add(-2)
 	qt.Assert(t, counter.Value(), qt.Equals, int64(3))
--- a/internal/run/settings/settings_test.go
+++ b/internal/run/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,6 +72,22 @@
 				"f:14: agent.worker\\[0\\].name: missing\n" +
 				"f:14: agent.worker\\[0\\].rack: missing\n" +
 				"f:15: agent.worker\\[0\\].accelerators: want 0 to 8, got 9"},
+		"policy": {
+			strings.Replace(agent, "seeds = [\"127.0.0.1:3\"]", "log-level = \"loud\"", 1) + "policy = \"worst-fit\"\n" +
+				"[agent.weights]\nlateness = 0\nfragmentation = 0.0\n[agent.timeouts]\nlease = \"1s\"\nlease-renewal = \"1s\"\n",
+			"f: seeds: want at least one address\n" +
+				"f:8: log-level: want one of debug, info, warn, error, got \"loud\"\n" +
+				"f:13: agent.policy: want one of first-fit, .*, got \"worst-fit\"\n" +
+				"f:14: agent.weights: want at least one weight above 0\n" +
+				"f:19: agent.timeouts.lease-renewal: want less than the lease of 1s, got 1s",
+		},
+		"duplicate workers": {
+			agent + strings.Repeat("[[agent.worker]]\nname = \"w\"\nrack = \"r\"\naddress = \"127.0.0.1:6\"\ncores = 1\nmemory-mb = 1\n", 2) +
+				"[[agent.worker]]\nname = \"v\"\nrack = \"r\"\naddress = \"127.0.0.1:0\"\ncores = 1\nmemory-mb = 1\n",
+			"f:20: agent.worker\\[1\\].name: duplicate w\n" +
+				"f:22: agent.worker\\[1\\].address: duplicate 127.0.0.1:6\n" +
+				"f:28: agent.worker\\[2\\].address: want a port other than 0",
+		},
 		"entry": {
 			"role = \"entry\"\nname = \"e\"\nregion = \"r\"\ndata-centre = \"d\"\nlisten-address = \"127.0.0.1:1\"\nlog-address = \"0.0.0.0:2\"\n" +
 				"[entry]\ncaller-address = \"127.0.0.1:1\"\n" +
--- a/internal/run/tomlfile/document_test.go
+++ b/internal/run/tomlfile/document_test.go
@@ -25,6 +25,7 @@
 	Name  string        `toml:"name"`
 	Wait  time.Duration `toml:"wait"`
 	On    bool          `toml:"on"`
+	Small int8          `toml:"small"`
 	Racks []rack        `toml:"rack"`
 }
 
@@ -32,9 +33,10 @@
 // findings after the first.
 func TestEveryMistakeIsReportedWithItsPlace(t *testing.T) {
 	tests := map[string]struct{ text, want string }{
-		"syntax":      {"name = \"a\"\nwait = \n", `f:2: .*`},
-		"duplicate":   {"name = \"a\"\nname = \"b\"\n", `f:2: .*`},
-		"unknown key": {"\n[extra]\na = 1\n", `f:2: extra: unknown key`},
+		"syntax":       {"name = \"a\"\nwait = \n", `f:2: .*`},
+		"duplicate":    {"name = \"a\"\nname = \"b\"\n", `f:2: .*`},
+		"unknown key":  {"\n[extra]\na = 1\n", `f:2: extra: unknown key`},
+		"out of range": {"small = 300\n", `f:1: small: 300 is out of range`},
 		"many": {
 			"name = 4\nwait = \"soon\"\n[[rack]]\nslots = [1,\n \"x\"]\n[[rack]]\n  [[rack.host]]\n  address = \"here\"\n",
 			"f:1: name: want a string, got 4\n" +
@@ -81,7 +83,7 @@
 	c.Assert(d.Has("rack[0].host[0].cores"), qt.IsTrue)
 	c.Assert(keys(target), qt.DeepEquals, []string{
 		"name (string)", "on (true or false)", "rack[].host[].address (IP address and port)",
-		"rack[].host[].cores (number)", "rack[].name (string)", "rack[].slots (array of whole number)", "wait (duration)",
+		"rack[].host[].cores (number)", "rack[].name (string)", "rack[].slots (array of whole number)", "small (whole number)", "wait (duration)",
 	})
 }
 
--- a/internal/tenancy/configuration/configuration_test.go
+++ b/internal/tenancy/configuration/configuration_test.go
@@ -1,6 +1,8 @@
 package configuration_test
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,6 +104,23 @@
 			"allowances.toml:5: plan\\[0\\].accelerator-limit: limit of 15 is below the 16 accelerators .*\n" +
 				"allowances.toml:9: plan\\[0\\].guarantee\\[0\\].adjacency: 16 accelerators do not fit on one worker.*",
 		},
+		"beyond a rack": {
+			validPlans, "[[plan]]\nname = \"big\"\nservices = []\nkinds = [\"k\", \"k\"]\naccelerator-limit = -5\nqueue-limit = 0\n" +
+				"[[plan.guarantee]]\nmembers = 4\naccelerators = 8\nadjacency = \"rack\"\ncount = 0\n" +
+				"[[plan.guarantee]]\nmembers = 4\naccelerators = 8\nadjacency = \"rack\"\n" +
+				"[[plan.guarantee]]\nmembers = 1\naccelerators = 1\nadjacency = \"room\"\n",
+			"allowances.toml:3: plan\\[0\\].services: want at least one name\n" +
+				"allowances.toml:4: plan\\[0\\].kinds\\[1\\]: duplicate name \"k\"\n" +
+				"allowances.toml:5: plan\\[0\\].accelerator-limit: want at least 0, got -5\n" +
+				"allowances.toml:6: plan\\[0\\].queue-limit: want at least 1, got 0\n" +
+				"allowances.toml:11: plan\\[0\\].guarantee\\[0\\].count: want 1 to 10000, got 0\n" +
+				"allowances.toml:15: plan\\[0\\].guarantee\\[1\\].adjacency: 32 accelerators do not fit in one rack.*\n" +
+				"allowances.toml:19: plan\\[0\\].guarantee\\[2\\].adjacency: unknown adjacency \"room\".*",
+		},
+		"long name": {
+			"[[organisation]]\nname = \"" + strings.Repeat("a", 64) + "\"\nplan = \"big\"\n", validAllowances,
+			"plans.toml:2: organisation\\[0\\].name: want a name in kebab case of at most 63 characters, .*",
+		},
 		"both files": {
 			"[[organisation]]\nname = 1\nplan = \"big\"\n", "[[plan]]\nname = \"big\"\nservices = [\"s\"]\nkinds = [\"Kind\"]\nshare = 0\n",
 			"allowances.toml:1: plan\\[0\\].accelerator-limit: missing\n" +
@@ -139,3 +158,20 @@
 		"plan big changed: share: 1 -> 3",
 	})
 }
+
+// Guards against an order of entries or guarantees that is shown as a change.
+func TestDifferenceIgnoresOrder(t *testing.T) {
+	c := qt.New(t)
+	one := organisation.Guarantee{Shape: organisation.Shape{Members: 1, Accelerators: 1, Adjacency: organisation.WithinWorker}, Count: 1}
+	two := organisation.Guarantee{Shape: organisation.Shape{Members: 2, Accelerators: 8, Adjacency: organisation.WithinRack}, Count: 1}
+	old := organisation.Configuration{Plans: []organisation.Plan{
+		{Name: "a", Kinds: []string{"x", "y"}, Guarantees: []organisation.Guarantee{one, two}}, {Name: "b"},
+	}}
+	reordered := organisation.Configuration{Plans: []organisation.Plan{
+		{Name: "b"}, {Name: "a", Kinds: []string{"y", "x"}, Guarantees: []organisation.Guarantee{two, one}},
+	}}
+	c.Assert(configuration.Difference(old, reordered), qt.HasLen, 0)
+	slices.Reverse(reordered.Plans)
+	reordered.Plans[0].Guarantees[0].Count = 2
+	c.Assert(configuration.Difference(old, reordered), qt.HasLen, 1)
+}
