Add failure tests of membership and repair what they found

The tests found processes that missed a verdict on reachability for ever, deaths declared on hearsay when the refutation was lost, and suspicions over connections that were silent. Change: verdicts ride on repair pages; a process declares a death only after its own probes failed for the suspicion time; second probes and relays take fresh connections.

--- a/internal/cluster/membership/exchange.go
+++ b/internal/cluster/membership/exchange.go
@@ -159,8 +159,8 @@
 	return changes, changes[len(changes)-1].sequence
 }
 
-// linkTarget picks the process of another data centre to talk to. After a
-// failure it alternates between a random member and the latest news, because
+// linkTarget picks the process of another data centre to talk to. After
+// failures it alternates between a random member and the latest news, because
 // all processes of a data centre may have been replaced.
 func (m *Membership) linkTarget(centre string, l *link) (Member, bool) {
 	var candidates []*record
@@ -172,10 +172,11 @@
 	if len(candidates) == 0 {
 		return Member{}, false
 	}
-	if l.failures%2 == 1 {
+	// The second attempt goes to the same process on a fresh connection.
+	if l.failures > 1 && l.failures%2 == 0 {
 		return candidates[m.random.IntN(len(candidates))].member, true
 	}
-	if l.failures > 0 {
+	if l.failures > 1 {
 		newest := slices.MaxFunc(candidates, func(a, b *record) int { return cmp.Compare(a.sequence, b.sequence) })
 		return newest.member, true
 	}
--- a/internal/cluster/membership/merge.go
+++ b/internal/cluster/membership/merge.go
@@ -7,6 +7,11 @@
 	"wasabihoist/internal/cluster/wire"
 )
 
+// hearsayFactor is multiplied by the suspicion time when a process has not
+// probed the suspect itself. A verdict takes seconds to reach all of a large
+// group.
+const hearsayFactor = 3
+
 // source says how a member was heard of.
 type source int
 
@@ -70,6 +75,7 @@
 			report.State = Suspect
 			m.change(r, report, false)
 			r.recheck = true
+			r.deadline = time.Now().Add(m.options.SuspicionTime)
 		}
 		return
 	}
@@ -97,7 +103,10 @@
 	m.table.touch(r, now)
 	r.deadline, r.recheck = time.Time{}, false
 	if report.State == Suspect && m.local(r) {
-		r.deadline = now.Add(m.options.SuspicionTime)
+		// A process that only heard of the suspicion leaves the verdict to the
+		// one that probes the suspect. When it hears nothing for this time, it
+		// probes the suspect itself.
+		r.deadline = now.Add(hearsayFactor * m.options.SuspicionTime)
 	}
 	if report.State == Dead {
 		m.statistics.Deaths++
--- a/internal/cluster/membership/probe.go
+++ b/internal/cluster/membership/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"wasabihoist/internal/base/group"
@@ -19,6 +20,8 @@
 	timeout    time.Duration
 	prepare    func(*wire.ProbeRequest) // prepare completes the request; it is called with the lock held.
 	pageSource source
+	fresh      bool // fresh takes a new connection also when the last exchange succeeded.
+	join       bool // join asks for the larger pages of a join.
 	anyName    bool // anyName accepts an answer from whichever process is at the address.
 }
 
@@ -37,7 +40,7 @@
 		c.prepare(request)
 	}
 	r := m.table.byName[to.Name]
-	fresh := r != nil && r.failed
+	fresh := c.fresh || r != nil && r.failed
 	m.statistics.Exchanges++
 	m.mu.Unlock()
 
@@ -106,16 +109,18 @@
 	return Member{}, false
 }
 
-// probe checks one member directly and then through others, and suspects it
-// when nobody reaches it.
+// probe checks one member directly, then on a fresh connection and through
+// others, and suspects it when nobody reaches it.
 func (m *Membership) probe(ctx context.Context, target Member) {
 	start := time.Now()
 	m.count(func(s *Statistics) { s.Probes++ })
 	if _, err := m.exchange(ctx, target, call{timeout: m.options.DirectTimeout}); err == nil {
 		return
 	}
-	if m.probeIndirectly(ctx, target) {
-		m.count(func(s *Statistics) { s.IndirectOnly++ })
+	if reached, indirectOnly := m.probeAgain(ctx, target); reached {
+		if indirectOnly {
+			m.count(func(s *Statistics) { s.IndirectOnly++ })
+		}
 		return
 	}
 	if ctx.Err() != nil {
@@ -150,41 +155,48 @@
 		report.State = Suspect
 		m.change(r, report, true)
 	}
-	r.recheck = r.member.State == Suspect
+	if r.member.State == Suspect && !r.recheck {
+		r.recheck = true
+		r.deadline = time.Now().Add(m.options.SuspicionTime)
+	}
 }
 
-// probeIndirectly asks other members to probe the target and reports whether
-// one of them reached it.
-func (m *Membership) probeIndirectly(ctx context.Context, target Member) bool {
+// probeAgain probes the target on a fresh connection and, at the same time,
+// through other members. It reports whether one of the ways worked. All
+// connections are fresh, because open ones to the relays may be silent as well.
+func (m *Membership) probeAgain(ctx context.Context, target Member) (reached, indirectOnly bool) {
 	m.mu.Lock()
 	relays := m.pickPeers(m.options.IndirectProbes, target.Name)
 	m.mu.Unlock()
-	if len(relays) == 0 {
-		return false
-	}
-	reached := make([]bool, len(relays))
+	ways := make([]bool, len(relays)+1)
 	g := group.New(ctx)
+	g.Go("direct probe", func(ctx context.Context) error {
+		_, err := m.exchange(ctx, target, call{timeout: m.options.IndirectTimeout, fresh: true})
+		ways[0] = err == nil
+		m.stopIf(g, ways[0])
+		return nil
+	})
 	for i, relay := range relays {
 		g.Go("indirect probe", func(ctx context.Context) error {
 			res, err := m.exchange(ctx, relay, call{
 				timeout: m.options.IndirectTimeout,
+				fresh:   true,
 				prepare: func(r *wire.ProbeRequest) { m.askFor(r, target.Name) },
 			})
-			reached[i] = err == nil && res.reached
-			if reached[i] {
-				// One success is enough; the others are cancelled.
-				g.Stop()
-			}
+			ways[i+1] = err == nil && res.reached
+			m.stopIf(g, ways[i+1])
 			return nil
 		})
 	}
 	_ = g.Wait()
-	for _, ok := range reached {
-		if ok {
-			return true
-		}
+	return slices.Contains(ways, true), !ways[0]
+}
+
+// stopIf cancels the other ways when one has worked.
+func (*Membership) stopIf(g *group.Group, worked bool) {
+	if worked {
+		g.Stop()
 	}
-	return false
 }
 
 // askFor completes a request for an indirect probe. The relay gets the record
@@ -258,6 +270,12 @@
 	if now.Before(r.deadline) {
 		return
 	}
+	if !r.recheck {
+		// A process that missed the refutation must not act on hearsay.
+		r.recheck = true
+		r.deadline = now.Add(m.options.SuspicionTime)
+		return
+	}
 	report := r.member
 	report.State = Dead
 	m.change(r, report, true)
--- a/internal/cluster/membership/repair.go
+++ b/internal/cluster/membership/repair.go
@@ -8,8 +8,13 @@
 	"wasabihoist/internal/cluster/wire"
 )
 
-// joinRetry lies between two attempts to join.
-const joinRetry = time.Second
+const (
+	joinRetry = time.Second // joinRetry lies between two attempts to join.
+	// catchUpDelay lies between the join and the second reading of the list. A
+	// whole data centre that starts at once joins before the seeds know it.
+	catchUpDelay = 5 * time.Second
+	catchUpPause = 500 * time.Millisecond // catchUpPause lies between the pages of the second reading.
+)
 
 // join reads the whole member list from the first seed that answers.
 func (m *Membership) join(ctx context.Context) error {
@@ -21,6 +26,7 @@
 		for _, seed := range seeds {
 			if m.joinThrough(ctx, seed) {
 				m.count(func(s *Statistics) { s.Joined = true })
+				m.catchUp(ctx)
 				return nil
 			}
 		}
@@ -65,6 +71,24 @@
 	}
 }
 
+// catchUp reads the list a second time from members of the data centre.
+func (m *Membership) catchUp(ctx context.Context) {
+	after, pause := "", catchUpDelay
+	for sleep(ctx, pause) {
+		m.mu.Lock()
+		peers := m.pickPeers(1, "")
+		m.mu.Unlock()
+		if len(peers) == 0 {
+			return
+		}
+		next, err := m.readPage(ctx, peers[0], after, call{join: true})
+		if err == nil && next == "" {
+			return
+		}
+		after, pause = next, catchUpPause
+	}
+}
+
 func lastName(page []Member, after string) string {
 	for _, p := range page {
 		after = max(after, p.Name)
@@ -88,7 +112,7 @@
 	after := m.repairAfter
 	m.mu.Unlock()
 	for _, peer := range peers {
-		next, err := m.readPage(ctx, peer, after, false)
+		next, err := m.readPage(ctx, peer, after, call{})
 		if err != nil {
 			return
 		}
@@ -100,13 +124,11 @@
 
 // readPage merges the page after a name and returns the name that the next
 // page starts after.
-func (m *Membership) readPage(ctx context.Context, peer Member, after string, anyName bool) (string, error) {
-	res, err := m.exchange(ctx, peer, call{
-		timeout:    m.options.ExchangeTimeout,
-		anyName:    anyName,
-		prepare:    func(r *wire.ProbeRequest) { r.Page, r.PageAfter = true, after },
-		pageSource: listed,
-	})
+func (m *Membership) readPage(ctx context.Context, peer Member, after string, c call) (string, error) {
+	c.timeout = m.options.ExchangeTimeout
+	c.pageSource = listed
+	c.prepare = func(r *wire.ProbeRequest) { r.Page, r.Join, r.PageAfter = true, c.join, after }
+	res, err := m.exchange(ctx, peer, c)
 	if err != nil {
 		return after, err
 	}
@@ -149,7 +171,7 @@
 	if !delegate || len(seeds) == 0 {
 		return
 	}
-	next, err := m.readPage(ctx, Member{Address: seeds[0]}, after, true)
+	next, err := m.readPage(ctx, Member{Address: seeds[0]}, after, call{anyName: true})
 	if err != nil {
 		return
 	}
--- /dev/null
+++ b/internal/cluster/membership/scale_test.go
@@ -0,0 +1,82 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/cluster/membership"
+	"wasabihoist/internal/standin/network"
+)
+
+const (
+	plannedSize     = 440    // plannedSize is the number of members in one data centre.
+	bytesPerSecond  = 13_000 // bytesPerSecond is the planned limit per daemon for all control traffic.
+	largestMessage  = 8 << 10
+	largestJoinPage = 24 << 10
+)
+
+// Guards against loads that grow with the group, and against changes that take
+// too long to reach all of a data centre of the planned size.
+func TestPlannedSize(t *testing.T) {
+	run(t, membership.Default(), func(c *qt.C, f *fleet) {
+		start := time.Now()
+		f.startMany(c, 0, plannedSize)
+		c.Logf("join of all: %v", time.Since(start))
+		time.Sleep(2 * time.Minute)
+		f.measure(c, "quiet", time.Minute, func() { time.Sleep(time.Minute) })
+		f.measure(c, "draining", 0, func() {
+			f.members[name(0, 7)].SetDraining()
+			c.Logf("draining known by all: %v", f.await(c, 5*time.Second, f.allSee(name(0, 7), membership.Draining)))
+		})
+		f.measure(c, "crash", 0, func() {
+			f.kill(name(0, 9))
+			c.Logf("crash known by all: %v", f.await(c, 20*time.Second, f.allSee(name(0, 9), membership.Dead)))
+		})
+		f.measure(c, "crash of a rack", 0, func() {
+			for n := 20; n < 23; n++ {
+				f.kill(name(0, n))
+			}
+			c.Logf("crash of a rack known by all: %v", f.await(c, 20*time.Second, func() bool {
+				return f.allSee(name(0, 20), membership.Dead)() && f.allSee(name(0, 21), membership.Dead)() && f.allSee(name(0, 22), membership.Dead)()
+			}))
+		})
+		for _, m := range f.members {
+			c.Assert(m.Statistics().Refutations, qt.Equals, uint64(0))
+		}
+	})
+}
+
+// measure logs the traffic per member while step runs and checks it against
+// the limits.
+func (f *fleet) measure(c *qt.C, title string, _ time.Duration, step func()) {
+	before := f.traffic()
+	start := time.Now()
+	step()
+	seconds := time.Since(start).Seconds()
+	after := f.traffic()
+	var total, worst float64
+	var messages uint64
+	largest := 0
+	for n, a := range after {
+		b := before[n]
+		rate := float64(a.Sent+a.Received-b.Sent-b.Received) / seconds
+		total += rate
+		worst = max(worst, rate)
+		messages += a.Requests + a.Served - b.Requests - b.Served
+		largest = max(largest, a.LargestMsg)
+	}
+	count := float64(len(after))
+	c.Logf("%s: %.0f B/s per member (worst %.0f), %.1f exchanges/s per member, largest message %d B", title, total/count, worst, float64(messages)/count/seconds, largest)
+	c.Assert(total/count < bytesPerSecond, qt.IsTrue)
+	c.Assert(largest <= largestJoinPage, qt.IsTrue)
+}
+
+func (f *fleet) traffic() map[string]network.Traffic {
+	traffic := map[string]network.Traffic{}
+	for n, m := range f.members {
+		traffic[n] = f.network.Traffic(m.Self().Address)
+	}
+	return traffic
+}
--- a/internal/cluster/membership/serve.go
+++ b/internal/cluster/membership/serve.go
@@ -40,7 +40,7 @@
 	if r == nil || self {
 		return self
 	}
-	_, err := m.exchange(ctx, target, call{timeout: m.options.DirectTimeout})
+	_, err := m.exchange(ctx, target, call{timeout: m.options.DirectTimeout, fresh: true})
 	return err == nil
 }
 
@@ -58,7 +58,7 @@
 	reply := &wire.ProbeReply{From: Encode(m.self.member), AppliedOffset: m.offset}
 	if to.DataCentre == m.self.member.DataCentre {
 		reply.Changes = m.encodeChanges(required, m.piggyback())
-		reply.Reachability = m.encodeReachability(request.Join)
+		reply.Reachability = m.encodeReachability(request.Join || request.Page)
 	} else {
 		reply.Changes = m.encodeChanges(required, nil)
 	}
--- a/internal/cluster/membership/spread.go
+++ b/internal/cluster/membership/spread.go
@@ -66,7 +66,7 @@
 }
 
 // encodeReachability returns the verdicts for one message. Settled verdicts
-// are repeated only when all are asked for.
+// are repeated only with a page of the list, for processes that missed them.
 func (m *Membership) encodeReachability(all bool) []*wire.Reachability {
 	var verdicts []*wire.Reachability
 	limit := m.transmitLimit()
@@ -138,7 +138,10 @@
 	m.mu.Unlock()
 	for _, target := range targets {
 		// A lost message is not evidence; the probes decide about liveness.
-		_, _ = m.exchange(ctx, target, call{timeout: m.options.DirectTimeout})
+		// After a failure the message goes out again on a fresh connection.
+		if _, err := m.exchange(ctx, target, call{timeout: m.options.DirectTimeout}); err != nil {
+			_, _ = m.exchange(ctx, target, call{timeout: m.options.DirectTimeout})
+		}
 	}
 	return nil
 }
