Read the member list twice more after a join

Cause: 440 members that start at once needed 130 s until all knew all, because they join before the seeds know the others. Change: a process reads the list again from members of its data centre 5 s and 15 s after the join. A dead remote member in a page is taken as dead, because its own data centre has decided that.

--- a/internal/cluster/membership/merge.go
+++ b/internal/cluster/membership/merge.go
@@ -70,7 +70,7 @@
 	// the members time to refute this; a death that the member itself has
 	// announced has a higher revision and is taken at once.
 	sameRevision := report.Incarnation == r.member.Incarnation && report.Revision == r.member.Revision
-	if from == listed && report.State == Dead && sameRevision {
+	if from == listed && report.State == Dead && sameRevision && m.local(r) {
 		if r.member.State != Suspect {
 			report.State = Suspect
 			m.change(r, report, false)
--- a/internal/cluster/membership/repair.go
+++ b/internal/cluster/membership/repair.go
@@ -10,12 +10,14 @@
 
 const (
 	joinRetry = time.Second // joinRetry lies between two attempts to join.
-	// catchUpDelay lies between the join and the second reading of the list. A
-	// whole data centre that starts at once joins before the seeds know it.
-	catchUpDelay = 5 * time.Second
-	catchUpPause = 500 * time.Millisecond // catchUpPause lies between the pages of the second reading.
+	// catchUpPause lies between the pages of the later readings.
+	catchUpPause = 500 * time.Millisecond
 )
 
+// catchUpDelays precede the later readings of the list. A whole data centre
+// that starts at once joins before the seeds know it.
+var catchUpDelays = []time.Duration{5 * time.Second, 15 * time.Second}
+
 // join reads the whole member list from the first seed that answers.
 func (m *Membership) join(ctx context.Context) error {
 	for {
@@ -71,9 +73,15 @@
 	}
 }
 
-// catchUp reads the list a second time from members of the data centre.
+// catchUp reads the list again from members of the data centre.
 func (m *Membership) catchUp(ctx context.Context) {
-	after, pause := "", catchUpDelay
+	for _, delay := range catchUpDelays {
+		m.readAgain(ctx, delay)
+	}
+}
+
+func (m *Membership) readAgain(ctx context.Context, pause time.Duration) {
+	after := ""
 	for sleep(ctx, pause) {
 		m.mu.Lock()
 		peers := m.pickPeers(1, "")
