Keep small jobs from blocking the large guarantee of their organisation

A small job held a large guaranteed shape while a smaller one was unheld, so that the large shape had no place for its own organisation. Change: smaller jobs move to a smaller unheld shape, and give way when their organisation has a waiting job that takes the shape whole.

--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -122,9 +122,9 @@
 			r.dropReservation(n.reservation)
 		}
 	}
-	e.place, e.unit = place, unit
+	e.place = place
 	if unit != 0 {
-		r.holders[unit] = e
+		r.own(e, unit)
 	}
 	r.activate(e)
 }
@@ -311,8 +311,10 @@
 		if !t.changed && !gained {
 			continue
 		}
+		r.yield(t)
 		t.changed, t.retry = false, false
 		if r.ledger.Unheld(t.name) > 0 {
+			r.refit(t)
 			r.promote(t)
 			r.useGuaranteesOf(t)
 		}
@@ -338,6 +340,56 @@
 	}
 }
 
+// smaller reports whether the job occupies a guaranteed shape without taking it
+// whole.
+func (r *round) smaller(e *entry) bool {
+	return e.unit != 0 && !same(r.ledger.Shape(e.unit), e.job.Shape)
+}
+
+// yield takes guaranteed shapes away from smaller jobs when their organisation
+// has a waiting job that takes the shape whole. The smaller jobs become borrowed.
+func (r *round) yield(t *tenant) {
+	for _, x := range t.active {
+		if !r.smaller(x) {
+			continue
+		}
+		shape := r.ledger.Shape(x.unit)
+		if slices.ContainsFunc(t.queue, func(e *entry) bool { return same(shape, e.job.Shape) }) {
+			r.releaseUnit(x)
+		}
+	}
+}
+
+// refit lets smaller jobs occupy a smaller guaranteed shape that has become
+// unheld, so that the larger one is there for a job that takes it whole.
+func (r *round) refit(t *tenant) {
+	for _, x := range t.active {
+		if !r.smaller(x) || len(x.place) != x.job.Shape.Members || x.state == Holding {
+			continue
+		}
+		id, shape, ok := r.ledger.Find(t.name, x.job.Shape)
+		if !ok || shape.Total() >= r.ledger.Shape(x.unit).Total() {
+			continue
+		}
+		if shape.Adjacency != organisation.WithinWorker && shape.Members != len(x.place) {
+			continue
+		}
+		old, kept := x.unit, r.ledger.Place(x.unit)
+		r.releaseUnit(x)
+		if r.ledger.Hold(id, names(expand(x.place, shape))) {
+			r.own(x, id)
+		} else if r.ledger.Hold(old, kept) {
+			r.own(x, old)
+		}
+	}
+}
+
+// own records that the job holds the unit.
+func (p *Planner) own(e *entry, id guarantee.UnitID) {
+	e.unit = id
+	p.holders[id] = e
+}
+
 // promote lets running borrowed jobs occupy guaranteed shapes that are unheld.
 func (r *round) promote(t *tenant) {
 	for _, e := range t.active {
@@ -349,8 +401,7 @@
 			continue
 		}
 		if r.ledger.Hold(id, names(expand(e.place, shape))) {
-			e.unit = id
-			r.holders[id] = e
+			r.own(e, id)
 		}
 	}
 }
--- a/internal/run/bench/placementbench/replay.go
+++ b/internal/run/bench/placementbench/replay.go
@@ -38,6 +38,7 @@
 	run     int // run grows with each start, move and stop, so that events of earlier runs are ignored.
 	leaving bool
 	ended   bool
+	done    time.Time
 	attempt int
 }
 
@@ -50,6 +51,7 @@
 	failures map[string]int           // failures in a row of each worker.
 	running  []*instance
 	entitled []guarantee.Entitlement
+	lent     bool // lent is true when the decisions under check have lent accelerators.
 	held     bool // held is the value of the independent predicate after the last decisions.
 }
 
@@ -94,6 +96,7 @@
 // measures is what one replay has measured.
 type measures struct {
 	completion  *hdrhistogram.Histogram // completion times in seconds.
+	inTime      *hdrhistogram.Histogram // inTime are the completion times of jobs with a deadline in seconds.
 	decision    *hdrhistogram.Histogram // decision times in nanoseconds.
 	urgentWait  *hdrhistogram.Histogram // urgentWait is the time from submission to start of urgent jobs in milliseconds.
 	deadlines   int
@@ -113,6 +116,7 @@
 
 func newMeasures() measures {
 	return measures{
+		inTime:     hdrhistogram.New(1, int64(1e7), 3),
 		completion: hdrhistogram.New(1, int64(1e7), 3), decision: hdrhistogram.New(1, int64(1e10), 3),
 		urgentWait: hdrhistogram.New(1, int64(1e10), 3),
 	}
@@ -339,10 +343,12 @@
 	r.open--
 	r.stop(i)
 	x.planner.Ended(i.job.Identity, r.now, request.Done)
+	i.done = r.now
 	taken := r.now.Sub(i.job.Submitted)
 	_ = r.measured.completion.RecordValue(max(int64(taken.Seconds()), 1))
 	if !i.job.Deadline.IsZero() {
 		r.measured.deadlines++
+		_ = r.measured.inTime.RecordValue(max(int64(taken.Seconds()), 1))
 		if r.now.After(i.job.Deadline) {
 			r.measured.late++
 		}
