Give every outcome status 200 and describe the answers alike

Cause: docs/api.md and the entry disagreed: the entry answered refusals with 503, which a balancer takes for a failing host.

--- a/cmd/submit.go
+++ b/cmd/submit.go
@@ -58,7 +58,13 @@
 	if err != nil {
 		return err
 	}
-	return writeJobStatus(env.stdout, c.outputOption, status)
+	if err := writeJobStatus(env.stdout, c.outputOption, status); err != nil {
+		return err
+	}
+	if status.State == "" {
+		return errFindings
+	}
+	return nil
 }
 
 func (c *submitCommand) runRequest(ctx context.Context, env environment, client *restapi.Client, data []byte) error {
--- a/internal/role/entry/codec.go
+++ b/internal/role/entry/codec.go
@@ -134,6 +134,11 @@
 
 // writeInvalid answers a call whose body was refused, with all findings.
 func writeInvalid(w http.ResponseWriter, err error) {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeProblem(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
+		return
+	}
 	var findings *finding.List
 	if !errors.As(err, &findings) {
 		writeProblem(w, http.StatusBadRequest, err.Error())
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -160,7 +160,7 @@
 		if e.inFlight.Add(1) > int64(e.options.MaxInFlight) {
 			e.inFlight.Add(-1)
 			e.counters.Refused.Add(1)
-			writeAnswer(w, http.StatusServiceUnavailable, request.Answer{Outcome: request.NotRun, Reason: "the entry is at its limit of open calls"})
+			writeAnswer(w, http.StatusOK, request.Answer{Outcome: request.NotRun, Reason: "the entry is at its limit of open calls"})
 			return
 		}
 		defer e.inFlight.Add(-1)
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -57,7 +57,7 @@
 
 func (e *Entry) answerJob(w http.ResponseWriter, id request.Identity, o request.Outcome, reason string) {
 	e.counters.count(o)
-	writeAnswer(w, answerStatus(o), request.Answer{Identity: id, Outcome: o, Reason: reason})
+	writeJSON(w, answerStatus(o), restapi.JobStatus{ID: id.ID, Outcome: o.String(), Reason: reason})
 }
 
 // refuseJob returns why the job is not accepted.
--- a/internal/role/entry/requests.go
+++ b/internal/role/entry/requests.go
@@ -113,15 +113,12 @@
 	return request.Answer{Identity: id, Outcome: request.Unknown, Reason: "claimed by an agent that left no result"}
 }
 
+// answerStatus is the HTTP status of an answer. Every final outcome is an
+// answer to the call, so callers and balancers must not take it for a failure
+// of the entry.
 func answerStatus(o request.Outcome) int {
-	switch o {
-	case request.NotRun:
-		return http.StatusServiceUnavailable
-	case request.Unknown:
-		return http.StatusGatewayTimeout
-	case request.Pending:
+	if o == request.Pending {
 		return http.StatusAccepted
-	case request.Done, request.Failed:
 	}
 	return http.StatusOK
 }
--- a/internal/role/restapi/bodies.go
+++ b/internal/role/restapi/bodies.go
@@ -30,7 +30,7 @@
 	DataCentre   string    `json:"data-centre"`
 }
 
-// Answer is the answer to a request, or the refusal of a job.
+// Answer is the answer to a request.
 type Answer struct {
 	ID      string `json:"id,omitempty"`
 	Outcome string `json:"outcome"`
@@ -38,10 +38,10 @@
 	Body    []byte `json:"body,omitempty"`
 }
 
-// JobStatus is what is known of a job.
+// JobStatus is what is known of a job. A refused job has no state.
 type JobStatus struct {
 	ID         string   `json:"id"`
-	State      string   `json:"state"`
+	State      string   `json:"state,omitempty"`
 	Outcome    string   `json:"outcome"`
 	Reason     string   `json:"reason,omitempty"`
 	DataCentre string   `json:"data-centre,omitempty"`
--- a/internal/role/restapi/client.go
+++ b/internal/role/restapi/client.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -24,14 +23,10 @@
 	Status   int
 	Problem  Problem
 	Conflict Conflict // Conflict is set when an edit was based on an old version.
-	Answer   Answer   // Answer is set when work was refused or its outcome is unknown.
 }
 
 // Error implements error. Findings are listed one a line.
 func (e *Error) Error() string {
-	if e.Answer.Outcome != "" {
-		return fmt.Sprintf("%s: %s", e.Answer.Outcome, e.Answer.Reason)
-	}
 	text := e.Problem.Error
 	for _, f := range e.Problem.Findings {
 		text += "\n" + f.line()
@@ -85,26 +80,17 @@
 func (c *Client) Run(ctx context.Context, r Request) (Answer, error) {
 	var answer Answer
 	err := c.call(ctx, c.base.New().Post("/v1/requests").BodyJSON(r), &answer)
-	return answerOf(answer, err)
+	return answer, err
 }
 
 // Request returns what is known of a request.
 func (c *Client) Request(ctx context.Context, id string) (Answer, error) {
 	var answer Answer
 	err := c.call(ctx, c.base.New().Get("/v1/requests/"+url.PathEscape(id)), &answer)
-	return answerOf(answer, err)
-}
-
-// answerOf turns a refusal into its answer.
-func answerOf(answer Answer, err error) (Answer, error) {
-	var failure *Error
-	if errors.As(err, &failure) && failure.Answer.Outcome != "" {
-		return failure.Answer, nil
-	}
 	return answer, err
 }
 
-// Submit submits a job. A refused job is an *Error with its answer.
+// Submit submits a job. A refused job is a status without a state.
 func (c *Client) Submit(ctx context.Context, j Job) (JobStatus, error) {
 	var status JobStatus
 	err := c.call(ctx, c.base.New().Post("/v1/jobs").BodyJSON(j), &status)
@@ -221,7 +207,7 @@
 // decodeError reads whichever of the error bodies the answer holds.
 func decodeError(status int, body []byte) error {
 	failure := &Error{Status: status}
-	for _, part := range []any{&failure.Problem, &failure.Answer, &failure.Conflict} {
+	for _, part := range []any{&failure.Problem, &failure.Conflict} {
 		if err := json.Unmarshal(body, part); err != nil {
 			failure.Problem.Error = fmt.Sprintf("status %d: %s", status, firstLine(body))
 		}
