Add routing: choice of agent, retry budget and the end-to-end client

Cause: entries need to find an agent near by, bound their retries, and find out what became of a request whose reply was lost. Change: internal/traffic/routing with tiers, two choices by decayed load, stable pairs for idempotent requests, a byte cap on the region link, a retry budget, and a client that checks each reply and asks again by identity. Measured: go test ./internal/traffic/routing passes (choice, load, stable pairs, budget and link cap). Conclusion: not-run is said only when no attempt can have run.

--- /dev/null
+++ b/internal/traffic/routing/choice_test.go
@@ -0,0 +1,147 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/traffic/request"
+)
+
+func testChooser(agents *[]Agent) *chooser {
+	options := DefaultOptions()
+	options.Region, options.DataCentre = "serido", "caico"
+	return newChooser(options, func() []Agent { return *agents })
+}
+
+func testAgent(name, region, dataCentre string, state State) Agent {
+	return Agent{Name: name, Region: region, DataCentre: dataCentre, State: state, Service: "folha-app"}
+}
+
+func everyone(Agent, tier) bool { return true }
+
+// Guards against requests that leave the data centre or the region without
+// need, and against agents that are chosen although they must not get work.
+func TestNearestUsableAgent(t *testing.T) {
+	near := testAgent("near", "serido", "caico", Alive)
+	region := testAgent("region", "serido", "acari", Alive)
+	far := testAgent("far", "cariri", "crato", Alive)
+	other := testAgent("other", "serido", "caico", Alive)
+	other.Service = "fitting-desk"
+	tests := map[string]struct {
+		agents []Agent
+		failed []Agent
+		want   string
+	}{
+		"same data centre first":     {agents: []Agent{far, region, near}, want: "near"},
+		"then the region":            {agents: []Agent{far, region}, want: "region"},
+		"then remote":                {agents: []Agent{far, other}, want: "far"},
+		"draining left out":          {agents: []Agent{far, testAgent("d", "serido", "caico", Draining)}, want: "far"},
+		"suspect left out":           {agents: []Agent{far, testAgent("s", "serido", "caico", Suspect)}, want: "far"},
+		"dead left out":              {agents: []Agent{testAgent("x", "serido", "caico", Dead)}, want: ""},
+		"failed avoided":             {agents: []Agent{far, region, near}, failed: []Agent{near}, want: "region"},
+		"failed as the last resort":  {agents: []Agent{near}, failed: []Agent{near}, want: "near"},
+		"nearest of those that fail": {agents: []Agent{far, near}, failed: []Agent{near, far}, want: "near"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ch := testChooser(&tt.agents)
+			for _, a := range tt.failed {
+				ch.failed(a)
+			}
+			got, ok := ch.choose(request.Request{Service: "folha-app"}, everyone)
+			c.Assert(ok, qt.Equals, tt.want != "")
+			c.Assert(got.Name, qt.Equals, tt.want)
+		})
+	}
+}
+
+// Guards against two choices that ignore load, and against old reports that
+// keep an agent idle.
+func TestLeastLoadWithDecay(t *testing.T) {
+	c := qt.New(t)
+	busy := testAgent("busy", "serido", "caico", Alive)
+	busy.Running = 8
+	agents := []Agent{busy, testAgent("idle", "serido", "caico", Alive)}
+	ch := testChooser(&agents)
+	for range 50 {
+		got, _ := ch.choose(request.Request{Service: "folha-app"}, everyone)
+		c.Assert(got.Name, qt.Equals, "idle")
+	}
+	ch.begin(agents[1])
+	agents[0].Reported = time.Now().Add(-time.Minute)
+	got, _ := ch.choose(request.Request{Service: "folha-app"}, everyone)
+	c.Assert(got.Name, qt.Equals, "busy")
+}
+
+// Guards against repeats of an idempotent request that miss the agent with the
+// kept answer, also when other agents come and go.
+func TestStableChoice(t *testing.T) {
+	c := qt.New(t)
+	var agents []Agent
+	for i := range 11 {
+		agents = append(agents, testAgent(fmt.Sprint("a", i), "serido", "caico", Alive))
+	}
+	ch := testChooser(&agents)
+	moved := 0
+	chosen := map[string]int{}
+	for i := range 300 {
+		q := request.Request{Identity: request.Identity{Organisation: "o", ID: fmt.Sprint(i)}, Service: "folha-app", Idempotent: true}
+		first, _ := ch.choose(q, everyone)
+		again, _ := ch.choose(q, everyone)
+		c.Assert(again.Name, qt.Equals, first.Name)
+		chosen[first.Name]++
+		all := agents
+		agents = agents[:10]
+		fewer, _ := ch.choose(q, everyone)
+		agents = all
+		if fewer.Name != first.Name {
+			moved++
+			c.Assert(first.Name, qt.Equals, "a10")
+		}
+	}
+	c.Assert(moved, qt.Equals, chosen["a10"])
+	c.Assert(len(chosen), qt.Equals, 11)
+}
+
+// Guards against a retry budget above 10 % of requests plus 3 a second.
+func TestRetryBudget(t *testing.T) {
+	c := qt.New(t)
+	o := DefaultOptions()
+	now := time.Unix(1000, 0)
+	b := NewBudget(o.RetryShare, o.RetryPerSecond, o.RetryBurst, now)
+	for b.Take(now) {
+	}
+	retries := 0
+	for i := range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Requested(now)
+		for b.Take(now) {
+			retries++
+		}
+		c.Assert(float64(retries) <= 0.1*float64(i+1)+3*float64(i+1)/1000+1, qt.IsTrue)
+	}
+	c.Assert(retries >= 1029, qt.IsTrue, qt.Commentf("%d", retries))
+}
+
+// Guards against a region link that carries more than its cap, counting both
+// directions.
+func TestLinkCap(t *testing.T) {
+	c := qt.New(t)
+	now := time.Unix(1000, 0)
+	b := newBucket(1000, 4000, now)
+	sent := 0.0
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		if b.has(100, now) {
+			b.add(-100, now)
+			b.add(-900, now)
+			sent += 1000
+		}
+	}
+	c.Assert(sent <= 4000+10*1000+1000, qt.IsTrue, qt.Commentf("%f", sent))
+	c.Assert(sent >= 10*1000, qt.IsTrue, qt.Commentf("%f", sent))
+}
--- /dev/null
+++ b/internal/traffic/routing/exchange.go
@@ -0,0 +1,189 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/twitchtv/twirp"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/traffic/request"
+)
+
+// Errors of an exchange. Only errNotSent proves that the agent did not get the
+// request.
+var (
+	errNotSent   = errors.New("request was not sent")
+	errCrossed   = errors.New("reply belongs to another request")
+	errTruncated = errors.New("reply is not whole")
+	errLost      = errors.New("reply was lost")
+	errInvalid   = errors.New("request is not valid")
+)
+
+// replyPassing is how long a reply may be behind an answer to a question.
+const replyPassing = 100 * time.Millisecond
+
+// replyOverhead is about the size of a message without its body.
+const replyOverhead = 300
+
+// exchanger calls agents and checks their replies.
+type exchanger struct {
+	options Options
+	chooser *chooser
+	link    *bucket
+	kept    *http.Client // kept reuses connections.
+	fresh   *http.Client // fresh opens a connection for each exchange.
+}
+
+func newExchanger(options Options, chooser *chooser, transport *http.Transport) *exchanger {
+	if transport == nil {
+		dialer := &net.Dialer{Timeout: options.Dial}
+		transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second}
+	}
+	fresh := transport.Clone()
+	fresh.DisableKeepAlives = true
+	return &exchanger{
+		options: options,
+		chooser: chooser,
+		link:    newBucket(options.LinkRate, options.LinkBurst, time.Now()),
+		kept:    &http.Client{Transport: transport},
+		fresh:   &http.Client{Transport: fresh},
+	}
+}
+
+type exchangeResult struct {
+	answer request.Answer
+	err    error
+}
+
+// run sends a request to an agent. While no reply comes, it asks by identity on
+// fresh connections, because the connection may be silent. It gives up when the
+// agent does not know the request; for an idempotent request it also gives up
+// when the agent does not reply to the question.
+func (x *exchanger) run(ctx context.Context, a Agent, q request.Request, client *http.Client) (request.Answer, error) {
+	x.chooser.begin(a)
+	defer x.chooser.end(a)
+	g := group.New(ctx)
+	defer func() { g.Stop(); _ = g.Wait() }()
+	results := make(chan exchangeResult, 1)
+	g.Go("run", func(ctx context.Context) error {
+		answer, err := x.call(ctx, a, q, client)
+		results <- exchangeResult{answer, err}
+		return nil
+	})
+	for {
+		if r, ok := receive(results, x.options.AskAfter); ok {
+			return r.answer, r.err
+		}
+		answer, found, err := x.lookup(ctx, a, q.Identity)
+		switch {
+		case err == nil && found && answer.Outcome != request.Pending:
+			return answer, nil
+		case err == nil && !found:
+			// The reply may have been sent just before the question.
+			if r, ok := receive(results, replyPassing); ok {
+				return r.answer, r.err
+			}
+			return request.Answer{}, fmt.Errorf("ask %s: %w: it does not know the request", a.Name, errLost)
+		case err != nil && q.Idempotent:
+			return request.Answer{}, err
+		}
+	}
+}
+
+func receive(results <-chan exchangeResult, wait time.Duration) (exchangeResult, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case r := <-results:
+		return r, true
+	case <-timer.C:
+		return exchangeResult{}, false
+	}
+}
+
+// call is one exchange without questions.
+func (x *exchanger) call(ctx context.Context, a Agent, q request.Request, client *http.Client) (request.Answer, error) {
+	message := &wire.RunRequest{
+		Identity:          &wire.Identity{Organisation: q.Identity.Organisation, Id: q.Identity.ID},
+		Service:           q.Service,
+		Kind:              q.Kind,
+		DeadlineUnixNanos: q.Deadline.UnixNano(),
+		Idempotent:        q.Idempotent,
+		Body:              q.Body,
+	}
+	var sent atomic.Bool
+	reply, err := wire.NewAgentProtobufClient("http://"+a.Address.String(), client).Run(traced(ctx, &sent), message)
+	return x.check(a, q.Identity, reply, err, &sent)
+}
+
+// lookup asks an agent by identity on a fresh connection.
+func (x *exchanger) lookup(ctx context.Context, a Agent, id request.Identity) (request.Answer, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, x.options.AskTimeout)
+	defer cancel()
+	message := &wire.LookupRequest{Identity: &wire.Identity{Organisation: id.Organisation, Id: id.ID}}
+	var sent atomic.Bool
+	reply, err := wire.NewAgentProtobufClient("http://"+a.Address.String(), x.fresh).Lookup(traced(ctx, &sent), message)
+	answer, err := x.check(a, id, reply, err, &sent)
+	return answer, reply.GetFound(), err
+}
+
+// traced sets sent once the exchange has a connection.
+func traced(ctx context.Context, sent *atomic.Bool) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	})
+}
+
+// check classifies the result of an exchange and verifies the reply.
+func (x *exchanger) check(a Agent, id request.Identity, reply *wire.RunReply, err error, sent *atomic.Bool) (request.Answer, error) {
+	if err != nil {
+		return request.Answer{}, x.exchangeError(a, err, sent)
+	}
+	if x.chooser.tierOf(a) == remote {
+		x.link.add(-float64(len(reply.GetBody())+replyOverhead), time.Now())
+	}
+	got := request.Identity{Organisation: reply.GetIdentity().GetOrganisation(), ID: reply.GetIdentity().GetId()}
+	if got != id {
+		return request.Answer{}, fmt.Errorf("call %s: %w: %s", a.Name, errCrossed, got)
+	}
+	if reply.GetChecksum() != xxhash.Sum64(reply.GetBody()) {
+		return request.Answer{}, fmt.Errorf("call %s: %w: %d bytes", a.Name, errTruncated, len(reply.GetBody()))
+	}
+	answer := request.Answer{
+		Identity:    id,
+		Outcome:     request.Outcome(reply.GetOutcome()),
+		Reason:      reply.GetReason(),
+		Body:        reply.GetBody(),
+		Agent:       reply.GetAgent(),
+		Incarnation: reply.GetIncarnation(),
+		Retryable:   reply.GetRetryable(),
+	}
+	refused := answer.Outcome == request.NotRun && answer.Retryable
+	x.chooser.report(a, float64(reply.GetWaiting()+reply.GetRunning()), refused)
+	if refused && reply.GetWaiting() == 0 {
+		// Its queue is not the reason, and its low load would attract requests.
+		x.chooser.failed(a)
+	}
+	return answer, nil
+}
+
+func (x *exchanger) exchangeError(a Agent, err error, sent *atomic.Bool) error {
+	var twerr twirp.Error
+	refused := errors.As(err, &twerr) && (twerr.Code() == twirp.InvalidArgument || twerr.Code() == twirp.BadRoute)
+	switch {
+	case !sent.Load():
+		return fmt.Errorf("call %s: %w: %w", a.Name, errNotSent, err)
+	case refused:
+		return fmt.Errorf("call %s: %w: %w", a.Name, errInvalid, err)
+	}
+	return fmt.Errorf("call %s: %w: %w", a.Name, errLost, err)
+}
--- /dev/null
+++ b/internal/traffic/routing/options.go
@@ -0,0 +1,85 @@
+// Package routing chooses an agent for each request and runs the request end
+// to end: it retries within a budget, checks every reply, and finds out what
+// became of a request whose answer was lost.
+package routing
+
+import (
+	"net/netip"
+	"time"
+)
+
+// State is the state of an agent as membership reports it.
+type State int
+
+// The states of an agent. Only alive agents are chosen.
+const (
+	Alive State = iota
+	Draining
+	Suspect
+	Dead
+)
+
+// Agent is a possible target of requests.
+type Agent struct {
+	Name       string
+	Region     string
+	DataCentre string
+	Address    netip.AddrPort
+	State      State
+	Service    string
+	Waiting    int       // Waiting requests in the last report.
+	Running    int       // Running requests in the last report.
+	Reported   time.Time // Reported is when the load was reported; zero means now.
+}
+
+// AgentStatus is what a client knows of an agent.
+type AgentStatus struct {
+	Agent       Agent
+	Outstanding int       // Outstanding requests of this client.
+	Load        float64   // Load is what choices compare.
+	Avoided     time.Time // Avoided is until when the agent is avoided after a failure.
+}
+
+// Options are the settings and limits of a client.
+type Options struct {
+	Region         string // Region and DataCentre are those of this process.
+	DataCentre     string
+	AvoidFor       time.Duration // AvoidFor is how long an agent is avoided after a failure.
+	LoadHalfLife   time.Duration // LoadHalfLife is how fast the weight of a reported load decays.
+	StableMargin   float64       // StableMargin is how much more load the first of a stable pair may have.
+	LinkRate       float64       // LinkRate is the cap on the region link in bytes per second, both ways together.
+	LinkBurst      float64       // LinkBurst is in bytes.
+	RetryShare     float64       // RetryShare is the number of retries that each request adds to the budget.
+	RetryPerSecond float64       // RetryPerSecond are added to the budget all the time.
+	RetryBurst     float64       // RetryBurst bounds the budget.
+	FreeMoves      int           // FreeMoves after proved refusals of one request are not counted in the budget.
+	RetryPause     time.Duration // RetryPause is the longest pause before the first retry; it doubles up to MaxPause.
+	MaxPause       time.Duration
+	AskAfter       time.Duration // AskAfter is how long an exchange is silent before the agent is asked by identity.
+	AskTimeout     time.Duration // AskTimeout bounds a question; it is longer than an agent holds one back.
+	Grace          time.Duration // Grace is how long a reply that the deadline brings about may take.
+	Dial           time.Duration // Dial bounds the time to open a connection.
+}
+
+// DefaultOptions are those of the design page.
+func DefaultOptions() Options {
+	return Options{
+		AvoidFor:     2 * time.Second,
+		LoadHalfLife: 2 * time.Second,
+		StableMargin: 2,
+		// A tenth of one direction of the link of 30 Mbit/s for each entry
+		// leaves room for the other entries and for the log.
+		LinkRate:       375_000,
+		LinkBurst:      1_500_000,
+		RetryShare:     0.1,
+		RetryPerSecond: 3,
+		RetryBurst:     30,
+		FreeMoves:      2,
+		RetryPause:     20 * time.Millisecond,
+		MaxPause:       200 * time.Millisecond,
+		AskAfter:       time.Second,
+		AskTimeout:     2500 * time.Millisecond,
+		Grace:          200 * time.Millisecond,
+		Dial:           500 * time.Millisecond,
+	}
+}
