--- /dev/null
+++ b/internal/fleet/worker/client.go
@@ -0,0 +1,160 @@
+package worker
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/dghubble/sling"
+)
+
+// maxReply bounds a reply; a full list of a few thousand ended tasks fits.
+const maxReply = 4 << 20
+
+// Client talks to one  It is safe for concurrent use.
+type Client struct {
+	base      *sling.Sling
+	transport *http.Transport
+	http      *http.Client
+	deadline  time.Duration
+}
+
+// NewClient returns a client of the worker at address. deadline bounds every call
+// apart from the time that the call asks the worker to wait.
+func NewClient(address netip.AddrPort, deadline time.Duration) *Client {
+	transport := &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 30 * time.Second}
+	return &Client{
+		base:      sling.New().Base("http://" + address.String()),
+		transport: transport,
+		http:      &http.Client{Transport: transport},
+		deadline:  deadline,
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Renew acquires or renews the lease. It returns the changes of tasks after a
+// position, and waits up to wait for the first one.
+func (c *Client) Renew(ctx context.Context, l Lease, after int64, wait time.Duration) (Report, error) {
+	body := LeaseRequest{
+		Holder:     l.Holder,
+		Epoch:      l.Epoch,
+		TTLMillis:  l.TTL.Milliseconds(),
+		After:      after,
+		WaitMillis: wait.Milliseconds(),
+	}
+	var reply ReportMessage
+	if err := c.call(ctx, c.base.New().Put(PathLease).BodyJSON(body), c.deadline+wait, &reply); err != nil {
+		return Report{}, fmt.Errorf("renew lease: %w", err)
+	}
+	return reply.Domain()
+}
+
+// List returns all tasks and the last lease. It needs no lease.
+func (c *Client) List(ctx context.Context) (Listing, error) {
+	var reply ListingMessage
+	if err := c.call(ctx, c.base.New().Get(PathTasks), c.deadline, &reply); err != nil {
+		return Listing{}, fmt.Errorf("list tasks: %w", err)
+	}
+	report, err := reply.Domain()
+	return Listing{Lease: Lease{Holder: reply.Holder, Epoch: reply.Epoch}, Report: report}, err
+}
+
+// Usage returns the last measured usage of the running tasks.
+func (c *Client) Usage(ctx context.Context) ([]Usage, error) {
+	var reply []UsageMessage
+	if err := c.call(ctx, c.base.New().Get(PathUsage), c.deadline, &reply); err != nil {
+		return nil, fmt.Errorf("read usage: %w", err)
+	}
+	usage := make([]Usage, 0, len(reply))
+	for _, u := range reply {
+		usage = append(usage, u.Domain())
+	}
+	return usage, nil
+}
+
+// Start starts a task. Starting a known name again only returns its state.
+func (c *Client) Start(ctx context.Context, l Lease, s Spec) (Task, error) {
+	body := TaskRequest{Task: s.Name, Spec: FromSpec(s)}
+	return c.onTask(ctx, l, PathStart, body, c.deadline)
+}
+
+// Throttle limits a task to a number of cores. Unthrottled releases it.
+func (c *Client) Throttle(ctx context.Context, l Lease, task string, cores float64) (Task, error) {
+	return c.onTask(ctx, l, PathThrottle, TaskRequest{Task: task, Cores: cores}, c.deadline)
+}
+
+// Stop ends a task. Stopping a task that has ended only returns its state. A
+// task that is unknown cannot be started after the call.
+func (c *Client) Stop(ctx context.Context, l Lease, task string) (Task, error) {
+	return c.onTask(ctx, l, PathStop, TaskRequest{Task: task}, c.deadline)
+}
+
+// Checkpoint pauses a task and keeps its progress. It may take as long as
+// limit.
+func (c *Client) Checkpoint(ctx context.Context, l Lease, task string, limit time.Duration) (Task, error) {
+	return c.onTask(ctx, l, PathCheckpoint, TaskRequest{Task: task}, limit)
+}
+
+func (c *Client) onTask(ctx context.Context, l Lease, path string, body TaskRequest, limit time.Duration) (Task, error) {
+	body.Holder, body.Epoch = l.Holder, l.Epoch
+	var reply TaskMessage
+	if err := c.call(ctx, c.base.New().Post(path).BodyJSON(body), limit, &reply); err != nil {
+		return Task{}, fmt.Errorf("%s %s: %w", path, body.Task, err)
+	}
+	return reply.Domain()
+}
+
+// call sends one request. After a failure the idle connections are dropped,
+// because an open connection may be silent while new ones work.
+func (c *Client) call(ctx context.Context, s *sling.Sling, limit time.Duration, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := s.Request()
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.GetBody = nil // Retries are up to the caller.
+	resp, err := c.http.Do(req.WithContext(ctx))
+	if err != nil {
+		c.transport.CloseIdleConnections()
+		return transportError(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body := io.LimitReader(resp.Body, maxReply)
+	if resp.StatusCode != http.StatusOK {
+		_, _ = io.Copy(io.Discard, body)
+		return statusError(resp.StatusCode)
+	}
+	if err := json.NewDecoder(body).Decode(reply); err != nil {
+		c.transport.CloseIdleConnections()
+		return fmt.Errorf("%w: decode reply: %w", ErrOutcomeUnknown, err)
+	}
+	_, _ = io.Copy(io.Discard, body)
+	return nil
+}
+
+func transportError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+}
+
+func statusError(status int) error {
+	switch status {
+	case http.StatusConflict:
+		return ErrStaleLease
+	case http.StatusNotFound:
+		return ErrUnknownTask
+	}
+	return fmt.Errorf("%w: status %d", ErrRefused, status)
+}
