Let members take work again after draining, and take connections from the process

Cause: a minion that comes back left its agent draining for ever, and routing opened connections that did not count bytes on the region link. Change: membership.SetDraining takes a value; routing takes the shared and fresh connections of its process.

--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -209,13 +209,17 @@
 	m.onOffset = call
 }
 
-// SetDraining tells the others that this process takes no new work. It cannot
-// be undone within an incarnation.
-func (m *Membership) SetDraining() {
+// SetDraining tells the others whether this process takes new work. A process
+// that was draining may take work again, for example when its minion is back.
+func (m *Membership) SetDraining(draining bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.self.member.State == Alive {
-		m.changeSelf(Draining)
+	from, to := Alive, Draining
+	if !draining {
+		from, to = Draining, Alive
+	}
+	if m.self.member.State == from {
+		m.changeSelf(to)
 	}
 }
 
--- a/internal/cluster/membership/membership_test.go
+++ b/internal/cluster/membership/membership_test.go
@@ -181,7 +181,7 @@
 		run(t, options, func(c *qt.C, f *fleet) {
 			f.startMany(c, 0, 60)
 			f.startMany(c, 1, 20)
-			f.members[name(0, 7)].SetDraining()
+			f.members[name(0, 7)].SetDraining(true)
 			time.Sleep(4 * time.Second)
 			for _, m := range f.members {
 				if stateOf(m.Members(), name(0, 7)) == membership.Draining {
@@ -363,7 +363,7 @@
 	run(t, membership.Default(), func(c *qt.C, f *fleet) {
 		f.startMany(c, 0, 20)
 		f.network.SetLoss(7)
-		f.members[name(0, 7)].SetDraining()
+		f.members[name(0, 7)].SetDraining(true)
 		f.await(c, 10*time.Second, f.allSee(name(0, 7), membership.Draining))
 		time.Sleep(3 * time.Minute)
 		for _, m := range f.members {
--- a/internal/cluster/membership/scale_test.go
+++ b/internal/cluster/membership/scale_test.go
@@ -27,7 +27,7 @@
 		time.Sleep(2 * time.Minute)
 		f.measure(c, "quiet", time.Minute, func() { time.Sleep(time.Minute) })
 		f.measure(c, "draining", 0, func() {
-			f.members[name(0, 7)].SetDraining()
+			f.members[name(0, 7)].SetDraining(true)
 			c.Logf("draining known by all: %v", f.await(c, 5*time.Second, f.allSee(name(0, 7), membership.Draining)))
 		})
 		f.measure(c, "crash", 0, func() {
--- a/internal/traffic/routing/client.go
+++ b/internal/traffic/routing/client.go
@@ -36,15 +36,23 @@
 	Counters  Counters
 }
 
-// New returns a client that chooses among agents. A nil transport means a
-// default one with its own connections.
-func New(options Options, agents func() []Agent, j Journal, transport *http.Transport) *Client {
+// Connections are the connections of a process.
+type Connections interface {
+	// Shared reuses connections.
+	Shared() http.RoundTripper
+	// Fresh opens a connection for each exchange.
+	Fresh() http.RoundTripper
+}
+
+// New returns a client that chooses among agents. Nil connections mean
+// connections of its own.
+func New(options Options, agents func() []Agent, j Journal, connections Connections) *Client {
 	c := newChooser(options, agents)
 	return &Client{
 		options:   options,
 		journal:   j,
 		chooser:   c,
-		exchanger: newExchanger(options, c, transport),
+		exchanger: newExchanger(options, c, connections),
 		budget:    NewBudget(options.RetryShare, options.RetryPerSecond, options.RetryBurst, time.Now()),
 	}
 }
--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -43,22 +43,39 @@
 	fresh   *http.Client // fresh opens a connection for each exchange.
 }
 
-func newExchanger(options Options, chooser *chooser, transport *http.Transport) *exchanger {
-	if transport == nil {
-		dialer := &net.Dialer{Timeout: options.Dial}
-		transport = &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second}
+func newExchanger(options Options, chooser *chooser, connections Connections) *exchanger {
+	if connections == nil {
+		connections = newDefaultConnections(options.Dial)
 	}
-	fresh := transport.Clone()
-	fresh.DisableKeepAlives = true
 	return &exchanger{
 		options: options,
 		chooser: chooser,
 		link:    newBucket(options.LinkRate, options.LinkBurst, time.Now()),
-		kept:    &http.Client{Transport: transport},
-		fresh:   &http.Client{Transport: fresh},
+		kept:    &http.Client{Transport: connections.Shared()},
+		fresh:   &http.Client{Transport: connections.Fresh()},
 	}
 }
 
+// defaultConnections are two transports of the standard library.
+type defaultConnections struct {
+	shared *http.Transport
+	fresh  *http.Transport
+}
+
+func newDefaultConnections(dialTimeout time.Duration) defaultConnections {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	shared := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 16, IdleConnTimeout: 10 * time.Second}
+	fresh := shared.Clone()
+	fresh.DisableKeepAlives = true
+	return defaultConnections{shared, fresh}
+}
+
+// Shared implements Connections.
+func (c defaultConnections) Shared() http.RoundTripper { return c.shared }
+
+// Fresh implements Connections.
+func (c defaultConnections) Fresh() http.RoundTripper { return c.fresh }
+
 type exchangeResult struct {
 	answer request.Answer
 	err    error
