--- /dev/null
+++ b/cmd/bench_subjects.go
@@ -0,0 +1,32 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+
+	"wasabihoist/internal/run/bench/membershipbench"
+	"wasabihoist/internal/run/bench/placementbench"
+)
+
+// subjects lists what can be measured. A new subject is added here.
+func subjects() []subject {
+	return []subject{
+		{"placement", "completion time and fragmentation of the placement policies on recorded workloads", benchPlacement},
+		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
+	}
+}
+
+func benchPlacement(ctx context.Context, o benchOptions) (any, error) {
+	options := placementbench.Default()
+	options.Seed = o.seed
+	return placementbench.Run(ctx, options)
+}
+
+func benchMembership(ctx context.Context, _ benchOptions) (any, error) {
+	report, err := membershipbench.Run(ctx, membershipbench.Default())
+	if err != nil {
+		return nil, err
+	}
+	data, err := report.JSON()
+	return json.RawMessage(data), err
+}
--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -32,6 +32,7 @@
 		jobsEntry(),
 		explainEntry(),
 		auditEntry(),
+		benchEntry(),
 		versionEntry(),
 		helpEntry(),
 	}
