--- /dev/null
+++ b/internal/fleet/gang/start.go
@@ -0,0 +1,119 @@
+package gang
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"wasabihoist/internal/fleet/worker"
+)
+
+// Step is one step of the start protocol.
+type Step interface {
+	// String names the step.
+	String() string
+	// Run carries the step out on all members.
+	Run(ctx context.Context) error
+}
+
+var errCancelled = errors.New("cancelled by the caller")
+
+// Steps returns the steps of the start in order. The members run when all
+// steps have succeeded.
+func (g *Gang) Steps() []Step {
+	return []Step{&startHeld{g}, &confirm{g: g, created: time.Now()}, &release{g}}
+}
+
+// Start runs the steps. After a failure, all members are stopped.
+func (g *Gang) Start(ctx context.Context) (Result, bool) {
+	for _, s := range g.Steps() {
+		err := s.Run(ctx)
+		if err == nil && g.isCancelled() {
+			err = errCancelled
+		}
+		if err == nil {
+			continue
+		}
+		if ctx.Err() != nil {
+			return Result{Outcome: Abandoned, Released: g.mayHaveRun(), Member: -1, Reason: err.Error()}, false
+		}
+		r := Result{Outcome: NotStarted, Member: -1, Reason: fmt.Sprintf("%s: %v", s, err)}
+		if errors.Is(err, errCancelled) {
+			r.Outcome = Cancelled
+		}
+		return g.finish(ctx, r), false
+	}
+	return Result{}, true
+}
+
+// mayHaveRun reports whether any member may have been released.
+func (g *Gang) mayHaveRun() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.released
+}
+
+// startHeld starts all members throttled to zero.
+type startHeld struct{ g *Gang }
+
+// String names the step.
+func (*startHeld) String() string { return "start held" }
+
+// Run sends all starts at once.
+func (s *startHeld) Run(ctx context.Context) error {
+	return s.g.each(ctx, func(ctx context.Context, i int, m Member) error {
+		spec := m.Spec
+		spec.Held = true
+		spec.StartDeadline = s.g.options.StartDeadline
+		t, err := twice(func() (worker.Task, error) { return m.Host.Start(ctx, spec) })
+		if err == nil {
+			s.g.Report(i, t)
+		}
+		return err
+	})
+}
+
+// confirm checks that all members are held and will be for long enough.
+type confirm struct {
+	g       *Gang
+	created time.Time
+}
+
+// String names the step.
+func (*confirm) String() string { return "confirm" }
+
+// Run fails when a member is not held or half of the start deadline has passed.
+func (s *confirm) Run(context.Context) error {
+	if spent := time.Since(s.created); spent > s.g.options.StartDeadline/2 {
+		return fmt.Errorf("starting took %s, over half of the start deadline", spent.Round(time.Millisecond))
+	}
+	for i, m := range s.g.members {
+		if t, lost := s.g.task(i); t.State != worker.Held || lost {
+			return fmt.Errorf("member %d on %s is %s: %s", i, m.Worker, t.State, t.Reason)
+		}
+	}
+	return nil
+}
+
+// release lifts the throttle of all members.
+type release struct{ g *Gang }
+
+// String names the step.
+func (*release) String() string { return "release" }
+
+// Run sends all releases at once.
+func (s *release) Run(ctx context.Context) error {
+	s.g.update(func() { s.g.released = true })
+	return s.g.each(ctx, func(ctx context.Context, i int, m Member) error {
+		t, err := twice(func() (worker.Task, error) { return m.Host.Throttle(ctx, m.Spec.Name, worker.Unthrottled) })
+		if err != nil {
+			return err
+		}
+		s.g.Report(i, t)
+		if !t.Released {
+			return fmt.Errorf("member %d ended before its release: %s", i, t.State)
+		}
+		return nil
+	})
+}
