--- /dev/null
+++ b/internal/fleet/scheduler/attempt.go
@@ -0,0 +1,190 @@
+package scheduler
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"wasabihoist/internal/fleet/gang"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+// attempt is one claim of a job, from its record to the record of its end. Its
+// methods run in its own goroutine, the other fields are used by the loop.
+type attempt struct {
+	term    *term
+	job     job.Job
+	workers []string
+	reason  string
+
+	claim     int64
+	gang      *gang.Gang // gang is nil until the claim is folded.
+	members   []gang.Member
+	watched   bool // watched is set when all members were released, or when the attempt only cleans up.
+	reclaimed bool
+	moveTo    []string
+}
+
+// run claims the job and runs it.
+func (a *attempt) run(ctx context.Context) error {
+	t := a.term
+	t.counters.Claims.Add(1)
+	id := a.job.Identity
+	v, err := t.verdict(ctx, journal.JobClaimed{Identity: id, DataCentre: t.options.DataCentre, Workers: a.workers})
+	if err != nil {
+		return err // The next term settles the claim if it is in the log.
+	}
+	js, _ := t.journal.Job(id)
+	if !v.Valid || js.Claim != v.Offset {
+		t.counters.LostClaims.Add(1)
+		t.post(ctx, func(t *term) { t.finish(a, gang.Result{Outcome: gang.NotStarted}, time.Now()) })
+		return nil
+	}
+	var g *gang.Gang
+	if !t.call(ctx, func(t *term) { g, err = t.assemble(a, v.Offset, js) }) {
+		return nil
+	}
+	if err != nil {
+		return a.conclude(ctx, v.Offset, gang.Result{Outcome: gang.NotStarted, Member: -1, Reason: err.Error()})
+	}
+	if r, started := g.Start(ctx); !started {
+		return a.conclude(ctx, v.Offset, r)
+	}
+	t.counters.Started.Add(1)
+	t.post(ctx, func(t *term) {
+		a.watched = true
+		t.planner.Started(id, time.Now())
+		t.audit("start", id.String(), a.reason, strings.Join(a.workers, ","))
+	})
+	return a.watch(ctx, g, v.Offset, true)
+}
+
+// watch records that the job runs, and waits for its end.
+func (a *attempt) watch(ctx context.Context, g *gang.Gang, claim int64, record bool) error {
+	t := a.term
+	if record {
+		// The record may wait for the log while the job already runs.
+		t.work.Go("running record", func(ctx context.Context) error {
+			_ = t.record(ctx, journal.JobRunning{Identity: a.job.Identity, Claim: claim})
+			return nil
+		})
+	}
+	proven := time.AfterFunc(t.options.Health.Quick, func() { t.post(ctx, func(t *term) { t.ranWell(a) }) })
+	r := g.Watch(ctx)
+	proven.Stop()
+	return a.conclude(ctx, claim, r)
+}
+
+// conclude records the end of the attempt. An abandoned attempt has no end yet:
+// a successor goes on with it.
+func (a *attempt) conclude(ctx context.Context, claim int64, r gang.Result) error {
+	if r.Outcome == gang.Abandoned {
+		return nil
+	}
+	t := a.term
+	ended := time.Now()
+	var end journal.Record
+	if !t.call(ctx, func(t *term) { end = t.endRecord(a, claim, r) }) {
+		return nil
+	}
+	if err := t.record(ctx, end); err != nil {
+		return err
+	}
+	t.post(ctx, func(t *term) { t.finish(a, r, ended) })
+	return nil
+}
+
+// endRecord says what the journal learns of the end.
+func (t *term) endRecord(a *attempt, claim int64, r gang.Result) journal.Record {
+	id := a.job.Identity
+	ended := func(o request.Outcome) journal.Record {
+		return journal.JobEnded{Identity: id, Claim: claim, Outcome: o, Reason: r.Reason}
+	}
+	released := journal.JobReleased{Identity: id, Claim: claim, Reason: r.Reason, Started: r.Released}
+	switch r.Outcome {
+	case gang.AllSucceeded:
+		t.ranWell(a)
+		return ended(request.Done)
+	case gang.MemberFailed:
+		t.blame(a, r)
+		if !a.job.Idempotent || t.health.condemns(id) {
+			return ended(request.Failed)
+		}
+	case gang.Cancelled:
+		if r.Released {
+			return ended(request.Failed)
+		}
+	case gang.Checkpointed:
+		js, _ := t.journal.Job(id)
+		released.Checkpointed, released.Progress = r.Kept, r.Progress
+		if !r.Kept && a.job.Idempotent {
+			// Being reclaimed is no failure of the job: it goes on from the
+			// checkpoint before, or from its beginning.
+			released.Checkpointed, released.Progress = true, js.Progress
+		}
+	}
+	return released
+}
+
+// blame records a member's failure against its worker.
+func (t *term) blame(a *attempt, r gang.Result) {
+	name := a.workers[r.Member]
+	if !t.health.failed(name, a.job.Identity, r.Ran, time.Now()) {
+		return
+	}
+	t.counters.Quarantines.Add(1)
+	t.audit("quarantine", name, r.Reason, t.health.condition(name).sentence.String())
+}
+
+// ranWell records that all workers of the attempt run tasks.
+func (t *term) ranWell(a *attempt) {
+	for _, name := range a.workers {
+		t.health.ranWell(name, a.job.Identity)
+	}
+}
+
+// finish frees the workers after the end of the attempt was folded.
+func (t *term) finish(a *attempt, r gang.Result, ended time.Time) {
+	id := a.job.Identity
+	delete(t.active, id)
+	for _, m := range a.members {
+		delete(t.byTask, m.Spec.Name)
+	}
+	for i, name := range a.workers {
+		h := t.hosts[name]
+		if h == nil {
+			continue
+		}
+		delete(h.reserved, id)
+		if i < len(a.members) {
+			delete(h.tasks, a.members[i].Spec.Name)
+		}
+		if !r.Released {
+			t.health.notStarted(name)
+		}
+	}
+	t.replan(a, r, ended)
+}
+
+// replan tells the planner what the journal says of the job now.
+func (t *term) replan(a *attempt, r gang.Result, ended time.Time) {
+	id := a.job.Identity
+	js, known := t.journal.Job(id)
+	switch {
+	case known && js.State == job.Ended:
+		t.planner.Ended(id, ended, js.Outcome)
+		t.health.forget(id)
+	case !known || js.State != job.Queued:
+		t.planner.Cancel(id)
+		t.foldJob(id)
+	case a.moveTo != nil && r.Kept && !t.draining:
+		t.start(id, a.moveTo, "moved")
+	default:
+		t.planner.Released(id)
+		if _, planned := t.planner.Explain(id, ended); !planned {
+			t.offer(js)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/scheduler/decide.go
@@ -0,0 +1,209 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"wasabihoist/internal/fleet/gang"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/placement"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+// openWorkers tells the planner which workers may take new tasks.
+func (t *term) openWorkers(now time.Time) {
+	for name, h := range t.hosts {
+		if open := h.up && t.health.allows(name, now); open != h.open {
+			h.open = open
+			t.planner.SetSchedulable(name, open)
+		}
+	}
+}
+
+// decide carries out the planner's decisions.
+func (t *term) decide(now time.Time) {
+	for _, d := range t.planner.Decide(now) {
+		switch d.Kind {
+		case placement.Start:
+			t.start(d.Job, d.Workers, d.Reason)
+		case placement.Reclaim:
+			t.reclaim(d, nil)
+		case placement.Move:
+			t.reclaim(d, d.Workers)
+		case placement.Throttle:
+			t.throttle(d)
+		}
+	}
+}
+
+// start begins an attempt, unless it does not fit at the holder.
+func (t *term) start(id request.Identity, workers []string, reason string) {
+	js, known := t.journal.Job(id)
+	if !known || js.State != job.Queued || t.active[id] != nil {
+		t.planner.Cancel(id)
+		return
+	}
+	if err := t.fits(js.Job, workers); err != nil {
+		t.counters.Misfits.Add(1)
+		t.planner.Cancel(id)
+		t.delayed[id] = delayed{time.Now().Add(t.limits.Retry), err.Error()}
+		return
+	}
+	a := &attempt{term: t, job: js.Job, workers: workers, reason: reason}
+	t.activate(a)
+	for _, name := range workers {
+		t.health.started(name)
+	}
+	t.work.Go("attempt of "+id.String(), a.run)
+}
+
+// activate registers the attempt and sets its resources aside.
+func (t *term) activate(a *attempt) {
+	t.active[a.job.Identity] = a
+	for _, name := range a.workers {
+		if h := t.hosts[name]; h != nil {
+			h.reserved[a.job.Identity] = h.reserved[a.job.Identity].Plus(a.job.Member())
+		}
+	}
+}
+
+// fits checks a placement against what is known to be on the workers, because
+// workers start whatever they are given. Accelerators are checked exactly;
+// cores and memory may be overcommitted by the planner's learned ratios, so
+// only a member that alone exceeds its worker is refused.
+func (t *term) fits(j job.Job, workers []string) error {
+	needed := map[string]int{}
+	for _, name := range workers {
+		needed[name] += j.Shape.Accelerators
+	}
+	for name, accelerators := range needed {
+		h := t.hosts[name]
+		if h == nil || !h.up {
+			return fmt.Errorf("worker %s is not available", name)
+		}
+		if !t.health.allows(name, time.Now()) {
+			return fmt.Errorf("worker %s takes no new tasks", name)
+		}
+		used := 0
+		for _, r := range h.reserved {
+			used += r.Accelerators
+		}
+		for task, state := range h.tasks {
+			if _, ours := t.byTask[task]; !ours && state.State.Live() {
+				used += state.Resources.Accelerators
+			}
+		}
+		if used+accelerators > h.worker.Capacity.Accelerators {
+			return fmt.Errorf("worker %s has %d of %d accelerators in use", name, used, h.worker.Capacity.Accelerators)
+		}
+		if member := j.Member(); !member.Fits(h.worker.Capacity) {
+			return fmt.Errorf("a member with %s exceeds worker %s", member, name)
+		}
+	}
+	return nil
+}
+
+// reclaim takes the workers of a job back. moveTo is where it starts again; nil
+// lets it wait.
+func (t *term) reclaim(d placement.Decision, moveTo []string) {
+	a := t.active[d.Job]
+	if a == nil {
+		t.planner.Released(d.Job)
+		return
+	}
+	var limit time.Duration
+	if d.Checkpoint {
+		limit = t.limits.Checkpoint
+		if js, known := t.journal.Job(d.For); known && js.Job.Urgent {
+			limit = t.limits.UrgentCheckpoint
+		}
+	}
+	a.moveTo = moveTo
+	a.reclaimed = true
+	if a.gang != nil {
+		a.gang.Reclaim(limit, d.Reason)
+	}
+	t.counters.Reclaimed.Add(1)
+	t.audit(d.Kind.String(), d.Job.String(), fmt.Sprintf("%s (for %s)", d.Reason, d.For), strings.Join(moveTo, ","))
+}
+
+// throttle limits members to their declared cores. A call that fails is not
+// repeated; the planner decides again when the usage stays high.
+func (t *term) throttle(d placement.Decision) {
+	a := t.active[d.Job]
+	if a == nil || a.gang == nil {
+		return
+	}
+	for _, name := range d.Workers {
+		for _, m := range a.members {
+			if m.Worker == name {
+				t.work.Go("throttle", func(ctx context.Context) error {
+					_, _ = m.Host.Throttle(ctx, m.Spec.Name, m.Spec.Resources.Cores)
+					return nil
+				})
+			}
+		}
+	}
+}
+
+// endNeverRun ends a queued job that fits no data centre.
+func (t *term) endNeverRun(js journal.JobState, reason string) {
+	outcome := request.NotRun
+	if !js.Started.IsZero() || js.Failures > 0 {
+		outcome = request.Failed // An earlier attempt ran on workers that are gone.
+	}
+	t.work.Go("end record", func(ctx context.Context) error {
+		_ = t.record(ctx, journal.JobEnded{Identity: js.Job.Identity, Outcome: outcome, Reason: reason})
+		return nil
+	})
+}
+
+// assemble builds the gang of a claimed attempt under the leases in force.
+func (t *term) assemble(a *attempt, claim int64, js journal.JobState) (*gang.Gang, error) {
+	current, _ := t.journal.Job(a.job.Identity)
+	switch {
+	case current.Claim != claim:
+		return nil, fmt.Errorf("the claim is not in force")
+	case current.CancelRequested:
+		return nil, fmt.Errorf("cancelled by the caller")
+	case a.reclaimed:
+		return nil, fmt.Errorf("reclaimed before the start")
+	}
+	for _, name := range a.workers {
+		if h := t.hosts[name]; h == nil || !h.up {
+			return nil, fmt.Errorf("worker %s was lost before the start", name)
+		}
+	}
+	a.claim = claim
+	t.buildMembers(a, js)
+	a.gang = gang.New(a.members, t.options.Gang)
+	t.register(a)
+	return a.gang, nil
+}
+
+// buildMembers derives the members from the claim.
+func (t *term) buildMembers(a *attempt, js journal.JobState) {
+	for i, name := range a.workers {
+		m := gang.Member{Worker: name, Spec: worker.Spec{
+			Name:      taskName(a.job.Identity, js.Attempt, i),
+			Resources: a.job.Member(),
+			RunTime:   max(a.job.RunTime-js.Progress, 0),
+			Progress:  js.Progress,
+		}}
+		if k := t.keepers[name]; k != nil {
+			m.Host = k.host()
+		}
+		a.members = append(a.members, m)
+	}
+}
+
+// register routes the reports of the members to the gang.
+func (t *term) register(a *attempt) {
+	for i, m := range a.members {
+		t.byTask[m.Spec.Name] = memberOf{a, i}
+	}
+}
--- /dev/null
+++ b/internal/fleet/scheduler/failure_test.go
@@ -0,0 +1,390 @@
+package scheduler
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/standin/workerhost"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+const long = time.Minute
+
+// Guards against a running gang that a successor stops, loses or starts again
+// when its scheduler dies.
+func TestSuccessorAdoptsRunningGangs(t *testing.T) {
+	for name, stop := range map[string]func(p *process){
+		"killed":             func(p *process) { p.kill() },
+		"stopped as planned": func(p *process) { p.duty.Stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, nil)
+			a := f.process(t, "a@1").run()
+			j := once(gangOf("ana", "1", 2, 3*time.Second))
+			a.submit(j)
+			a.awaitState(j.Identity, job.Running)
+			stop(a)
+			b := f.process(t, "b@1").run()
+			js := b.awaitState(j.Identity, job.Ended)
+			f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+			f.c.Assert(f.attempts(j), qt.HasLen, 1)
+		})
+	}
+}
+
+// Guards against claims that are lost, run twice or split when the scheduler
+// dies during a start. The job does not run before the successor settles it, so
+// it must run once after that.
+func TestSchedulerDiesDuringAStart(t *testing.T) {
+	tests := map[string]struct {
+		fault   workerhost.Faults
+		members int // members that have been started when the scheduler dies
+	}{
+		"claimed": {fault: workerhost.Faults{Freeze: true}, members: 0},
+		"held":    {fault: workerhost.Faults{Freeze: true}, members: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, nil)
+			a := f.process(t, "a@1").run()
+			f.await("workers are leased", func() bool { return a.scheduler.Summary().Workers == 2 })
+			for i := tt.members; i < 2; i++ {
+				f.hosts[fmt.Sprintf("w%d", i)].SetFaults(tt.fault)
+			}
+			j := once(gangOf("ana", "1", 2, 100*time.Millisecond))
+			a.submit(j)
+			a.awaitState(j.Identity, job.Claimed)
+			f.await("members are held", func() bool { return f.live(j) >= tt.members })
+			a.kill()
+			for _, h := range f.hosts {
+				h.SetFaults(workerhost.Faults{})
+			}
+			b := f.process(t, "b@1").run()
+			js := b.awaitState(j.Identity, job.Ended)
+			f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+			f.c.Assert(f.runs(j), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against a second run when the scheduler dies after the release and
+// before the running record, and the workers know of the gang or not.
+func TestSchedulerDiesBeforeTheRunningRecord(t *testing.T) {
+	for name, forget := range map[string]bool{"workers know": false, "workers forgot": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2, nil)
+			a := f.process(t, "a@1").run()
+			f.await("workers are leased", func() bool { return a.scheduler.Summary().Workers == 2 })
+			f.hosts["w1"].SetFaults(workerhost.Faults{Freeze: true})
+			j := once(gangOf("ana", "1", 2, 2*time.Second))
+			a.submit(j)
+			a.awaitState(j.Identity, job.Claimed)
+			f.log.SetFaults(logservice.Faults{Outage: true})
+			f.hosts["w1"].SetFaults(workerhost.Faults{})
+			f.await("the gang runs", func() bool { return f.live(j) == 2 && f.runs(j) == 1 })
+			a.kill()
+			for _, h := range f.hosts {
+				if forget {
+					h.Crash()
+					h.Restart()
+				}
+			}
+			f.log.SetFaults(logservice.Faults{})
+			b := f.process(t, "b@1").run()
+			want := request.Done
+			if forget {
+				want = request.Unknown
+			}
+			f.c.Assert(b.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, want)
+			f.c.Assert(f.runs(j), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against an end that is lost when the scheduler dies before it is
+// recorded.
+func TestEndIsFoundByTheSuccessor(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	a := f.process(t, "a@1").run()
+	j := once(gangOf("ana", "1", 2, 500*time.Millisecond))
+	a.submit(j)
+	a.awaitState(j.Identity, job.Running)
+	a.kill()
+	f.await("the gang ends", func() bool { return f.live(j) == 0 })
+	b := f.process(t, "b@1").run()
+	f.c.Assert(b.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+	f.c.Assert(f.runs(j), qt.Equals, 1)
+}
+
+// Guards against two schedulers of one data centre that start jobs twice or
+// stop each other's gangs for good.
+func TestTwoSchedulersAtOnce(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	a, b := f.process(t, "a@1").run(), f.process(t, "b@1").run()
+	var jobs []job.Job
+	for i := range 6 {
+		jobs = append(jobs, once(gangOf("ana", fmt.Sprint(i), 2, 200*time.Millisecond)))
+		a.submit(jobs[i])
+	}
+	f.await("one of the schedulers steps down", func() bool { return len(a.result)+len(b.result) > 0 })
+	// Both may have stepped down; a third takes over from whatever they left.
+	third := f.process(t, "c@1").run()
+	for _, j := range jobs {
+		third.awaitState(j.Identity, job.Ended)
+		f.c.Assert(f.runs(j) <= 1, qt.IsTrue, qt.Commentf("%s ran more than once", j.Identity))
+	}
+}
+
+// Guards against a holder that acts on its old lease after a pause.
+func TestHolderPausedBeyondItsLease(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	a := f.process(t, "a@1").run()
+	running := gangOf("ana", "1", 2, 2*time.Second)
+	a.submit(running)
+	a.awaitState(running.Identity, job.Running)
+	f.gate.pause("a@1")
+	b := f.process(t, "b@1").run()
+	waiting := once(gangOf("rui", "2", 2, 100*time.Millisecond))
+	b.submit(waiting)
+	time.Sleep(2 * testLimits().TTL)
+	f.gate.resume()
+	select {
+	case err := <-a.result:
+		f.c.Assert(errors.Is(err, ErrSuperseded), qt.IsTrue, qt.Commentf("%v", err))
+	case <-time.After(patience):
+		f.c.Fatal("the old holder did not step down")
+	}
+	for _, j := range []job.Job{running, waiting} {
+		f.c.Assert(b.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+		f.c.Assert(f.runs(j) <= 2, qt.IsTrue)
+	}
+	f.c.Assert(f.runs(waiting), qt.Equals, 1)
+}
+
+// Guards against members that run on alone when a worker is lost, and against
+// a second run of a job that must run at most once.
+func TestWorkerLostWhileAGangRuns(t *testing.T) {
+	for name, fault := range map[string]func(h *workerhost.Host){
+		"crashed": func(h *workerhost.Host) { h.Crash() },
+		"frozen":  func(h *workerhost.Host) { h.SetFaults(workerhost.Faults{Freeze: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 4, nil)
+			p := f.process(t, "a@1").run()
+			again, single := gangOf("ana", "1", 2, long), once(gangOf("rui", "2", 2, long))
+			p.submit(again)
+			p.awaitState(again.Identity, job.Running)
+			p.submit(single)
+			p.awaitState(single.Identity, job.Running)
+			for _, j := range []job.Job{again, single} {
+				js, _ := p.journal.Job(j.Identity)
+				fault(f.hosts[js.Workers[0]])
+			}
+			js := p.awaitState(single.Identity, job.Ended)
+			f.c.Assert(js.Outcome, qt.Equals, request.Unknown)
+			f.await("the gangs end whole", func() bool { return f.live(single)+f.live(again) == 0 })
+			f.c.Assert(f.runs(single), qt.Equals, 1)
+			for _, h := range f.hosts {
+				h.SetFaults(workerhost.Faults{})
+				h.Restart()
+			}
+			f.await("the idempotent job runs again", func() bool { return f.runs(again) == 2 && f.live(again) == 2 })
+		})
+	}
+}
+
+// Guards against a worker that fails everything and so takes all jobs, and
+// against jobs that are blamed for it.
+func TestBlackHoleWorkerIsQuarantined(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	f.hosts["w0"].SetFaults(workerhost.Faults{FailTasks: true})
+	p := f.process(t, "a@1").run()
+	var jobs []job.Job
+	for i := range 8 {
+		j := gangOf([]string{"ana", "rui"}[i%2], fmt.Sprint(i), 1, 500*time.Millisecond)
+		jobs = append(jobs, j)
+		p.submit(j)
+	}
+	for _, j := range jobs {
+		js := p.awaitState(j.Identity, job.Ended)
+		f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s: %s", j.Identity, js.Reason))
+	}
+	// Without work the worker keeps its place, so more jobs come until it is judged.
+	for i := 0; len(p.scheduler.Summary().Quarantined) == 0 && i < 40; i++ {
+		j := gangOf([]string{"ana", "rui"}[i%2], fmt.Sprint("more", i), 1, 400*time.Millisecond)
+		p.submit(j)
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.c.Assert(p.scheduler.Summary().Quarantined, qt.DeepEquals, []string{"w0"})
+	f.hosts["w0"].SetFaults(workerhost.Faults{})
+	for i := 0; len(p.scheduler.Summary().Quarantined) > 0 && i < 60; i++ {
+		p.submit(gangOf("ana", fmt.Sprint("probe", i), 1, 400*time.Millisecond))
+		time.Sleep(200 * time.Millisecond)
+	}
+	f.c.Assert(p.scheduler.Summary().Quarantined, qt.HasLen, 0)
+}
+
+// Guards against a job that fails everywhere and is tried for ever.
+func TestJobThatFailsOnTwoWorkersFails(t *testing.T) {
+	f := newFixture(t, 4, func(s worker.Spec) (time.Duration, bool) {
+		return s.RunTime, !strings.Contains(s.Name, "broken")
+	})
+	p := f.process(t, "a@1").run()
+	j := gangOf("ana", "broken", 1, 20*time.Millisecond)
+	p.submit(j)
+	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Failed)
+	f.c.Assert(f.runs(j), qt.Equals, 2)
+}
+
+// Guards against a log outage that stops running jobs, or loses their ends.
+func TestLogOutage(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	p := f.process(t, "a@1").run()
+	ends, goesOn := once(gangOf("ana", "1", 2, 800*time.Millisecond)), gangOf("rui", "2", 2, long)
+	for _, j := range []job.Job{ends, goesOn} {
+		p.submit(j)
+		p.awaitState(j.Identity, job.Running)
+	}
+	f.log.SetFaults(logservice.Faults{Outage: true})
+	f.await("the job ends during the outage", func() bool { return f.live(ends) == 0 })
+	time.Sleep(2 * testLimits().TTL)
+	f.c.Assert(f.live(goesOn), qt.Equals, 2)
+	f.log.SetFaults(logservice.Faults{})
+	f.c.Assert(p.awaitState(ends.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+	f.c.Assert(f.runs(ends), qt.Equals, 1)
+	f.c.Assert(f.runs(goesOn), qt.Equals, 1)
+}
+
+// Guards against a successor that stops running gangs because its journal is
+// behind, when the log is down at the takeover.
+func TestTakeoverDuringALogOutage(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	a := f.process(t, "a@1").run()
+	j := once(gangOf("ana", "1", 2, 4*time.Second))
+	a.submit(j)
+	a.awaitState(j.Identity, job.Running)
+	a.kill()
+	f.log.SetFaults(logservice.Faults{Outage: true})
+	b := f.process(t, "b@1").run() // its journal is empty
+	time.Sleep(2 * testLimits().TTL)
+	f.c.Assert(f.live(j), qt.Equals, 2)
+	f.log.SetFaults(logservice.Faults{})
+	f.c.Assert(b.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+	f.c.Assert(f.runs(j), qt.Equals, 1)
+}
+
+// Guards against a log outage between claim and start that loses or doubles
+// jobs.
+func TestLogOutageDuringTheClaim(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
+	jobs := []job.Job{once(gangOf("ana", "1", 2, 50*time.Millisecond)), once(gangOf("ana", "2", 2, 50*time.Millisecond))}
+	for _, j := range jobs {
+		p.submit(j)
+		f.log.SetFaults(logservice.Faults{LoseAnswer: 1})
+		time.Sleep(100 * time.Millisecond)
+		f.log.SetFaults(logservice.Faults{Outage: true})
+		time.Sleep(testLimits().TTL)
+		f.log.SetFaults(logservice.Faults{})
+	}
+	for _, j := range jobs {
+		f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+		f.c.Assert(f.runs(j), qt.Equals, 1)
+	}
+}
+
+// Guards against cancelled jobs that run on, and against workers that stay
+// occupied after a wave of cancellations.
+func TestCancellationWave(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	p := f.process(t, "a@1").run()
+	var jobs []job.Job
+	for i := range 20 {
+		jobs = append(jobs, gangOf("ana", fmt.Sprint(i), 2, long))
+		p.submit(jobs[i])
+	}
+	f.await("two gangs run", func() bool { return f.live(jobs[0])+f.live(jobs[1]) == 4 })
+	for _, j := range jobs {
+		p.append(journal.JobCancelled{Identity: j.Identity})
+	}
+	ran := 0
+	for _, j := range jobs {
+		js := p.awaitState(j.Identity, job.Ended)
+		ran += f.runs(j)
+		f.c.Assert(js.Outcome == request.NotRun, qt.Equals, f.runs(j) == 0, qt.Commentf("%s: %s", js.Outcome, js.Reason))
+		f.c.Assert(f.live(j), qt.Equals, 0)
+	}
+	f.c.Assert(ran >= 2, qt.IsTrue)
+	next := gangOf("ana", "next", 2, 50*time.Millisecond)
+	p.submit(next)
+	f.c.Assert(p.awaitState(next.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+}
+
+// Guards against a job that waits for ever although it can never run.
+func TestJobThatCanNeverRunEndsNotRun(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	j := gangOf("ana", "1", 3, time.Second)
+	p.submit(j)
+	js := p.awaitState(j.Identity, job.Ended)
+	f.c.Assert(js.Outcome, qt.Equals, request.NotRun)
+	f.c.Assert(js.Reason, qt.Matches, "no data centre can run the job: .*")
+}
+
+// Guards against urgent work that waits behind borrowed accelerators whose
+// checkpoint hangs. It runs with the limits of production.
+func TestUrgentJobStartsInTime(t *testing.T) {
+	const target = 9100 * time.Millisecond
+	f := newFixture(t, 2, nil)
+	p := f.processWith(t, "a@1", DefaultLimits()).run()
+	plan := organisation.Plan{Name: "gold", Kinds: []string{"match"}, Share: 1, Urgent: true, AcceleratorLimit: 8}
+	p.append(journal.ConfigurationPublished{
+		Operator:      "test",
+		Organisations: []organisation.Organisation{{Name: "ana", Plan: "gold"}, {Name: "rui", Plan: "gold"}},
+		Plans:         []organisation.Plan{plan},
+	})
+	borrowed := gangOf("rui", "1", 2, long)
+	p.submit(borrowed)
+	p.awaitState(borrowed.Identity, job.Running)
+	f.hosts["w1"].SetFaults(workerhost.Faults{CheckpointDelay: -1})
+	urgent := gangOf("ana", "1", 2, long)
+	urgent.Urgent = true
+	submitted := time.Now()
+	p.submit(urgent)
+	p.awaitState(urgent.Identity, job.Running)
+	for _, i := range f.attempts(urgent)[1] {
+		f.c.Assert(i.Released.Sub(submitted) < target, qt.IsTrue, qt.Commentf("started after %s", i.Released.Sub(submitted)))
+	}
+	f.c.Assert(f.live(borrowed), qt.Equals, 0)
+	js, _ := p.journal.Job(borrowed.Identity)
+	f.c.Assert(js.State, qt.Equals, job.Queued)
+	f.c.Assert(js.Failures, qt.Equals, 0)
+}
+
+// Guards against a data centre that takes a job before the preferred one had
+// its time, and against a job that waits for a data centre that is gone.
+func TestPreferredDataCentreClaimsFirst(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	elsewhere := f.workers[0]
+	elsewhere.Name, elsewhere.DataCentre = "x0", "caico"
+	f.workers = append(f.workers, elsewhere)
+	p := f.process(t, "a@1").run()
+	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
+	j := gangOf("ana", "1", 1, 50*time.Millisecond)
+	j.DataCentre = "caico"
+	submitted := time.Now()
+	p.submit(j)
+	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+	f.c.Assert(f.attempts(j)[1][0].Started.Sub(submitted) >= testLimits().OtherClaim, qt.IsTrue)
+}
--- /dev/null
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -0,0 +1,283 @@
+package scheduler
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/gang"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/standin/workerhost"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// patience is how long a state may take to appear. It is several times the
+// lease time, so that a loaded machine gives the same verdict.
+const patience = 20 * time.Second
+
+func testLimits() Limits {
+	return Limits{
+		TTL: time.Second, Renew: 200 * time.Millisecond, Call: 400 * time.Millisecond, Retry: 50 * time.Millisecond,
+		Grace: 500 * time.Millisecond, OtherClaim: 400 * time.Millisecond, Checkpoint: 300 * time.Millisecond,
+		UrgentCheckpoint: 200 * time.Millisecond, Drain: time.Second, Tick: 50 * time.Millisecond, Usage: time.Second,
+	}
+}
+
+// gate holds back the calls of one holder, as if it were paused.
+type gate struct {
+	mu     sync.Mutex
+	holder string
+	open   chan struct{}
+}
+
+func (g *gate) pause(holder string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holder, g.open = holder, make(chan struct{})
+}
+
+func (g *gate) resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.holder != "" {
+		g.holder = ""
+		close(g.open)
+	}
+}
+
+func (g *gate) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		g.mu.Lock()
+		held, open := g.holder != "" && bytes.Contains(body, []byte(`"holder":"`+g.holder+`"`)), g.open
+		g.mu.Unlock()
+		if held {
+			<-open
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+type fixture struct {
+	c       *qt.C
+	log     *logservice.Service
+	address netip.AddrPort
+	hosts   map[string]*workerhost.Host
+	workers []worker.Worker
+	gate    gate
+}
+
+// newFixture starts the log and workers with two accelerators each, two to a
+// rack.
+func newFixture(t *testing.T, workers int, workload workerhost.Workload) *fixture {
+	t.Helper()
+	f := &fixture{c: qt.New(t), log: logservice.New(logservice.DefaultLimits()), hosts: map[string]*workerhost.Host{}}
+	f.address = f.serve(t, f.log.Handler())
+	for i := range workers {
+		capacity := worker.Resources{Cores: 8, Memory: 100, Accelerators: 2}
+		h := workerhost.New(capacity, workload)
+		name := fmt.Sprintf("w%d", i)
+		f.hosts[name] = h
+		f.workers = append(f.workers, worker.Worker{
+			Name: name, Rack: fmt.Sprintf("r%d", i/2), DataCentre: "acari", Capacity: capacity,
+			Address: f.serve(t, f.gate.wrap(h.Handler())),
+		})
+	}
+	t.Cleanup(func() {
+		f.gate.resume()
+		for _, h := range f.hosts {
+			h.SetFaults(workerhost.Faults{})
+		}
+	})
+	return f
+}
+
+func (f *fixture) serve(t *testing.T, h http.Handler) netip.AddrPort {
+	server := httptest.NewServer(h)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// process is one process with a journal and, once run, the scheduler duty.
+type process struct {
+	*fixture
+	scheduler *Scheduler
+	journal   *journal.Journal
+	writer    *journal.Writer
+	base      *group.Group
+	duty      *group.Group
+	result    chan error
+}
+
+func (f *fixture) process(t *testing.T, name string) *process {
+	t.Helper()
+	return f.processWith(t, name, testLimits())
+}
+
+func (f *fixture) processWith(t *testing.T, name string, limits Limits) *process {
+	t.Helper()
+	o := journal.DefaultWriterOptions()
+	o.Spacing, o.Backoff = 5*time.Millisecond, 20*time.Millisecond
+	client := platformlog.NewClient(f.address, nil)
+	j := journal.New()
+	p := &process{fixture: f, journal: j, writer: journal.NewWriter(name, client, j, o), result: make(chan error, 1)}
+	p.base = group.New(context.Background())
+	p.base.Go("writer", p.writer.Run)
+	p.base.Go("follower", journal.NewFollower(j, client, nil).Run)
+	options := Default()
+	options.DataCentre, options.Holder, options.Workers = "acari", name, f.workers
+	options.Limits = limits
+	options.Gang = gang.Options{StartDeadline: 3 * time.Second, StopRetry: 50 * time.Millisecond, StopTries: 3}
+	options.Health = HealthOptions{Quick: 300 * time.Millisecond, Streak: 3, Quarantine: time.Second, Avoid: 400 * time.Millisecond}
+	p.scheduler = New(options, j, p.writer)
+	p.duty = group.New(context.Background())
+	t.Cleanup(func() {
+		f.gate.resume()
+		p.kill()
+		p.duty.Stop()
+		_ = p.duty.Wait()
+		_ = p.base.Wait()
+	})
+	return p
+}
+
+func (p *process) run() *process {
+	p.duty.Go("duty", func(ctx context.Context) error {
+		p.result <- p.scheduler.Run(ctx)
+		return nil
+	})
+	return p
+}
+
+// kill ends the process without any clean-up.
+func (p *process) kill() {
+	p.base.Stop()
+	if t := p.scheduler.current.Load(); t != nil {
+		t.work.Stop()
+	}
+}
+
+func (p *process) append(r journal.Record) {
+	p.c.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	v, err := p.writer.Append(ctx, r)
+	p.c.Assert(err, qt.IsNil)
+	p.c.Assert(v.Valid, qt.IsTrue, qt.Commentf("%s", v.Reason))
+}
+
+func (p *process) submit(j job.Job) request.Identity {
+	p.c.Helper()
+	p.append(journal.JobSubmitted{Job: j})
+	return j.Identity
+}
+
+// await waits until the condition holds.
+func (f *fixture) await(what string, condition func() bool) {
+	f.c.Helper()
+	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	f.c.Fatalf("not within %s: %s", patience, what)
+}
+
+func (p *process) awaitState(id request.Identity, s job.State) journal.JobState {
+	p.c.Helper()
+	p.await(fmt.Sprintf("%s is %s", id, s), func() bool {
+		js, _ := p.journal.Job(id)
+		return js.State == s
+	})
+	js, _ := p.journal.Job(id)
+	return js
+}
+
+// gangOf returns a job for whole workers of one rack.
+func gangOf(org, id string, members int, runTime time.Duration) job.Job {
+	return job.Job{
+		Identity: request.Identity{Organisation: org, ID: id}, Kind: "match", Idempotent: true,
+		Shape: organisation.Shape{Members: members, Accelerators: 2, Adjacency: organisation.WithinRack},
+		Cores: 1, Memory: 40, RunTime: runTime, Submitted: time.Now(),
+	}
+}
+
+func once(j job.Job) job.Job {
+	j.Idempotent = false
+	return j
+}
+
+// attempts returns what ran by attempt. It fails when a member was released
+// although not all members of its attempt had been started.
+func (f *fixture) attempts(j job.Job) map[int][]workerhost.Interval {
+	f.c.Helper()
+	attempts := map[int][]workerhost.Interval{}
+	for _, h := range f.hosts {
+		for _, i := range h.History() {
+			task, err := parseTask(i.Task)
+			f.c.Assert(err, qt.IsNil)
+			if task.Job == j.Identity {
+				attempts[task.Attempt] = append(attempts[task.Attempt], i)
+			}
+		}
+	}
+	for n, members := range attempts {
+		for _, i := range members {
+			if i.Released.IsZero() {
+				continue
+			}
+			f.c.Check(members, qt.HasLen, j.Shape.Members, qt.Commentf("attempt %d was split", n))
+			for _, other := range members {
+				f.c.Check(other.Started.After(i.Released), qt.IsFalse, qt.Commentf("attempt %d was split", n))
+			}
+		}
+	}
+	return attempts
+}
+
+// runs counts the attempts of which any member was released.
+func (f *fixture) runs(j job.Job) int {
+	f.c.Helper()
+	count := 0
+	for _, members := range f.attempts(j) {
+		for _, i := range members {
+			if !i.Released.IsZero() {
+				count++
+				break
+			}
+		}
+	}
+	return count
+}
+
+// live counts the live members.
+func (f *fixture) live(j job.Job) int {
+	count := 0
+	for _, members := range f.attempts(j) {
+		for _, i := range members {
+			if i.Ended.IsZero() {
+				count++
+			}
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/fleet/scheduler/fold.go
@@ -0,0 +1,194 @@
+package scheduler
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/tenancy/guarantee"
+	"wasabihoist/internal/traffic/request"
+)
+
+// fold passes the changes of the journal on.
+func (t *term) fold() {
+	c := t.changes.Take()
+	if c.All || c.Configuration {
+		t.configure()
+	}
+	if !c.All {
+		for _, id := range c.Jobs {
+			t.foldJob(id)
+		}
+		return
+	}
+	for _, js := range t.journal.Jobs() {
+		t.foldJob(js.Job.Identity)
+	}
+}
+
+// configure gives the planner the configuration and this data centre's part of
+// the guarantees.
+func (t *term) configure() {
+	c := t.journal.Configuration()
+	t.planner.SetConfiguration(c)
+	parts, _ := guarantee.Divide(guarantee.Entitlements(c, time.Now()), t.options.Workers)
+	t.planner.SetEntitlements(parts[t.options.DataCentre])
+}
+
+// foldJob brings the term in line with the journal's state of one job.
+func (t *term) foldJob(id request.Identity) {
+	js, known := t.journal.Job(id)
+	a := t.active[id]
+	switch {
+	case a != nil:
+		t.foldActive(a, js)
+	case !known || js.State == job.Ended:
+		t.forgetJob(id)
+	case js.State == job.Queued:
+		t.offer(js)
+	case js.DataCentre != t.options.DataCentre:
+		t.forgetJob(id)
+	default:
+		t.forgetWaiting(id)
+		t.settling[id] = settlement{claim: js.Claim, seen: time.Now()}
+	}
+}
+
+// foldActive tells an attempt about a cancellation or the loss of its claim.
+func (t *term) foldActive(a *attempt, js journal.JobState) {
+	if a.gang == nil {
+		return // The attempt reads the journal itself before it starts.
+	}
+	if js.Claim != a.claim || js.CancelRequested {
+		a.gang.Cancel()
+	}
+}
+
+func (t *term) forgetWaiting(id request.Identity) {
+	t.planner.Cancel(id)
+	delete(t.delayed, id)
+}
+
+func (t *term) forgetJob(id request.Identity) {
+	t.forgetWaiting(id)
+	delete(t.settling, id)
+	t.health.forget(id)
+}
+
+// offer gives a queued job to the planner, now or when its preferred data
+// centre has had its time.
+func (t *term) offer(js journal.JobState) {
+	delete(t.settling, js.Job.Identity)
+	wait, reason := t.claimDelay(js.Job), "another data centre may claim first"
+	if err := t.others[t.options.DataCentre].CanEverRun(js.Job); err != nil {
+		if t.canRunElsewhere(js.Job) {
+			return
+		}
+		reason = fmt.Sprintf("no data centre can run the job: %v", err)
+	}
+	if _, waits := t.delayed[js.Job.Identity]; !waits {
+		t.delayed[js.Job.Identity] = delayed{time.Now().Add(wait), reason}
+	}
+}
+
+func (t *term) canRunElsewhere(j job.Job) bool {
+	for name, p := range t.others {
+		if name != t.options.DataCentre && p.CanEverRun(j) == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// claimDelay is how long this data centre leaves the claim to others. Without a
+// preference, data centres have their turns in an order that depends on the
+// job, so that they seldom claim the same job at once.
+func (t *term) claimDelay(j job.Job) time.Duration {
+	if j.DataCentre == t.options.DataCentre {
+		return 0
+	}
+	if _, known := t.others[j.DataCentre]; known {
+		return t.limits.OtherClaim
+	}
+	names := collection.NewSet[string]()
+	for name, p := range t.others {
+		if p.CanEverRun(j) == nil {
+			names.Add(name)
+		}
+	}
+	order := names.Sorted()
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(weight(j, a), weight(j, b)) })
+	place := slices.Index(order, t.options.DataCentre)
+	return t.limits.OtherClaim * time.Duration(max(place, 0)) / time.Duration(max(len(order), 1))
+}
+
+func weight(j job.Job, name string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(j.Identity.String() + "\x00" + name))
+	return h.Sum32()
+}
+
+// offerDelayed submits the jobs whose delay has passed, and ends those that can
+// never run.
+func (t *term) offerDelayed(now time.Time) {
+	var due []journal.JobState
+	for id, d := range t.delayed {
+		if now.Before(d.due) {
+			continue
+		}
+		js, known := t.journal.Job(id)
+		if !known || js.State != job.Queued || t.active[id] != nil {
+			delete(t.delayed, id)
+			continue
+		}
+		due = append(due, js)
+	}
+	slices.SortFunc(due, func(a, b journal.JobState) int { return cmp.Compare(a.Submitted, b.Submitted) })
+	for _, js := range due {
+		reason := t.delayed[js.Job.Identity].reason
+		delete(t.delayed, js.Job.Identity)
+		if t.others[t.options.DataCentre].CanEverRun(js.Job) != nil {
+			t.endNeverRun(js, reason)
+			continue
+		}
+		j := js.Job
+		j.RunTime = max(j.RunTime-js.Progress, 0)
+		t.planner.Submit(j)
+	}
+}
+
+func (t *term) explain(id request.Identity) (Explanation, bool) {
+	var x Explanation
+	p, known := t.planner.Explain(id, time.Now())
+	x.Placement = p
+	if d, ok := t.delayed[id]; ok {
+		x.Reason, known = d.reason, true
+	}
+	if _, ok := t.settling[id]; ok {
+		x.Reason, known = "the claim of an earlier scheduler is being settled", true
+	}
+	if a := t.active[id]; a != nil && !a.watched {
+		x.Reason, known = "the attempt is being started", true
+	}
+	return x, known
+}
+
+func (t *term) summary() Summary {
+	s := Summary{Placement: t.planner.Summary(), Active: len(t.active)}
+	quarantined := collection.NewSet[string]()
+	for name, h := range t.hosts {
+		if h.up {
+			s.Workers++
+		}
+		if c := t.health.workers[name]; c != nil && c.sentence > 0 {
+			quarantined.Add(name)
+		}
+	}
+	s.Quarantined = quarantined.Sorted()
+	return s
+}
--- /dev/null
+++ b/internal/fleet/scheduler/scheduler.go
@@ -0,0 +1,124 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"sync/atomic"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/placement"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+// Scheduler is the scheduler duty of one data centre. Run may be called again
+// after it has returned.
+type Scheduler struct {
+	options  Options
+	journal  *journal.Journal
+	writer   *journal.Writer
+	changes  *journal.Subscription
+	counters Counters
+	current  atomic.Pointer[term] // current is the term in progress; nil while the duty is not held.
+}
+
+// Counters count what the duty has done since its creation.
+type Counters struct {
+	Terms       expvar.Int
+	Claims      expvar.Int
+	LostClaims  expvar.Int // LostClaims went to another scheduler.
+	Started     expvar.Int
+	Adopted     expvar.Int
+	Orphans     expvar.Int // Orphans are tasks that were stopped because no claim covers them.
+	Reclaimed   expvar.Int
+	Quarantines expvar.Int
+	LostWorkers expvar.Int
+	Misfits     expvar.Int // Misfits are decisions that did not fit at the holder.
+}
+
+// New returns the duty. The writer must belong to the same process as journal.
+func New(o Options, j *journal.Journal, w *journal.Writer) *Scheduler {
+	if o.Logger == nil {
+		o.Logger = noLogger{}
+	}
+	return &Scheduler{options: o, journal: j, writer: w, changes: j.Subscribe()}
+}
+
+// String names the controller.
+func (s *Scheduler) String() string { return "scheduler duty of " + s.options.DataCentre }
+
+// Counters returns the counters, for publication.
+func (s *Scheduler) Counters() *Counters { return &s.counters }
+
+// Run holds the duty until ctx ends. Then starts in progress are finished, and
+// running tasks go on for a successor to adopt. It returns ErrSuperseded when
+// another scheduler has taken over.
+func (s *Scheduler) Run(ctx context.Context) error {
+	s.counters.Terms.Add(1)
+	s.changes.Reset()
+	// The work goes on while the term drains after the end of ctx.
+	work := group.New(context.WithoutCancel(ctx))
+	t := newTerm(s, work)
+	s.current.Store(t)
+	defer s.current.Store(nil)
+	for _, k := range t.keepers {
+		work.Go(k.String(), k.Run)
+	}
+	work.Go("barrier", t.syncRun)
+	work.Go("usage", t.usageRun)
+	work.Go("loop", func(inner context.Context) error {
+		defer work.Stop()
+		return t.run(inner, ctx.Done())
+	})
+	err := work.Wait()
+	if errors.Is(err, ErrSuperseded) {
+		_ = s.options.Logger.Log("event", "step-down", "data-centre", s.options.DataCentre, "err", err)
+	}
+	return err
+}
+
+// Explanation says why a job is where it is, for callers and operators.
+type Explanation struct {
+	Placement placement.Explanation // Placement is the planner's view; zero when the job is not in it.
+	Reason    string                // Reason is the scheduler's own, such as a claim that waits.
+}
+
+// Summary is the state of the data centre.
+type Summary struct {
+	Placement   placement.Summary
+	Workers     int // Workers whose lease is held.
+	Active      int // Active attempts, from their claim to their end record.
+	Quarantined []string
+}
+
+// answerTime bounds how long Explain and Summary wait for the loop.
+const answerTime = time.Second
+
+// Explain says why a job is where it is, and whether this duty knows it.
+func (s *Scheduler) Explain(id request.Identity) (Explanation, bool) {
+	var x Explanation
+	known := false
+	s.ask(func(t *term) { x, known = t.explain(id) })
+	return x, known
+}
+
+// Summary returns the state of the data centre; it is zero while the duty is
+// not held.
+func (s *Scheduler) Summary() Summary {
+	var x Summary
+	s.ask(func(t *term) { x = t.summary() })
+	return x
+}
+
+// ask runs a question in the loop of the term.
+func (s *Scheduler) ask(question func(t *term)) {
+	t := s.current.Load()
+	if t == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.work.Context(), answerTime)
+	defer cancel()
+	t.call(ctx, question)
+}
--- /dev/null
+++ b/internal/fleet/scheduler/term.go
@@ -0,0 +1,312 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/placement"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+// term is one tenure of the duty. Its fields are used by the loop only, other
+// goroutines post functions to it.
+type term struct {
+	*Scheduler
+	limits  Limits
+	work    *group.Group
+	events  chan func(t *term)
+	wanted  chan struct{} // wanted asks for a read barrier.
+	keepers map[string]*keeper
+
+	planner  *placement.Planner
+	others   map[string]*placement.Planner // others are empty models of the other data centres.
+	health   *health
+	hosts    map[string]*hostState
+	active   map[request.Identity]*attempt
+	byTask   map[string]memberOf
+	settling map[request.Identity]settlement
+	delayed  map[request.Identity]delayed
+	begun    time.Time
+	synced   time.Time // synced is when the last barrier that was folded was sent; zero before the first.
+	draining bool
+}
+
+// hostState is what the term knows of a worker.
+type hostState struct {
+	worker      worker.Worker
+	up          bool
+	lost        bool          // lost workers were silent for longer than a lease lasts.
+	upSince     time.Time     // upSince is when the lease was acquired.
+	renewed     time.Time     // renewed is when the last answered renewal was sent.
+	received    time.Time     // received is when the last report arrived.
+	completeFor time.Duration // completeFor is how far back that report is complete.
+	tasks       map[string]worker.Task
+	reserved    map[request.Identity]worker.Resources // reserved by attempts of this term.
+	checked     time.Time                             // checked is the upSince for which orphans were stopped.
+	open        bool                                  // open says whether the planner may use the worker.
+}
+
+type memberOf struct {
+	attempt *attempt
+	member  int
+}
+
+// delayed is a job that is not offered to the planner yet.
+type delayed struct {
+	due    time.Time
+	reason string
+}
+
+func newTerm(s *Scheduler, work *group.Group) *term {
+	t := &term{
+		Scheduler: s,
+		limits:    s.options.Limits,
+		work:      work,
+		events:    make(chan func(t *term), 64),
+		wanted:    make(chan struct{}, 1),
+		keepers:   map[string]*keeper{},
+		planner:   placement.New(s.options.Policy, s.options.Planner),
+		others:    map[string]*placement.Planner{},
+		health:    newHealth(s.options.Health),
+		hosts:     map[string]*hostState{},
+		active:    map[request.Identity]*attempt{},
+		byTask:    map[string]memberOf{},
+		settling:  map[request.Identity]settlement{},
+		delayed:   map[request.Identity]delayed{},
+		begun:     time.Now(),
+	}
+	for _, w := range s.options.Workers {
+		t.addWorker(w)
+	}
+	return t
+}
+
+func (t *term) addWorker(w worker.Worker) {
+	if t.others[w.DataCentre] == nil {
+		t.others[w.DataCentre] = placement.New(t.options.Policy, t.options.Planner)
+	}
+	t.others[w.DataCentre].AddWorker(w)
+	if w.DataCentre != t.options.DataCentre {
+		return
+	}
+	t.keepers[w.Name] = &keeper{term: t, worker: w, client: worker.NewClient(w.Address, t.limits.Call)}
+	t.hosts[w.Name] = &hostState{
+		worker:   w,
+		tasks:    map[string]worker.Task{},
+		reserved: map[request.Identity]worker.Resources{},
+	}
+}
+
+// post queues an event for the loop.
+func (t *term) post(ctx context.Context, event func(t *term)) {
+	select {
+	case t.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// call runs an event in the loop and waits for it. It reports whether the event
+// has run.
+func (t *term) call(ctx context.Context, event func(t *term)) bool {
+	done := make(chan struct{})
+	t.post(ctx, func(t *term) {
+		event(t)
+		close(done)
+	})
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// run is the loop. It does work for what has changed, and decides at least once
+// per tick.
+func (t *term) run(ctx context.Context, stop <-chan struct{}) error {
+	tick := time.NewTicker(t.limits.Tick)
+	defer tick.Stop()
+	var drained <-chan time.Time
+	for {
+		changed := t.journal.Watch()
+		t.fold()
+		t.advance()
+		if t.draining && t.starting() == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-stop:
+			stop, t.draining = nil, true
+			drained = time.After(t.limits.Drain)
+		case <-drained:
+			return nil
+		case event := <-t.events:
+			event(t)
+			t.takeEvents()
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+// takeEvents handles what has queued up before the next decision.
+func (t *term) takeEvents() {
+	for range cap(t.events) {
+		select {
+		case event := <-t.events:
+			event(t)
+		default:
+			return
+		}
+	}
+}
+
+// advance takes the steps that time and events allow.
+func (t *term) advance() {
+	if t.synced.IsZero() {
+		return
+	}
+	t.settle()
+	if t.draining || !t.ready() {
+		return
+	}
+	now := time.Now()
+	t.offerDelayed(now)
+	t.openWorkers(now)
+	t.decide(now)
+}
+
+// ready reports whether the workers are known well enough to place jobs.
+func (t *term) ready() bool {
+	if time.Since(t.begun) > t.limits.Grace {
+		return true
+	}
+	for _, h := range t.hosts {
+		if !h.up && !h.lost {
+			return false
+		}
+	}
+	return true
+}
+
+// starting counts the attempts whose members are not all released yet.
+func (t *term) starting() int {
+	count := 0
+	for _, a := range t.active {
+		if !a.watched {
+			count++
+		}
+	}
+	return count
+}
+
+// syncRun appends a read barrier whenever one is wanted. Once it is folded, the
+// journal has all that was appended before.
+func (t *term) syncRun(ctx context.Context) error {
+	t.wantSync()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.wanted:
+		}
+		sent := time.Now()
+		if err := t.record(ctx, journal.Barrier{}); err != nil {
+			return err
+		}
+		t.post(ctx, func(t *term) { t.synced = sent })
+	}
+}
+
+func (t *term) wantSync() {
+	select {
+	case t.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// record appends until the record is folded or ctx ends. A record that was not
+// appended has no effect and may be written anew.
+func (t *term) record(ctx context.Context, r journal.Record) error {
+	_, err := t.verdict(ctx, r)
+	return err
+}
+
+func (t *term) verdict(ctx context.Context, r journal.Record) (journal.Verdict, error) {
+	for {
+		v, err := t.writer.Append(ctx, r)
+		if err == nil {
+			return v, nil
+		}
+		if ctx.Err() != nil {
+			return v, ctx.Err()
+		}
+		sleep(ctx, t.limits.Retry)
+	}
+}
+
+// usageRun reads the usage of the workers in turn.
+func (t *term) usageRun(ctx context.Context) error {
+	for ctx.Err() == nil {
+		for _, k := range t.keepers {
+			sleep(ctx, t.limits.Usage/time.Duration(len(t.keepers)))
+			if k.host().Client == nil || ctx.Err() != nil {
+				continue
+			}
+			usage, err := k.client.Usage(ctx)
+			if err == nil && len(usage) > 0 {
+				now := time.Now()
+				t.post(ctx, func(t *term) { t.observeUsage(usage, now) })
+			}
+		}
+		if len(t.keepers) == 0 {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (t *term) observeUsage(usage []worker.Usage, now time.Time) {
+	for _, u := range usage {
+		if m, ok := t.byTask[u.Task]; ok {
+			t.planner.ObserveUsage(m.attempt.job.Identity, m.member, u.Used, now.Add(-u.Age))
+		}
+	}
+}
+
+// audit queues an entry of the audit trail.
+func (t *term) audit(action, subject, reason, after string) {
+	t.writer.Audit(journal.Audit{
+		Actor: t.options.Holder, Action: action, Subject: subject, Reason: reason, After: after,
+	})
+	_ = t.options.Logger.Log("event", action, "subject", subject, "reason", reason, "after", after)
+}
+
+func taskName(id request.Identity, attempt, member int) string {
+	return job.TaskID{Job: id, Attempt: attempt, Member: member}.String()
+}
+
+// parseTask undoes taskName. The ID of a job may contain slashes.
+func parseTask(name string) (job.TaskID, error) {
+	parts := strings.Split(name, "/")
+	if len(parts) < 4 {
+		return job.TaskID{}, fmt.Errorf("task %q is not of this system", name)
+	}
+	last := len(parts) - 1
+	attempt, errAttempt := strconv.Atoi(parts[last-1])
+	member, errMember := strconv.Atoi(parts[last])
+	if errAttempt != nil || errMember != nil {
+		return job.TaskID{}, fmt.Errorf("task %q is not of this system", name)
+	}
+	id := request.Identity{Organisation: parts[0], ID: strings.Join(parts[1:last-1], "/")}
+	return job.TaskID{Job: id, Attempt: attempt, Member: member}, nil
+}
