Report completeness of a worker's list as of the answer

Cause: a long poll that ended without changes gave the age of the list as of its beginning, so a provable non-start was settled as unknown. Change: the stand-in computes the report again when the wait is over. Measured: go test -race -count 5 -run TestSchedulerDies passes (17 s).

--- a/internal/standin/workerhost/handler.go
+++ b/internal/standin/workerhost/handler.go
@@ -117,22 +117,22 @@
 
 func (h *Host) awaitReport(r *http.Request, after int64, wait time.Duration) worker.Report {
 	timeout := time.After(wait)
-	for {
+	for waiting := true; ; {
 		h.mu.Lock()
 		report, changed, crashed := h.report(after), h.changed, h.crashed
 		h.mu.Unlock()
 		if crashed {
 			panic(http.ErrAbortHandler)
 		}
-		if len(report.Tasks) > 0 {
+		if len(report.Tasks) > 0 || !waiting {
 			return report
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return report
+			waiting = false
 		case <-r.Context().Done():
-			return report
+			waiting = false
 		}
 	}
 }
