Avoid workers that refuse starts, and test moves

Cause: a start that a worker refused left no trace, so the planner chose the same worker again at once. Change: a failed start names its member, and the scheduler keeps new tasks away from that worker, twice as long with each failure up to the quarantine time. Conclusion: a refusing worker costs one claim while others are free.

--- a/internal/fleet/gang/gang.go
+++ b/internal/fleet/gang/gang.go
@@ -73,7 +73,7 @@
 type Result struct {
 	Outcome  Outcome
 	Released bool          // Released is false only when it is proved that no member was released.
-	Member   int           // Member that failed or was lost; -1 when there is none.
+	Member   int           // Member that failed, was lost or did not start; -1 when there is none.
 	Ran      time.Duration // Ran is how long that member ran.
 	Kept     bool          // Kept says that all members were checkpointed.
 	Progress time.Duration // Progress that all members have kept.
@@ -168,11 +168,31 @@
 	return g.tasks[member], g.lost[member]
 }
 
+// memberError says which member a step failed on.
+type memberError struct {
+	member int
+	worker string
+	err    error
+}
+
+// Error names the member and its worker.
+func (e *memberError) Error() string {
+	return fmt.Sprintf("member %d on %s: %v", e.member, e.worker, e.err)
+}
+
+// Unwrap returns the cause.
+func (e *memberError) Unwrap() error { return e.err }
+
 // each calls run for all members at once and returns the first error.
 func (g *Gang) each(ctx context.Context, run func(ctx context.Context, i int, m Member) error) error {
 	all := group.New(ctx)
 	for i, m := range g.members {
-		all.Go(m.Worker, func(ctx context.Context) error { return run(ctx, i, m) })
+		all.Go(m.Spec.Name, func(ctx context.Context) error {
+			if err := run(ctx, i, m); err != nil {
+				return &memberError{i, m.Worker, err}
+			}
+			return nil
+		})
 	}
 	if err := all.Wait(); err != nil {
 		return err
--- a/internal/fleet/gang/start.go
+++ b/internal/fleet/gang/start.go
@@ -39,6 +39,9 @@
 			return Result{Outcome: Abandoned, Released: g.mayHaveRun(), Member: -1, Reason: err.Error()}, false
 		}
 		r := Result{Outcome: NotStarted, Member: -1, Reason: fmt.Sprintf("%s: %v", s, err)}
+		if failed, ok := errors.AsType[*memberError](err); ok {
+			r.Member = failed.member
+		}
 		if errors.Is(err, errCancelled) {
 			r.Outcome = Cancelled
 		}
@@ -90,7 +93,7 @@
 	}
 	for i, m := range s.g.members {
 		if t, lost := s.g.task(i); t.State != worker.Held || lost {
-			return fmt.Errorf("member %d on %s is %s: %s", i, m.Worker, t.State, t.Reason)
+			return &memberError{i, m.Worker, fmt.Errorf("is %s: %s", t.State, t.Reason)}
 		}
 	}
 	return nil
@@ -112,7 +115,7 @@
 		}
 		s.g.Report(i, t)
 		if !t.Released {
-			return fmt.Errorf("member %d ended before its release: %s", i, t.State)
+			return fmt.Errorf("ended before its release: %s", t.State)
 		}
 		return nil
 	})
--- a/internal/fleet/scheduler/attempt.go
+++ b/internal/fleet/scheduler/attempt.go
@@ -112,6 +112,10 @@
 		if !a.job.Idempotent || t.health.condemns(id) {
 			return ended(request.Failed)
 		}
+	case gang.NotStarted:
+		if r.Member >= 0 {
+			t.health.refused(a.workers[r.Member], time.Now())
+		}
 	case gang.Cancelled:
 		if r.Released {
 			return ended(request.Failed)
--- a/internal/fleet/scheduler/failure_test.go
+++ b/internal/fleet/scheduler/failure_test.go
@@ -10,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/standin/logservice"
@@ -234,6 +235,44 @@
 	f.c.Assert(p.scheduler.Summary().Quarantined, qt.HasLen, 0)
 }
 
+// Guards against a worker that refuses starts and makes a job claim it again
+// and again while others are free.
+func TestRefusingWorkerIsAvoided(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	f.hosts["w0"].SetFaults(workerhost.Faults{RefuseStarts: true})
+	p := f.process(t, "a@1").run()
+	j := once(gangOf("ana", "1", 2, 50*time.Millisecond))
+	p.submit(j)
+	js := p.awaitState(j.Identity, job.Ended)
+	f.c.Assert(js.Outcome, qt.Equals, request.Done)
+	f.c.Assert(js.Attempt, qt.Equals, 2)
+}
+
+// Guards against a moved job that starts from its beginning, or is lost.
+func TestMoveKeepsProgress(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	p := f.process(t, "a@1").run()
+	j := once(gangOf("ana", "1", 2, 1500*time.Millisecond))
+	p.submit(j)
+	js := p.awaitState(j.Identity, job.Running)
+	time.Sleep(300 * time.Millisecond)
+	target := []string{"w2", "w3"}
+	if js.Workers[0] == "w2" {
+		target = []string{"w0", "w1"}
+	}
+	p.scheduler.ask(func(t *term) {
+		t.reclaim(placement.Decision{Kind: placement.Move, Job: j.Identity, Workers: target, Checkpoint: true}, target)
+	})
+	f.await("the job runs on its new workers", func() bool {
+		now, _ := p.journal.Job(j.Identity)
+		return now.State == job.Running && now.Attempt == 2
+	})
+	now, _ := p.journal.Job(j.Identity)
+	f.c.Assert(now.Workers, qt.DeepEquals, target)
+	f.c.Assert(now.Progress >= 300*time.Millisecond, qt.IsTrue, qt.Commentf("%s", now.Progress))
+	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+}
+
 // Guards against a job that fails everywhere and is tried for ever.
 func TestJobThatFailsOnTwoWorkersFails(t *testing.T) {
 	f := newFixture(t, 4, func(s worker.Spec) (time.Duration, bool) {
--- a/internal/fleet/scheduler/health.go
+++ b/internal/fleet/scheduler/health.go
@@ -20,6 +20,9 @@
 	return HealthOptions{Quick: 5 * time.Second, Streak: 3, Quarantine: time.Minute, Avoid: 2 * time.Second}
 }
 
+// maxDoublings keeps the time that a refusing worker is avoided from overflowing.
+const maxDoublings = 10
+
 // condition is what is known of one worker's health.
 type condition struct {
 	streak    []request.Identity // streak is the jobs of the quick failures in a row.
@@ -27,6 +30,7 @@
 	sentence  time.Duration      // sentence is the length of the last quarantine; 0 when healthy.
 	probation bool               // probation allows one task.
 	busy      bool               // busy is set while the probation task runs.
+	refusals  int                // refusals counts the starts that failed at this worker since one went well.
 	elsewhere bool               // elsewhere says that a job that failed here ran well on another worker.
 }
 
@@ -148,6 +152,14 @@
 	}
 }
 
+// refused keeps new tasks away from a worker on which a start failed, for
+// longer with each failure.
+func (h *health) refused(name string, now time.Time) {
+	c := h.condition(name)
+	c.until = now.Add(min(h.options.Avoid<<min(c.refusals, maxDoublings), h.options.Quarantine))
+	c.refusals++
+}
+
 // notStarted records that a start on the worker came to nothing.
 func (h *health) notStarted(name string) {
 	if c := h.workers[name]; c != nil {
