Run the whole path: roles, demonstration, scenario and fault bench

Cause: the parts were not yet a system. Change: assemble entry and agent from their parts, with a blackboard for what follows from the member list; add the commands entry, agent, standin and demo, the embedded deployment, a scripted scenario with seven separate processes, and the subject faults of bench. Two faults came up and are mended: an agent ended when another took its scheduler duty, and a scheduler that had just begun reported an empty fleet, so that every edit looked infeasible. Conclusion: a request and a gang job are served end to end by separate processes.

--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"wasabihoist/internal/run/bench/faultbench"
 	"wasabihoist/internal/run/bench/membershipbench"
 	"wasabihoist/internal/run/bench/placementbench"
 )
@@ -12,6 +13,7 @@
 func subjects() []subject {
 	return []subject{
 		{"placement", "completion time and fragmentation of the placement policies on recorded workloads", benchPlacement},
+		{"faults", "work that is lost, run twice or falsely refused under faults, and recovery times", benchFaults},
 		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
 	}
 }
@@ -22,6 +24,18 @@
 	return placementbench.Run(ctx, options)
 }
 
+func benchFaults(ctx context.Context, o benchOptions) (any, error) {
+	options := faultbench.Default()
+	options.Seed = o.seed
+	options.Progress = o.progress
+	result, err := faultbench.Run(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	data, err := result.JSON()
+	return json.RawMessage(data), err
+}
+
 func benchMembership(ctx context.Context, _ benchOptions) (any, error) {
 	report, err := membershipbench.Run(ctx, membershipbench.Default())
 	if err != nil {
--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -19,6 +19,10 @@
 // text. A new command is added here.
 func commands() []command {
 	return []command{
+		demoEntry(),
+		entryEntry(),
+		agentEntry(),
+		standinEntry(),
 		submitEntry(),
 		statusEntry(),
 		waitEntry(),
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -1,15 +1,27 @@
 package cmd_test
 
 import (
+	"fmt"
+	"net"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"regexp"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"wasabihoist/cmd"
 )
 
+const (
+	// eventuallyLimit is well above the promised start of urgent work, 9.1 s.
+	eventuallyLimit = 30 * time.Second
+	eventuallyPause = 100 * time.Millisecond
+	requestDeadline = time.Minute
+)
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
 		"wasabihoist": func() { os.Exit(cmd.Main()) },
@@ -28,7 +40,65 @@
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("EXAMPLES", examples)
-			return nil
+			env.Setenv("DEADLINE", time.Now().Add(requestDeadline).UTC().Format(time.RFC3339))
+			return reserveAddresses(env)
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
+			"expandenv":  expandEnv,
+			"eventually": eventually,
 		},
 	})
 }
+
+// reserveAddresses sets one variable for each listener of the process
+// scenarios to a free loopback address.
+func reserveAddresses(env *testscript.Env) error {
+	names := []string{"LOG", "WORKER1", "WORKER2", "MINION", "ANNOUNCE", "AGENT", "ENTRY", "CALLERS", "OPERATORS"}
+	for _, name := range names {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return fmt.Errorf("reserve an address: %w", err)
+		}
+		// All listeners stay open until the last one is reserved, so that no
+		// address is given out twice.
+		defer func() { _ = l.Close() }()
+		env.Setenv(name, l.Addr().String())
+	}
+	return nil
+}
+
+// expandEnv replaces ${NAME} in files by the variables of the script.
+func expandEnv(ts *testscript.TestScript, neg bool, args []string) {
+	if neg {
+		ts.Fatalf("expandenv cannot be negated")
+	}
+	for _, name := range args {
+		path := ts.MkAbs(name)
+		expanded := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(path, []byte(expanded), 0o600))
+	}
+}
+
+// eventually runs a wasabihoist command until its output matches a pattern.
+func eventually(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: eventually PATTERN COMMAND [ARGUMENT...]")
+	}
+	pattern, err := regexp.Compile(args[0])
+	ts.Check(err)
+	binary, err := exec.LookPath("wasabihoist")
+	ts.Check(err)
+	var output []byte
+	for end := time.Now().Add(eventuallyLimit); time.Now().Before(end); time.Sleep(eventuallyPause) {
+		command := exec.Command(binary, args[1:]...)
+		command.Dir = ts.MkAbs(".")
+		for _, name := range []string{"WASABIHOIST_ENTRY", "WASABIHOIST_TOKEN", "WASABIHOIST_OPERATOR", "WASABIHOIST_OPERATOR_TOKEN"} {
+			command.Env = append(command.Env, name+"="+ts.Getenv(name))
+		}
+		output, err = command.CombinedOutput()
+		if err == nil && pattern.Match(output) {
+			return
+		}
+	}
+	ts.Fatalf("no match for %q after %s; last output:\n%s", args[0], eventuallyLimit, output)
+}
--- /dev/null
+++ b/internal/fleet/scheduler/status.go
@@ -0,0 +1,49 @@
+package scheduler
+
+import (
+	"slices"
+	"strings"
+
+	"wasabihoist/internal/fleet/worker"
+)
+
+// The states of a worker as operators see them.
+const (
+	Ready       = "ready"       // Ready workers are leased and take tasks.
+	Unreachable = "unreachable" // Unreachable workers have no lease in force.
+	Lost        = "lost"        // Lost workers were silent for longer than a lease lasts.
+	Quarantined = "quarantined" // Quarantined workers failed everything they started.
+)
+
+// WorkerStatus is a worker of the data centre and its state.
+type WorkerStatus struct {
+	Worker worker.Worker
+	State  string
+}
+
+// Fleet lists the workers of the data centre by name; it is empty while the
+// duty is not held.
+func (s *Scheduler) Fleet() []WorkerStatus {
+	var list []WorkerStatus
+	s.ask(func(t *term) { list = t.fleet() })
+	return list
+}
+
+func (t *term) fleet() []WorkerStatus {
+	quarantined := t.summary().Quarantined
+	list := make([]WorkerStatus, 0, len(t.hosts))
+	for name, h := range t.hosts {
+		status := WorkerStatus{Worker: h.worker, State: Ready}
+		switch {
+		case h.lost:
+			status.State = Lost
+		case !h.up:
+			status.State = Unreachable
+		case slices.Contains(quarantined, name):
+			status.State = Quarantined
+		}
+		list = append(list, status)
+	}
+	slices.SortFunc(list, func(a, b WorkerStatus) int { return strings.Compare(a.Worker.Name, b.Worker.Name) })
+	return list
+}
--- /dev/null
+++ b/internal/run/process/agent.go
@@ -0,0 +1,94 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/role/agent"
+	"wasabihoist/internal/run/settings"
+)
+
+const loadInterval = 200 * time.Millisecond
+
+// Agent is a process with the role agent.
+type Agent struct {
+	*node
+	agent    *agent.Server
+	duties   *schedulerDuties
+	announce endpoint
+	stopping atomic.Bool // stopping is set once a planned stop has begun.
+}
+
+// NewAgent listens at all addresses of the agent. Nothing runs until Run.
+func NewAgent(s settings.Settings, env Environment) (*Agent, error) {
+	n, err := newNode(s, env)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{node: n, agent: agent.New(agentOptions(s), n.journal, n.writer)}
+	a.duties, err = newSchedulerDuties(n)
+	if err != nil {
+		return nil, errors.Join(err, n.listener.Close())
+	}
+	a.announce, err = newEndpoint(env, "agent.announce-address", s.Agent.AnnounceAddress, a.agent.Handler())
+	if err != nil {
+		return nil, errors.Join(err, n.listener.Close())
+	}
+	n.mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a.agent.Service()))
+	n.mux.Handle(wire.SchedulerPathPrefix, wire.NewSchedulerServer(a.duties))
+	return a, nil
+}
+
+func agentOptions(s settings.Settings) agent.Options {
+	o := agent.DefaultOptions()
+	o.Name = s.Name
+	o.Minion = s.Agent.MinionAddress
+	o.Slots = s.Agent.Slots
+	o.Client.Connections = s.Agent.Connections
+	o.ProbeEvery = s.Agent.Timeouts.MinionProbe
+	return o
+}
+
+// Run serves until ctx ends, then stops without cutting off a request.
+func (a *Agent) Run(ctx context.Context) error {
+	a.start()
+	a.announce.start(a.group, "announce listener")
+	a.group.Go(a.agent.String(), a.agent.Run)
+	a.group.Go(a.duties.String(), a.duties.Run)
+	a.group.Every("load", loadInterval, func(context.Context) error {
+		a.publishLoad()
+		return nil
+	})
+	a.awaitStop(ctx, a.stop)
+	_ = a.logger.Log("level", "info", "event", "started", "role", "agent", "name", a.settings.Name)
+	return a.group.Wait()
+}
+
+// publishLoad tells the other members what this agent has to do, and that it
+// takes no more work when its minion is leaving.
+func (a *Agent) publishLoad() {
+	a.members.SetLoad(a.agent.Load())
+	a.members.SetDraining(a.agent.Draining() || a.stopping.Load())
+}
+
+// stop hands over the duties and finishes every accepted request.
+func (a *Agent) stop() error {
+	_ = a.logger.Log("level", "info", "event", "draining", "name", a.settings.Name)
+	a.stopping.Store(true)
+	a.members.SetDraining(true)
+	ctx, cancel := context.WithTimeout(context.Background(), a.settings.Timeouts.Drain)
+	defer cancel()
+	a.duties.release(ctx)
+	err := a.agent.Drain(ctx)
+	// Answers are on their way to the entries until their calls are closed.
+	err = errors.Join(err, a.server.Shutdown(ctx))
+	a.leave()
+	if err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/run/process/entry.go
@@ -0,0 +1,135 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/fleet/report"
+	"wasabihoist/internal/role/entry"
+	"wasabihoist/internal/run/settings"
+	"wasabihoist/internal/traffic/routing"
+)
+
+// balancerGrace is how long an entry that stops keeps accepting calls, so that
+// the balancer sees the failing health check first.
+const balancerGrace = time.Second
+
+// Entry is a process with the role entry.
+type Entry struct {
+	*node
+	entry     *entry.Entry
+	collector *report.Collector
+	callers   endpoint
+	operators endpoint
+}
+
+// endpoint is a listener with its server. The zero value serves nothing.
+type endpoint struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func newEndpoint(env Environment, key string, address netip.AddrPort, handler http.Handler) (endpoint, error) {
+	listener, err := env.listen(key, address)
+	if err != nil {
+		return endpoint{}, err
+	}
+	return endpoint{listener, newServer(handler)}, nil
+}
+
+func (e endpoint) start(g *group.Group, name string) {
+	if e.server == nil {
+		return
+	}
+	g.Go(name, func(context.Context) error { return serve(e.server, e.listener) })
+	g.Go("stop of the "+name, func(ctx context.Context) error {
+		<-ctx.Done()
+		return e.server.Close()
+	})
+}
+
+// shutdown waits for open calls until ctx ends and then closes them.
+func (e endpoint) shutdown(ctx context.Context) error {
+	if e.server == nil {
+		return nil
+	}
+	return errors.Join(e.server.Shutdown(ctx), e.server.Close())
+}
+
+// NewEntry listens at all addresses of the entry. Nothing runs until Run.
+func NewEntry(s settings.Settings, env Environment) (*Entry, error) {
+	n, err := newNode(s, env)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{node: n}
+	e.collector = report.NewCollector(n.board.holders.Get, e.dialScheduler)
+	router := routing.New(routingOptions(s), n.board.agents.Get, n.journal, n.transport)
+	e.entry = entry.New(entryOptions(s), n.journal, n.writer, router, e.collector, n.directory.list)
+	e.callers, err = newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, e.entry.CallerHandler())
+	if err != nil {
+		return nil, errors.Join(err, n.listener.Close())
+	}
+	if s.Entry.OperatorAddress.IsValid() {
+		e.operators, err = newEndpoint(env, "entry.operator-address", s.Entry.OperatorAddress, e.entry.OperatorHandler())
+	}
+	if err != nil {
+		return nil, errors.Join(err, n.listener.Close(), e.callers.listener.Close())
+	}
+	return e, nil
+}
+
+// Run serves until ctx ends, then stops without cutting off a call.
+func (e *Entry) Run(ctx context.Context) error {
+	e.start()
+	e.group.Go(e.collector.String(), e.collector.Run)
+	e.callers.start(e.group, "caller listener")
+	e.operators.start(e.group, "operator listener")
+	e.awaitStop(ctx, e.stop)
+	_ = e.logger.Log("level", "info", "event", "started", "role", "entry", "name", e.settings.Name)
+	return e.group.Wait()
+}
+
+func (e *Entry) stop() error {
+	_ = e.logger.Log("level", "info", "event", "draining", "name", e.settings.Name)
+	e.entry.Drain()
+	time.Sleep(balancerGrace)
+	ctx, cancel := context.WithTimeout(context.Background(), e.settings.Timeouts.Drain)
+	defer cancel()
+	err := errors.Join(e.callers.shutdown(ctx), e.operators.shutdown(ctx))
+	e.leave()
+	if err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	return nil
+}
+
+func routingOptions(s settings.Settings) routing.Options {
+	o := routing.DefaultOptions()
+	o.Region = s.Region
+	o.DataCentre = s.DataCentre
+	o.LinkRate = float64(s.Entry.LinkBytesPerSecond)
+	return o
+}
+
+func entryOptions(s settings.Settings) entry.Options {
+	o := entry.Default()
+	o.Name = s.Name
+	o.Tokens = map[string]string{}
+	for _, t := range s.Entry.Tokens {
+		o.Tokens[t.Secret] = t.Organisation
+	}
+	o.OperatorToken = s.Entry.OperatorToken
+	return o
+}
+
+func (e *Entry) dialScheduler(address netip.AddrPort) wire.Scheduler {
+	return wire.NewSchedulerProtobufClient("http://"+address.String(), &http.Client{Transport: e.transport.Shared()})
+}
--- /dev/null
+++ b/internal/run/process/node.go
@@ -0,0 +1,286 @@
+// Package process assembles the roles from their parts and runs them until a
+// planned stop.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/cluster/duty"
+	"wasabihoist/internal/cluster/membership"
+	"wasabihoist/internal/cluster/peer"
+	"wasabihoist/internal/cluster/transport"
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/record/snapshot"
+	"wasabihoist/internal/record/source"
+	"wasabihoist/internal/run/settings"
+)
+
+const (
+	readerDuty    = "reader"
+	snapshotDuty  = "snapshot"
+	schedulerDuty = "scheduler"
+
+	headerTimeout   = 5 * time.Second
+	idleTimeout     = 30 * time.Second
+	maxHeaderBytes  = 16 << 10
+	maxPeerBody     = 16 << 20
+	offsetInterval  = 100 * time.Millisecond
+	leaveTimeout    = 2 * time.Second
+	joinSnapshotMax = 5 * time.Second
+)
+
+// Environment is what a process gets from its surroundings.
+type Environment struct {
+	Logger     log.Logger
+	Middleware transport.Middleware // Middleware wraps outgoing exchanges; nil for none.
+	Listen     ListenFunc           // Listen replaces the listening of the operating system; nil for none.
+}
+
+// ListenFunc returns a listener at an address.
+type ListenFunc func(address netip.AddrPort) (net.Listener, error)
+
+// node is what the roles entry and agent have in common.
+type node struct {
+	settings  settings.Settings
+	logger    log.Logger
+	transport *transport.Transport
+	log       platformlog.Log
+	journal   *journal.Journal
+	writer    *journal.Writer
+	members   *membership.Membership
+	board     *board
+	directory *directory
+	selector  *source.Selector
+	puller    *source.Puller
+	publisher *snapshot.Publisher
+	server    *http.Server
+	listener  net.Listener
+	mux       *http.ServeMux
+	group     *group.Group
+}
+
+// newNode listens at the peer address and builds the shared parts. Nothing
+// runs until start.
+func newNode(s settings.Settings, env Environment) (*node, error) {
+	listener, err := env.listen("listen-address", s.ListenAddress)
+	if err != nil {
+		return nil, err
+	}
+	n := &node{settings: s, logger: env.Logger, listener: listener, mux: http.NewServeMux(), board: newBoard()}
+	n.transport = transport.New(n.isRemote, env.Middleware)
+	n.log = platformlog.NewClient(s.LogAddress, n.transport.Shared())
+	n.journal = journal.New()
+	incarnation := time.Now().UnixNano()
+	name := fmt.Sprintf("%s@%d", s.Name, incarnation)
+	n.writer = journal.NewWriter(name, n.log, n.journal, journal.DefaultWriterOptions())
+	n.members = membership.New(membershipOptions(s), self(s, incarnation), proberTransport{n.transport})
+	n.directory = &directory{settings: s, members: n.members, board: n.board}
+	n.selector = source.NewSelector(n.log, snapshot.NewScan(n.log), n, n.dialPeer)
+	n.puller = source.NewPuller(n.journal, n.dialPeer)
+	n.publisher = snapshot.NewPublisher(snapshot.Default(), n.journal, n.writer, n.holdsSnapshotDuty)
+	n.mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(peer.NewServer(n.journal, n.members)))
+	n.server = newServer(http.MaxBytesHandler(n.mux, maxPeerBody))
+	n.group = group.New(context.Background())
+	return n, nil
+}
+
+// listen names the settings key when the address cannot be used.
+func (env Environment) listen(key string, address netip.AddrPort) (net.Listener, error) {
+	open := env.Listen
+	if open == nil {
+		open = func(address netip.AddrPort) (net.Listener, error) { return net.Listen("tcp", address.String()) }
+	}
+	listener, err := open(address)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", key, err)
+	}
+	return listener, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func membershipOptions(s settings.Settings) membership.Options {
+	o := membership.Default()
+	o.Seeds = s.Seeds
+	o.ProbeInterval = s.Timeouts.ProbeInterval
+	o.SuspicionTime = s.Timeouts.Suspect
+	return o
+}
+
+func self(s settings.Settings, incarnation int64) membership.Member {
+	return membership.Member{
+		Name:        s.Name,
+		Role:        membership.Role(s.Role),
+		Region:      s.Region,
+		DataCentre:  s.DataCentre,
+		Address:     s.ListenAddress,
+		Incarnation: incarnation,
+		Service:     s.Agent.Service,
+	}
+}
+
+// Kill ends the process at once, as a crash of its host does.
+func (n *node) Kill() { n.group.Stop() }
+
+// awaitStop calls stop when ctx ends, and then ends the group. It does nothing
+// when the group ends first.
+func (n *node) awaitStop(ctx context.Context, stop func() error) {
+	n.group.Go("planned stop", func(groupCtx context.Context) error {
+		select {
+		case <-groupCtx.Done():
+			return nil
+		case <-ctx.Done():
+		}
+		err := stop()
+		n.group.Stop()
+		return err
+	})
+}
+
+// start runs the shared parts.
+func (n *node) start() {
+	g := n.group
+	n.members.OnPeerOffset(func(m membership.Member, offset int64) {
+		n.puller.Notice(source.Peer{Name: m.Name, Address: m.Address}, offset)
+	})
+	g.Go("peer listener", func(context.Context) error { return serve(n.server, n.listener) })
+	g.Go("stop of the peer listener", func(ctx context.Context) error {
+		<-ctx.Done()
+		return n.server.Close()
+	})
+	g.Go(n.members.String(), n.members.Run)
+	g.Go(n.directory.String(), n.directory.Run)
+	g.Go(n.writer.String(), n.writer.Run)
+	g.Go(n.puller.String(), n.puller.Run)
+	g.Go(n.publisher.String(), n.publisher.Run)
+	g.Every("applied offset", offsetInterval, func(context.Context) error {
+		n.members.SetAppliedOffset(n.journal.Next())
+		return nil
+	})
+	follower := journal.NewFollower(n.journal, n.selector, n.selector)
+	g.Go(follower.String(), func(ctx context.Context) error {
+		n.restoreFromSeed(ctx)
+		return follower.Run(ctx)
+	})
+}
+
+// restoreFromSeed takes the state of a running process, so that a start does
+// not read the whole log again and works while the log is down.
+func (n *node) restoreFromSeed(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, joinSnapshotMax)
+	defer cancel()
+	for _, seed := range n.settings.Seeds {
+		if seed == n.settings.ListenAddress {
+			continue
+		}
+		data, err := peer.NewClient(seed, n.transport.Shared()).Snapshot(ctx)
+		if err == nil && n.journal.Restore(data) == nil {
+			return
+		}
+	}
+}
+
+// ConfigurationVersion returns the version that is in force at this process.
+func (n *node) ConfigurationVersion() int64 { return n.journal.Configuration().Version }
+
+// leave tells the others that this process is gone.
+func (n *node) leave() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := n.members.Leave(ctx); err != nil {
+		_ = n.logger.Log("level", "warn", "event", "leave", "error", err)
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) error {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// isRemote reports whether an address belongs to a member of another region,
+// or to the log service when that is in another region.
+func (n *node) isRemote(address netip.AddrPort) bool {
+	if address == n.settings.LogAddress {
+		return n.logRegion() != n.settings.Region
+	}
+	return n.board.remote.Get()[address]
+}
+
+func (n *node) logRegion() string {
+	if n.settings.LogRegion == "" {
+		return n.settings.Region
+	}
+	return n.settings.LogRegion
+}
+
+// RegionReader implements source.Directory.
+func (n *node) RegionReader() (source.Peer, bool) {
+	if n.logRegion() == n.settings.Region {
+		return source.Peer{}, false
+	}
+	reader, ok := duty.Holder(readerDuty, "", n.settings.Region, n.board.members.Get())
+	if !ok || reader.Name == n.settings.Name || reader.Region != n.settings.Region {
+		return source.Peer{}, false
+	}
+	return source.Peer{Name: reader.Name, Address: reader.Address}, true
+}
+
+// Fallbacks implements source.Directory.
+func (n *node) Fallbacks() []source.Peer {
+	var near, far []source.Peer
+	for _, m := range n.board.members.Get() {
+		if m.Name == n.settings.Name || !m.Working() {
+			continue
+		}
+		p := source.Peer{Name: m.Name, Address: m.Address}
+		if m.Region == n.settings.Region {
+			near = append(near, p)
+		} else {
+			far = append(far, p)
+		}
+	}
+	return append(near, far...)
+}
+
+func (n *node) dialPeer(p source.Peer) source.PeerReader {
+	return peer.NewClient(p.Address, n.transport.Shared())
+}
+
+func (n *node) holdsSnapshotDuty() bool {
+	holder, ok := duty.Holder(snapshotDuty, "", n.logRegion(), n.board.members.Get())
+	return ok && holder.Name == n.settings.Name
+}
+
+// proberTransport carries the probes of membership.
+type proberTransport struct {
+	transport *transport.Transport
+}
+
+// Probe implements membership.Transport.
+func (p proberTransport) Probe(ctx context.Context, address netip.AddrPort, request *wire.ProbeRequest, fresh bool) (*wire.ProbeReply, error) {
+	roundTripper := p.transport.Shared()
+	if fresh {
+		roundTripper = p.transport.Fresh()
+	}
+	return wire.NewPeerProtobufClient("http://"+address.String(), &http.Client{Transport: roundTripper}).Probe(ctx, request)
+}
