--- a/internal/cluster/membership/scale_test.go
+++ b/internal/cluster/membership/scale_test.go
@@ -1,12 +1,15 @@
 package membership_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"wasabihoist/internal/cluster/membership"
+	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/standin/network"
 )
 
@@ -25,16 +28,16 @@
 		f.startMany(c, 0, plannedSize)
 		c.Logf("join of all: %v", time.Since(start))
 		time.Sleep(2 * time.Minute)
-		f.measure(c, "quiet", time.Minute, func() { time.Sleep(time.Minute) })
-		f.measure(c, "draining", 0, func() {
+		f.measure(c, "quiet", func() { time.Sleep(time.Minute) })
+		f.measure(c, "draining", func() {
 			f.members[name(0, 7)].SetDraining()
 			c.Logf("draining known by all: %v", f.await(c, 5*time.Second, f.allSee(name(0, 7), membership.Draining)))
 		})
-		f.measure(c, "crash", 0, func() {
+		f.measure(c, "crash", func() {
 			f.kill(name(0, 9))
 			c.Logf("crash known by all: %v", f.await(c, 20*time.Second, f.allSee(name(0, 9), membership.Dead)))
 		})
-		f.measure(c, "crash of a rack", 0, func() {
+		f.measure(c, "crash of a rack", func() {
 			for n := 20; n < 23; n++ {
 				f.kill(name(0, n))
 			}
@@ -50,7 +53,7 @@
 
 // measure logs the traffic per member while step runs and checks it against
 // the limits.
-func (f *fleet) measure(c *qt.C, title string, _ time.Duration, step func()) {
+func (f *fleet) measure(c *qt.C, title string, step func()) {
 	before := f.traffic()
 	start := time.Now()
 	step()
@@ -80,3 +83,36 @@
 	}
 	return traffic
 }
+
+// Guards against messages that grow with the number of known members, also
+// when all of them wait to be spread and none answers.
+func TestMessageSizeDoesNotGrowWithTheFleet(t *testing.T) {
+	largest := func(known int) (request, reply, page int) {
+		run(t, membership.Default(), func(c *qt.C, f *fleet) {
+			m := f.start(name(0, 1), place(0, 1))
+			for i := range known {
+				dc, n := i%14, 2+i/14
+				member := membership.Member{Name: name(dc, n), Role: membership.Agent, Region: "gulf", DataCentre: fmt.Sprintf("dc%d", dc), Address: place(dc, n), Incarnation: 1, Service: "fitting-desk"}
+				answer, err := m.HandleProbe(f.group.Context(), &wire.ProbeRequest{From: membership.Encode(member)})
+				c.Assert(err, qt.IsNil)
+				reply = max(reply, proto.Size(answer))
+				answer, err = m.HandleProbe(f.group.Context(), &wire.ProbeRequest{From: membership.Encode(member), Join: true})
+				c.Assert(err, qt.IsNil)
+				page = max(page, proto.Size(answer))
+			}
+			c.Assert(m.Members(), qt.HasLen, known+1)
+			time.Sleep(30 * time.Second)
+			request = f.network.Traffic(place(0, 1)).LargestMsg
+		})
+		return request, reply, page
+	}
+	request, reply, page := largest(2000)
+	t.Logf("2000 known members: request %d B, reply %d B, page of a join %d B", request, reply, page)
+	qt.Assert(t, request < largestMessage, qt.IsTrue)
+	qt.Assert(t, reply < largestMessage, qt.IsTrue)
+	qt.Assert(t, page < largestJoinPage, qt.IsTrue)
+	fewRequest, fewReply, fewPage := largest(600)
+	qt.Assert(t, float64(request) < 1.1*float64(fewRequest), qt.IsTrue)
+	qt.Assert(t, float64(reply) < 1.1*float64(fewReply), qt.IsTrue)
+	qt.Assert(t, float64(page) < 1.1*float64(fewPage), qt.IsTrue)
+}
