Spread changes more reliably between data centres

Cause: with 14 data centres of 15 members, one of 210 members missed a change in two of two trials and had to wait for a repair. Change: a change is repeated 6 instead of 4 times log10 of the group size, and a reply leaves out what its request carried. Add a test of 14 data centres.

--- a/internal/cluster/membership/member.go
+++ b/internal/cluster/membership/member.go
@@ -69,3 +69,8 @@
 
 // Working reports whether the process is believed to be up.
 func (m Member) Working() bool { return m.State == Alive || m.State == Draining }
+
+// sameVersion reports whether neither member supersedes the other.
+func (m Member) sameVersion(o Member) bool {
+	return m.Name == o.Name && !m.Supersedes(o) && !o.Supersedes(m)
+}
--- a/internal/cluster/membership/options.go
+++ b/internal/cluster/membership/options.go
@@ -41,14 +41,16 @@
 		// for draining (promise 6).
 		GossipInterval:    250 * time.Millisecond,
 		ChangesPerMessage: 8,
-		RetransmitFactor:  4,
-		PageSize:          32,
-		RepairInterval:    5 * time.Second,
-		ExchangeInterval:  500 * time.Millisecond,
-		ExchangeIdle:      2 * time.Second,
-		ExchangeChanges:   32,
-		ExchangeTimeout:   time.Second,
-		UnreachableAfter:  6 * time.Second,
-		DeadRetention:     5 * time.Minute,
+		// With 4, one of 210 members missed a change in two of two trials and
+		// had to wait for a repair.
+		RetransmitFactor: 6,
+		PageSize:         32,
+		RepairInterval:   5 * time.Second,
+		ExchangeInterval: 500 * time.Millisecond,
+		ExchangeIdle:     2 * time.Second,
+		ExchangeChanges:  32,
+		ExchangeTimeout:  time.Second,
+		UnreachableAfter: 6 * time.Second,
+		DeadRetention:    5 * time.Minute,
 	}
 }
--- a/internal/cluster/membership/scale_test.go
+++ b/internal/cluster/membership/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -116,3 +117,34 @@
 	qt.Assert(t, float64(reply) < 1.1*float64(fewReply), qt.IsTrue)
 	qt.Assert(t, float64(page) < 1.1*float64(fewPage), qt.IsTrue)
 }
+
+// Guards against changes that take too long to cross data centres, and against
+// delegates whose traffic exceeds the limit of a daemon.
+func TestPlannedNumberOfDataCentres(t *testing.T) {
+	const centres, size = 14, 15
+	run(t, membership.Default(), func(c *qt.C, f *fleet) {
+		f.network.SetLatency(func(from, to netip.AddrPort) time.Duration {
+			if centre(from) == centre(to) {
+				return 1500 * time.Microsecond
+			}
+			return 8 * time.Millisecond
+		})
+		start := time.Now()
+		for dc := range centres {
+			f.startMany(c, dc, size)
+		}
+		c.Logf("start of all data centres: %v", time.Since(start))
+		time.Sleep(time.Minute)
+		f.measure(c, "quiet, 14 data centres", func() { time.Sleep(time.Minute) })
+		f.members[name(3, 7)].SetDraining()
+		c.Logf("draining known by all: %v", f.await(c, 6*time.Second, f.allSee(name(3, 7), membership.Draining)))
+		f.kill(name(5, 7))
+		c.Logf("crash known by all: %v", f.await(c, 20*time.Second, f.allSee(name(5, 7), membership.Dead)))
+		for n := range size {
+			f.kill(name(9, n))
+		}
+		c.Logf("loss of a data centre known by all: %v", f.await(c, 30*time.Second, func() bool {
+			return f.all(func(list []membership.Member) bool { return working(list) == (centres-1)*size-1 })
+		}))
+	})
+}
--- a/internal/cluster/membership/serve.go
+++ b/internal/cluster/membership/serve.go
@@ -22,7 +22,7 @@
 
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	reply := m.newReply(msg.from, request)
+	reply := m.newReply(msg, request)
 	reply.Reached = reached
 	return reply, nil
 }
@@ -45,7 +45,8 @@
 }
 
 // newReply builds the reply to a request. The caller holds the lock.
-func (m *Membership) newReply(to Member, request *wire.ProbeRequest) *wire.ProbeReply {
+func (m *Membership) newReply(from message, request *wire.ProbeRequest) *wire.ProbeReply {
+	to := from.from
 	var required []*record
 	// The sender is told of its own record when that is not alive, and the
 	// result of a relayed probe may be a refutation.
@@ -57,7 +58,7 @@
 	}
 	reply := &wire.ProbeReply{From: Encode(m.self.member), AppliedOffset: m.offset}
 	if to.DataCentre == m.self.member.DataCentre {
-		reply.Changes = m.encodeChanges(required, m.piggyback())
+		reply.Changes = m.encodeChanges(required, m.piggyback(append(from.changes, from.from)))
 		reply.Reachability = m.encodeReachability(request.Join || request.Page)
 	} else {
 		reply.Changes = m.encodeChanges(required, nil)
--- a/internal/cluster/membership/spread.go
+++ b/internal/cluster/membership/spread.go
@@ -28,21 +28,25 @@
 }
 
 // piggyback takes the changes for one message within the data centre, those
-// with the fewest transmissions first. The caller holds the lock.
-func (m *Membership) piggyback() []*record {
-	if len(m.queue) == 0 || m.options.ChangesPerMessage == 0 {
-		return nil
-	}
+// with the fewest transmissions first. It leaves out what the receiver has
+// just sent. The caller holds the lock.
+func (m *Membership) piggyback(received []Member) []*record {
 	if len(m.queue) > m.options.ChangesPerMessage {
 		slices.SortFunc(m.queue, func(a, b *record) int {
 			return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.sequence, a.sequence))
 		})
 	}
-	picked := slices.Clone(m.queue[:min(len(m.queue), m.options.ChangesPerMessage)])
-	limit := m.transmitLimit()
-	for _, r := range picked {
-		r.transmits++
+	var picked []*record
+	for _, r := range m.queue {
+		if len(picked) == m.options.ChangesPerMessage {
+			break
+		}
+		if !slices.ContainsFunc(received, r.member.sameVersion) {
+			r.transmits++
+			picked = append(picked, r)
+		}
 	}
+	limit := m.transmitLimit()
 	m.queue = slices.DeleteFunc(m.queue, func(r *record) bool {
 		r.queued = r.transmits < limit
 		return !r.queued
@@ -92,7 +96,7 @@
 		request.Changes = m.encodeChanges(required, nil)
 		return request
 	}
-	request.Changes = m.encodeChanges(required, m.piggyback())
+	request.Changes = m.encodeChanges(required, m.piggyback(nil))
 	request.Reachability = m.encodeReachability(false)
 	return request
 }
