--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -16,6 +16,7 @@
 
 const (
 	sweepInterval      = 200 * time.Millisecond
+	expiryInterval     = 10 * time.Second // expiryInterval lies between searches for old dead members.
 	loadNotifyInterval = time.Second
 )
 
@@ -37,6 +38,7 @@
 	self         *record // self is not in the table.
 	leaving      bool    // leaving stops refutations after Leave.
 	table        *table
+	suspects     map[string]*record       // suspects of the own data centre have a deadline.
 	queue        []*record                // queue holds the changes that wait to be spread.
 	ring         []string                 // ring holds the names that are still to be probed in this round.
 	links        map[string]*link         // links exist for the data centres that this process is the delegate to.
@@ -46,6 +48,7 @@
 	repairAfter  string // repairAfter is the last name of the previous repair page.
 	seedAfter    string // seedAfter is the last name of the previous page from a seed.
 	lastSweep    time.Time
+	lastExpiry   time.Time // lastExpiry is the time of the last search for old dead members.
 	loadChanged  bool
 	loadNotified time.Time
 	changed      chan struct{} // changed is closed at the next change and then replaced.
@@ -81,6 +84,7 @@
 		random:       rand.New(rand.NewPCG(seed, rendezvous.Hash(self.Name))),
 		self:         &record{member: self, hash: rendezvous.Hash(self.Name)},
 		table:        newTable(),
+		suspects:     map[string]*record{},
 		links:        map[string]*link{},
 		reachability: map[string]*reachability{},
 		changed:      make(chan struct{}),
--- a/internal/cluster/membership/merge.go
+++ b/internal/cluster/membership/merge.go
@@ -102,11 +102,13 @@
 	m.table.replace(r, report)
 	m.table.touch(r, now)
 	r.deadline, r.recheck = time.Time{}, false
+	delete(m.suspects, report.Name)
 	if report.State == Suspect && m.local(r) {
 		// A process that only heard of the suspicion leaves the verdict to the
 		// one that probes the suspect. When it hears nothing for this time, it
 		// probes the suspect itself.
 		r.deadline = now.Add(hearsayFactor * m.options.SuspicionTime)
+		m.suspects[report.Name] = r
 	}
 	if report.State == Dead {
 		m.statistics.Deaths++
--- a/internal/cluster/membership/probe.go
+++ b/internal/cluster/membership/probe.go
@@ -213,8 +213,8 @@
 func (m *Membership) recheckSuspects(ctx context.Context) error {
 	m.mu.Lock()
 	var targets []Member
-	for _, r := range m.table.byCentre[m.self.member.DataCentre] {
-		if r.recheck && r.member.State == Suspect && len(targets) < maxRechecks {
+	for _, r := range m.suspects {
+		if r.recheck && len(targets) < maxRechecks {
 			targets = append(targets, r.member)
 		}
 	}
@@ -242,23 +242,31 @@
 	if paused {
 		m.statistics.Pauses++
 	}
+	for _, r := range m.suspects {
+		m.sweepSuspect(r, now, paused)
+	}
+	if now.Sub(m.lastExpiry) >= expiryInterval {
+		m.lastExpiry = now
+		m.expire(now)
+	}
+	if m.loadChanged && now.Sub(m.loadNotified) >= loadNotifyInterval {
+		m.loadChanged, m.loadNotified = false, now
+		m.notify()
+	}
+	return nil
+}
+
+// expire removes the members that have been dead for the retention time.
+func (m *Membership) expire(now time.Time) {
 	var expired []*record
 	for _, r := range m.table.order {
-		switch {
-		case r.member.State == Suspect && !r.deadline.IsZero():
-			m.sweepSuspect(r, now, paused)
-		case r.member.State == Dead && now.Sub(r.changed) > m.options.DeadRetention:
+		if r.member.State == Dead && now.Sub(r.changed) > m.options.DeadRetention {
 			expired = append(expired, r)
 		}
 	}
 	for _, r := range expired {
 		m.forget(r)
 	}
-	if m.loadChanged && now.Sub(m.loadNotified) >= loadNotifyInterval {
-		m.loadChanged, m.loadNotified = false, now
-		m.notify()
-	}
-	return nil
 }
 
 func (m *Membership) sweepSuspect(r *record, now time.Time, paused bool) {
--- a/internal/cluster/membership/repair.go
+++ b/internal/cluster/membership/repair.go
@@ -58,6 +58,7 @@
 	for {
 		res, err := m.exchange(ctx, Member{Address: seed}, call{
 			timeout:    m.options.ExchangeTimeout,
+			fresh:      true,
 			anyName:    true,
 			prepare:    func(r *wire.ProbeRequest) { r.Join, r.PageAfter = true, after },
 			pageSource: listed,
@@ -179,7 +180,7 @@
 	if !delegate || len(seeds) == 0 {
 		return
 	}
-	next, err := m.readPage(ctx, Member{Address: seeds[0]}, after, call{anyName: true})
+	next, err := m.readPage(ctx, Member{Address: seeds[0]}, after, call{fresh: true, anyName: true})
 	if err != nil {
 		return
 	}
