Let jobs without a deadline wait for 20 run times

Cause: jobs without a deadline went before jobs that were nearly late. Change: Weights.Patience is 20.

--- a/internal/fleet/placement/options.go
+++ b/internal/fleet/placement/options.go
@@ -36,7 +36,7 @@
 // Default returns the options used in production.
 func Default() Options {
 	return Options{
-		Weights:       Weights{Patience: 4, Fairness: 1800, Rack: 1, Worker: 4, Core: 16},
+		Weights:       Weights{Patience: 20, Fairness: 1800, Rack: 1, Worker: 4, Core: 16},
 		AttemptLimit:  256,
 		GuaranteeWork: 20_000,
 		// A checkpoint of an ordinary job may take as long as its worker needs to
