--- a/internal/run/bench/placementbench/placementbench_test.go
+++ b/internal/run/bench/placementbench/placementbench_test.go
@@ -29,3 +29,18 @@
 		c.Check(f.Unfinished, qt.Equals, 0, qt.Commentf("%s", name))
 	}
 }
+
+// Guards against decisions whose cost grows with the fleet instead of with what
+// changed. The bound is ten times the target of 1 ms, because test machines are
+// shared. PLACEMENT_SEED prints the result.
+func TestDecisionsAtThePlannedSize(t *testing.T) {
+	c := qt.New(t)
+	o := placementbench.Default()
+	if seed, err := strconv.ParseUint(os.Getenv("PLACEMENT_SEED"), 10, 64); err == nil {
+		o.Seed, o.Output = seed, os.Stdout
+	}
+	result, err := placementbench.RunScale(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	c.Assert(result.Sizes, qt.HasLen, 3)
+	c.Assert(result.Sizes[2].DecisionP99 < 10_000, qt.IsTrue, qt.Commentf("%+v", result.Sizes[2]))
+}
