Walk the queues only when a class of waiting jobs fits

Cause: at full size the decision p99 was 1115 us; half of it went into walking the queues of 240 organisations and a quarter into reservations. Change: after a gain of room each class of waiting jobs is searched once, gangs across racks are counted per size with a tally for each rack, queues are walked only for classes that fit, and a reservation is looked at only when one of its racks has gained room.

--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/tenancy/organisation"
 )
@@ -24,7 +25,6 @@
 	now       time.Time
 	decisions []Decision
 	attempts  int
-	blocked   *entry // blocked is the job that has waited longest without a place.
 }
 
 // Decide returns the steps to take now, in order. It does work for what has
@@ -39,9 +39,12 @@
 	r.useGuarantees()
 	gained := r.openRound()
 	r.placeUrgent(gained)
-	r.takeTurns(gained)
+	r.beginReservations()
+	if !gained || r.openClasses() {
+		r.takeTurns(gained)
+	}
 	r.model.settled()
-	r.reserve(gained)
+	r.reserve()
 	r.moveForSpace()
 	return r.decisions
 }
@@ -185,7 +188,7 @@
 		list = t.fresh
 	}
 	for t.at < len(list) {
-		if e := list[t.at]; e.state == Waiting {
+		if e := list[t.at]; e.state == Waiting && (t.fresh != nil || e.class.open) {
 			return e
 		}
 		t.at++
@@ -261,7 +264,6 @@
 	place := r.search(e)
 	if place == nil {
 		e.reason = reasonNoRoom
-		r.noteBlocked(e)
 		return false
 	}
 	r.start(e, place, 0, r.policy.String())
@@ -298,11 +300,28 @@
 	r.attempts++
 	place := r.find(e, e.job.Shape.Adjacency, racks, r.now)
 	if place == nil {
-		c.round, c.runTime = r.round, e.runTime
+		c.round, c.runTime, c.open = r.round, e.runTime, false
 	}
 	return place
 }
 
+// openClasses finds the classes of waiting jobs that may fit now, so that the
+// queues are walked only when some job may start. It reports whether there are
+// any. A class is searched with its least run time, which fits before a
+// reservation if any of its jobs does.
+func (r *round) openClasses() bool {
+	found := false
+	for key, c := range r.classes {
+		probe := &entry{class: c, member: key.member, runTime: c.least, job: job.Job{Shape: key.shape}}
+		attempts := r.attempts
+		c.open = true
+		c.open = r.search(probe) != nil
+		r.attempts = attempts
+		found = found || c.open
+	}
+	return found
+}
+
 // useGuarantees starts jobs within the guarantees of their organisations. It
 // looks only at organisations whose jobs or guarantees have changed.
 func (r *round) useGuarantees() {
--- a/internal/fleet/placement/entry.go
+++ b/internal/fleet/placement/entry.go
@@ -74,6 +74,8 @@
 // for all of them.
 type class struct {
 	waiting int           // waiting counts the jobs of the class that wait.
+	open    bool          // open classes have jobs that may fit in this round.
+	least   time.Duration // least run time of the jobs that have waited.
 	round   uint64        // round in which the last search failed.
 	runTime time.Duration // runTime of that search; a shorter job may still fit before a reservation.
 }
--- a/internal/fleet/placement/model.go
+++ b/internal/fleet/placement/model.go
@@ -91,6 +91,8 @@
 	stale bool             // stale is true when most and free must be computed again.
 	most  worker.Resources // most that is available on one worker, each resource by itself.
 	free  int              // free accelerators of all schedulable workers.
+
+	version uint64 // version grows with each change of a worker of the rack.
 }
 
 // refresh computes the summary again when a worker of the rack has changed.
@@ -118,9 +120,72 @@
 	nodes    map[string]*node
 	capacity worker.Resources
 	dirty    []*rack
+	version  uint64 // version grows with each change of a worker.
+	tallies  map[worker.Resources]*tally
+}
+
+func newModel() *model {
+	return &model{nodes: map[string]*node{}, tallies: map[worker.Resources]*tally{}}
 }
 
-func newModel() *model { return &model{nodes: map[string]*node{}} }
+// touch records that a worker of the rack has changed.
+func (m *model) touch(r *rack) {
+	r.stale = true
+	r.version++
+	m.version++
+}
+
+// tally is how many members of one size fit on the data centre.
+type tally struct {
+	version uint64 // version of the model that total is for.
+	total   int
+	racks   map[*rack]rackTally
+}
+
+type rackTally struct {
+	version uint64
+	count   int
+}
+
+// tallyLimit bounds the sizes that are remembered. It is far above the number of
+// sizes in use at one time; old ones are dropped all together.
+const tallyLimit = 256
+
+// roomFor returns how many members of the size fit on all schedulable workers.
+// It counts again only on racks that have changed since it was last asked.
+func (m *model) roomFor(member worker.Resources) int {
+	t, ok := m.tallies[member]
+	if !ok {
+		if len(m.tallies) >= tallyLimit {
+			clear(m.tallies)
+		}
+		t = &tally{racks: make(map[*rack]rackTally, len(m.racks))}
+		m.tallies[member] = t
+	}
+	if ok && t.version == m.version {
+		return t.total
+	}
+	t.version, t.total = m.version, 0
+	for _, r := range m.racks {
+		seen, ok := t.racks[r]
+		if !ok || seen.version != r.version {
+			seen = rackTally{version: r.version, count: r.roomFor(member)}
+			t.racks[r] = seen
+		}
+		t.total += seen.count
+	}
+	return t.total
+}
+
+func (r *rack) roomFor(member worker.Resources) int {
+	count := 0
+	for _, n := range r.nodes {
+		if n.schedulable {
+			count += slots(n.available(), member, MaxMembers)
+		}
+	}
+	return count
+}
 
 func (m *model) add(w worker.Worker) *node {
 	r := m.rack(w.Rack)
@@ -148,17 +213,18 @@
 func (m *model) remove(n *node) {
 	delete(m.nodes, n.worker.Name)
 	m.capacity = m.capacity.Minus(n.worker.Capacity)
-	n.rack.stale = true
+	m.touch(n.rack)
 	n.rack.nodes = slices.DeleteFunc(n.rack.nodes, func(o *node) bool { return o == n })
 	if len(n.rack.nodes) == 0 {
 		m.racks = slices.DeleteFunc(m.racks, func(o *rack) bool { return o == n.rack })
+		clear(m.tallies)
 		m.dirty = slices.DeleteFunc(m.dirty, func(o *rack) bool { return o == n.rack })
 	}
 }
 
 // gained records that the worker has more room than before.
 func (m *model) gained(n *node) {
-	n.rack.stale = true
+	m.touch(n.rack)
 	if !n.rack.dirty {
 		n.rack.dirty = true
 		m.dirty = append(m.dirty, n.rack)
@@ -178,7 +244,7 @@
 	for _, n := range place {
 		n.used = n.used.Plus(e.member)
 		n.addTask(e)
-		n.rack.stale = true
+		m.touch(n.rack)
 	}
 }
 
@@ -198,7 +264,7 @@
 func (m *model) promise(e *entry) {
 	for _, n := range e.place {
 		n.promised = n.promised.Plus(e.member)
-		n.rack.stale = true
+		m.touch(n.rack)
 	}
 }
 
@@ -206,7 +272,7 @@
 func (m *model) unpromise(e *entry) {
 	for _, n := range e.place {
 		n.promised = n.promised.Minus(e.member)
-		n.rack.stale = true
+		m.touch(n.rack)
 	}
 }
 
--- a/internal/fleet/placement/moves.go
+++ b/internal/fleet/placement/moves.go
@@ -62,7 +62,7 @@
 	}
 	for _, e := range r.movable(widest) {
 		if place := r.elsewhere(e, widest); place != nil &&
-			r.moveTo(e, place, "joins free accelerators", r.blocked) {
+			r.moveTo(e, place, "joins free accelerators", nil) {
 			return
 		}
 	}
--- a/internal/fleet/placement/place.go
+++ b/internal/fleet/placement/place.go
@@ -99,6 +99,9 @@
 }
 
 func (p *Planner) findAnywhere(e *entry, now time.Time) []*node {
+	if p.model.roomFor(e.member) < e.job.Shape.Members {
+		return nil
+	}
 	var nodes []*node
 	count := 0
 	for _, r := range p.model.racks {
--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -161,7 +161,7 @@
 		return
 	}
 	n.schedulable = schedulable
-	n.rack.stale = true
+	p.model.touch(n.rack)
 	if schedulable {
 		p.model.gained(n)
 	}
@@ -194,9 +194,10 @@
 	e.state = Waiting
 	key := classKey{shape: e.job.Shape, member: e.member}
 	if p.classes[key] == nil {
-		p.classes[key] = &class{}
+		p.classes[key] = &class{least: e.runTime}
 	}
 	e.class = p.classes[key]
+	e.class.least = min(e.class.least, e.runTime)
 	e.class.waiting++
 	p.entries[e.job.Identity] = e
 	e.tenant.enqueue(e)
--- a/internal/fleet/placement/reserve.go
+++ b/internal/fleet/placement/reserve.go
@@ -22,14 +22,21 @@
 // looks at every task of the data centre.
 const reserveInterval = 30 * time.Second
 
-// noteBlocked remembers the job that has waited longest without a place.
-func (r *round) noteBlocked(e *entry) {
-	if r.now.Sub(e.job.Submitted) < r.options.ReserveAfter || r.reservationOf(e) != nil {
-		return
-	}
-	if r.blocked == nil || e.job.Submitted.Before(r.blocked.job.Submitted) {
-		r.blocked = e
+// blocked returns the job that has waited longest, or nil when none has waited
+// long enough for a reservation.
+func (r *round) blocked() *entry {
+	var longest *entry
+	for _, t := range r.order {
+		for _, e := range t.queue {
+			if r.now.Sub(e.job.Submitted) < r.options.ReserveAfter || r.reservationOf(e) != nil || r.mayBorrow(e) != "" {
+				continue
+			}
+			if longest == nil || e.job.Submitted.Before(longest.job.Submitted) {
+				longest = e
+			}
+		}
 	}
+	return longest
 }
 
 func (p *Planner) reservationOf(e *entry) *reservation {
@@ -41,22 +48,58 @@
 	return nil
 }
 
-// reserve begins reservations that are due and makes new ones.
-func (r *round) reserve(gained bool) {
+// beginReservations begins reservations whose racks have gained room and those
+// that are overdue.
+func (r *round) beginReservations() {
 	for _, v := range slices.Clone(r.reservations) {
-		if gained || r.overdue(v) {
+		gained := slices.ContainsFunc(v.place, func(n *node) bool { return n.rack.dirty })
+		if (gained && r.ripe(v)) || r.overdue(v) {
 			r.begin(v)
 		}
 	}
-	if r.blocked == nil || len(r.reservations) >= r.options.Reservations || r.now.Before(r.nextReserve) {
+}
+
+// ripe reports whether the place has room for the job apart from jobs that were
+// let in after the reservation was made.
+func (r *round) ripe(v *reservation) bool {
+	for i, n := range v.place {
+		if slices.Contains(v.place[:i], n) {
+			continue
+		}
+		room := n.eventual()
+		for _, t := range n.tasks {
+			if t.entry.state != Reclaiming && !t.entry.started.Before(v.made) {
+				room = room.Plus(times(t.entry.member, t.count))
+			}
+		}
+		count := 0
+		for _, o := range v.place {
+			if o == n {
+				count++
+			}
+		}
+		if !fits(times(v.entry.member, count), room) {
+			return false
+		}
+	}
+	return true
+}
+
+// reserve makes a reservation for the job that has waited longest.
+func (r *round) reserve() {
+	if len(r.reservations) >= r.options.Reservations || r.now.Before(r.nextReserve) {
 		return
 	}
 	r.nextReserve = r.now.Add(reserveInterval)
-	place, until := r.earliest(r.blocked)
+	e := r.blocked()
+	if e == nil {
+		return
+	}
+	place, until := r.earliest(e)
 	if place == nil {
 		return
 	}
-	v := &reservation{entry: r.blocked, place: place, made: r.now, until: until}
+	v := &reservation{entry: e, place: place, made: r.now, until: until}
 	for _, n := range place {
 		n.reservation = v
 	}
--- a/internal/fleet/placement/summary.go
+++ b/internal/fleet/placement/summary.go
@@ -14,6 +14,9 @@
 		return Explanation{}, false
 	}
 	x := Explanation{State: e.state, Guaranteed: e.unit != 0, Workers: e.workers(), Reason: e.reason}
+	if e.state == Waiting && x.Reason == "" {
+		x.Reason = reasonNoRoom
+	}
 	if !e.placed() {
 		x.Waited = now.Sub(e.job.Submitted)
 	}
--- a/internal/fleet/placement/usage.go
+++ b/internal/fleet/placement/usage.go
@@ -43,7 +43,7 @@
 		if e.state == Reclaiming {
 			n.leaving = n.leaving.Plus(more)
 		}
-		n.rack.stale = true
+		p.model.touch(n.rack)
 		if n.available().Memory < 0 && !slices.Contains(p.overgrown, n) {
 			p.overgrown = append(p.overgrown, n)
 		}
