Report the least fragmentation that the racks allow

Cause: racks of 3 and 1 workers leave some fragmentation at any placement. Change: the replay reports fragmentation-least.

--- a/internal/run/bench/placementbench/placementbench.go
+++ b/internal/run/bench/placementbench/placementbench.go
@@ -35,6 +35,7 @@
 	DeadlineP99         float64            `json:"deadline-p99-s"`
 	LateShare           float64            `json:"late-share"`
 	Fragmentation       float64            `json:"fragmentation"`
+	FragmentationLeast  float64            `json:"fragmentation-least"` // FragmentationLeast is what racks of their size leave at best.
 	GuaranteeViolations int                `json:"guarantee-violations"`
 	GangsSplit          int                `json:"gangs-split"`
 	DecisionMicros      float64            `json:"decision-us"`
@@ -116,6 +117,7 @@
 	m.lostHours += o.lostHours
 	m.free += o.free
 	m.largest += o.largest
+	m.possible += o.possible
 	m.unfinished += o.unfinished
 }
 
@@ -137,6 +139,7 @@
 	}
 	if m.free > 0 {
 		f.Fragmentation = 1 - m.largest/m.free
+		f.FragmentationLeast = 1 - m.possible/m.free
 	}
 	return f
 }
--- a/internal/run/bench/placementbench/replay.go
+++ b/internal/run/bench/placementbench/replay.go
@@ -109,6 +109,7 @@
 	lostHours   float64 // lostHours are accelerator-hours of work lost to reclaim.
 	free        float64 // free accelerators x seconds.
 	largest     float64 // largest gang x seconds.
+	possible    float64 // largest gang x seconds if all free accelerators were in one rack as far as it holds them.
 	unfinished  int
 	impossible  int
 	lastArrival time.Time
@@ -184,25 +185,31 @@
 		return
 	}
 	for _, x := range r.centres {
-		free, largest := x.fragments()
+		free, largest, widest := x.fragments()
 		r.measured.free += float64(free) * d.Seconds()
 		r.measured.largest += float64(largest) * d.Seconds()
+		r.measured.possible += float64(min(free, widest)) * d.Seconds()
 	}
 }
 
-// fragments returns the free accelerators and the most of them in one rack.
-func (x *centre) fragments() (free, largest int) {
+// fragments returns the free accelerators, the most of them in one rack, and the
+// most accelerators that a rack has.
+func (x *centre) fragments() (free, largest, widest int) {
 	used := x.used()
-	racks := map[string]int{}
+	racks, sizes := map[string]int{}, map[string]int{}
 	for name, k := range x.workers {
 		left := max(k.Capacity.Accelerators-used[name], 0)
 		free += left
 		racks[k.Rack] += left
+		sizes[k.Rack] += k.Capacity.Accelerators
 	}
 	for _, n := range racks {
 		largest = max(largest, n)
 	}
-	return free, largest
+	for _, n := range sizes {
+		widest = max(widest, n)
+	}
+	return free, largest, widest
 }
 
 // used returns the accelerators in use on each worker.
