--- a/internal/fleet/placement/options.go
+++ b/internal/fleet/placement/options.go
@@ -49,8 +49,8 @@
 		Reservations:     2,
 		RunTimeQuantile:  0.75,
 		SizeQuantile:     0.95,
-		MoveInterval:     30 * time.Second,
+		MoveInterval:     15 * time.Second,
 		MoveCost:         30 * time.Second,
-		MoveGain:         4,
+		MoveGain:         2,
 	}
 }
