--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -138,9 +138,14 @@
 	r.emit(Start, e, reason)
 }
 
-// startHolding starts jobs whose place has been left by others.
+// startHolding starts jobs whose place has been left by others. A borrowed job
+// gives its place up when lending has stopped meanwhile.
 func (r *round) startHolding() {
 	for _, e := range slices.Clone(r.holding) {
+		if e.unit == 0 && e.job.Shape.Total() > 0 && !r.ledger.Holds() {
+			r.requeue(e)
+			continue
+		}
 		if !r.vacant(e) {
 			continue
 		}
@@ -330,10 +335,14 @@
 		if !t.changed && !gained {
 			continue
 		}
-		r.yield(t)
+		if r.ledger.Holds() {
+			// A shape that is let go of while another has no place could be
+			// given to that one, and the job would lose its guarantee.
+			r.yield(t)
+			r.refit(t)
+		}
 		t.changed, t.retry = false, false
 		if r.ledger.Unheld(t.name) > 0 {
-			r.refit(t)
 			r.promote(t)
 			r.useGuaranteesOf(t)
 		}
