--- a/internal/fleet/placement/options.go
+++ b/internal/fleet/placement/options.go
@@ -49,7 +49,7 @@
 		Reservations:     2,
 		RunTimeQuantile:  0.75,
 		SizeQuantile:     0.95,
-		MoveInterval:     15 * time.Second,
+		MoveInterval:     5 * time.Second,
 		MoveCost:         30 * time.Second,
 		MoveGain:         2,
 	}
