--- /dev/null
+++ b/internal/record/journal/fold_test.go
@@ -0,0 +1,242 @@
+package journal
+
+import (
+	"flag"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// The property tests run the same cases each time unless flags say otherwise.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	if !given["rapid.seed"] {
+		_ = flag.Set("rapid.seed", "20260101")
+	}
+	if !given["rapid.checks"] {
+		_ = flag.Set("rapid.checks", "300")
+	}
+	m.Run()
+}
+
+const testBodyLimit = 200
+
+var start = time.Date(2026, 5, 4, 6, 0, 0, 0, time.UTC)
+
+// generator draws batches. Most records fit the state that the batches before
+// have led to, so that deep states are reached.
+type generator struct {
+	t         *rapid.T
+	now       time.Time
+	sequences map[string]uint64
+	batches   []batch
+	state     *state
+}
+
+func newGenerator(t *rapid.T) *generator {
+	s := newState()
+	s.bodyLimit = testBodyLimit
+	return &generator{t: t, now: start, sequences: map[string]uint64{}, state: s}
+}
+
+// next draws a batch, folds it and returns its payload and the verdicts.
+func (g *generator) next() ([]byte, []judged) {
+	b := batch{writer: rapid.SampledFrom([]string{"a@1", "a@2", "b@1", "c@1"}).Draw(g.t, "writer")}
+	g.now = g.now.Add(time.Duration(rapid.IntRange(0, 90).Draw(g.t, "elapsed")) * time.Second)
+	if rapid.IntRange(0, 9).Draw(g.t, "quiet") == 0 {
+		g.quiet(&b)
+	}
+	for range rapid.IntRange(1, 6).Draw(g.t, "records") {
+		g.add(&b, g.record(b.writer))
+	}
+	g.batches = append(g.batches, b)
+	payload, err := encodeBatch(b)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return payload, g.state.apply(int64(len(g.batches)), payload)
+}
+
+// quiet lets hours pass. The clock of the fold needs a record for each minute.
+func (g *generator) quiet(b *batch) {
+	hours := rapid.IntRange(1, 20).Draw(g.t, "hours")
+	g.now = g.now.Add(time.Duration(hours) * time.Hour)
+	for range hours * 60 {
+		g.add(b, Barrier{})
+	}
+}
+
+func (g *generator) add(b *batch, r Record) {
+	sequence := g.sequences[b.writer] + 1
+	at := g.now
+	switch rapid.IntRange(0, 19).Draw(g.t, "oddity") {
+	case 0:
+		sequence = uint64(rapid.IntRange(0, int(sequence)).Draw(g.t, "sequence"))
+	case 1:
+		at = at.Add(time.Duration(rapid.IntRange(-100, 100).Draw(g.t, "skew")) * time.Hour)
+	}
+	g.sequences[b.writer] = max(g.sequences[b.writer], sequence)
+	b.records = append(b.records, envelope{sequence, at, r})
+}
+
+func (g *generator) identity() request.Identity {
+	return rapid.SampledFrom(g.identities()).Draw(g.t, "identity")
+}
+
+// identities returns all identities in a fixed order.
+func (g *generator) identities() []request.Identity {
+	var all []request.Identity
+	for _, name := range []string{"serido", "cariri"} {
+		for _, id := range []string{"1", "2", "3"} {
+			all = append(all, request.Identity{Organisation: name, ID: id})
+		}
+	}
+	return all
+}
+
+func (g *generator) claim(id request.Identity) int64 {
+	if j := g.state.jobs[id]; j != nil && rapid.IntRange(0, 9).Draw(g.t, "stale") > 0 {
+		return j.Claim
+	}
+	return int64(rapid.IntRange(0, len(g.batches)).Draw(g.t, "claim"))
+}
+
+func (g *generator) record(writer string) Record {
+	id := g.identity()
+	outcome := rapid.SampledFrom([]request.Outcome{request.Done, request.Failed, request.NotRun, request.Unknown})
+	flip := func(label string) bool { return rapid.Bool().Draw(g.t, label) }
+	switch rapid.IntRange(0, 11).Draw(g.t, "kind") {
+	case 0:
+		if flip("audit") {
+			return Audit{Actor: "op", Action: "act", Subject: fmt.Sprint(len(g.batches))}
+		}
+		base := g.state.configuration.Version
+		if flip("stale") {
+			base = int64(rapid.IntRange(0, len(g.batches)).Draw(g.t, "base"))
+		}
+		name := fmt.Sprint("o", len(g.batches))
+		return ConfigurationPublished{Base: base, Organisations: []organisation.Organisation{{Name: name, Plan: "p"}}}
+	case 1:
+		shape := organisation.Shape{Members: rapid.IntRange(1, 2).Draw(g.t, "members"), Accelerators: 1, Adjacency: organisation.WithinRack}
+		return JobSubmitted{job.Job{Identity: id, Kind: "k", Shape: shape, Idempotent: flip("idempotent")}}
+	case 2, 3:
+		workers := []string{"w1", "w2"}[:rapid.IntRange(1, 2).Draw(g.t, "workers")]
+		return JobClaimed{Identity: id, DataCentre: "caico", Supersedes: g.claim(id), Workers: workers}
+	case 4:
+		return JobRunning{id, g.claim(id)}
+	case 5:
+		return JobReleased{id, g.claim(id), "lost", flip("started"), flip("checkpointed"), time.Hour}
+	case 6:
+		return JobEnded{id, g.claim(id), outcome.Draw(g.t, "outcome"), "over"}
+	case 7:
+		return JobCancelled{id}
+	case 8, 10:
+		return RequestClaimed{id, g.now.Add(time.Minute)}
+	case 9, 11:
+		for _, claimed := range g.identities() {
+			if r := g.state.requests[claimed]; r != nil && r.Writer == writer && r.Outcome == request.Pending {
+				id = claimed
+			}
+		}
+		size := rapid.IntRange(0, testBodyLimit*3/4).Draw(g.t, "size")
+		if size == 0 {
+			return RequestAbandoned{id}
+		}
+		return RequestFinished{id, outcome.Draw(g.t, "outcome"), "", make([]byte, size)}
+	}
+	return Barrier{}
+}
+
+func assertSame(t *rapid.T, s *state, n *naiveFold) {
+	jobs, requests := map[request.Identity]JobState{}, map[request.Identity]RequestState{}
+	for id, j := range s.jobs {
+		jobs[id] = *j
+	}
+	for id, r := range s.requests {
+		requests[id] = *r
+	}
+	same(t, "now", s.clock.now, n.now)
+	same(t, "configuration", s.configuration, n.configuration)
+	same(t, "jobs", jobs, n.jobs)
+	same(t, "requests", requests, n.requests)
+	same(t, "audit", s.audit, n.audit)
+}
+
+func same(t *rapid.T, what string, got, want any) {
+	t.Helper()
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("%s differs:\ngot  %+v\nwant %+v", what, got, want)
+	}
+}
+
+func noError(t *rapid.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against shortcuts of the fold that change a verdict or the state.
+func TestFoldAgreesWithReplay(t *testing.T) {
+	evicted, dropped := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGenerator(t)
+		var verdicts []Verdict
+		for range rapid.IntRange(20, 80).Draw(t, "batches") {
+			known := len(g.state.requests)
+			_, results := g.next()
+			if len(g.state.requests) < known {
+				evicted++
+			}
+			for _, r := range g.state.requests {
+				if strings.Contains(r.Reason, ReasonBodyDropped) {
+					dropped++
+				}
+			}
+			for _, r := range results {
+				verdicts = append(verdicts, r.verdict)
+			}
+		}
+		n := replay(g.batches, testBodyLimit)
+		same(t, "verdicts", verdicts, n.verdicts)
+		assertSame(t, g.state, n)
+	})
+	qt.New(t).Assert(evicted > 0, qt.IsTrue, qt.Commentf("no case reached an eviction"))
+	qt.New(t).Assert(dropped > 0, qt.IsTrue, qt.Commentf("no case dropped a body"))
+}
+
+// Guards against a state that a process takes from a snapshot and that goes on
+// differently from one that was folded without a stop.
+func TestRestoredStateGoesOnAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGenerator(t)
+		for range rapid.IntRange(1, 40).Draw(t, "before") {
+			g.next()
+		}
+		encoded, err := g.state.encode()
+		noError(t, err)
+		restored, err := decodeState(encoded)
+		noError(t, err)
+		restored.bodyLimit = testBodyLimit
+		for range rapid.IntRange(1, 40).Draw(t, "after") {
+			payload, want := g.next()
+			same(t, "verdicts", restored.apply(int64(len(g.batches)), payload), want)
+		}
+		again, err := restored.encode()
+		noError(t, err)
+		straight, err := g.state.encode()
+		noError(t, err)
+		same(t, "encoded state", again, straight)
+	})
+}
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"slices"
@@ -16,6 +17,23 @@
 // memory limit of a process.
 const windowBytes = 8 << 20
 
+const (
+	// entryBytes is counted for each entry of the window beside its payload, so
+	// that many small payloads are bounded too.
+	entryBytes = 100
+	// pageBytes bounds the payloads of one page for a peer. It takes a third of
+	// a second on the region link, within the deadline of an exchange.
+	pageBytes = 1 << 20
+)
+
+// ErrUnordered is returned when the offsets of a page do not ascend within the
+// range that the page claims to cover.
+var ErrUnordered = errors.New("offsets of the page are out of order")
+
+// ErrOlderVersion is returned for a snapshot that covers more of the log than
+// the fold but has an older configuration; it is not from the same log.
+var ErrOlderVersion = errors.New("the snapshot has an older configuration")
+
 // ErrGap is returned when a page starts after the first offset that is missing.
 var ErrGap = errors.New("page starts beyond the next offset")
 
@@ -65,6 +83,9 @@
 	if from > j.state.next {
 		return fmt.Errorf("%w: from %d, next %d", ErrGap, from, j.state.next)
 	}
+	if !ordered(from, page) {
+		return fmt.Errorf("%w: from %d, next %d", ErrUnordered, from, page.Next)
+	}
 	before := j.state.next
 	for _, e := range page.Entries {
 		if e.Offset >= j.state.next {
@@ -78,6 +99,19 @@
 	return nil
 }
 
+// ordered reports whether all entries have ascending offsets from the start of
+// the page to its end. A page that skips records would make processes differ.
+func ordered(from int64, page platformlog.Page) bool {
+	least := from
+	for _, e := range page.Entries {
+		if e.Offset < least || e.Offset >= page.Next {
+			return false
+		}
+		least = e.Offset + 1
+	}
+	return true
+}
+
 func (j *Journal) applyEntry(e platformlog.Entry) {
 	for _, r := range j.state.apply(e.Offset, e.Payload) {
 		for _, o := range j.observers {
@@ -85,9 +119,9 @@
 		}
 	}
 	j.window = append(j.window, e)
-	j.size += len(e.Payload)
+	j.size += len(e.Payload) + entryBytes
 	for j.size > windowBytes {
-		j.size -= len(j.window[0].Payload)
+		j.size -= len(j.window[0].Payload) + entryBytes
 		j.start = j.window[0].Offset + 1
 		j.window = j.window[1:]
 	}
@@ -110,9 +144,15 @@
 		return page, nil
 	}
 	first, _ := slices.BinarySearchFunc(j.window, from, func(e platformlog.Entry, offset int64) int {
-		return int(e.Offset - offset)
+		return cmp.Compare(e.Offset, offset)
 	})
-	last := min(len(j.window), first+limit)
+	last := first
+	for size := 0; last < min(len(j.window), first+limit); last++ {
+		size += len(j.window[last].Payload)
+		if size > pageBytes && last > first {
+			break
+		}
+	}
 	page.Entries = slices.Clone(j.window[first:last])
 	page.Next = j.state.next
 	if last < len(j.window) {
@@ -142,6 +182,10 @@
 	if restored.next <= j.state.next {
 		return nil
 	}
+	if restored.configuration.Version < j.state.configuration.Version {
+		return fmt.Errorf("restore: %w: version %d, in force %d", ErrOlderVersion,
+			restored.configuration.Version, j.state.configuration.Version)
+	}
 	j.state = restored
 	j.window, j.size, j.start = nil, 0, restored.next
 	for _, resumed := range j.resumed {
@@ -190,7 +234,10 @@
 	for _, s := range j.state.jobs {
 		jobs = append(jobs, *s)
 	}
-	slices.SortFunc(jobs, func(a, b JobState) int { return int(a.Submitted - b.Submitted) })
+	slices.SortFunc(jobs, func(a, b JobState) int {
+		return cmp.Or(cmp.Compare(a.Submitted, b.Submitted),
+			cmp.Compare(a.Job.Identity.String(), b.Job.Identity.String()))
+	})
 	return jobs
 }
 
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"encoding/binary"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
 	"wasabihoist/internal/cluster/wire"
@@ -14,11 +17,13 @@
 	"wasabihoist/internal/traffic/request"
 )
 
+const checksumBytes = 8
+
 // encode writes the state in a form that is the same for equal states.
 func (s *state) encode() ([]byte, error) {
 	m := &wire.State{
 		Next:                 s.next,
-		ClockUnixNanos:       nanos(s.clock),
+		ClockUnixNanos:       nanos(s.clock.now),
 		ConfigurationVersion: s.configuration.Version,
 		Configuration: configurationToWire(ConfigurationPublished{
 			Operator:      s.operator,
@@ -30,27 +35,45 @@
 		m.Jobs = append(m.Jobs, jobStateToWire(j))
 	}
 	slices.SortFunc(m.Jobs, func(a, b *wire.JobState) int {
-		return cmp.Compare(a.GetSubmittedOffset(), b.GetSubmittedOffset())
+		return cmp.Or(cmp.Compare(a.GetSubmittedOffset(), b.GetSubmittedOffset()),
+			compareIdentities(a.GetJob().GetIdentity(), b.GetJob().GetIdentity()))
 	})
 	for _, r := range s.requests {
 		m.Requests = append(m.Requests, requestStateToWire(r))
 	}
 	slices.SortFunc(m.Requests, func(a, b *wire.RequestState) int {
 		return cmp.Or(cmp.Compare(a.GetClaim(), b.GetClaim()),
-			cmp.Compare(a.GetIdentity().GetOrganisation(), b.GetIdentity().GetOrganisation()),
-			cmp.Compare(a.GetIdentity().GetId(), b.GetIdentity().GetId()))
+			compareIdentities(a.GetIdentity(), b.GetIdentity()))
 	})
 	for _, a := range s.audit {
 		m.Audit = append(m.Audit, &wire.AuditState{Offset: a.Offset, TimeUnixNanos: nanos(a.Time), Entry: auditToWire(a.Audit)})
 	}
 	for name, w := range s.writers {
-		m.Writers = append(m.Writers, &wire.WriterState{Writer: name, Sequence: w.sequence, ChangedUnixNanos: nanos(w.changed)})
+		m.Writers = append(m.Writers, &wire.WriterState{Writer: name, Sequence: w.sequence, ChangedUnixNanos: nanos(w.changed), ReportedUnixNanos: nanos(w.reported)})
 	}
 	slices.SortFunc(m.Writers, func(a, b *wire.WriterState) int { return cmp.Compare(a.GetWriter(), b.GetWriter()) })
-	return proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return binary.BigEndian.AppendUint64(data, xxhash.Sum64(data)), nil
+}
+
+func compareIdentities(a, b *wire.Identity) int {
+	return cmp.Or(cmp.Compare(a.GetOrganisation(), b.GetOrganisation()), cmp.Compare(a.GetId(), b.GetId()))
 }
 
+// decodeState reads a snapshot. The checksum at its end catches chunks that
+// were put together wrongly, which could otherwise decode to a wrong state.
 func decodeState(data []byte) (*state, error) {
+	body := len(data) - checksumBytes
+	if body < 0 || binary.BigEndian.Uint64(data[body:]) != xxhash.Sum64(data[:body]) {
+		return nil, errors.New("decode snapshot: wrong checksum")
+	}
+	return decodeStateBody(data[:body])
+}
+
+func decodeStateBody(data []byte) (*state, error) {
 	var m wire.State
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w", err)
@@ -61,7 +84,7 @@
 	}
 	s := newState()
 	s.next = max(1, m.GetNext())
-	s.clock = fromNanos(m.GetClockUnixNanos())
+	s.clock.now = fromNanos(m.GetClockUnixNanos())
 	s.operator = c.Operator
 	s.configuration = organisation.Configuration{
 		Version:       m.GetConfigurationVersion(),
@@ -83,8 +106,14 @@
 		s.audit = append(s.audit, AuditEntry{e.GetOffset(), fromNanos(e.GetTimeUnixNanos()), auditFromWire(e.GetEntry())})
 	}
 	for _, e := range m.GetWriters() {
-		s.writers[e.GetWriter()] = &writerState{e.GetSequence(), fromNanos(e.GetChangedUnixNanos())}
+		s.writers[e.GetWriter()] = &writerState{
+			sequence: e.GetSequence(),
+			changed:  fromNanos(e.GetChangedUnixNanos()),
+			reported: fromNanos(e.GetReportedUnixNanos()),
+		}
 	}
+	s.noteTimes()
+	s.bodies.collect(s.requests)
 	s.rebuildEvictions()
 	return s, nil
 }
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -18,9 +18,6 @@
 	MaxAttempts = 3
 
 	auditKept = 1000
-	// A record moves the clock of the fold by at most maxClockStep, so that one
-	// host with a wrong clock cannot evict what others still need.
-	maxClockStep = time.Minute
 )
 
 // JobState is what the fold knows of a job.
@@ -62,8 +59,9 @@
 }
 
 type writerState struct {
-	sequence uint64 // sequence is the highest that was folded.
-	changed  time.Time
+	sequence uint64    // sequence is the highest that was folded.
+	changed  time.Time // changed is the clock of the fold at the last record.
+	reported time.Time // reported is the highest time of its records.
 }
 
 type eviction struct {
@@ -75,23 +73,26 @@
 // state is the result of folding the log. It is a pure function of the
 // payloads and their offsets.
 type state struct {
-	next          int64     // next is the first offset that is not folded.
-	clock         time.Time // clock never goes back.
+	next          int64 // next is the first offset that is not folded.
+	clock         foldClock
 	configuration organisation.Configuration
 	operator      string
 	jobs          map[request.Identity]*JobState
 	requests      map[request.Identity]*RequestState
 	audit         []AuditEntry
+	bodies        bodies
+	bodyLimit     int // bodyLimit is the bound of bodies in bytes.
 	writers       map[string]*writerState
 	evictions     []eviction // evictions have ascending due times.
 }
 
 func newState() *state {
 	return &state{
-		next:     1,
-		jobs:     map[request.Identity]*JobState{},
-		requests: map[request.Identity]*RequestState{},
-		writers:  map[string]*writerState{},
+		next:      1,
+		jobs:      map[request.Identity]*JobState{},
+		requests:  map[request.Identity]*RequestState{},
+		bodyLimit: MaxBodyBytes,
+		writers:   map[string]*writerState{},
 	}
 }
 
@@ -111,18 +112,22 @@
 	if err != nil {
 		return nil
 	}
+	before := s.clock.now
 	results := make([]judged, 0, len(b.records))
 	for _, e := range b.records {
 		reason := s.applyRecord(offset, b.writer, e)
 		results = append(results, judged{b.writer, e.sequence, e.record, Verdict{offset, reason == "", reason}})
 	}
+	s.bodies.enforce(s.bodyLimit)
 	s.evict()
+	if !s.clock.now.Truncate(time.Hour).Equal(before.Truncate(time.Hour)) {
+		s.evictWriters()
+	}
 	return results
 }
 
 // applyRecord returns why the record is not valid, or an empty string.
 func (s *state) applyRecord(offset int64, writer string, e envelope) string {
-	s.advanceClock(e.time)
 	w := s.writers[writer]
 	if w == nil {
 		w = &writerState{}
@@ -132,7 +137,10 @@
 		return "sequence number is not above the last one of the writer"
 	}
 	w.sequence = e.sequence
-	w.changed = s.clock
+	w.reported = later(w.reported, e.time)
+	s.clock.note(writer, e.time)
+	s.clock.advance()
+	w.changed = s.clock.now
 	switch r := e.record.(type) {
 	case ConfigurationPublished:
 		return s.publish(offset, r)
@@ -168,19 +176,6 @@
 	return 0
 }
 
-func (s *state) advanceClock(t time.Time) {
-	if s.clock.IsZero() {
-		s.clock = t
-		return
-	}
-	if limit := s.clock.Add(maxClockStep); t.After(limit) {
-		t = limit
-	}
-	if t.After(s.clock) {
-		s.clock = t
-	}
-}
-
 func (s *state) publish(offset int64, r ConfigurationPublished) string {
 	if r.Base != s.configuration.Version {
 		return fmt.Sprintf("based on version %d, but version %d is in force", r.Base, s.configuration.Version)
@@ -198,15 +193,15 @@
 }
 
 func (s *state) scheduleEviction(isJob bool, subject request.Identity) {
-	s.evictions = append(s.evictions, eviction{s.clock.Add(RepeatWindow), isJob, subject})
+	s.evictions = append(s.evictions, eviction{s.clock.now.Add(RepeatWindow), isJob, subject})
 }
 
 // evict forgets what has not changed within the repeat window.
 func (s *state) evict() {
-	for len(s.evictions) > 0 && s.evictions[0].due.Before(s.clock) {
+	for len(s.evictions) > 0 && s.evictions[0].due.Before(s.clock.now) {
 		e := s.evictions[0]
 		s.evictions = s.evictions[1:]
-		horizon := s.clock.Add(-RepeatWindow)
+		horizon := s.clock.now.Add(-RepeatWindow)
 		if e.isJob {
 			if j := s.jobs[e.subject]; j != nil && j.State == job.Ended && j.Changed.Before(horizon) {
 				delete(s.jobs, e.subject)
@@ -214,22 +209,32 @@
 			continue
 		}
 		if r := s.requests[e.subject]; r != nil && r.Changed.Before(horizon) {
+			s.bodies.remove(r)
 			delete(s.requests, e.subject)
 		}
 	}
-	s.evictWriters()
 }
 
 // evictWriters bounds the memory for incarnations of processes that are gone.
+// It looks at all writers, so it is called once an hour of the fold's clock.
 func (s *state) evictWriters() {
 	const keepWriters = 4096
 	if len(s.writers) <= keepWriters {
 		return
 	}
-	horizon := s.clock.Add(-RepeatWindow)
+	horizon := s.clock.now.Add(-RepeatWindow)
 	for name, w := range s.writers {
 		if w.changed.Before(horizon) {
 			delete(s.writers, name)
 		}
 	}
+	s.noteTimes()
+}
+
+// noteTimes derives what the clock knows of the hosts from the writers.
+func (s *state) noteTimes() {
+	s.clock = foldClock{now: s.clock.now}
+	for name, w := range s.writers {
+		s.clock.note(name, w.reported)
+	}
 }
--- a/internal/record/journal/state_job.go
+++ b/internal/record/journal/state_job.go
@@ -18,7 +18,7 @@
 	if _, known := s.jobs[r.Job.Identity]; known {
 		return "a job with this identity exists"
 	}
-	s.jobs[r.Job.Identity] = &JobState{Job: r.Job, State: job.Queued, Submitted: offset, Changed: s.clock}
+	s.jobs[r.Job.Identity] = &JobState{Job: r.Job, State: job.Queued, Submitted: offset, Changed: s.clock.now}
 	return ""
 }
 
@@ -42,7 +42,7 @@
 	j.DataCentre = r.DataCentre
 	j.Workers = r.Workers
 	j.Attempt++
-	j.Changed = s.clock
+	j.Changed = s.clock.now
 	return ""
 }
 
@@ -56,7 +56,7 @@
 	}
 	j.State = job.Running
 	j.Started = at
-	j.Changed = s.clock
+	j.Changed = s.clock.now
 	return ""
 }
 
@@ -91,7 +91,7 @@
 	j.Claimant = ""
 	j.Workers = nil
 	j.Reason = reason
-	j.Changed = s.clock
+	j.Changed = s.clock.now
 }
 
 func (s *state) endJob(r JobEnded) string {
@@ -119,7 +119,7 @@
 		s.finishCancelled(j)
 	default:
 		j.CancelRequested = true
-		j.Changed = s.clock
+		j.Changed = s.clock.now
 	}
 	return ""
 }
@@ -141,7 +141,7 @@
 	j.Reason = reason
 	j.Claim = 0
 	j.Workers = nil
-	j.Changed = s.clock
+	j.Changed = s.clock.now
 	s.scheduleEviction(true, j.Job.Identity)
 }
 
--- a/internal/record/journal/state_request.go
+++ b/internal/record/journal/state_request.go
@@ -16,7 +16,7 @@
 		Claim:    offset,
 		Deadline: r.Deadline,
 		Outcome:  request.Pending,
-		Changed:  s.clock,
+		Changed:  s.clock.now,
 	}
 	s.scheduleEviction(false, r.Identity)
 	return ""
@@ -30,7 +30,8 @@
 	known.Outcome = r.Outcome
 	known.Reason = r.Reason
 	known.Body = r.Body
-	known.Changed = s.clock
+	known.Changed = s.clock.now
+	s.bodies.add(known)
 	s.scheduleEviction(false, r.Identity)
 	return ""
 }
--- a/internal/record/journal/writer.go
+++ b/internal/record/journal/writer.go
@@ -10,6 +10,10 @@
 	"wasabihoist/internal/record/platformlog"
 )
 
+// envelopeBytes is about the encoded size of the sequence number and the time
+// of a record.
+const envelopeBytes = 32
+
 // ErrNotAppended is returned when the record is not in the log and never will
 // be.
 var ErrNotAppended = platformlog.ErrNotAppended
@@ -18,38 +22,30 @@
 // whether the record is in the log.
 var ErrUnsettled = errors.New("not known whether the record was appended")
 
-// WriterOptions bound what a writer sends.
+// WriterOptions bound what a writer sends and holds.
 type WriterOptions struct {
-	Spacing    time.Duration // Spacing is the least time between two appends.
-	MaxRecords int           // MaxRecords in one append.
-	MaxBytes   int           // MaxBytes is about the size of one append.
-	MaxPending int           // MaxPending records wait; more are refused as not appended.
-	MaxAudit   int           // MaxAudit audit entries wait; more are dropped and counted.
-	Backoff    time.Duration // Backoff after a failed append.
+	Spacing         time.Duration // Spacing is the least time between two appends.
+	MaxRecords      int           // MaxRecords in one append.
+	MaxBytes        int           // MaxBytes of one append; a larger record is sent alone.
+	MaxPending      int           // MaxPending records wait or are unsettled; more are refused as not appended.
+	MaxPendingBytes int           // MaxPendingBytes bounds the encoded size of these records.
+	MaxAudit        int           // MaxAudit audit entries wait; more are dropped and counted.
+	Backoff         time.Duration // Backoff after a failed append.
 }
 
 // DefaultWriterOptions keep 14 processes below 300 appends a second.
 func DefaultWriterOptions() WriterOptions {
 	return WriterOptions{
-		Spacing:    50 * time.Millisecond,
-		MaxRecords: 500,
-		MaxBytes:   256 << 10,
-		MaxPending: 10_000,
-		MaxAudit:   500,
-		Backoff:    250 * time.Millisecond,
+		Spacing:         50 * time.Millisecond,
+		MaxRecords:      500,
+		MaxBytes:        256 << 10,
+		MaxPending:      10_000,
+		MaxPendingBytes: 8 << 20,
+		MaxAudit:        500,
+		Backoff:         250 * time.Millisecond,
 	}
 }
 
-// submission is a record on its way to the log.
-type submission struct {
-	record   Record
-	sequence uint64        // sequence of the last append that carried it.
-	result   chan Verdict  // result receives the verdict; buffered.
-	absent   chan struct{} // absent is closed when the record will never be folded.
-	skipped  chan struct{} // skipped is closed when a snapshot hides the verdict.
-	dropped  bool          // dropped by its caller before it was sent.
-}
-
 // Writer appends the records of one process incarnation. Records that wait
 // together share an append, and one append is in flight at a time.
 type Writer struct {
@@ -58,26 +54,31 @@
 	options WriterOptions
 	now     func() time.Time
 
-	mu       sync.Mutex
-	sequence uint64
-	pending  []*submission
-	audit    []Audit
-	sent     map[uint64]*submission // sent records without a verdict, by sequence.
-	doubtful bool                   // doubtful is set while the fate of a sent record is open.
-	lost     uint64                 // lost counts dropped audit entries.
-	wake     chan struct{}
+	mu         sync.Mutex
+	sequence   uint64
+	pending    submissionList // pending records of callers wait for an append.
+	audit      submissionList // audit entries wait for space in an append.
+	sent       submissionList // sent records have no verdict yet; sequence numbers ascend.
+	held       int            // held counts the records of callers in pending and sent.
+	heldBytes  int            // heldBytes is their encoded size.
+	auditHeld  int            // auditHeld counts the audit entries in audit and sent.
+	batchBytes int            // batchBytes is MaxBytes or less when the log refuses that much.
+	doubtful   bool           // doubtful is set while the fate of a sent record is open.
+	stopped    bool           // stopped is set when Run has returned.
+	lost       uint64         // lost counts dropped audit entries.
+	wake       chan struct{}
 }
 
 // NewWriter returns a writer that learns verdicts from the journal. The name
-// must be unique to the process incarnation.
+// must be unique to the process incarnation, in the form host@incarnation.
 func NewWriter(name string, log platformlog.Log, j *Journal, options WriterOptions) *Writer {
 	w := &Writer{
-		name:    name,
-		log:     log,
-		options: options,
-		now:     time.Now,
-		sent:    map[uint64]*submission{},
-		wake:    make(chan struct{}, 1),
+		name:       name,
+		log:        log,
+		options:    options,
+		now:        time.Now,
+		batchBytes: options.MaxBytes,
+		wake:       make(chan struct{}, 1),
 	}
 	j.Observe(w.observe)
 	j.ObserveRestore(w.resume)
@@ -91,17 +92,15 @@
 func (w *Writer) String() string { return "journal writer" }
 
 // Append adds a record and waits until it is folded. It returns ErrNotAppended
-// when the record certainly did not take effect, and ErrUnsettled when ctx
-// ended before that was known.
+// when the record certainly did not take effect and never will, and
+// ErrUnsettled when ctx ended before that was known.
 func (w *Writer) Append(ctx context.Context, record Record) (Verdict, error) {
-	s := &submission{
-		record:  record,
-		result:  make(chan Verdict, 1),
-		absent:  make(chan struct{}),
-		skipped: make(chan struct{}),
+	s, err := newSubmission(record, false)
+	if err != nil {
+		return Verdict{}, fmt.Errorf("append: %w: %w", err, ErrNotAppended)
 	}
-	if !w.enqueue(s) {
-		return Verdict{}, fmt.Errorf("too many records wait: %w", ErrNotAppended)
+	if err := w.enqueue(s); err != nil {
+		return Verdict{}, fmt.Errorf("append: %w: %w", err, ErrNotAppended)
 	}
 	select {
 	case v := <-s.result:
@@ -118,13 +117,15 @@
 // Audit queues an entry of the audit trail. It never blocks; entries beyond
 // the bound are dropped and counted.
 func (w *Writer) Audit(a Audit) {
+	s, err := newSubmission(a, true)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.audit) >= w.options.MaxAudit {
+	if err != nil || s.size > w.options.MaxBytes || w.auditHeld >= w.options.MaxAudit || w.stopped {
 		w.lost++
 		return
 	}
-	w.audit = append(w.audit, a)
+	w.auditHeld++
+	w.audit.push(s)
 	w.signal()
 }
 
@@ -135,31 +136,64 @@
 	return w.lost
 }
 
-func (w *Writer) enqueue(s *submission) bool {
+// Held returns the records that wait or are unsettled and their encoded size.
+func (w *Writer) Held() (records, bytes int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if len(w.pending) >= w.options.MaxPending {
-		return false
+	return w.held, w.heldBytes
+}
+
+func (w *Writer) enqueue(s *submission) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.stopped:
+		return errors.New("the writer has stopped")
+	case w.held >= w.options.MaxPending || w.heldBytes+s.size > w.options.MaxPendingBytes:
+		return errors.New("too many records wait")
 	}
-	w.pending = append(w.pending, s)
+	w.held++
+	w.heldBytes += s.size
+	w.pending.push(s)
 	w.signal()
-	return true
+	return nil
+}
+
+// release takes a submission out of the bounds. It needs the mutex.
+func (w *Writer) release(s *submission) {
+	switch {
+	case s.released:
+		return
+	case s.audit:
+		w.auditHeld--
+	default:
+		w.held--
+		w.heldBytes -= s.size
+	}
+	s.released = true
 }
 
-// withdraw gives up on a record. A record that was never sent, or whose last
-// append was refused, is certainly absent.
+// withdraw gives up on a record. A record that waits, because it was never
+// sent or its last append was refused, is certainly absent. A record in flight
+// is not sent again when its append turns out to be refused.
 func (w *Writer) withdraw(s *submission, cause error) (Verdict, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	select {
 	case v := <-s.result:
 		return v, nil
+	case <-s.absent:
+		return Verdict{}, fmt.Errorf("append: %w: %w", cause, ErrNotAppended)
+	case <-s.skipped:
+		return Verdict{}, fmt.Errorf("append: %w: %w", cause, ErrUnsettled)
 	default:
 	}
+	w.release(s)
 	if s.sequence == 0 {
-		s.dropped = true
+		w.pending.abandon(s)
 		return Verdict{}, fmt.Errorf("append: %w: %w", cause, ErrNotAppended)
 	}
+	w.sent.abandon(s)
 	return Verdict{}, fmt.Errorf("append: %w: %w", cause, ErrUnsettled)
 }
 
@@ -170,8 +204,10 @@
 	}
 }
 
-// Run sends records until ctx ends.
+// Run sends records until ctx ends. Records that still wait then are reported
+// as not appended.
 func (w *Writer) Run(ctx context.Context) error {
+	defer w.stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -192,10 +228,26 @@
 	}
 }
 
+func (w *Writer) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	for s := w.pending.front(); s != nil; s = w.pending.front() {
+		w.pending.pop()
+		w.release(s)
+		close(s.absent)
+	}
+	for s := w.audit.front(); s != nil; s = w.audit.front() {
+		w.audit.pop()
+		w.release(s)
+		w.lost++
+	}
+}
+
 func (w *Writer) hasWork() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.pending) > 0 || len(w.audit) > 0 || w.doubtful
+	return !w.pending.empty() || !w.audit.empty() || w.doubtful
 }
 
 // send appends one batch and reports whether the log took it.
@@ -203,47 +255,51 @@
 	b, carried := w.nextBatch()
 	payload, err := encodeBatch(b)
 	if err != nil {
-		w.refuse(carried, false)
+		w.reject(carried)
 		return false
 	}
 	_, err = w.log.Append(ctx, payload)
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	switch {
 	case err == nil:
-		w.settled()
-		return true
+		w.doubtful = false
+	case errors.Is(err, platformlog.ErrTooLarge) && len(carried) == 1:
+		w.unsend(carried)
+		w.drop(carried[0])
+	case errors.Is(err, platformlog.ErrTooLarge):
+		w.batchBytes = max(1, min(w.batchBytes, len(payload))/2)
+		w.requeue(carried)
 	case errors.Is(err, platformlog.ErrNotAppended):
-		w.refuse(carried, true)
-		return false
+		w.requeue(carried)
 	default:
-		w.doubt()
-		return false
+		w.doubtful = true
 	}
+	return err == nil
 }
 
-// nextBatch takes waiting records, or a barrier when there are none.
+// nextBatch takes waiting records, then audit entries into the space that is
+// left, or a barrier when there is nothing to send.
 func (w *Writer) nextBatch() (batch, []*submission) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	b := batch{writer: w.name}
 	var carried []*submission
 	size := 0
-	for len(w.pending) > 0 && len(carried) < w.options.MaxRecords && size < w.options.MaxBytes {
-		s := w.pending[0]
-		w.pending = w.pending[1:]
-		if s.dropped {
-			continue
+	for _, list := range []*submissionList{&w.pending, &w.audit} {
+		for s := list.front(); s != nil; s = list.front() {
+			full := len(carried) >= w.options.MaxRecords || size+s.size > w.batchBytes
+			if len(carried) > 0 && full {
+				break
+			}
+			list.pop()
+			w.sequence++
+			s.sequence = w.sequence
+			w.sent.push(s)
+			carried = append(carried, s)
+			b.records = append(b.records, envelope{s.sequence, w.now(), s.record})
+			size += s.size
 		}
-		w.sequence++
-		s.sequence = w.sequence
-		w.sent[s.sequence] = s
-		carried = append(carried, s)
-		b.records = append(b.records, envelope{s.sequence, w.now(), s.record})
-		size += recordSize(s.record)
-	}
-	for len(w.audit) > 0 && len(b.records) < w.options.MaxRecords {
-		w.sequence++
-		b.records = append(b.records, envelope{w.sequence, w.now(), w.audit[0]})
-		w.audit = w.audit[1:]
 	}
 	if len(b.records) == 0 {
 		w.sequence++
@@ -252,44 +308,63 @@
 	return b, carried
 }
 
-func recordSize(r Record) int {
-	const overhead = 200
-	switch r := r.(type) {
-	case RequestFinished:
-		return overhead + len(r.Body)
-	case SnapshotChunk:
-		return overhead + len(r.State)
-	}
-	return overhead
-}
-
-// refuse handles records that are certainly absent: they wait again, in order,
-// or are reported absent when they cannot be encoded.
-func (w *Writer) refuse(carried []*submission, again bool) {
+// reject reports the records of a batch that cannot be encoded as absent.
+func (w *Writer) reject(carried []*submission) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.unsend(carried)
 	for _, s := range carried {
-		delete(w.sent, s.sequence)
-		s.sequence = 0
-		if !again {
-			close(s.absent)
+		if s.record != nil {
+			w.drop(s)
 		}
 	}
-	if again {
-		w.pending = append(carried, w.pending...)
+}
+
+// drop gives up on a record that is certainly absent. It needs the mutex.
+func (w *Writer) drop(s *submission) {
+	w.release(s)
+	if s.audit {
+		w.lost++
+		return
 	}
+	close(s.absent)
 }
 
-func (w *Writer) settled() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.doubtful = false
+// requeue puts the records of a refused append back, in order. Records that
+// were withdrawn in the meantime are gone. It needs the mutex.
+func (w *Writer) requeue(carried []*submission) {
+	w.unsend(carried)
+	var records, audit []*submission
+	for _, s := range carried {
+		switch {
+		case s.record == nil:
+		case s.audit:
+			audit = append(audit, s)
+		default:
+			records = append(records, s)
+		}
+	}
+	w.pending.putBack(records)
+	w.audit.putBack(audit)
 }
 
-func (w *Writer) doubt() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.doubtful = true
+// unsend takes the newest batch out of the sent records. It needs the mutex.
+func (w *Writer) unsend(carried []*submission) {
+	if len(carried) == 0 {
+		return
+	}
+	first := carried[0].sequence
+	items := w.sent.items
+	for len(items) > 0 && items[len(items)-1].sequence >= first {
+		if items[len(items)-1].record == nil {
+			w.sent.abandoned--
+		}
+		items = items[:len(items)-1]
+	}
+	w.sent.items = items
+	for _, s := range carried {
+		s.sequence = 0
+	}
 }
 
 // observe delivers verdicts. Sent records below a folded sequence number that
@@ -300,16 +375,27 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if s := w.sent[sequence]; s != nil {
-		delete(w.sent, sequence)
+	for s := w.sent.front(); s != nil && s.sequence <= sequence; s = w.sent.front() {
+		w.sent.pop()
+		if s.sequence < sequence {
+			w.settleAbsent(s)
+			continue
+		}
+		w.release(s)
 		s.result <- verdict
 	}
-	for lower, s := range w.sent {
-		if lower < sequence {
-			delete(w.sent, lower)
-			close(s.absent)
-		}
+}
+
+// settleAbsent handles a sent record that is proved absent. Audit entries have
+// no caller that could submit them again, so they wait once more.
+func (w *Writer) settleAbsent(s *submission) {
+	if s.audit && !w.stopped {
+		s.sequence = 0
+		w.audit.push(s)
+		w.signal()
+		return
 	}
+	w.drop(s)
 }
 
 // resume gives up on verdicts that a restored snapshot hides.
@@ -317,10 +403,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	last := folded(w.name)
-	for sequence, s := range w.sent {
-		if sequence <= last {
-			delete(w.sent, sequence)
-			close(s.skipped)
-		}
+	for s := w.sent.front(); s != nil && s.sequence <= last; s = w.sent.front() {
+		w.sent.pop()
+		w.release(s)
+		close(s.skipped)
 	}
 }
--- a/internal/record/platformlog/client.go
+++ b/internal/record/platformlog/client.go
@@ -143,7 +143,10 @@
 }
 
 func statusError(operation string, status int) error {
-	refused := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || status == http.StatusRequestEntityTooLarge
+	if operation == "append" && status == http.StatusRequestEntityTooLarge {
+		return fmt.Errorf("log refused append: %w: %w", ErrTooLarge, ErrNotAppended)
+	}
+	refused := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
 	if operation == "append" && refused {
 		return fmt.Errorf("log refused append: status %d: %w", status, ErrNotAppended)
 	}
--- a/internal/record/platformlog/log.go
+++ b/internal/record/platformlog/log.go
@@ -24,6 +24,10 @@
 // log. Any other error of Append leaves that open.
 var ErrNotAppended = errors.New("not appended")
 
+// ErrTooLarge is returned together with ErrNotAppended when the log does not
+// take a payload of this size.
+var ErrTooLarge = errors.New("payload too large")
+
 // ErrExpired is returned when a read starts below the earliest kept offset. The
 // page that comes with it gives that offset in Earliest, or 0 when the source
 // did not tell.
