Add failure tests of the request path and prove not-run answers

Cause: the promises of the request path must hold under each failure, under two at once and under the same one twice. The first runs showed that an entry whose fold is behind could answer not-run for an identity that another entry's submission had run, and that a failed question counted as proof that the request itself was not sent. Change: failure tests over loopback with the stand-ins. Before a non-idempotent request is answered as not run, the client asks all agents of its service by identity; otherwise the answer is unknown. A failed question counts as a lost reply. The log stand-in reads the body before it hangs, so that it notices the end of the connection.

--- a/internal/role/agent/admission.go
+++ b/internal/role/agent/admission.go
@@ -48,10 +48,7 @@
 		s.mu.Unlock()
 		return s.reply(s.await(ctx, e, s.options.LookupWait), true), nil
 	}
-	answer, found := s.known(id)
-	if _, settling := s.settling[id]; settling && !found {
-		answer, found = request.Answer{Identity: id, Outcome: request.Pending}, true
-	}
+	answer, found := s.lookup(id)
 	s.mu.Unlock()
 	if !found {
 		answer = request.Answer{Identity: id, Outcome: request.Pending}
@@ -59,6 +56,23 @@
 	return s.reply(answer, found), nil
 }
 
+// lookup returns what is known of an identity without an entry. A claim that is
+// being given back proves that the request did not run here.
+func (s *Server) lookup(id request.Identity) (request.Answer, bool) {
+	answer, found := s.known(id)
+	record := s.settling[id]
+	if record == nil || (found && answer.Outcome != request.Pending) {
+		return answer, found
+	}
+	if state, claimed := s.journal.Request(id); claimed && state.Writer != s.writer.Name() {
+		return answer, true
+	}
+	if record.abandons {
+		return s.answer(id, request.NotRun, "the claim is being given back"), true
+	}
+	return request.Answer{Identity: id, Outcome: request.Pending}, true
+}
+
 // admit joins the entry of the identity, accepts a new one, or returns an
 // answer.
 func (s *Server) admit(ctx context.Context, q request.Request) (*entry, request.Answer) {
@@ -91,8 +105,8 @@
 		s.Counters.Repeated.Add(1)
 		return nil, answer, nil
 	}
-	if settled := s.settling[q.Identity]; settled != nil {
-		return nil, request.Answer{}, settled
+	if record := s.settling[q.Identity]; record != nil {
+		return nil, request.Answer{}, record.settled
 	}
 	if reason, retryable := s.refusal(q); reason != "" {
 		s.Counters.Refused.Add(1)
--- a/internal/role/agent/agent_test.go
+++ b/internal/role/agent/agent_test.go
@@ -35,6 +35,7 @@
 func TestDuplicatesRunOnce(t *testing.T) {
 	for name, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
 		t.Run(name, func(t *testing.T) {
+			parallel(t)
 			c := qt.New(t)
 			cl := newCluster(t, 2, nil)
 			q := cl.request("tally", idempotent, 100*time.Millisecond)
@@ -235,6 +236,7 @@
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
+			parallel(t)
 			c := qt.New(t)
 			cl := newCluster(t, 1, nil)
 			cl.nodes[0].minion.SetFaults(tt.faults)
--- a/internal/role/agent/claim.go
+++ b/internal/role/agent/claim.go
@@ -116,8 +116,9 @@
 // settle appends a record that must be folded in the end, however long the log
 // is down. It needs the mutex. The returned channel is closed afterwards.
 func (s *Server) settle(id request.Identity, record journal.Record) <-chan struct{} {
-	settled := make(chan struct{})
-	s.settling[id] = settled
+	_, abandons := record.(journal.RequestAbandoned)
+	open := &openRecord{abandons: abandons, settled: make(chan struct{})}
+	s.settling[id] = open
 	s.spawn("settle", func(ctx context.Context) {
 		for ctx.Err() == nil {
 			if _, err := s.writer.Append(ctx, record); err == nil {
@@ -128,8 +129,8 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.settling, id)
-		close(settled)
+		close(open.settled)
 		s.notify()
 	})
-	return settled
+	return open.settled
 }
--- /dev/null
+++ b/internal/role/agent/failure_test.go
@@ -0,0 +1,450 @@
+package agent_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/role/agent"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/standin/minionhost"
+	"wasabihoist/internal/traffic/request"
+	"wasabihoist/internal/traffic/routing"
+)
+
+// startClient starts the routing part of an entry. Its view of the agents
+// never changes, as if membership had not noticed any failure yet.
+func (cl *cluster) startClient(name string) *routing.Client {
+	cl.t.Helper()
+	g := group.New(context.Background())
+	j, _ := cl.startJournal(g, name, gatedLog{cl.log, newGate()})
+	options := routing.DefaultOptions()
+	options.Region, options.DataCentre = "serido", "caico"
+	options.AskAfter = 200 * time.Millisecond
+	agents := make([]routing.Agent, 0, len(cl.nodes))
+	for _, n := range cl.nodes {
+		agents = append(agents, routing.Agent{
+			Name: n.name, Region: "serido", DataCentre: "caico", Service: "folha-app",
+			Address: netip.MustParseAddrPort(n.server.Listener.Addr().String()),
+		})
+	}
+	client := routing.New(options, func() []routing.Agent { return agents }, j, nil)
+	cl.t.Cleanup(func() {
+		g.Stop()
+		_ = g.Wait()
+		client.Close()
+	})
+	return client
+}
+
+// slots bounds the clusters that run at the same time.
+var slots = make(chan struct{}, 8)
+
+func parallel(t *testing.T) {
+	t.Helper()
+	t.Parallel()
+	slots <- struct{}{}
+	t.Cleanup(func() { <-slots })
+}
+
+func submit(client *routing.Client, q request.Request, timeout time.Duration) request.Answer {
+	q.Deadline = time.Now().Add(timeout)
+	return client.Run(context.Background(), q)
+}
+
+// Guards against replies between processes that are lost, crossed or truncated
+// and then lead to a second run, a wrong answer or no answer.
+func TestDamagedReplies(t *testing.T) {
+	for _, fault := range []string{"crossed", "truncated", "lost"} {
+		for _, times := range []int{1, 2} {
+			for name, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+				t.Run(fmt.Sprintf("%s %d %s", fault, times, name), func(t *testing.T) {
+					parallel(t)
+					c := qt.New(t)
+					cl := newCluster(t, 1, nil)
+					client := cl.startClient("entry")
+					cl.nodes[0].network.set(fault, times)
+					q := cl.request("tally", idempotent, 50*time.Millisecond)
+					assertDone(c, q, submit(client, q, eventually))
+					c.Assert(cl.executions(q.Identity), qt.Equals, 1)
+				})
+			}
+		}
+	}
+}
+
+// Guards against requests that wait on silent connections until their deadline
+// although new connections work.
+func TestSilentConnections(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			parallel(t)
+			c := qt.New(t)
+			cl := newCluster(t, 1, nil)
+			client := cl.startClient("entry")
+			assertDone(c, cl.request("first", true, 0), submit(client, cl.request("first", true, 0), eventually))
+			cl.nodes[0].network.silence()
+			cl.nodes[0].minion.SilenceConnections()
+			q := cl.request("tally", idempotent, 0)
+			assertDone(c, q, submit(client, q, eventually))
+			// The second time, the connections break while the request runs.
+			q = cl.request("tally-2", idempotent, 500*time.Millisecond)
+			g := group.New(context.Background())
+			g.Go("silence", func(context.Context) error {
+				cl.awaitTrue("the request runs", func() bool { return cl.executions(q.Identity) == 1 })
+				cl.nodes[0].network.silence()
+				cl.nodes[0].minion.SilenceConnections()
+				return nil
+			})
+			assertDone(c, q, submit(client, q, eventually))
+			c.Assert(g.Wait(), qt.IsNil)
+			c.Assert(cl.executions(q.Identity), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against a request that runs after its deadline, when the agent was
+// paused between its claim and the start.
+func TestPausedBetweenClaimAndStart(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 1, nil)
+	n := cl.nodes[0]
+	client := cl.startClient("entry")
+	g := group.New(context.Background())
+	q := cl.request("tally", false, 0)
+	cl.logService.SetFaults(logservice.Faults{Delay: 200 * time.Millisecond})
+	g.Go("pause", func(context.Context) error {
+		cl.awaitTrue("the request is accepted", func() bool { return n.agent.Counters.Accepted.Value() == 2 })
+		n.gate.shut()
+		time.Sleep(1200 * time.Millisecond)
+		n.gate.open()
+		return nil
+	})
+	a := submit(client, q, 800*time.Millisecond)
+	c.Assert(a.Outcome, qt.Equals, request.Unknown)
+	c.Assert(g.Wait(), qt.IsNil)
+	cl.logService.SetFaults(logservice.Faults{})
+	cl.awaitTrue("the claim is given back", func() bool {
+		_, claimed := n.journal.Request(q.Identity)
+		return !claimed && n.agent.Counters.Unsettled.Value()+n.agent.Counters.Abandoned.Value() > 0
+	})
+	c.Assert(cl.executions(q.Identity), qt.Equals, 0)
+}
+
+// Guards against any step at which the death of an agent leads to a second run,
+// to a NotRun answer for a request that ran, or to an idempotent request
+// without an answer.
+func TestAgentKilledAtEachStep(t *testing.T) {
+	tests := map[string]struct {
+		work   time.Duration
+		outage bool                                    // outage keeps the claim from being appended.
+		when   func(n *node, id request.Identity) bool // when says that the step is reached.
+		after  logservice.Faults                       // after is in force from the run on.
+	}{
+		"before the claim":  {outage: true, when: func(n *node, _ request.Identity) bool { return n.agent.Counters.Accepted.Value() > 1 }},
+		"after the claim":   {work: 300 * time.Millisecond, when: func(n *node, id request.Identity) bool { _, ok := n.journal.Request(id); return ok }},
+		"during the run":    {work: 300 * time.Millisecond, when: func(n *node, id request.Identity) bool { return n.minion.Executions(id) > 0 }},
+		"before the record": {work: 100 * time.Millisecond, after: logservice.Faults{Outage: true}, when: func(n *node, _ request.Identity) bool { _, running := n.agent.Load(); return running == 0 }},
+	}
+	for name, tt := range tests {
+		for kind, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				parallel(t)
+				c := qt.New(t)
+				cl := newCluster(t, 2, nil)
+				clients := []*routing.Client{cl.startClient("entry-1"), cl.startClient("entry-2")}
+				q := cl.request("tally", idempotent, tt.work)
+				cl.logService.SetFaults(logservice.Faults{Outage: tt.outage})
+				g := group.New(context.Background())
+				g.Go("kill", func(context.Context) error {
+					n := cl.awaitNode("the agent has the request", func(n *node) bool { return n.agent.Counters.Accepted.Value() > 1 })
+					if tt.after != (logservice.Faults{}) {
+						cl.awaitTrue("the request runs", func() bool { return n.minion.Executions(q.Identity) > 0 })
+						cl.logService.SetFaults(tt.after)
+					}
+					end := time.Now().Add(time.Second)
+					for !tt.when(n, q.Identity) && time.Now().Before(end) {
+						time.Sleep(time.Millisecond)
+					}
+					n.kill()
+					return nil
+				})
+				first := submit(clients[0], q, 2*time.Second)
+				c.Assert(g.Wait(), qt.IsNil)
+				cl.logService.SetFaults(logservice.Faults{})
+				cl.checkAnswers(c, q, first)
+				second := submit(clients[1], q, 2*time.Second)
+				cl.checkAnswers(c, q, first, second)
+				if idempotent {
+					assertDone(c, q, first)
+				}
+				if first.Outcome == request.Done {
+					assertDone(c, q, second)
+				}
+			})
+		}
+	}
+}
+
+func (cl *cluster) awaitNode(what string, condition func(n *node) bool) *node {
+	cl.t.Helper()
+	var found *node
+	cl.awaitTrue(what, func() bool {
+		for _, n := range cl.nodes {
+			if condition(n) {
+				found = n
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// checkAnswers checks the promises that hold under any failure.
+func (cl *cluster) checkAnswers(c *qt.C, q request.Request, answers ...request.Answer) {
+	c.Helper()
+	runs := cl.executions(q.Identity)
+	if !q.Idempotent {
+		c.Assert(runs <= 1, qt.IsTrue, qt.Commentf("%s ran %d times", q.Identity, runs))
+	}
+	for _, a := range answers {
+		switch a.Outcome {
+		case request.Done:
+			assertDone(c, q, a)
+			c.Assert(runs >= 1, qt.IsTrue)
+		case request.NotRun:
+			c.Assert(runs, qt.Equals, 0, qt.Commentf("%s: %s", q.Identity, a.Reason))
+		case request.Pending:
+			c.Fatalf("%s has no answer", q.Identity)
+		}
+	}
+}
+
+// Guards against a minion that fails while it runs a request, and then leads to
+// a second run or to a wrong answer.
+func TestMinionFailsDuringTheRun(t *testing.T) {
+	tests := map[string]struct {
+		fail func(n *node)
+		lift func(n *node)
+	}{
+		"crash":                    {func(n *node) { n.minion.Crash() }, func(n *node) { n.startMinion() }},
+		"crash and return at once": {func(n *node) { n.minion.Crash(); time.Sleep(20 * time.Millisecond); n.startMinion() }, func(*node) {}},
+		"freeze":                   {func(n *node) { n.minion.SetFaults(minionhost.Faults{Freeze: true}) }, func(n *node) { n.minion.SetFaults(minionhost.Faults{}) }},
+		"silence":                  {func(n *node) { n.minion.SilenceConnections() }, func(*node) {}},
+	}
+	for name, tt := range tests {
+		for kind, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+			t.Run(name+" "+kind, func(t *testing.T) {
+				parallel(t)
+				c := qt.New(t)
+				cl := newCluster(t, 2, nil)
+				client := cl.startClient("entry")
+				q := cl.request("tally", idempotent, 300*time.Millisecond)
+				g := group.New(context.Background())
+				g.Go("fail", func(context.Context) error {
+					n := cl.awaitNode("the request runs", func(n *node) bool { return n.minion.Executions(q.Identity) > 0 })
+					tt.fail(n)
+					time.Sleep(time.Second)
+					tt.lift(n)
+					return nil
+				})
+				a := submit(client, q, 4*time.Second)
+				c.Assert(g.Wait(), qt.IsNil)
+				cl.checkAnswers(c, q, a)
+				if idempotent || name == "freeze" || name == "silence" {
+					assertDone(c, q, a)
+				}
+			})
+		}
+	}
+}
+
+// Guards against an entry whose death leaves a request that another entry
+// cannot answer.
+func TestEntryGoneAndAskedAgain(t *testing.T) {
+	for kind, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+		t.Run(kind, func(t *testing.T) {
+			parallel(t)
+			c := qt.New(t)
+			cl := newCluster(t, 3, nil)
+			first, second := cl.startClient("entry-1"), cl.startClient("entry-2")
+			q := cl.request("tally", idempotent, 300*time.Millisecond)
+			ctx, cancel := context.WithCancel(context.Background())
+			g := group.New(context.Background())
+			g.Go("first", func(context.Context) error {
+				lost := q
+				lost.Deadline = time.Now().Add(eventually)
+				first.Run(ctx, lost)
+				return nil
+			})
+			cl.awaitTrue("the request runs", func() bool { return cl.executions(q.Identity) == 1 })
+			cancel()
+			c.Assert(g.Wait(), qt.IsNil)
+			assertDone(c, q, submit(second, q, eventually))
+			c.Assert(cl.executions(q.Identity), qt.Equals, 1)
+			again, found := second.Lookup(context.Background(), q.Identity)
+			c.Assert(found, qt.IsTrue)
+			assertDone(c, q, again)
+		})
+	}
+}
+
+// Guards against a planned stop under full load that cuts off a long answer.
+func TestDrainUnderFullLoad(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 2, func(o *agent.Options) { o.Terms.Limit = 1000 })
+	client := cl.startClient("entry")
+	requests := make([]request.Request, 100)
+	for i := range requests {
+		requests[i] = cl.request(fmt.Sprint("r-", i), i%3 != 0, 0)
+		size := 200_000
+		if !requests[i].Idempotent {
+			size = 20_000 // it goes through the log as well
+		}
+		requests[i].Body = minionhost.Body(50*time.Millisecond, size)
+	}
+	g := group.New(context.Background())
+	g.Go("drain", func(ctx context.Context) error {
+		cl.awaitTrue("the slots are full", func() bool { waiting, running := cl.nodes[0].agent.Load(); return running == 8 && waiting > 0 })
+		return cl.nodes[0].agent.Drain(ctx)
+	})
+	answers := atOnce(len(requests), func(i int) request.Answer { return submit(client, requests[i], eventually) })
+	c.Assert(g.Wait(), qt.IsNil)
+	for i, a := range answers {
+		assertDone(c, requests[i], a)
+		c.Assert(cl.executions(requests[i].Identity), qt.Equals, 1)
+	}
+}
+
+type fault struct {
+	inject func(cl *cluster, n *node)
+	lift   func(cl *cluster, n *node)
+}
+
+func minionFault(f minionhost.Faults) fault {
+	return fault{
+		func(_ *cluster, n *node) { n.minion.SetFaults(f) },
+		func(_ *cluster, n *node) { n.minion.SetFaults(minionhost.Faults{}) },
+	}
+}
+
+func logFault(f logservice.Faults) fault {
+	return fault{
+		func(cl *cluster, _ *node) { cl.logService.SetFaults(f) },
+		func(cl *cluster, _ *node) { cl.logService.SetFaults(logservice.Faults{}) },
+	}
+}
+
+func none(*cluster, *node) {}
+
+var faults = map[string]fault{
+	"log outage":          logFault(logservice.Faults{Outage: true}),
+	"log answers lost":    logFault(logservice.Faults{LoseAnswer: 0.5}),
+	"log hangs":           logFault(logservice.Faults{Hang: true}),
+	"minion crash":        {func(_ *cluster, n *node) { n.minion.Crash() }, func(_ *cluster, n *node) { n.startMinion() }},
+	"minion freeze":       minionFault(minionhost.Faults{Freeze: true}),
+	"minion crossed":      minionFault(minionhost.Faults{Cross: true}),
+	"minion truncated":    minionFault(minionhost.Faults{Truncate: true}),
+	"minion answers lost": minionFault(minionhost.Faults{LoseAnswer: true}),
+	"minion silent":       {func(_ *cluster, n *node) { n.minion.SilenceConnections() }, none},
+	"agent killed":        {func(_ *cluster, n *node) { n.kill() }, none},
+	"agent paused":        {func(_ *cluster, n *node) { n.gate.shut() }, func(_ *cluster, n *node) { n.gate.open() }},
+	"agent silent":        {func(_ *cluster, n *node) { n.network.silence() }, none},
+	"replies lost":        {func(_ *cluster, n *node) { n.network.set("lost", 20) }, none},
+	"replies crossed":     {func(_ *cluster, n *node) { n.network.set("crossed", 20) }, none},
+}
+
+// Guards against promises that hold under one failure and break under two at
+// once or under the same one twice.
+func TestTwoFaults(t *testing.T) {
+	for name1, first := range faults {
+		for name2, second := range faults {
+			if name2 < name1 {
+				continue
+			}
+			t.Run(name1+" and "+name2, func(t *testing.T) {
+				parallel(t)
+				testTwoFaults(t, first, second)
+			})
+		}
+	}
+}
+
+// submission is a request with all answers to it.
+type submission struct {
+	request request.Request
+	mu      sync.Mutex
+	answers []request.Answer
+}
+
+func testTwoFaults(t *testing.T, first, second fault) {
+	c := qt.New(t)
+	cl := newCluster(t, 3, nil)
+	clients := []*routing.Client{cl.startClient("entry-1"), cl.startClient("entry-2")}
+	const timeout = 1200 * time.Millisecond
+	// An append that hangs is given up after 2 s and a read after 3 s; records
+	// that were held up by that follow later.
+	const repeatTimeout = 6 * time.Second
+	submissions := make([]*submission, 24)
+	g := group.New(context.Background())
+	ask := func(s *submission, client *routing.Client, after, timeout time.Duration) {
+		g.Go("ask", func(context.Context) error {
+			time.Sleep(after)
+			start := time.Now()
+			a := submit(client, s.request, timeout)
+			// An answer comes by the deadline and the grace of the client; the
+			// rest of the bound is for a busy machine.
+			c.Check(time.Since(start) < timeout+2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(start)))
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.answers = append(s.answers, a)
+			return nil
+		})
+	}
+	for i := range submissions {
+		s := &submission{request: cl.request(fmt.Sprint("r-", i), i%4 == 0, 60*time.Millisecond)}
+		submissions[i] = s
+		ask(s, clients[i%2], time.Duration(i)*20*time.Millisecond, timeout)
+		if i%3 == 1 && !s.request.Idempotent {
+			ask(s, clients[(i+1)%2], time.Duration(i)*20*time.Millisecond, timeout)
+		}
+	}
+	time.Sleep(150 * time.Millisecond)
+	first.inject(cl, cl.nodes[0])
+	time.Sleep(100 * time.Millisecond)
+	second.inject(cl, cl.nodes[1])
+	time.Sleep(400 * time.Millisecond)
+	first.lift(cl, cl.nodes[0])
+	second.lift(cl, cl.nodes[1])
+	c.Assert(g.Wait(), qt.IsNil)
+	for _, s := range submissions {
+		cl.checkAnswers(c, s.request, s.answers...)
+	}
+	for i, s := range submissions {
+		ask(s, clients[(i+1)%2], 0, repeatTimeout)
+	}
+	c.Assert(g.Wait(), qt.IsNil)
+	for _, s := range submissions {
+		last := len(s.answers) - 1
+		cl.checkRepeat(c, s.request, s.answers[:last], s.answers[last])
+	}
+}
+
+// checkRepeat checks an answer after the faults. An earlier NotRun answer does
+// not exclude that the repeat runs.
+func (cl *cluster) checkRepeat(c *qt.C, q request.Request, earlier []request.Answer, repeat request.Answer) {
+	c.Helper()
+	cl.checkAnswers(c, q, repeat)
+	for _, a := range earlier {
+		if a.Outcome == request.Done {
+			assertDone(c, q, repeat)
+		}
+	}
+}
--- a/internal/role/agent/server.go
+++ b/internal/role/agent/server.go
@@ -31,6 +31,12 @@
 	done      chan struct{}
 }
 
+// openRecord is a record that must still be appended.
+type openRecord struct {
+	abandons bool          // abandons is set for a record that gives back a claim.
+	settled  chan struct{} // settled is closed once the record is folded.
+}
+
 // Server queues and runs requests on the minion beside it.
 type Server struct {
 	options  Options
@@ -48,7 +54,7 @@
 	ahead     int                  // ahead counts entries that are being claimed or are claimed and wait.
 	running   int                  // running counts occupied slots.
 	kept      *answers
-	settling  map[request.Identity]chan struct{} // settling has a channel for each record that must still be appended.
+	settling  map[request.Identity]*openRecord // settling has the records that must still be appended.
 	draining  bool
 	minion    minionState
 	changed   chan struct{} // changed is closed when an entry or a record is done, and then replaced.
@@ -66,7 +72,7 @@
 		unclaimed: queue.New[*entry](),
 		ready:     queue.New[*entry](),
 		kept:      newAnswers(options.KeepAnswers, options.KeepBytes),
-		settling:  map[request.Identity]chan struct{}{},
+		settling:  map[request.Identity]*openRecord{},
 		changed:   make(chan struct{}),
 	}
 }
--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -65,6 +65,8 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.currentFaults()
 		if f.Hang {
+			// The server notices the end of a connection only after the body.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
--- a/internal/traffic/routing/client.go
+++ b/internal/traffic/routing/client.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
+	"fmt"
 	"net/http"
 	"time"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/traffic/request"
 )
@@ -24,6 +27,7 @@
 	LinkFull  expvar.Int // LinkFull counts remote agents that were left out because of the cap on the region link.
 	Discarded expvar.Int // Discarded replies were crossed or truncated.
 	Lost      expvar.Int // Lost replies.
+	Unproved  expvar.Int // Unproved refusals of non-idempotent requests were answered as unknown.
 }
 
 // Client runs requests end to end. It is safe for concurrent use.
@@ -59,18 +63,56 @@
 func (c *Client) Status() []AgentStatus { return c.chooser.status() }
 
 // Run runs a request and returns its one answer, at the latest a short grace
-// after its deadline. NotRun is returned only when no attempt can have run.
+// after its deadline. NotRun is returned only when no attempt can have run. For
+// a non-idempotent request it also means that no agent and no record known here
+// has the identity from another submission.
 func (c *Client) Run(ctx context.Context, q request.Request) request.Answer {
 	c.Counters.Requests.Add(1)
 	c.budget.Requested(time.Now())
+	caller := ctx
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline.Add(c.options.Grace))
 	defer cancel()
 	r := &run{client: c, request: q, tried: map[string]bool{}}
 	answer := r.complete(ctx)
-	if answer.Outcome == request.NotRun && !q.Idempotent {
-		return c.confirmNotRun(ctx, answer)
+	if answer.Outcome != request.NotRun || q.Idempotent {
+		return answer
 	}
-	return answer
+	answer = c.confirmNotRun(ctx, answer)
+	if answer.Outcome != request.NotRun {
+		return answer
+	}
+	return c.proveNotRun(caller, q, answer)
+}
+
+// proveNotRun asks all agents of the service whether they know the identity,
+// which may have been submitted at another entry as well. The journal alone is
+// no proof, because this process may be behind it while the log is down. When
+// an agent knows it or does not reply, the outcome is unknown.
+func (c *Client) proveNotRun(ctx context.Context, q request.Request, a request.Answer) request.Answer {
+	ctx, cancel := context.WithTimeout(ctx, c.options.ProveTimeout)
+	defer cancel()
+	g := group.New(ctx)
+	for _, target := range c.chooser.agents() {
+		if target.Service != q.Service || target.State == Dead {
+			continue
+		}
+		g.Go("ask "+target.Name, func(ctx context.Context) error {
+			answer, found, err := c.exchanger.lookup(ctx, target, q.Identity)
+			if err != nil {
+				return err
+			}
+			if found && answer.Outcome != request.NotRun {
+				return fmt.Errorf("%s: %w", target.Name, errKnown)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil || ctx.Err() != nil {
+		c.Counters.Unproved.Add(1)
+		reason := fmt.Sprintf("%s; not proved: %v", a.Reason, errors.Join(err, ctx.Err()))
+		return request.Answer{Identity: a.Identity, Outcome: request.Unknown, Reason: reason}
+	}
+	return a
 }
 
 // confirmNotRun checks that no other agent holds a claim of the identity, which
--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -26,6 +26,7 @@
 	errTruncated = errors.New("reply is not whole")
 	errLost      = errors.New("reply was lost")
 	errInvalid   = errors.New("request is not valid")
+	errKnown     = errors.New("agent knows the request")
 )
 
 // replyPassing is how long a reply may be behind an answer to a question.
@@ -94,7 +95,8 @@
 			}
 			return request.Answer{}, fmt.Errorf("ask %s: %w: it does not know the request", a.Name, errLost)
 		case err != nil && q.Idempotent:
-			return request.Answer{}, err
+			// The error is that of the question; the request itself was sent.
+			return request.Answer{}, fmt.Errorf("ask %s: %w: %v", a.Name, errLost, err)
 		}
 	}
 }
--- a/internal/traffic/routing/options.go
+++ b/internal/traffic/routing/options.go
@@ -58,6 +58,7 @@
 	AskAfter       time.Duration // AskAfter is how long an exchange is silent before the agent is asked by identity.
 	AskTimeout     time.Duration // AskTimeout bounds a question; it is longer than an agent holds one back.
 	Grace          time.Duration // Grace is how long a reply that the deadline brings about may take.
+	ProveTimeout   time.Duration // ProveTimeout bounds the questions to all agents before a non-idempotent request is answered as not run.
 	Dial           time.Duration // Dial bounds the time to open a connection.
 }
 
@@ -80,6 +81,7 @@
 		AskAfter:       time.Second,
 		AskTimeout:     2500 * time.Millisecond,
 		Grace:          200 * time.Millisecond,
+		ProveTimeout:   300 * time.Millisecond,
 		Dial:           500 * time.Millisecond,
 	}
 }
