Check cores and memory at the holder beside tasks the planner does not know

Cause: the check at the holder covered accelerators only, so a start could overcommit the memory of a worker that still ran tasks of an unsettled claim. Change: on a worker with such tasks, nothing is overcommitted. One audit entry reports a takeover instead of one for each worker, which would have pushed everything else out of the trail. Conclusion: starts are checked against all that is known to run.

--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -72,15 +72,13 @@
 }
 
 // fits checks a placement against what is known to be on the workers, because
-// workers start whatever they are given. Accelerators are checked exactly;
-// cores and memory may be overcommitted by the planner's learned ratios, so
-// only a member that alone exceeds its worker is refused.
+// workers start whatever they are given.
 func (t *term) fits(j job.Job, workers []string) error {
-	needed := map[string]int{}
+	needed := map[string]worker.Resources{}
 	for _, name := range workers {
-		needed[name] += j.Shape.Accelerators
+		needed[name] = needed[name].Plus(j.Member())
 	}
-	for name, accelerators := range needed {
+	for name, amount := range needed {
 		h := t.hosts[name]
 		if h == nil || !h.up {
 			return fmt.Errorf("worker %s is not available", name)
@@ -88,21 +86,36 @@
 		if !t.health.allows(name, time.Now()) {
 			return fmt.Errorf("worker %s takes no new tasks", name)
 		}
-		used := 0
-		for _, r := range h.reserved {
-			used += r.Accelerators
-		}
-		for task, state := range h.tasks {
-			if _, ours := t.byTask[task]; !ours && state.State.Live() {
-				used += state.Resources.Accelerators
-			}
-		}
-		if used+accelerators > h.worker.Capacity.Accelerators {
-			return fmt.Errorf("worker %s has %d of %d accelerators in use", name, used, h.worker.Capacity.Accelerators)
-		}
 		if member := j.Member(); !member.Fits(h.worker.Capacity) {
 			return fmt.Errorf("a member with %s exceeds worker %s", member, name)
 		}
+		if err := t.hasRoom(h, amount); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// hasRoom compares the amount with what is free. The planner may overcommit
+// cores and memory by its learned ratios, so these are checked only on a worker
+// that also has tasks which the planner does not know.
+func (t *term) hasRoom(h *hostState, amount worker.Resources) error {
+	var reserved, foreign worker.Resources
+	for _, r := range h.reserved {
+		reserved = reserved.Plus(r)
+	}
+	for name, task := range h.tasks {
+		if _, ours := t.byTask[name]; !ours && task.State.Live() {
+			foreign = foreign.Plus(task.Resources)
+		}
+	}
+	used := reserved.Plus(foreign)
+	capacity := h.worker.Capacity
+	if foreign == (worker.Resources{}) && used.Accelerators+amount.Accelerators <= capacity.Accelerators {
+		return nil
+	}
+	if !used.Plus(amount).Fits(capacity) {
+		return fmt.Errorf("worker %s has %s in use", h.worker.Name, used)
 	}
 	return nil
 }
--- a/internal/fleet/scheduler/failure_test.go
+++ b/internal/fleet/scheduler/failure_test.go
@@ -273,6 +273,38 @@
 	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
 }
 
+// Guards against a start beside a task that the planner does not know, on a
+// worker that starts whatever it is given.
+func TestFitIsCheckedAtTheHolder(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
+	foreign := worker.Task{Name: "other/1/1/0", State: worker.Running, Resources: worker.Resources{Memory: 80}}
+	p.scheduler.ask(func(t *term) { t.hosts["w0"].tasks[foreign.Name] = foreign })
+	j := gangOf("ana", "1", 2, 50*time.Millisecond)
+	p.submit(j)
+	f.await("the misfit is found", func() bool { return p.scheduler.Counters().Misfits.Value() > 0 })
+	f.c.Assert(f.attempts(j), qt.HasLen, 0)
+	p.scheduler.ask(func(t *term) { delete(t.hosts["w0"].tasks, foreign.Name) })
+	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+}
+
+// Guards against decisions without an entry in the audit trail.
+func TestDecisionsAreAudited(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	j := gangOf("ana", "1", 2, 50*time.Millisecond)
+	p.submit(j)
+	p.awaitState(j.Identity, job.Ended)
+	f.await("the entries are in the trail", func() bool {
+		actions := map[string]bool{}
+		for _, e := range p.journal.AuditTrail() {
+			actions[e.Audit.Action] = e.Audit.Reason != ""
+		}
+		return actions["takeover"] && actions["start"]
+	})
+}
+
 // Guards against a job that fails everywhere and is tried for ever.
 func TestJobThatFailsOnTwoWorkersFails(t *testing.T) {
 	f := newFixture(t, 4, func(s worker.Spec) (time.Duration, bool) {
--- a/internal/fleet/scheduler/takeover.go
+++ b/internal/fleet/scheduler/takeover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"strings"
 	"time"
 
@@ -26,7 +25,6 @@
 	h.tasks = map[string]worker.Task{}
 	h.open = true // as the planner takes a worker that is added
 	t.planner.AddWorker(h.worker)
-	t.audit("takeover", name, "lease acquired", fmt.Sprintf("%d tasks", len(report.Tasks)))
 	t.workerReport(name, sent, report)
 	t.wantSync()
 }
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -35,6 +35,7 @@
 	delayed  map[request.Identity]delayed
 	begun    time.Time
 	synced   time.Time // synced is when the last barrier that was folded was sent; zero before the first.
+	placing  bool      // placing is set once the workers are known well enough to place jobs.
 	draining bool
 }
 
@@ -179,12 +180,22 @@
 	if t.draining || !t.ready() {
 		return
 	}
+	if !t.placing {
+		t.placing = true
+		t.auditTakeover()
+	}
 	now := time.Now()
 	t.offerDelayed(now)
 	t.openWorkers(now)
 	t.decide(now)
 }
 
+func (t *term) auditTakeover() {
+	s := t.summary()
+	t.audit("takeover", t.options.DataCentre, "the duty came to this process in "+t.options.Region,
+		fmt.Sprintf("%d of %d workers leased, %d jobs adopted, %d claims open", s.Workers, len(t.hosts), s.Active, len(t.settling)))
+}
+
 // ready reports whether the workers are known well enough to place jobs.
 func (t *term) ready() bool {
 	if time.Since(t.begun) > t.limits.Grace {
