--- a/internal/fleet/gang/gang.go
+++ b/internal/fleet/gang/gang.go
@@ -85,6 +85,8 @@
 type Gang struct {
 	members []Member
 	options Options
+	hurry   context.Context // hurry ends when a checkpoint in progress is to be given up.
+	giveUp  context.CancelFunc
 
 	mu       sync.Mutex
 	tasks    []worker.Task // tasks holds the last report of each member; State 0 before the first.
@@ -102,9 +104,12 @@
 
 // New returns a gang that has not been started.
 func New(members []Member, options Options) *Gang {
+	hurry, giveUp := context.WithCancel(context.Background())
 	return &Gang{
 		members: members,
 		options: options,
+		hurry:   hurry,
+		giveUp:  giveUp,
 		tasks:   make([]worker.Task, len(members)),
 		lost:    make([]bool, len(members)),
 		changed: make(chan struct{}),
@@ -148,6 +153,9 @@
 	})
 }
 
+// GiveUpCheckpoint stops the members without waiting for a checkpoint.
+func (g *Gang) GiveUpCheckpoint() { g.giveUp() }
+
 func (g *Gang) update(change func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fleet/gang/gang_test.go
+++ b/internal/fleet/gang/gang_test.go
@@ -212,16 +212,24 @@
 	}
 }
 
-// Guards against a checkpoint that hangs and keeps the workers occupied.
+// Guards against a checkpoint that hangs and keeps the workers occupied until
+// its time is over, or although the holder has given it up.
 func TestHangingCheckpointIsStopped(t *testing.T) {
-	c := qt.New(t)
-	f := newFixture(t)
-	_, started := f.gang.Start(bounded(t))
-	c.Assert(started, qt.IsTrue)
-	f.hosts[2].SetFaults(workerhost.Faults{CheckpointDelay: -1})
-	f.gang.Reclaim(50*time.Millisecond, "guarantee")
-	r := f.gang.Watch(bounded(t))
-	c.Assert(r.Outcome, qt.Equals, gang.Checkpointed)
-	c.Assert(r.Kept, qt.IsFalse)
-	c.Assert(f.hosts[2].History()[0].End, qt.Equals, worker.Stopped)
+	for name, limit := range map[string]time.Duration{"time is over": 50 * time.Millisecond, "given up": time.Minute} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture(t)
+			_, started := f.gang.Start(bounded(t))
+			c.Assert(started, qt.IsTrue)
+			f.hosts[2].SetFaults(workerhost.Faults{CheckpointDelay: -1})
+			f.gang.Reclaim(limit, "guarantee")
+			if limit == time.Minute {
+				time.AfterFunc(50*time.Millisecond, f.gang.GiveUpCheckpoint)
+			}
+			r := f.gang.Watch(bounded(t))
+			c.Assert(r.Outcome, qt.Equals, gang.Checkpointed)
+			c.Assert(r.Kept, qt.IsFalse)
+			c.Assert(f.hosts[2].History()[0].End, qt.Equals, worker.Stopped)
+		})
+	}
 }
--- a/internal/fleet/gang/watch.go
+++ b/internal/fleet/gang/watch.go
@@ -75,6 +75,9 @@
 
 // checkpoint keeps the progress of all members and returns the least.
 func (g *Gang) checkpoint(ctx context.Context, limit time.Duration) (time.Duration, bool) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(g.hurry, cancel)()
 	progress := make([]time.Duration, len(g.members))
 	err := g.each(ctx, func(ctx context.Context, i int, m Member) error {
 		t, err := m.Host.Checkpoint(ctx, m.Spec.Name, limit)
--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -124,15 +124,22 @@
 // lets it wait.
 func (t *term) reclaim(d placement.Decision, moveTo []string) {
 	a := t.active[d.Job]
-	if a == nil {
+	switch {
+	case a == nil:
 		t.planner.Released(d.Job)
 		return
+	case a.reclaimed:
+		// The planner repeats the decision when the checkpoint takes too long.
+		if a.gang != nil && !d.Checkpoint {
+			a.gang.GiveUpCheckpoint()
+		}
+		return
 	}
 	var limit time.Duration
 	if d.Checkpoint {
-		limit = t.limits.Checkpoint
+		limit = t.options.Planner.Checkpoint
 		if js, known := t.journal.Job(d.For); known && js.Job.Urgent {
-			limit = t.limits.UrgentCheckpoint
+			limit = t.options.Planner.UrgentCheckpoint
 		}
 	}
 	a.moveTo = moveTo
--- a/internal/fleet/scheduler/fixture_test.go
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -33,8 +33,8 @@
 func testLimits() Limits {
 	return Limits{
 		TTL: time.Second, Renew: 200 * time.Millisecond, Call: 400 * time.Millisecond, Retry: 50 * time.Millisecond,
-		Grace: 500 * time.Millisecond, OtherClaim: 400 * time.Millisecond, Checkpoint: 300 * time.Millisecond,
-		UrgentCheckpoint: 200 * time.Millisecond, Drain: time.Second, Tick: 50 * time.Millisecond, Usage: time.Second,
+		Grace: 500 * time.Millisecond, OtherClaim: 400 * time.Millisecond,
+		Drain: time.Second, Tick: 50 * time.Millisecond, Usage: time.Second,
 	}
 }
 
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -28,37 +28,33 @@
 
 // Limits are the times of the duty. All durations must be positive.
 type Limits struct {
-	TTL              time.Duration // TTL of the worker leases.
-	Renew            time.Duration // Renew is the time between two renewals; well below TTL.
-	Call             time.Duration // Call bounds every call to a worker.
-	Retry            time.Duration // Retry is the pause after a failed call or append.
-	Grace            time.Duration // Grace is how long a new term waits for workers before it places jobs.
-	OtherClaim       time.Duration // OtherClaim is how long the preferred data centre has for its claim.
-	Checkpoint       time.Duration // Checkpoint bounds a checkpoint.
-	UrgentCheckpoint time.Duration // UrgentCheckpoint bounds a checkpoint that an urgent job waits for.
-	Drain            time.Duration // Drain bounds the starts in progress at a graceful stop.
-	Skew             time.Duration // Skew is the largest difference of clocks between hosts.
-	Tick             time.Duration // Tick is the longest time between two decisions.
-	Usage            time.Duration // Usage is the time between two reads of a worker's usage.
+	TTL        time.Duration // TTL of the worker leases.
+	Renew      time.Duration // Renew is the time between two renewals; well below TTL.
+	Call       time.Duration // Call bounds every call to a worker.
+	Retry      time.Duration // Retry is the pause after a failed call or append.
+	Grace      time.Duration // Grace is how long a new term waits for workers before it places jobs.
+	OtherClaim time.Duration // OtherClaim is how long the preferred data centre has for its claim.
+	Drain      time.Duration // Drain bounds the starts in progress at a graceful stop.
+	Skew       time.Duration // Skew is the largest difference of clocks between hosts.
+	Tick       time.Duration // Tick is the longest time between two decisions.
+	Usage      time.Duration // Usage is the time between two reads of a worker's usage.
 }
 
-// DefaultLimits are those of production. An urgent job waits for the claim of
-// its preferred data centre (2 s) and for a checkpoint (3 s), which leaves 4 s
-// of the 9.1 s for the log, the start and one lost call.
+// DefaultLimits are those of production. An urgent job may wait for the claim of
+// its preferred data centre (2 s) and for a checkpoint (4 s), which leaves 3 s
+// of the 9.1 s for the log, the stop and the start.
 func DefaultLimits() Limits {
 	return Limits{
-		TTL:              10 * time.Second,
-		Renew:            3 * time.Second,
-		Call:             time.Second,
-		Retry:            200 * time.Millisecond,
-		Grace:            time.Second,
-		OtherClaim:       2 * time.Second,
-		Checkpoint:       30 * time.Second,
-		UrgentCheckpoint: 3 * time.Second,
-		Drain:            5 * time.Second,
-		Skew:             2 * time.Second,
-		Tick:             500 * time.Millisecond,
-		Usage:            30 * time.Second,
+		TTL:        10 * time.Second,
+		Renew:      3 * time.Second,
+		Call:       time.Second,
+		Retry:      200 * time.Millisecond,
+		Grace:      time.Second,
+		OtherClaim: 2 * time.Second,
+		Drain:      5 * time.Second,
+		Skew:       2 * time.Second,
+		Tick:       500 * time.Millisecond,
+		Usage:      30 * time.Second,
 	}
 }
 
