Take the weights of the placement policies from the settings

Cause: the settings had weights of lateness and fragmentation that nothing read; the policies have weights of their own. A test of the minion stand-in failed once because it called before the stand-in listened again. Change: the keys under agent.weights are those of the policies; gang-start, checkpoint and reservation-wait reach the scheduler; the test waits for the new incarnation, with the same assertions.

--- a/internal/run/embedded/cluster.go
+++ b/internal/run/embedded/cluster.go
@@ -273,7 +273,6 @@
 	s.Agent.Service = c.Options.Deployment.Service
 	s.Agent.MinionAddress = host.Address()
 	s.Agent.Policy = c.Options.Deployment.Policy
-	s.Agent.Weights = settings.DefaultWeights(s.Agent.Policy)
 	for _, w := range c.Workers {
 		s.Agent.Workers = append(s.Agent.Workers, w.Worker)
 	}
--- a/internal/run/process/duties.go
+++ b/internal/run/process/duties.go
@@ -143,7 +143,10 @@
 	o.Policy = d.policy
 	o.Limits.TTL = s.Agent.Timeouts.Lease
 	o.Limits.Renew = s.Agent.Timeouts.LeaseRenewal
-	o.Limits.Checkpoint = s.Agent.Timeouts.Checkpoint
+	o.Planner.Weights = s.Agent.Weights
+	o.Planner.Checkpoint = s.Agent.Timeouts.Checkpoint
+	o.Planner.MaxWait = s.Agent.Timeouts.ReservationWait
+	o.Gang.StartDeadline = s.Agent.Timeouts.GangStart
 	o.Logger = d.node.logger
 	return scheduler.New(o, d.node.journal, d.node.writer)
 }
--- a/internal/run/settings/check.go
+++ b/internal/run/settings/check.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/run/tomlfile"
 )
@@ -119,15 +120,17 @@
 	c.workers(s.Workers)
 }
 
-func (c checker) weights(w Weights) {
-	if w.Lateness < 0 {
-		c.d.Reportf("agent.weights.lateness", "want at least 0, got %g", w.Lateness)
+func (c checker) weights(w placement.Weights) {
+	weights := map[string]float64{
+		"patience": w.Patience, "fairness": w.Fairness, "rack": w.Rack, "worker": w.Worker, "core": w.Core,
 	}
-	if w.Fragmentation < 0 {
-		c.d.Reportf("agent.weights.fragmentation", "want at least 0, got %g", w.Fragmentation)
+	for name, value := range weights {
+		if value < 0 {
+			c.d.Reportf(tomlfile.Join("agent.weights", name), "want at least 0, got %g", value)
+		}
 	}
-	if w.Lateness == 0 && w.Fragmentation == 0 {
-		c.d.Reportf("agent.weights", "want at least one weight above 0")
+	if w.Patience == 0 {
+		c.d.Reportf("agent.weights.patience", "want more than 0")
 	}
 }
 
--- a/internal/run/settings/file.go
+++ b/internal/run/settings/file.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
 )
 
@@ -63,8 +64,11 @@
 }
 
 type weightsTable struct {
-	Lateness      float64 `toml:"lateness"`
-	Fragmentation float64 `toml:"fragmentation"`
+	Patience float64 `toml:"patience"`
+	Fairness float64 `toml:"fairness"`
+	Rack     float64 `toml:"rack"`
+	Worker   float64 `toml:"worker"`
+	Core     float64 `toml:"core"`
 }
 
 type agentTimeoutsTable struct {
@@ -217,7 +221,7 @@
 		Slots:           t.Slots,
 		Connections:     t.Connections,
 		Policy:          Policy(t.Policy),
-		Weights:         Weights(t.Weights),
+		Weights:         placement.Weights(t.Weights),
 		Timeouts:        AgentTimeouts(t.Timeouts),
 	}
 	for _, w := range t.Workers {
--- a/internal/run/settings/load.go
+++ b/internal/run/settings/load.go
@@ -29,9 +29,6 @@
 	}
 	f := fileFromDomain(Default(role))
 	d := tomlfile.Decode(path, data, &f)
-	if d.Has("agent.policy") {
-		applyWeights(d, &f.Agent)
-	}
 	s := f.toDomain()
 	checkKeys(d, role)
 	check(d, s)
@@ -57,18 +54,6 @@
 	return role, &finding.List{}
 }
 
-// applyWeights gives weights that the file does not set the values that the
-// policy of the file has.
-func applyWeights(d *tomlfile.Document, t *agentTable) {
-	weights := DefaultWeights(Policy(t.Policy))
-	if !d.Has("agent.weights.lateness") {
-		t.Weights.Lateness = weights.Lateness
-	}
-	if !d.Has("agent.weights.fragmentation") {
-		t.Weights.Fragmentation = weights.Fragmentation
-	}
-}
-
 // roleKeys lists the top-level keys that only some roles use.
 var roleKeys = map[string][]Role{
 	"log-address":         {Entry, Agent},
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
 )
 
@@ -40,26 +41,6 @@
 	return []Policy{FirstFit, BestFit, CompletionFirst, FragmentationFirst}
 }
 
-// Weights are the parts of the score of a weighted policy. Each is at least 0
-// and their sum is above 0.
-type Weights struct {
-	Lateness      float64
-	Fragmentation float64
-}
-
-// DefaultWeights returns the weights of a policy. Policies that are not
-// weighted ignore them.
-func DefaultWeights(p Policy) Weights {
-	switch p {
-	case CompletionFirst:
-		return Weights{Lateness: 0.8, Fragmentation: 0.2}
-	case FragmentationFirst:
-		return Weights{Lateness: 0.2, Fragmentation: 0.8}
-	default:
-		return Weights{Lateness: 0.5, Fragmentation: 0.5}
-	}
-}
-
 // Settings are the settings of one process. Of the fields named after a role,
 // only the one of the process's own role is set.
 type Settings struct {
@@ -116,8 +97,8 @@
 	Slots           int // Slots is the number of requests that the minion runs at the same time.
 	Connections     int // Connections bounds open connections to the minion.
 	Policy          Policy
-	Weights         Weights
-	Workers         []worker.Worker // Workers that the scheduler duty may use.
+	Weights         placement.Weights // Weights of the weighted policies, each at least 0.
+	Workers         []worker.Worker   // Workers that the scheduler duty may use.
 	Timeouts        AgentTimeouts
 }
 
@@ -194,7 +175,7 @@
 		Slots:       8,
 		Connections: 64,
 		Policy:      BestFit,
-		Weights:     DefaultWeights(BestFit),
+		Weights:     placement.Default().Weights,
 		Timeouts: AgentTimeouts{
 			Lease:           10 * time.Second,
 			LeaseRenewal:    3 * time.Second,
--- a/internal/run/settings/settings_test.go
+++ b/internal/run/settings/settings_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/run/settings"
 )
 
@@ -42,12 +43,12 @@
 // Guards against defaults that are lost when a file is read.
 func TestParseAppliesDefaults(t *testing.T) {
 	c := qt.New(t)
-	s, err := settings.Parse("f", []byte(agent+"policy = \"completion-first\"\n[agent.weights]\nfragmentation = 0.5\n"+
+	s, err := settings.Parse("f", []byte(agent+"policy = \"completion-first\"\n[agent.weights]\nrack = 0.5\n"+
 		"[agent.timeouts]\nlease = \"20s\"\n[[agent.worker]]\nname = \"w\"\nrack = \"r\"\naddress = \"127.0.0.1:6\"\ncores = 2.5\nmemory-mb = 3\n"))
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Agent.Slots, qt.Equals, 8)
 	c.Assert(s.Agent.Connections, qt.Equals, 64)
-	c.Assert(s.Agent.Weights, qt.Equals, settings.Weights{Lateness: 0.8, Fragmentation: 0.5})
+	c.Assert(s.Agent.Weights, qt.Equals, placement.Weights{Patience: 20, Fairness: 1800, Rack: 0.5, Worker: 4, Core: 16})
 	c.Assert(s.Agent.Timeouts.Lease, qt.Equals, 20*time.Second)
 	c.Assert(s.Agent.Timeouts.LeaseRenewal, qt.Equals, 3*time.Second)
 	c.Assert(s.Agent.Workers[0].DataCentre, qt.Equals, "mobile-back")
@@ -74,11 +75,12 @@
 				"f:15: agent.worker\\[0\\].accelerators: want 0 to 8, got 9"},
 		"policy": {
 			strings.Replace(agent, "seeds = [\"127.0.0.1:3\"]", "log-level = \"loud\"", 1) + "policy = \"worst-fit\"\n" +
-				"[agent.weights]\nlateness = 0\nfragmentation = 0.0\n[agent.timeouts]\nlease = \"1s\"\nlease-renewal = \"1s\"\n",
+				"[agent.weights]\npatience = 0\nrack = -1.0\n[agent.timeouts]\nlease = \"1s\"\nlease-renewal = \"1s\"\n",
 			"f: seeds: want at least one address\n" +
 				"f:8: log-level: want one of debug, info, warn, error, got \"loud\"\n" +
 				"f:13: agent.policy: want one of first-fit, .*, got \"worst-fit\"\n" +
-				"f:14: agent.weights: want at least one weight above 0\n" +
+				"f:15: agent.weights.patience: want more than 0\n" +
+				"f:16: agent.weights.rack: want at least 0, got -1\n" +
 				"f:19: agent.timeouts.lease-renewal: want less than the lease of 1s, got 1s",
 		},
 		"duplicate workers": {
--- a/internal/standin/minionhost/host_test.go
+++ b/internal/standin/minionhost/host_test.go
@@ -120,6 +120,11 @@
 	h.Crash()
 	c.Assert(errors.Is(wait(), minionhost.ErrCrashed), qt.IsTrue)
 	run(t, h)
+	// Run listens again in its own goroutine, before it sets the incarnation.
+	for ctx := within(t, 4*time.Second); h.Incarnation() == first; {
+		c.Assert(ctx.Err(), qt.IsNil)
+		time.Sleep(time.Millisecond)
+	}
 	_, err = client.Ask(within(t, 4*time.Second), tally, first)
 	c.Assert(errors.Is(err, minion.ErrNotKnown), qt.IsTrue, qt.Commentf("%v", err))
 	_, err = client.Work(within(t, 4*time.Second), minion.Work{Identity: tally, Incarnation: first})
