--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -113,7 +113,7 @@
 			return request.Answer{}, fmt.Errorf("ask %s: %w: it does not know the request", a.Name, errLost)
 		case err != nil && q.Idempotent:
 			// The error is that of the question; the request itself was sent.
-			return request.Answer{}, fmt.Errorf("ask %s: %w: %v", a.Name, errLost, err)
+			return request.Answer{}, fmt.Errorf("ask %s: %w: %w", a.Name, errLost, err)
 		}
 	}
 }
