Name the members that an embedded deployment waits for

Cause: a start that failed said how many members were missing, not which. Change: list them with their states.

--- a/internal/run/embedded/ready.go
+++ b/internal/run/embedded/ready.go
@@ -1,8 +1,10 @@
 package embedded
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"wasabihoist/internal/role/restapi"
@@ -52,14 +54,8 @@
 	if err != nil {
 		return err.Error(), err
 	}
-	alive := 0
-	for _, m := range members {
-		if m.State == "alive" {
-			alive++
-		}
-	}
-	if want := len(c.Entries) + len(c.Minions); alive < want {
-		return fmt.Sprintf("%d of %d members are alive", alive, want), nil
+	if absent := c.absent(members); len(absent) > 0 {
+		return "members that are not alive: " + strings.Join(absent, ", "), nil
 	}
 	centres, err := c.Operator(e).Fleet(ctx)
 	if err != nil {
@@ -95,3 +91,29 @@
 		Allowances:     string(allowances.Data),
 	})
 }
+
+// absent lists the processes that are not alive in a member list.
+func (c *Cluster) absent(members []restapi.Member) []string {
+	states := map[string]string{}
+	for _, m := range members {
+		states[m.Name] = m.State
+	}
+	var absent []string
+	for _, name := range c.processNames() {
+		if state := states[name]; state != "alive" {
+			absent = append(absent, name+" "+cmp.Or(state, "unknown"))
+		}
+	}
+	return absent
+}
+
+func (c *Cluster) processNames() []string {
+	var names []string
+	for _, e := range c.Entries {
+		names = append(names, e.Name)
+	}
+	for _, m := range c.Minions {
+		names = append(names, m.Settings.Name)
+	}
+	return names
+}
