--- a/internal/cluster/membership/repair.go
+++ b/internal/cluster/membership/repair.go
@@ -16,7 +16,7 @@
 
 // catchUpDelays precede the later readings of the list. A whole data centre
 // that starts at once joins before the seeds know it.
-var catchUpDelays = []time.Duration{5 * time.Second, 15 * time.Second}
+var catchUpDelays = []time.Duration{time.Second, 5 * time.Second, 15 * time.Second}
 
 // join reads the whole member list from the first seed that answers.
 func (m *Membership) join(ctx context.Context) error {
