--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -389,7 +389,8 @@
 }
 
 // refit lets smaller jobs occupy a smaller guaranteed shape that has become
-// unheld, so that the larger one is there for a job that takes it whole.
+// unheld, so that the larger one is there for a job that takes it whole. A job
+// whose place cannot be the place of the smaller shape becomes borrowed.
 func (r *round) refit(t *tenant) {
 	for _, x := range t.active {
 		if !r.smaller(x) || len(x.place) != x.job.Shape.Members || x.state == Holding {
@@ -402,12 +403,9 @@
 		if shape.Adjacency != organisation.WithinWorker && shape.Members != len(x.place) {
 			continue
 		}
-		old, kept := x.unit, r.ledger.Place(x.unit)
 		r.releaseUnit(x)
 		if r.ledger.Hold(id, names(expand(x.place, shape))) {
 			r.own(x, id)
-		} else if r.ledger.Hold(old, kept) {
-			r.own(x, old)
 		}
 	}
 }
