Let jobs that have missed their deadline give way

Cause: in overload, completion-first ran jobs that were late already before jobs that could still be in time. Change: byLateness ranks a job that can no longer meet its deadline as one without a deadline.

--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -243,6 +243,9 @@
 func (r *round) newTurns(gained bool) *turns {
 	h := &turns{}
 	for _, t := range r.order {
+		if r.policy.demotes() {
+			r.demote(t)
+		}
 		x := &turn{tenant: t}
 		if !gained {
 			if len(t.fresh) == 0 {
@@ -260,6 +263,29 @@
 	return h
 }
 
+// demote moves jobs that can no longer meet their deadline to where they would be
+// without one. Ranks are the times at which jobs must start, so that only the
+// head of the queue is looked at.
+func (r *round) demote(t *tenant) {
+	now := seconds(r.now)
+	late := func(e *entry) bool { return !e.demoted && !e.job.Deadline.IsZero() }
+	for at := 0; at < len(t.queue) && t.queue[at].rank < now; {
+		e := t.queue[at]
+		if !late(e) {
+			at++
+			continue
+		}
+		t.queue = slices.Delete(t.queue, at, at+1)
+		e.demoted = true
+		e.rank = r.policy.rank(e, &r.options)
+		to, _ := slices.BinarySearchFunc(t.queue, e, compareEntries)
+		t.queue = slices.Insert(t.queue, to, e)
+		if to <= at {
+			at++
+		}
+	}
+}
+
 // borrow starts the job outside of the guarantees of its organisation.
 func (r *round) borrow(e *entry) bool {
 	if reason := r.mayBorrow(e); reason != "" {
--- a/internal/fleet/placement/entry.go
+++ b/internal/fleet/placement/entry.go
@@ -27,6 +27,7 @@
 	entitled bool             // entitled is true while a place is sought for a guaranteed shape.
 	started  time.Time
 	reason   string
+	demoted  bool // demoted jobs could not meet their deadline any more when they were next in turn.
 
 	leaveBy time.Time // leaveBy is when a reclaimed job is stopped without a checkpoint.
 	forced  bool      // forced is true after that stop was decided.
--- a/internal/fleet/placement/policy.go
+++ b/internal/fleet/placement/policy.go
@@ -20,6 +20,9 @@
 	// rank orders the jobs of one organisation; the lowest goes first. It is
 	// taken once, when the job arrives.
 	rank(e *entry, o *Options) float64
+	// demotes reports whether a job that can no longer meet its deadline gives
+	// way to others, as if it had none.
+	demotes() bool
 	// turn orders the organisations by their next job; the lowest goes first.
 	turn(head *entry, capacity worker.Resources, o *Options) float64
 }
@@ -93,6 +96,8 @@
 
 func (c Composed[O, F]) rank(e *entry, o *Options) float64 { return c.order.rank(e, o) }
 
+func (c Composed[O, F]) demotes() bool { return c.order.demotes() }
+
 func (c Composed[O, F]) turn(head *entry, capacity worker.Resources, o *Options) float64 {
 	return c.order.turn(head, capacity, o)
 }
@@ -106,6 +111,8 @@
 
 func (inTurn) rank(e *entry, _ *Options) float64 { return seconds(e.job.Submitted) }
 
+func (inTurn) demotes() bool { return false }
+
 func (inTurn) turn(head *entry, capacity worker.Resources, _ *Options) float64 {
 	return head.tenant.load(capacity)
 }
@@ -117,12 +124,14 @@
 func (byLateness) rank(e *entry, o *Options) float64 {
 	patience := time.Duration(o.Weights.Patience * float64(e.runTime))
 	due := e.job.Submitted.Add(patience)
-	if !e.job.Deadline.IsZero() {
+	if !e.job.Deadline.IsZero() && !e.demoted {
 		due = e.job.Deadline.Add(-e.runTime)
 	}
 	return seconds(due)
 }
 
+func (byLateness) demotes() bool { return true }
+
 func (byLateness) turn(head *entry, capacity worker.Resources, o *Options) float64 {
 	return head.rank + o.Weights.Fairness*head.tenant.load(capacity)
 }
