Let completion-first keep free accelerators together

Cause: gangs waited longest with completion-first, and its fragmentation was that of best-fit. A new test found that a long job that fails closes its class for shorter jobs that would end before a reservation. Change: CompletionFirst uses the fit of FragmentationFirst; a failed search closes the class only when no shorter job waits. Add tests for reclaim, lending, learned memory and reservations.

--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -331,7 +331,9 @@
 	r.attempts++
 	place := r.find(e, e.job.Shape.Adjacency, racks, r.now)
 	if place == nil {
-		c.round, c.runTime, c.open = r.round, e.runTime, false
+		c.round, c.runTime = r.round, e.runTime
+		// A shorter job of the class may still fit before a reservation.
+		c.open = len(r.reservations) > 0 && e.runTime > c.least
 	}
 	return place
 }
--- a/internal/fleet/placement/planner_test.go
+++ b/internal/fleet/placement/planner_test.go
@@ -41,3 +41,116 @@
 	c.Assert(decisions, qt.HasLen, 1)
 	c.Assert(decisions[0].Workers, qt.DeepEquals, []string{"b", "c"})
 }
+
+// plans gives each organisation one guaranteed shape within a worker.
+func plans(accelerators map[string]int) organisation.Configuration {
+	c := organisation.Configuration{Version: 1}
+	for name, n := range accelerators {
+		c.Organisations = append(c.Organisations, organisation.Organisation{Name: name, Plan: name})
+		c.Plans = append(c.Plans, organisation.Plan{Name: name, Share: 1, Urgent: true, Guarantees: []organisation.Guarantee{{
+			Shape: organisation.Shape{Members: 1, Accelerators: n, Adjacency: organisation.WithinWorker}, Count: 1}}})
+	}
+	return c
+}
+
+// Guards against a guarantee that cannot be had because accelerators are lent:
+// the cheaper of two borrowed jobs has to leave by checkpoint, is stopped when
+// that takes too long, and waits again.
+func TestGuaranteedJobTakesBorrowedAcceleratorsBack(t *testing.T) {
+	c := qt.New(t)
+	p := placement.New(placement.FirstFit{}, placement.Default())
+	p.AddWorker(accelerated("a", "1", 4))
+	p.AddWorker(accelerated("b", "1", 4))
+	p.SetConfiguration(plans(map[string]int{"ana": 4}))
+	old, young := gang("bento", "old", 1, 4, organisation.WithinWorker), gang("bento", "young", 1, 4, organisation.WithinWorker)
+	p.Adopt(old, []string{"a"}, epoch.Add(-time.Hour))
+	p.Adopt(young, []string{"b"}, epoch.Add(-time.Minute))
+	wanted := gang("ana", "1", 1, 4, organisation.WithinWorker)
+	p.Submit(wanted)
+	decisions := p.Decide(epoch)
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Assert(decisions[0].Kind, qt.Equals, placement.Reclaim)
+	c.Assert(decisions[0].Job, qt.Equals, young.Identity)
+	c.Assert(decisions[0].Checkpoint, qt.IsTrue)
+	c.Assert(decisions[0].For, qt.Equals, wanted.Identity)
+
+	decisions = p.Decide(epoch.Add(placement.Default().Checkpoint))
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Assert(decisions[0].Checkpoint, qt.IsFalse)
+	p.Released(young.Identity)
+	decisions = p.Decide(epoch.Add(time.Minute))
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Assert(decisions[0].Job, qt.Equals, wanted.Identity)
+	x, _ := p.Explain(wanted.Identity, epoch)
+	c.Assert(x.Guaranteed, qt.IsTrue)
+	x, _ = p.Explain(young.Identity, epoch)
+	c.Assert(x.State, qt.Equals, placement.Waiting)
+}
+
+// Guards against lending while a guaranteed shape has no place, and against
+// lending that does not begin again.
+func TestLendingStopsWhileAGuaranteeHasNoPlace(t *testing.T) {
+	c := qt.New(t)
+	p := placement.New(placement.FirstFit{}, placement.Default())
+	p.AddWorker(accelerated("a", "1", 4))
+	p.AddWorker(accelerated("b", "1", 2))
+	p.SetConfiguration(plans(map[string]int{"ana": 4}))
+	p.RemoveWorker("a")
+	borrowed := gang("bento", "1", 1, 1, organisation.WithinWorker)
+	p.Submit(borrowed)
+	c.Assert(p.Decide(epoch), qt.HasLen, 0)
+	c.Assert(p.Verdict().String(), qt.Matches, "plan ana of organisation ana lacks a place for 1 of 1x4 .*")
+	p.AddWorker(accelerated("a", "1", 4))
+	c.Assert(p.Decide(epoch), qt.HasLen, 1)
+}
+
+// Guards against declared memory that is trusted after many jobs of the kind have
+// used far less.
+func TestDeclaredMemoryIsCorrectedByWhatJobsUsed(t *testing.T) {
+	c := qt.New(t)
+	p := placement.New(placement.BestFit{}, placement.Default())
+	p.AddWorker(accelerated("a", "1", 8))
+	job := func(id string) (j request.Identity) {
+		g := gang("ana", id, 1, 1, organisation.WithinWorker)
+		g.Memory = 200e9
+		p.Submit(g)
+		return g.Identity
+	}
+	for i := range 6 {
+		id := job(string(rune('a' + i)))
+		c.Assert(p.Decide(epoch), qt.HasLen, 1)
+		p.Started(id, epoch)
+		p.ObserveUsage(id, 0, worker.Resources{Cores: 1, Memory: 20e9}, epoch)
+		p.Ended(id, epoch.Add(time.Hour), request.Done)
+	}
+	job("x")
+	job("y")
+	c.Assert(p.Decide(epoch), qt.HasLen, 2)
+}
+
+// Guards against a gang that starves because smaller jobs take each free place:
+// after the reservation is made, a job that would outlast it does not start.
+func TestReservationKeepsAPlaceForAStarvingGang(t *testing.T) {
+	c := qt.New(t)
+	p := placement.New(placement.FirstFit{}, placement.Default())
+	p.AddWorker(accelerated("a", "1", 4))
+	p.AddWorker(accelerated("b", "1", 4))
+	running := gang("ana", "running", 1, 4, organisation.WithinWorker)
+	p.Adopt(running, []string{"a"}, epoch)
+	wide := gang("bento", "wide", 2, 4, organisation.WithinRack)
+	p.Submit(wide)
+	c.Assert(p.Decide(epoch), qt.HasLen, 0)
+	later := epoch.Add(15 * time.Minute)
+	c.Assert(p.Decide(later), qt.HasLen, 0)
+	long, short := gang("clara", "long", 1, 1, organisation.WithinWorker), gang("clara", "short", 1, 1, organisation.WithinWorker)
+	short.RunTime = 10 * time.Minute
+	p.Submit(long)
+	p.Submit(short)
+	decisions := p.Decide(later)
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Assert(decisions[0].Job, qt.Equals, short.Identity)
+	p.Ended(short.Identity, later, request.Done)
+	p.Ended(running.Identity, later, request.Done)
+	decisions = p.Decide(later)
+	c.Assert(decisions[0].Job, qt.Equals, wide.Identity)
+}
--- a/internal/fleet/placement/policy.go
+++ b/internal/fleet/placement/policy.go
@@ -58,8 +58,9 @@
 	FirstFit = Composed[inTurn, takeFirst]
 	// BestFit takes jobs in order of submission and the tightest place that fits.
 	BestFit = Composed[inTurn, tightest]
-	// CompletionFirst takes the jobs first that would be late first.
-	CompletionFirst = Composed[byLateness, tightest]
+	// CompletionFirst takes the jobs first that would be late first, and keeps free
+	// accelerators together so that gangs need not wait long.
+	CompletionFirst = Composed[byLateness, joined]
 	// FragmentationFirst keeps free accelerators together.
 	FragmentationFirst = Composed[inTurn, joined]
 )
