Shorten checkpoints when an urgent job takes the place

Change: the time of jobs that leave the place of an urgent job is shortened; the replay calls Decide when an urgent checkpoint runs out.

--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -29,7 +29,9 @@
 
 // Decide returns the steps to take now, in order. It does work for what has
 // changed since the last call: new jobs are tried everywhere, and other waiting
-// jobs only on racks that have gained room.
+// jobs only on racks that have gained room. The owner calls it after every change
+// and at least once a second while jobs have been asked to leave, so that those
+// are stopped in time.
 func (p *Planner) Decide(now time.Time) []Decision {
 	p.refresh(now)
 	r := &round{Planner: p, now: now}
--- a/internal/fleet/placement/planner_test.go
+++ b/internal/fleet/placement/planner_test.go
@@ -154,3 +154,24 @@
 	decisions = p.Decide(later)
 	c.Assert(decisions[0].Job, qt.Equals, wide.Identity)
 }
+
+// Guards against urgent work that waits for the long checkpoint of a job that was
+// asked to leave for other work.
+func TestUrgentJobShortensACheckpoint(t *testing.T) {
+	c := qt.New(t)
+	p := placement.New(placement.FirstFit{}, placement.Default())
+	p.AddWorker(accelerated("a", "1", 4))
+	p.SetConfiguration(plans(map[string]int{"ana": 2, "bento": 1}))
+	old := gang("clara", "old", 1, 4, organisation.WithinWorker)
+	p.Adopt(old, []string{"a"}, epoch.Add(-time.Hour))
+	p.Submit(gang("ana", "1", 1, 2, organisation.WithinWorker))
+	c.Assert(p.Decide(epoch), qt.HasLen, 1)
+	urgent := gang("bento", "1", 1, 2, organisation.WithinWorker)
+	urgent.Urgent = true
+	p.Submit(urgent)
+	c.Assert(p.Decide(epoch.Add(time.Second)), qt.HasLen, 0)
+	decisions := p.Decide(epoch.Add(time.Second + placement.Default().UrgentCheckpoint))
+	c.Assert(decisions, qt.HasLen, 1)
+	c.Assert(decisions[0].Job, qt.Equals, old.Identity)
+	c.Assert(decisions[0].Checkpoint, qt.IsFalse)
+}
--- a/internal/fleet/placement/reclaim.go
+++ b/internal/fleet/placement/reclaim.go
@@ -132,11 +132,27 @@
 		r.run(e, reason)
 		return
 	}
+	r.hurry(e)
 	e.state, e.reason = Holding, reasonLeaving
 	r.model.promise(e)
 	r.holding = append(r.holding, e)
 }
 
+// hurry shortens the time of jobs that were asked to leave the place earlier, for
+// a job that was not urgent.
+func (r *round) hurry(e *entry) {
+	if !e.job.Urgent {
+		return
+	}
+	for _, x := range r.leaving {
+		if slices.ContainsFunc(x.place, func(n *node) bool { return slices.Contains(e.place, n) }) {
+			if limit := r.now.Add(r.options.UrgentCheckpoint); limit.Before(x.leaveBy) {
+				x.leaveBy = limit
+			}
+		}
+	}
+}
+
 // reclaim asks a running job to leave for the gain of another, which may be the
 // job itself.
 func (r *round) reclaim(x, gainer *entry, reason string) {
--- a/internal/run/bench/placementbench/replay.go
+++ b/internal/run/bench/placementbench/replay.go
@@ -225,9 +225,7 @@
 
 // tick lets planners act on time alone.
 func (r *replay) tick() {
-	for _, x := range r.centres {
-		r.decide(x)
-	}
+	r.decideAll()
 	if r.open > 0 || r.now.Before(r.measured.lastArrival) {
 		r.after(tick, r.tick)
 	}
@@ -256,6 +254,10 @@
 	first := int(hash(i.job.Identity.ID) % uint64(len(possible)))
 	possible[first].planner.Submit(i.job)
 	r.decide(possible[first])
+	if i.job.Urgent {
+		r.after(placement.Default().UrgentCheckpoint, r.decideAll)
+		r.after(claimDelay+placement.Default().UrgentCheckpoint, r.decideAll)
+	}
 	r.after(claimDelay, func() {
 		for _, x := range possible {
 			if i.home == nil && !i.ended {
@@ -450,11 +452,14 @@
 			o.planner.Submit(i.job)
 		}
 	}
-	r.after(0, func() {
-		for _, o := range r.centres {
-			r.decide(o)
-		}
-	})
+	r.after(0, r.decideAll)
+}
+
+// decideAll asks all planners.
+func (r *replay) decideAll() {
+	for _, x := range r.centres {
+		r.decide(x)
+	}
 }
 
 // move starts the job again on other workers from its checkpoint.
