Prefer workers on which a job has not failed to start

Change: workers of attempts that did not start are taken only when there is no other place; urgent jobs rather reclaim elsewhere.

--- a/internal/fleet/placement/entry.go
+++ b/internal/fleet/placement/entry.go
@@ -26,6 +26,7 @@
 	unit     guarantee.UnitID // unit is the guaranteed shape that the job occupies; 0 when it is borrowed.
 	entitled bool             // entitled is true while a place is sought for a guaranteed shape.
 	started  time.Time
+	avoid    []*node // avoid has the workers of attempts that failed to start; other places go first.
 	reason   string
 	demoted  bool // demoted jobs could not meet their deadline any more when they were next in turn.
 
--- a/internal/fleet/placement/place.go
+++ b/internal/fleet/placement/place.go
@@ -10,8 +10,22 @@
 )
 
 // find returns the place that the policy prefers on what is available in the
-// given racks, or nil. It respects the reservations of other jobs.
+// given racks, or nil. It respects the reservations of other jobs. Workers on
+// which the job failed to start are taken only when there is no other place.
 func (p *Planner) find(e *entry, adjacency organisation.Adjacency, racks []*rack, now time.Time) []*node {
+	place := p.findElsewhere(e, adjacency, racks, now)
+	if place != nil || len(e.avoid) == 0 {
+		return place
+	}
+	avoid := e.avoid
+	e.avoid = nil
+	place = p.findElsewhere(e, adjacency, racks, now)
+	e.avoid = avoid
+	return place
+}
+
+// findElsewhere is find without the workers on which the job failed to start.
+func (p *Planner) findElsewhere(e *entry, adjacency organisation.Adjacency, racks []*rack, now time.Time) []*node {
 	shape := e.job.Shape
 	switch {
 	case shape.Members == 1 || adjacency == organisation.WithinWorker:
@@ -24,7 +38,7 @@
 
 // open reports whether the job may take room on the worker.
 func (n *node) open(e *entry, now time.Time) bool {
-	if !n.schedulable {
+	if !n.schedulable || slices.Contains(e.avoid, n) {
 		return false
 	}
 	r := n.reservation
--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -319,9 +319,13 @@
 // requeue frees the place of a job and lets it wait again.
 func (p *Planner) requeue(e *entry) {
 	resumed := e.resumed || e.state >= Running
+	avoid := e.avoid
+	if e.state == Starting {
+		avoid = slices.Concat(avoid, e.place)
+	}
 	p.forget(e.job.Identity)
 	fresh := p.newEntry(e.job)
-	fresh.resumed = resumed
+	fresh.resumed, fresh.avoid = resumed, avoid
 	p.enqueue(fresh)
 }
 
--- a/internal/fleet/placement/planner_test.go
+++ b/internal/fleet/placement/planner_test.go
@@ -175,3 +175,19 @@
 	c.Assert(decisions[0].Job, qt.Equals, old.Identity)
 	c.Assert(decisions[0].Checkpoint, qt.IsFalse)
 }
+
+// Guards against a job that is started again and again on a worker that fails
+// everything while others have room.
+func TestJobAvoidsWorkersOnWhichItFailedToStart(t *testing.T) {
+	c := qt.New(t)
+	p := placement.New(placement.FirstFit{}, placement.Default())
+	p.AddWorker(accelerated("a", "1", 4))
+	p.AddWorker(accelerated("b", "1", 4))
+	j := gang("ana", "1", 1, 4, organisation.WithinWorker)
+	p.Submit(j)
+	c.Assert(p.Decide(epoch)[0].Workers, qt.DeepEquals, []string{"a"})
+	p.Released(j.Identity)
+	c.Assert(p.Decide(epoch)[0].Workers, qt.DeepEquals, []string{"b"})
+	p.Released(j.Identity)
+	c.Assert(p.Decide(epoch), qt.HasLen, 1)
+}
--- a/internal/fleet/placement/reclaim.go
+++ b/internal/fleet/placement/reclaim.go
@@ -345,7 +345,7 @@
 	var choices []choice
 	total := 0
 	for _, n := range nodes {
-		if !n.schedulable || !fits(e.member, n.worker.Capacity) {
+		if !n.schedulable || slices.Contains(e.avoid, n) || !fits(e.member, n.worker.Capacity) {
 			continue
 		}
 		possible := n.eventual()
@@ -389,7 +389,7 @@
 			e.reason = reason
 			continue
 		}
-		if place := r.find(e, e.job.Shape.Adjacency, r.model.racks, r.now); place != nil {
+		if place := r.findElsewhere(e, e.job.Shape.Adjacency, r.model.racks, r.now); place != nil {
 			r.start(e, place, 0, "urgent")
 			continue
 		}
