--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -29,7 +29,9 @@
 
 // Decide returns the steps to take now, in order. It does work for what has
 // changed since the last call: new jobs are tried everywhere, and other waiting
-// jobs only on racks that have gained room.
+// jobs only on racks that have gained room. The owner calls it after every change
+// and at least once a second while jobs have been asked to leave, so that those
+// are stopped in time.
 func (p *Planner) Decide(now time.Time) []Decision {
 	p.refresh(now)
 	r := &round{Planner: p, now: now}
@@ -243,6 +245,9 @@
 func (r *round) newTurns(gained bool) *turns {
 	h := &turns{}
 	for _, t := range r.order {
+		if r.policy.demotes() {
+			r.demote(t)
+		}
 		x := &turn{tenant: t}
 		if !gained {
 			if len(t.fresh) == 0 {
@@ -260,6 +265,29 @@
 	return h
 }
 
+// demote moves jobs that can no longer meet their deadline to where they would be
+// without one. Ranks are the times at which jobs must start, so that only the
+// head of the queue is looked at.
+func (r *round) demote(t *tenant) {
+	now := seconds(r.now)
+	late := func(e *entry) bool { return !e.demoted && !e.job.Deadline.IsZero() }
+	for at := 0; at < len(t.queue) && t.queue[at].rank < now; {
+		e := t.queue[at]
+		if !late(e) {
+			at++
+			continue
+		}
+		t.queue = slices.Delete(t.queue, at, at+1)
+		e.demoted = true
+		e.rank = r.policy.rank(e, &r.options)
+		to, _ := slices.BinarySearchFunc(t.queue, e, compareEntries)
+		t.queue = slices.Insert(t.queue, to, e)
+		if to <= at {
+			at++
+		}
+	}
+}
+
 // borrow starts the job outside of the guarantees of its organisation.
 func (r *round) borrow(e *entry) bool {
 	if reason := r.mayBorrow(e); reason != "" {
@@ -305,7 +333,9 @@
 	r.attempts++
 	place := r.find(e, e.job.Shape.Adjacency, racks, r.now)
 	if place == nil {
-		c.round, c.runTime, c.open = r.round, e.runTime, false
+		c.round, c.runTime = r.round, e.runTime
+		// A shorter job of the class may still fit before a reservation.
+		c.open = len(r.reservations) > 0 && e.runTime > c.least
 	}
 	return place
 }
@@ -389,7 +419,8 @@
 }
 
 // refit lets smaller jobs occupy a smaller guaranteed shape that has become
-// unheld, so that the larger one is there for a job that takes it whole.
+// unheld, so that the larger one is there for a job that takes it whole. A job
+// whose place cannot be the place of the smaller shape becomes borrowed.
 func (r *round) refit(t *tenant) {
 	for _, x := range t.active {
 		if !r.smaller(x) || len(x.place) != x.job.Shape.Members || x.state == Holding {
@@ -402,12 +433,9 @@
 		if shape.Adjacency != organisation.WithinWorker && shape.Members != len(x.place) {
 			continue
 		}
-		old, kept := x.unit, r.ledger.Place(x.unit)
 		r.releaseUnit(x)
 		if r.ledger.Hold(id, names(expand(x.place, shape))) {
 			r.own(x, id)
-		} else if r.ledger.Hold(old, kept) {
-			r.own(x, old)
 		}
 	}
 }
--- a/internal/fleet/placement/reclaim.go
+++ b/internal/fleet/placement/reclaim.go
@@ -132,11 +132,27 @@
 		r.run(e, reason)
 		return
 	}
+	r.hurry(e)
 	e.state, e.reason = Holding, reasonLeaving
 	r.model.promise(e)
 	r.holding = append(r.holding, e)
 }
 
+// hurry shortens the time of jobs that were asked to leave the place earlier, for
+// a job that was not urgent.
+func (r *round) hurry(e *entry) {
+	if !e.job.Urgent {
+		return
+	}
+	for _, x := range r.leaving {
+		if slices.ContainsFunc(x.place, func(n *node) bool { return slices.Contains(e.place, n) }) {
+			if limit := r.now.Add(r.options.UrgentCheckpoint); limit.Before(x.leaveBy) {
+				x.leaveBy = limit
+			}
+		}
+	}
+}
+
 // reclaim asks a running job to leave for the gain of another, which may be the
 // job itself.
 func (r *round) reclaim(x, gainer *entry, reason string) {
@@ -329,7 +345,7 @@
 	var choices []choice
 	total := 0
 	for _, n := range nodes {
-		if !n.schedulable || !fits(e.member, n.worker.Capacity) {
+		if !n.schedulable || slices.Contains(e.avoid, n) || !fits(e.member, n.worker.Capacity) {
 			continue
 		}
 		possible := n.eventual()
@@ -373,7 +389,7 @@
 			e.reason = reason
 			continue
 		}
-		if place := r.find(e, e.job.Shape.Adjacency, r.model.racks, r.now); place != nil {
+		if place := r.findElsewhere(e, e.job.Shape.Adjacency, r.model.racks, r.now); place != nil {
 			r.start(e, place, 0, "urgent")
 			continue
 		}
