Keep readers and starting processes going under faults

Change: Pages are decoded entry by entry and count as far as they were read; pages for peers are bounded in bytes. The puller takes the peer's state.

--- a/internal/cluster/peer/client.go
+++ b/internal/cluster/peer/client.go
@@ -11,12 +11,15 @@
 	"github.com/twitchtv/twirp"
 
 	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
 )
 
 const (
 	exchangeSlack   = time.Second
 	snapshotTimeout = 5 * time.Second
+	// maxReply bounds what is read of one reply. Snapshots are the largest.
+	maxReply = 64 << 20
 )
 
 // Client reads the journal of one peer.
@@ -26,7 +29,23 @@
 
 // NewClient returns a client of the peer at address.
 func NewClient(address netip.AddrPort, transport http.RoundTripper) *Client {
-	return &Client{peer: wire.NewPeerProtobufClient("http://"+address.String(), &http.Client{Transport: transport})}
+	return &Client{peer: wire.NewPeerProtobufClient("http://"+address.String(), &http.Client{Transport: boundedBody{transport}})}
+}
+
+// boundedBody cuts replies that are too large. Twirp reads whole replies into
+// memory.
+type boundedBody struct{ next http.RoundTripper }
+
+func (b boundedBody) RoundTrip(r *http.Request) (*http.Response, error) {
+	next := b.next
+	if next == nil {
+		next = http.DefaultTransport
+	}
+	resp, err := next.RoundTrip(r)
+	if err == nil {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, maxReply)
+	}
+	return resp, err
 }
 
 // Read returns records from the window of the peer.
@@ -48,14 +67,18 @@
 	return fmt.Errorf("read from peer: %w", err)
 }
 
-// Snapshot returns the folded state of the peer.
-func (c *Client) Snapshot(ctx context.Context) ([]byte, error) {
+// Snapshot returns the folded state of the peer when it covers all offsets
+// below least.
+func (c *Client) Snapshot(ctx context.Context, least int64) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	reply, err := c.peer.ReadSnapshot(ctx, &wire.ReadSnapshotRequest{})
 	if err != nil {
 		return nil, fmt.Errorf("read snapshot from peer: %w", err)
 	}
+	if reply.GetNext() < least {
+		return nil, fmt.Errorf("peer has folded up to %d, wanted %d: %w", reply.GetNext(), least, journal.ErrNoSnapshot)
+	}
 	return reply.GetState(), nil
 }
 
--- a/internal/record/journal/follower.go
+++ b/internal/record/journal/follower.go
@@ -10,10 +10,12 @@
 )
 
 const (
-	pageEntries  = 500
-	longPoll     = 2 * time.Second
-	readBackoff  = 200 * time.Millisecond
-	snapshotWait = 5 * time.Second
+	pageEntries = 500
+	longPoll    = 2 * time.Second
+	readBackoff = 200 * time.Millisecond
+	// snapshotWait covers a scan of all records that the log keeps. Each read of
+	// the scan and each peer has a shorter deadline of its own.
+	snapshotWait = 2 * time.Minute
 )
 
 // Reader reads records from an offset on. The log and peers are readers.
@@ -24,9 +26,14 @@
 // SnapshotSource returns a state from which reading can go on, for a process
 // that has fallen behind the kept records.
 type SnapshotSource interface {
-	Snapshot(ctx context.Context) ([]byte, error)
+	// Snapshot returns a state whose first offset that is not folded is least
+	// or above.
+	Snapshot(ctx context.Context, least int64) ([]byte, error)
 }
 
+// ErrNoSnapshot is returned by sources whose state does not reach far enough.
+var ErrNoSnapshot = errors.New("no snapshot that reaches far enough")
+
 // Follower keeps a journal up to date.
 type Follower struct {
 	journal   *Journal
@@ -60,7 +67,7 @@
 	from := f.journal.Next()
 	page, err := f.reader.Read(ctx, from, pageEntries, longPoll)
 	if errors.Is(err, platformlog.ErrExpired) {
-		return f.restore(ctx)
+		return f.restore(ctx, max(from+1, page.Earliest))
 	}
 	if err != nil {
 		return err
@@ -68,10 +75,10 @@
 	return f.journal.Apply(from, page)
 }
 
-func (f *Follower) restore(ctx context.Context) error {
+func (f *Follower) restore(ctx context.Context, least int64) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotWait)
 	defer cancel()
-	data, err := f.snapshots.Snapshot(ctx)
+	data, err := f.snapshots.Snapshot(ctx, least)
 	if err != nil {
 		return fmt.Errorf("fetch snapshot: %w", err)
 	}
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -66,11 +66,16 @@
 // decodeState reads a snapshot. The checksum at its end catches chunks that
 // were put together wrongly, which could otherwise decode to a wrong state.
 func decodeState(data []byte) (*state, error) {
-	body := len(data) - checksumBytes
-	if body < 0 || binary.BigEndian.Uint64(data[body:]) != xxhash.Sum64(data[:body]) {
+	if !Intact(data) {
 		return nil, errors.New("decode snapshot: wrong checksum")
 	}
-	return decodeStateBody(data[:body])
+	return decodeStateBody(data[:len(data)-checksumBytes])
+}
+
+// Intact reports whether the checksum of an encoded state is right.
+func Intact(data []byte) bool {
+	body := len(data) - checksumBytes
+	return body >= 0 && binary.BigEndian.Uint64(data[body:]) == xxhash.Sum64(data[:body])
 }
 
 func decodeStateBody(data []byte) (*state, error) {
--- a/internal/record/platformlog/client.go
+++ b/internal/record/platformlog/client.go
@@ -19,7 +19,9 @@
 const (
 	appendTimeout = 2 * time.Second
 	readSlack     = time.Second // readSlack is added to the long-poll time of a read.
-	maxPageBytes  = 16 << 20
+	// maxPageBytes bounds what is read of one page. It holds several of the
+	// largest payloads and crosses the region link in about a second.
+	maxPageBytes = 4 << 20
 )
 
 // Client talks to the log service over HTTP.
@@ -49,10 +51,8 @@
 	Payload []byte `json:"payload"`
 }
 
-type pageReply struct {
-	Entries  []entryReply `json:"entries"`
-	Next     int64        `json:"next"`
-	Earliest int64        `json:"earliest"`
+type expiredReply struct {
+	Earliest int64 `json:"earliest"`
 }
 
 type readParams struct {
@@ -108,30 +108,18 @@
 	if resp.StatusCode != http.StatusOK {
 		return Page{}, statusError("read", resp.StatusCode)
 	}
-	var reply pageReply
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&reply); err != nil {
-		return Page{}, fmt.Errorf("decode log page: %w", err)
-	}
-	return pageFromReply(reply), nil
+	return decodePage(io.LimitReader(resp.Body, maxPageBytes))
 }
 
 // expiredPage tells where the kept records begin, as far as the reply says so.
 func expiredPage(body io.Reader) Page {
-	var reply pageReply
+	var reply expiredReply
 	if err := json.NewDecoder(io.LimitReader(body, 1<<16)).Decode(&reply); err != nil {
 		return Page{}
 	}
 	return Page{Next: reply.Earliest, Earliest: reply.Earliest}
 }
 
-func pageFromReply(reply pageReply) Page {
-	page := Page{Next: reply.Next, Earliest: reply.Earliest}
-	for _, e := range reply.Entries {
-		page.Entries = append(page.Entries, Entry(e))
-	}
-	return page
-}
-
 // appendError marks the errors that occur before a request is sent.
 func appendError(err error) error {
 	var op *net.OpError
--- a/internal/record/snapshot/scan.go
+++ b/internal/record/snapshot/scan.go
@@ -10,14 +10,16 @@
 )
 
 const (
-	scanEntries = 200
-	// maxChunks bounds the memory for the chunks of one snapshot.
+	scanEntries = 500
+	// maxChunks bounds the chunks of one snapshot.
 	maxChunks = 1024
+	// maxPartial bounds the bytes of snapshots that are not complete yet.
+	maxPartial = 32 << 20
 )
 
 // ErrNotFound is returned when the log keeps no complete snapshot whose
 // following records are all kept.
-var ErrNotFound = errors.New("no complete snapshot on the log")
+var ErrNotFound = fmt.Errorf("no complete snapshot on the log: %w", journal.ErrNoSnapshot)
 
 // Scan finds snapshots on the log. It implements journal.SnapshotSource.
 type Scan struct {
@@ -27,51 +29,35 @@
 // NewScan returns a scan of the log.
 func NewScan(log platformlog.Log) *Scan { return &Scan{log: log} }
 
-// key names one snapshot.
-type key struct {
-	writer string
-	covers int64
-}
-
-// parts are the chunks of a snapshot that were read so far, by index.
-type parts struct {
-	count  int
-	chunks map[int][]byte
-}
-
-// Snapshot reads the log from its earliest record to its end and returns the
-// last complete snapshot.
-func (s *Scan) Snapshot(ctx context.Context) ([]byte, error) {
+// Snapshot reads the log from its earliest record to the first complete
+// snapshot whose following records are all kept.
+func (s *Scan) Snapshot(ctx context.Context, least int64) ([]byte, error) {
 	from, err := s.earliest(ctx)
 	if err != nil {
 		return nil, err
 	}
-	found := map[key]*parts{}
-	var newest []byte
-	var earliest int64
-	for {
+	collected := newCollector(maxPartial)
+	for least = max(least, from); ; {
 		page, err := s.log.Read(ctx, from, scanEntries, 0)
+		if errors.Is(err, platformlog.ErrExpired) && page.Earliest > from {
+			// Retention has passed the scan.
+			from, least = page.Earliest, max(least, page.Earliest)
+			continue
+		}
 		if err != nil {
 			return nil, fmt.Errorf("scan log for a snapshot: %w", err)
 		}
-		earliest = page.Earliest
+		least = max(least, page.Earliest)
 		for _, e := range page.Entries {
-			writer, chunks := journal.Chunks(e.Payload)
-			for _, c := range chunks {
-				if data := add(found, writer, c); data != nil && c.Covers >= earliest {
-					newest = data
-				}
+			if data := collected.add(e.Payload, least); data != nil {
+				return data, nil
 			}
 		}
-		if len(page.Entries) == 0 {
-			break
+		if page.Next <= from {
+			return nil, ErrNotFound
 		}
 		from = page.Next
 	}
-	if newest == nil {
-		return nil, ErrNotFound
-	}
-	return newest, nil
 }
 
 // earliest returns the offset of the first kept record.
@@ -82,26 +68,3 @@
 	}
 	return page.Earliest, nil
 }
-
-// add keeps a chunk and returns the snapshot when it is complete.
-func add(found map[key]*parts, writer string, c journal.SnapshotChunk) []byte {
-	if c.Count < 1 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count {
-		return nil
-	}
-	k := key{writer, c.Covers}
-	p := found[k]
-	if p == nil {
-		p = &parts{count: c.Count, chunks: map[int][]byte{}}
-		found[k] = p
-	}
-	p.chunks[c.Index] = c.State
-	if len(p.chunks) < p.count {
-		return nil
-	}
-	delete(found, k)
-	var data []byte
-	for i := range p.count {
-		data = append(data, p.chunks[i]...)
-	}
-	return data
-}
--- a/internal/record/source/puller.go
+++ b/internal/record/source/puller.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
 )
 
 const (
@@ -65,15 +67,28 @@
 		return
 	case <-time.After(pullDelay):
 	}
-	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
-	defer cancel()
 	for from := p.journal.Next(); from < n.offset; from = p.journal.Next() {
-		page, err := p.dial(n.peer).Read(ctx, from, pullEntries, 0)
-		if err != nil || page.Next <= from {
-			return
-		}
-		if p.journal.Apply(from, page) != nil {
+		if err := p.step(ctx, n, from); err != nil || p.journal.Next() <= from {
 			return
 		}
 	}
 }
+
+// step takes one page from the peer, or its state when the peer no longer has
+// the records.
+func (p *Puller) step(ctx context.Context, n notice, from int64) error {
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout)
+	defer cancel()
+	page, err := p.dial(n.peer).Read(ctx, from, pullEntries, 0)
+	if err == nil {
+		return p.journal.Apply(from, page)
+	}
+	if !errors.Is(err, platformlog.ErrExpired) {
+		return err
+	}
+	data, err := p.dial(n.peer).Snapshot(ctx, from+1)
+	if err != nil {
+		return err
+	}
+	return p.journal.Restore(data)
+}
--- a/internal/record/source/selector.go
+++ b/internal/record/source/selector.go
@@ -39,8 +39,12 @@
 	journal.SnapshotSource
 }
 
-// maxFallbacks bounds the peers that are asked in one read.
-const maxFallbacks = 3
+const (
+	// maxFallbacks bounds the peers that are asked in one read.
+	maxFallbacks = 3
+	// peerSnapshotTimeout keeps a silent peer from using up the time for others.
+	peerSnapshotTimeout = 3 * time.Second
+)
 
 // Selector implements journal.Reader and journal.SnapshotSource.
 type Selector struct {
@@ -88,14 +92,20 @@
 
 // Snapshot implements journal.SnapshotSource: peers first, because their state
 // is newer and costs the log nothing.
-func (s *Selector) Snapshot(ctx context.Context) ([]byte, error) {
+func (s *Selector) Snapshot(ctx context.Context, least int64) ([]byte, error) {
 	for i, p := range s.directory.Fallbacks() {
 		if i == maxFallbacks {
 			break
 		}
-		if data, err := s.dial(p).Snapshot(ctx); err == nil {
+		if data, err := s.peerSnapshot(ctx, p, least); err == nil {
 			return data, nil
 		}
 	}
-	return s.scan.Snapshot(ctx)
+	return s.scan.Snapshot(ctx, least)
+}
+
+func (s *Selector) peerSnapshot(ctx context.Context, p Peer, least int64) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerSnapshotTimeout)
+	defer cancel()
+	return s.dial(p).Snapshot(ctx, least)
 }
--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -65,6 +65,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.currentFaults()
 		if f.Hang {
+			_, _ = io.Copy(io.Discard, r.Body) // The context ends only after the body was read.
 			<-r.Context().Done()
 			return
 		}
