Test the entry over HTTP and repair its answers

Cause: At its limit of open calls the entry answered not-run, also to a caller who asked for a request that had run; a repeated request with a passed deadline got not-run as well.

Change: The limit is answered with 503 and no outcome. A refusal asks the agents for the identity first.

--- a/internal/role/entry/codec.go
+++ b/internal/role/entry/codec.go
@@ -21,6 +21,11 @@
 	maxMembers        = 64
 	bytesPerMegabyte  = 1_000_000
 	maxRunTimeSeconds = 30 * 24 * 3600
+	// The limits below are far above any worker. They keep sums and the encoded
+	// form within their number types.
+	maxAccelerators = 1 << 10
+	maxCores        = 1 << 16
+	maxMemoryMB     = 1 << 32
 )
 
 var validID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,128}$`)
@@ -32,7 +37,7 @@
 	if err := decoder.Decode(into); err != nil {
 		return fmt.Errorf("decode body: %w", err)
 	}
-	if decoder.More() {
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
 		return errors.New("decode body: more than one value")
 	}
 	return nil
@@ -63,14 +68,20 @@
 	if b.Members < 1 || b.Members > maxMembers {
 		findings.Addf("", 0, "members", "is %d: want 1 to %d", b.Members, maxMembers)
 	}
-	if b.Accelerators < 0 {
-		findings.Addf("", 0, "accelerators-per-member", "is %d: want 0 or more", b.Accelerators)
+	if b.Accelerators < 0 || b.Accelerators > maxAccelerators {
+		findings.Addf("", 0, "accelerators-per-member", "is %d: want 0 to %d", b.Accelerators, maxAccelerators)
 	}
-	if b.Cores < 0 {
-		findings.Addf("", 0, "cores-per-member", "is %g: want 0 or more", b.Cores)
+	if b.Cores < 0 || b.Cores > maxCores {
+		findings.Addf("", 0, "cores-per-member", "is %g: want 0 to %d", b.Cores, maxCores)
 	}
-	if b.MemoryMB < 0 {
-		findings.Addf("", 0, "memory-per-member-mb", "is %d: want 0 or more", b.MemoryMB)
+	if b.MemoryMB < 0 || b.MemoryMB > maxMemoryMB {
+		findings.Addf("", 0, "memory-per-member-mb", "is %d: want 0 to %d", b.MemoryMB, int64(maxMemoryMB))
+	}
+	if b.DataCentre != "" && !validID.MatchString(b.DataCentre) {
+		findings.Addf("", 0, "data-centre", "is no name of a data centre")
+	}
+	if year := b.Deadline.Year(); !b.Deadline.IsZero() && (year < 2000 || year > 2200) {
+		findings.Addf("", 0, "deadline", "is in year %d: want 2000 to 2200", year)
 	}
 	if b.RunTime <= 0 || b.RunTime > maxRunTimeSeconds {
 		findings.Addf("", 0, "run-time-s", "is %g: want more than 0 and at most %d", b.RunTime, maxRunTimeSeconds)
@@ -124,6 +135,15 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// writeJob answers with the state of a job: 202 until the job has ended.
+func writeJob(w http.ResponseWriter, s journal.JobState) {
+	status := http.StatusAccepted
+	if s.State == job.Ended {
+		status = http.StatusOK
+	}
+	writeJSON(w, status, jobStatusToBody(s))
+}
+
 func writeAnswer(w http.ResponseWriter, status int, a request.Answer) {
 	writeJSON(w, status, restapi.Answer{ID: a.Identity.ID, Outcome: a.Outcome.String(), Reason: a.Reason, Body: a.Body})
 }
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -74,7 +74,7 @@
 	Tokens        map[string]string // Tokens of callers to their organisations.
 	OperatorToken string            // OperatorToken opens the operator interface; empty closes it.
 	MaxBody       int64             // MaxBody of a call, in bytes.
-	MaxInFlight   int               // MaxInFlight calls of callers; more are refused as not run.
+	MaxInFlight   int               // MaxInFlight calls of callers; more are refused.
 	MaxDeadline   time.Duration     // MaxDeadline is how far ahead a request may set its deadline.
 	SubmitWait    time.Duration     // SubmitWait is how long a submission waits for the log.
 	MaxWait       time.Duration     // MaxWait bounds a call that waits for a job.
@@ -160,7 +160,8 @@
 		if e.inFlight.Add(1) > int64(e.options.MaxInFlight) {
 			e.inFlight.Add(-1)
 			e.counters.Refused.Add(1)
-			writeAnswer(w, http.StatusOK, request.Answer{Outcome: request.NotRun, Reason: "the entry is at its limit of open calls"})
+			// This is no outcome: an earlier call with the same identity may have run.
+			writeProblem(w, http.StatusServiceUnavailable, "the entry is at its limit of open calls; this call did nothing")
 			return
 		}
 		defer e.inFlight.Add(-1)
--- /dev/null
+++ b/internal/role/entry/entry_test.go
@@ -0,0 +1,265 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/role/entry"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/traffic/request"
+)
+
+func requestBody(id, kind string, deadline time.Duration) string {
+	return fmt.Sprintf(`{"id":%q,"service":"fitting-desk","kind":%q,"deadline":%q,"idempotent":true}`,
+		id, kind, time.Now().Add(deadline).Format(time.RFC3339Nano))
+}
+
+func jobBody(id string, accelerators int) string {
+	return fmt.Sprintf(`{"id":%q,"kind":"check","members":1,"accelerators-per-member":%d,"adjacency":"rack","run-time-s":60}`, id, accelerators)
+}
+
+// Guards against calls without a known token, and against operators' calls
+// with a caller's token.
+func TestCallsNeedATokenOfTheirInterface(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	for _, token := range []string{"", "wrong", operator} {
+		c.Assert(s.call(token, "POST", "/v1/requests", requestBody("1", "check", time.Minute)).status, qt.Equals, http.StatusUnauthorized)
+	}
+	for _, token := range []string{"", desk} {
+		c.Assert(call(t, s.operators, token, "GET", "/v1/configuration", "").status, qt.Equals, http.StatusUnauthorized)
+	}
+	c.Assert(s.router.runs, qt.Equals, 0)
+}
+
+// Guards against an organisation that reads requests, answers or jobs of
+// another one, also when both use the same identity.
+func TestOrganisationsAreApart(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	c.Assert(s.call(desk, "POST", "/v1/requests", requestBody("1", "check", time.Minute)).body["outcome"], qt.Equals, "done")
+	c.Assert(s.call(desk, "POST", "/v1/jobs", jobBody("1", 1)).status, qt.Equals, http.StatusAccepted)
+	for _, path := range []string{"/v1/requests/1", "/v1/jobs/1", "/v1/jobs/1/explanation"} {
+		c.Assert(s.call(opera, "GET", path, "").status, qt.Equals, http.StatusNotFound, qt.Commentf(path))
+		c.Assert(s.call(desk, "GET", path, "").status < 300, qt.IsTrue, qt.Commentf(path))
+	}
+	c.Assert(s.call(opera, "DELETE", "/v1/jobs/1", "").status, qt.Equals, http.StatusNotFound)
+	theirs := s.call(opera, "POST", "/v1/requests", requestBody("1", "check", time.Minute))
+	var body []byte
+	c.Assert(json.Unmarshal([]byte(fmt.Sprintf("%q", theirs.body["body"])), &body), qt.IsNil)
+	c.Assert(string(body), qt.Equals, "for opera/1")
+	c.Assert(s.call(opera, "POST", "/v1/jobs", jobBody("1", 2)).status, qt.Equals, http.StatusAccepted)
+	c.Assert(s.call(opera, "DELETE", "/v1/jobs/1", "").body["outcome"], qt.Equals, "not-run")
+	c.Assert(s.call(desk, "GET", "/v1/jobs/1", "").body["state"], qt.Equals, "queued")
+}
+
+// Guards against findings that are reported one at a time, and against values
+// that overflow further on.
+func TestFindingsAreCollected(t *testing.T) {
+	tests := map[string]struct {
+		path, body string
+		keys       []string
+	}{
+		"request": {"/v1/requests", `{"id":"a b"}`, []string{"deadline", "id", "kind", "service"}},
+		"job": {"/v1/jobs", `{"id":"1","members":65,"accelerators-per-member":4294967297,"cores-per-member":-1,
+			"memory-per-member-mb":9223372036854775807,"adjacency":"city","run-time-s":0,"deadline":"9999-01-01T00:00:00Z","data-centre":"a b"}`,
+			[]string{"accelerators-per-member", "adjacency", "cores-per-member", "data-centre", "deadline", "kind", "members", "memory-per-member-mb", "run-time-s"}},
+		"unknown key":  {"/v1/jobs", `{"identity":"1"}`, nil},
+		"second value": {"/v1/jobs", `{"id":"1"}}`, nil},
+		"no JSON":      {"/v1/requests", `id=1`, nil},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newSite(t, nil).call(desk, "POST", tt.path, tt.body)
+			c.Assert(r.status, qt.Equals, http.StatusBadRequest)
+			var keys []string
+			findings, _ := r.body["findings"].([]any)
+			for _, f := range findings {
+				keys = append(keys, f.(map[string]any)["key"].(string))
+			}
+			c.Assert(keys, qt.DeepEquals, tt.keys)
+		})
+	}
+}
+
+// Guards against work outside the plan being started.
+func TestWorkOutsideThePlanIsNotRun(t *testing.T) {
+	tests := map[string]struct{ token, path, body, reason string }{
+		"closed plan":  {"closed-token", "/v1/requests", requestBody("1", "check", time.Minute), "the plan of closed closed at .*"},
+		"unknown kind": {desk, "/v1/requests", requestBody("1", "render", time.Minute), "plan p does not include kind render"},
+		"too far":      {desk, "/v1/requests", requestBody("1", "check", time.Hour), "the deadline is more than 10m0s ahead"},
+		"too late":     {desk, "/v1/requests", requestBody("1", "check", -time.Second), "the deadline has passed"},
+		"closed job":   {"closed-token", "/v1/jobs", jobBody("1", 1), "the plan of closed closed at .*"},
+		"never fits":   {desk, "/v1/jobs", jobBody("1", 9), "no worker has so many accelerators"},
+		"above limit":  {desk, "/v1/jobs", jobBody("1", 101), "the job needs 101 accelerators, plan p allows 100"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newSite(t, nil)
+			r := s.call(tt.token, "POST", tt.path, tt.body)
+			c.Assert(r.status, qt.Equals, http.StatusOK)
+			c.Assert(r.body["outcome"], qt.Equals, "not-run")
+			c.Assert(r.body["reason"], qt.Matches, tt.reason)
+			c.Assert(s.router.runs, qt.Equals, 0)
+			c.Assert(s.journal.Jobs(), qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against "not-run" for a request that ran in an earlier call.
+func TestRepeatedRequestKeepsItsOutcome(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	c.Assert(s.call(desk, "POST", "/v1/requests", requestBody("1", "check", time.Minute)).body["outcome"], qt.Equals, "done")
+	c.Assert(s.call(desk, "POST", "/v1/requests", requestBody("1", "check", -time.Second)).body["outcome"], qt.Equals, "done")
+	c.Assert(s.router.runs, qt.Equals, 1)
+}
+
+// Guards against an outcome that changes, or an answer that looks complete,
+// after the body was dropped from the fold.
+func TestDroppedBodyIsSaid(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	const size = 200 << 10
+	for i := range journal.MaxBodyBytes/size + 1 {
+		id := request.Identity{Organisation: "desk", ID: fmt.Sprint(i)}
+		s.record(journal.RequestClaimed{Identity: id})
+		s.record(journal.RequestFinished{Identity: id, Outcome: request.Done, Body: make([]byte, size)})
+	}
+	oldest := s.call(desk, "GET", "/v1/requests/0", "")
+	c.Assert(oldest.body["outcome"], qt.Equals, "done")
+	c.Assert(oldest.body["body"], qt.IsNil)
+	c.Assert(oldest.body["reason"], qt.Equals, journal.ReasonBodyDropped+" done")
+	c.Assert(s.call(desk, "GET", "/v1/requests/2", "").body["body"], qt.IsNotNil)
+}
+
+// Guards against a job that is accepted twice or answered wrongly.
+func TestJobLife(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	c.Assert(s.call(desk, "POST", "/v1/jobs", jobBody("1", 1)).status, qt.Equals, http.StatusAccepted)
+	again := s.call(desk, "POST", "/v1/jobs", jobBody("1", 8))
+	c.Assert(again.status, qt.Equals, http.StatusAccepted)
+	c.Assert(again.body["state"], qt.Equals, "queued")
+	c.Assert(s.journal.Jobs(), qt.HasLen, 1)
+	c.Assert(s.journal.Jobs()[0].Job.Shape.Accelerators, qt.Equals, 1)
+	c.Assert(s.call(desk, "GET", "/v1/jobs/1/explanation", "").body["waits-for"], qt.Equals, "2 accelerators")
+	began := time.Now()
+	g := group.New(context.Background())
+	g.Go("cancel", func(context.Context) error {
+		time.Sleep(200 * time.Millisecond)
+		s.call(desk, "DELETE", "/v1/jobs/1", "")
+		return nil
+	})
+	ended := s.call(desk, "GET", "/v1/jobs/1?wait=20s", "")
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Assert(time.Since(began) < 10*time.Second, qt.IsTrue)
+	c.Assert(ended.status, qt.Equals, http.StatusOK)
+	c.Assert(ended.body["outcome"], qt.Equals, "not-run")
+	c.Assert(s.call(desk, "DELETE", "/v1/jobs/1", "").status, qt.Equals, http.StatusOK)
+	c.Assert(s.call(desk, "GET", "/v1/jobs/1?wait=soon", "").status, qt.Equals, http.StatusBadRequest)
+}
+
+// Guards against a wrong answer when the log takes nothing or its answer is
+// lost.
+func TestJobWithoutTheLog(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	c.Assert(s.call(desk, "POST", "/v1/jobs", jobBody("1", 1)).status, qt.Equals, http.StatusAccepted)
+	s.log.SetFaults(logservice.Faults{Outage: true})
+	c.Assert(s.call(desk, "POST", "/v1/jobs", jobBody("2", 1)).body["outcome"], qt.Equals, "not-run")
+	c.Assert(s.call(desk, "DELETE", "/v1/jobs/1", "").status, qt.Equals, http.StatusServiceUnavailable)
+	s.log.SetFaults(logservice.Faults{})
+	s.lose.Store(true)
+	lost := s.call(desk, "POST", "/v1/jobs", jobBody("3", 1))
+	c.Assert(lost.body["outcome"], qt.Equals, "unknown")
+	s.lose.Store(false)
+	for range 100 {
+		if s.call(desk, "GET", "/v1/jobs/3", "").status == http.StatusAccepted {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	c.Assert(s.call(desk, "GET", "/v1/jobs/3", "").body["state"], qt.Equals, "queued")
+	c.Assert(s.call(desk, "GET", "/v1/jobs/2", "").status, qt.Equals, http.StatusNotFound)
+}
+
+// Guards against unbounded bodies and calls, and against an outcome in the
+// answer to a call that the entry did not look at.
+func TestLimits(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, func(o *entry.Options) { o.MaxBody, o.MaxInFlight = 1000, 1 })
+	large := requestBody(strings.Repeat("x", 2000), "check", time.Minute)
+	c.Assert(s.call(desk, "POST", "/v1/requests", large).status, qt.Equals, http.StatusRequestEntityTooLarge)
+	s.router.hold = make(chan struct{})
+	g := group.New(context.Background())
+	g.Go("first", func(context.Context) error {
+		s.call(desk, "POST", "/v1/requests", requestBody("1", "check", time.Minute))
+		return nil
+	})
+	for range 100 {
+		if s.entry.Counters().Requests.Load() == 1 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	second := s.call(desk, "GET", "/v1/requests/1", "")
+	c.Assert(second.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(second.body["outcome"], qt.IsNil)
+	close(s.router.hold)
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Assert(s.call(desk, "GET", "/v1/requests/1", "").body["outcome"], qt.Equals, "done")
+}
+
+func publishBody(t *testing.T, base int64, share int) string {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{
+		"base": base, "operator": "ana", "plans-path": "plans.toml", "allowances-path": "allowances.toml",
+		"plans":      "[[organisation]]\nname = \"desk\"\nplan = \"p\"\n",
+		"allowances": fmt.Sprintf("[[plan]]\nname = \"p\"\nservices = [\"fitting-desk\"]\nkinds = [\"check\"]\naccelerator-limit = 4\nshare = %d\n", share),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(body)
+}
+
+// Guards against an edit that replaces a newer one, that cannot be kept, or
+// whose fate is told wrongly.
+func TestPublish(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	base := s.journal.Configuration().Version
+	stale := s.operate("POST", "/v1/configuration", publishBody(t, base+1, 3))
+	c.Assert(stale.status, qt.Equals, http.StatusConflict)
+	c.Assert(stale.body["version"], qt.Equals, float64(base))
+	c.Assert(len(stale.body["changes"].([]any)) > 0, qt.IsTrue)
+	infeasible := s.operate("POST", "/v1/configuration", publishBody(t, base, 99))
+	c.Assert(infeasible.status, qt.Equals, http.StatusBadRequest)
+	c.Assert(infeasible.body["findings"].([]any)[0].(map[string]any)["message"], qt.Equals, "cannot be kept")
+	c.Assert(s.journal.Configuration().Version, qt.Equals, base)
+	published := s.operate("POST", "/v1/configuration", publishBody(t, base, 3))
+	c.Assert(published.status, qt.Equals, http.StatusOK)
+	version := int64(published.body["version"].(float64))
+	c.Assert(s.journal.Configuration().Version, qt.Equals, version)
+	s.lose.Store(true)
+	unsettled := s.operate("POST", "/v1/configuration", publishBody(t, version, 4))
+	c.Assert(unsettled.status, qt.Equals, http.StatusGatewayTimeout)
+	c.Assert(unsettled.body["error"], qt.Matches, "not known whether .*")
+	s.lose.Store(false)
+	s.log.SetFaults(logservice.Faults{Outage: true})
+	refused := s.operate("POST", "/v1/configuration", publishBody(t, version, 4))
+	c.Assert(refused.status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(refused.body["error"], qt.Matches, "not published: .*")
+}
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -28,7 +28,7 @@
 	}
 	e.counters.Jobs.Add(1)
 	if state, ok := e.journal.Job(submitted.Identity); ok {
-		writeJSON(w, http.StatusOK, jobStatusToBody(state))
+		writeJob(w, state)
 		return
 	}
 	if reason := e.refuseJob(submitted); reason != "" {
@@ -47,7 +47,7 @@
 	state, known := e.journal.Job(j.Identity)
 	switch {
 	case known:
-		writeJSON(w, http.StatusAccepted, jobStatusToBody(state))
+		writeJob(w, state)
 	case errors.Is(err, journal.ErrNotAppended):
 		e.answerJob(w, j.Identity, request.NotRun, "the log does not take submissions now")
 	default:
@@ -90,7 +90,7 @@
 		writeProblem(w, http.StatusNotFound, "no such job")
 		return
 	}
-	writeJSON(w, http.StatusOK, jobStatusToBody(state))
+	writeJob(w, state)
 }
 
 func (e *Entry) waitTime(r *http.Request) (time.Duration, error) {
@@ -132,7 +132,7 @@
 		return
 	}
 	if state.State == job.Ended {
-		writeJSON(w, http.StatusOK, jobStatusToBody(state))
+		writeJob(w, state)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), e.options.SubmitWait)
@@ -141,8 +141,10 @@
 		writeProblem(w, http.StatusServiceUnavailable, "the log has not confirmed the cancellation; ask again")
 		return
 	}
-	state, _ = e.journal.Job(id)
-	writeJSON(w, http.StatusAccepted, jobStatusToBody(state))
+	if now, ok := e.journal.Job(id); ok {
+		state = now
+	}
+	writeJob(w, state)
 }
 
 func (e *Entry) handleExplanation(w http.ResponseWriter, r *http.Request, name string) {
--- a/internal/role/entry/requests.go
+++ b/internal/role/entry/requests.go
@@ -35,6 +35,10 @@
 		return known
 	}
 	if reason := e.refuseRequest(r); reason != "" {
+		// An earlier call with this identity may have run.
+		if known, ok := e.router.Lookup(ctx, r.Identity); ok {
+			return known
+		}
 		return request.Answer{Identity: r.Identity, Outcome: request.NotRun, Reason: reason}
 	}
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
