--- a/internal/record/journal/codec.go
+++ b/internal/record/journal/codec.go
@@ -12,6 +12,16 @@
 	"wasabihoist/internal/traffic/request"
 )
 
+// Encode returns the payload of an append with records that follow one another
+// from a sequence number on. Measurements use it to make logs.
+func Encode(writer string, sequence uint64, at time.Time, records ...Record) ([]byte, error) {
+	b := batch{writer: writer}
+	for i, r := range records {
+		b.records = append(b.records, envelope{sequence + uint64(i), at, r})
+	}
+	return encodeBatch(b)
+}
+
 func encodeBatch(b batch) ([]byte, error) {
 	message := &wire.Batch{Writer: b.writer}
 	for _, e := range b.records {
--- /dev/null
+++ b/internal/run/bench/journalbench/fold.go
@@ -0,0 +1,183 @@
+package journalbench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"syscall"
+	"time"
+
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/record/snapshot"
+)
+
+// chunkBytes is the size of snapshot chunks in production.
+const chunkBytes = 200 << 10
+
+// Fold is what a number of one kind of thing costs.
+type Fold struct {
+	Subject       string
+	Count         int
+	Records       int
+	LogBytes      int           // LogBytes of all payloads, batched.
+	LogBytesAlone int           // LogBytesAlone is for one with each record in an append of its own.
+	HeapBytes     int64         // HeapBytes of the state without the window.
+	FoldCPU       time.Duration // FoldCPU of all records.
+	SnapshotBytes int
+	EncodeTime    time.Duration
+	DecodeTime    time.Duration
+	StartTime     time.Duration // StartTime to find the snapshot on a log in memory and to restore it.
+}
+
+// payloads makes the log: all first records, then all second records and so on,
+// as many of them in an append as the batch allows.
+func payloads(s subject, count, batch int) ([]platformlog.Entry, int, error) {
+	if s.whole != nil {
+		payload, err := journal.Encode("bench@1", 1, time.Now(), s.whole(count))
+		return []platformlog.Entry{{Offset: 1, Payload: payload}}, 1, err
+	}
+	steps := len(s.records(0, 0))
+	var entries []platformlog.Entry
+	sequence := uint64(1)
+	for first := 0; first < count; first += batch {
+		offset := int64(len(entries) + 1)
+		for step := range steps {
+			var records []journal.Record
+			for i := first; i < min(count, first+batch); i++ {
+				records = append(records, s.records(i, offset)[step])
+			}
+			payload, err := journal.Encode("bench@1", sequence, time.Now(), records...)
+			if err != nil {
+				return nil, 0, err
+			}
+			sequence += uint64(len(records))
+			entries = append(entries, platformlog.Entry{Offset: offset + int64(step), Payload: payload})
+		}
+	}
+	return entries, int(sequence - 1), nil
+}
+
+func measureFold(ctx context.Context, s subject, count, batch int) (Fold, error) {
+	entries, records, err := payloads(s, count, batch)
+	if err != nil {
+		return Fold{}, err
+	}
+	alone, _, err := payloads(s, 1, 1)
+	if err != nil {
+		return Fold{}, err
+	}
+	f := Fold{Subject: s.name, Count: count, Records: records, LogBytes: payloadBytes(entries), LogBytesAlone: payloadBytes(alone)}
+	j := journal.New()
+	invalid := 0
+	j.Observe(func(_ string, _ uint64, _ journal.Record, v journal.Verdict) {
+		if !v.Valid {
+			invalid++
+		}
+	})
+	began := cpuTime()
+	if err := j.Apply(1, platformlog.Page{Entries: entries, Next: int64(len(entries) + 1)}); err != nil {
+		return Fold{}, err
+	}
+	f.FoldCPU = cpuTime() - began
+	if invalid > 0 {
+		return Fold{}, fmt.Errorf("%d records are not valid", invalid)
+	}
+	return f, f.measureSnapshot(ctx, j)
+}
+
+func payloadBytes(entries []platformlog.Entry) int {
+	total := 0
+	for _, e := range entries {
+		total += len(e.Payload)
+	}
+	return total
+}
+
+func (f *Fold) measureSnapshot(ctx context.Context, j *journal.Journal) error {
+	began := time.Now()
+	data, covers, err := j.Snapshot()
+	if err != nil {
+		return err
+	}
+	f.EncodeTime = time.Since(began)
+	f.SnapshotBytes = len(data)
+	before := heapInUse()
+	restored := journal.New()
+	began = time.Now()
+	if err := restored.Restore(data); err != nil {
+		return err
+	}
+	f.DecodeTime = time.Since(began)
+	f.HeapBytes = heapInUse() - before
+	runtime.KeepAlive(restored)
+	runtime.KeepAlive(data)
+	log, err := snapshotLog(data, covers)
+	if err != nil {
+		return err
+	}
+	began = time.Now()
+	found, err := snapshot.NewScan(log).Snapshot(ctx, covers)
+	if err != nil {
+		return err
+	}
+	if err := journal.New().Restore(found); err != nil {
+		return err
+	}
+	f.StartTime = time.Since(began)
+	return nil
+}
+
+// memoryLog is a log of fixed entries with ascending offsets without gaps.
+type memoryLog []platformlog.Entry
+
+func snapshotLog(data []byte, covers int64) (memoryLog, error) {
+	count := (len(data) + chunkBytes - 1) / chunkBytes
+	var log memoryLog
+	for i := range count {
+		part := data[i*chunkBytes : min(len(data), (i+1)*chunkBytes)]
+		chunk := journal.SnapshotChunk{Covers: covers, Index: i, Count: count, State: part}
+		payload, err := journal.Encode("bench@1", uint64(i+1), time.Now(), chunk)
+		if err != nil {
+			return nil, err
+		}
+		log = append(log, platformlog.Entry{Offset: covers + int64(i), Payload: payload})
+	}
+	return log, nil
+}
+
+// Append implements platformlog.Log.
+func (memoryLog) Append(context.Context, []byte) (int64, error) {
+	return 0, errors.New("the log takes no records")
+}
+
+// Read implements platformlog.Log.
+func (l memoryLog) Read(_ context.Context, from int64, limit int, _ time.Duration) (platformlog.Page, error) {
+	earliest := l[0].Offset
+	page := platformlog.Page{Next: from, Earliest: earliest}
+	if from < earliest {
+		return page, platformlog.ErrExpired
+	}
+	first := min(int(from-earliest), len(l))
+	page.Entries = l[first:min(len(l), first+limit)]
+	page.Next = from + int64(len(page.Entries))
+	return page, nil
+}
+
+func heapInUse() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
+
+// cpuTime returns the processor time of this process, with that of the garbage
+// collector.
+func cpuTime() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
