Record outcomes whose reason is not valid text

Cause: A reason with invalid UTF-8 made the record impossible to encode, so an agent would have submitted the outcome again for ever.

Change: Reasons are made valid before they are encoded. The checks of a job body are split into short functions.

Conclusion: Every outcome can be recorded.

--- a/internal/record/journal/codec.go
+++ b/internal/record/journal/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -66,12 +67,12 @@
 		return &wire.Record{Body: &wire.Record_JobRunning{JobRunning: &wire.JobRunning{Identity: identityToWire(r.Identity), Claim: r.Claim}}}
 	case JobReleased:
 		return &wire.Record{Body: &wire.Record_JobReleased{JobReleased: &wire.JobReleased{
-			Identity: identityToWire(r.Identity), Claim: r.Claim, Reason: r.Reason,
+			Identity: identityToWire(r.Identity), Claim: r.Claim, Reason: text(r.Reason),
 			Started: r.Started, Checkpointed: r.Checkpointed, ProgressNanos: int64(r.Progress),
 		}}}
 	case JobEnded:
 		return &wire.Record{Body: &wire.Record_JobEnded{JobEnded: &wire.JobEnded{
-			Identity: identityToWire(r.Identity), Claim: r.Claim, Outcome: int32(r.Outcome), Reason: r.Reason,
+			Identity: identityToWire(r.Identity), Claim: r.Claim, Outcome: int32(r.Outcome), Reason: text(r.Reason),
 		}}}
 	case JobCancelled:
 		return &wire.Record{Body: &wire.Record_JobCancelled{JobCancelled: &wire.JobCancelled{Identity: identityToWire(r.Identity)}}}
@@ -81,7 +82,7 @@
 		}}}
 	case RequestFinished:
 		return &wire.Record{Body: &wire.Record_RequestFinished{RequestFinished: &wire.RequestFinished{
-			Identity: identityToWire(r.Identity), Outcome: int32(r.Outcome), Reason: r.Reason, Body: r.Body,
+			Identity: identityToWire(r.Identity), Outcome: int32(r.Outcome), Reason: text(r.Reason), Body: r.Body,
 		}}}
 	case RequestAbandoned:
 		return &wire.Record{Body: &wire.Record_RequestAbandoned{RequestAbandoned: &wire.RequestAbandoned{Identity: identityToWire(r.Identity)}}}
@@ -140,6 +141,10 @@
 	return nil, fmt.Errorf("decode record %d: unknown type", message.GetSequence())
 }
 
+// text makes a reason encodable. Reasons come from back ends and workers, and
+// an outcome must not be lost because its reason is not valid UTF-8.
+func text(reason string) string { return strings.ToValidUTF8(reason, "\uFFFD") }
+
 func finalOutcome(code int32) (request.Outcome, error) {
 	outcome := request.Outcome(code)
 	switch outcome {
--- a/internal/record/journal/writer_test.go
+++ b/internal/record/journal/writer_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// Guards against an outcome that cannot be recorded because the back end gave
+// a reason that is not valid text.
+func TestOutcomeWithBadReasonIsRecorded(t *testing.T) {
+	c := qt.New(t)
+	p := startProcess(t, "a@1", newLimitedLog(50_000))
+	ctx := within(t, 5*time.Second)
+	_, err := p.writer.Append(ctx, journal.RequestClaimed{Identity: tally})
+	c.Assert(err, qt.IsNil)
+	_, err = p.writer.Append(ctx, journal.RequestFinished{Identity: tally, Outcome: request.Failed, Reason: "bad \xff"})
+	c.Assert(err, qt.IsNil)
+	state, _ := p.journal.Request(tally)
+	c.Assert(state.Outcome, qt.Equals, request.Failed)
+	c.Assert(state.Reason, qt.Equals, "bad \uFFFD")
+}
+
 // limitedLog refuses payloads above a size and counts records by append.
 type limitedLog struct {
 	*faultyLog
--- a/internal/role/entry/codec.go
+++ b/internal/role/entry/codec.go
@@ -68,24 +68,11 @@
 	if b.Members < 1 || b.Members > maxMembers {
 		findings.Addf("", 0, "members", "is %d: want 1 to %d", b.Members, maxMembers)
 	}
-	if b.Accelerators < 0 || b.Accelerators > maxAccelerators {
-		findings.Addf("", 0, "accelerators-per-member", "is %d: want 0 to %d", b.Accelerators, maxAccelerators)
-	}
-	if b.Cores < 0 || b.Cores > maxCores {
-		findings.Addf("", 0, "cores-per-member", "is %g: want 0 to %d", b.Cores, maxCores)
-	}
-	if b.MemoryMB < 0 || b.MemoryMB > maxMemoryMB {
-		findings.Addf("", 0, "memory-per-member-mb", "is %d: want 0 to %d", b.MemoryMB, int64(maxMemoryMB))
-	}
+	checkResources(&findings, b)
 	if b.DataCentre != "" && !validID.MatchString(b.DataCentre) {
 		findings.Addf("", 0, "data-centre", "is no name of a data centre")
 	}
-	if year := b.Deadline.Year(); !b.Deadline.IsZero() && (year < 2000 || year > 2200) {
-		findings.Addf("", 0, "deadline", "is in year %d: want 2000 to 2200", year)
-	}
-	if b.RunTime <= 0 || b.RunTime > maxRunTimeSeconds {
-		findings.Addf("", 0, "run-time-s", "is %g: want more than 0 and at most %d", b.RunTime, maxRunTimeSeconds)
-	}
+	checkJobTimes(&findings, b)
 	adjacency, err := organisation.ParseAdjacency(b.Adjacency)
 	if err != nil {
 		findings.Addf("", 0, "adjacency", "%v", err)
@@ -105,6 +92,27 @@
 	}, findings.Err()
 }
 
+func checkResources(findings *finding.List, b restapi.Job) {
+	if b.Accelerators < 0 || b.Accelerators > maxAccelerators {
+		findings.Addf("", 0, "accelerators-per-member", "is %d: want 0 to %d", b.Accelerators, maxAccelerators)
+	}
+	if b.Cores < 0 || b.Cores > maxCores {
+		findings.Addf("", 0, "cores-per-member", "is %g: want 0 to %d", b.Cores, maxCores)
+	}
+	if b.MemoryMB < 0 || b.MemoryMB > maxMemoryMB {
+		findings.Addf("", 0, "memory-per-member-mb", "is %d: want 0 to %d", b.MemoryMB, int64(maxMemoryMB))
+	}
+}
+
+func checkJobTimes(findings *finding.List, b restapi.Job) {
+	if year := b.Deadline.Year(); !b.Deadline.IsZero() && (year < 2000 || year > 2200) {
+		findings.Addf("", 0, "deadline", "is in year %d: want 2000 to 2200", year)
+	}
+	if b.RunTime <= 0 || b.RunTime > maxRunTimeSeconds {
+		findings.Addf("", 0, "run-time-s", "is %g: want more than 0 and at most %d", b.RunTime, maxRunTimeSeconds)
+	}
+}
+
 func checkID(findings *finding.List, id string) {
 	if !validID.MatchString(id) {
 		findings.Addf("", 0, "id", "is %q: want 1 to 128 letters, digits, dots, hyphens or underscores", id)
