--- a/internal/cluster/peer/server.go
+++ b/internal/cluster/peer/server.go
@@ -44,7 +44,9 @@
 // service does.
 func (s *Server) ReadRecords(ctx context.Context, r *wire.ReadRecordsRequest) (*wire.ReadRecordsReply, error) {
 	limit := min(maxEntries, max(1, int(r.GetMax())))
-	wait := min(maxWait, time.Duration(r.GetWaitMillis())*time.Millisecond)
+	// Bounded before the conversion, which could overflow.
+	millis := min(max(0, r.GetWaitMillis()), maxWait.Milliseconds())
+	wait := time.Duration(millis) * time.Millisecond
 	timeout := time.After(wait)
 	for {
 		changed := s.journal.Watch()
