Test withdrawn records and starts by notice alone

Cause: Trial mutations of the writer's withdrawal and of the puller's restore were not caught.

Change: A test withdraws a record in flight that is refused afterwards.

Conclusion: The repairs are guarded.

--- a/internal/record/journal/writer_test.go
+++ b/internal/record/journal/writer_test.go
@@ -251,6 +251,50 @@
 	c.Assert(len(p.journal.AuditTrail())+int(p.writer.LostAudit()), qt.Equals, entries)
 }
 
+// refusingLog holds the first append until refuse is closed and refuses it then.
+type refusingLog struct {
+	*faultyLog
+	started, refuse chan struct{}
+	first           sync.Once
+}
+
+func (l *refusingLog) Append(ctx context.Context, payload []byte) (int64, error) {
+	err := error(nil)
+	l.first.Do(func() {
+		close(l.started)
+		<-l.refuse
+		err = platformlog.ErrNotAppended
+	})
+	if err != nil {
+		return 0, err
+	}
+	return l.faultyLog.Append(ctx, payload)
+}
+
+// Guards against a record that is sent again after its caller gave up on it
+// while its first append was in flight.
+func TestWithdrawnRecordIsNotSentAgain(t *testing.T) {
+	c := qt.New(t)
+	log := &refusingLog{faultyLog: newFaultyLog(1), started: make(chan struct{}), refuse: make(chan struct{})}
+	log.heal()
+	p := startProcess(t, "a@1", log)
+	ctx, cancel := context.WithCancel(context.Background())
+	g := group.New(context.Background())
+	g.Go("withdraw", func(context.Context) error {
+		<-log.started
+		cancel()
+		return nil
+	})
+	_, err := p.writer.Append(ctx, journal.RequestClaimed{Identity: tally})
+	c.Assert(errors.Is(err, journal.ErrUnsettled), qt.IsTrue)
+	c.Assert(g.Wait(), qt.IsNil)
+	close(log.refuse)
+	_, err = p.writer.Append(within(t, 5*time.Second), journal.Barrier{})
+	c.Assert(err, qt.IsNil)
+	_, claimed := p.journal.Request(tally)
+	c.Assert(claimed, qt.IsFalse)
+}
+
 // Guards against a caller that waits for ever on a writer that has stopped.
 func TestStoppedWriterRefuses(t *testing.T) {
 	c := qt.New(t)
--- a/internal/record/source/source_test.go
+++ b/internal/record/source/source_test.go
@@ -77,12 +77,14 @@
 		t.Run(name, func(t *testing.T) {
 			d := newDeployment(t, 60)
 			a := d.start("a")
+			a.publishSnapshots()
 			version := d.configure(a)
-			d.fill(a, 80)
+			d.fill(a, 150)
+			b := d.start("b") // It has the state and not the records that led to it.
+			d.assertInForce(version, b)
 			d.service.SetFaults(fault)
-			fresh := d.newNode("fresh", a)
-			fresh.run()
-			fresh.puller.Notice(a.Peer, a.journal.Next())
+			fresh := d.start("fresh") // It knows the peer by its notice only.
+			fresh.puller.Notice(b.Peer, b.journal.Next())
 			d.assertInForce(version, fresh)
 			next := d.start("next", fresh)
 			next.puller.Notice(fresh.Peer, fresh.journal.Next())
