--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -191,7 +191,7 @@
 		if seed == n.settings.ListenAddress {
 			continue
 		}
-		data, err := peer.NewClient(seed, n.transport.Shared()).Snapshot(ctx)
+		data, err := peer.NewClient(seed, n.transport.Shared()).Snapshot(ctx, n.journal.Next())
 		if err == nil && n.journal.Restore(data) == nil {
 			return
 		}
