Wait for the retry budget while agents are unavailable

Cause: TestDrainUnderFullLoad ended with not-run answers in 1 of 41 runs: a draining agent was chosen again after a slow dial to the other one, and the retry budget was used up. Full queues are refused as before.

--- a/internal/role/agent/admission.go
+++ b/internal/role/agent/admission.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/traffic/queue"
@@ -21,6 +22,16 @@
 // Service returns the service that other processes call.
 func (s *Server) Service() wire.Agent { return service{s} }
 
+// Reasons of refusals that do not depend on the request.
+const (
+	reasonNotRunning    = "the agent is not running"
+	reasonStopping      = "draining: the agent is stopping"
+	reasonMinionLeaving = "draining: the minion is leaving"
+	reasonNoMinion      = "the minion is not available"
+)
+
+var leavingReasons = collection.NewSet(reasonNotRunning, reasonStopping, reasonMinionLeaving, reasonNoMinion)
+
 // Run implements wire.Agent.
 func (s service) Run(ctx context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
 	q, err := requestFromWire(r)
@@ -157,13 +168,13 @@
 	case remaining > s.options.MaxDeadline:
 		return "the deadline is too far away", false
 	case s.group == nil:
-		return "the agent is not running", true
+		return reasonNotRunning, true
 	case s.draining:
-		return "draining: the agent is stopping", true
+		return reasonStopping, true
 	case s.minion.leaving():
-		return "draining: the minion is leaving", true
+		return reasonMinionLeaving, true
 	case !s.minion.up:
-		return "the minion is not available", true
+		return reasonNoMinion, true
 	case terms.Limit > 0 && waiting >= terms.Limit:
 		return "the queue of the organisation is full", true
 	}
--- a/internal/role/agent/claim.go
+++ b/internal/role/agent/claim.go
@@ -50,7 +50,7 @@
 		return
 	}
 	if s.group == nil {
-		s.drop(e, "the agent is stopping", true)
+		s.drop(e, reasonStopping, true)
 		return
 	}
 	s.push(s.ready, e)
--- a/internal/role/agent/dispatch.go
+++ b/internal/role/agent/dispatch.go
@@ -36,7 +36,7 @@
 	}
 	if s.minion.leaving() || !s.minion.up {
 		for _, e := range append(s.unclaimed.Clear(), s.ready.Clear()...) {
-			s.drop(e, "the minion is not available", true)
+			s.drop(e, reasonNoMinion, true)
 		}
 	}
 	for s.running < s.options.Slots {
@@ -189,6 +189,6 @@
 	s.group = nil
 	for _, e := range append(s.unclaimed.Clear(), s.ready.Clear()...) {
 		e.queue = nil
-		s.finish(e, s.notRun(e.request, "the agent is stopping", true))
+		s.finish(e, s.notRun(e.request, reasonStopping, true))
 	}
 }
--- a/internal/role/agent/exchange.go
+++ b/internal/role/agent/exchange.go
@@ -40,7 +40,7 @@
 	a := &attempt{server: s, request: q, minion: s.minion}
 	s.mu.Unlock()
 	if !a.minion.up {
-		return s.notRunHere(q, "the minion is not available")
+		return s.notRunHere(q, reasonNoMinion)
 	}
 	base := a.minion.life
 	if q.Idempotent {
@@ -59,7 +59,7 @@
 	})
 	s.mu.Unlock()
 	if !sent {
-		return s.notRunHere(q, "the agent is stopping")
+		return s.notRunHere(q, reasonStopping)
 	}
 	answer := a.await(work, results)
 	if answer.Outcome == request.Unknown && ctx.Err() == nil {
--- a/internal/traffic/routing/options.go
+++ b/internal/traffic/routing/options.go
@@ -82,6 +82,6 @@
 		AskTimeout:     2500 * time.Millisecond,
 		Grace:          200 * time.Millisecond,
 		ProveTimeout:   300 * time.Millisecond,
-		Dial:           500 * time.Millisecond,
+		Dial:           time.Second,
 	}
 }
--- a/internal/traffic/routing/run.go
+++ b/internal/traffic/routing/run.go
@@ -18,6 +18,8 @@
 	attempts  int
 	uncertain bool           // uncertain runs had an attempt that may have run; they never end as NotRun.
 	last      request.Answer // last is the last proved NotRun answer.
+
+	unavailable bool // unavailable is set when the last agent was not reached or takes no work.
 }
 
 // complete tries agents until there is an answer.
@@ -90,15 +92,19 @@
 
 // retry waits with jitter, if another attempt is allowed. The first few
 // attempts after proved refusals are not counted in the budget, because a
-// refusal costs the agent next to nothing.
+// refusal costs the agent next to nothing. While agents are unavailable, the
+// request waits for the budget; when queues are full, it is refused at once.
 func (r *run) retry(ctx context.Context) bool {
 	if !r.uncertain && r.attempts <= r.client.options.FreeMoves {
 		r.pause(ctx)
 		return true
 	}
-	if !r.client.budget.Take(time.Now()) {
-		r.client.Counters.Denied.Add(1)
-		return false
+	for !r.client.budget.Take(time.Now()) {
+		if r.uncertain || !r.unavailable || ctx.Err() != nil || !time.Now().Before(r.request.Deadline) {
+			r.client.Counters.Denied.Add(1)
+			return false
+		}
+		r.pause(ctx)
 	}
 	r.client.Counters.Retries.Add(1)
 	r.pause(ctx)
@@ -131,12 +137,15 @@
 func (r *run) try(ctx context.Context, a Agent) (request.Answer, bool) {
 	answer, err := r.client.exchanger.run(ctx, a, r.request, r.httpClient())
 	r.attempts++
+	r.unavailable = false
 	if err == nil {
 		return r.judge(a, answer)
 	}
+	// A refusing agent has a low load, which would attract more requests.
 	r.client.chooser.failed(a)
 	switch {
-	case errors.Is(err, errNotSent):
+	case errors.Is(err, errNotSent), errors.Is(err, errLeaving):
+		r.unavailable = true
 		r.last = r.notRun(err.Error(), true)
 		return request.Answer{}, false
 	case errors.Is(err, errInvalid):
