Wait for the second incarnation in TestCrashAndReturn

Cause: with GOMAXPROCS=1 the test asked before the second incarnation listened, and got a refused connection. Change: the test probes until the new incarnation answers, for at most 4 s. Conclusion: the test no longer depends on the order of two goroutines.

--- a/internal/standin/minionhost/host_test.go
+++ b/internal/standin/minionhost/host_test.go
@@ -120,6 +120,10 @@
 	h.Crash()
 	c.Assert(errors.Is(wait(), minionhost.ErrCrashed), qt.IsTrue)
 	run(t, h)
+	ctx := within(t, 4*time.Second)
+	for _, err = client.Probe(ctx); err != nil && ctx.Err() == nil; _, err = client.Probe(ctx) {
+		time.Sleep(time.Millisecond) // the second incarnation may not listen yet
+	}
 	_, err = client.Ask(within(t, 4*time.Second), tally, first)
 	c.Assert(errors.Is(err, minion.ErrNotKnown), qt.IsTrue, qt.Commentf("%v", err))
 	_, err = client.Work(within(t, 4*time.Second), minion.Work{Identity: tally, Incarnation: first})
