Keep an abandoned worker abandoned under its lease

Cause: a late Abandon of an earlier lease cleared the mark of the current one. Change: Abandon only ever sets the mark. Conclusion: a worker whose stop fails is not renewed by mistake.

--- a/internal/fleet/scheduler/keeper.go
+++ b/internal/fleet/scheduler/keeper.go
@@ -35,7 +35,9 @@
 func (l leased) Abandon() {
 	l.keeper.mu.Lock()
 	defer l.keeper.mu.Unlock()
-	l.keeper.abandoned = l.keeper.session.Lease == l.Lease
+	if l.keeper.session.Lease == l.Lease {
+		l.keeper.abandoned = true
+	}
 }
 
 func (k *keeper) host() leased {
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -54,7 +54,9 @@
 
 // Run holds the duty until ctx ends. Then starts in progress are finished, and
 // running tasks go on for a successor to adopt. It returns ErrSuperseded when
-// another scheduler has taken over.
+// another scheduler has taken over; a caller that still believes to hold the
+// duty waits for some seconds before it calls Run again, so that two schedulers
+// do not take the leases from each other all the time.
 func (s *Scheduler) Run(ctx context.Context) error {
 	s.counters.Terms.Add(1)
 	s.changes.Reset()
