--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -65,6 +65,8 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		f := s.currentFaults()
 		if f.Hang {
+			// The server notices the end of a connection only after the body.
+			_, _ = io.Copy(io.Discard, r.Body)
 			<-r.Context().Done()
 			return
 		}
@@ -130,8 +132,8 @@
 	wait := min(maxWait, time.Duration(waitMillis)*time.Millisecond)
 	page, expired := s.awaitPage(r, from, min(limit, maxPerRead), wait)
 	if expired {
-		http.Error(w, "offset has expired", http.StatusGone)
-		return
+		w.WriteHeader(http.StatusGone)
+		page.Entries = nil
 	}
 	writeJSON(w, replyFromPage(page))
 }
--- /dev/null
+++ b/internal/traffic/routing/client.go
@@ -0,0 +1,199 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net/http"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+// Journal is what a client needs of the folded log.
+type Journal interface {
+	Request(id request.Identity) (journal.RequestState, bool)
+	Watch() <-chan struct{}
+}
+
+// Counters count what a client did since its start.
+type Counters struct {
+	Requests  expvar.Int
+	Retries   expvar.Int
+	Denied    expvar.Int // Denied retries were beyond the budget.
+	LinkFull  expvar.Int // LinkFull counts remote agents that were left out because of the cap on the region link.
+	Discarded expvar.Int // Discarded replies were crossed or truncated.
+	Lost      expvar.Int // Lost replies.
+	Unproved  expvar.Int // Unproved refusals of non-idempotent requests were answered as unknown.
+}
+
+// Client runs requests end to end. It is safe for concurrent use.
+type Client struct {
+	options   Options
+	journal   Journal
+	chooser   *chooser
+	exchanger *exchanger
+	budget    *Budget
+	Counters  Counters
+}
+
+// Connections are the connections of a process.
+type Connections interface {
+	// Shared reuses connections.
+	Shared() http.RoundTripper
+	// Fresh opens a connection for each exchange.
+	Fresh() http.RoundTripper
+}
+
+// New returns a client that chooses among agents. Nil connections mean
+// connections of its own.
+func New(options Options, agents func() []Agent, j Journal, connections Connections) *Client {
+	c := newChooser(options, agents)
+	return &Client{
+		options:   options,
+		journal:   j,
+		chooser:   c,
+		exchanger: newExchanger(options, c, connections),
+		budget:    NewBudget(options.RetryShare, options.RetryPerSecond, options.RetryBurst, time.Now()),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.exchanger.kept.CloseIdleConnections()
+	c.exchanger.fresh.CloseIdleConnections()
+}
+
+// Status returns what the client knows of all agents.
+func (c *Client) Status() []AgentStatus { return c.chooser.status() }
+
+// Run runs a request and returns its one answer, at the latest a short grace
+// after its deadline. NotRun is returned only when no attempt can have run. For
+// a non-idempotent request it also means that no agent and no record known here
+// has the identity from another submission.
+func (c *Client) Run(ctx context.Context, q request.Request) request.Answer {
+	c.Counters.Requests.Add(1)
+	c.budget.Requested(time.Now())
+	caller := ctx
+	ctx, cancel := context.WithDeadline(ctx, q.Deadline.Add(c.options.Grace))
+	defer cancel()
+	r := &run{client: c, request: q, tried: map[string]bool{}}
+	answer := r.complete(ctx)
+	if answer.Outcome != request.NotRun || q.Idempotent {
+		return answer
+	}
+	answer = c.confirmNotRun(ctx, answer)
+	if answer.Outcome != request.NotRun {
+		return answer
+	}
+	return c.proveNotRun(caller, q, answer)
+}
+
+// proveNotRun asks all agents of the service whether they know the identity,
+// which may have been submitted at another entry as well. The journal alone is
+// no proof, because this process may be behind it while the log is down. When
+// an agent knows it or does not reply, the outcome is unknown.
+func (c *Client) proveNotRun(ctx context.Context, q request.Request, a request.Answer) request.Answer {
+	ctx, cancel := context.WithTimeout(ctx, c.options.ProveTimeout)
+	defer cancel()
+	g := group.New(ctx)
+	for _, target := range c.chooser.agents() {
+		if target.Service != q.Service || target.State == Dead {
+			continue
+		}
+		g.Go("ask "+target.Name, func(ctx context.Context) error {
+			answer, found, err := c.exchanger.lookup(ctx, target, q.Identity)
+			if err != nil {
+				return err
+			}
+			if found && answer.Outcome != request.NotRun {
+				return fmt.Errorf("%s: %w", target.Name, errKnown)
+			}
+			return nil
+		})
+	}
+	if err := g.Wait(); err != nil || ctx.Err() != nil {
+		c.Counters.Unproved.Add(1)
+		reason := fmt.Sprintf("%s; not proved: %v", a.Reason, errors.Join(err, ctx.Err()))
+		return request.Answer{Identity: a.Identity, Outcome: request.Unknown, Reason: reason}
+	}
+	return a
+}
+
+// confirmNotRun checks that no other agent holds a claim of the identity, which
+// may have been submitted at another entry as well.
+func (c *Client) confirmNotRun(ctx context.Context, a request.Answer) request.Answer {
+	for {
+		changed := c.journal.Watch()
+		state, claimed := c.journal.Request(a.Identity)
+		switch {
+		case !claimed:
+			return a
+		case state.Outcome != request.Pending:
+			return answerFromState(state)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return request.Answer{Identity: a.Identity, Outcome: request.Unknown, Reason: "claimed by " + state.Writer}
+		}
+	}
+}
+
+// Lookup returns the answer of a request that was submitted before, here or at
+// another entry. A Pending answer means that the request is known.
+func (c *Client) Lookup(ctx context.Context, id request.Identity) (request.Answer, bool) {
+	state, claimed := c.journal.Request(id)
+	if claimed && state.Outcome != request.Pending {
+		return answerFromState(state), true
+	}
+	pending := claimed
+	for _, a := range c.likelyAgents(id) {
+		answer, found, err := c.exchanger.lookup(ctx, a, id)
+		if err == nil && found && answer.Outcome != request.Pending {
+			return answer, true
+		}
+		pending = pending || (err == nil && found)
+	}
+	return request.Answer{Identity: id, Outcome: request.Pending}, pending
+}
+
+// likelyAgents returns the stable pairs of the identity, for each service and
+// tier.
+func (c *Client) likelyAgents(id request.Identity) []Agent {
+	type pool struct {
+		service string
+		tier    tier
+	}
+	pools := map[pool][]Agent{}
+	var order []pool
+	for _, a := range c.chooser.agents() {
+		p := pool{a.Service, c.chooser.tierOf(a)}
+		if a.State == Dead || a.State == Suspect {
+			continue
+		}
+		if pools[p] == nil {
+			order = append(order, p)
+		}
+		pools[p] = append(pools[p], a)
+	}
+	var likely []Agent
+	for _, p := range order {
+		ordered := rendezvous(pools[p], id)
+		likely = append(likely, ordered[:min(2, len(ordered))]...)
+	}
+	return likely
+}
+
+func answerFromState(state journal.RequestState) request.Answer {
+	return request.Answer{
+		Identity: state.Identity,
+		Outcome:  state.Outcome,
+		Reason:   state.Reason,
+		Body:     state.Body,
+		Agent:    state.Writer,
+	}
+}
