--- a/internal/fleet/scheduler/keeper.go
+++ b/internal/fleet/scheduler/keeper.go
@@ -35,7 +35,9 @@
 func (l leased) Abandon() {
 	l.keeper.mu.Lock()
 	defer l.keeper.mu.Unlock()
-	l.keeper.abandoned = l.keeper.session.Lease == l.Lease
+	if l.keeper.session.Lease == l.Lease {
+		l.keeper.abandoned = true
+	}
 }
 
 func (k *keeper) host() leased {
@@ -147,7 +149,7 @@
 			return nil
 		}
 		after = report.Next
-		k.term.post(ctx, func(t *term) { t.workerReport(k.worker.Name, sent, report) })
+		k.term.postReport(ctx, func(t *term) { t.workerReport(k.worker.Name, sent, report) })
 		sleep(ctx, minSpacing)
 	}
 	return ctx.Err()
