--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 
+	"wasabihoist/internal/run/bench/capacitybench"
 	"wasabihoist/internal/run/bench/faultbench"
+	"wasabihoist/internal/run/bench/journalbench"
 	"wasabihoist/internal/run/bench/membershipbench"
 	"wasabihoist/internal/run/bench/placementbench"
 )
@@ -13,6 +15,9 @@
 func subjects() []subject {
 	return []subject{
 		{"placement", "completion time and fragmentation of the placement policies on recorded workloads", benchPlacement},
+		{"placement-scale", "time of a decision and memory of a task by fleet size", benchPlacementScale},
+		{"journal", "memory, log bytes and processor time of records and snapshots", benchJournal},
+		{"capacity", "cost of the scheduler duty by workers and tasks, and of requests by rate", benchCapacity},
 		{"faults", "work that is lost, run twice or falsely refused under faults, and recovery times", benchFaults},
 		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
 	}
@@ -36,6 +41,32 @@
 	return json.RawMessage(data), err
 }
 
+func benchPlacementScale(ctx context.Context, o benchOptions) (any, error) {
+	options := placementbench.Default()
+	options.Seed = o.seed
+	return placementbench.RunScale(ctx, options)
+}
+
+func benchJournal(ctx context.Context, _ benchOptions) (any, error) {
+	result, err := journalbench.Run(ctx, journalbench.Default())
+	if err != nil {
+		return nil, err
+	}
+	data, err := result.JSON()
+	return json.RawMessage(data), err
+}
+
+func benchCapacity(ctx context.Context, o benchOptions) (any, error) {
+	options := capacitybench.Default()
+	options.Progress = o.progress
+	result, err := capacitybench.Run(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	data, err := result.JSON()
+	return json.RawMessage(data), err
+}
+
 func benchMembership(ctx context.Context, _ benchOptions) (any, error) {
 	report, err := membershipbench.Run(ctx, membershipbench.Default())
 	if err != nil {
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -1,7 +1,9 @@
 package cmd_test
 
 import (
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -51,20 +53,28 @@
 }
 
 // reserveAddresses sets one variable for each listener of the process
-// scenarios to a free loopback address.
+// scenarios to a free loopback address. The ports lie below the range from
+// which the system takes ports of outgoing connections; one of that range was
+// taken between its reservation and the start of the process.
 func reserveAddresses(env *testscript.Env) error {
+	const lowest, count, attempts = 20_000, 10_000, 1000
 	names := []string{"LOG", "WORKER1", "WORKER2", "MINION", "ANNOUNCE", "AGENT", "ENTRY", "CALLERS", "OPERATORS"}
-	for _, name := range names {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range attempts {
+		if len(names) == 0 {
+			return nil
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return fmt.Errorf("reserve an address: %w", err)
+			continue
 		}
 		// All listeners stay open until the last one is reserved, so that no
 		// address is given out twice.
 		defer func() { _ = l.Close() }()
-		env.Setenv(name, l.Addr().String())
+		env.Setenv(names[0], address)
+		names = names[1:]
 	}
-	return nil
+	return errors.New("no free loopback addresses")
 }
 
 // expandEnv replaces ${NAME} in files by the variables of the script.
--- a/internal/cluster/membership/membership_test.go
+++ b/internal/cluster/membership/membership_test.go
@@ -180,9 +180,16 @@
 	informed := func(changes int) (count int) {
 		options := membership.Default()
 		options.ChangesPerMessage = changes
+		if changes == 0 {
+			// Frequent repair and extra messages inform members by other
+			// means, which would hide that changes are not piggybacked.
+			options.RepairInterval = 5 * time.Second
+			options.GossipInterval = 0
+		}
 		run(t, options, func(c *qt.C, f *fleet) {
 			f.startMany(c, 0, 60)
 			f.startMany(c, 1, 20)
+			time.Sleep(20 * time.Second) // the readings of the list after a start are over
 			f.members[name(0, 7)].SetDraining(true)
 			time.Sleep(4 * time.Second)
 			for _, m := range f.members {
--- /dev/null
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -0,0 +1,225 @@
+package capacitybench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/scheduler"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/standin/workerhost"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+const (
+	dataCentre     = "capacity"
+	workersPerRack = 3
+	headerTimeout  = 5 * time.Second
+	readyLimit     = 30 * time.Second
+	readyPause     = 50 * time.Millisecond
+	longRunTime    = time.Hour
+	memberMemory   = 1_000_000
+)
+
+// SchedulerPoint is the cost of the scheduler duty for one size. Processor
+// time and memory include the stand-ins of the workers, so they are upper
+// bounds.
+type SchedulerPoint struct {
+	Workers        int
+	Tasks          int
+	BytesPerSecond float64 // BytesPerSecond between scheduler and workers, both ways, with HTTP headers.
+	Cores          float64
+	HeapBytes      int64 // HeapBytes is the growth since before the start.
+}
+
+// site is a data centre of stand-ins with its scheduler.
+type site struct {
+	group     *group.Group
+	counter   bytesCounter
+	servers   []*http.Server
+	workers   []worker.Worker
+	journal   *journal.Journal
+	writer    *journal.Writer
+	scheduler *scheduler.Scheduler
+}
+
+// measureScheduler runs a scheduler over a number of workers, idle and with
+// long tasks on each worker.
+func measureScheduler(ctx context.Context, o Options, workers int) ([]SchedulerPoint, error) {
+	before := heap()
+	s := &site{group: group.New(ctx)}
+	defer s.stop()
+	if err := s.start(workers); err != nil {
+		return nil, err
+	}
+	if err := s.await(ctx, func(x scheduler.Summary) bool { return x.Workers == workers }); err != nil {
+		return nil, fmt.Errorf("lease %d workers: %w", workers, err)
+	}
+	idle := s.window(ctx, o, workers, 0, before)
+	tasks := workers * o.TasksPerWorker
+	if err := s.fill(ctx, workers, o.TasksPerWorker); err != nil {
+		return nil, err
+	}
+	busy := s.window(ctx, o, workers, tasks, before)
+	return []SchedulerPoint{idle, busy}, ctx.Err()
+}
+
+func (s *site) start(workers int) error {
+	logAddress, err := s.serve(logservice.New(logservice.DefaultLimits()).Handler(), false)
+	if err != nil {
+		return err
+	}
+	capacity := worker.Resources{Cores: 64, Memory: 64_000_000_000, Accelerators: 1}
+	for i := range workers {
+		address, err := s.serve(workerhost.New(capacity, nil).Handler(), true)
+		if err != nil {
+			return err
+		}
+		s.workers = append(s.workers, worker.Worker{
+			Name:       fmt.Sprintf("worker-%d", i),
+			Rack:       fmt.Sprintf("rack-%d", i/workersPerRack),
+			DataCentre: dataCentre,
+			Address:    address,
+			Capacity:   capacity,
+		})
+	}
+	client := platformlog.NewClient(logAddress, nil)
+	s.journal = journal.New()
+	s.writer = journal.NewWriter("capacity@1", client, s.journal, journal.DefaultWriterOptions())
+	s.group.Go("writer", s.writer.Run)
+	s.group.Go("follower", journal.NewFollower(s.journal, client, noSnapshots{}).Run)
+	o := scheduler.Default()
+	o.DataCentre = dataCentre
+	o.Holder = s.writer.Name()
+	o.Workers = s.workers
+	s.scheduler = scheduler.New(o, s.journal, s.writer)
+	s.group.Go(s.scheduler.String(), s.scheduler.Run)
+	return nil
+}
+
+// noSnapshots has none; the log of a measurement is short.
+type noSnapshots struct{}
+
+// Snapshot implements journal.SnapshotSource.
+func (noSnapshots) Snapshot(context.Context, int64) ([]byte, error) {
+	return nil, journal.ErrNoSnapshot
+}
+
+func (s *site) serve(handler http.Handler, counted bool) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	address, err := netip.ParseAddrPort(listener.Addr().String())
+	if err != nil {
+		return address, fmt.Errorf("listen: %w", err)
+	}
+	if counted {
+		listener = s.counter.wrap(listener)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	s.servers = append(s.servers, server)
+	s.group.Go("stand-in", func(context.Context) error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return address, nil
+}
+
+func (s *site) await(ctx context.Context, reached func(scheduler.Summary) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, readyLimit)
+	defer cancel()
+	for !reached(s.scheduler.Summary()) {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyPause):
+		}
+	}
+	return nil
+}
+
+// fill submits one long gang for each batch of workers and waits until all of
+// them run.
+func (s *site) fill(ctx context.Context, workers, perWorker int) error {
+	const gang = 20
+	jobs := workers * perWorker / gang
+	_, err := s.writer.Append(ctx, journal.ConfigurationPublished{
+		Organisations: []organisation.Organisation{{Name: "capacity", Plan: "capacity"}},
+		Plans:         []organisation.Plan{{Name: "capacity", Kinds: []string{"long"}, Share: 1}},
+	})
+	if err != nil {
+		return fmt.Errorf("publish: %w", err)
+	}
+	for i := range jobs {
+		j := job.Job{
+			Identity:   request.Identity{Organisation: "capacity", ID: fmt.Sprintf("job-%d", i)},
+			Kind:       "long",
+			Shape:      organisation.Shape{Members: gang, Adjacency: organisation.WithinDataCentre},
+			Cores:      1,
+			Memory:     memberMemory,
+			RunTime:    longRunTime,
+			Idempotent: true,
+			Submitted:  time.Now(),
+		}
+		if _, err := s.writer.Append(ctx, journal.JobSubmitted{Job: j}); err != nil {
+			return fmt.Errorf("submit: %w", err)
+		}
+	}
+	err = s.await(ctx, func(scheduler.Summary) bool { return s.runningJobs() == jobs })
+	if err != nil {
+		return fmt.Errorf("start %d jobs, %d run: %w", jobs, s.runningJobs(), err)
+	}
+	return nil
+}
+
+func (s *site) runningJobs() int {
+	running := 0
+	for _, j := range s.journal.Jobs() {
+		if j.State == job.Running {
+			running++
+		}
+	}
+	return running
+}
+
+func (s *site) window(ctx context.Context, o Options, workers, tasks int, before int64) SchedulerPoint {
+	pause(ctx, o.Settle)
+	from := s.counter.usage()
+	pause(ctx, o.Window)
+	r := from.until(s.counter.usage())
+	return SchedulerPoint{
+		Workers:        workers,
+		Tasks:          tasks,
+		BytesPerSecond: r.bytesPerSecond,
+		Cores:          r.cores,
+		HeapBytes:      heap() - before,
+	}
+}
+
+func (s *site) stop() {
+	s.group.Stop()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	_ = s.group.Wait()
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
