Serve the figures of every process and keep schedulers between duties

Cause: metrics-address had no effect, and the counters of a scheduler were lost when its duty moved.

--- a/internal/run/metrics/metrics.go
+++ b/internal/run/metrics/metrics.go
@@ -106,6 +106,16 @@
 	return Gauge{value}
 }
 
+// Func documents a figure that is read from its owner whenever it is served. A
+// later call for the same name replaces the owner, because a process may start
+// again within one operating system process.
+func (r *Registry) Func(d Description, read func() float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.descriptions[d.Name] = d
+	r.values.Set(d.Name, expvar.Func(func() any { return read() }))
+}
+
 // register publishes a value unless the name is in use for the other kind. The
 // value works in that case but is not served.
 func (r *Registry) register(d Description, value expvar.Var) {
--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -32,11 +32,11 @@
 	a := &Agent{node: n, agent: agent.New(agentOptions(s), n.journal, n.writer)}
 	a.duties, err = newSchedulerDuties(n)
 	if err != nil {
-		return nil, errors.Join(err, n.listener.Close())
+		return nil, errors.Join(err, n.close())
 	}
 	a.announce, err = newEndpoint(env, "agent.announce-address", s.Agent.AnnounceAddress, a.agent.Handler())
 	if err != nil {
-		return nil, errors.Join(err, n.listener.Close())
+		return nil, errors.Join(err, n.close())
 	}
 	n.mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a.agent.Service()))
 	n.mux.Handle(wire.SchedulerPathPrefix, wire.NewSchedulerServer(a.duties))
@@ -56,6 +56,7 @@
 // Run serves until ctx ends, then stops without cutting off a request.
 func (a *Agent) Run(ctx context.Context) error {
 	a.start()
+	a.serveFigures(a.figures())
 	a.announce.start(a.group, "announce listener")
 	a.group.Go(a.agent.String(), a.agent.Run)
 	a.group.Go(a.duties.String(), a.duties.Run)
--- a/internal/run/process/duties.go
+++ b/internal/run/process/duties.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"sync"
 	"time"
@@ -31,15 +32,16 @@
 	workers map[string][]worker.Worker // workers by data centre, from the settings.
 
 	mu       sync.Mutex
-	running  map[string]*runningScheduler
-	released bool // released is set once by a planned stop.
+	tenures  map[string]*tenure // tenures by data centre; they stay when the duty is given up.
+	released bool               // released is set once by a planned stop.
 }
 
-// runningScheduler is a scheduler with the means to end it.
-type runningScheduler struct {
+// tenure is the scheduler of a data centre and its last run at this agent.
+type tenure struct {
 	scheduler *scheduler.Scheduler
+	held      bool
 	stop      context.CancelFunc
-	done      chan struct{}
+	done      chan struct{} // done is closed at the end of the last run.
 }
 
 func newSchedulerDuties(n *node) (*schedulerDuties, error) {
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("agent.policy: %w", err)
 	}
-	d := &schedulerDuties{node: n, policy: policy, workers: map[string][]worker.Worker{}, running: map[string]*runningScheduler{}}
+	d := &schedulerDuties{node: n, policy: policy, workers: map[string][]worker.Worker{}, tenures: map[string]*tenure{}}
 	for _, w := range n.settings.Agent.Workers {
 		d.workers[w.DataCentre] = append(d.workers[w.DataCentre], w)
 	}
@@ -77,13 +79,13 @@
 	defer d.mu.Unlock()
 	for dataCentre := range d.workers {
 		held := !d.released && d.holds(dataCentre)
-		r := d.running[dataCentre]
+		t := d.tenures[dataCentre]
 		switch {
-		case held && r == nil:
-			d.running[dataCentre] = d.begin(g, dataCentre)
-		case !held && r != nil:
-			r.stop()
-			delete(d.running, dataCentre)
+		case held && (t == nil || !t.held):
+			d.tenures[dataCentre] = d.begin(g, dataCentre, t)
+		case !held && t != nil && t.held:
+			t.held = false
+			t.stop()
 		}
 	}
 }
@@ -104,15 +106,22 @@
 	return ok && holder.Name == d.node.settings.Name
 }
 
-func (d *schedulerDuties) begin(g *group.Group, dataCentre string) *runningScheduler {
+// begin starts a run of the scheduler after the end of the last one.
+func (d *schedulerDuties) begin(g *group.Group, dataCentre string, last *tenure) *tenure {
 	ctx, stop := context.WithCancel(g.Context())
-	r := &runningScheduler{scheduler: d.build(dataCentre), stop: stop, done: make(chan struct{})}
-	g.Go(r.scheduler.String(), func(context.Context) error {
-		defer close(r.done)
-		return d.keep(ctx, r.scheduler)
+	t := &tenure{held: true, stop: stop, done: make(chan struct{})}
+	if last == nil {
+		last = &tenure{scheduler: d.build(dataCentre), done: make(chan struct{})}
+		close(last.done)
+	}
+	t.scheduler = last.scheduler
+	g.Go(t.scheduler.String(), func(context.Context) error {
+		defer close(t.done)
+		<-last.done
+		return d.keep(ctx, t.scheduler)
 	})
 	_ = d.node.logger.Log("level", "info", "event", "duty taken", "duty", schedulerDuty, "data-centre", dataCentre)
-	return r
+	return t
 }
 
 // keep runs a scheduler until ctx ends. One that was superseded tries again
@@ -155,16 +164,16 @@
 func (d *schedulerDuties) release(ctx context.Context) {
 	d.mu.Lock()
 	d.released = true
-	var stopped []*runningScheduler
-	for dataCentre, r := range d.running {
-		r.stop()
-		stopped = append(stopped, r)
-		delete(d.running, dataCentre)
+	var ending []*tenure
+	for _, t := range d.tenures {
+		t.held = false
+		t.stop()
+		ending = append(ending, t)
 	}
 	d.mu.Unlock()
-	for _, r := range stopped {
+	for _, t := range ending {
 		select {
-		case <-r.done:
+		case <-t.done:
 		case <-ctx.Done():
 			return
 		}
@@ -174,11 +183,22 @@
 func (d *schedulerDuties) find(dataCentre string) (*scheduler.Scheduler, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.running[dataCentre]
-	if r == nil {
+	t := d.tenures[dataCentre]
+	if t == nil || !t.held {
 		return nil, twirp.NewError(twirp.Unavailable, "this agent does not schedule data centre "+dataCentre)
 	}
-	return r.scheduler, nil
+	return t.scheduler, nil
+}
+
+// total sums a counter over the schedulers that ran at this agent.
+func (d *schedulerDuties) total(counter func(*scheduler.Counters) *expvar.Int) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sum := int64(0)
+	for _, t := range d.tenures {
+		sum += counter(t.scheduler.Counters()).Value()
+	}
+	return float64(sum)
 }
 
 // Fleet implements wire.Scheduler.
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -26,6 +26,7 @@
 	*node
 	entry     *entry.Entry
 	collector *report.Collector
+	router    *routing.Client
 	callers   endpoint
 	operators endpoint
 }
@@ -71,17 +72,17 @@
 	}
 	e := &Entry{node: n}
 	e.collector = report.NewCollector(n.board.holders.Get, e.dialScheduler)
-	router := routing.New(routingOptions(s), n.board.agents.Get, n.journal, n.transport)
-	e.entry = entry.New(entryOptions(s), n.journal, n.writer, router, e.collector, n.directory.list)
+	e.router = routing.New(routingOptions(s), n.board.agents.Get, n.journal, n.transport)
+	e.entry = entry.New(entryOptions(s), n.journal, n.writer, e.router, e.collector, n.directory.list)
 	e.callers, err = newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, e.entry.CallerHandler())
 	if err != nil {
-		return nil, errors.Join(err, n.listener.Close())
+		return nil, errors.Join(err, n.close())
 	}
 	if s.Entry.OperatorAddress.IsValid() {
 		e.operators, err = newEndpoint(env, "entry.operator-address", s.Entry.OperatorAddress, e.entry.OperatorHandler())
 	}
 	if err != nil {
-		return nil, errors.Join(err, n.listener.Close(), e.callers.listener.Close())
+		return nil, errors.Join(err, n.close(), e.callers.listener.Close())
 	}
 	return e, nil
 }
@@ -89,6 +90,7 @@
 // Run serves until ctx ends, then stops without cutting off a call.
 func (e *Entry) Run(ctx context.Context) error {
 	e.start()
+	e.serveFigures(e.figures())
 	e.group.Go(e.collector.String(), e.collector.Run)
 	e.callers.start(e.group, "caller listener")
 	e.operators.start(e.group, "operator listener")
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -66,6 +66,7 @@
 	publisher *snapshot.Publisher
 	server    *http.Server
 	listener  net.Listener
+	metrics   net.Listener // metrics is nil when the settings name no address.
 	mux       *http.ServeMux
 	group     *group.Group
 }
@@ -77,7 +78,11 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &node{settings: s, logger: env.Logger, listener: listener, mux: http.NewServeMux(), board: newBoard()}
+	metricsListener, err := env.listenMetrics(s.MetricsAddress)
+	if err != nil {
+		return nil, errors.Join(err, listener.Close())
+	}
+	n := &node{metrics: metricsListener, settings: s, logger: env.Logger, listener: listener, mux: http.NewServeMux(), board: newBoard()}
 	n.transport = transport.New(n.isRemote, env.Middleware)
 	n.log = platformlog.NewClient(s.LogAddress, n.transport.Shared())
 	n.journal = journal.New()
@@ -108,6 +113,21 @@
 	return listener, nil
 }
 
+func (env Environment) listenMetrics(address netip.AddrPort) (net.Listener, error) {
+	if !address.IsValid() {
+		return nil, nil
+	}
+	return env.listen("metrics-address", address)
+}
+
+// close releases the listeners of a process that does not start.
+func (n *node) close() error {
+	if n.metrics == nil {
+		return n.listener.Close()
+	}
+	return errors.Join(n.listener.Close(), n.metrics.Close())
+}
+
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
 		Handler:           handler,
