--- a/cmd/standin.go
+++ b/cmd/standin.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
-	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/run/settings"
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/standin/minionhost"
@@ -85,16 +84,5 @@
 		return fmt.Errorf("listen-address: %w", err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: standinHeaderTimeout}
-	g := group.New(ctx)
-	g.Go("listener", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go("stop", func(ctx context.Context) error {
-		<-ctx.Done()
-		return server.Close()
-	})
-	return g.Wait()
+	return webserver.Serve(ctx, server, listener)
 }
--- a/internal/fleet/placement/property_test.go
+++ b/internal/fleet/placement/property_test.go
@@ -1,13 +1,13 @@
 package placement_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"wasabihoist/internal/base/propertytest"
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
@@ -16,18 +16,7 @@
 )
 
 // The property tests run the same cases each time unless flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	if !given["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "20260101")
-	}
-	if !given["rapid.checks"] {
-		_ = flag.Set("rapid.checks", "1500")
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 1500) }
 
 // placed is a job that runs in the test's own model of the fleet.
 type placed struct {
--- a/internal/record/journal/fold_test.go
+++ b/internal/record/journal/fold_test.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"flag"
 	"fmt"
 	"reflect"
 	"strings"
@@ -11,24 +10,14 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"wasabihoist/internal/base/propertytest"
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
 )
 
 // The property tests run the same cases each time unless flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	if !given["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "20260101")
-	}
-	if !given["rapid.checks"] {
-		_ = flag.Set("rapid.checks", "300")
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 300) }
 
 const testBodyLimit = 200
 
--- a/internal/run/bench/capacitybench/scheduler.go
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -10,6 +9,7 @@
 	"time"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/fleet/scheduler"
 	"wasabihoist/internal/fleet/worker"
@@ -46,7 +46,6 @@
 type site struct {
 	group     *group.Group
 	counter   bytesCounter
-	servers   []*http.Server
 	workers   []worker.Worker
 	journal   *journal.Journal
 	writer    *journal.Writer
@@ -128,13 +127,7 @@
 		listener = s.counter.wrap(listener)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	s.servers = append(s.servers, server)
-	s.group.Go("stand-in", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	s.group.Go("stand-in", func(ctx context.Context) error { return webserver.Serve(ctx, server, listener) })
 	return address, nil
 }
 
@@ -211,9 +204,6 @@
 
 func (s *site) stop() {
 	s.group.Stop()
-	for _, server := range s.servers {
-		_ = server.Close()
-	}
 	_ = s.group.Wait()
 }
 
--- a/internal/run/bench/journalbench/writers.go
+++ b/internal/run/bench/journalbench/writers.go
@@ -14,6 +14,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
 	"wasabihoist/internal/standin/logservice"
@@ -51,12 +52,7 @@
 	}
 	server := &http.Server{Handler: logservice.New(logservice.DefaultLimits()).Handler(), ReadHeaderTimeout: time.Second}
 	processes := group.New(ctx)
-	processes.Go("log service", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	processes.Go("log service", func(ctx context.Context) error { return webserver.Serve(ctx, server, listener) })
 	address := netip.MustParseAddrPort(listener.Addr().String())
 	const maxMicros, digits = 60_000_000, 3
 	l := &load{latency: hdrhistogram.New(1, maxMicros, digits)}
--- a/internal/run/bench/membershipbench/exchange.go
+++ b/internal/run/bench/membershipbench/exchange.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/cluster/membership"
 	"wasabihoist/internal/cluster/wire"
 )
@@ -85,15 +86,10 @@
 		ReadHeaderTimeout: time.Second,
 	}
 	g := group.New(ctx)
-	g.Go("server", func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	g.Go("server", func(ctx context.Context) error { return webserver.Serve(ctx, server, listener) })
 	result, err := exchangeMany(g.Context(), listener, count, fresh)
-	closeErr := server.Close()
-	return result, errors.Join(err, closeErr, g.Wait())
+	g.Stop()
+	return result, errors.Join(err, g.Wait())
 }
 
 func exchangeMany(ctx context.Context, listener *countingListener, count int, fresh bool) (Exchange, error) {
--- a/internal/run/embedded/cluster.go
+++ b/internal/run/embedded/cluster.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/run/deployment"
@@ -65,18 +66,17 @@
 
 // Cluster is a running deployment.
 type Cluster struct {
-	Options  Options
-	Log      *logservice.Service
-	Minions  []*Minion
-	Workers  []*Worker
-	Entries  []*Entry
-	Tokens   map[string]string // Tokens of the organisations.
-	network  *network
-	group    *group.Group
-	logAddr  netip.AddrPort
-	seeds    []netip.AddrPort
-	callers  http.RoundTripper
-	standins []*http.Server
+	Options Options
+	Log     *logservice.Service
+	Minions []*Minion
+	Workers []*Worker
+	Entries []*Entry
+	Tokens  map[string]string // Tokens of the organisations.
+	network *network
+	group   *group.Group
+	logAddr netip.AddrPort
+	seeds   []netip.AddrPort
+	callers http.RoundTripper
 }
 
 // running is a process that can be stopped on its own.
@@ -164,13 +164,7 @@
 		return address, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	c.standins = append(c.standins, server)
-	c.group.Go(name, func(context.Context) error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
+	c.group.Go(name, func(ctx context.Context) error { return webserver.Serve(ctx, server, listener) })
 	return address, nil
 }
 
@@ -403,9 +397,6 @@
 		failures = append(failures, r.stopAndWait())
 	}
 	c.group.Stop()
-	for _, s := range c.standins {
-		_ = s.Close()
-	}
 	c.network.closeUnused()
 	return errors.Join(append(failures, c.group.Wait())...)
 }
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/fleet/report"
 	"wasabihoist/internal/role/entry"
@@ -49,11 +50,7 @@
 	if e.server == nil {
 		return
 	}
-	g.Go(name, func(context.Context) error { return serve(e.server, e.listener) })
-	g.Go("stop of the "+name, func(ctx context.Context) error {
-		<-ctx.Done()
-		return e.server.Close()
-	})
+	g.Go(name, func(ctx context.Context) error { return webserver.Serve(ctx, e.server, e.listener) })
 }
 
 // shutdown waits for open calls until ctx ends and then closes them.
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/cluster/duty"
 	"wasabihoist/internal/cluster/membership"
 	"wasabihoist/internal/cluster/peer"
@@ -181,11 +182,7 @@
 	n.members.OnPeerOffset(func(m membership.Member, offset int64) {
 		n.puller.Notice(source.Peer{Name: m.Name, Address: m.Address}, offset)
 	})
-	g.Go("peer listener", func(context.Context) error { return serve(n.server, n.listener) })
-	g.Go("stop of the peer listener", func(ctx context.Context) error {
-		<-ctx.Done()
-		return n.server.Close()
-	})
+	g.Go("peer listener", func(ctx context.Context) error { return webserver.Serve(ctx, n.server, n.listener) })
 	g.Go(n.members.String(), n.members.Run)
 	g.Go(n.directory.String(), n.directory.Run)
 	g.Go(n.writer.String(), n.writer.Run)
@@ -230,13 +227,6 @@
 	}
 }
 
-func serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	return nil
-}
-
 // isRemote reports whether an address belongs to a member of another region,
 // or to the log service when that is in another region.
 func (n *node) isRemote(address netip.AddrPort) bool {
--- a/internal/tenancy/guarantee/differential_test.go
+++ b/internal/tenancy/guarantee/differential_test.go
@@ -1,30 +1,19 @@
 package guarantee_test
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
+	"wasabihoist/internal/base/propertytest"
 	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/tenancy/organisation"
 )
 
 // The differential tests run the same cases each time unless flags say otherwise.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := map[string]bool{}
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	if !given["rapid.seed"] {
-		_ = flag.Set("rapid.seed", "20260101")
-	}
-	if !given["rapid.checks"] {
-		_ = flag.Set("rapid.checks", "4000")
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { propertytest.Main(m, 4000) }
 
 // bruteForce tries every worker for every member of every shape that is not
 // held. It shares no code with the package.
