Explain what a waiting job waits for and what would start it

Cause: The explanation of a waiting job was one fixed reason, such as "no place fits now". It did not say which plan, job, reservation or worker stood before the job, and blocked_by and would_start_if stayed empty.

Change: Planner.Explain fills WaitsFor, BlockedBy and WouldStartIf from the state at the time of the question: stopped lending, accelerator limit, turn, reservation, quarantined or unreachable worker, guaranteed shape, borrowed job, and a data centre that is too small.

The planner cannot tell a quarantined worker from an unreachable one, so the text names both.

--- a/internal/fleet/placement/decision.go
+++ b/internal/fleet/placement/decision.go
@@ -71,6 +71,11 @@
 	Workers    []string      // Workers of the place that the job has or holds; empty while it waits.
 	Waited     time.Duration // Waited is the time since submission for jobs that have not started.
 	Reason     string        // Reason of the last attempt that failed; empty when none has.
+
+	// The texts are worked out from the state at the time of the question.
+	WaitsFor     string // WaitsFor is the place that the job needs, or where it is.
+	BlockedBy    string // BlockedBy names what stands before the job; empty when it has a place.
+	WouldStartIf string // WouldStartIf is what would have to change; empty when it has a place.
 }
 
 // Summary is the state of one data centre in a few numbers.
--- a/internal/fleet/placement/summary.go
+++ b/internal/fleet/placement/summary.go
@@ -20,6 +20,7 @@
 	if !e.placed() {
 		x.Waited = now.Sub(e.job.Submitted)
 	}
+	(&explainer{Planner: p, entry: e, now: now}).explain(&x)
 	return x, true
 }
 
--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"hash/fnv"
 	"slices"
+	"strings"
 	"time"
 
 	"wasabihoist/internal/base/collection"
@@ -167,18 +168,54 @@
 	var x Explanation
 	p, known := t.planner.Explain(id, time.Now())
 	x.Placement = p
+	x.WaitsFor, x.BlockedBy, x.WouldStartIf = p.WaitsFor, p.BlockedBy, p.WouldStartIf
 	if d, ok := t.delayed[id]; ok {
 		x.Reason, known = d.reason, true
+		t.explainDelay(id, d, &x)
 	}
 	if _, ok := t.settling[id]; ok {
 		x.Reason, known = "the claim of an earlier scheduler is being settled", true
+		t.explainSettlement(id, &x)
 	}
 	if a := t.active[id]; a != nil && !a.watched {
 		x.Reason, known = "the attempt is being started", true
 	}
+	if x.WaitsFor == "" {
+		x.WaitsFor = x.Reason
+	}
 	return x, known
 }
 
+// explainDelay explains a job that is not offered to the planner yet.
+func (t *term) explainDelay(id request.Identity, d delayed, x *Explanation) {
+	due := d.due.UTC().Format(time.RFC3339)
+	x.WaitsFor, x.BlockedBy = "the time "+due+" before it may be placed", d.reason
+	x.WouldStartIf = "it is " + due + " and a place is free"
+	if js, ok := t.journal.Job(id); ok && t.others[t.options.DataCentre].CanEverRun(js.Job) != nil {
+		x.WaitsFor = "workers on which it fits; it ends at " + due + " without them"
+		x.WouldStartIf = fmt.Sprintf("workers with room for %s are added before %s", js.Job.Shape, due)
+	}
+}
+
+// explainSettlement explains a job whose claim waits for reports of its workers.
+func (t *term) explainSettlement(id request.Identity, x *Explanation) {
+	js, _ := t.journal.Job(id)
+	var silent []string
+	for _, name := range slices.Compact(slices.Sorted(slices.Values(js.Workers))) {
+		if h := t.hosts[name]; h != nil && !h.lost && !h.up {
+			silent = append(silent, name)
+		}
+	}
+	x.WaitsFor = x.Reason
+	x.BlockedBy = "the claim of an earlier scheduler"
+	x.WouldStartIf = "the claim is settled by the next report of its workers"
+	if len(silent) > 0 {
+		list := strings.Join(silent, ", ")
+		x.BlockedBy += " on worker " + list
+		x.WouldStartIf = "worker " + list + " reports its tasks or is given up"
+	}
+}
+
 func (t *term) summary() Summary {
 	s := Summary{Placement: t.planner.Summary(), Active: len(t.active)}
 	quarantined := collection.NewSet[string]()
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -85,6 +85,10 @@
 type Explanation struct {
 	Placement placement.Explanation // Placement is the planner's view; zero when the job is not in it.
 	Reason    string                // Reason is the scheduler's own, such as a claim that waits.
+
+	WaitsFor     string // WaitsFor is what the job waits for, or where it is.
+	BlockedBy    string // BlockedBy names what stands before the job; empty when nothing does.
+	WouldStartIf string // WouldStartIf is what would have to change; empty when the job has a place.
 }
 
 // Summary is the state of the data centre.
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -25,3 +26,22 @@
 		f.c.Assert(f.runs(j), qt.Equals, 1)
 	}
 }
+
+// Guards against explanations of the planner that do not reach callers, and
+// against a job that is explained as waiting although it runs.
+func TestExplanationNamesTheRunningJobInTheWay(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	running, waiting := gangOf("ana", "1", 2, time.Second), gangOf("rui", "2", 2, 100*time.Millisecond)
+	p.submit(running)
+	p.awaitState(running.Identity, job.Running)
+	x, known := p.scheduler.Explain(running.Identity)
+	f.c.Assert(known, qt.IsTrue)
+	f.c.Assert(x.WaitsFor, qt.Matches, "nothing: the job is .* on worker w0, w1")
+	p.submit(waiting)
+	f.await("the job in the way is named", func() bool {
+		x, _ := p.scheduler.Explain(waiting.Identity)
+		return x.BlockedBy == "job ana/1 in rack "+f.workers[0].Rack && strings.Contains(x.WouldStartIf, "(job ana/1 ends)")
+	})
+	p.awaitState(waiting.Identity, job.Ended)
+}
--- a/internal/run/process/duties.go
+++ b/internal/run/process/duties.go
@@ -246,9 +246,5 @@
 	if !ok {
 		return &wire.ExplainReply{}, nil
 	}
-	reply := &wire.ExplainReply{Found: true, WaitsFor: e.Reason}
-	if e.Reason == "" {
-		reply.WaitsFor = e.Placement.Reason
-	}
-	return reply, nil
+	return &wire.ExplainReply{Found: true, WaitsFor: e.WaitsFor, BlockedBy: e.BlockedBy, WouldStartIf: e.WouldStartIf}, nil
 }
