Fail a start that can learn nothing, and open an entry once it has read the log

Cause: a process whose log address was wrong stayed up for ever without a plan, and an entry that had just started refused callers as unknown.

--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -102,6 +102,7 @@
 	now     func() time.Time
 
 	inFlight atomic.Int64
+	ready    atomic.Bool // ready is set once the journal has caught up with the log.
 	draining atomic.Bool
 	counters *Counters
 }
@@ -123,6 +124,10 @@
 // Counters returns the counters of the entry.
 func (e *Entry) Counters() *Counters { return e.counters }
 
+// SetReady opens the entry to callers. Before, it knows no plan and would
+// refuse what other entries accept.
+func (e *Entry) SetReady() { e.ready.Store(true) }
+
 // Drain makes the health check fail, so that the balancer sends no new calls.
 func (e *Entry) Drain() { e.draining.Store(true) }
 
@@ -140,7 +145,11 @@
 }
 
 func (e *Entry) handleHealth(w http.ResponseWriter, _ *http.Request) {
-	if e.draining.Load() {
+	switch {
+	case !e.ready.Load():
+		http.Error(w, "starting", http.StatusServiceUnavailable)
+		return
+	case e.draining.Load():
 		http.Error(w, "draining", http.StatusServiceUnavailable)
 		return
 	}
@@ -152,6 +161,10 @@
 
 func (e *Entry) caller(next callerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
+		if !e.ready.Load() {
+			writeProblem(w, http.StatusServiceUnavailable, "the entry has not read the log yet; ask again")
+			return
+		}
 		name, ok := e.authenticate(r)
 		if !ok {
 			writeProblem(w, http.StatusUnauthorized, "the bearer token is missing or unknown")
--- a/internal/role/entry/harness_test.go
+++ b/internal/role/entry/harness_test.go
@@ -132,6 +132,7 @@
 		adjust(&o)
 	}
 	s.entry = entry.New(o, s.journal, s.writer, s.router, fakeFleet{}, func() []entry.Member { return nil })
+	s.entry.SetReady()
 	s.callers = httptest.NewServer(s.entry.CallerHandler())
 	s.operators = httptest.NewServer(s.entry.OperatorHandler())
 	t.Cleanup(func() {
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -91,6 +91,14 @@
 	e.group.Go(e.collector.String(), e.collector.Run)
 	e.callers.start(e.group, "caller listener")
 	e.operators.start(e.group, "operator listener")
+	e.group.Go("readiness", func(ctx context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-e.reader.caughtUp:
+			e.entry.SetReady()
+		}
+		return nil
+	})
 	e.awaitStop(ctx, e.stop)
 	_ = e.logger.Log("level", "info", "event", "started", "role", "entry", "name", e.settings.Name)
 	return e.group.Wait()
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -53,23 +53,25 @@
 
 // node is what the roles entry and agent have in common.
 type node struct {
-	settings  settings.Settings
-	logger    log.Logger
-	transport *transport.Transport
-	log       platformlog.Log
-	journal   *journal.Journal
-	writer    *journal.Writer
-	members   *membership.Membership
-	board     *board
-	directory *directory
-	selector  *source.Selector
-	puller    *source.Puller
-	publisher *snapshot.Publisher
-	server    *http.Server
-	listener  net.Listener
-	metrics   net.Listener // metrics is nil when the settings name no address.
-	mux       *http.ServeMux
-	group     *group.Group
+	settings   settings.Settings
+	logger     log.Logger
+	transport  *transport.Transport
+	log        platformlog.Log
+	journal    *journal.Journal
+	writer     *journal.Writer
+	members    *membership.Membership
+	board      *board
+	directory  *directory
+	selector   *source.Selector
+	reader     *startReader
+	startLimit time.Duration
+	puller     *source.Puller
+	publisher  *snapshot.Publisher
+	server     *http.Server
+	listener   net.Listener
+	metrics    net.Listener // metrics is nil when the settings name no address.
+	mux        *http.ServeMux
+	group      *group.Group
 }
 
 // newNode listens at the peer address and builds the shared parts. Nothing
@@ -93,6 +95,8 @@
 	n.members = membership.New(membershipOptions(s), self(s, incarnation), proberTransport{n.transport})
 	n.directory = &directory{settings: s, members: n.members, board: n.board}
 	n.selector = source.NewSelector(n.log, snapshot.NewScan(n.log), n, n.dialPeer)
+	n.reader = newStartReader(n.selector)
+	n.startLimit = startLimit
 	n.puller = source.NewPuller(n.journal, n.dialPeer)
 	n.publisher = snapshot.NewPublisher(snapshot.Default(), n.journal, n.writer, n.holdsSnapshotDuty)
 	n.mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(peer.NewServer(n.journal, n.members)))
@@ -192,27 +196,8 @@
 		n.members.SetAppliedOffset(n.journal.Next())
 		return nil
 	})
-	follower := journal.NewFollower(n.journal, n.selector, n.selector)
-	g.Go(follower.String(), func(ctx context.Context) error {
-		n.restoreFromSeed(ctx)
-		return follower.Run(ctx)
-	})
-}
-
-// restoreFromSeed takes the state of a running process, so that a start does
-// not read the whole log again and works while the log is down.
-func (n *node) restoreFromSeed(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, joinSnapshotMax)
-	defer cancel()
-	for _, seed := range n.settings.Seeds {
-		if seed == n.settings.ListenAddress {
-			continue
-		}
-		data, err := peer.NewClient(seed, n.transport.Shared()).Snapshot(ctx, n.journal.Next())
-		if err == nil && n.journal.Restore(data) == nil {
-			return
-		}
-	}
+	g.Go("journal follower", n.follow)
+	g.Go("start check", n.awaitStart)
 }
 
 // ConfigurationVersion returns the version that is in force at this process.
