--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -28,6 +28,7 @@
 	Logger     log.Logger
 	Length     time.Duration // Length of the time in which work is submitted.
 	Limit      time.Duration // Limit after which the demonstration gives up.
+	Ready      time.Duration // Ready bounds the start of the deployment; 0 means the default.
 }
 
 // Default returns the options for a deployment.
@@ -85,6 +86,7 @@
 		Logger:     o.Logger,
 		Workload:   varyingRunTime,
 		Log:        logservice.DefaultLimits(),
+		Ready:      o.Ready,
 	})
 	if err != nil {
 		return fmt.Errorf("start the deployment: %w", err)
--- a/internal/run/embedded/cluster.go
+++ b/internal/run/embedded/cluster.go
@@ -39,6 +39,7 @@
 	Kinds      map[string]time.Duration // Kinds gives the work time of requests by kind.
 	Workload   workerhost.Workload      // Workload gives the true run time of tasks; nil for the declared one.
 	Log        logservice.Limits
+	Ready      time.Duration // Ready bounds the time until every entry sees everything; 0 means 10 s.
 }
 
 // Minion is a minion with the agent beside it.
@@ -91,6 +92,9 @@
 // Start builds and starts everything. It returns when every entry sees all
 // agents and the fleet of every data centre.
 func Start(ctx context.Context, o Options) (*Cluster, error) {
+	if o.Ready == 0 {
+		o.Ready = readyTimeout
+	}
 	c := &Cluster{
 		Options: o,
 		Log:     logservice.New(o.Log),
--- a/internal/run/embedded/ready.go
+++ b/internal/run/embedded/ready.go
@@ -30,7 +30,7 @@
 
 // awaitReady waits until every entry sees all members and the whole fleet.
 func (c *Cluster) awaitReady(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.Options.Ready)
 	defer cancel()
 	for _, e := range c.Entries {
 		for {
@@ -40,7 +40,7 @@
 			}
 			select {
 			case <-ctx.Done():
-				return fmt.Errorf("%s is not ready after %s: %s", e.Name, readyTimeout, missing)
+				return fmt.Errorf("%s is not ready after %s: %s", e.Name, c.Options.Ready, missing)
 			case <-time.After(readyInterval):
 			}
 		}
