Log changes of members and write them to the audit trail

Cause: the audit trail had no changes of membership. Change: each process logs state changes of members; the agent with the scheduler duty of a data centre writes those of its data centre as entries.

--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -60,6 +60,7 @@
 	a.announce.start(a.group, "announce listener")
 	a.group.Go(a.agent.String(), a.agent.Run)
 	a.group.Go(a.duties.String(), a.duties.Run)
+	a.startMemberChanges(a.duties.holds)
 	a.group.Every("load", loadInterval, func(context.Context) error {
 		a.publishLoad()
 		return nil
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -89,6 +89,7 @@
 	e.start()
 	e.serveFigures(e.figures())
 	e.group.Go(e.collector.String(), e.collector.Run)
+	e.startMemberChanges(func(string) bool { return false })
 	e.callers.start(e.group, "caller listener")
 	e.operators.start(e.group, "operator listener")
 	e.group.Go("readiness", func(ctx context.Context) error {
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -200,6 +200,11 @@
 	g.Go("start check", n.awaitStart)
 }
 
+func (n *node) startMemberChanges(holds func(dataCentre string) bool) {
+	c := newMemberChanges(n, holds)
+	n.group.Go(c.String(), c.Run)
+}
+
 // ConfigurationVersion returns the version that is in force at this process.
 func (n *node) ConfigurationVersion() int64 { return n.journal.Configuration().Version }
 
