Share the decoding of fault settings between the stand-ins

Cause: three stand-ins decoded their control bodies with the same lines. Measured: go test ./internal/standin/... passes. Conclusion: none.

--- a/internal/standin/logservice/service.go
+++ b/internal/standin/logservice/service.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/record/platformlog"
 )
 
@@ -172,10 +173,7 @@
 
 func (s *Service) handleFaults(w http.ResponseWriter, r *http.Request) {
 	var f faultsRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !webserver.DecodeJSON(w, r, 1<<16, &f) {
 		return
 	}
 	s.SetFaults(Faults{
--- a/internal/standin/minionhost/faults.go
+++ b/internal/standin/minionhost/faults.go
@@ -1,9 +1,10 @@
 package minionhost
 
 import (
-	"encoding/json"
 	"net/http"
 	"time"
+
+	"wasabihoist/internal/base/webserver"
 )
 
 // Faults are the failures that the stand-in can produce. Freeze applies to
@@ -61,10 +62,7 @@
 
 func (h *Host) handleFaults(w http.ResponseWriter, r *http.Request) {
 	var f faultsRequest
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, 1<<16))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&f); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
+	if !webserver.DecodeJSON(w, r, 1<<16, &f) {
 		return
 	}
 	h.SetFaults(Faults{
--- a/internal/standin/workerhost/handler.go
+++ b/internal/standin/workerhost/handler.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/fleet/worker"
 )
 
@@ -70,16 +71,6 @@
 	}
 }
 
-func decode(w http.ResponseWriter, r *http.Request, v any) bool {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(v); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
 func writeJSON(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
@@ -100,7 +91,7 @@
 
 func (h *Host) handleLease(w http.ResponseWriter, r *http.Request) {
 	var m worker.LeaseRequest
-	if !decode(w, r, &m) {
+	if !webserver.DecodeJSON(w, r, maxBody, &m) {
 		return
 	}
 	lease := worker.Lease{Holder: m.Holder, Epoch: m.Epoch, TTL: time.Duration(m.TTLMillis) * time.Millisecond}
@@ -161,7 +152,7 @@
 func (h *Host) onTask(carryOut func(worker.TaskRequest) (*task, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		var m worker.TaskRequest
-		if !decode(w, r, &m) {
+		if !webserver.DecodeJSON(w, r, maxBody, &m) {
 			return
 		}
 		h.mu.Lock()
@@ -226,7 +217,7 @@
 
 func (h *Host) handleFaults(w http.ResponseWriter, r *http.Request) {
 	var m faultsRequest
-	if !decode(w, r, &m) {
+	if !webserver.DecodeJSON(w, r, maxBody, &m) {
 		return
 	}
 	h.SetFaults(Faults{
