Divide the guarantees among the workers that are not lost

Cause: a new test (others have borrowed everything, two operators edit at once, a rack is lost) waited 80 s for a guaranteed shape and did not get it. Each scheduler divided the guarantees among all workers of the settings, so the shape stayed with the data centre that had lost its rack, and no other one took borrowed accelerators back for it. Ruled out: the race of the edits (exactly one was accepted) and the lease of the lost workers (it lapses after 10 s). Conclusion: a guarantee moves to another data centre with its capacity.

--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"hash/fnv"
 	"slices"
@@ -10,6 +11,7 @@
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/traffic/request"
@@ -38,10 +40,41 @@
 func (t *term) configure() {
 	c := t.journal.Configuration()
 	t.planner.SetConfiguration(c)
-	parts, _ := guarantee.Divide(guarantee.Entitlements(c, time.Now()), t.options.Workers)
+	parts, _ := guarantee.Divide(guarantee.Entitlements(c, time.Now()), t.presentWorkers())
 	t.planner.SetEntitlements(parts[t.options.DataCentre])
 }
 
+// presentWorkers are the workers of all data centres that are not reported
+// lost. All schedulers take them from the journal, so that a guarantee moves to
+// another data centre when its own has lost the workers for it.
+func (t *term) presentWorkers() []worker.Worker {
+	lost := t.journal.LostWorkers()
+	return slices.DeleteFunc(slices.Clone(t.options.Workers), func(w worker.Worker) bool { return lost.Has(w.Name) })
+}
+
+// reportWorkers writes to the journal which workers of this data centre are
+// lost, where it does not say so yet. A worker may be lost and back before the
+// first report is folded, so reports follow the state and not the events.
+func (t *term) reportWorkers() {
+	lost := t.journal.LostWorkers()
+	for name, h := range t.hosts {
+		known := h.up || h.lost
+		if known && !h.reporting && lost.Has(name) != h.lost {
+			h.reporting = true
+			t.report(name, h.lost)
+		}
+	}
+}
+
+func (t *term) report(name string, lost bool) {
+	t.work.Go("report of "+name, func(ctx context.Context) error {
+		// A record that is not folded before the term ends is left to the next.
+		_ = t.record(ctx, journal.WorkerReported{Worker: name, Lost: lost})
+		t.post(ctx, func(t *term) { t.hosts[name].reporting = false })
+		return nil
+	})
+}
+
 // foldJob brings the term in line with the journal's state of one job.
 func (t *term) foldJob(id request.Identity) {
 	js, known := t.journal.Job(id)
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -45,6 +45,7 @@
 type hostState struct {
 	worker      worker.Worker
 	up          bool
+	reporting   bool          // reporting is set while a report of the worker waits to be folded.
 	lost        bool          // lost workers were silent for longer than a lease lasts.
 	upSince     time.Time     // upSince is when the lease was acquired.
 	renewed     time.Time     // renewed is when the last answered renewal was sent.
@@ -201,6 +202,7 @@
 	now := time.Now()
 	t.offerDelayed(now)
 	t.openWorkers(now)
+	t.reportWorkers()
 	t.decide(now)
 }
 
--- a/internal/record/journal/codec.go
+++ b/internal/record/journal/codec.go
@@ -92,6 +92,8 @@
 		return &wire.Record{Body: &wire.Record_Snapshot{Snapshot: &wire.SnapshotChunk{
 			Covers: r.Covers, Index: int32(r.Index), Count: int32(r.Count), State: r.State,
 		}}}
+	case WorkerReported:
+		return &wire.Record{Body: &wire.Record_Worker{Worker: &wire.WorkerReported{Worker: r.Worker, Lost: r.Lost}}}
 	default:
 		return &wire.Record{Body: &wire.Record_Barrier{Barrier: &wire.Barrier{}}}
 	}
@@ -135,6 +137,8 @@
 	case *wire.Record_Snapshot:
 		m := b.Snapshot
 		return SnapshotChunk{m.GetCovers(), int(m.GetIndex()), int(m.GetCount()), m.GetState()}, nil
+	case *wire.Record_Worker:
+		return WorkerReported{b.Worker.GetWorker(), b.Worker.GetLost()}, nil
 	case *wire.Record_Barrier:
 		return Barrier{}, nil
 	}
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/record/platformlog"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
@@ -216,6 +218,13 @@
 	return j.state.configuration
 }
 
+// LostWorkers returns the workers that are reported lost, by name.
+func (j *Journal) LostWorkers() collection.Set[string] {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return maps.Clone(j.state.lost)
+}
+
 // Job returns what is known of a job.
 func (j *Journal) Job(id request.Identity) (JobState, bool) {
 	j.mu.RLock()
--- a/internal/record/journal/record.go
+++ b/internal/record/journal/record.go
@@ -96,6 +96,13 @@
 	State  []byte
 }
 
+// WorkerReported says whether a worker is lost, so that all schedulers divide
+// the guarantees among the same workers.
+type WorkerReported struct {
+	Worker string
+	Lost   bool
+}
+
 // Barrier changes nothing. Once it is folded, earlier records of its writer
 // that were not folded never will be.
 type Barrier struct{}
@@ -112,6 +119,7 @@
 func (RequestAbandoned) isRecord()       {}
 func (Audit) isRecord()                  {}
 func (SnapshotChunk) isRecord()          {}
+func (WorkerReported) isRecord()         {}
 func (Barrier) isRecord()                {}
 
 // Verdict is what the fold made of a record.
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/protobuf/proto"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/tenancy/organisation"
@@ -51,6 +52,7 @@
 	for name, w := range s.writers {
 		m.Writers = append(m.Writers, &wire.WriterState{Writer: name, Sequence: w.sequence, ChangedUnixNanos: nanos(w.changed), ReportedUnixNanos: nanos(w.reported)})
 	}
+	m.LostWorkers = s.lost.Sorted()
 	slices.SortFunc(m.Writers, func(a, b *wire.WriterState) int { return cmp.Compare(a.GetWriter(), b.GetWriter()) })
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
 	if err != nil {
@@ -119,6 +121,7 @@
 	}
 	s.noteTimes()
 	s.bodies.collect(s.requests)
+	s.lost = collection.NewSet(m.GetLostWorkers()...)
 	s.rebuildEvictions()
 	return s, nil
 }
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
@@ -83,7 +84,8 @@
 	bodies        bodies
 	bodyLimit     int // bodyLimit is the bound of bodies in bytes.
 	writers       map[string]*writerState
-	evictions     []eviction // evictions have ascending due times.
+	lost          collection.Set[string] // lost are the workers that were reported lost.
+	evictions     []eviction             // evictions have ascending due times.
 }
 
 func newState() *state {
@@ -93,6 +95,7 @@
 		requests:  map[request.Identity]*RequestState{},
 		bodyLimit: MaxBodyBytes,
 		writers:   map[string]*writerState{},
+		lost:      collection.NewSet[string](),
 	}
 }
 
@@ -162,6 +165,8 @@
 		return s.finishRequest(writer, r)
 	case RequestAbandoned:
 		return s.abandonRequest(writer, r)
+	case WorkerReported:
+		return s.reportWorker(r)
 	case Audit:
 		s.addAudit(AuditEntry{offset, e.time, r})
 	}
@@ -238,3 +243,15 @@
 		s.clock.note(name, w.reported)
 	}
 }
+
+func (s *state) reportWorker(r WorkerReported) string {
+	if s.lost.Has(r.Worker) == r.Lost {
+		return "reported already"
+	}
+	if r.Lost {
+		s.lost.Add(r.Worker)
+	} else {
+		s.lost.Remove(r.Worker)
+	}
+	return ""
+}
--- a/internal/record/journal/subscribe.go
+++ b/internal/record/journal/subscribe.go
@@ -9,7 +9,7 @@
 // Changes is what has changed since the last call of Take.
 type Changes struct {
 	All           bool // All says that any job may have changed, because the state was restored.
-	Configuration bool
+	Configuration bool // Configuration or the set of lost workers has changed.
 	Jobs          []request.Identity
 }
 
@@ -62,7 +62,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch r := record.(type) {
-	case ConfigurationPublished:
+	case ConfigurationPublished, WorkerReported:
 		s.configuration = true
 	case JobSubmitted:
 		s.jobs[r.Job.Identity] = struct{}{}
