--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -37,5 +37,8 @@
 	}
 	o := demo.Default(d)
 	o.Logger = logger
+	if isTerminal(env.stderr) {
+		o.Progress = env.stderr
+	}
 	return demo.Run(ctx, o, env.stdout)
 }
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -29,11 +29,12 @@
 	Length     time.Duration // Length of the time in which work is submitted.
 	Limit      time.Duration // Limit after which the demonstration gives up.
 	Ready      time.Duration // Ready bounds the start of the deployment; 0 means the default.
+	Progress   io.Writer     // Progress gets a line for each step.
 }
 
 // Default returns the options for a deployment.
 func Default(d deployment.Deployment) Options {
-	return Options{Deployment: d, Logger: log.NewNopLogger(), Length: 9 * time.Second, Limit: 28 * time.Second}
+	return Options{Deployment: d, Logger: log.NewNopLogger(), Length: 9 * time.Second, Limit: 28 * time.Second, Progress: io.Discard}
 }
 
 // ErrPromiseBroken is returned when a check of the promises failed.
@@ -104,6 +105,7 @@
 func (s *scene) play(ctx context.Context) error {
 	steps := []step{publishLists{}, submitWork{}, loseWorker{}, editPlan{}, drainMinion{}, finishWork{}, checkPromises{}, fetchAudit{}}
 	for _, st := range steps {
+		_, _ = fmt.Fprintln(s.options.Progress, st)
 		if err := st.Run(ctx, s); err != nil {
 			return fmt.Errorf("%s: %w", st, err)
 		}
