Silence only the connections that were open

Cause: TestSilentConnectionsCauseNoSuspicion declared a live member dead in 1 of 800 runs. The stand-in network held one flag for each pair of processes and looked at both directions, so a fresh connection of one process stayed silent while an older connection of the other process was. No fresh probe could succeed then, which is a different failure from silent connections.

Change: a connection belongs to its opener, carries requests and replies, and is silent on its own.

--- a/internal/standin/network/network.go
+++ b/internal/standin/network/network.go
@@ -35,6 +35,13 @@
 
 type pair struct{ from, to netip.AddrPort }
 
+// connection is opened by one process to another one and carries requests in
+// one direction and replies in the other.
+type connection struct {
+	opener pair
+	silent bool // silent connections carry nothing any more.
+}
+
 // Network connects processes by address.
 type Network struct {
 	mu       sync.Mutex
@@ -43,7 +50,7 @@
 	loss     int // loss drops every loss-th message of a pair; 0 drops none.
 	handlers map[netip.AddrPort]Handler
 	frozen   map[netip.AddrPort]chan struct{}
-	silent   map[pair]bool // silent has an entry for each open connection.
+	open     map[pair]*connection // open has the newest connection of each opener.
 	sent     map[pair]int
 	traffic  map[netip.AddrPort]*Traffic
 }
@@ -55,7 +62,7 @@
 		cut:      func(_, _ netip.AddrPort) bool { return false },
 		handlers: map[netip.AddrPort]Handler{},
 		frozen:   map[netip.AddrPort]chan struct{}{},
-		silent:   map[pair]bool{},
+		open:     map[pair]*connection{},
 		sent:     map[pair]int{},
 		traffic:  map[netip.AddrPort]*Traffic{},
 	}
@@ -116,8 +123,8 @@
 func (n *Network) SilenceOpen() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for p := range n.silent {
-		n.silent[p] = true
+	for _, c := range n.open {
+		c.silent = true
 	}
 }
 
@@ -152,8 +159,8 @@
 func (t *Transport) Probe(ctx context.Context, address netip.AddrPort, request *wire.ProbeRequest, fresh bool) (*wire.ProbeReply, error) {
 	n := t.network
 	received := &wire.ProbeRequest{}
-	n.open(pair{t.from, address}, fresh)
-	if err := n.carry(ctx, t.from, address, request, received); err != nil {
+	c := n.connect(pair{t.from, address}, fresh)
+	if err := n.carry(ctx, c, c.opener, request, received); err != nil {
 		return nil, err
 	}
 	n.mu.Lock()
@@ -169,38 +176,41 @@
 		return nil, err
 	}
 	answer := &wire.ProbeReply{}
-	if err := n.carry(ctx, address, t.from, reply, answer); err != nil {
+	if err := n.carry(ctx, c, pair{address, t.from}, reply, answer); err != nil {
 		return nil, err
 	}
 	return answer, nil
 }
 
-func (n *Network) open(p pair, fresh bool) {
+// connect returns the open connection of an opener or a new one.
+func (n *Network) connect(opener pair, fresh bool) *connection {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, exists := n.silent[p]; fresh || !exists {
-		n.silent[p] = false
+	c := n.open[opener]
+	if fresh || c == nil {
+		c = &connection{opener: opener}
+		n.open[opener] = c
 	}
+	return c
 }
 
-// carry moves one message in one direction.
-func (n *Network) carry(ctx context.Context, from, to netip.AddrPort, message, copied proto.Message) error {
+// carry moves one message over a connection in one direction.
+func (n *Network) carry(ctx context.Context, c *connection, p pair, message, copied proto.Message) error {
 	data, err := proto.Marshal(message)
 	if err != nil {
 		return fmt.Errorf("encode message: %w", err)
 	}
 	n.mu.Lock()
-	p := pair{from, to}
 	n.sent[p]++
-	drop := n.cut(from, to) || n.silent[p] || n.silent[pair{to, from}] || n.loss > 0 && n.sent[p]%n.loss == 0
-	latency := n.latency(from, to)
-	n.count(from, to, len(data))
+	drop := n.cut(p.from, p.to) || c.silent || n.loss > 0 && n.sent[p]%n.loss == 0
+	latency := n.latency(p.from, p.to)
+	n.count(p.from, p.to, len(data))
 	n.mu.Unlock()
 	if drop {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	if err := n.wait(ctx, from, to, latency); err != nil {
+	if err := n.wait(ctx, p.from, p.to, latency); err != nil {
 		return err
 	}
 	if err := proto.Unmarshal(data, copied); err != nil {
