Answer unknown when an agent stops before its record is folded

When the context of an agent ended, the wait for the record of the outcome ended as well and the caller got the answer done, although the record never reached the log. A repeat at another entry was then answered as unknown.

Change: the wait reports whether the record was folded; an agent that stops before that answers unknown. A slow or absent log still only delays the answer by the record wait.

--- a/internal/role/agent/claim.go
+++ b/internal/role/agent/claim.go
@@ -114,14 +114,15 @@
 }
 
 // settle appends a record that must be folded in the end, however long the log
-// is down. It needs the mutex. The returned channel is closed afterwards.
-func (s *Server) settle(id request.Identity, record journal.Record) <-chan struct{} {
+// is down. It needs the mutex.
+func (s *Server) settle(id request.Identity, record journal.Record) *openRecord {
 	_, abandons := record.(journal.RequestAbandoned)
 	open := &openRecord{abandons: abandons, settled: make(chan struct{})}
 	s.settling[id] = open
 	s.spawn("settle", func(ctx context.Context) {
 		for ctx.Err() == nil {
 			if _, err := s.writer.Append(ctx, record); err == nil {
+				open.folded = true
 				break
 			}
 			pause(ctx, s.options.JournalRetry)
@@ -132,5 +133,5 @@
 		close(open.settled)
 		s.notify()
 	})
-	return open.settled
+	return open
 }
--- a/internal/role/agent/dispatch.go
+++ b/internal/role/agent/dispatch.go
@@ -82,20 +82,25 @@
 
 // execute runs a request on the minion. The record of a claimed request is
 // folded before the answer is returned, unless the log does not take it in
-// time.
+// time. An agent that stops before that answers unknown, because later readers
+// of the journal will find no outcome either.
 func (s *Server) execute(ctx context.Context, e *entry) {
 	answer := s.exchange(ctx, e.request)
 	s.mu.Lock()
 	s.running--
 	e.started = answer.Outcome != request.NotRun
-	var settled <-chan struct{}
+	var record *openRecord
 	if e.claimed {
-		settled = s.settle(e.request.Identity, s.outcomeRecord(answer))
+		record = s.settle(e.request.Identity, s.outcomeRecord(answer))
 	}
 	s.mu.Unlock()
 	s.signal()
-	if settled != nil && !s.awaitRecord(ctx, settled, e.request.Deadline) {
-		s.Counters.RecordedLate.Add(1)
+	if record != nil && !s.awaitRecord(ctx, record, e.request.Deadline) {
+		if ctx.Err() != nil {
+			answer = s.answer(e.request.Identity, request.Unknown, "the agent stopped before the outcome was recorded")
+		} else {
+			s.Counters.RecordedLate.Add(1)
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -114,12 +119,12 @@
 }
 
 // awaitRecord reports whether a record was folded in time.
-func (s *Server) awaitRecord(ctx context.Context, settled <-chan struct{}, deadline time.Time) bool {
+func (s *Server) awaitRecord(ctx context.Context, record *openRecord, deadline time.Time) bool {
 	timer := time.NewTimer(min(s.options.RecordWait, time.Until(deadline)))
 	defer timer.Stop()
 	select {
-	case <-settled:
-		return true
+	case <-record.settled:
+		return record.folded
 	case <-ctx.Done():
 		return false
 	case <-timer.C:
@@ -138,9 +143,9 @@
 	}
 	s.ahead--
 	s.Counters.Abandoned.Add(1)
-	settled := s.settle(e.request.Identity, journal.RequestAbandoned{Identity: e.request.Identity})
+	record := s.settle(e.request.Identity, journal.RequestAbandoned{Identity: e.request.Identity})
 	waits := retryable && s.spawn("drop", func(ctx context.Context) {
-		s.awaitRecord(ctx, settled, e.request.Deadline)
+		s.awaitRecord(ctx, record, e.request.Deadline)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.finish(e, s.notRun(e.request, reason, true))
--- a/internal/role/agent/failure_test.go
+++ b/internal/role/agent/failure_test.go
@@ -491,3 +491,23 @@
 	}
 	assertDone(c, q, repeat)
 }
+
+// Guards against a done answer of an agent that stops before the record of the
+// outcome is in the log: a repeat would then be answered as unknown.
+func TestNoAnswerWithoutRecordAtStop(t *testing.T) {
+	c := qt.New(t)
+	cl := newCluster(t, 1, nil)
+	n := cl.nodes[0]
+	q := cl.request("tally", false, 50*time.Millisecond)
+	g := group.New(context.Background())
+	g.Go("stop", func(context.Context) error {
+		cl.awaitTrue("the request runs", func() bool { return cl.executions(q.Identity) == 1 })
+		cl.logService.SetFaults(logservice.Faults{Outage: true})
+		cl.awaitTrue("the minion has answered", func() bool { _, running := n.agent.Load(); return running == 0 })
+		n.process.Stop()
+		return nil
+	})
+	a := cl.run(n, q, eventually)
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Assert(a.Outcome, qt.Equals, request.Unknown, qt.Commentf("%s", a.Reason))
+}
--- a/internal/role/agent/server.go
+++ b/internal/role/agent/server.go
@@ -34,7 +34,8 @@
 // openRecord is a record that must still be appended.
 type openRecord struct {
 	abandons bool          // abandons is set for a record that gives back a claim.
-	settled  chan struct{} // settled is closed once the record is folded.
+	settled  chan struct{} // settled is closed once the record is folded or the agent stops.
+	folded   bool          // folded is set before settled is closed.
 }
 
 // Server queues and runs requests on the minion beside it.
