Await the append in flight for a short time after a caller's deadline

The log refused every append, but the caller's deadline fell into an append, so the caller was told that the fate of its edit is not known (504) although it was refused (503) a moment later.

Change: after a deadline, a record in flight is given a settle grace of 250 ms. A withdrawn record whose append is refused, or which still waits, is reported as not appended; it is never sent again.

Conclusion: fewer answers of unknown fate, at the price of an answer up to 250 ms after the deadline.

--- a/internal/record/journal/submission.go
+++ b/internal/record/journal/submission.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 )
@@ -14,6 +15,9 @@
 	audit    bool   // audit entries have no caller that waits.
 	sequence uint64 // sequence of the append that carries it; 0 while it waits.
 	released bool   // released submissions no longer count against the bounds.
+	// withdrawn submissions are not sent again, because their caller gives up
+	// unless the append in flight is settled at once.
+	withdrawn bool
 
 	result  chan Verdict  // result receives the verdict; buffered.
 	absent  chan struct{} // absent is closed when the record will never be folded.
@@ -41,6 +45,20 @@
 	}, nil
 }
 
+// await waits until the submission is settled, for at most limit. A verdict
+// stays in the result channel.
+func (s *submission) await(limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case v := <-s.result:
+		s.result <- v
+	case <-s.absent:
+	case <-s.skipped:
+	case <-timer.C:
+	}
+}
+
 // submissionList holds submissions in order. Abandoned ones stay as empty
 // entries until they are at the front or outnumber the others.
 type submissionList struct {
--- a/internal/record/journal/writer.go
+++ b/internal/record/journal/writer.go
@@ -31,6 +31,7 @@
 	MaxPendingBytes int           // MaxPendingBytes bounds the encoded size of these records.
 	MaxAudit        int           // MaxAudit audit entries wait; more are dropped and counted.
 	Backoff         time.Duration // Backoff after a failed append.
+	SettleGrace     time.Duration // SettleGrace is how long the append in flight at a caller's deadline is awaited.
 }
 
 // DefaultWriterOptions keep 14 processes below 300 appends a second.
@@ -43,6 +44,7 @@
 		MaxPendingBytes: 8 << 20,
 		MaxAudit:        500,
 		Backoff:         250 * time.Millisecond,
+		SettleGrace:     250 * time.Millisecond,
 	}
 }
 
@@ -175,8 +177,17 @@
 
 // withdraw gives up on a record. A record that waits, because it was never
 // sent or its last append was refused, is certainly absent. A record in flight
-// is not sent again when its append turns out to be refused.
+// is not sent again when its append turns out to be refused. After a deadline,
+// a record in flight is given the settle grace, because most appends are
+// answered soon and an unsettled record costs the caller a definite answer.
 func (w *Writer) withdraw(s *submission, cause error) (Verdict, error) {
+	w.mu.Lock()
+	s.withdrawn = true
+	inFlight := s.sequence != 0
+	w.mu.Unlock()
+	if inFlight && errors.Is(cause, context.DeadlineExceeded) {
+		s.await(w.options.SettleGrace)
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	select {
@@ -293,6 +304,10 @@
 				break
 			}
 			list.pop()
+			if s.withdrawn {
+				w.drop(s)
+				continue
+			}
 			w.sequence++
 			s.sequence = w.sequence
 			w.sent.push(s)
@@ -331,13 +346,15 @@
 }
 
 // requeue puts the records of a refused append back, in order. Records that
-// were withdrawn in the meantime are gone. It needs the mutex.
+// were withdrawn in the meantime are certainly absent. It needs the mutex.
 func (w *Writer) requeue(carried []*submission) {
 	w.unsend(carried)
 	var records, audit []*submission
 	for _, s := range carried {
 		switch {
 		case s.record == nil:
+		case s.withdrawn:
+			w.drop(s)
 		case s.audit:
 			audit = append(audit, s)
 		default:
--- a/internal/record/journal/writer_test.go
+++ b/internal/record/journal/writer_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -295,6 +296,29 @@
 	c.Assert(claimed, qt.IsFalse)
 }
 
+// Guards against a caller that is told that the fate of its record is unknown
+// because its deadline fell into an append that is refused at once.
+func TestDeadlineDuringRefusedAppend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		log := &refusingLog{faultyLog: newFaultyLog(1), started: make(chan struct{}), refuse: make(chan struct{})}
+		log.heal()
+		p := startProcess(t, "a@1", log)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		g := group.New(t.Context())
+		g.Go("refuse", func(context.Context) error {
+			<-ctx.Done()
+			time.Sleep(journal.DefaultWriterOptions().SettleGrace / 2)
+			close(log.refuse)
+			return nil
+		})
+		_, err := p.writer.Append(ctx, journal.RequestClaimed{Identity: tally})
+		c.Assert(errors.Is(err, journal.ErrNotAppended), qt.IsTrue, qt.Commentf("%v", err))
+		c.Assert(g.Wait(), qt.IsNil)
+	})
+}
+
 // Guards against a caller that waits for ever on a writer that has stopped.
 func TestStoppedWriterRefuses(t *testing.T) {
 	c := qt.New(t)
