Replace two heaps of the fair queue by one generic heap

Cause: the heap of turns and the heap of deadlines were the same code twice.

Change: collection.Heap reports the place of each value, so that values can be changed and removed in the middle. The fair queue uses it for both.

--- a/internal/traffic/queue/queue.go
+++ b/internal/traffic/queue/queue.go
@@ -3,9 +3,11 @@
 package queue
 
 import (
-	"container/heap"
+	"cmp"
 	"errors"
 	"time"
+
+	"wasabihoist/internal/base/collection"
 )
 
 // ErrFull is returned when the queue of the organisation is at its limit.
@@ -51,18 +53,22 @@
 // one item take logarithmic time. It is not safe for concurrent use.
 type Queue[T any] struct {
 	lines   map[string]*line[T]
-	turns   turns[T]
-	expiry  expiry[T]
-	virtual uint64 // virtual is the pass of the last turn; idle organisations resume from it.
+	turns   *collection.Heap[*line[T]] // turns has the organisations with waiting values, lowest pass first.
+	expiry  *collection.Heap[*Item[T]] // expiry has all items, earliest deadline first.
+	virtual uint64                     // virtual is the pass of the last turn; idle organisations resume from it.
 }
 
 // New returns an empty queue.
 func New[T any]() *Queue[T] {
-	return &Queue[T]{lines: map[string]*line[T]{}}
+	return &Queue[T]{
+		lines:  map[string]*line[T]{},
+		turns:  collection.NewHeap((*line[T]).before, func(l *line[T], place int) { l.turnIndex = place }),
+		expiry: collection.NewHeap((*Item[T]).before, func(i *Item[T], place int) { i.expiryIndex = place }),
+	}
 }
 
 // Len returns the number of waiting values.
-func (q *Queue[T]) Len() int { return len(q.expiry) }
+func (q *Queue[T]) Len() int { return q.expiry.Len() }
 
 // Waiting returns the number of waiting values of an organisation.
 func (q *Queue[T]) Waiting(organisation string) int {
@@ -82,25 +88,25 @@
 	l.share = max(1, terms.Share)
 	i := &Item[T]{Value: value, Organisation: organisation, Deadline: deadline, line: l}
 	l.append(i)
-	heap.Push(&q.expiry, i)
+	q.expiry.Push(i)
 	if l.turnIndex < 0 {
 		l.pass = max(l.pass, q.virtual)
-		heap.Push(&q.turns, l)
+		q.turns.Push(l)
 	}
 	return i, nil
 }
 
 // Pop removes the next value in turn.
 func (q *Queue[T]) Pop() (T, bool) {
-	if len(q.turns) == 0 {
+	if q.turns.Len() == 0 {
 		var none T
 		return none, false
 	}
-	l := q.turns[0]
+	l := q.turns.First()
 	i := l.first
 	q.virtual = l.pass
 	l.pass += uint64(strideScale / l.share)
-	heap.Fix(&q.turns, l.turnIndex)
+	q.turns.Fix(l.turnIndex)
 	q.Remove(i)
 	return i.Value, true
 }
@@ -112,9 +118,9 @@
 		return false
 	}
 	l.unlink(i)
-	heap.Remove(&q.expiry, i.expiryIndex)
+	q.expiry.Remove(i.expiryIndex)
 	if l.length == 0 {
-		heap.Remove(&q.turns, l.turnIndex)
+		q.turns.Remove(l.turnIndex)
 	}
 	return true
 }
@@ -123,8 +129,8 @@
 // The cost is in proportion to what is removed.
 func (q *Queue[T]) Expire(now time.Time) []T {
 	var expired []T
-	for len(q.expiry) > 0 && !q.expiry[0].Deadline.After(now) {
-		i := q.expiry[0]
+	for q.expiry.Len() > 0 && !q.expiry.First().Deadline.After(now) {
+		i := q.expiry.First()
 		q.Remove(i)
 		expired = append(expired, i.Value)
 	}
@@ -133,17 +139,17 @@
 
 // NextDeadline returns the earliest deadline, if there is one.
 func (q *Queue[T]) NextDeadline() (time.Time, bool) {
-	if len(q.expiry) == 0 {
+	if q.expiry.Len() == 0 {
 		return time.Time{}, false
 	}
-	return q.expiry[0].Deadline, true
+	return q.expiry.First().Deadline, true
 }
 
 // Clear removes all values in order of their deadlines.
 func (q *Queue[T]) Clear() []T {
-	values := make([]T, 0, len(q.expiry))
-	for len(q.expiry) > 0 {
-		i := q.expiry[0]
+	values := make([]T, 0, q.expiry.Len())
+	for q.expiry.Len() > 0 {
+		i := q.expiry.First()
 		q.Remove(i)
 		values = append(values, i.Value)
 	}
@@ -154,7 +160,7 @@
 	if l := q.lines[organisation]; l != nil {
 		return l
 	}
-	if len(q.lines)-len(q.turns) > maxIdle {
+	if len(q.lines)-q.turns.Len() > maxIdle {
 		q.forgetIdle()
 	}
 	l := &line[T]{organisation: organisation, turnIndex: -1}
@@ -172,6 +178,12 @@
 	}
 }
 
+func (i *Item[T]) before(o *Item[T]) bool { return i.Deadline.Before(o.Deadline) }
+
+func (l *line[T]) before(o *line[T]) bool {
+	return cmp.Or(cmp.Compare(l.pass, o.pass), cmp.Compare(l.organisation, o.organisation)) < 0
+}
+
 func (l *line[T]) append(i *Item[T]) {
 	i.previous = l.last
 	if l.last == nil {
