Append through one relay for each data centre

Cause: each process may append 20 times a second, and the log takes several hundred. With 60 writers the log refuses appends, and with 200 a claim waits for seconds.

Change: above 14 working members, the batches of a data centre go through an agent chosen by rendezvous hashing, which joins them into one append (a bundle).

Conclusion: appends grow with the data centres and not with the processes.

--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -140,19 +140,27 @@
 	slices.SortFunc(s.evictions, func(a, b eviction) int { return a.due.Compare(b.due) })
 }
 
-// Chunks returns the snapshot chunks that a payload carries, with their writer.
-func Chunks(payload []byte) (string, []SnapshotChunk) {
-	b, err := decodeBatch(payload)
-	if err != nil {
-		return "", nil
-	}
-	var chunks []SnapshotChunk
-	for _, e := range b.records {
-		if chunk, ok := e.record.(SnapshotChunk); ok {
-			chunks = append(chunks, chunk)
+// WrittenChunk is a snapshot chunk and who wrote it.
+type WrittenChunk struct {
+	Writer string
+	SnapshotChunk
+}
+
+// Chunks returns the snapshot chunks that a payload carries.
+func Chunks(payload []byte) []WrittenChunk {
+	var chunks []WrittenChunk
+	for _, encoded := range batches(payload) {
+		b, err := decodeBatch(encoded)
+		if err != nil {
+			continue
+		}
+		for _, e := range b.records {
+			if chunk, ok := e.record.(SnapshotChunk); ok {
+				chunks = append(chunks, WrittenChunk{b.writer, chunk})
+			}
 		}
 	}
-	return b.writer, chunks
+	return chunks
 }
 
 func jobStateToWire(j *JobState) *wire.JobState {
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -107,25 +107,33 @@
 	verdict  Verdict
 }
 
-// apply folds one payload. Payloads that cannot be decoded change nothing but
+// apply folds one payload. Batches that cannot be decoded change nothing but
 // the offset, so that all readers agree on them.
 func (s *state) apply(offset int64, payload []byte) []judged {
 	s.next = offset + 1
+	before := s.clock.now
+	var results []judged
+	for _, batch := range batches(payload) {
+		results = append(results, s.applyBatch(offset, batch)...)
+	}
+	s.bodies.enforce(s.bodyLimit)
+	s.evict()
+	if !s.clock.now.Truncate(time.Hour).Equal(before.Truncate(time.Hour)) {
+		s.evictWriters()
+	}
+	return results
+}
+
+func (s *state) applyBatch(offset int64, payload []byte) []judged {
 	b, err := decodeBatch(payload)
 	if err != nil {
 		return nil
 	}
-	before := s.clock.now
 	results := make([]judged, 0, len(b.records))
 	for _, e := range b.records {
 		reason := s.applyRecord(offset, b.writer, e)
 		results = append(results, judged{b.writer, e.sequence, e.record, Verdict{offset, reason == "", reason}})
 	}
-	s.bodies.enforce(s.bodyLimit)
-	s.evict()
-	if !s.clock.now.Truncate(time.Hour).Equal(before.Truncate(time.Hour)) {
-		s.evictWriters()
-	}
 	return results
 }
 
--- a/internal/record/snapshot/collector.go
+++ b/internal/record/snapshot/collector.go
@@ -36,9 +36,8 @@
 // add takes the chunks of a payload. It returns a snapshot that has become
 // complete, is intact and covers all offsets below least.
 func (c *collector) add(payload []byte, least int64) []byte {
-	writer, chunks := journal.Chunks(payload)
-	for _, chunk := range chunks {
-		if data := c.addChunk(writer, chunk); data != nil && chunk.Covers >= least && journal.Intact(data) {
+	for _, chunk := range journal.Chunks(payload) {
+		if data := c.addChunk(chunk.Writer, chunk.SnapshotChunk); data != nil && chunk.Covers >= least && journal.Intact(data) {
 			return data
 		}
 	}
--- a/internal/run/bench/journalbench/journalbench.go
+++ b/internal/run/bench/journalbench/journalbench.go
@@ -18,12 +18,18 @@
 	Organisations []int         // Organisations are the numbers in a configuration.
 	Batch         int           // Batch is the number of records in an append.
 	AnswerBytes   int           // AnswerBytes is the size of the answer of a claim.
-	Writers       []int         // Writers are the numbers of processes that append.
+	Writers       []Writers     // Writers are the deployments that append.
 	Callers       int           // Callers wait for a record each at every writer.
 	Duration      time.Duration // Duration of each measurement with writers.
 	Output        io.Writer     // Output gets the result as JSON; nil for none.
 }
 
+// Writers is a deployment whose processes append.
+type Writers struct {
+	Processes int
+	Relays    int // Relays append for the processes; 0 when each one appends directly.
+}
+
 // Default returns the options used by the command line.
 func Default() Options {
 	return Options{
@@ -32,7 +38,7 @@
 		Organisations: []int{60, 240, 960},
 		Batch:         50,
 		AnswerBytes:   100,
-		Writers:       []int{1, 14, 60},
+		Writers:       []Writers{{1, 0}, {14, 0}, {60, 0}, {60, 4}, {200, 0}, {200, 14}},
 		Callers:       2,
 		Duration:      5 * time.Second,
 	}
@@ -59,10 +65,10 @@
 			result.Folds = append(result.Folds, fold)
 		}
 	}
-	for _, count := range o.Writers {
-		throughput, err := measureWriters(ctx, count, o)
+	for _, w := range o.Writers {
+		throughput, err := measureWriters(ctx, w, o)
 		if err != nil {
-			return result, fmt.Errorf("measure %d writers: %w", count, err)
+			return result, fmt.Errorf("measure %d writers: %w", w.Processes, err)
 		}
 		result.Writers = append(result.Writers, throughput)
 	}
--- a/internal/run/bench/journalbench/journalbench_test.go
+++ b/internal/run/bench/journalbench/journalbench_test.go
@@ -26,7 +26,7 @@
 	o.Output = &output
 	if *full == "" {
 		o.Sizes, o.AuditSizes, o.Organisations = []int{30, 120}, []int{20}, []int{24}
-		o.Writers, o.Duration = []int{1, 3}, 600*time.Millisecond
+		o.Writers, o.Duration = []journalbench.Writers{{Processes: 1}, {Processes: 3}, {Processes: 3, Relays: 1}}, 600*time.Millisecond
 	}
 	result, err := journalbench.Run(context.Background(), o)
 	c.Assert(err, qt.IsNil)
--- a/internal/run/bench/journalbench/report.go
+++ b/internal/run/bench/journalbench/report.go
@@ -26,6 +26,7 @@
 
 type throughputJSON struct {
 	Writers          int     `json:"writers"`
+	Relays           int     `json:"relays"`
 	Seconds          float64 `json:"seconds"`
 	Records          int64   `json:"records"`
 	Failed           int64   `json:"failed"`
@@ -94,7 +95,7 @@
 
 func throughputToJSON(t Throughput) throughputJSON {
 	return throughputJSON{
-		Writers: t.Writers, Seconds: t.Seconds, Records: t.Records, Failed: t.Failed,
+		Writers: t.Writers, Relays: t.Relays, Seconds: t.Seconds, Records: t.Records, Failed: t.Failed,
 		AppendsPerSecond: t.AppendsPerSecond, RecordsPerSecond: t.RecordsPerSecond,
 		LatencyP50: millis(t.LatencyP50), LatencyP99: millis(t.LatencyP99), LatencyMax: millis(t.LatencyMax),
 		CPUPerSecond: t.CPUPerSecond,
--- a/internal/run/bench/journalbench/writers.go
+++ b/internal/run/bench/journalbench/writers.go
@@ -15,14 +15,17 @@
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/base/webserver"
+	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/record/relay"
 	"wasabihoist/internal/standin/logservice"
 )
 
 // Throughput is what a number of writers achieve together.
 type Throughput struct {
 	Writers          int
+	Relays           int // Relays is 0 when each writer appends directly.
 	Seconds          float64
 	Records          int64 // Records with a valid verdict.
 	Failed           int64 // Failed records had an error or an invalid verdict.
@@ -43,17 +46,70 @@
 	next    atomic.Int64
 }
 
+// site is a log service with its relays on loopback.
+type site struct {
+	group  *group.Group
+	log    netip.AddrPort
+	relays []netip.AddrPort
+}
+
+func startSite(ctx context.Context, relays int) (*site, error) {
+	s := &site{group: group.New(ctx)}
+	var err error
+	s.log, err = s.serve("log service", logservice.New(logservice.DefaultLimits()).Handler())
+	for range relays {
+		r := relay.New(relay.Default(), platformlog.NewClient(s.log, nil))
+		s.group.Go("relay", r.Run)
+		address, serveErr := s.serve("relay service", wire.NewRelayServer(relay.NewServer(r)))
+		err = errors.Join(err, serveErr)
+		s.relays = append(s.relays, address)
+	}
+	if err != nil {
+		s.group.Stop()
+		return nil, errors.Join(err, s.group.Wait())
+	}
+	return s, nil
+}
+
+func (s *site) serve(name string, handler http.Handler) (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	s.group.Go(name, func(ctx context.Context) error {
+		defer func() { _ = server.Close() }()
+		return webserver.Serve(ctx, server, listener)
+	})
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
+}
+
+// appends returns the log as the nth writer uses it.
+func (s *site) appends(n int, direct platformlog.Log) platformlog.Log {
+	if len(s.relays) == 0 {
+		return direct
+	}
+	return relay.NewLog(direct, fixedRelay(s.relays[n%len(s.relays)]), dialRelay, nil, netip.AddrPort{})
+}
+
+// fixedRelay implements relay.Directory.
+type fixedRelay netip.AddrPort
+
+// Relay implements relay.Directory.
+func (f fixedRelay) Relay() (netip.AddrPort, bool) { return netip.AddrPort(f), true }
+
+func dialRelay(address netip.AddrPort) wire.Relay {
+	return wire.NewRelayProtobufClient("http://"+address.String(), &http.Client{Transport: &http.Transport{DisableKeepAlives: true}})
+}
+
 // measureWriters lets processes append claims, each process with a journal of
 // its own that follows the log.
-func measureWriters(ctx context.Context, count int, o Options) (Throughput, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func measureWriters(ctx context.Context, writers Writers, o Options) (Throughput, error) {
+	s, err := startSite(ctx, writers.Relays)
 	if err != nil {
 		return Throughput{}, err
 	}
-	server := &http.Server{Handler: logservice.New(logservice.DefaultLimits()).Handler(), ReadHeaderTimeout: time.Second}
 	processes := group.New(ctx)
-	processes.Go("log service", func(ctx context.Context) error { return webserver.Serve(ctx, server, listener) })
-	address := netip.MustParseAddrPort(listener.Addr().String())
 	const maxMicros, digits = 60_000_000, 3
 	l := &load{latency: hdrhistogram.New(1, maxMicros, digits)}
 	callers := group.New(ctx)
@@ -61,13 +117,13 @@
 	began, cpu := time.Now(), cpuTime()
 	end, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
-	for i := range count {
-		log := platformlog.NewClient(address, nil)
+	for i := range writers.Processes {
+		log := platformlog.NewClient(s.log, nil)
 		j := journal.New()
 		if i == 0 {
 			observer = j
 		}
-		w := journal.NewWriter(fmt.Sprintf("writer-%d@1", i), log, j, journal.DefaultWriterOptions())
+		w := journal.NewWriter(fmt.Sprintf("writer-%d@1", i), s.appends(i, log), j, journal.DefaultWriterOptions())
 		processes.Go("writer", w.Run)
 		processes.Go("follower", journal.NewFollower(j, log, nil).Run)
 		for range o.Callers {
@@ -77,9 +133,11 @@
 	err = callers.Wait()
 	seconds := time.Since(began).Seconds()
 	appends := float64(observer.Next() - 1)
-	t := l.result(count, seconds, appends, cpuTime()-cpu)
+	t := l.result(writers, seconds, appends, cpuTime()-cpu)
 	processes.Stop()
-	return t, errors.Join(err, server.Close(), processes.Wait())
+	err = errors.Join(err, processes.Wait())
+	s.group.Stop()
+	return t, errors.Join(err, s.group.Wait())
 }
 
 // call submits one claim after the other until ctx ends. The last one may be
@@ -102,11 +160,11 @@
 	return nil
 }
 
-func (l *load) result(count int, seconds, appends float64, cpu time.Duration) Throughput {
+func (l *load) result(writers Writers, seconds, appends float64, cpu time.Duration) Throughput {
 	const median, high = 50, 99
 	micros := func(v int64) time.Duration { return time.Duration(v) * time.Microsecond }
 	return Throughput{
-		Writers: count, Seconds: seconds, Records: l.records.Load(), Failed: l.failed.Load(),
+		Writers: writers.Processes, Relays: writers.Relays, Seconds: seconds, Records: l.records.Load(), Failed: l.failed.Load(),
 		AppendsPerSecond: appends / seconds, RecordsPerSecond: float64(l.records.Load()) / seconds,
 		LatencyP50: micros(l.latency.ValueAtQuantile(median)), LatencyP99: micros(l.latency.ValueAtQuantile(high)),
 		LatencyMax: micros(l.latency.Max()), CPUPerSecond: cpu.Seconds() / seconds,
--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/record/relay"
 	"wasabihoist/internal/role/agent"
 	"wasabihoist/internal/run/settings"
 )
@@ -39,6 +40,7 @@
 		return nil, errors.Join(err, n.close())
 	}
 	n.mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a.agent.Service()))
+	n.mux.Handle(wire.RelayPathPrefix, wire.NewRelayServer(relay.NewServer(n.relay)))
 	n.mux.Handle(wire.SchedulerPathPrefix, wire.NewSchedulerServer(a.duties))
 	return a, nil
 }
@@ -58,6 +60,7 @@
 	a.start()
 	a.serveFigures(a.figures())
 	a.announce.start(a.group, "announce listener")
+	a.group.Go(a.relay.String(), a.relay.Run)
 	a.group.Go(a.agent.String(), a.agent.Run)
 	a.group.Go(a.duties.String(), a.duties.Run)
 	a.startMemberChanges(a.duties.holds)
--- a/internal/run/process/directory.go
+++ b/internal/run/process/directory.go
@@ -19,6 +19,7 @@
 	agents  *blackboard.Section[[]routing.Agent]
 	holders *blackboard.Section[[]report.Holder]
 	remote  *blackboard.Section[map[netip.AddrPort]bool] // remote tells whether the member at an address is in another region.
+	relay   *blackboard.Section[netip.AddrPort]          // relay is not valid while appends go directly to the log.
 }
 
 func newBoard() *board {
@@ -27,6 +28,7 @@
 		agents:  blackboard.NewSection[[]routing.Agent](nil),
 		holders: blackboard.NewSection[[]report.Holder](nil),
 		remote:  blackboard.NewSection(map[netip.AddrPort]bool{}),
+		relay:   blackboard.NewSection(netip.AddrPort{}),
 	}
 }
 
@@ -67,6 +69,33 @@
 	d.board.remote.Set(remote)
 	d.board.agents.Set(agents)
 	d.board.holders.Set(d.schedulers(members))
+	d.board.relay.Set(d.relay(members))
+}
+
+// relay returns the address of the member that appends for the data centre. A
+// relay elsewhere would only add a hop, so a data centre without agents has
+// none.
+func (d *directory) relay(members []membership.Member) netip.AddrPort {
+	working := 0
+	for _, m := range members {
+		if m.Working() {
+			working++
+		}
+	}
+	if working <= maxDirectAppenders {
+		return netip.AddrPort{}
+	}
+	holder, ok := duty.Holder(relayDuty, d.settings.DataCentre, d.settings.Region, members)
+	if !ok || holder.DataCentre != d.settings.DataCentre {
+		return netip.AddrPort{}
+	}
+	return holder.Address
+}
+
+// Relay implements relay.Directory.
+func (d *directory) Relay() (netip.AddrPort, bool) {
+	address := d.board.relay.Get()
+	return address, address.IsValid()
 }
 
 // schedulers lists the holder of the scheduler duty of each data centre. Data
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -22,6 +22,7 @@
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/record/relay"
 	"wasabihoist/internal/record/snapshot"
 	"wasabihoist/internal/record/source"
 	"wasabihoist/internal/run/settings"
@@ -31,6 +32,12 @@
 	readerDuty    = "reader"
 	snapshotDuty  = "snapshot"
 	schedulerDuty = "scheduler"
+	relayDuty     = "relay"
+
+	// maxDirectAppenders processes that append 20 times a second each stay
+	// below 300 appends a second, of several hundred that the log takes. A
+	// larger deployment appends through one relay in each data centre.
+	maxDirectAppenders = 14
 
 	headerTimeout   = 5 * time.Second
 	idleTimeout     = 30 * time.Second
@@ -57,6 +64,7 @@
 	logger     log.Logger
 	transport  *transport.Transport
 	log        platformlog.Log
+	relay      *relay.Relay // relay appends for the data centre; it runs in agents.
 	journal    *journal.Journal
 	writer     *journal.Writer
 	members    *membership.Membership
@@ -91,9 +99,11 @@
 	n.journal = journal.New()
 	incarnation := time.Now().UnixNano()
 	name := fmt.Sprintf("%s@%d", s.Name, incarnation)
-	n.writer = journal.NewWriter(name, n.log, n.journal, journal.DefaultWriterOptions())
 	n.members = membership.New(membershipOptions(s), self(s, incarnation), proberTransport{n.transport})
 	n.directory = &directory{settings: s, members: n.members, board: n.board}
+	n.relay = relay.New(relay.Default(), n.log)
+	appends := relay.NewLog(n.log, n.directory, n.dialRelay, n.relay, s.ListenAddress)
+	n.writer = journal.NewWriter(name, appends, n.journal, journal.DefaultWriterOptions())
 	n.selector = source.NewSelector(n.log, snapshot.NewScan(n.log), n, n.dialPeer)
 	n.reader = newStartReader(n.selector)
 	n.startLimit = startLimit
@@ -266,6 +276,12 @@
 	return peer.NewClient(p.Address, n.transport.Shared())
 }
 
+// dialRelay uses fresh connections, because an open one that has gone silent
+// would leave the fate of a batch open.
+func (n *node) dialRelay(address netip.AddrPort) wire.Relay {
+	return wire.NewRelayProtobufClient("http://"+address.String(), &http.Client{Transport: n.transport.Fresh()})
+}
+
 func (n *node) holdsSnapshotDuty() bool {
 	holder, ok := duty.Holder(snapshotDuty, "", n.logRegion(), n.board.members.Get())
 	return ok && holder.Name == n.settings.Name
