Keep known records of an append that has unknown ones

Cause: a reader dropped a whole append when one record in it had a type or value that it did not know. During a rolling upgrade old and new processes then disagreed about the claims in that append.

Change: such a record keeps its place, takes its sequence number, moves the clock and is not valid; the others get the same verdict in all versions.

Conclusion: types that no other verdict depends on can be added while old processes run; others need two versions.

--- a/internal/cluster/peer/server.go
+++ b/internal/cluster/peer/server.go
@@ -54,6 +54,9 @@
 		if errors.Is(err, platformlog.ErrExpired) {
 			return nil, twirp.NewError(twirp.OutOfRange, err.Error())
 		}
+		if err != nil {
+			return nil, twirp.NewError(twirp.FailedPrecondition, err.Error())
+		}
 		if len(page.Entries) > 0 || page.Next > r.GetFrom() {
 			return pageToWire(page), nil
 		}
--- a/internal/record/journal/codec.go
+++ b/internal/record/journal/codec.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -18,7 +19,7 @@
 func Encode(writer string, sequence uint64, at time.Time, records ...Record) ([]byte, error) {
 	b := batch{writer: writer}
 	for i, r := range records {
-		b.records = append(b.records, envelope{sequence + uint64(i), at, r})
+		b.records = append(b.records, envelope{sequence: sequence + uint64(i), time: at, record: r})
 	}
 	return encodeBatch(b)
 }
@@ -29,11 +30,14 @@
 		r := recordToWire(e.record)
 		r.Sequence = e.sequence
 		r.TimeUnixNanos = nanos(e.time)
+		r.Needs = e.needs
 		message.Records = append(message.Records, r)
 	}
 	return proto.Marshal(message)
 }
 
+// decodeBatch keeps the place of each record that this version cannot read, so
+// that the records around it have the same verdict in all versions.
 func decodeBatch(payload []byte) (batch, error) {
 	var message wire.Batch
 	if err := proto.Unmarshal(payload, &message); err != nil {
@@ -46,9 +50,9 @@
 	for _, r := range message.GetRecords() {
 		record, err := recordFromWire(r)
 		if err != nil {
-			return batch{}, err
+			record = Unreadable{Reason: err.Error()}
 		}
-		b.records = append(b.records, envelope{r.GetSequence(), fromNanos(r.GetTimeUnixNanos()), record})
+		b.records = append(b.records, envelope{r.GetSequence(), fromNanos(r.GetTimeUnixNanos()), record, r.GetNeeds()})
 	}
 	return b, nil
 }
@@ -94,9 +98,10 @@
 		}}}
 	case WorkerReported:
 		return &wire.Record{Body: &wire.Record_Worker{Worker: &wire.WorkerReported{Worker: r.Worker, Lost: r.Lost}}}
-	default:
+	case Barrier:
 		return &wire.Record{Body: &wire.Record_Barrier{Barrier: &wire.Barrier{}}}
 	}
+	return &wire.Record{} // Unreadable records have no type.
 }
 
 func recordFromWire(message *wire.Record) (Record, error) {
@@ -142,7 +147,7 @@
 	case *wire.Record_Barrier:
 		return Barrier{}, nil
 	}
-	return nil, fmt.Errorf("decode record %d: unknown type", message.GetSequence())
+	return nil, errors.New("decode record: unknown type")
 }
 
 // text makes a reason encodable. Reasons come from back ends and workers, and
--- a/internal/record/journal/fold_test.go
+++ b/internal/record/journal/fold_test.go
@@ -50,7 +50,7 @@
 		g.add(&b, g.record(b.writer))
 	}
 	g.batches = append(g.batches, b)
-	payload, err := encodeBatch(b)
+	payload, err := encodeNewer(b)
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -76,7 +76,7 @@
 		at = at.Add(time.Duration(rapid.IntRange(-100, 100).Draw(g.t, "skew")) * time.Hour)
 	}
 	g.sequences[b.writer] = max(g.sequences[b.writer], sequence)
-	b.records = append(b.records, envelope{sequence, at, r})
+	b.records = append(b.records, envelope{sequence: sequence, time: at, record: r})
 }
 
 func (g *generator) identity() request.Identity {
@@ -105,7 +105,7 @@
 	id := g.identity()
 	outcome := rapid.SampledFrom([]request.Outcome{request.Done, request.Failed, request.NotRun, request.Unknown})
 	flip := func(label string) bool { return rapid.Bool().Draw(g.t, label) }
-	switch rapid.IntRange(0, 11).Draw(g.t, "kind") {
+	switch rapid.IntRange(0, 12).Draw(g.t, "kind") {
 	case 0:
 		if flip("audit") {
 			return Audit{Actor: "op", Action: "act", Subject: fmt.Sprint(len(g.batches))}
@@ -143,6 +143,8 @@
 			return RequestAbandoned{id}
 		}
 		return RequestFinished{id, outcome.Draw(g.t, "outcome"), "", make([]byte, size)}
+	case 12:
+		return unknownType
 	}
 	return Barrier{}
 }
--- a/internal/record/journal/follower.go
+++ b/internal/record/journal/follower.go
@@ -13,6 +13,8 @@
 	pageEntries = 500
 	longPoll    = 2 * time.Second
 	readBackoff = 200 * time.Millisecond
+	// unsupportedBackoff is longer, because only a newer version can go on.
+	unsupportedBackoff = 5 * time.Second
 	// snapshotWait covers a scan of all records that the log keeps. Each read of
 	// the scan and each peer has a shorter deadline of its own.
 	snapshotWait = 2 * time.Minute
@@ -53,11 +55,17 @@
 // Run reads until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
-			select {
-			case <-ctx.Done():
-			case <-time.After(readBackoff):
-			}
+		err := f.step(ctx)
+		if err == nil {
+			continue
+		}
+		backoff := readBackoff
+		if errors.Is(err, ErrUnsupported) {
+			backoff = unsupportedBackoff
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(backoff):
 		}
 	}
 	return nil
--- a/internal/record/journal/fuzz_test.go
+++ b/internal/record/journal/fuzz_test.go
@@ -32,7 +32,7 @@
 	}
 	b := batch{writer: "a@1"}
 	for i, r := range records {
-		b.records = append(b.records, envelope{uint64(i + 1), start.Add(time.Duration(i) * time.Second), r})
+		b.records = append(b.records, envelope{sequence: uint64(i + 1), time: start.Add(time.Duration(i) * time.Second), record: r})
 	}
 	return b
 }
@@ -52,6 +52,8 @@
 	f.Add(samplePayload(f), uint64(1))
 	f.Add([]byte{}, uint64(2))
 	f.Add([]byte{0x0a, 0x01, 'a'}, uint64(3))
+	f.Add(newerPayload(f, 0), uint64(4))
+	f.Add(newerPayload(f, Format+1), uint64(5))
 	f.Fuzz(func(t *testing.T, payload []byte, seed uint64) {
 		s := newState()
 		random := rand.New(rand.NewPCG(seed, 0))
@@ -59,6 +61,7 @@
 			s.apply(offset+1+random.Int64N(3), payload)
 		}
 		assertPassesOn(t, s)
+		assertSameForNewer(t, payload)
 	})
 }
 
@@ -72,6 +75,7 @@
 		f.Fatal(err)
 	}
 	f.Add(encoded[:len(encoded)-checksumBytes], samplePayload(f))
+	f.Add(encoded[:len(encoded)-checksumBytes], newerPayload(f, 0))
 	f.Add([]byte{}, []byte{})
 	f.Fuzz(func(t *testing.T, data, payload []byte) {
 		_, _ = decodeState(data)
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -39,6 +39,10 @@
 // ErrGap is returned when a page starts after the first offset that is missing.
 var ErrGap = errors.New("page starts beyond the next offset")
 
+// ErrUnsupported is returned for records and snapshots that only a newer
+// version can fold. The journal stays as it was before them.
+var ErrUnsupported = errors.New("the format is not known to this version")
+
 // Observer is called for each folded record, in order. It must not block and
 // must not call the journal.
 type Observer func(writer string, sequence uint64, record Record, verdict Verdict)
@@ -90,15 +94,26 @@
 	}
 	before := j.state.next
 	for _, e := range page.Entries {
-		if e.Offset >= j.state.next {
+		if e.Offset >= j.state.next && j.state.unsupported == nil {
 			j.applyEntry(e)
 		}
 	}
-	j.state.next = max(j.state.next, page.Next)
+	if j.state.unsupported == nil {
+		j.state.next = max(j.state.next, page.Next)
+	}
 	if j.state.next != before {
 		j.notify()
 	}
-	return nil
+	return j.state.unsupported
+}
+
+// Unsupported returns an error that wraps ErrUnsupported once the fold has met
+// a record that only a newer version can fold. The state is that before the
+// record, as in an outage of the log.
+func (j *Journal) Unsupported() error {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.unsupported
 }
 
 // ordered reports whether all entries have ascending offsets from the start of
@@ -115,7 +130,11 @@
 }
 
 func (j *Journal) applyEntry(e platformlog.Entry) {
-	for _, r := range j.state.apply(e.Offset, e.Payload) {
+	results := j.state.apply(e.Offset, e.Payload)
+	if j.state.unsupported != nil {
+		return
+	}
+	for _, r := range results {
 		for _, o := range j.observers {
 			o(r.writer, r.sequence, r.record, r.verdict)
 		}
@@ -134,7 +153,9 @@
 	j.changed = make(chan struct{})
 }
 
-// Page returns entries of the window from an offset on, for peers.
+// Page returns entries of the window from an offset on, for peers. When the
+// fold has stopped at a record of a newer version, the end of the window is an
+// error, so that peers read elsewhere.
 func (j *Journal) Page(from int64, limit int) (platformlog.Page, error) {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
@@ -143,7 +164,7 @@
 		return page, fmt.Errorf("read journal from %d: %w", from, platformlog.ErrExpired)
 	}
 	if from >= j.state.next {
-		return page, nil
+		return page, j.state.unsupported
 	}
 	first, _ := slices.BinarySearchFunc(j.window, from, func(e platformlog.Entry, offset int64) int {
 		return cmp.Compare(e.Offset, offset)
--- a/internal/record/journal/naive_test.go
+++ b/internal/record/journal/naive_test.go
@@ -121,6 +121,8 @@
 			delete(n.requests, r.Identity)
 		}
 		return reason
+	case Unreadable:
+		return r.Reason
 	case JobSubmitted:
 		if _, ok := n.jobs[r.Job.Identity]; ok {
 			return "a job with this identity exists"
--- a/internal/record/journal/record.go
+++ b/internal/record/journal/record.go
@@ -11,6 +11,10 @@
 	"wasabihoist/internal/traffic/request"
 )
 
+// Format is the version of the record types that this code folds. A record or
+// a snapshot that needs a higher one is not folded, see docs/journal.md.
+const Format = 0
+
 // Record is one fact. The concrete types below are all there are.
 type Record interface{ isRecord() }
 
@@ -103,6 +107,12 @@
 	Lost   bool
 }
 
+// Unreadable stands in the place of a record whose type or values this version
+// does not know. Its sequence number and time count; it changes nothing else.
+type Unreadable struct {
+	Reason string // Reason says what could not be read.
+}
+
 // Barrier changes nothing. Once it is folded, earlier records of its writer
 // that were not folded never will be.
 type Barrier struct{}
@@ -120,6 +130,7 @@
 func (Audit) isRecord()                  {}
 func (SnapshotChunk) isRecord()          {}
 func (WorkerReported) isRecord()         {}
+func (Unreadable) isRecord()             {}
 func (Barrier) isRecord()                {}
 
 // Verdict is what the fold made of a record.
@@ -134,6 +145,7 @@
 	sequence uint64
 	time     time.Time
 	record   Record
+	needs    int32 // needs is the format that a reader must know to fold the record.
 }
 
 // batch is the content of one append.
@@ -141,3 +153,12 @@
 	writer  string
 	records []envelope
 }
+
+// needs returns the format that a reader must know to fold the batch.
+func (b batch) needs() int32 {
+	highest := int32(0)
+	for _, e := range b.records {
+		highest = max(highest, e.needs)
+	}
+	return highest
+}
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -25,6 +25,7 @@
 	m := &wire.State{
 		Next:                 s.next,
 		ClockUnixNanos:       nanos(s.clock.now),
+		Needs:                s.needs,
 		ConfigurationVersion: s.configuration.Version,
 		Configuration: configurationToWire(ConfigurationPublished{
 			Operator:      s.operator,
@@ -85,11 +86,15 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w", err)
 	}
+	if m.GetNeeds() > Format {
+		return nil, fmt.Errorf("decode snapshot: %w: it needs %d, known is %d", ErrUnsupported, m.GetNeeds(), Format)
+	}
 	c, err := configurationFromWire(m.GetConfiguration())
 	if err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w", err)
 	}
 	s := newState()
+	s.needs = m.GetNeeds()
 	s.next = max(1, m.GetNext())
 	s.clock.now = fromNanos(m.GetClockUnixNanos())
 	s.operator = c.Operator
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -86,6 +86,8 @@
 	writers       map[string]*writerState
 	lost          collection.Set[string] // lost are the workers that were reported lost.
 	evictions     []eviction             // evictions have ascending due times.
+	needs         int32                  // needs is the highest format that a folded record needed.
+	unsupported   error                  // unsupported is set at a record that needs a higher format; nothing is folded from there on.
 }
 
 func newState() *state {
@@ -108,13 +110,23 @@
 }
 
 // apply folds one payload. Payloads that cannot be decoded change nothing but
-// the offset, so that all readers agree on them.
+// the offset, so that all readers agree on them. A payload with a record that
+// needs a higher format is not folded, and neither is what follows.
 func (s *state) apply(offset int64, payload []byte) []judged {
-	s.next = offset + 1
+	if s.unsupported != nil {
+		return nil
+	}
 	b, err := decodeBatch(payload)
 	if err != nil {
+		s.next = offset + 1
 		return nil
 	}
+	if needs := b.needs(); needs > Format {
+		s.unsupported = fmt.Errorf("offset %d: %w: it needs %d, known is %d", offset, ErrUnsupported, needs, Format)
+		return nil
+	}
+	s.next = offset + 1
+	s.needs = max(s.needs, b.needs())
 	before := s.clock.now
 	results := make([]judged, 0, len(b.records))
 	for _, e := range b.records {
@@ -169,6 +181,8 @@
 		return s.reportWorker(r)
 	case Audit:
 		s.addAudit(AuditEntry{offset, e.time, r})
+	case Unreadable:
+		return r.Reason
 	}
 	return ""
 }
--- a/internal/record/journal/writer.go
+++ b/internal/record/journal/writer.go
@@ -51,6 +51,7 @@
 type Writer struct {
 	name    string
 	log     platformlog.Log
+	journal *Journal
 	options WriterOptions
 	now     func() time.Time
 
@@ -75,6 +76,7 @@
 	w := &Writer{
 		name:       name,
 		log:        log,
+		journal:    j,
 		options:    options,
 		now:        time.Now,
 		batchBytes: options.MaxBytes,
@@ -99,6 +101,9 @@
 	if err != nil {
 		return Verdict{}, fmt.Errorf("append: %w: %w", err, ErrNotAppended)
 	}
+	if err := w.journal.Unsupported(); err != nil {
+		return Verdict{}, fmt.Errorf("append: %w: %w", err, ErrNotAppended)
+	}
 	if err := w.enqueue(s); err != nil {
 		return Verdict{}, fmt.Errorf("append: %w: %w", err, ErrNotAppended)
 	}
@@ -250,8 +255,12 @@
 	return !w.pending.empty() || !w.audit.empty() || w.doubtful
 }
 
-// send appends one batch and reports whether the log took it.
+// send appends one batch and reports whether the log took it. Nothing is sent
+// while the journal cannot fold the log, because no verdict would be learnt.
 func (w *Writer) send(ctx context.Context) bool {
+	if w.journal.Unsupported() != nil {
+		return false
+	}
 	b, carried := w.nextBatch()
 	payload, err := encodeBatch(b)
 	if err != nil {
@@ -297,13 +306,13 @@
 			s.sequence = w.sequence
 			w.sent.push(s)
 			carried = append(carried, s)
-			b.records = append(b.records, envelope{s.sequence, w.now(), s.record})
+			b.records = append(b.records, envelope{sequence: s.sequence, time: w.now(), record: s.record})
 			size += s.size
 		}
 	}
 	if len(b.records) == 0 {
 		w.sequence++
-		b.records = append(b.records, envelope{w.sequence, w.now(), Barrier{}})
+		b.records = append(b.records, envelope{sequence: w.sequence, time: w.now(), record: Barrier{}})
 	}
 	return b, carried
 }
--- a/internal/run/process/figures.go
+++ b/internal/run/process/figures.go
@@ -36,6 +36,7 @@
 	}
 	return []figure{
 		gauge("journal-next-offset", "offset", "First offset of the log that is not folded.", func() float64 { return float64(n.journal.Next()) }),
+		gauge("journal-unsupported", "-", "1 when the log has a record that only a newer version can fold, otherwise 0.", n.journalUnsupported),
 		gauge("configuration-version", "offset", "Version of the configuration in force.", func() float64 { return float64(n.ConfigurationVersion()) }),
 		counter("audit-entries-lost", "entries", "Audit entries that were dropped because the log did not take them in time.", func() float64 { return float64(n.writer.LostAudit()) }),
 		gauge("members-known", "members", "Members in the list, dead ones included.", func() float64 { return float64(len(n.board.members.Get())) }),
@@ -50,6 +51,13 @@
 	}
 }
 
+func (n *node) journalUnsupported() float64 {
+	if n.journal.Unsupported() != nil {
+		return 1
+	}
+	return 0
+}
+
 // figures of an entry.
 func (e *Entry) figures() []figure {
 	c, r := e.entry.Counters(), &e.router.Counters
--- a/internal/run/process/start.go
+++ b/internal/run/process/start.go
@@ -86,6 +86,9 @@
 		return nil
 	case <-time.After(n.startLimit):
 	}
+	if err := n.journal.Unsupported(); err != nil {
+		return fmt.Errorf("the log needs a newer version of this program: %w", err)
+	}
 	return fmt.Errorf("log-address: %s cannot be read within %s, and no seed has a state to start from",
 		n.settings.LogAddress, n.startLimit)
 }
