Bound the memory for claims of non-idempotent requests

Cause: claims are kept for 24 h without a bound on their number, about 32 to 41 MB at one a second, and a daemon has 64 MB.

Change: the fold keeps claims in a compact form that shares writers, organisations and endings and has one list for eviction instead of a queue entry for each change. Agents refuse new non-idempotent requests at agent.claim-memory-mb (16 MB), before the claim is submitted, so not-run is true. The figures claim-bytes and claims-full show it.

--- a/internal/record/journal/bodies.go
+++ b/internal/record/journal/bodies.go
@@ -1,11 +1,6 @@
 package journal
 
-import (
-	"cmp"
-	"slices"
-
-	"wasabihoist/internal/traffic/request"
-)
+import "slices"
 
 const (
 	// MaxBodyBytes bounds the answer bodies in the fold. A process has 64 MB in
@@ -15,65 +10,64 @@
 	ReasonBodyDropped = "the answer is no longer kept; the outcome is"
 )
 
-// bodies holds the finished requests that have a body in claim order. The
-// order depends on the state alone, so all processes drop the same bodies.
+// bodies holds the answers of finished requests in claim order. The order
+// depends on the state alone, so all processes drop the same bodies.
 type bodies struct {
-	requests []*RequestState
-	bytes    int
+	kept  []keptBody
+	bytes int
 }
 
-func claimOrder(a, b *RequestState) int {
-	return cmp.Or(cmp.Compare(a.Claim, b.Claim),
-		cmp.Compare(a.Identity.Organisation, b.Identity.Organisation),
-		cmp.Compare(a.Identity.ID, b.Identity.ID))
+type keptBody struct {
+	claim *claim
+	body  []byte
 }
 
-func (b *bodies) add(r *RequestState) {
-	if len(r.Body) == 0 {
-		return
+func (b *bodies) find(c *claim) (int, bool) {
+	return slices.BinarySearchFunc(b.kept, c, func(k keptBody, c *claim) int { return claimOrder(k.claim, c) })
+}
+
+// of returns the body of a claim, or nil.
+func (b *bodies) of(c *claim) []byte {
+	if i, found := b.find(c); found {
+		return b.kept[i].body
 	}
-	i, _ := slices.BinarySearchFunc(b.requests, r, claimOrder)
-	b.requests = slices.Insert(b.requests, i, r)
-	b.bytes += len(r.Body)
+	return nil
 }
 
-func (b *bodies) remove(r *RequestState) {
-	if len(r.Body) == 0 {
+// set replaces the body of a claim.
+func (b *bodies) set(c *claim, body []byte) {
+	b.remove(c)
+	if len(body) == 0 {
 		return
 	}
-	if i, found := slices.BinarySearchFunc(b.requests, r, claimOrder); found {
-		b.requests = slices.Delete(b.requests, i, i+1)
-		b.bytes -= len(r.Body)
-	}
+	i, _ := b.find(c)
+	b.kept = slices.Insert(b.kept, i, keptBody{c, body})
+	b.bytes += len(body)
 }
 
-// enforce drops the bodies of the oldest claims until the rest is within the
-// bound. Their outcomes stay.
-func (b *bodies) enforce(limit int) {
-	dropped := 0
-	for b.bytes > limit {
-		r := b.requests[dropped]
-		b.bytes -= len(r.Body)
-		r.Body, r.Reason = nil, droppedReason(r)
-		dropped++
+func (b *bodies) remove(c *claim) {
+	if i, found := b.find(c); found {
+		b.bytes -= len(b.kept[i].body)
+		b.kept = slices.Delete(b.kept, i, i+1)
 	}
-	b.requests = slices.Delete(b.requests, 0, dropped)
 }
 
-func droppedReason(r *RequestState) string {
-	if r.Reason != "" {
-		return r.Reason + "; " + ReasonBodyDropped + " " + r.Outcome.String()
+// enforce drops the bodies of the oldest claims until the rest is within the
+// bound, and returns these claims.
+func (b *bodies) enforce(limit int) []*claim {
+	var dropped []*claim
+	for b.bytes > limit {
+		oldest := b.kept[len(dropped)]
+		b.bytes -= len(oldest.body)
+		dropped = append(dropped, oldest.claim)
 	}
-	return ReasonBodyDropped + " " + r.Outcome.String()
+	b.kept = slices.Delete(b.kept, 0, len(dropped))
+	return dropped
 }
 
-// collect rebuilds the order after the state was decoded.
-func (b *bodies) collect(requests map[request.Identity]*RequestState) {
-	for _, r := range requests {
-		if len(r.Body) > 0 {
-			b.requests = append(b.requests, r)
-			b.bytes += len(r.Body)
-		}
+func droppedReason(e ending) string {
+	if e.reason != "" {
+		return e.reason + "; " + ReasonBodyDropped + " " + e.outcome.String()
 	}
-	slices.SortFunc(b.requests, claimOrder)
+	return ReasonBodyDropped + " " + e.outcome.String()
 }
--- /dev/null
+++ b/internal/record/journal/claims.go
@@ -0,0 +1,198 @@
+package journal
+
+import (
+	"cmp"
+	"slices"
+	"time"
+	"unique"
+
+	"wasabihoist/internal/traffic/request"
+)
+
+const (
+	// claimOverhead is counted for each claim beside its id: the claim, its
+	// place in the map and, with room for growth, that of its answer.
+	claimOverhead = 190
+	// reasonOverhead is counted for a reason beside its text, as if no other
+	// claim had the same one.
+	reasonOverhead = 100
+)
+
+// claim is the compact form of a RequestState. Claims are kept for a day and
+// are most of the fold, so values that many of them share are stored once.
+type claim struct {
+	key      claimKey
+	writer   unique.Handle[string]
+	offset   int64
+	deadline int64 // deadline is in nanoseconds since 1970; 0 for none.
+	changed  int64 // changed is the clock of the fold in the same unit.
+	ending   unique.Handle[ending]
+	before   *claim // before is the neighbour that changed earlier.
+	after    *claim
+}
+
+type claimKey struct {
+	organisation unique.Handle[string]
+	id           string
+}
+
+type ending struct {
+	outcome request.Outcome
+	reason  string
+}
+
+func keyOf(id request.Identity) claimKey { return claimKey{unique.Make(id.Organisation), id.ID} }
+
+func (c *claim) identity() request.Identity {
+	return request.Identity{Organisation: c.key.organisation.Value(), ID: c.key.id}
+}
+
+func (c *claim) outcome() request.Outcome { return c.ending.Value().outcome }
+
+// bytes is what the claim counts against a bound.
+func (c *claim) bytes() int {
+	bytes := claimOverhead + len(c.key.id)
+	if reason := c.ending.Value().reason; reason != "" {
+		bytes += reasonOverhead + len(reason)
+	}
+	return bytes
+}
+
+// claimOrder depends on the state alone, so that all processes agree on it.
+func claimOrder(a, b *claim) int {
+	return cmp.Or(cmp.Compare(a.offset, b.offset),
+		cmp.Compare(a.key.organisation.Value(), b.key.organisation.Value()),
+		cmp.Compare(a.key.id, b.key.id))
+}
+
+// claims holds the claims of the repeat window.
+type claims struct {
+	byKey  map[claimKey]*claim
+	oldest *claim // oldest is the one that has not changed for the longest time.
+	newest *claim
+	bytes  int                           // bytes of all claims.
+	used   map[unique.Handle[string]]int // used has the bytes by organisation.
+	bodies bodies
+}
+
+func newClaims() claims {
+	return claims{byKey: map[claimKey]*claim{}, used: map[unique.Handle[string]]int{}}
+}
+
+func (c *claims) get(id request.Identity) *claim { return c.byKey[keyOf(id)] }
+
+// add puts a claim at the end of the order of change.
+func (c *claims) add(added *claim) {
+	if former := c.byKey[added.key]; former != nil {
+		c.remove(former)
+	}
+	c.byKey[added.key] = added
+	c.link(added)
+	c.count(added, added.bytes())
+}
+
+func (c *claims) remove(removed *claim) {
+	c.bodies.remove(removed)
+	c.count(removed, -removed.bytes())
+	c.unlink(removed)
+	delete(c.byKey, removed.key)
+}
+
+// finish sets the outcome of a claim and puts it at the end of the order of
+// change.
+func (c *claims) finish(finished *claim, end ending, body []byte, now time.Time) {
+	c.setEnding(finished, end)
+	finished.changed = nanos(now)
+	c.unlink(finished)
+	c.link(finished)
+	c.bodies.set(finished, body)
+}
+
+func (c *claims) setEnding(changed *claim, end ending) {
+	c.count(changed, -changed.bytes())
+	changed.ending = unique.Make(end)
+	c.count(changed, changed.bytes())
+}
+
+func (c *claims) count(of *claim, bytes int) {
+	c.bytes += bytes
+	c.used[of.key.organisation] += bytes
+	if c.used[of.key.organisation] == 0 {
+		delete(c.used, of.key.organisation)
+	}
+}
+
+func (c *claims) link(last *claim) {
+	last.before, last.after = c.newest, nil
+	if c.newest == nil {
+		c.oldest = last
+	} else {
+		c.newest.after = last
+	}
+	c.newest = last
+}
+
+func (c *claims) unlink(removed *claim) {
+	if removed.before == nil {
+		c.oldest = removed.after
+	} else {
+		removed.before.after = removed.after
+	}
+	if removed.after == nil {
+		c.newest = removed.before
+	} else {
+		removed.after.before = removed.before
+	}
+}
+
+// evict forgets the claims that have not changed since the horizon.
+func (c *claims) evict(horizon time.Time) {
+	for c.oldest != nil && fromNanos(c.oldest.changed).Before(horizon) {
+		c.remove(c.oldest)
+	}
+}
+
+// enforce drops the bodies of the oldest claims until the rest is within the
+// bound. Their outcomes stay.
+func (c *claims) enforce(limit int) {
+	for _, dropped := range c.bodies.enforce(limit) {
+		end := dropped.ending.Value()
+		c.setEnding(dropped, ending{end.outcome, droppedReason(end)})
+	}
+}
+
+// restore adds claims that were decoded, in any order.
+func (c *claims) restore(list []RequestState) {
+	slices.SortStableFunc(list, func(a, b RequestState) int { return a.Changed.Compare(b.Changed) })
+	for _, r := range list {
+		added := compact(r)
+		c.add(added)
+		c.bodies.set(added, r.Body)
+	}
+}
+
+// state returns the claim with its body.
+func (c *claims) state(of *claim) RequestState {
+	end := of.ending.Value()
+	return RequestState{
+		Identity: of.identity(),
+		Writer:   of.writer.Value(),
+		Claim:    of.offset,
+		Deadline: fromNanos(of.deadline),
+		Outcome:  end.outcome,
+		Reason:   end.reason,
+		Body:     c.bodies.of(of),
+		Changed:  fromNanos(of.changed),
+	}
+}
+
+func compact(r RequestState) *claim {
+	return &claim{
+		key:      keyOf(r.Identity),
+		writer:   unique.Make(r.Writer),
+		offset:   r.Claim,
+		deadline: nanos(r.Deadline),
+		changed:  nanos(r.Changed),
+		ending:   unique.Make(ending{r.Outcome, r.Reason}),
+	}
+}
--- a/internal/record/journal/fold_test.go
+++ b/internal/record/journal/fold_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unique"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -134,7 +135,7 @@
 		return RequestClaimed{id, g.now.Add(time.Minute)}
 	case 9, 11:
 		for _, claimed := range g.identities() {
-			if r := g.state.requests[claimed]; r != nil && r.Writer == writer && r.Outcome == request.Pending {
+			if r := g.state.claims.get(claimed); r != nil && r.writer.Value() == writer && r.outcome() == request.Pending {
 				id = claimed
 			}
 		}
@@ -154,9 +155,18 @@
 	for id, j := range s.jobs {
 		jobs[id] = *j
 	}
-	for id, r := range s.requests {
-		requests[id] = *r
+	bytes, used, inOrder := 0, map[unique.Handle[string]]int{}, 0
+	for _, r := range s.claims.byKey {
+		requests[r.identity()] = s.claims.state(r)
+		bytes += r.bytes()
+		used[r.key.organisation] += r.bytes()
 	}
+	for r := s.claims.oldest; r != nil; r = r.after {
+		inOrder++
+	}
+	same(t, "bytes of claims", s.claims.bytes, bytes)
+	same(t, "bytes by organisation", s.claims.used, used)
+	same(t, "claims in order of change", inOrder, len(requests))
 	same(t, "now", s.clock.now, n.now)
 	same(t, "configuration", s.configuration, n.configuration)
 	same(t, "jobs", jobs, n.jobs)
@@ -185,13 +195,13 @@
 		g := newGenerator(t)
 		var verdicts []Verdict
 		for range rapid.IntRange(20, 80).Draw(t, "batches") {
-			known := len(g.state.requests)
+			known := len(g.state.claims.byKey)
 			_, results := g.next()
-			if len(g.state.requests) < known {
+			if len(g.state.claims.byKey) < known {
 				evicted++
 			}
-			for _, r := range g.state.requests {
-				if strings.Contains(r.Reason, ReasonBodyDropped) {
+			for _, r := range g.state.claims.byKey {
+				if strings.Contains(r.ending.Value().reason, ReasonBodyDropped) {
 					dropped++
 				}
 			}
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"unique"
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/record/platformlog"
@@ -275,12 +276,20 @@
 func (j *Journal) Request(id request.Identity) (RequestState, bool) {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
-	if s := j.state.requests[id]; s != nil {
-		return *s, true
+	if known := j.state.claims.get(id); known != nil {
+		return j.state.claims.state(known), true
 	}
 	return RequestState{}, false
 }
 
+// ClaimBytes returns about the memory that the claims of the repeat window
+// take, without the bodies of their answers, and the part of an organisation.
+func (j *Journal) ClaimBytes(organisation string) (all, own int) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.claims.bytes, j.state.claims.used[unique.Make(organisation)]
+}
+
 // AuditTrail returns the kept entries of the audit trail in order.
 func (j *Journal) AuditTrail() []AuditEntry {
 	j.mu.RLock()
--- a/internal/record/journal/naive_test.go
+++ b/internal/record/journal/naive_test.go
@@ -1,6 +1,7 @@
 package journal
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -74,11 +75,13 @@
 			withBody = append(withBody, r)
 		}
 	}
-	slices.SortFunc(withBody, func(a, b RequestState) int { return claimOrder(&a, &b) })
+	slices.SortFunc(withBody, func(a, b RequestState) int {
+		return cmp.Or(cmp.Compare(a.Claim, b.Claim), cmp.Compare(a.Identity.String(), b.Identity.String()))
+	})
 	for ; total > bodyLimit; withBody = withBody[1:] {
 		r := withBody[0]
 		total -= len(r.Body)
-		r.Reason, r.Body = droppedReason(&r), nil
+		r.Reason, r.Body = droppedReason(ending{r.Outcome, r.Reason}), nil
 		n.requests[r.Identity] = r
 	}
 	for id, r := range n.requests {
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -40,8 +40,8 @@
 		return cmp.Or(cmp.Compare(a.GetSubmittedOffset(), b.GetSubmittedOffset()),
 			compareIdentities(a.GetJob().GetIdentity(), b.GetJob().GetIdentity()))
 	})
-	for _, r := range s.requests {
-		m.Requests = append(m.Requests, requestStateToWire(r))
+	for _, c := range s.claims.byKey {
+		m.Requests = append(m.Requests, requestStateToWire(s.claims.state(c)))
 	}
 	slices.SortFunc(m.Requests, func(a, b *wire.RequestState) int {
 		return cmp.Or(cmp.Compare(a.GetClaim(), b.GetClaim()),
@@ -110,10 +110,11 @@
 		}
 		s.jobs[j.Job.Identity] = j
 	}
+	var requests []RequestState
 	for _, e := range m.GetRequests() {
-		r := requestStateFromWire(e)
-		s.requests[r.Identity] = r
+		requests = append(requests, requestStateFromWire(e))
 	}
+	s.claims.restore(requests)
 	for _, e := range m.GetAudit() {
 		s.audit = append(s.audit, AuditEntry{e.GetOffset(), fromNanos(e.GetTimeUnixNanos()), auditFromWire(e.GetEntry())})
 	}
@@ -125,23 +126,19 @@
 		}
 	}
 	s.noteTimes()
-	s.bodies.collect(s.requests)
 	s.lost = collection.NewSet(m.GetLostWorkers()...)
 	s.rebuildEvictions()
 	return s, nil
 }
 
-// rebuildEvictions derives the eviction order. Entries of a running fold that
+// rebuildEvictions derives the eviction order of jobs. Entries of a running fold that
 // were overtaken by a later change have no effect, so the result is the same.
 func (s *state) rebuildEvictions() {
 	for id, j := range s.jobs {
 		if j.State == job.Ended {
-			s.evictions = append(s.evictions, eviction{j.Changed.Add(RepeatWindow), true, id})
+			s.evictions = append(s.evictions, eviction{j.Changed.Add(RepeatWindow), id})
 		}
 	}
-	for id, r := range s.requests {
-		s.evictions = append(s.evictions, eviction{r.Changed.Add(RepeatWindow), false, id})
-	}
 	slices.SortFunc(s.evictions, func(a, b eviction) int { return a.due.Compare(b.due) })
 }
 
@@ -208,7 +205,7 @@
 	}, nil
 }
 
-func requestStateToWire(r *RequestState) *wire.RequestState {
+func requestStateToWire(r RequestState) *wire.RequestState {
 	return &wire.RequestState{
 		Identity:          identityToWire(r.Identity),
 		Writer:            r.Writer,
@@ -221,8 +218,8 @@
 	}
 }
 
-func requestStateFromWire(m *wire.RequestState) *RequestState {
-	return &RequestState{
+func requestStateFromWire(m *wire.RequestState) RequestState {
+	return RequestState{
 		Identity: identityFromWire(m.GetIdentity()),
 		Writer:   m.GetWriter(),
 		Claim:    m.GetClaim(),
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -67,7 +67,6 @@
 
 type eviction struct {
 	due     time.Time
-	isJob   bool
 	subject request.Identity
 }
 
@@ -79,13 +78,12 @@
 	configuration organisation.Configuration
 	operator      string
 	jobs          map[request.Identity]*JobState
-	requests      map[request.Identity]*RequestState
+	claims        claims
 	audit         []AuditEntry
-	bodies        bodies
 	bodyLimit     int // bodyLimit is the bound of bodies in bytes.
 	writers       map[string]*writerState
 	lost          collection.Set[string] // lost are the workers that were reported lost.
-	evictions     []eviction             // evictions have ascending due times.
+	evictions     []eviction             // evictions of jobs have ascending due times.
 	needs         int32                  // needs is the highest format that a folded record needed.
 	unsupported   error                  // unsupported is set at a record that needs a higher format; nothing is folded from there on.
 }
@@ -94,7 +92,7 @@
 	return &state{
 		next:      1,
 		jobs:      map[request.Identity]*JobState{},
-		requests:  map[request.Identity]*RequestState{},
+		claims:    newClaims(),
 		bodyLimit: MaxBodyBytes,
 		writers:   map[string]*writerState{},
 		lost:      collection.NewSet[string](),
@@ -133,7 +131,7 @@
 		reason := s.applyRecord(offset, b.writer, e)
 		results = append(results, judged{b.writer, e.sequence, e.record, Verdict{offset, reason == "", reason}})
 	}
-	s.bodies.enforce(s.bodyLimit)
+	s.claims.enforce(s.bodyLimit)
 	s.evict()
 	if !s.clock.now.Truncate(time.Hour).Equal(before.Truncate(time.Hour)) {
 		s.evictWriters()
@@ -211,25 +209,19 @@
 	s.audit = append(s.audit, e)
 }
 
-func (s *state) scheduleEviction(isJob bool, subject request.Identity) {
-	s.evictions = append(s.evictions, eviction{s.clock.now.Add(RepeatWindow), isJob, subject})
+func (s *state) scheduleEviction(subject request.Identity) {
+	s.evictions = append(s.evictions, eviction{s.clock.now.Add(RepeatWindow), subject})
 }
 
 // evict forgets what has not changed within the repeat window.
 func (s *state) evict() {
+	horizon := s.clock.now.Add(-RepeatWindow)
+	s.claims.evict(horizon)
 	for len(s.evictions) > 0 && s.evictions[0].due.Before(s.clock.now) {
 		e := s.evictions[0]
 		s.evictions = s.evictions[1:]
-		horizon := s.clock.now.Add(-RepeatWindow)
-		if e.isJob {
-			if j := s.jobs[e.subject]; j != nil && j.State == job.Ended && j.Changed.Before(horizon) {
-				delete(s.jobs, e.subject)
-			}
-			continue
-		}
-		if r := s.requests[e.subject]; r != nil && r.Changed.Before(horizon) {
-			s.bodies.remove(r)
-			delete(s.requests, e.subject)
+		if j := s.jobs[e.subject]; j != nil && j.State == job.Ended && j.Changed.Before(horizon) {
+			delete(s.jobs, e.subject)
 		}
 	}
 }
--- a/internal/record/journal/state_job.go
+++ b/internal/record/journal/state_job.go
@@ -142,7 +142,7 @@
 	j.Claim = 0
 	j.Workers = nil
 	j.Changed = s.clock.now
-	s.scheduleEviction(true, j.Job.Identity)
+	s.scheduleEviction(j.Job.Identity)
 }
 
 func (s *state) claimedJob(id request.Identity, claim int64) (*JobState, string) {
--- a/internal/record/journal/state_request.go
+++ b/internal/record/journal/state_request.go
@@ -7,18 +7,17 @@
 )
 
 func (s *state) claimRequest(offset int64, writer string, r RequestClaimed) string {
-	if known := s.requests[r.Identity]; known != nil {
-		return fmt.Sprintf("claimed by %s at offset %d", known.Writer, known.Claim)
+	if known := s.claims.get(r.Identity); known != nil {
+		return fmt.Sprintf("claimed by %s at offset %d", known.writer.Value(), known.offset)
 	}
-	s.requests[r.Identity] = &RequestState{
+	s.claims.add(compact(RequestState{
 		Identity: r.Identity,
 		Writer:   writer,
 		Claim:    offset,
 		Deadline: r.Deadline,
 		Outcome:  request.Pending,
 		Changed:  s.clock.now,
-	}
-	s.scheduleEviction(false, r.Identity)
+	}))
 	return ""
 }
 
@@ -27,31 +26,27 @@
 	if reason != "" {
 		return reason
 	}
-	known.Outcome = r.Outcome
-	known.Reason = r.Reason
-	known.Body = r.Body
-	known.Changed = s.clock.now
-	s.bodies.add(known)
-	s.scheduleEviction(false, r.Identity)
+	s.claims.finish(known, ending{r.Outcome, r.Reason}, r.Body, s.clock.now)
 	return ""
 }
 
 func (s *state) abandonRequest(writer string, r RequestAbandoned) string {
-	if _, reason := s.openClaim(r.Identity, writer); reason != "" {
+	known, reason := s.openClaim(r.Identity, writer)
+	if reason != "" {
 		return reason
 	}
-	delete(s.requests, r.Identity)
+	s.claims.remove(known)
 	return ""
 }
 
-func (s *state) openClaim(id request.Identity, writer string) (*RequestState, string) {
-	known := s.requests[id]
+func (s *state) openClaim(id request.Identity, writer string) (*claim, string) {
+	known := s.claims.get(id)
 	switch {
 	case known == nil:
 		return nil, "no such claim"
-	case known.Writer != writer:
-		return nil, fmt.Sprintf("claimed by %s", known.Writer)
-	case known.Outcome != request.Pending:
+	case known.writer.Value() != writer:
+		return nil, fmt.Sprintf("claimed by %s", known.writer.Value())
+	case known.outcome() != request.Pending:
 		return nil, "the request is finished"
 	}
 	return known, ""
--- a/internal/role/agent/admission.go
+++ b/internal/role/agent/admission.go
@@ -177,6 +177,9 @@
 		return reasonNoMinion, true
 	case terms.Limit > 0 && waiting >= terms.Limit:
 		return "the queue of the organisation is full", true
+	case !q.Idempotent && s.boundReached(q.Identity):
+		s.Counters.ClaimsFull.Add(1)
+		return reasonClaims, false
 	}
 	return "", false
 }
--- a/internal/role/agent/claim.go
+++ b/internal/role/agent/claim.go
@@ -13,6 +13,9 @@
 func (s *Server) claim(ctx context.Context, e *entry) {
 	deadline, cancel := context.WithDeadline(ctx, e.request.Deadline)
 	defer cancel()
+	if s.refuseAtBound(e) {
+		return
+	}
 	record := journal.RequestClaimed{Identity: e.request.Identity, Deadline: e.request.Deadline}
 	verdict, err := s.writer.Append(deadline, record)
 	s.mu.Lock()
@@ -42,6 +45,21 @@
 	}
 }
 
+// refuseAtBound refuses an entry when the bound of claims was reached while it
+// waited.
+func (s *Server) refuseAtBound(e *entry) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.boundReached(e.request.Identity) {
+		return false
+	}
+	s.ahead--
+	s.Counters.ClaimsFull.Add(1)
+	s.finish(e, s.notRun(e.request, reasonClaims, false))
+	s.signal()
+	return true
+}
+
 // makeReady queues a claimed entry, or gives it back when nobody waits for it.
 func (s *Server) makeReady(e *entry) {
 	if e.waiters == 0 {
--- a/internal/role/agent/counters.go
+++ b/internal/role/agent/counters.go
@@ -15,6 +15,7 @@
 	CallersLeft  expvar.Int // CallersLeft counts waiting requests that were dropped because nobody waited.
 	Claims       expvar.Int // Claims that were folded as the first.
 	ClaimsLost   expvar.Int // ClaimsLost to another agent.
+	ClaimsFull   expvar.Int // ClaimsFull counts requests refused at the bound of claims.
 	Unsettled    expvar.Int // Unsettled claims.
 	Abandoned    expvar.Int // Abandoned claims.
 	RecordedLate expvar.Int // RecordedLate answers were returned before their record was folded.
@@ -29,7 +30,7 @@
 	for name, v := range map[string]*expvar.Int{
 		"accepted": &c.Accepted, "joined": &c.Joined, "repeated": &c.Repeated, "refused": &c.Refused,
 		"done": &c.Done, "failed": &c.Failed, "not-run": &c.NotRun, "unknown": &c.Unknown,
-		"callers-left": &c.CallersLeft, "claims": &c.Claims, "claims-lost": &c.ClaimsLost,
+		"callers-left": &c.CallersLeft, "claims": &c.Claims, "claims-lost": &c.ClaimsLost, "claims-full": &c.ClaimsFull,
 		"unsettled": &c.Unsettled, "abandoned": &c.Abandoned, "recorded-late": &c.RecordedLate,
 		"asked-again": &c.AskedAgain, "discarded": &c.Discarded, "minion-down": &c.MinionDown,
 	} {
--- a/internal/role/agent/options.go
+++ b/internal/role/agent/options.go
@@ -24,6 +24,7 @@
 	KeepAnswers  time.Duration // KeepAnswers is how long answers are kept.
 	KeepBytes    int           // KeepBytes bounds the memory for kept answers.
 	MaxRecorded  int           // MaxRecorded bounds the bytes of an answer in the journal.
+	ClaimBytes   int           // ClaimBytes bounds the memory for the claims of the repeat window, without answers; 0 for no bound.
 	MaxDeadline  time.Duration // MaxDeadline bounds the time until a deadline.
 	JournalRetry time.Duration // JournalRetry is the pause before a record is submitted again.
 }
@@ -43,6 +44,9 @@
 		KeepAnswers: 2 * time.Minute,
 		KeepBytes:   8 << 20,
 		MaxRecorded: 256 << 10,
+		// A quarter of the 64 MB of a daemon; 78,000 claims with ids of 13 bytes,
+		// so 0.9 a second.
+		ClaimBytes: 16_000_000,
 		// A claim is forgotten after the repeat window of 24 h and must not be
 		// started after that.
 		MaxDeadline:  12 * time.Hour,
--- a/internal/run/bench/journalbench/subjects.go
+++ b/internal/run/bench/journalbench/subjects.go
@@ -29,6 +29,7 @@
 		{name: "running-job", sizes: o.Sizes, records: runningJob},
 		{name: "job-life", sizes: o.Sizes, records: jobLife},
 		{name: "request-claim", sizes: o.Sizes, records: func(i int, _ int64) []journal.Record { return answeredClaim(i, o.AnswerBytes) }},
+		{name: "claim-without-answer", sizes: o.Sizes, records: func(i int, _ int64) []journal.Record { return answeredClaim(i, 0) }},
 		{name: "audit-entry", sizes: o.AuditSizes, records: auditEntry},
 		{name: "organisation", sizes: o.Organisations, whole: configuration},
 	}
--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -48,6 +48,7 @@
 	o.Name = s.Name
 	o.Minion = s.Agent.MinionAddress
 	o.Slots = s.Agent.Slots
+	o.ClaimBytes = int(s.Agent.ClaimMemory)
 	o.Client.Connections = s.Agent.Connections
 	o.ProbeEvery = s.Agent.Timeouts.MinionProbe
 	return o
--- a/internal/run/process/figures.go
+++ b/internal/run/process/figures.go
@@ -37,6 +37,7 @@
 	return []figure{
 		gauge("journal-next-offset", "offset", "First offset of the log that is not folded.", func() float64 { return float64(n.journal.Next()) }),
 		gauge("journal-unsupported", "-", "1 when the log has a record that only a newer version can fold, otherwise 0.", n.journalUnsupported),
+		gauge("claim-bytes", "bytes", "About the memory for the claims of the last 24 h, without answers.", func() float64 { all, _ := n.journal.ClaimBytes(""); return float64(all) }),
 		gauge("configuration-version", "offset", "Version of the configuration in force.", func() float64 { return float64(n.ConfigurationVersion()) }),
 		counter("audit-entries-lost", "entries", "Audit entries that were dropped because the log did not take them in time.", func() float64 { return float64(n.writer.LostAudit()) }),
 		gauge("members-known", "members", "Members in the list, dead ones included.", func() float64 { return float64(len(n.board.members.Get())) }),
@@ -96,6 +97,7 @@
 		counter("requests-unknown", "requests", "Requests with the outcome unknown.", ofInt(&c.Unknown)),
 		counter("claims-won", "claims", "Claims of non-idempotent requests that were first.", ofInt(&c.Claims)),
 		counter("claims-lost", "claims", "Claims that another agent had before.", ofInt(&c.ClaimsLost)),
+		counter("claims-full", "requests", "Non-idempotent requests refused because the bound of remembered claims was reached.", ofInt(&c.ClaimsFull)),
 		counter("claims-abandoned", "claims", "Claims given back without a run.", ofInt(&c.Abandoned)),
 		counter("minion-answers-discarded", "answers", "Answers of the minion that were crossed or truncated.", ofInt(&c.Discarded)),
 		counter("minion-down", "changes", "Times at which the minion became unavailable.", ofInt(&c.MinionDown)),
--- a/internal/run/settings/check.go
+++ b/internal/run/settings/check.go
@@ -112,6 +112,7 @@
 	c.name("agent.service", s.Service)
 	c.address("agent.announce-address", s.AnnounceAddress)
 	c.peerAddress("agent.minion-address", s.MinionAddress)
+	c.atLeast("agent.claim-memory-mb", s.ClaimMemory/megabyte, 1)
 	c.atLeast("agent.slots", int64(s.Slots), 1)
 	c.atLeast("agent.connections", int64(s.Connections), 1)
 	c.oneOf("agent.policy", string(s.Policy), policyNames())
--- a/internal/run/settings/file.go
+++ b/internal/run/settings/file.go
@@ -55,6 +55,7 @@
 	Service         string             `toml:"service"`
 	AnnounceAddress netip.AddrPort     `toml:"announce-address"`
 	MinionAddress   netip.AddrPort     `toml:"minion-address"`
+	ClaimMemoryMB   int64              `toml:"claim-memory-mb"`
 	Slots           int                `toml:"slots"`
 	Connections     int                `toml:"connections"`
 	Policy          string             `toml:"policy"`
@@ -155,6 +156,7 @@
 		Service:         s.Service,
 		AnnounceAddress: s.AnnounceAddress,
 		MinionAddress:   s.MinionAddress,
+		ClaimMemoryMB:   s.ClaimMemory / megabyte,
 		Slots:           s.Slots,
 		Connections:     s.Connections,
 		Policy:          string(s.Policy),
@@ -218,6 +220,7 @@
 		Service:         t.Service,
 		AnnounceAddress: t.AnnounceAddress,
 		MinionAddress:   t.MinionAddress,
+		ClaimMemory:     t.ClaimMemoryMB * megabyte,
 		Slots:           t.Slots,
 		Connections:     t.Connections,
 		Policy:          Policy(t.Policy),
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -94,8 +94,9 @@
 	Service         string         // Service that the minion serves.
 	AnnounceAddress netip.AddrPort // AnnounceAddress is where the minion announces itself.
 	MinionAddress   netip.AddrPort
-	Slots           int // Slots is the number of requests that the minion runs at the same time.
-	Connections     int // Connections bounds open connections to the minion.
+	ClaimMemory     int64 // ClaimMemory bounds the memory for claims of non-idempotent requests, in bytes.
+	Slots           int   // Slots is the number of requests that the minion runs at the same time.
+	Connections     int   // Connections bounds open connections to the minion.
 	Policy          Policy
 	Weights         placement.Weights // Weights of the weighted policies, each at least 0.
 	Workers         []worker.Worker   // Workers that the scheduler duty may use.
@@ -172,6 +173,7 @@
 
 func defaultAgent() AgentSettings {
 	return AgentSettings{
+		ClaimMemory: 16 * megabyte,
 		Slots:       8,
 		Connections: 64,
 		Policy:      BestFit,
