--- a/internal/record/journal/claims.go
+++ b/internal/record/journal/claims.go
@@ -19,7 +19,9 @@
 )
 
 // claim is the compact form of a RequestState. Claims are kept for a day and
-// are most of the fold, so values that many of them share are stored once.
+// are most of the fold, so values that many of them share are stored once. A
+// claim does not change, except for its neighbours; it is replaced by another
+// one, so that copies of the state can share it.
 type claim struct {
 	key      claimKey
 	writer   unique.Handle[string]
@@ -98,20 +100,32 @@
 	delete(c.byKey, removed.key)
 }
 
-// finish sets the outcome of a claim and puts it at the end of the order of
+// finish replaces a claim by one with an outcome at the end of the order of
 // change.
-func (c *claims) finish(finished *claim, end ending, body []byte, now time.Time) {
-	c.setEnding(finished, end)
+func (c *claims) finish(open *claim, end ending, body []byte, now time.Time) {
+	finished := *open
+	finished.ending = unique.Make(end)
 	finished.changed = nanos(now)
-	c.unlink(finished)
-	c.link(finished)
-	c.bodies.set(finished, body)
+	c.add(&finished)
+	c.bodies.set(&finished, body)
 }
 
-func (c *claims) setEnding(changed *claim, end ending) {
-	c.count(changed, -changed.bytes())
-	changed.ending = unique.Make(end)
-	c.count(changed, changed.bytes())
+// replace puts a claim with another ending into the place of the former one.
+func (c *claims) replace(former *claim, end ending) {
+	replaced := *former
+	replaced.ending = unique.Make(end)
+	if former.before == nil {
+		c.oldest = &replaced
+	} else {
+		former.before.after = &replaced
+	}
+	if former.after == nil {
+		c.newest = &replaced
+	} else {
+		former.after.before = &replaced
+	}
+	c.byKey[former.key] = &replaced
+	c.count(former, replaced.bytes()-former.bytes())
 }
 
 func (c *claims) count(of *claim, bytes int) {
@@ -157,7 +171,7 @@
 func (c *claims) enforce(limit int) {
 	for _, dropped := range c.bodies.enforce(limit) {
 		end := dropped.ending.Value()
-		c.setEnding(dropped, ending{end.outcome, droppedReason(end)})
+		c.replace(dropped, ending{end.outcome, droppedReason(end)})
 	}
 }
 
@@ -172,17 +186,19 @@
 }
 
 // state returns the claim with its body.
-func (c *claims) state(of *claim) RequestState {
-	end := of.ending.Value()
+func (c *claims) state(of *claim) RequestState { return of.state(c.bodies.of(of)) }
+
+func (c *claim) state(body []byte) RequestState {
+	end := c.ending.Value()
 	return RequestState{
-		Identity: of.identity(),
-		Writer:   of.writer.Value(),
-		Claim:    of.offset,
-		Deadline: fromNanos(of.deadline),
+		Identity: c.identity(),
+		Writer:   c.writer.Value(),
+		Claim:    c.offset,
+		Deadline: fromNanos(c.deadline),
 		Outcome:  end.outcome,
 		Reason:   end.reason,
-		Body:     c.bodies.of(of),
-		Changed:  fromNanos(of.changed),
+		Body:     body,
+		Changed:  fromNanos(c.changed),
 	}
 }
 
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -186,12 +186,13 @@
 }
 
 // Snapshot returns the encoded state and the first offset that it does not
-// cover.
+// cover. The fold waits while the state is copied, not while it is encoded.
 func (j *Journal) Snapshot() ([]byte, int64, error) {
 	j.mu.RLock()
-	defer j.mu.RUnlock()
-	data, err := j.state.encode()
-	return data, j.state.next, err
+	c := j.state.copy()
+	j.mu.RUnlock()
+	data, err := c.encode()
+	return data, c.next, err
 }
 
 // Restore replaces the state by a snapshot, unless the snapshot is older.
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -21,50 +20,7 @@
 const checksumBytes = 8
 
 // encode writes the state in a form that is the same for equal states.
-func (s *state) encode() ([]byte, error) {
-	m := &wire.State{
-		Next:                 s.next,
-		ClockUnixNanos:       nanos(s.clock.now),
-		Needs:                s.needs,
-		ConfigurationVersion: s.configuration.Version,
-		Configuration: configurationToWire(ConfigurationPublished{
-			Operator:      s.operator,
-			Organisations: s.configuration.Organisations,
-			Plans:         s.configuration.Plans,
-		}),
-	}
-	for _, j := range s.jobs {
-		m.Jobs = append(m.Jobs, jobStateToWire(j))
-	}
-	slices.SortFunc(m.Jobs, func(a, b *wire.JobState) int {
-		return cmp.Or(cmp.Compare(a.GetSubmittedOffset(), b.GetSubmittedOffset()),
-			compareIdentities(a.GetJob().GetIdentity(), b.GetJob().GetIdentity()))
-	})
-	for _, c := range s.claims.byKey {
-		m.Requests = append(m.Requests, requestStateToWire(s.claims.state(c)))
-	}
-	slices.SortFunc(m.Requests, func(a, b *wire.RequestState) int {
-		return cmp.Or(cmp.Compare(a.GetClaim(), b.GetClaim()),
-			compareIdentities(a.GetIdentity(), b.GetIdentity()))
-	})
-	for _, a := range s.audit {
-		m.Audit = append(m.Audit, &wire.AuditState{Offset: a.Offset, TimeUnixNanos: nanos(a.Time), Entry: auditToWire(a.Audit)})
-	}
-	for name, w := range s.writers {
-		m.Writers = append(m.Writers, &wire.WriterState{Writer: name, Sequence: w.sequence, ChangedUnixNanos: nanos(w.changed), ReportedUnixNanos: nanos(w.reported)})
-	}
-	m.LostWorkers = s.lost.Sorted()
-	slices.SortFunc(m.Writers, func(a, b *wire.WriterState) int { return cmp.Compare(a.GetWriter(), b.GetWriter()) })
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
-	if err != nil {
-		return nil, fmt.Errorf("encode snapshot: %w", err)
-	}
-	return binary.BigEndian.AppendUint64(data, xxhash.Sum64(data)), nil
-}
-
-func compareIdentities(a, b *wire.Identity) int {
-	return cmp.Or(cmp.Compare(a.GetOrganisation(), b.GetOrganisation()), cmp.Compare(a.GetId(), b.GetId()))
-}
+func (s *state) encode() ([]byte, error) { return s.copy().encode() }
 
 // decodeState reads a snapshot. The checksum at its end catches chunks that
 // were put together wrongly, which could otherwise decode to a wrong state.
--- a/internal/run/bench/journalbench/fold.go
+++ b/internal/run/bench/journalbench/fold.go
@@ -31,24 +31,34 @@
 	StartTime     time.Duration // StartTime to find the snapshot on a log in memory and to restore it.
 }
 
+// series is a number of one subject on a log.
+type series struct {
+	subject
+	writer string
+	offset int64 // offset of the first append.
+	first  int   // first is the number of the first identity.
+	count  int
+	batch  int // batch is the number of records in an append.
+}
+
 // payloads makes the log: all first records, then all second records and so on,
 // as many of them in an append as the batch allows.
-func payloads(s subject, count, batch int) ([]platformlog.Entry, int, error) {
+func (s series) payloads() ([]platformlog.Entry, int, error) {
 	if s.whole != nil {
-		payload, err := journal.Encode("bench@1", 1, time.Now(), s.whole(count))
-		return []platformlog.Entry{{Offset: 1, Payload: payload}}, 1, err
+		payload, err := journal.Encode(s.writer, 1, time.Now(), s.whole(s.count))
+		return []platformlog.Entry{{Offset: s.offset, Payload: payload}}, 1, err
 	}
 	steps := len(s.records(0, 0))
 	var entries []platformlog.Entry
 	sequence := uint64(1)
-	for first := 0; first < count; first += batch {
-		offset := int64(len(entries) + 1)
+	for from := 0; from < s.count; from += s.batch {
+		offset := s.offset + int64(len(entries))
 		for step := range steps {
 			var records []journal.Record
-			for i := first; i < min(count, first+batch); i++ {
-				records = append(records, s.records(i, offset)[step])
+			for i := from; i < min(s.count, from+s.batch); i++ {
+				records = append(records, s.records(s.first+i, offset)[step])
 			}
-			payload, err := journal.Encode("bench@1", sequence, time.Now(), records...)
+			payload, err := journal.Encode(s.writer, sequence, time.Now(), records...)
 			if err != nil {
 				return nil, 0, err
 			}
@@ -60,11 +70,12 @@
 }
 
 func measureFold(ctx context.Context, s subject, count, batch int) (Fold, error) {
-	entries, records, err := payloads(s, count, batch)
+	const writer = "bench@1"
+	entries, records, err := series{subject: s, writer: writer, offset: 1, count: count, batch: batch}.payloads()
 	if err != nil {
 		return Fold{}, err
 	}
-	alone, _, err := payloads(s, 1, 1)
+	alone, _, err := series{subject: s, writer: writer, offset: 1, count: 1, batch: 1}.payloads()
 	if err != nil {
 		return Fold{}, err
 	}
--- a/internal/run/bench/journalbench/journalbench.go
+++ b/internal/run/bench/journalbench/journalbench.go
@@ -18,6 +18,7 @@
 	Organisations []int         // Organisations are the numbers in a configuration.
 	Batch         int           // Batch is the number of records in an append.
 	AnswerBytes   int           // AnswerBytes is the size of the answer of a claim.
+	Hold          Hold          // Hold has the numbers of the state whose snapshots are taken while records are folded.
 	Writers       []int         // Writers are the numbers of processes that append.
 	Callers       int           // Callers wait for a record each at every writer.
 	Duration      time.Duration // Duration of each measurement with writers.
@@ -32,6 +33,7 @@
 		Organisations: []int{60, 240, 960},
 		Batch:         50,
 		AnswerBytes:   100,
+		Hold:          Hold{RunningJobs: 11_000, EndedJobs: 11_000, Claims: 78_000, Organisations: 240},
 		Writers:       []int{1, 14, 60},
 		Callers:       2,
 		Duration:      5 * time.Second,
@@ -41,6 +43,7 @@
 // Result holds all measurements.
 type Result struct {
 	Folds   []Fold
+	Hold    Hold
 	Writers []Throughput
 }
 
@@ -59,6 +62,11 @@
 			result.Folds = append(result.Folds, fold)
 		}
 	}
+	hold, err := measureHold(ctx, o)
+	if err != nil {
+		return result, fmt.Errorf("measure snapshots while records are folded: %w", err)
+	}
+	result.Hold = hold
 	for _, count := range o.Writers {
 		throughput, err := measureWriters(ctx, count, o)
 		if err != nil {
--- a/internal/run/bench/journalbench/journalbench_test.go
+++ b/internal/run/bench/journalbench/journalbench_test.go
@@ -26,6 +26,7 @@
 	o.Output = &output
 	if *full == "" {
 		o.Sizes, o.AuditSizes, o.Organisations = []int{30, 120}, []int{20}, []int{24}
+		o.Hold = journalbench.Hold{RunningJobs: 30, EndedJobs: 30, Claims: 60, Organisations: 24}
 		o.Writers, o.Duration = []int{1, 3}, 600*time.Millisecond
 	}
 	result, err := journalbench.Run(context.Background(), o)
@@ -33,6 +34,7 @@
 	for _, f := range result.Folds {
 		c.Assert(f.LogBytes > 0 && f.SnapshotBytes > 0 && f.Records > 0, qt.IsTrue, qt.Commentf("%+v", f))
 	}
+	c.Assert(result.Hold.SnapshotBytes > 0 && result.Hold.EncodeTime > 0 && result.Hold.WaitTime > 0, qt.IsTrue, qt.Commentf("%+v", result.Hold))
 	for _, w := range result.Writers {
 		c.Assert(w.Records > 0 && w.Failed == 0, qt.IsTrue, qt.Commentf("%+v", w))
 	}
--- a/internal/run/bench/journalbench/report.go
+++ b/internal/run/bench/journalbench/report.go
@@ -24,6 +24,17 @@
 	TotalFoldCPUTime float64 `json:"fold-cpu-ms"`
 }
 
+type holdJSON struct {
+	RunningJobs   int     `json:"running-jobs"`
+	EndedJobs     int     `json:"ended-jobs"`
+	Claims        int     `json:"claims"`
+	Organisations int     `json:"organisations"`
+	SnapshotBytes int     `json:"snapshot-bytes"`
+	EncodeMillis  float64 `json:"encode-ms"`
+	WaitMillis    float64 `json:"wait-ms"`
+	IdleMillis    float64 `json:"idle-wait-ms"`
+}
+
 type throughputJSON struct {
 	Writers          int     `json:"writers"`
 	Seconds          float64 `json:"seconds"`
@@ -39,12 +50,13 @@
 
 type resultJSON struct {
 	Folds   []foldJSON       `json:"folds"`
+	Hold    holdJSON         `json:"snapshot-hold"`
 	Writers []throughputJSON `json:"writers"`
 }
 
 // JSON formats the result with names in kebab case.
 func (r Result) JSON() ([]byte, error) {
-	out := resultJSON{}
+	out := resultJSON{Hold: holdToJSON(r.Hold)}
 	for _, f := range r.Folds {
 		out.Folds = append(out.Folds, foldToJSON(f))
 	}
@@ -92,6 +104,16 @@
 	}
 }
 
+func holdToJSON(h Hold) holdJSON {
+	return holdJSON{
+		RunningJobs: h.RunningJobs, EndedJobs: h.EndedJobs, Claims: h.Claims, Organisations: h.Organisations,
+		SnapshotBytes: h.SnapshotBytes,
+		EncodeMillis:  millis(h.EncodeTime),
+		WaitMillis:    millis(h.WaitTime),
+		IdleMillis:    millis(h.IdleTime),
+	}
+}
+
 func throughputToJSON(t Throughput) throughputJSON {
 	return throughputJSON{
 		Writers: t.Writers, Seconds: t.Seconds, Records: t.Records, Failed: t.Failed,
