Bound the questions before a refusal of a non-idempotent request

Cause: an entry asked all agents of the service before it answered not-run, and it relied on them when its fold was behind.

Change: non-idempotent requests go to the first 8 agents of each region in the rendezvous order of the identity. Before the answer not-run the entry folds a read barrier, shared by the refusals that wait together, and asks the first 12 agents of each region. More than 60 agents, a question without answer or an agent that knows the request make the answer unknown.

TestBarrierShowsAClaim: an entry behind the log whose agent is gone answers done or unknown.

Conclusion: the messages of a refusal no longer grow with the fleet, and while the log is up a fold that lags leads to no wrong not-run.

--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -13,6 +13,7 @@
 	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/fleet/report"
+	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/role/entry"
 	"wasabihoist/internal/run/settings"
 	"wasabihoist/internal/traffic/routing"
@@ -28,6 +29,7 @@
 	entry     *entry.Entry
 	collector *report.Collector
 	router    *routing.Client
+	barrier   *journal.ReadBarrier
 	callers   endpoint
 	operators endpoint
 }
@@ -69,7 +71,10 @@
 	}
 	e := &Entry{node: n}
 	e.collector = report.NewCollector(n.board.holders.Get, e.dialScheduler)
-	e.router = routing.New(routingOptions(s), n.board.agents.Get, n.journal, n.transport)
+	e.barrier = journal.NewReadBarrier(n.writer)
+	routes := routingOptions(s)
+	routes.ReadBarrier = e.barrier.Wait
+	e.router = routing.New(routes, n.board.agents.Get, n.journal, n.transport)
 	e.entry = entry.New(entryOptions(s), n.journal, n.writer, e.router, e.collector, n.directory.list)
 	e.callers, err = newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, e.entry.CallerHandler())
 	if err != nil {
@@ -89,6 +94,7 @@
 	e.start()
 	e.serveFigures(e.figures())
 	e.group.Go(e.collector.String(), e.collector.Run)
+	e.group.Go(e.barrier.String(), e.barrier.Run)
 	e.startMemberChanges(func(string) bool { return false })
 	e.callers.start(e.group, "caller listener")
 	e.operators.start(e.group, "operator listener")
--- a/internal/run/process/figures.go
+++ b/internal/run/process/figures.go
@@ -75,6 +75,9 @@
 		counter("routing-retries-denied", "retries", "Retries that the budget did not allow.", ofInt(&r.Denied)),
 		counter("routing-link-full", "choices", "Remote agents left out because of the cap on the region link.", ofInt(&r.LinkFull)),
 		counter("routing-replies-discarded", "replies", "Replies that were crossed or truncated.", ofInt(&r.Discarded)),
+		counter("routing-questions", "questions", "Questions to agents before non-idempotent requests were answered as not run.", ofInt(&r.Questions)),
+		counter("routing-barriers-missed", "barriers", "Read barriers before such answers that the log did not take in time.", ofInt(&r.Behind)),
+		counter("routing-unproved", "answers", "Refusals of non-idempotent requests answered as unknown, because it was not proved that they did not run.", ofInt(&r.Unproved)),
 		counter("routing-replies-lost", "replies", "Replies that did not arrive.", ofInt(&r.Lost)),
 	)
 }
--- a/internal/traffic/routing/choice.go
+++ b/internal/traffic/routing/choice.go
@@ -58,10 +58,11 @@
 // usable is false are left out.
 func (c *chooser) choose(q request.Request, usable func(Agent, tier) bool) (Agent, bool) {
 	now := time.Now()
-	agents := c.agents()
+	agents := c.candidates(q)
+	all := c.agents()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.forget(agents)
+	c.forget(all)
 	groups := make([][]Agent, 2*(remote+1))
 	for _, a := range agents {
 		t := c.tierOf(a)
--- a/internal/traffic/routing/options.go
+++ b/internal/traffic/routing/options.go
@@ -4,6 +4,7 @@
 package routing
 
 import (
+	"context"
 	"net/netip"
 	"time"
 )
@@ -58,8 +59,16 @@
 	AskAfter       time.Duration // AskAfter is how long an exchange is silent before the agent is asked by identity.
 	AskTimeout     time.Duration // AskTimeout bounds a question; it is longer than an agent holds one back.
 	Grace          time.Duration // Grace is how long a reply that the deadline brings about may take.
-	ProveTimeout   time.Duration // ProveTimeout bounds the questions to all agents before a non-idempotent request is answered as not run.
-	Dial           time.Duration // Dial bounds the time to open a connection.
+	ProveTimeout   time.Duration // ProveTimeout bounds the proof before a non-idempotent request is answered as not run.
+	Candidates     int           // Candidates are the agents of each region to which a non-idempotent request may be sent; the same in all entries.
+	WitnessMargin  int           // WitnessMargin is how many more agents of each region are asked before an answer not run.
+	MaxWitnesses   int           // MaxWitnesses bounds the agents that are asked; when there are more, the answer is unknown.
+	BarrierTimeout time.Duration // BarrierTimeout bounds the wait for ReadBarrier. It is below ProveTimeout.
+
+	// ReadBarrier returns nil once the journal holds all records that were on
+	// the log when it was called. Nil means that there is none.
+	ReadBarrier func(ctx context.Context) error
+	Dial        time.Duration // Dial bounds the time to open a connection.
 }
 
 // DefaultOptions are those of the design page.
@@ -82,6 +91,11 @@
 		AskTimeout:     2500 * time.Millisecond,
 		Grace:          200 * time.Millisecond,
 		ProveTimeout:   300 * time.Millisecond,
+		Candidates:     8,
+		WitnessMargin:  4,
+		// Five regions; a question and its answer take about 600 bytes.
+		MaxWitnesses:   60,
+		BarrierTimeout: 200 * time.Millisecond,
 		Dial:           time.Second,
 	}
 }
