Remember a region reader that has gone silent

Cause: each read through a silent reader of the region cost 3 s before the process read the log itself, so a region lagged by 3 s as long as the reader held its duty.

Change: the selector avoids a reader whose read failed for 10 s, doubling up to 60 s, and reads the log at once. A trial does not wait for new records and so costs 1 s. A reader that answers is no longer avoided, and one that only lacks old records never is.

--- a/internal/record/source/selector.go
+++ b/internal/record/source/selector.go
@@ -52,18 +52,19 @@
 	scan      journal.SnapshotSource
 	directory Directory
 	dial      Dial
+	now       func() time.Time
+	avoided   avoidance
 }
 
 // NewSelector returns a selector. scan finds snapshots on the log itself.
 func NewSelector(log platformlog.Log, scan journal.SnapshotSource, directory Directory, dial Dial) *Selector {
-	return &Selector{log: log, scan: scan, directory: directory, dial: dial}
+	return &Selector{log: log, scan: scan, directory: directory, dial: dial, now: time.Now}
 }
 
 // Read implements journal.Reader.
 func (s *Selector) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
-	if reader, ok := s.directory.RegionReader(); ok {
-		page, err := s.dial(reader).Read(ctx, from, limit, wait)
-		if err == nil {
+	if reader, ok := s.directory.RegionReader(); ok && !s.avoided.avoids(reader, s.now()) {
+		if page, err := s.readFromReader(ctx, reader, from, limit, wait); err == nil {
 			return page, nil
 		}
 	}
@@ -74,6 +75,23 @@
 	return s.readFromPeers(ctx, from, limit, err)
 }
 
+// readFromReader reads from the reader of the region. After a failure the next
+// read does not wait for new records, so that a reader that is still silent
+// costs less time.
+func (s *Selector) readFromReader(ctx context.Context, reader Peer, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
+	if s.avoided.doubtful(reader) {
+		wait = 0
+	}
+	page, err := s.dial(reader).Read(ctx, from, limit, wait)
+	switch {
+	case err == nil:
+		s.avoided.worked()
+	case !errors.Is(err, platformlog.ErrExpired) && ctx.Err() == nil:
+		s.avoided.failed(reader, s.now())
+	}
+	return page, err
+}
+
 func (s *Selector) readFromPeers(ctx context.Context, from int64, limit int, cause error) (platformlog.Page, error) {
 	for i, p := range s.directory.Fallbacks() {
 		if i == maxFallbacks {
--- a/internal/record/source/source_test.go
+++ b/internal/record/source/source_test.go
@@ -139,6 +139,29 @@
 	}
 }
 
+// Guards against a silent reader that delays each configuration until a read
+// from it has timed out.
+func TestSilentReaderDelaysOnce(t *testing.T) {
+	c := qt.New(t)
+	const configurations, prompt = 8, 2 * time.Second
+	d := newDeployment(t, 1000)
+	a, reader := d.start("a"), d.start("reader")
+	member := d.newNode("member", reader)
+	member.region.Store(reader)
+	member.run()
+	d.assertInForce(d.configure(a), reader, member)
+	reader.silent.Store(true)
+	d.configure(a) // An exchange that is under way may still carry this one.
+	d.assertInForce(d.configure(a), member)
+	began := time.Now()
+	for range configurations {
+		d.assertInForce(d.configure(a), member)
+	}
+	took := time.Since(began)
+	t.Logf("%d configurations in force after %v", configurations, took)
+	c.Assert(took < prompt, qt.IsTrue, qt.Commentf("%v", took))
+}
+
 // Guards against regions that stay apart, or go back, after the link between
 // them was cut.
 func TestRegionsPartAndHeal(t *testing.T) {
