--- a/internal/record/journal/bundle.go
+++ b/internal/record/journal/bundle.go
@@ -26,10 +26,20 @@
 	return encoded, nil
 }
 
-// batches returns the encoded batches of a payload, which is a bundle or a
-// single batch. A bundle within a bundle is not taken apart, so it cannot make
-// one payload arbitrarily costly.
-func batches(payload []byte) [][]byte {
+// batches returns the batches of a payload, which is a bundle or a single
+// batch. Those that cannot be decoded are left out. A bundle within a bundle is
+// not taken apart, so it cannot make one payload arbitrarily costly.
+func batches(payload []byte) []batch {
+	var list []batch
+	for _, encoded := range splitBundle(payload) {
+		if b, err := decodeBatch(encoded); err == nil {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+func splitBundle(payload []byte) [][]byte {
 	number, _, _ := protowire.ConsumeTag(payload)
 	if number != bundleField {
 		return [][]byte{payload}
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"unique"
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/record/platformlog"
@@ -39,6 +40,10 @@
 // ErrGap is returned when a page starts after the first offset that is missing.
 var ErrGap = errors.New("page starts beyond the next offset")
 
+// ErrUnsupported is returned for records and snapshots that only a newer
+// version can fold. The journal stays as it was before them.
+var ErrUnsupported = errors.New("the format is not known to this version")
+
 // Observer is called for each folded record, in order. It must not block and
 // must not call the journal.
 type Observer func(writer string, sequence uint64, record Record, verdict Verdict)
@@ -90,15 +95,26 @@
 	}
 	before := j.state.next
 	for _, e := range page.Entries {
-		if e.Offset >= j.state.next {
+		if e.Offset >= j.state.next && j.state.unsupported == nil {
 			j.applyEntry(e)
 		}
 	}
-	j.state.next = max(j.state.next, page.Next)
+	if j.state.unsupported == nil {
+		j.state.next = max(j.state.next, page.Next)
+	}
 	if j.state.next != before {
 		j.notify()
 	}
-	return nil
+	return j.state.unsupported
+}
+
+// Unsupported returns an error that wraps ErrUnsupported once the fold has met
+// a record that only a newer version can fold. The state is that before the
+// record, as in an outage of the log.
+func (j *Journal) Unsupported() error {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.unsupported
 }
 
 // ordered reports whether all entries have ascending offsets from the start of
@@ -115,7 +131,11 @@
 }
 
 func (j *Journal) applyEntry(e platformlog.Entry) {
-	for _, r := range j.state.apply(e.Offset, e.Payload) {
+	results := j.state.apply(e.Offset, e.Payload)
+	if j.state.unsupported != nil {
+		return
+	}
+	for _, r := range results {
 		for _, o := range j.observers {
 			o(r.writer, r.sequence, r.record, r.verdict)
 		}
@@ -134,7 +154,9 @@
 	j.changed = make(chan struct{})
 }
 
-// Page returns entries of the window from an offset on, for peers.
+// Page returns entries of the window from an offset on, for peers. When the
+// fold has stopped at a record of a newer version, the end of the window is an
+// error, so that peers read elsewhere.
 func (j *Journal) Page(from int64, limit int) (platformlog.Page, error) {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
@@ -143,7 +165,7 @@
 		return page, fmt.Errorf("read journal from %d: %w", from, platformlog.ErrExpired)
 	}
 	if from >= j.state.next {
-		return page, nil
+		return page, j.state.unsupported
 	}
 	first, _ := slices.BinarySearchFunc(j.window, from, func(e platformlog.Entry, offset int64) int {
 		return cmp.Compare(e.Offset, offset)
@@ -164,12 +186,13 @@
 }
 
 // Snapshot returns the encoded state and the first offset that it does not
-// cover.
+// cover. The fold waits while the state is copied, not while it is encoded.
 func (j *Journal) Snapshot() ([]byte, int64, error) {
 	j.mu.RLock()
-	defer j.mu.RUnlock()
-	data, err := j.state.encode()
-	return data, j.state.next, err
+	c := j.state.copy()
+	j.mu.RUnlock()
+	data, err := c.encode()
+	return data, c.next, err
 }
 
 // Restore replaces the state by a snapshot, unless the snapshot is older.
@@ -254,12 +277,20 @@
 func (j *Journal) Request(id request.Identity) (RequestState, bool) {
 	j.mu.RLock()
 	defer j.mu.RUnlock()
-	if s := j.state.requests[id]; s != nil {
-		return *s, true
+	if known := j.state.claims.get(id); known != nil {
+		return j.state.claims.state(known), true
 	}
 	return RequestState{}, false
 }
 
+// ClaimBytes returns about the memory that the claims of the repeat window
+// take, without the bodies of their answers, and the part of an organisation.
+func (j *Journal) ClaimBytes(organisation string) (all, own int) {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.claims.bytes, j.state.claims.used[unique.Make(organisation)]
+}
+
 // AuditTrail returns the kept entries of the audit trail in order.
 func (j *Journal) AuditTrail() []AuditEntry {
 	j.mu.RLock()
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -1,7 +1,6 @@
 package journal
 
 import (
-	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -21,49 +20,7 @@
 const checksumBytes = 8
 
 // encode writes the state in a form that is the same for equal states.
-func (s *state) encode() ([]byte, error) {
-	m := &wire.State{
-		Next:                 s.next,
-		ClockUnixNanos:       nanos(s.clock.now),
-		ConfigurationVersion: s.configuration.Version,
-		Configuration: configurationToWire(ConfigurationPublished{
-			Operator:      s.operator,
-			Organisations: s.configuration.Organisations,
-			Plans:         s.configuration.Plans,
-		}),
-	}
-	for _, j := range s.jobs {
-		m.Jobs = append(m.Jobs, jobStateToWire(j))
-	}
-	slices.SortFunc(m.Jobs, func(a, b *wire.JobState) int {
-		return cmp.Or(cmp.Compare(a.GetSubmittedOffset(), b.GetSubmittedOffset()),
-			compareIdentities(a.GetJob().GetIdentity(), b.GetJob().GetIdentity()))
-	})
-	for _, r := range s.requests {
-		m.Requests = append(m.Requests, requestStateToWire(r))
-	}
-	slices.SortFunc(m.Requests, func(a, b *wire.RequestState) int {
-		return cmp.Or(cmp.Compare(a.GetClaim(), b.GetClaim()),
-			compareIdentities(a.GetIdentity(), b.GetIdentity()))
-	})
-	for _, a := range s.audit {
-		m.Audit = append(m.Audit, &wire.AuditState{Offset: a.Offset, TimeUnixNanos: nanos(a.Time), Entry: auditToWire(a.Audit)})
-	}
-	for name, w := range s.writers {
-		m.Writers = append(m.Writers, &wire.WriterState{Writer: name, Sequence: w.sequence, ChangedUnixNanos: nanos(w.changed), ReportedUnixNanos: nanos(w.reported)})
-	}
-	m.LostWorkers = s.lost.Sorted()
-	slices.SortFunc(m.Writers, func(a, b *wire.WriterState) int { return cmp.Compare(a.GetWriter(), b.GetWriter()) })
-	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
-	if err != nil {
-		return nil, fmt.Errorf("encode snapshot: %w", err)
-	}
-	return binary.BigEndian.AppendUint64(data, xxhash.Sum64(data)), nil
-}
-
-func compareIdentities(a, b *wire.Identity) int {
-	return cmp.Or(cmp.Compare(a.GetOrganisation(), b.GetOrganisation()), cmp.Compare(a.GetId(), b.GetId()))
-}
+func (s *state) encode() ([]byte, error) { return s.copy().encode() }
 
 // decodeState reads a snapshot. The checksum at its end catches chunks that
 // were put together wrongly, which could otherwise decode to a wrong state.
@@ -85,11 +42,15 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w", err)
 	}
+	if m.GetNeeds() > Format {
+		return nil, fmt.Errorf("decode snapshot: %w: it needs %d, known is %d", ErrUnsupported, m.GetNeeds(), Format)
+	}
 	c, err := configurationFromWire(m.GetConfiguration())
 	if err != nil {
 		return nil, fmt.Errorf("decode snapshot: %w", err)
 	}
 	s := newState()
+	s.needs = m.GetNeeds()
 	s.next = max(1, m.GetNext())
 	s.clock.now = fromNanos(m.GetClockUnixNanos())
 	s.operator = c.Operator
@@ -105,10 +66,11 @@
 		}
 		s.jobs[j.Job.Identity] = j
 	}
+	var requests []RequestState
 	for _, e := range m.GetRequests() {
-		r := requestStateFromWire(e)
-		s.requests[r.Identity] = r
+		requests = append(requests, requestStateFromWire(e))
 	}
+	s.claims.restore(requests)
 	for _, e := range m.GetAudit() {
 		s.audit = append(s.audit, AuditEntry{e.GetOffset(), fromNanos(e.GetTimeUnixNanos()), auditFromWire(e.GetEntry())})
 	}
@@ -120,23 +82,19 @@
 		}
 	}
 	s.noteTimes()
-	s.bodies.collect(s.requests)
 	s.lost = collection.NewSet(m.GetLostWorkers()...)
 	s.rebuildEvictions()
 	return s, nil
 }
 
-// rebuildEvictions derives the eviction order. Entries of a running fold that
+// rebuildEvictions derives the eviction order of jobs. Entries of a running fold that
 // were overtaken by a later change have no effect, so the result is the same.
 func (s *state) rebuildEvictions() {
 	for id, j := range s.jobs {
 		if j.State == job.Ended {
-			s.evictions = append(s.evictions, eviction{j.Changed.Add(RepeatWindow), true, id})
+			s.evictions = append(s.evictions, eviction{j.Changed.Add(RepeatWindow), id})
 		}
 	}
-	for id, r := range s.requests {
-		s.evictions = append(s.evictions, eviction{r.Changed.Add(RepeatWindow), false, id})
-	}
 	slices.SortFunc(s.evictions, func(a, b eviction) int { return a.due.Compare(b.due) })
 }
 
@@ -149,11 +107,7 @@
 // Chunks returns the snapshot chunks that a payload carries.
 func Chunks(payload []byte) []WrittenChunk {
 	var chunks []WrittenChunk
-	for _, encoded := range batches(payload) {
-		b, err := decodeBatch(encoded)
-		if err != nil {
-			continue
-		}
+	for _, b := range batches(payload) {
 		for _, e := range b.records {
 			if chunk, ok := e.record.(SnapshotChunk); ok {
 				chunks = append(chunks, WrittenChunk{b.writer, chunk})
@@ -211,7 +165,7 @@
 	}, nil
 }
 
-func requestStateToWire(r *RequestState) *wire.RequestState {
+func requestStateToWire(r RequestState) *wire.RequestState {
 	return &wire.RequestState{
 		Identity:          identityToWire(r.Identity),
 		Writer:            r.Writer,
@@ -224,8 +178,8 @@
 	}
 }
 
-func requestStateFromWire(m *wire.RequestState) *RequestState {
-	return &RequestState{
+func requestStateFromWire(m *wire.RequestState) RequestState {
+	return RequestState{
 		Identity: identityFromWire(m.GetIdentity()),
 		Writer:   m.GetWriter(),
 		Claim:    m.GetClaim(),
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -67,7 +67,6 @@
 
 type eviction struct {
 	due     time.Time
-	isJob   bool
 	subject request.Identity
 }
 
@@ -79,20 +78,21 @@
 	configuration organisation.Configuration
 	operator      string
 	jobs          map[request.Identity]*JobState
-	requests      map[request.Identity]*RequestState
+	claims        claims
 	audit         []AuditEntry
-	bodies        bodies
 	bodyLimit     int // bodyLimit is the bound of bodies in bytes.
 	writers       map[string]*writerState
 	lost          collection.Set[string] // lost are the workers that were reported lost.
-	evictions     []eviction             // evictions have ascending due times.
+	evictions     []eviction             // evictions of jobs have ascending due times.
+	needs         int32                  // needs is the highest format that a folded record needed.
+	unsupported   error                  // unsupported is set at a record that needs a higher format; nothing is folded from there on.
 }
 
 func newState() *state {
 	return &state{
 		next:      1,
 		jobs:      map[request.Identity]*JobState{},
-		requests:  map[request.Identity]*RequestState{},
+		claims:    newClaims(),
 		bodyLimit: MaxBodyBytes,
 		writers:   map[string]*writerState{},
 		lost:      collection.NewSet[string](),
@@ -108,15 +108,29 @@
 }
 
 // apply folds one payload. Batches that cannot be decoded change nothing but
-// the offset, so that all readers agree on them.
+// the offset, so that all readers agree on them. A payload with a record that
+// needs a higher format is not folded, and neither is what follows.
 func (s *state) apply(offset int64, payload []byte) []judged {
+	if s.unsupported != nil {
+		return nil
+	}
+	list := batches(payload)
+	needs := int32(0)
+	for _, b := range list {
+		needs = max(needs, b.needs())
+	}
+	if needs > Format {
+		s.unsupported = fmt.Errorf("offset %d: %w: it needs %d, known is %d", offset, ErrUnsupported, needs, Format)
+		return nil
+	}
 	s.next = offset + 1
+	s.needs = max(s.needs, needs)
 	before := s.clock.now
 	var results []judged
-	for _, batch := range batches(payload) {
-		results = append(results, s.applyBatch(offset, batch)...)
+	for _, b := range list {
+		results = append(results, s.applyBatch(offset, b)...)
 	}
-	s.bodies.enforce(s.bodyLimit)
+	s.claims.enforce(s.bodyLimit)
 	s.evict()
 	if !s.clock.now.Truncate(time.Hour).Equal(before.Truncate(time.Hour)) {
 		s.evictWriters()
@@ -124,11 +138,7 @@
 	return results
 }
 
-func (s *state) applyBatch(offset int64, payload []byte) []judged {
-	b, err := decodeBatch(payload)
-	if err != nil {
-		return nil
-	}
+func (s *state) applyBatch(offset int64, b batch) []judged {
 	results := make([]judged, 0, len(b.records))
 	for _, e := range b.records {
 		reason := s.applyRecord(offset, b.writer, e)
@@ -177,6 +187,8 @@
 		return s.reportWorker(r)
 	case Audit:
 		s.addAudit(AuditEntry{offset, e.time, r})
+	case Unreadable:
+		return r.Reason
 	}
 	return ""
 }
@@ -205,25 +217,19 @@
 	s.audit = append(s.audit, e)
 }
 
-func (s *state) scheduleEviction(isJob bool, subject request.Identity) {
-	s.evictions = append(s.evictions, eviction{s.clock.now.Add(RepeatWindow), isJob, subject})
+func (s *state) scheduleEviction(subject request.Identity) {
+	s.evictions = append(s.evictions, eviction{s.clock.now.Add(RepeatWindow), subject})
 }
 
 // evict forgets what has not changed within the repeat window.
 func (s *state) evict() {
+	horizon := s.clock.now.Add(-RepeatWindow)
+	s.claims.evict(horizon)
 	for len(s.evictions) > 0 && s.evictions[0].due.Before(s.clock.now) {
 		e := s.evictions[0]
 		s.evictions = s.evictions[1:]
-		horizon := s.clock.now.Add(-RepeatWindow)
-		if e.isJob {
-			if j := s.jobs[e.subject]; j != nil && j.State == job.Ended && j.Changed.Before(horizon) {
-				delete(s.jobs, e.subject)
-			}
-			continue
-		}
-		if r := s.requests[e.subject]; r != nil && r.Changed.Before(horizon) {
-			s.bodies.remove(r)
-			delete(s.requests, e.subject)
+		if j := s.jobs[e.subject]; j != nil && j.State == job.Ended && j.Changed.Before(horizon) {
+			delete(s.jobs, e.subject)
 		}
 	}
 }
--- a/internal/run/bench/journalbench/journalbench.go
+++ b/internal/run/bench/journalbench/journalbench.go
@@ -18,6 +18,7 @@
 	Organisations []int         // Organisations are the numbers in a configuration.
 	Batch         int           // Batch is the number of records in an append.
 	AnswerBytes   int           // AnswerBytes is the size of the answer of a claim.
+	Hold          Hold          // Hold has the numbers of the state whose snapshots are taken while records are folded.
 	Writers       []Writers     // Writers are the deployments that append.
 	Callers       int           // Callers wait for a record each at every writer.
 	Duration      time.Duration // Duration of each measurement with writers.
@@ -38,6 +39,7 @@
 		Organisations: []int{60, 240, 960},
 		Batch:         50,
 		AnswerBytes:   100,
+		Hold:          Hold{RunningJobs: 11_000, EndedJobs: 11_000, Claims: 78_000, Organisations: 240},
 		Writers:       []Writers{{1, 0}, {14, 0}, {60, 0}, {60, 4}, {200, 0}, {200, 14}},
 		Callers:       2,
 		Duration:      5 * time.Second,
@@ -47,6 +49,7 @@
 // Result holds all measurements.
 type Result struct {
 	Folds   []Fold
+	Hold    Hold
 	Writers []Throughput
 }
 
@@ -65,6 +68,11 @@
 			result.Folds = append(result.Folds, fold)
 		}
 	}
+	hold, err := measureHold(ctx, o)
+	if err != nil {
+		return result, fmt.Errorf("measure snapshots while records are folded: %w", err)
+	}
+	result.Hold = hold
 	for _, w := range o.Writers {
 		throughput, err := measureWriters(ctx, w, o)
 		if err != nil {
