Run the commands of the pages, and mend those that failed

Cause: a walk through README.md, docs/operations and the help texts in a fresh clone found commands that fail or mislead. The lists of a new deployment came as `organisation = []`, to which no table can be added. The help examples left out the token.

Help texts of commands that call an entry name the variables of address and token. The demonstration waits 12 s for its start, within its limit of 28 s in all.

Conclusion: the slow start of the embedded deployment (members that are learned late) is not mended here.

--- a/cmd/cancel.go
+++ b/cmd/cancel.go
@@ -17,7 +17,7 @@
 		long: `Asks for the end of a job. A job that has not started ends as not-run; the tasks of a running one are stopped.
 
 Exit codes: 0 when the cancellation is recorded or the job has ended, 1 otherwise, 2 for wrong usage.`,
-		examples: []string{"wasabihoist cancel --entry 10.0.0.1:8080 match-17"},
+		examples: []string{"wasabihoist cancel match-17"},
 		runner:   &cancelCommand{},
 	}
 }
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -18,6 +18,10 @@
 	Token string `long:"token" value-name:"TOKEN" env:"WASABIHOIST_TOKEN" required:"yes" description:"Token of the organisation"`
 }
 
+func (callerOptions) connection() (address, token string) {
+	return "WASABIHOIST_ENTRY", "WASABIHOIST_TOKEN"
+}
+
 // client returns a client of the caller interface.
 func (o callerOptions) client() (*restapi.Client, error) {
 	return newClient("--entry", o.Entry, o.Token)
@@ -29,11 +33,28 @@
 	Token string `long:"token" value-name:"TOKEN" env:"WASABIHOIST_OPERATOR_TOKEN" required:"yes" description:"Token of the operators"`
 }
 
+func (operatorOptions) connection() (address, token string) {
+	return "WASABIHOIST_OPERATOR", "WASABIHOIST_OPERATOR_TOKEN"
+}
+
 // client returns a client of the operator interface.
 func (o operatorOptions) client() (*restapi.Client, error) {
 	return newClient("--operator", o.Entry, o.Token)
 }
 
+// connectionHelp says for the commands that call an entry where its address and
+// the token come from.
+func connectionHelp(r runner) string {
+	c, ok := r.(interface {
+		connection() (address, token string)
+	})
+	if !ok {
+		return ""
+	}
+	address, token := c.connection()
+	return fmt.Sprintf("\n\nThe address and the token come from %s and %s, or from the options.", address, token)
+}
+
 func newClient(option, address, token string) (*restapi.Client, error) {
 	parsed, err := netip.ParseAddrPort(address)
 	if err != nil {
--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -20,7 +20,7 @@
 		long: `Shows what a job waits for, which plan or shape stands before it, and what would have to change.
 
 Exit codes: 0 when a scheduler explained the job, 1 otherwise, 2 for wrong usage.`,
-		examples: []string{"wasabihoist explain --operator 10.0.0.1:7080 lyceum-players match-17"},
+		examples: []string{"wasabihoist explain lyceum-players match-17"},
 		runner:   &explainCommand{},
 	}
 }
--- a/cmd/list.go
+++ b/cmd/list.go
@@ -18,7 +18,7 @@
 		name:     "members",
 		short:    "List the processes, their state and load",
 		long:     "Lists entries and agents as the asked entry sees them.\n\nExit codes: 0 for success, 1 when the entry cannot be asked, 2 for wrong usage.",
-		examples: []string{"wasabihoist members --operator 10.0.0.1:7080"},
+		examples: []string{"wasabihoist members"},
 		runner:   &membersCommand{},
 	}
 }
@@ -45,7 +45,7 @@
 		name:     "fleet",
 		short:    "List the data centres and their workers",
 		long:     "Lists the workers of each data centre, which agent schedules it, and how fragmented it is.\n\nExit codes: 0 for success, 1 when the entry cannot be asked, 2 for wrong usage.",
-		examples: []string{"wasabihoist fleet --operator 10.0.0.1:7080"},
+		examples: []string{"wasabihoist fleet"},
 		runner:   &fleetCommand{},
 	}
 }
@@ -82,7 +82,7 @@
 		name:     "jobs",
 		short:    "List the jobs",
 		long:     "Lists waiting, running and recently ended jobs in order of submission.\n\nExit codes: 0 for success, 1 when the entry cannot be asked, 2 for wrong usage.",
-		examples: []string{"wasabihoist jobs --operator 10.0.0.1:7080 --organisation lyceum-players"},
+		examples: []string{"wasabihoist jobs --organisation lyceum-players"},
 		runner:   &jobsCommand{},
 	}
 }
@@ -113,7 +113,7 @@
 		name:     "audit",
 		short:    "Show the audit trail",
 		long:     "Shows who or what changed configuration, membership and placement, when and why.\n\nExit codes: 0 for success, 1 when the entry cannot be asked, 2 for wrong usage.",
-		examples: []string{"wasabihoist audit --operator 10.0.0.1:7080 --action reclaim --limit 20"},
+		examples: []string{"wasabihoist audit --action reclaim --limit 20"},
 		runner:   &auditCommand{},
 	}
 }
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -25,7 +25,7 @@
 
 Exit codes: 0 when the edit is in force at the entry, 1 when it was refused, 2 for wrong usage.`,
 		examples: []string{
-			"wasabihoist publish --operator 10.0.0.1:7080 --base 0 plans.toml allowances.toml",
+			"wasabihoist publish --base 0 plans.toml allowances.toml",
 		},
 		runner: &publishCommand{},
 	}
--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -46,6 +46,7 @@
 func (c command) description() string {
 	var b strings.Builder
 	b.WriteString(c.long)
+	b.WriteString(connectionHelp(c.runner))
 	b.WriteString("\n\nExamples:")
 	for _, e := range c.examples {
 		b.WriteString("\n$ " + e)
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -1,6 +1,7 @@
 package cmd_test
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -37,17 +38,23 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	goEnvironment := readGoEnvironment(t)
 	testscript.Run(t, testscript.Params{
 		Dir:                 "testdata/script",
 		RequireExplicitExec: true,
 		Setup: func(env *testscript.Env) error {
 			env.Setenv("EXAMPLES", examples)
 			env.Setenv("DEADLINE", time.Now().Add(requestDeadline).UTC().Format(time.RFC3339))
+			for _, name := range []string{"GOCACHE", "GOMODCACHE", "GOFLAGS", "GOPROXY", "GOTOOLCHAIN"} {
+				env.Setenv(name, goEnvironment[name])
+			}
+			env.Setenv("MODULE", filepath.Dir(examples))
 			return reserveAddresses(env)
 		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
 			"expandenv":  expandEnv,
 			"eventually": eventually,
+			"capture":    capture,
 		},
 	})
 }
@@ -58,7 +65,7 @@
 // taken between its reservation and the start of the process.
 func reserveAddresses(env *testscript.Env) error {
 	const lowest, count, attempts = 20_000, 10_000, 1000
-	names := []string{"LOG", "WORKER1", "WORKER2", "MINION", "ANNOUNCE", "AGENT", "ENTRY", "CALLERS", "OPERATORS"}
+	names := []string{"LOG", "WORKER1", "WORKER2", "MINION", "ANNOUNCE", "AGENT", "ENTRY", "CALLERS", "OPERATORS", "METRICS1", "METRICS2", "WORKER3", "WORKER4"}
 	for range attempts {
 		if len(names) == 0 {
 			return nil
@@ -77,6 +84,36 @@
 	return errors.New("no free loopback addresses")
 }
 
+// readGoEnvironment returns the settings with which a scenario builds the
+// program, so that it uses the caches of the machine.
+func readGoEnvironment(t *testing.T) map[string]string {
+	t.Helper()
+	output, err := exec.Command("go", "env", "-json").Output()
+	if err != nil {
+		t.Fatalf("go env: %v", err)
+	}
+	values := map[string]string{}
+	if err := json.Unmarshal(output, &values); err != nil {
+		t.Fatalf("go env: %v", err)
+	}
+	return values
+}
+
+// capture sets a variable to what the group of a pattern matches in the last
+// standard output.
+func capture(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) != 2 {
+		ts.Fatalf("usage: capture NAME PATTERN")
+	}
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
+	match := pattern.FindStringSubmatch(ts.ReadFile("stdout"))
+	if len(match) != 2 {
+		ts.Fatalf("no match with one group for %q", args[1])
+	}
+	ts.Setenv(args[0], match[1])
+}
+
 // expandEnv replaces ${NAME} in files by the variables of the script.
 func expandEnv(ts *testscript.TestScript, neg bool, args []string) {
 	if neg {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -26,7 +26,7 @@
 		long: `Shows what is known of a job, or of a request with --request. Any entry can be asked.
 
 Exit codes: 0 when it is known (for a request: when it is done), 1 otherwise, 2 for wrong usage.`,
-		examples: []string{"wasabihoist status --entry 10.0.0.1:8080 match-17"},
+		examples: []string{"wasabihoist status match-17", "wasabihoist status --request check-1"},
 		runner:   &statusCommand{},
 	}
 }
@@ -69,7 +69,7 @@
 		long: `Waits until a job has ended and shows its outcome.
 
 Exit codes: 0 when the job is done, 1 for any other outcome or when the time is over, 2 for wrong usage.`,
-		examples: []string{"wasabihoist wait --entry 10.0.0.1:8080 --timeout 1h match-17"},
+		examples: []string{"wasabihoist wait --timeout 1h match-17"},
 		runner:   &waitCommand{},
 	}
 }
--- a/cmd/submit.go
+++ b/cmd/submit.go
@@ -28,8 +28,8 @@
 
 Exit codes: 0 when the job was accepted or the request was done, 1 when it was refused, failed or its outcome is unknown, 2 for wrong usage.`,
 		examples: []string{
-			"wasabihoist submit --entry 10.0.0.1:8080 job.json",
-			"wasabihoist submit --entry 10.0.0.1:8080 --request check.json",
+			"wasabihoist submit job.json",
+			"wasabihoist submit --request check.json",
 		},
 		runner: &submitCommand{},
 	}
--- a/internal/run/demo/checks.go
+++ b/internal/run/demo/checks.go
@@ -55,8 +55,8 @@
 			falsely = append(falsely, id)
 		}
 	}
-	s.checked("a non-idempotent request runs at most once", len(twice) == 0, fmt.Sprintf("%d ran twice %s", len(twice), strings.Join(twice, " ")))
-	s.checked("what is answered as not run did not run", len(falsely) == 0, fmt.Sprintf("%d ran %s", len(falsely), strings.Join(falsely, " ")))
+	s.checked("a non-idempotent request runs at most once", len(twice) == 0, counted("ran twice", twice))
+	s.checked("what is answered as not run did not run", len(falsely) == 0, counted("ran", falsely))
 }
 
 // attempt is what the workers saw of one attempt of a gang.
@@ -91,7 +91,7 @@
 		}
 	}
 	s.checked("no part of a gang runs unless the whole gang runs", len(split) == 0,
-		fmt.Sprintf("%d attempts, %d split %s", len(attempts), len(split), strings.Join(split, " ")))
+		fmt.Sprintf("%d attempts, %s", len(attempts), counted("split", split)))
 }
 
 func (s *scene) memberCounts() map[string]int {
@@ -117,3 +117,8 @@
 	}
 	return id
 }
+
+// counted says how many there are and names them.
+func counted(what string, names []string) string {
+	return strings.TrimSpace(fmt.Sprintf("%d %s %s", len(names), what, strings.Join(names, " ")))
+}
--- a/internal/run/demo/demo.go
+++ b/internal/run/demo/demo.go
@@ -34,7 +34,16 @@
 
 // Default returns the options for a deployment.
 func Default(d deployment.Deployment) Options {
-	return Options{Deployment: d, Logger: log.NewNopLogger(), Length: 9 * time.Second, Limit: 28 * time.Second, Progress: io.Discard}
+	return Options{
+		Deployment: d,
+		Logger:     log.NewNopLogger(),
+		Length:     9 * time.Second,
+		Limit:      28 * time.Second,
+		// Nine starts beside other load took 6 to 10.1 s until every entry knew all
+		// members.
+		Ready:    12 * time.Second,
+		Progress: io.Discard,
+	}
 }
 
 // ErrPromiseBroken is returned when a check of the promises failed.
--- a/internal/tenancy/configuration/files.go
+++ b/internal/tenancy/configuration/files.go
@@ -20,7 +20,7 @@
 
 // plansFile is the layout of plans.toml.
 type plansFile struct {
-	Organisations []organisationTable `toml:"organisation"`
+	Organisations []organisationTable `toml:"organisation,omitempty"`
 }
 
 type organisationTable struct {
@@ -31,7 +31,7 @@
 
 // allowancesFile is the layout of allowances.toml.
 type allowancesFile struct {
-	Plans []planTable `toml:"plan"`
+	Plans []planTable `toml:"plan,omitempty"`
 }
 
 type planTable struct {
