Show on a terminal what a command waits for

Change: after two seconds a command writes to the terminal what it waits for, again when that changes and every 20 s. `wait` shows the explanation of a queued job and the workers of a running one. Without a terminal nothing is written. `wait` says that the job has not ended in time. The terminal is looked up in one place for all commands.

Conclusion: `check` and `diff` only read files and show no progress.

--- a/cmd/bench.go
+++ b/cmd/bench.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"time"
 )
 
@@ -59,8 +58,8 @@
 func (c *benchCommand) measure(ctx context.Context, env environment, s subject) error {
 	start := time.Now()
 	progress := io.Discard
-	if isTerminal(env.stderr) {
-		progress = env.stderr
+	if env.progress != nil {
+		progress = env.progress
 		writeLine(progress, "measuring %s", s.name)
 	}
 	result, err := s.run(ctx, benchOptions{seed: c.Seed, progress: progress})
@@ -91,12 +90,3 @@
 	writeLine(w, "%s", data)
 	return nil
 }
-
-func isTerminal(w io.Writer) bool {
-	f, ok := w.(*os.File)
-	if !ok {
-		return false
-	}
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0
-}
--- a/cmd/cancel.go
+++ b/cmd/cancel.go
@@ -30,6 +30,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	status, err := client.Cancel(ctx, c.Args.ID)
 	if err != nil {
 		return err
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -29,8 +29,9 @@
 
 // environment is what a command may use of the process around it.
 type environment struct {
-	stdout io.Writer
-	stderr io.Writer
+	stdout   io.Writer
+	stderr   io.Writer
+	progress io.Writer // progress is the terminal behind stderr; nil when there is none.
 }
 
 // runner is a command with its options. The fields of its type are filled by
@@ -55,7 +56,16 @@
 func Main() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	return run(ctx, os.Args[1:], environment{stdout: os.Stdout, stderr: os.Stderr})
+	env := environment{stdout: os.Stdout, stderr: os.Stderr}
+	if isTerminal(os.Stderr) {
+		env.progress = os.Stderr
+	}
+	return run(ctx, os.Args[1:], env)
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
 }
 
 func run(ctx context.Context, args []string, env environment) int {
--- a/cmd/configuration.go
+++ b/cmd/configuration.go
@@ -35,6 +35,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	current, err := client.Configuration(ctx)
 	if err != nil {
 		return err
--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -37,8 +37,8 @@
 	}
 	o := demo.Default(d)
 	o.Logger = logger
-	if isTerminal(env.stderr) {
-		o.Progress = env.stderr
+	if env.progress != nil {
+		o.Progress = env.progress
 	}
 	return demo.Run(ctx, o, env.stdout)
 }
--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -33,6 +33,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	e, err := client.ExplainAny(ctx, c.Args.Organisation, c.Args.ID)
 	if err != nil {
 		return err
--- a/cmd/list.go
+++ b/cmd/list.go
@@ -147,6 +147,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(operator.Entry))()
 	values, err := fetch(ctx, client)
 	if err != nil {
 		return err
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -47,6 +47,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	published, err := client.Publish(ctx, restapi.Publish{
 		Base:           c.Base,
 		Operator:       c.operatorName(),
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"wasabihoist/internal/role/restapi"
@@ -39,6 +40,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	if c.Request {
 		answer, err := client.Request(ctx, c.Args.ID)
 		if err != nil {
@@ -83,6 +85,7 @@
 	deadline := time.Now().Add(c.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(defaultCallTimeout))
 	defer cancel()
+	defer env.showProgress(ctx, jobProgress(client, c.Args.ID))()
 	for {
 		wait := min(waitStep, time.Until(deadline))
 		status, err := client.Job(ctx, c.Args.ID, max(wait, time.Millisecond))
@@ -99,6 +102,9 @@
 	if err := writeJobStatus(env.stdout, c.outputOption, status); err != nil {
 		return err
 	}
+	if !ended(status) {
+		return fmt.Errorf("job %s is still %s after %s", c.Args.ID, status.State, c.Timeout)
+	}
 	if status.Outcome != "done" {
 		return errFindings
 	}
--- a/cmd/submit.go
+++ b/cmd/submit.go
@@ -54,6 +54,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	status, err := client.Submit(ctx, j)
 	if err != nil {
 		return err
@@ -74,6 +75,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, latest(r.Deadline, time.Now()).Add(defaultCallTimeout))
 	defer cancel()
+	defer env.showProgress(ctx, requestProgress(r))()
 	answer, err := client.Run(ctx, r)
 	if err != nil {
 		return err
