Test and mend the explanations outside the planner

Cause: the texts for delayed and for unsettled claims had no test, and the second never reached an operator: the entry did not ask the scheduler for a claimed job and answered with the reason of its last attempt, which was empty for a running one. Read as an operator, other texts were short of what to do: a delay did not name the data centre that has its turn first, a limit did not say that the organisation itself can make room, memory was given in bytes, a job without accelerators was described by them, and a cancelled job "waited for" its cancellation.

Change: the entry asks the scheduler for every job that has not ended, the data centre of the claim first. Expectations of the planner's tests follow the new wording and stay whole-text patterns.

Result: `go test ./internal/fleet/... ./internal/role/entry ./cmd` passes.

Conclusion: an unsettled claim is explained only while its scheduler can be reached; otherwise the answer is status 503 with the state of the job.

--- a/internal/fleet/placement/explain.go
+++ b/internal/fleet/placement/explain.go
@@ -14,6 +14,9 @@
 // listedNames bounds the names in one text; a gang may wait for many small jobs.
 const listedNames = 8
 
+// bytesInMB converts to the unit in which callers and operators give memory.
+const bytesInMB = 1e6
+
 // explainer works out the texts of one Explanation. It changes nothing.
 type explainer struct {
 	*Planner
@@ -67,10 +70,14 @@
 		free += max(x.roomNow(n).Accelerators, 0)
 	}
 	text := fmt.Sprintf("%dx%d accelerators within one %s", shape.Members, shape.Accelerators, shape.Adjacency)
+	if shape.Accelerators == 0 {
+		text = fmt.Sprintf("%d members of %g cores and %d MB within one %s",
+			shape.Members, x.entry.member.Cores, x.entry.member.Memory/bytesInMB, shape.Adjacency)
+	}
 	if best.name == "" {
 		return text + "; there are no workers"
 	}
-	return fmt.Sprintf("%s; the best, %s, has %d free and room for %d of %d members",
+	return fmt.Sprintf("%s; the best, %s, has %d accelerators free and room for %d of %d members",
 		text, best.name, free, count, shape.Members)
 }
 
@@ -96,11 +103,22 @@
 		causes = append(causes, cause{
 			fmt.Sprintf("the accelerator limit %d of plan %s; organisation %s uses %d",
 				e.tenant.limit, plan.Name, e.tenant.name, e.tenant.used.Accelerators),
-			fmt.Sprintf("the accelerator limit of plan %s is at least %d", plan.Name, e.tenant.used.Accelerators+total)})
+			x.belowLimit(plan.Name, total)})
 	}
 	return causes
 }
 
+// belowLimit says what the plan, or else the organisation, would have to change
+// for the job to be within the accelerator limit.
+func (x *explainer) belowLimit(plan string, total int) string {
+	t := x.entry.tenant
+	text := fmt.Sprintf("the accelerator limit of plan %s is at least %d", plan, t.used.Accelerators+total)
+	if left := t.limit - total; left >= 0 {
+		text += fmt.Sprintf(" or organisation %s uses at most %d", t.name, left)
+	}
+	return text
+}
+
 // space returns the cause that lies in the place, and false when the job fits
 // now and only waits for its turn.
 func (x *explainer) space() (cause, bool) {
@@ -262,14 +280,15 @@
 		}
 	}
 	if sum.Accelerators == 0 {
-		return fmt.Sprintf("%g more cores and %d more bytes of memory become free", sum.Cores, sum.Memory)
+		return fmt.Sprintf("%g more cores and %d MB more memory become free", sum.Cores, sum.Memory/bytesInMB)
 	}
 	return fmt.Sprintf("%d more accelerators become free", sum.Accelerators)
 }
 
 // leavers returns jobs whose end gives the job a place on the allowed workers of
-// the area, and false when the end of all does not. Jobs without effect on the outcome are left out. Each task is
-// looked at a fixed number of times, so that the cost stays linear in the tasks.
+// the area, and false when the end of all does not. Jobs without effect on the
+// outcome are left out. Each task is looked at a fixed number of times, so that
+// the cost stays linear in the tasks.
 func (x *explainer) leavers(a area, allowed func(*node) bool) ([]*entry, bool) {
 	rooms := make(map[*node]worker.Resources, len(a.nodes))
 	seen := map[*entry]bool{}
--- a/internal/fleet/placement/explain_test.go
+++ b/internal/fleet/placement/explain_test.go
@@ -44,7 +44,7 @@
 				p.AddWorker(accelerated("a", "1", 4))
 				p.Adopt(gang("bento", "x", 1, 2, organisation.WithinWorker), []string{"a"}, epoch)
 			},
-			waitsFor:   "1x4 accelerators within one worker; the best, worker a, has 2 free and room for 0 of 1 members",
+			waitsFor:   "1x4 accelerators within one worker; the best, worker a, has 2 accelerators free and room for 0 of 1 members",
 			blockedBy:  "job bento/x in worker a",
 			wouldStart: `2 more accelerators become free in worker a \(job bento/x ends\)`,
 			follow:     func(p *placement.Planner) { p.Ended(other("bento"), epoch, request.Done) },
@@ -59,7 +59,7 @@
 				p.Adopt(gang("bento", "cores", 1, 0, organisation.WithinWorker), []string{"b"}, epoch)
 			},
 			wantedShape: organisation.Shape{Members: 2, Accelerators: 4, Adjacency: organisation.WithinRack},
-			waitsFor:    "2x4 accelerators within one rack; the best, rack 1, has 6 free and room for 1 of 2 members",
+			waitsFor:    "2x4 accelerators within one rack; the best, rack 1, has 6 accelerators free and room for 1 of 2 members",
 			blockedBy:   "job bento/x in rack 1",
 			wouldStart:  `2 more accelerators become free in rack 1 \(job bento/x ends\)`,
 			follow:      func(p *placement.Planner) { p.Ended(other("bento"), epoch, request.Done) },
@@ -71,7 +71,7 @@
 				p.SetConfiguration(plans(map[string]int{"bento": 4}))
 				p.Adopt(gang("bento", "x", 1, 4, organisation.WithinWorker), []string{"a"}, epoch)
 			},
-			waitsFor:   ".* has 0 free .*",
+			waitsFor:   ".* has 0 accelerators free .*",
 			blockedBy:  "the guaranteed shape 1x4 within worker of organisation bento, held by job bento/x",
 			wouldStart: `organisation bento returns its guaranteed shape 1x4 within worker in worker a \(job bento/x ends\)`,
 			follow:     func(p *placement.Planner) { p.Ended(other("bento"), epoch, request.Done) },
@@ -83,9 +83,9 @@
 				p.SetConfiguration(limited(6))
 				p.Adopt(gang("ana", "x", 1, 4, organisation.WithinWorker), []string{"a"}, epoch)
 			},
-			waitsFor:   ".* has 4 free .*",
+			waitsFor:   ".* has 4 accelerators free .*",
 			blockedBy:  "the accelerator limit 6 of plan small; organisation ana uses 4",
-			wouldStart: "the accelerator limit of plan small is at least 8",
+			wouldStart: "the accelerator limit of plan small is at least 8 or organisation ana uses at most 2",
 			follow:     func(p *placement.Planner) { p.SetConfiguration(limited(8)) },
 		},
 		"stopped lending": {
@@ -94,7 +94,7 @@
 				p.AddWorker(accelerated("a", "1", 4))
 				p.SetConfiguration(plans(map[string]int{"bento": 8}))
 			},
-			waitsFor:   ".* has 4 free .*",
+			waitsFor:   ".* has 4 accelerators free .*",
 			blockedBy:  "lending has stopped: plan bento of organisation bento lacks a place for 1 of 1x8 .*",
 			wouldStart: "the guaranteed shapes have places again: 1 of 1x8 within worker of organisation bento",
 			follow:     func(p *placement.Planner) { p.AddWorker(accelerated("b", "1", 8)) },
@@ -105,7 +105,7 @@
 				p.AddWorker(accelerated("a", "1", 4))
 				p.SetSchedulable("a", false)
 			},
-			waitsFor:   ".* has 0 free .*",
+			waitsFor:   ".* has 0 accelerators free .*",
 			blockedBy:  "quarantined or unreachable worker a",
 			wouldStart: "worker a takes new tasks again",
 			follow:     func(p *placement.Planner) { p.SetSchedulable("a", true) },
@@ -119,7 +119,7 @@
 				p.Submit(gang("clara", "x", 2, 4, organisation.WithinRack))
 				p.Decide(later)
 			},
-			waitsFor:   ".* has 0 free .*",
+			waitsFor:   ".* has 0 accelerators free .*",
 			blockedBy:  "the reservation of job clara/x in worker b",
 			wouldStart: "the reservation of job clara/x ends and worker b keeps its free accelerators",
 			follow:     func(p *placement.Planner) { p.Cancel(other("clara")) },
@@ -133,7 +133,7 @@
 				p.Submit(gang("bento", "x", 1, 4, organisation.WithinWorker))
 			},
 			notDecided: true,
-			waitsFor:   ".* has 4 free .*",
+			waitsFor:   ".* has 4 accelerators free .*",
 			blockedBy:  "the turn of organisation bento",
 			wouldStart: "the place is still free after the turn of organisation bento",
 			follow:     func(p *placement.Planner) { p.Cancel(other("bento")) },
@@ -145,7 +145,7 @@
 				p.Submit(gang("ana", "x", 1, 4, organisation.WithinWorker))
 			},
 			notDecided: true,
-			waitsFor:   ".* has 4 free .*",
+			waitsFor:   ".* has 4 accelerators free .*",
 			blockedBy:  "the turn of job ana/x of its own organisation",
 			wouldStart: "the place is still free after the turn of job ana/x",
 			follow:     func(p *placement.Planner) { p.Cancel(other("ana")) },
@@ -159,9 +159,9 @@
 				p.Adopt(gang("ana", "x", 1, 4, organisation.WithinWorker), []string{"a"}, epoch)
 				p.Adopt(gang("bento", "x", 1, 3, organisation.WithinWorker), []string{"b"}, epoch)
 			},
-			waitsFor:   ".* has 1 free .*",
+			waitsFor:   ".* has 1 accelerators free .*",
 			blockedBy:  "the accelerator limit 6 of plan small; organisation ana uses 4; job bento/x in worker b",
-			wouldStart: `the accelerator limit of plan small is at least 8, and 3 more accelerators become free in worker b \(job bento/x ends\)`,
+			wouldStart: `the accelerator limit of plan small is at least 8 or organisation ana uses at most 2, and 3 more accelerators become free in worker b \(job bento/x ends\)`,
 			follow: func(p *placement.Planner) {
 				p.SetConfiguration(limited(8))
 				p.Ended(other("bento"), epoch, request.Done)
@@ -175,11 +175,25 @@
 				busy.Cores = 64
 				p.Adopt(busy, []string{"a"}, epoch)
 			},
-			waitsFor:   ".* has 4 free and room for 0 of 1 members",
+			waitsFor:   ".* has 4 accelerators free and room for 0 of 1 members",
 			blockedBy:  "job bento/x in worker a",
-			wouldStart: `64 more cores and 1000000000 more bytes of memory become free in worker a \(job bento/x ends\)`,
+			wouldStart: `64 more cores and 1000 MB more memory become free in worker a \(job bento/x ends\)`,
 			follow:     func(p *placement.Planner) { p.Ended(other("bento"), epoch, request.Done) },
 		},
+		"job without accelerators": {
+			guards: "a place that is described by accelerators which the job does not need",
+			prepare: func(p *placement.Planner) {
+				p.AddWorker(accelerated("a", "1", 4))
+				busy := gang("bento", "x", 1, 0, organisation.WithinWorker)
+				busy.Cores = 64
+				p.Adopt(busy, []string{"a"}, epoch)
+			},
+			wantedShape: organisation.Shape{Members: 1, Accelerators: 0, Adjacency: organisation.WithinWorker},
+			waitsFor:    "1 members of 1 cores and 1000 MB within one worker; the best, worker a, has 4 accelerators free and room for 0 of 1 members",
+			blockedBy:   "job bento/x in worker a",
+			wouldStart:  `64 more cores and 1000 MB more memory become free in worker a \(job bento/x ends\)`,
+			follow:      func(p *placement.Planner) { p.Ended(other("bento"), epoch, request.Done) },
+		},
 		"quarantined worker with a job": {
 			guards: "advice that opens a worker on which there is no room",
 			prepare: func(p *placement.Planner) {
@@ -187,7 +201,7 @@
 				p.Adopt(gang("bento", "x", 1, 1, organisation.WithinWorker), []string{"a"}, epoch)
 				p.SetSchedulable("a", false)
 			},
-			waitsFor:   ".* has 0 free .*",
+			waitsFor:   ".* has 0 accelerators free .*",
 			blockedBy:  "quarantined or unreachable worker a; job bento/x in worker a",
 			wouldStart: `worker a takes new tasks again, and 1 more accelerators become free in worker a \(job bento/x ends\)`,
 			follow: func(p *placement.Planner) {
@@ -198,7 +212,7 @@
 		"no worker is large enough": {
 			guards:     "advice to wait for jobs to end when no end helps",
 			prepare:    func(p *placement.Planner) { p.AddWorker(accelerated("a", "1", 2)) },
-			waitsFor:   ".* has 2 free .*",
+			waitsFor:   ".* has 2 accelerators free .*",
 			blockedBy:  "the size of the data centre",
 			wouldStart: "workers with room for 1 members within one worker are added",
 			follow:     func(p *placement.Planner) { p.AddWorker(accelerated("b", "1", 4)) },
--- a/internal/fleet/report/client.go
+++ b/internal/fleet/report/client.go
@@ -199,12 +199,17 @@
 	return fmt.Errorf("the guarantees cannot all be kept: %s", strings.Join(texts, "; "))
 }
 
-// Explain implements entry.Fleet. A job that no scheduler has claimed may wait
-// in any data centre, so all are asked until one knows it.
+// Explain implements entry.Fleet. The data centre that has claimed the job is
+// asked first. A job that no scheduler has claimed may wait in any data centre,
+// so all are asked until one knows it.
 func (c *Collector) Explain(ctx context.Context, state journal.JobState) (entry.Explanation, error) {
 	id := state.Job.Identity
 	ask := &wire.ExplainRequest{Identity: &wire.Identity{Organisation: id.Organisation, Id: id.ID}}
-	for _, h := range c.preferred(state.Job.DataCentre) {
+	first := state.Job.DataCentre
+	if state.State != job.Queued {
+		first = state.DataCentre
+	}
+	for _, h := range c.preferred(first) {
 		ask.DataCentre = h.DataCentre
 		exchange, cancel := context.WithTimeout(ctx, exchangeTimeout)
 		reply, err := c.dial(h.Address).Explain(exchange, ask)
--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -50,7 +50,7 @@
 	if err := t.fits(js.Job, workers); err != nil {
 		t.counters.Misfits.Add(1)
 		t.planner.Cancel(id)
-		t.delayed[id] = delayed{time.Now().Add(t.limits.Retry), err.Error()}
+		t.delayed[id] = delayed{time.Now().Add(t.limits.Retry), "the workers that were chosen: " + err.Error()}
 		return
 	}
 	a := &attempt{term: t, job: js.Job, workers: workers, reason: reason}
--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -119,7 +119,11 @@
 // centre has had its time.
 func (t *term) offer(js journal.JobState) {
 	delete(t.settling, js.Job.Identity)
-	wait, reason := t.claimDelay(js.Job), "another data centre may claim first"
+	wait, first := t.claimDelay(js.Job)
+	reason := "nothing: the next decision offers it"
+	if len(first) > 0 {
+		reason = "the earlier turn of data centre " + strings.Join(first, ", ")
+	}
 	if err := t.others[t.options.DataCentre].CanEverRun(js.Job); err != nil {
 		if t.canRunElsewhere(js.Job) {
 			return
@@ -140,15 +144,15 @@
 	return false
 }
 
-// claimDelay is how long this data centre leaves the claim to others. Without a
-// preference, data centres have their turns in an order that depends on the
-// job, so that they seldom claim the same job at once.
-func (t *term) claimDelay(j job.Job) time.Duration {
+// claimDelay is how long this data centre leaves the claim to others, and to
+// which. Without a preference, data centres have their turns in an order that
+// depends on the job, so that they seldom claim the same job at once.
+func (t *term) claimDelay(j job.Job) (wait time.Duration, first []string) {
 	if j.DataCentre == t.options.DataCentre {
-		return 0
+		return 0, nil
 	}
 	if _, known := t.others[j.DataCentre]; known {
-		return t.limits.OtherClaim
+		return t.limits.OtherClaim, []string{j.DataCentre + ", which the job prefers"}
 	}
 	names := collection.NewSet[string]()
 	for name, p := range t.others {
@@ -158,8 +162,8 @@
 	}
 	order := names.Sorted()
 	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(weight(j, a), weight(j, b)) })
-	place := slices.Index(order, t.options.DataCentre)
-	return t.limits.OtherClaim * time.Duration(max(place, 0)) / time.Duration(max(len(order), 1))
+	place := max(slices.Index(order, t.options.DataCentre), 0)
+	return t.limits.OtherClaim * time.Duration(place) / time.Duration(max(len(order), 1)), order[:place]
 }
 
 func weight(j job.Job, name string) uint32 {
@@ -197,58 +201,6 @@
 	}
 }
 
-func (t *term) explain(id request.Identity) (Explanation, bool) {
-	var x Explanation
-	p, known := t.planner.Explain(id, time.Now())
-	x.Placement = p
-	x.WaitsFor, x.BlockedBy, x.WouldStartIf = p.WaitsFor, p.BlockedBy, p.WouldStartIf
-	if d, ok := t.delayed[id]; ok {
-		x.Reason, known = d.reason, true
-		t.explainDelay(id, d, &x)
-	}
-	if _, ok := t.settling[id]; ok {
-		x.Reason, known = "the claim of an earlier scheduler is being settled", true
-		t.explainSettlement(id, &x)
-	}
-	if a := t.active[id]; a != nil && !a.watched {
-		x.Reason, known = "the attempt is being started", true
-	}
-	if x.WaitsFor == "" {
-		x.WaitsFor = x.Reason
-	}
-	return x, known
-}
-
-// explainDelay explains a job that is not offered to the planner yet.
-func (t *term) explainDelay(id request.Identity, d delayed, x *Explanation) {
-	due := d.due.UTC().Format(time.RFC3339)
-	x.WaitsFor, x.BlockedBy = "the time "+due+" before it may be placed", d.reason
-	x.WouldStartIf = "it is " + due + " and a place is free"
-	if js, ok := t.journal.Job(id); ok && t.others[t.options.DataCentre].CanEverRun(js.Job) != nil {
-		x.WaitsFor = "workers on which it fits; it ends at " + due + " without them"
-		x.WouldStartIf = fmt.Sprintf("workers with room for %s are added before %s", js.Job.Shape, due)
-	}
-}
-
-// explainSettlement explains a job whose claim waits for reports of its workers.
-func (t *term) explainSettlement(id request.Identity, x *Explanation) {
-	js, _ := t.journal.Job(id)
-	var silent []string
-	for _, name := range slices.Compact(slices.Sorted(slices.Values(js.Workers))) {
-		if h := t.hosts[name]; h != nil && !h.lost && !h.up {
-			silent = append(silent, name)
-		}
-	}
-	x.WaitsFor = x.Reason
-	x.BlockedBy = "the claim of an earlier scheduler"
-	x.WouldStartIf = "the claim is settled by the next report of its workers"
-	if len(silent) > 0 {
-		list := strings.Join(silent, ", ")
-		x.BlockedBy += " on worker " + list
-		x.WouldStartIf = "worker " + list + " reports its tasks or is given up"
-	}
-}
-
 func (t *term) summary() Summary {
 	s := Summary{Placement: t.planner.Summary(), Active: len(t.active)}
 	quarantined := collection.NewSet[string]()
--- a/internal/role/entry/entry_test.go
+++ b/internal/role/entry/entry_test.go
@@ -169,6 +169,23 @@
 	c.Assert(ended.body["outcome"], qt.Equals, "not-run")
 	c.Assert(s.call(desk, "DELETE", "/v1/jobs/1", "").status, qt.Equals, http.StatusOK)
 	c.Assert(s.call(desk, "GET", "/v1/jobs/1?wait=soon", "").status, qt.Equals, http.StatusBadRequest)
+	c.Assert(s.call(desk, "GET", "/v1/jobs/1/explanation", "").body["waits-for"], qt.Equals,
+		"nothing: the job has ended as not-run: cancelled by the caller")
+}
+
+// Guards against a claimed job whose scheduler is not asked: its claim may wait
+// to be settled, and only the scheduler knows for which worker.
+func TestClaimedJobIsExplainedByTheScheduler(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	c.Assert(s.call(desk, "POST", "/v1/jobs", jobBody("1", 1)).status, qt.Equals, http.StatusAccepted)
+	_, err := s.writer.Append(context.Background(), journal.JobClaimed{
+		Identity: s.journal.Jobs()[0].Job.Identity, DataCentre: "acari", Workers: []string{"w0"},
+	})
+	c.Assert(err, qt.IsNil)
+	answer := s.call(desk, "GET", "/v1/jobs/1/explanation", "")
+	c.Assert(answer.body["state"], qt.Equals, "claimed")
+	c.Assert(answer.body["waits-for"], qt.Equals, "2 accelerators")
 }
 
 // Guards against a wrong answer when the log takes nothing or its answer is
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -158,14 +158,17 @@
 		return
 	}
 	body := restapi.Explanation{ID: id.ID, State: state.State.String()}
-	if state.State != job.Queued {
-		body.WaitsFor = state.Reason
+	if state.State == job.Ended {
+		body.WaitsFor = "nothing: the job has ended as " + state.Outcome.String()
+		if state.Reason != "" {
+			body.WaitsFor += ": " + state.Reason
+		}
 		writeJSON(w, http.StatusOK, body)
 		return
 	}
 	explanation, err := e.fleet.Explain(ctx, state)
 	if err != nil {
-		writeProblem(w, http.StatusServiceUnavailable, err.Error())
+		writeProblem(w, http.StatusServiceUnavailable, fmt.Sprintf("the job is %s: %v", state.State, err))
 		return
 	}
 	body.WaitsFor = explanation.WaitsFor
