Merge logic that stood two or more times in cmd and internal/run

Cause: connections that count bytes stood in the transport and in two measurements, reading the processor time three times, reading the heap four times, a pause that ends with a context three times, and the start of the entry and the agent and the encoding of four measurements were written out each time.

Change: transport.CountListener, bench/usage, group.Pause, runRole and encoded replace them.

--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -33,12 +33,7 @@
 	options := faultbench.Default()
 	options.Seed = o.seed
 	options.Progress = o.progress
-	result, err := faultbench.Run(ctx, options)
-	if err != nil {
-		return nil, err
-	}
-	data, err := result.JSON()
-	return json.RawMessage(data), err
+	return encoded(faultbench.Run(ctx, options))
 }
 
 func benchPlacementScale(ctx context.Context, o benchOptions) (any, error) {
@@ -48,30 +43,24 @@
 }
 
 func benchJournal(ctx context.Context, _ benchOptions) (any, error) {
-	result, err := journalbench.Run(ctx, journalbench.Default())
-	if err != nil {
-		return nil, err
-	}
-	data, err := result.JSON()
-	return json.RawMessage(data), err
+	return encoded(journalbench.Run(ctx, journalbench.Default()))
 }
 
 func benchCapacity(ctx context.Context, o benchOptions) (any, error) {
 	options := capacitybench.Default()
 	options.Progress = o.progress
-	result, err := capacitybench.Run(ctx, options)
-	if err != nil {
-		return nil, err
-	}
-	data, err := result.JSON()
-	return json.RawMessage(data), err
+	return encoded(capacitybench.Run(ctx, options))
 }
 
 func benchMembership(ctx context.Context, _ benchOptions) (any, error) {
-	report, err := membershipbench.Run(ctx, membershipbench.Default())
+	return encoded(membershipbench.Run(ctx, membershipbench.Default()))
+}
+
+// encoded takes the result of a measurement that has its own encoding.
+func encoded[T interface{ JSON() ([]byte, error) }](result T, err error) (any, error) {
 	if err != nil {
 		return nil, err
 	}
-	data, err := report.JSON()
+	data, err := result.JSON()
 	return json.RawMessage(data), err
 }
--- a/cmd/progress.go
+++ b/cmd/progress.go
@@ -42,10 +42,8 @@
 	start := time.Now()
 	last, shown := "", start
 	for pause := progressAfter; ; pause = progressEvery {
-		select {
-		case <-ctx.Done():
+		if group.Pause(ctx, pause) != nil {
 			return
-		case <-time.After(pause):
 		}
 		text := describe(ctx)
 		if ctx.Err() != nil {
--- a/cmd/role.go
+++ b/cmd/role.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 
-	"github.com/go-kit/log"
-
 	"wasabihoist/internal/run/logging"
 	"wasabihoist/internal/run/process"
 	"wasabihoist/internal/run/settings"
@@ -28,12 +26,25 @@
 	return s, nil
 }
 
-func newLogger(s settings.Settings, env environment) (log.Logger, error) {
+// runRole runs the process that build makes of the settings until ctx ends.
+func runRole[P interface {
+	Run(ctx context.Context) error
+}](ctx context.Context, env environment, o settingsOption, role settings.Role,
+	build func(settings.Settings, process.Environment) (P, error),
+) error {
+	s, err := o.load(role)
+	if err != nil {
+		return err
+	}
 	logger, err := logging.New(env.stderr, s.LogLevel, s.Name)
 	if err != nil {
-		return nil, fmt.Errorf("start logging: %w", err)
+		return fmt.Errorf("start logging: %w", err)
+	}
+	p, err := build(s, process.Environment{Logger: logger})
+	if err != nil {
+		return err
 	}
-	return logger, nil
+	return p.Run(ctx)
 }
 
 const roleExitCodes = "\n\nExit codes: 0 after a planned stop (SIGTERM or SIGINT), 1 when the settings have findings, an address cannot be used or the process failed, 2 for wrong usage."
@@ -52,19 +63,7 @@
 
 // Run implements runner.
 func (c *entryCommand) Run(ctx context.Context, env environment) error {
-	s, err := c.load(settings.Entry)
-	if err != nil {
-		return err
-	}
-	logger, err := newLogger(s, env)
-	if err != nil {
-		return err
-	}
-	p, err := process.NewEntry(s, process.Environment{Logger: logger})
-	if err != nil {
-		return err
-	}
-	return p.Run(ctx)
+	return runRole(ctx, env, c.settingsOption, settings.Entry, process.NewEntry)
 }
 
 type agentCommand struct{ settingsOption }
@@ -81,17 +80,5 @@
 
 // Run implements runner.
 func (c *agentCommand) Run(ctx context.Context, env environment) error {
-	s, err := c.load(settings.Agent)
-	if err != nil {
-		return err
-	}
-	logger, err := newLogger(s, env)
-	if err != nil {
-		return err
-	}
-	p, err := process.NewAgent(s, process.Environment{Logger: logger})
-	if err != nil {
-		return err
-	}
-	return p.Run(ctx)
+	return runRole(ctx, env, c.settingsOption, settings.Agent, process.NewAgent)
 }
--- a/internal/base/group/group.go
+++ b/internal/base/group/group.go
@@ -69,3 +69,15 @@
 	defer g.cancel()
 	return g.eg.Wait()
 }
+
+// Pause waits for a while, or until ctx ends; then it returns the error of ctx.
+func Pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -86,21 +86,3 @@
 	}
 	return counted, nil
 }
-
-type countedConn struct {
-	net.Conn
-	in  *atomic.Int64
-	out *atomic.Int64
-}
-
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.in.Add(int64(n))
-	return n, err
-}
-
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.out.Add(int64(n))
-	return n, err
-}
--- a/internal/run/bench/capacitybench/requests.go
+++ b/internal/run/bench/capacitybench/requests.go
@@ -49,11 +49,11 @@
 	if _, err := c.Publish(ctx); err != nil {
 		return nil, 0, err
 	}
-	pause(ctx, o.Settle)
+	_ = group.Pause(ctx, o.Settle)
 	var counter bytesCounter
-	from := counter.usage()
-	pause(ctx, o.Window)
-	idle := from.until(counter.usage()).cores
+	from := counter.read()
+	_ = group.Pause(ctx, o.Window)
+	idle := from.until(counter.read()).cores
 	var points []RequestPoint
 	for _, idempotent := range []bool{true, false} {
 		for _, rate := range o.Rates {
@@ -75,7 +75,7 @@
 	ticker := time.NewTicker(time.Second / time.Duration(rate))
 	defer ticker.Stop()
 	var counter bytesCounter
-	from := counter.usage()
+	from := counter.read()
 	count := 0
 	for end := from.at.Add(o.Window); time.Now().Before(end) && ctx.Err() == nil && count < cap(results); count++ {
 		<-ticker.C
@@ -87,7 +87,7 @@
 		})
 	}
 	_ = work.Wait()
-	r := from.until(counter.usage())
+	r := from.until(counter.read())
 	return summarise(results, idempotent, r, time.Since(from.at))
 }
 
--- a/internal/run/bench/capacitybench/scheduler.go
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -15,6 +15,7 @@
 	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/run/bench/usage"
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/standin/workerhost"
 	"wasabihoist/internal/tenancy/organisation"
@@ -55,7 +56,7 @@
 // measureScheduler runs a scheduler over a number of workers, idle and with
 // long tasks on each worker.
 func measureScheduler(ctx context.Context, o Options, workers int) ([]SchedulerPoint, error) {
-	before := heap()
+	before := usage.Heap()
 	s := &site{group: group.New(ctx)}
 	defer s.stop()
 	if err := s.start(workers); err != nil {
@@ -189,16 +190,16 @@
 }
 
 func (s *site) window(ctx context.Context, o Options, workers, tasks int, before int64) SchedulerPoint {
-	pause(ctx, o.Settle)
-	from := s.counter.usage()
-	pause(ctx, o.Window)
-	r := from.until(s.counter.usage())
+	_ = group.Pause(ctx, o.Settle)
+	from := s.counter.read()
+	_ = group.Pause(ctx, o.Window)
+	r := from.until(s.counter.read())
 	return SchedulerPoint{
 		Workers:        workers,
 		Tasks:          tasks,
 		BytesPerSecond: r.bytesPerSecond,
 		Cores:          r.cores,
-		HeapBytes:      heap() - before,
+		HeapBytes:      usage.Heap() - before,
 	}
 }
 
@@ -206,10 +207,3 @@
 	s.group.Stop()
 	_ = s.group.Wait()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/run/bench/faultbench/bench.go
+++ b/internal/run/bench/faultbench/bench.go
@@ -127,7 +127,7 @@
 	submitting, stop := context.WithCancel(ctx)
 	defer stop()
 	work.Go("load", func(context.Context) error { return l.run(submitting) })
-	pause(ctx, o.Settle)
+	_ = group.Pause(ctx, o.Settle)
 	recoveries, err := bringAbout(ctx, o, c, l)
 	stop()
 	if err = errors.Join(err, work.Wait()); err != nil {
@@ -192,7 +192,7 @@
 	if err != nil {
 		return 0, false, err
 	}
-	pause(ctx, o.Hold)
+	_ = group.Pause(ctx, o.Hold)
 	if err := end(); err != nil {
 		return 0, false, fmt.Errorf("end of the fault: %w", err)
 	}
@@ -200,7 +200,7 @@
 		from = time.Now()
 	}
 	took, recovered := awaitRecovery(ctx, l, from, o.Limit)
-	pause(ctx, o.Settle)
+	_ = group.Pause(ctx, o.Settle)
 	return took, recovered, ctx.Err()
 }
 
@@ -210,7 +210,7 @@
 		if last, ok := allServed(l, from); ok {
 			return last.Sub(from), true
 		}
-		pause(ctx, look)
+		_ = group.Pause(ctx, look)
 	}
 	return limit, false
 }
--- a/internal/run/bench/faultbench/load.go
+++ b/internal/run/bench/faultbench/load.go
@@ -154,7 +154,7 @@
 			break
 		}
 		i.accepted = true // the entry may have taken the request before the call broke
-		pause(ctx, askAgainPause)
+		_ = group.Pause(ctx, askAgainPause)
 	}
 	i.finished = time.Now()
 	l.add(i)
@@ -171,7 +171,7 @@
 	for attempt := 0; ctx.Err() == nil && !i.answered; attempt++ {
 		e := l.cluster.Entries[(n+attempt)%len(l.cluster.Entries)]
 		l.followJob(ctx, l.cluster.Caller(e, i.id.Organisation), j, &i)
-		pause(ctx, askAgainPause)
+		_ = group.Pause(ctx, askAgainPause)
 	}
 	i.finished = time.Now()
 	l.add(i)
@@ -198,10 +198,3 @@
 		i.outcome = status.Outcome
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/run/bench/journalbench/fold.go
+++ b/internal/run/bench/journalbench/fold.go
@@ -5,12 +5,12 @@
 	"errors"
 	"fmt"
 	"runtime"
-	"syscall"
 	"time"
 
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
 	"wasabihoist/internal/record/snapshot"
+	"wasabihoist/internal/run/bench/usage"
 )
 
 // chunkBytes is the size of snapshot chunks in production.
@@ -76,11 +76,11 @@
 			invalid++
 		}
 	})
-	began := cpuTime()
+	began := usage.ProcessorTime()
 	if err := j.Apply(1, platformlog.Page{Entries: entries, Next: int64(len(entries) + 1)}); err != nil {
 		return Fold{}, err
 	}
-	f.FoldCPU = cpuTime() - began
+	f.FoldCPU = usage.ProcessorTime() - began
 	if invalid > 0 {
 		return Fold{}, fmt.Errorf("%d records are not valid", invalid)
 	}
@@ -103,14 +103,14 @@
 	}
 	f.EncodeTime = time.Since(began)
 	f.SnapshotBytes = len(data)
-	before := heapInUse()
+	before := usage.Heap()
 	restored := journal.New()
 	began = time.Now()
 	if err := restored.Restore(data); err != nil {
 		return err
 	}
 	f.DecodeTime = time.Since(began)
-	f.HeapBytes = heapInUse() - before
+	f.HeapBytes = usage.Heap() - before
 	runtime.KeepAlive(restored)
 	runtime.KeepAlive(data)
 	log, err := snapshotLog(data, covers)
@@ -164,20 +164,3 @@
 	page.Next = from + int64(len(page.Entries))
 	return page, nil
 }
-
-func heapInUse() int64 {
-	runtime.GC()
-	var s runtime.MemStats
-	runtime.ReadMemStats(&s)
-	return int64(s.HeapAlloc)
-}
-
-// cpuTime returns the processor time of this process, with that of the garbage
-// collector.
-func cpuTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
--- a/internal/run/bench/journalbench/writers.go
+++ b/internal/run/bench/journalbench/writers.go
@@ -17,6 +17,7 @@
 	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
+	"wasabihoist/internal/run/bench/usage"
 	"wasabihoist/internal/standin/logservice"
 )
 
@@ -58,7 +59,7 @@
 	l := &load{latency: hdrhistogram.New(1, maxMicros, digits)}
 	callers := group.New(ctx)
 	observer := journal.New()
-	began, cpu := time.Now(), cpuTime()
+	began, cpu := time.Now(), usage.ProcessorTime()
 	end, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	for i := range count {
@@ -77,7 +78,7 @@
 	err = callers.Wait()
 	seconds := time.Since(began).Seconds()
 	appends := float64(observer.Next() - 1)
-	t := l.result(count, seconds, appends, cpuTime()-cpu)
+	t := l.result(count, seconds, appends, usage.ProcessorTime()-cpu)
 	processes.Stop()
 	return t, errors.Join(err, server.Close(), processes.Wait())
 }
--- a/internal/run/bench/membershipbench/exchange.go
+++ b/internal/run/bench/membershipbench/exchange.go
@@ -15,7 +15,9 @@
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/cluster/membership"
+	"wasabihoist/internal/cluster/transport"
 	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/run/bench/usage"
 )
 
 // Exchange is the cost of one exchange over loopback with HTTP, client and
@@ -40,70 +42,37 @@
 	return s.member.HandleProbe(ctx, request)
 }
 
-// countingListener counts the bytes of all accepted connections.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // MeasureExchange performs exchanges with a server in this process.
 func MeasureExchange(ctx context.Context, count int, fresh bool) (Exchange, error) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Exchange{}, fmt.Errorf("listen: %w", err)
 	}
-	listener := &countingListener{Listener: inner}
+	var bytes atomic.Int64
+	listener := transport.CountListener(inner, &bytes, &bytes)
 	server := &http.Server{
 		Handler:           wire.NewPeerServer(peerServer{member: membership.New(membership.Default(), memberOf(0), nil)}),
 		ReadHeaderTimeout: time.Second,
 	}
 	g := group.New(ctx)
 	g.Go("server", func(ctx context.Context) error { return webserver.Serve(ctx, server, listener) })
-	result, err := exchangeMany(g.Context(), listener, count, fresh)
+	result, err := exchangeMany(g.Context(), listener, &bytes, count, fresh)
 	g.Stop()
 	return result, errors.Join(err, g.Wait())
 }
 
-func exchangeMany(ctx context.Context, listener *countingListener, count int, fresh bool) (Exchange, error) {
+func exchangeMany(ctx context.Context, listener net.Listener, bytes *atomic.Int64, count int, fresh bool) (Exchange, error) {
 	address, err := netip.ParseAddrPort(listener.Addr().String())
 	if err != nil {
 		return Exchange{}, fmt.Errorf("listener address: %w", err)
 	}
-	transport := membership.NewTwirpTransport()
-	defer transport.Close()
+	prober := membership.NewTwirpTransport()
+	defer prober.Close()
 	request := &wire.ProbeRequest{From: membership.Encode(memberOf(1)), AppliedOffset: 1 << 30}
 	payload := 0
-	start, cpu := time.Now(), processorTime()
+	start, cpu := time.Now(), usage.ProcessorTime()
 	for range count {
-		reply, err := transport.Probe(ctx, address, request, fresh)
+		reply, err := prober.Probe(ctx, address, request, fresh)
 		if err != nil {
 			return Exchange{}, fmt.Errorf("exchange over loopback: %w", err)
 		}
@@ -114,8 +83,8 @@
 		Fresh:        fresh,
 		Count:        count,
 		PayloadBytes: float64(payload) * each,
-		HeaderBytes:  float64(listener.bytes.Load()-int64(payload)) * each,
-		CPUSeconds:   (processorTime() - cpu).Seconds() * each,
+		HeaderBytes:  float64(bytes.Load()-int64(payload)) * each,
+		CPUSeconds:   (usage.ProcessorTime() - cpu).Seconds() * each,
 		MeanSeconds:  time.Since(start).Seconds() * each,
 	}, nil
 }
--- a/internal/run/bench/membershipbench/fleet.go
+++ b/internal/run/bench/membershipbench/fleet.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net/netip"
 	"runtime"
-	"syscall"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -15,6 +14,7 @@
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/cluster/membership"
 	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/run/bench/usage"
 	"wasabihoist/internal/standin/network"
 )
 
@@ -134,7 +134,7 @@
 		total.Received += t.Received
 		total.LargestMsg = max(total.LargestMsg, t.LargestMsg)
 	}
-	return total, processorTime(), true
+	return total, usage.ProcessorTime(), true
 }
 
 func newPoint(size int, window time.Duration, before, after network.Traffic) Point {
@@ -150,21 +150,12 @@
 	}
 }
 
-// processorTime returns the user and system time of this process.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 // MeasureMemory returns the heap bytes per known member, averaged over several
 // processes' lists.
 func MeasureMemory(ctx context.Context, known int) (float64, error) {
 	const lists = 10
 	kept := make([]*membership.Membership, lists)
-	before := heapBytes()
+	before := usage.Heap()
 	for i := range kept {
 		m := membership.New(membership.Default(), memberOf(0), nil)
 		for n := 1; n <= known; n++ {
@@ -174,7 +165,7 @@
 		}
 		kept[i] = m
 	}
-	after := heapBytes()
+	after := usage.Heap()
 	runtime.KeepAlive(kept)
 	return float64(after-before) / lists / float64(known), nil
 }
@@ -193,10 +184,3 @@
 	_, err = m.HandleProbe(ctx, request)
 	return err
 }
-
-func heapBytes() uint64 {
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapAlloc
-}
--- a/internal/run/bench/placementbench/placementbench.go
+++ b/internal/run/bench/placementbench/placementbench.go
@@ -10,6 +10,7 @@
 	"io"
 
 	"wasabihoist/internal/fleet/placement"
+	"wasabihoist/internal/run/bench/usage"
 )
 
 // Options are the settings of Run and RunScale.
@@ -86,10 +87,10 @@
 			if err := ctx.Err(); err != nil {
 				return Figures{}, err
 			}
-			before := heapInUse()
+			before := usage.Heap()
 			r := newReplay(d, newWorkload(p, o.Seed*31+uint64(i), d.memory), policy, o.Planner)
 			r.run()
-			heap = max(heap, heapInUse()-before)
+			heap = max(heap, usage.Heap()-before)
 			one.add(r.measured)
 		}
 		byWorkload[p.name] = one.figures()
--- a/internal/run/bench/placementbench/scale.go
+++ b/internal/run/bench/placementbench/scale.go
@@ -11,6 +11,7 @@
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/run/bench/usage"
 	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
@@ -80,12 +81,12 @@
 func measureSize(o Options, divisor int) SizeFigures {
 	s := &scale{now: epoch, divisor: divisor, random: rand.New(rand.NewPCG(o.Seed, uint64(divisor))),
 		decisions: hdrhistogram.New(1, int64(1e10), 3)}
-	before := heapInUse()
+	before := usage.Heap()
 	s.planner = placement.New(placement.FragmentationFirst{}, o.Planner)
 	s.prepare()
 	s.fill(plannedTasks / plannedDataCentres / divisor)
 	f := SizeFigures{Workers: plannedWorkers / divisor, PlannerWorkers: s.workers(), PlannerTasks: s.tasks,
-		BytesPerTask: float64(heapInUse()-before) / float64(s.tasks)}
+		BytesPerTask: float64(usage.Heap()-before) / float64(s.tasks)}
 	s.decisions.Reset()
 	for range scaleEvents {
 		s.turnOver()
--- a/internal/run/demo/steps.go
+++ b/internal/run/demo/steps.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/run/embedded"
 	"wasabihoist/internal/tenancy/configuration"
@@ -41,7 +42,7 @@
 		if time.Since(start) > inForceLimit {
 			break
 		}
-		if err := pause(ctx, pollInterval); err != nil {
+		if err := group.Pause(ctx, pollInterval); err != nil {
 			return err
 		}
 	}
@@ -106,7 +107,7 @@
 func (editPlan) String() string { return "edit a plan" }
 
 func (editPlan) Run(ctx context.Context, s *scene) error {
-	if err := pause(ctx, betweenEvents); err != nil {
+	if err := group.Pause(ctx, betweenEvents); err != nil {
 		return err
 	}
 	operator := s.cluster.Operator(s.cluster.Entries[0])
@@ -164,7 +165,7 @@
 func (drainMinion) String() string { return "drain a minion" }
 
 func (drainMinion) Run(ctx context.Context, s *scene) error {
-	if err := pause(ctx, betweenEvents); err != nil {
+	if err := group.Pause(ctx, betweenEvents); err != nil {
 		return err
 	}
 	leaving := s.cluster.Minions[0]
@@ -176,11 +177,11 @@
 }
 
 func (s *scene) watchLeaving(ctx context.Context, m *embedded.Minion) error {
-	if err := pause(ctx, drainGrace); err != nil {
+	if err := group.Pause(ctx, drainGrace); err != nil {
 		return err
 	}
 	before := len(m.Host.ExecutionCounts())
-	if err := pause(ctx, s.options.Length/4); err != nil {
+	if err := group.Pause(ctx, s.options.Length/4); err != nil {
 		return err
 	}
 	after := len(m.Host.ExecutionCounts())
@@ -195,7 +196,7 @@
 func (loseWorker) String() string { return "lose a worker" }
 
 func (loseWorker) Run(ctx context.Context, s *scene) error {
-	if err := pause(ctx, betweenEvents); err != nil {
+	if err := group.Pause(ctx, betweenEvents); err != nil {
 		return err
 	}
 	lost := s.cluster.Workers[0]
@@ -228,7 +229,7 @@
 		return err
 	}
 	// Audit entries of the last events are on their way to the log.
-	return pause(ctx, settleTime)
+	return group.Pause(ctx, settleTime)
 }
 
 // fetchAudit reads the tail of the audit trail.
@@ -241,12 +242,3 @@
 	s.audit = entries
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
