Pass records on through a tree of readers of degree 8

Cause: every member of a region without the log service read from the one member with the reader duty, and every other member read the log itself.

Change: each process computes its parents in two trees from its member list (internal/cluster/readertree); the inner members of one tree are leaves of the other. It reads from the first parent. A guard watches the offsets of the second one, pulls from it when the first one does not deliver within 200 ms, and the process avoids the first parent until that is up to date. Suspect and leaving parents are passed over at once. ReadRecords has the field offsets_only for the watch. In the log's region two members of each data centre read the log, not all.

A region of several data centres is computed and tested for degree and depth, and not timed.

--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"wasabihoist/internal/run/bench/capacitybench"
+	"wasabihoist/internal/run/bench/fanoutbench"
 	"wasabihoist/internal/run/bench/faultbench"
 	"wasabihoist/internal/run/bench/journalbench"
 	"wasabihoist/internal/run/bench/membershipbench"
@@ -20,9 +21,16 @@
 		{"capacity", "cost of the scheduler duty by workers and tasks, and of requests by rate", benchCapacity},
 		{"faults", "work that is lost, run twice or falsely refused under faults, and recovery times", benchFaults},
 		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
+		{"fanout", "bytes, delay and processor time of passing records on, through one reader and through the tree", benchFanout},
 	}
 }
 
+func benchFanout(ctx context.Context, o benchOptions) (any, error) {
+	options := fanoutbench.Default()
+	options.Progress = o.progress
+	return encoded(fanoutbench.Run(ctx, options))
+}
+
 func benchPlacement(ctx context.Context, o benchOptions) (any, error) {
 	options := placementbench.Default()
 	options.Seed = o.seed
--- a/internal/cluster/peer/client.go
+++ b/internal/cluster/peer/client.go
@@ -59,6 +59,19 @@
 	return pageFromWire(reply.GetEntries(), reply.GetNext(), reply.GetEarliest()), nil
 }
 
+// Watch returns the first offset that the peer has not folded, as soon as it is
+// above from or when wait has passed. It is below from when the peer is behind.
+// It costs no payloads.
+func (c *Client) Watch(ctx context.Context, from int64, wait time.Duration) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+exchangeSlack)
+	defer cancel()
+	reply, err := c.peer.ReadRecords(ctx, &wire.ReadRecordsRequest{From: from, WaitMillis: wait.Milliseconds(), OffsetsOnly: true})
+	if err != nil {
+		return 0, readError(err)
+	}
+	return reply.GetNext(), nil
+}
+
 func readError(err error) error {
 	var failure twirp.Error
 	if errors.As(err, &failure) && failure.Code() == twirp.OutOfRange {
--- a/internal/cluster/peer/server.go
+++ b/internal/cluster/peer/server.go
@@ -50,7 +50,7 @@
 	timeout := time.After(wait)
 	for {
 		changed := s.journal.Watch()
-		page, err := s.journal.Page(r.GetFrom(), limit)
+		page, err := s.page(r, limit)
 		if errors.Is(err, platformlog.ErrExpired) {
 			return nil, twirp.NewError(twirp.OutOfRange, err.Error())
 		}
@@ -67,6 +67,14 @@
 	}
 }
 
+// page returns what the process has from the offset on.
+func (s *Server) page(r *wire.ReadRecordsRequest, limit int) (platformlog.Page, error) {
+	if r.GetOffsetsOnly() {
+		return platformlog.Page{Next: s.journal.Next()}, nil
+	}
+	return s.journal.Page(r.GetFrom(), limit)
+}
+
 // ReadSnapshot implements wire.Peer.
 func (s *Server) ReadSnapshot(context.Context, *wire.ReadSnapshotRequest) (*wire.ReadSnapshotReply, error) {
 	data, next, err := s.journal.Snapshot()
--- a/internal/record/source/puller.go
+++ b/internal/record/source/puller.go
@@ -67,6 +67,11 @@
 		return
 	case <-time.After(pullDelay):
 	}
+	p.pullNow(ctx, n)
+}
+
+// pullNow reads from the peer until this process has folded as much.
+func (p *Puller) pullNow(ctx context.Context, n notice) {
 	for from := p.journal.Next(); from < n.offset; from = p.journal.Next() {
 		if err := p.step(ctx, n, from); err != nil || p.journal.Next() <= from {
 			return
--- a/internal/record/source/selector.go
+++ b/internal/record/source/selector.go
@@ -37,6 +37,10 @@
 type PeerReader interface {
 	journal.Reader
 	journal.SnapshotSource
+	// Watch returns the first offset that the peer has not folded, as soon as it
+	// is above from or when wait has passed. It is below from when the peer is
+	// behind.
+	Watch(ctx context.Context, from int64, wait time.Duration) (int64, error)
 }
 
 const (
--- /dev/null
+++ b/internal/record/source/tree.go
@@ -0,0 +1,155 @@
+package source
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/record/platformlog"
+)
+
+// standbyWait lets the second reader of a region without the log service learn
+// soon that the first one is silent.
+const standbyWait = 500 * time.Millisecond
+
+// TreePlace is the place of this process among the readers of its data centre.
+type TreePlace struct {
+	Parents []Peer // Parents to read from, the preferred one first; none for a process that reads the log.
+	Standby bool   // Standby is set for the second reader of a region without the log service.
+}
+
+// Tree reads records from a parent of the reader tree, and from the next reader
+// while no parent serves. It avoids a parent that failed or fell behind until
+// the guard has seen that it is up to date again; a time limit would send the
+// readers of a frozen parent back to it.
+type Tree struct {
+	dial Dial
+	next journal.Reader
+
+	mu      sync.Mutex
+	place   TreePlace
+	reading string               // reading is the parent that is being read.
+	stop    context.CancelFunc   // stop ends that read.
+	avoided map[string]time.Time // avoided parents and since when.
+}
+
+// NewTree returns a reader that has no parent yet and reads from next.
+func NewTree(dial Dial, next journal.Reader) *Tree {
+	return &Tree{dial: dial, next: next, avoided: map[string]time.Time{}}
+}
+
+// SetPlace changes the place in the tree. A read of a peer that is not a parent
+// any more ends at once: when both parents of a process are lost, membership
+// knows it before the reads reach their deadlines.
+func (t *Tree) SetPlace(place TreePlace) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.place = place
+	if t.stop != nil && !t.isParent(t.reading) {
+		t.stop()
+	}
+	for name := range t.avoided {
+		if !t.isParent(name) {
+			delete(t.avoided, name)
+		}
+	}
+}
+
+func (t *Tree) isParent(name string) bool {
+	return slices.ContainsFunc(t.place.Parents, func(p Peer) bool { return p.Name == name })
+}
+
+func (t *Tree) isStandby() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.place.Standby
+}
+
+// Read implements journal.Reader. A read that does not wait goes to the next
+// reader: it comes from a process that starts, and a parent that starts at the
+// same time has nothing yet and would pass for the end of the log.
+func (t *Tree) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
+	for wait > 0 {
+		p, ok := t.parent()
+		if !ok {
+			break
+		}
+		page, err := t.readParent(ctx, p, from, limit, wait)
+		if err == nil || ctx.Err() != nil {
+			return page, err
+		}
+		t.avoid(p)
+	}
+	if t.isStandby() {
+		wait = min(wait, standbyWait)
+	}
+	return t.next.Read(ctx, from, limit, wait)
+}
+
+// parent returns the first parent that is not avoided.
+func (t *Tree) parent() (Peer, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, p := range t.place.Parents {
+		if _, avoided := t.avoided[p.Name]; !avoided {
+			return p, true
+		}
+	}
+	return Peer{}, false
+}
+
+// readParent reads until the parent answers or is avoided.
+func (t *Tree) readParent(ctx context.Context, p Peer, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.mu.Lock()
+	t.reading, t.stop = p.Name, cancel
+	t.mu.Unlock()
+	page, err := t.dial(p).Read(ctx, from, limit, wait)
+	t.mu.Lock()
+	t.reading, t.stop = "", nil
+	t.mu.Unlock()
+	return page, err
+}
+
+// watch says which parent is read now and which one the guard watches: one that
+// is not read, or else the one that has been avoided for the longest time. It
+// reports false when there is none to watch.
+func (t *Tree) watch() (read, watched Peer, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var since time.Time
+	for _, p := range t.place.Parents {
+		at, avoided := t.avoided[p.Name]
+		switch {
+		case !avoided && read.Name == "":
+			read = p
+		case !avoided:
+			return read, p, true
+		case !ok || at.Before(since):
+			watched, since, ok = p, at, true
+		}
+	}
+	return read, watched, ok
+}
+
+// avoid prefers other peers from now on, and ends a read of this one.
+func (t *Tree) avoid(p Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reading == p.Name && t.stop != nil {
+		t.stop()
+	}
+	if t.isParent(p.Name) {
+		t.avoided[p.Name] = time.Now()
+	}
+}
+
+// trust ends the avoidance of a parent that is up to date.
+func (t *Tree) trust(p Peer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.avoided, p.Name)
+}
--- a/internal/run/bench/journalbench/subjects.go
+++ b/internal/run/bench/journalbench/subjects.go
@@ -30,7 +30,7 @@
 		{name: "job-life", sizes: o.Sizes, records: jobLife},
 		{name: "request-claim", sizes: o.Sizes, records: func(i int, _ int64) []journal.Record { return answeredClaim(i, o.AnswerBytes) }},
 		{name: "audit-entry", sizes: o.AuditSizes, records: auditEntry},
-		{name: "organisation", sizes: o.Organisations, whole: configuration},
+		{name: "organisation", sizes: o.Organisations, whole: func(count int) journal.Record { return Configuration(count) }},
 	}
 }
 
@@ -74,8 +74,8 @@
 	}}
 }
 
-// configuration has one plan for each ten organisations.
-func configuration(count int) journal.Record {
+// Configuration has one plan for each ten organisations.
+func Configuration(count int) journal.ConfigurationPublished {
 	record := journal.ConfigurationPublished{Operator: "ana"}
 	shape := organisation.Shape{Members: gangMembers, Accelerators: 2, Adjacency: organisation.WithinRack}
 	for i := range count {
--- a/internal/run/process/directory.go
+++ b/internal/run/process/directory.go
@@ -1,13 +1,16 @@
 package process
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 
 	"wasabihoist/internal/base/blackboard"
 	"wasabihoist/internal/cluster/duty"
 	"wasabihoist/internal/cluster/membership"
+	"wasabihoist/internal/cluster/readertree"
 	"wasabihoist/internal/fleet/report"
+	"wasabihoist/internal/record/source"
 	"wasabihoist/internal/role/entry"
 	"wasabihoist/internal/run/settings"
 	"wasabihoist/internal/traffic/routing"
@@ -36,6 +39,7 @@
 	settings settings.Settings
 	members  *membership.Membership
 	board    *board
+	tree     *source.Tree
 }
 
 // String names the controller.
@@ -65,10 +69,22 @@
 	}
 	d.board.members.Set(members)
 	d.board.remote.Set(remote)
+	d.tree.SetPlace(d.treePlace(members))
 	d.board.agents.Set(agents)
 	d.board.holders.Set(d.schedulers(members))
 }
 
+// treePlace says whose records this process reads.
+func (d *directory) treePlace(members []membership.Member) source.TreePlace {
+	logRegion := cmp.Or(d.settings.LogRegion, d.settings.Region)
+	place := readertree.Of(d.members.Self(), members, logRegion)
+	result := source.TreePlace{Standby: place.Standby}
+	for _, p := range place.Parents {
+		result.Parents = append(result.Parents, source.Peer{Name: p.Name, Address: p.Address})
+	}
+	return result
+}
+
 // schedulers lists the holder of the scheduler duty of each data centre. Data
 // centres stay in the list when their last member has gone.
 func (d *directory) schedulers(members []membership.Member) []report.Holder {
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -18,6 +18,7 @@
 	"wasabihoist/internal/cluster/duty"
 	"wasabihoist/internal/cluster/membership"
 	"wasabihoist/internal/cluster/peer"
+	"wasabihoist/internal/cluster/readertree"
 	"wasabihoist/internal/cluster/transport"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
@@ -28,7 +29,6 @@
 )
 
 const (
-	readerDuty    = "reader"
 	snapshotDuty  = "snapshot"
 	schedulerDuty = "scheduler"
 
@@ -63,6 +63,8 @@
 	board      *board
 	directory  *directory
 	selector   *source.Selector
+	tree       *source.Tree
+	guard      *source.Guard
 	reader     *startReader
 	startLimit time.Duration
 	puller     *source.Puller
@@ -93,9 +95,11 @@
 	name := fmt.Sprintf("%s@%d", s.Name, incarnation)
 	n.writer = journal.NewWriter(name, n.log, n.journal, journal.DefaultWriterOptions())
 	n.members = membership.New(membershipOptions(s), self(s, incarnation), proberTransport{n.transport})
-	n.directory = &directory{settings: s, members: n.members, board: n.board}
 	n.selector = source.NewSelector(n.log, snapshot.NewScan(n.log), n, n.dialPeer)
-	n.reader = newStartReader(n.selector)
+	n.tree = source.NewTree(n.dialPeer, n.selector)
+	n.directory = &directory{settings: s, members: n.members, board: n.board, tree: n.tree}
+	n.guard = source.NewGuard(n.journal, n.tree)
+	n.reader = newStartReader(n.tree)
 	n.startLimit = startLimit
 	n.puller = source.NewPuller(n.journal, n.dialPeer)
 	n.publisher = snapshot.NewPublisher(snapshot.Default(), n.journal, n.writer, n.holdsSnapshotDuty)
@@ -191,6 +195,7 @@
 	g.Go(n.directory.String(), n.directory.Run)
 	g.Go(n.writer.String(), n.writer.Run)
 	g.Go(n.puller.String(), n.puller.Run)
+	g.Go(n.guard.String(), n.guard.Run)
 	g.Go(n.publisher.String(), n.publisher.Run)
 	g.Every("applied offset", offsetInterval, func(context.Context) error {
 		n.members.SetAppliedOffset(n.journal.Next())
@@ -238,7 +243,7 @@
 	if n.logRegion() == n.settings.Region {
 		return source.Peer{}, false
 	}
-	reader, ok := duty.Holder(readerDuty, "", n.settings.Region, n.board.members.Get())
+	reader, ok := duty.Holder(readertree.Duty, "", n.settings.Region, n.board.members.Get())
 	if !ok || reader.Name == n.settings.Name || reader.Region != n.settings.Region {
 		return source.Peer{}, false
 	}
