Merge the tree of readers, the progress of commands and the checked pages

Cause: one reader served all members of a region; commands were silent; pages named commands that fail; several measurements stood twice.

--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"wasabihoist/internal/run/bench/capacitybench"
+	"wasabihoist/internal/run/bench/fanoutbench"
 	"wasabihoist/internal/run/bench/faultbench"
 	"wasabihoist/internal/run/bench/journalbench"
 	"wasabihoist/internal/run/bench/membershipbench"
@@ -20,9 +21,16 @@
 		{"capacity", "cost of the scheduler duty by workers and tasks, and of requests by rate", benchCapacity},
 		{"faults", "work that is lost, run twice or falsely refused under faults, and recovery times", benchFaults},
 		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
+		{"fanout", "bytes, delay and processor time of passing records on, through one reader and through the tree", benchFanout},
 	}
 }
 
+func benchFanout(ctx context.Context, o benchOptions) (any, error) {
+	options := fanoutbench.Default()
+	options.Progress = o.progress
+	return encoded(fanoutbench.Run(ctx, options))
+}
+
 func benchPlacement(ctx context.Context, o benchOptions) (any, error) {
 	options := placementbench.Default()
 	options.Seed = o.seed
@@ -33,12 +41,7 @@
 	options := faultbench.Default()
 	options.Seed = o.seed
 	options.Progress = o.progress
-	result, err := faultbench.Run(ctx, options)
-	if err != nil {
-		return nil, err
-	}
-	data, err := result.JSON()
-	return json.RawMessage(data), err
+	return encoded(faultbench.Run(ctx, options))
 }
 
 func benchPlacementScale(ctx context.Context, o benchOptions) (any, error) {
@@ -48,30 +51,24 @@
 }
 
 func benchJournal(ctx context.Context, _ benchOptions) (any, error) {
-	result, err := journalbench.Run(ctx, journalbench.Default())
-	if err != nil {
-		return nil, err
-	}
-	data, err := result.JSON()
-	return json.RawMessage(data), err
+	return encoded(journalbench.Run(ctx, journalbench.Default()))
 }
 
 func benchCapacity(ctx context.Context, o benchOptions) (any, error) {
 	options := capacitybench.Default()
 	options.Progress = o.progress
-	result, err := capacitybench.Run(ctx, options)
-	if err != nil {
-		return nil, err
-	}
-	data, err := result.JSON()
-	return json.RawMessage(data), err
+	return encoded(capacitybench.Run(ctx, options))
 }
 
 func benchMembership(ctx context.Context, _ benchOptions) (any, error) {
-	report, err := membershipbench.Run(ctx, membershipbench.Default())
+	return encoded(membershipbench.Run(ctx, membershipbench.Default()))
+}
+
+// encoded takes the result of a measurement that has its own encoding.
+func encoded[T interface{ JSON() ([]byte, error) }](result T, err error) (any, error) {
 	if err != nil {
 		return nil, err
 	}
-	data, err := report.JSON()
+	data, err := result.JSON()
 	return json.RawMessage(data), err
 }
--- a/cmd/cancel.go
+++ b/cmd/cancel.go
@@ -17,7 +17,7 @@
 		long: `Asks for the end of a job. A job that has not started ends as not-run; the tasks of a running one are stopped.
 
 Exit codes: 0 when the cancellation is recorded or the job has ended, 1 otherwise, 2 for wrong usage.`,
-		examples: []string{"wasabihoist cancel --entry 10.0.0.1:8080 match-17"},
+		examples: []string{"wasabihoist cancel match-17"},
 		runner:   &cancelCommand{},
 	}
 }
@@ -30,6 +30,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	status, err := client.Cancel(ctx, c.Args.ID)
 	if err != nil {
 		return err
--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -20,7 +20,7 @@
 		long: `Shows what a job waits for, which plan or shape stands before it, and what would have to change.
 
 Exit codes: 0 when a scheduler explained the job, 1 otherwise, 2 for wrong usage.`,
-		examples: []string{"wasabihoist explain --operator 10.0.0.1:7080 lyceum-players match-17"},
+		examples: []string{"wasabihoist explain lyceum-players match-17"},
 		runner:   &explainCommand{},
 	}
 }
@@ -33,6 +33,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	e, err := client.ExplainAny(ctx, c.Args.Organisation, c.Args.ID)
 	if err != nil {
 		return err
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -25,7 +25,7 @@
 
 Exit codes: 0 when the edit is in force at the entry, 1 when it was refused, 2 for wrong usage.`,
 		examples: []string{
-			"wasabihoist publish --operator 10.0.0.1:7080 --base 0 plans.toml allowances.toml",
+			"wasabihoist publish --base 0 plans.toml allowances.toml",
 		},
 		runner: &publishCommand{},
 	}
@@ -47,6 +47,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	published, err := client.Publish(ctx, restapi.Publish{
 		Base:           c.Base,
 		Operator:       c.operatorName(),
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"wasabihoist/internal/role/restapi"
@@ -26,7 +27,7 @@
 		long: `Shows what is known of a job, or of a request with --request. Any entry can be asked.
 
 Exit codes: 0 when it is known (for a request: when it is done), 1 otherwise, 2 for wrong usage.`,
-		examples: []string{"wasabihoist status --entry 10.0.0.1:8080 match-17"},
+		examples: []string{"wasabihoist status match-17", "wasabihoist status --request check-1"},
 		runner:   &statusCommand{},
 	}
 }
@@ -39,6 +40,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	if c.Request {
 		answer, err := client.Request(ctx, c.Args.ID)
 		if err != nil {
@@ -69,7 +71,7 @@
 		long: `Waits until a job has ended and shows its outcome.
 
 Exit codes: 0 when the job is done, 1 for any other outcome or when the time is over, 2 for wrong usage.`,
-		examples: []string{"wasabihoist wait --entry 10.0.0.1:8080 --timeout 1h match-17"},
+		examples: []string{"wasabihoist wait --timeout 1h match-17"},
 		runner:   &waitCommand{},
 	}
 }
@@ -83,6 +85,7 @@
 	deadline := time.Now().Add(c.Timeout)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(defaultCallTimeout))
 	defer cancel()
+	defer env.showProgress(ctx, jobProgress(client, c.Args.ID))()
 	for {
 		wait := min(waitStep, time.Until(deadline))
 		status, err := client.Job(ctx, c.Args.ID, max(wait, time.Millisecond))
@@ -99,6 +102,9 @@
 	if err := writeJobStatus(env.stdout, c.outputOption, status); err != nil {
 		return err
 	}
+	if !ended(status) {
+		return fmt.Errorf("job %s is still %s after %s", c.Args.ID, status.State, c.Timeout)
+	}
 	if status.Outcome != "done" {
 		return errFindings
 	}
--- a/cmd/submit.go
+++ b/cmd/submit.go
@@ -28,8 +28,8 @@
 
 Exit codes: 0 when the job was accepted or the request was done, 1 when it was refused, failed or its outcome is unknown, 2 for wrong usage.`,
 		examples: []string{
-			"wasabihoist submit --entry 10.0.0.1:8080 job.json",
-			"wasabihoist submit --entry 10.0.0.1:8080 --request check.json",
+			"wasabihoist submit job.json",
+			"wasabihoist submit --request check.json",
 		},
 		runner: &submitCommand{},
 	}
@@ -54,6 +54,7 @@
 	}
 	ctx, cancel := withTimeout(ctx)
 	defer cancel()
+	defer env.showProgress(ctx, callProgress(c.Entry))()
 	status, err := client.Submit(ctx, j)
 	if err != nil {
 		return err
@@ -74,6 +75,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, latest(r.Deadline, time.Now()).Add(defaultCallTimeout))
 	defer cancel()
+	defer env.showProgress(ctx, requestProgress(r))()
 	answer, err := client.Run(ctx, r)
 	if err != nil {
 		return err
--- a/internal/record/source/avoidance_test.go
+++ b/internal/record/source/avoidance_test.go
@@ -44,6 +44,8 @@
 
 func (f clockworkReader) Snapshot(context.Context, int64) ([]byte, error) { return nil, nil }
 
+func (f clockworkReader) Watch(context.Context, int64, time.Duration) (int64, error) { return 0, nil }
+
 // Guards against a silent reader that costs time in each read, that is avoided
 // for ever, or that is mixed up with the one that follows it.
 func TestFailedReaderIsAvoidedForAWhile(t *testing.T) {
--- a/internal/run/bench/journalbench/hold.go
+++ b/internal/run/bench/journalbench/hold.go
@@ -32,7 +32,7 @@
 		{subject: subject{records: runningJob}, writer: "running@1", count: h.RunningJobs},
 		{subject: subject{records: jobLife}, writer: "ended@1", count: h.EndedJobs, first: h.RunningJobs},
 		{subject: subject{records: func(i int, _ int64) []journal.Record { return answeredClaim(i, o.AnswerBytes) }}, writer: "claims@1", count: h.Claims},
-		{subject: subject{whole: configuration}, writer: "operator@1", count: h.Organisations},
+		{subject: subject{whole: func(count int) journal.Record { return Configuration(count) }}, writer: "operator@1", count: h.Organisations},
 	} {
 		s.batch, s.offset = o.Batch, j.Next()
 		entries, _, err := s.payloads()
--- a/internal/run/bench/journalbench/writers.go
+++ b/internal/run/bench/journalbench/writers.go
@@ -19,6 +19,7 @@
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
 	"wasabihoist/internal/record/relay"
+	"wasabihoist/internal/run/bench/usage"
 	"wasabihoist/internal/standin/logservice"
 )
 
@@ -114,7 +115,7 @@
 	l := &load{latency: hdrhistogram.New(1, maxMicros, digits)}
 	callers := group.New(ctx)
 	observer := journal.New()
-	began, cpu := time.Now(), cpuTime()
+	began, cpu := time.Now(), usage.ProcessorTime()
 	end, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	for i := range writers.Processes {
@@ -133,7 +134,7 @@
 	err = callers.Wait()
 	seconds := time.Since(began).Seconds()
 	appends := float64(observer.Next() - 1)
-	t := l.result(writers, seconds, appends, cpuTime()-cpu)
+	t := l.result(writers, seconds, appends, usage.ProcessorTime()-cpu)
 	processes.Stop()
 	err = errors.Join(err, processes.Wait())
 	s.group.Stop()
