Send a request elsewhere when its agent cannot be reached

Cause: no test separated one entry from one agent over real connections. The new test found that a non-idempotent request which was sent on a connection that became silent stayed with that agent until its deadline and ended as unknown, although others could have run it. An idempotent one asked the silent agent twice and took 6 s to move on.

Change: an entry that gets no answer to its question sends the request to another agent. The claim decides which of the two runs it, and the other waits for the result. internal/standin/relay forwards TCP connections and can make them silent; the embedded deployment puts relays between an entry and an agent.

--- a/internal/run/embedded/cluster.go
+++ b/internal/run/embedded/cluster.go
@@ -17,6 +17,7 @@
 	"wasabihoist/internal/run/settings"
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/standin/minionhost"
+	"wasabihoist/internal/standin/relay"
 	"wasabihoist/internal/standin/workerhost"
 )
 
@@ -133,6 +134,28 @@
 // Partition cuts or restores the link between the regions.
 func (c *Cluster) Partition(on bool) { c.network.setPartitioned(on) }
 
+// Relay leads the exchanges between an entry and an agent through relays, in
+// both directions. The result makes them silent, or lets them through again.
+// Connections that are open already stay as they are.
+func (c *Cluster) Relay(e *Entry, m *Minion) (setSilent func(bool), err error) {
+	a, b := e.Settings.ListenAddress, m.Settings.ListenAddress
+	var relays []*relay.Relay
+	for _, p := range []path{{a, b}, {b, a}} {
+		r, err := relay.New(p.to)
+		if err != nil {
+			return nil, err
+		}
+		c.group.Go(r.String(), r.Run)
+		c.network.setRelay(p, r.Address())
+		relays = append(relays, r)
+	}
+	return func(silent bool) {
+		for _, r := range relays {
+			r.SetSilent(silent)
+		}
+	}, nil
+}
+
 // Stop ends everything and waits for it.
 func (c *Cluster) Stop() error {
 	var failures []error
--- a/internal/run/embedded/network.go
+++ b/internal/run/embedded/network.go
@@ -26,14 +26,22 @@
 	mu          sync.Mutex
 	bound       map[netip.AddrPort]net.Listener // bound listeners that no process has taken yet.
 	sites       map[netip.AddrPort]deployment.Site
+	relays      map[path]netip.AddrPort // relays between processes that are not connected directly.
 	partitioned bool
 }
 
+// path is the way from the process that listens at one address to another.
+type path struct {
+	from netip.AddrPort
+	to   netip.AddrPort
+}
+
 func newNetwork(d deployment.Deployment) *network {
 	return &network{
 		deployment: d,
 		bound:      map[netip.AddrPort]net.Listener{},
 		sites:      map[netip.AddrPort]deployment.Site{},
+		relays:     map[path]netip.AddrPort{},
 	}
 }
 
@@ -104,11 +112,51 @@
 	return n.deployment.OneWay(from, target), nil
 }
 
-// middleware adds the latencies that a process at a site sees.
-func (n *network) middleware(from deployment.Site) transport.Middleware {
+// setRelay leads the exchanges of a process with an address through a relay.
+func (n *network) setRelay(p path, relay netip.AddrPort) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.relays[p] = relay
+}
+
+// route returns the address to connect to.
+func (n *network) route(p path) netip.AddrPort {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if relay, ok := n.relays[p]; ok {
+		return relay
+	}
+	return p.to
+}
+
+// middleware adds the latencies and relays that the process sees which is at a
+// site and listens at an address.
+func (n *network) middleware(site deployment.Site, from netip.AddrPort) transport.Middleware {
 	return func(next http.RoundTripper) http.RoundTripper {
-		return delayed{next: next, delay: func(to netip.AddrPort) (time.Duration, error) { return n.delay(from, to) }}
+		return delayed{
+			next:  routed{next: next, route: func(to netip.AddrPort) netip.AddrPort { return n.route(path{from, to}) }},
+			delay: func(to netip.AddrPort) (time.Duration, error) { return n.delay(site, to) },
+		}
+	}
+}
+
+// routed replaces the address that is connected to.
+type routed struct {
+	next  http.RoundTripper
+	route func(netip.AddrPort) netip.AddrPort
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t routed) RoundTrip(r *http.Request) (*http.Response, error) {
+	target, err := netip.ParseAddrPort(r.URL.Host)
+	if err != nil {
+		return nil, fmt.Errorf("target of the exchange: %w", err)
+	}
+	if actual := t.route(target); actual != target {
+		r = r.Clone(r.Context())
+		r.URL.Host = actual.String()
 	}
+	return t.next.RoundTrip(r)
 }
 
 // callerTransport adds the latency between a caller and the entries.
--- a/internal/run/embedded/running.go
+++ b/internal/run/embedded/running.go
@@ -7,6 +7,7 @@
 
 	"wasabihoist/internal/run/deployment"
 	"wasabihoist/internal/run/process"
+	"wasabihoist/internal/run/settings"
 	"wasabihoist/internal/standin/minionhost"
 )
 
@@ -30,13 +31,17 @@
 	})
 }
 
-func (c *Cluster) environment(site deployment.Site) process.Environment {
-	return process.Environment{Logger: c.Options.Logger, Middleware: c.network.middleware(site), Listen: c.network.listen}
+func (c *Cluster) environment(site deployment.Site, s settings.Settings) process.Environment {
+	return process.Environment{
+		Logger:     c.Options.Logger,
+		Middleware: c.network.middleware(site, s.ListenAddress),
+		Listen:     c.network.listen,
+	}
 }
 
 // StartEntry starts an entry that is not running.
 func (c *Cluster) StartEntry(e *Entry) error {
-	p, err := process.NewEntry(e.Settings, c.environment(e.Site))
+	p, err := process.NewEntry(e.Settings, c.environment(e.Site, e.Settings))
 	if err != nil {
 		return fmt.Errorf("start %s: %w", e.Name, err)
 	}
@@ -46,7 +51,7 @@
 
 // StartAgent starts the agent beside a minion when it is not running.
 func (c *Cluster) StartAgent(m *Minion) error {
-	p, err := process.NewAgent(m.Settings, c.environment(m.Site))
+	p, err := process.NewAgent(m.Settings, c.environment(m.Site, m.Settings))
 	if err != nil {
 		return fmt.Errorf("start %s: %w", m.Settings.Name, err)
 	}
--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -26,6 +26,7 @@
 	errCrossed   = errors.New("reply belongs to another request")
 	errTruncated = errors.New("reply is not whole")
 	errLost      = errors.New("reply was lost")
+	errSilent    = errors.New("agent does not answer questions")
 	errInvalid   = errors.New("request is not valid")
 	errKnown     = errors.New("agent knows the request")
 )
@@ -85,8 +86,7 @@
 
 // run sends a request to an agent. While no reply comes, it asks by identity on
 // fresh connections, because the connection may be silent. It gives up when the
-// agent does not know the request; for an idempotent request it also gives up
-// when the agent does not reply to the question.
+// agent does not know the request or does not reply to the question.
 func (x *exchanger) run(ctx context.Context, a Agent, q request.Request, client *http.Client) (request.Answer, error) {
 	x.chooser.begin(a)
 	defer x.chooser.end(a)
@@ -112,9 +112,9 @@
 				return r.answer, r.err
 			}
 			return request.Answer{}, fmt.Errorf("ask %s: %w: it does not know the request", a.Name, errLost)
-		case err != nil && q.Idempotent:
+		case err != nil:
 			// The error is that of the question; the request itself was sent.
-			return request.Answer{}, fmt.Errorf("ask %s: %w: %w", a.Name, errLost, err)
+			return request.Answer{}, fmt.Errorf("ask %s: %w: %w: %w", a.Name, errLost, errSilent, err)
 		}
 	}
 }
--- a/internal/traffic/routing/run.go
+++ b/internal/traffic/routing/run.go
@@ -153,10 +153,13 @@
 	}
 	r.count(err)
 	r.uncertain = true
-	if r.request.Idempotent {
-		return r.askAgain(ctx, a)
+	switch {
+	case !r.request.Idempotent:
+		return r.resolve(ctx, a, err), true
+	case errors.Is(err, errSilent):
+		return request.Answer{}, false
 	}
-	return r.resolve(ctx, a), true
+	return r.askAgain(ctx, a)
 }
 
 // httpClient uses fresh connections for retries.
@@ -218,20 +221,28 @@
 }
 
 // resolve finds out what became of a non-idempotent request whose reply was
-// lost. It asks the same agent and reads the journal until the deadline. When
-// neither knows the request, it is sent to the same agent again: the identity
-// and the claim make sure that it does not run twice.
-func (r *run) resolve(ctx context.Context, a Agent) request.Answer {
+// lost. It asks the agent and reads the journal until the deadline. When
+// neither knows the request, it is sent again, to the same agent or, when that
+// is silent, to another one: the identity and the claim make sure that it does
+// not run twice.
+func (r *run) resolve(ctx context.Context, a Agent, lost error) request.Answer {
 	for ctx.Err() == nil {
 		if answer, ok := r.recorded(); ok {
 			return answer
 		}
 		changed := r.client.journal.Watch()
-		answer, found, err := r.client.exchanger.lookup(ctx, a, r.request.Identity)
-		if err == nil && !found && r.unclaimed() && r.client.budget.Take(time.Now()) {
+		answer, found, err := request.Answer{}, false, lost
+		if !errors.Is(lost, errSilent) {
+			answer, found, err = r.client.exchanger.lookup(ctx, a, r.request.Identity)
+		}
+		lost = nil
+		if (err != nil || !found) && r.unclaimed() && r.client.budget.Take(time.Now()) {
+			if err != nil {
+				a = r.another(a)
+			}
 			r.client.Counters.Retries.Add(1)
 			answer, err = r.client.exchanger.run(ctx, a, r.request, r.client.exchanger.fresh)
-			found = true
+			found, lost = true, err
 		}
 		if err == nil && found && answer.Outcome != request.Pending && answer.Outcome != request.NotRun {
 			return answer
@@ -242,6 +253,16 @@
 	return r.giveUp("the reply was lost, and neither the agent nor the journal has the outcome")
 }
 
+// another chooses an agent in place of one that does not reply, which stays the
+// choice when there is no other.
+func (r *run) another(a Agent) Agent {
+	r.client.chooser.failed(a)
+	if next, ok := r.choose(); ok {
+		return next
+	}
+	return a
+}
+
 func (r *run) unclaimed() bool {
 	_, claimed := r.client.journal.Request(r.request.Identity)
 	return !claimed && time.Now().Before(r.request.Deadline)
