Report guarantees that have no place, and test a lost data centre

Cause: no test showed that guarantees move when a data centre is lost. The new test found that nothing told operators which guarantee has no place left: the schedulers dropped the shortfalls of the division.

Change: the scheduler of the first data centre that has workers writes the shortfalls to the audit trail (action guarantees) with plan, organisation and what is missing, and again when every guarantee has a place. A new term goes on from the last such entry. The test loses a data centre by a crash, or by silence with its scheduler paused, and brings it back.

--- a/internal/fleet/scheduler/fixture_test.go
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -134,6 +135,11 @@
 }
 
 func (f *fixture) processWith(t *testing.T, name string, limits Limits) *process {
+	t.Helper()
+	return f.processIn(t, "acari", name, limits)
+}
+
+func (f *fixture) processIn(t *testing.T, dataCentre, name string, limits Limits) *process {
 	t.Helper()
 	o := journal.DefaultWriterOptions()
 	o.Spacing, o.Backoff = 5*time.Millisecond, 20*time.Millisecond
@@ -144,7 +150,7 @@
 	p.base.Go("writer", p.writer.Run)
 	p.base.Go("follower", journal.NewFollower(j, client, nil).Run)
 	options := Default()
-	options.DataCentre, options.Holder, options.Workers = "acari", name, f.workers
+	options.DataCentre, options.Holder, options.Workers = dataCentre, name, f.workers
 	options.Limits = limits
 	options.Gang = gang.Options{StartDeadline: 3 * time.Second, StopRetry: 50 * time.Millisecond, StopTries: 3}
 	options.Health = HealthOptions{Quick: 300 * time.Millisecond, Streak: 3, Quarantine: time.Second, Avoid: 400 * time.Millisecond}
@@ -168,6 +174,17 @@
 	return p
 }
 
+// keep runs the scheduler again after another holder superseded it, as the
+// process does that has the duty.
+func (p *process) keep() {
+	p.duty.Go("duty", func(ctx context.Context) error {
+		for ctx.Err() == nil && errors.Is(p.scheduler.Run(ctx), ErrSuperseded) {
+			sleep(ctx, testLimits().TTL)
+		}
+		return nil
+	})
+}
+
 // kill ends the process without any clean-up.
 func (p *process) kill() {
 	p.base.Stop()
--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -17,6 +17,9 @@
 	"wasabihoist/internal/traffic/request"
 )
 
+// auditGuarantees is the action of the reports on guarantees without a place.
+const auditGuarantees = "guarantees"
+
 // fold passes the changes of the journal on.
 func (t *term) fold() {
 	c := t.changes.Take()
@@ -40,8 +43,49 @@
 func (t *term) configure() {
 	c := t.journal.Configuration()
 	t.planner.SetConfiguration(c)
-	parts, _ := guarantee.Divide(guarantee.Entitlements(c, time.Now()), t.presentWorkers())
+	parts, shortfalls := guarantee.Divide(guarantee.Entitlements(c, time.Now()), t.presentWorkers())
 	t.planner.SetEntitlements(parts[t.options.DataCentre])
+	t.guarantees = guarantee.Verdict{Holds: len(shortfalls) == 0, Shortfalls: shortfalls}
+}
+
+// reportShortfalls writes to the audit trail which guarantees of the deployment
+// have lost their place, and that all have one again.
+func (t *term) reportShortfalls() {
+	if t.reported == "" {
+		t.reported = t.lastReport()
+	}
+	verdict := t.guarantees.String()
+	if verdict == t.reported {
+		return
+	}
+	t.reported = verdict
+	if t.reportsForDeployment() {
+		t.audit(auditGuarantees, "deployment", "workers were lost or came back, or the configuration changed", verdict)
+	}
+}
+
+// lastReport returns what an earlier term has reported. Before the first
+// report every guarantee is taken to have its place.
+func (t *term) lastReport() string {
+	last := guarantee.Verdict{Holds: true}.String()
+	for _, e := range t.journal.AuditTrail() {
+		if e.Audit.Action == auditGuarantees {
+			last = e.Audit.After
+		}
+	}
+	return last
+}
+
+// reportsForDeployment is true for one scheduler among those that find the
+// same: that of the first data centre which has workers.
+func (t *term) reportsForDeployment() bool {
+	first := t.options.DataCentre
+	for i, w := range t.presentWorkers() {
+		if i == 0 || w.DataCentre < first {
+			first = w.DataCentre
+		}
+	}
+	return first == t.options.DataCentre
 }
 
 // presentWorkers are the workers of all data centres that are not reported
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -12,6 +12,7 @@
 	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/traffic/request"
 )
 
@@ -25,20 +26,22 @@
 	wanted  chan struct{} // wanted asks for a read barrier.
 	keepers map[string]*keeper
 
-	planner  *placement.Planner
-	others   map[string]*placement.Planner // others are empty models of the other data centres.
-	health   *health
-	hosts    map[string]*hostState
-	fresh    []string // fresh hosts have a new lease and are not searched for orphans yet.
-	active   map[request.Identity]*attempt
-	byTask   map[string]memberOf
-	settling map[request.Identity]settlement
-	delayed  map[request.Identity]delayed
-	begun    time.Time
-	synced   time.Time // synced is when the last barrier that was folded was sent; zero before the first.
-	dirty    bool      // dirty is set when something happened on which a step may follow.
-	placing  bool      // placing is set once the workers are known well enough to place jobs.
-	draining bool
+	planner    *placement.Planner
+	others     map[string]*placement.Planner // others are empty models of the other data centres.
+	health     *health
+	hosts      map[string]*hostState
+	fresh      []string // fresh hosts have a new lease and are not searched for orphans yet.
+	active     map[request.Identity]*attempt
+	byTask     map[string]memberOf
+	settling   map[request.Identity]settlement
+	delayed    map[request.Identity]delayed
+	begun      time.Time
+	synced     time.Time         // synced is when the last barrier that was folded was sent; zero before the first.
+	guarantees guarantee.Verdict // guarantees says which guarantees of the deployment have no place.
+	reported   string            // reported is the last verdict that this term has seen; empty before the first one.
+	dirty      bool              // dirty is set when something happened on which a step may follow.
+	placing    bool              // placing is set once the workers are known well enough to place jobs.
+	draining   bool
 }
 
 // hostState is what the term knows of a worker.
@@ -203,6 +206,7 @@
 	t.offerDelayed(now)
 	t.openWorkers(now)
 	t.reportWorkers()
+	t.reportShortfalls()
 	t.decide(now)
 }
 
