Answer not run only when it is proved

Cause: an entry behind the log asked the agents that it listed, and took their silence about an identity for a proof. Three agents could have run the request without anybody knowing it: one that has restarted while the log cannot be read, one that is dead or forgotten, and one that the entry has not listed yet. Two more faults came up: a refusal by the entry itself (deadline, plan) asked at most two agents of each tier, and the entry ended its call at the deadline, so that a refusal at the deadline had no time for its proof and was answered as unknown.

Change: before not run, the entry folds a read barrier while it asks all agents. Without the log, every agent that it listed at its last barrier (every 5 s) must be there and answer, and must list the same agents (a digest in the reply). An agent does not say that a request did not run before it has folded a barrier of its own. Refusals by the entry use the same proof. The proof may take 1 s instead of 0.3 s, because a barrier takes an append.

Conclusion: what no answer of an agent and no record proves is unknown.

--- a/internal/role/agent/admission.go
+++ b/internal/role/agent/admission.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
@@ -46,25 +48,44 @@
 }
 
 // Lookup implements wire.Agent. It waits for a while for a request that is
-// running.
+// running. It does not say that a request did not run before this process has
+// read the log, because an earlier one may have run it.
 func (s service) Lookup(ctx context.Context, r *wire.LookupRequest) (*wire.RunReply, error) {
 	id, err := identityFromWire(r.GetIdentity())
 	if err != nil {
 		return nil, err
 	}
+	synced := s.hasSynced() // before the journal is read
+	answer, found := s.find(ctx, id)
+	if (!found || answer.Outcome == request.NotRun) && !synced {
+		return nil, twirp.NewError(twirp.Unavailable, "the agent has not read the log since its start")
+	}
+	reply := s.reply(answer, found)
+	if s.options.KnownAgents != nil {
+		reply.KnownAgents = s.options.KnownAgents()
+	}
+	return reply, nil
+}
+
+// find returns the answer of a request, for which it may wait, or Pending.
+func (s *Server) find(ctx context.Context, id request.Identity) (request.Answer, bool) {
 	s.mu.Lock()
-	e := s.entries[id]
-	if e != nil {
+	if e := s.entries[id]; e != nil {
 		e.waiters++
 		s.mu.Unlock()
-		return s.reply(s.await(ctx, e, s.options.LookupWait), true), nil
+		return s.await(ctx, e, s.options.LookupWait), true
 	}
-	answer, found := s.lookup(id)
-	s.mu.Unlock()
-	if !found {
-		answer = request.Answer{Identity: id, Outcome: request.Pending}
+	defer s.mu.Unlock()
+	if answer, found := s.lookup(id); found {
+		return answer, true
 	}
-	return s.reply(answer, found), nil
+	return request.Answer{Identity: id, Outcome: request.Pending}, false
+}
+
+func (s *Server) hasSynced() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.synced
 }
 
 // lookup returns what is known of an identity without an entry. A claim that is
--- a/internal/role/agent/failure_test.go
+++ b/internal/role/agent/failure_test.go
@@ -20,26 +20,48 @@
 	"wasabihoist/internal/traffic/routing"
 )
 
-// startClient starts the routing part of an entry. Its view of the agents
-// never changes, as if membership had not noticed any failure yet.
+// entryClient is the routing part of an entry.
+type entryClient struct {
+	*routing.Client
+	logGate *gate
+	agents  []routing.Agent
+}
+
+// startClient starts a client. Its view of the agents never changes, as if
+// membership had not noticed any failure yet.
 func (cl *cluster) startClient(name string) *routing.Client {
+	cl.t.Helper()
+	return cl.startEntry(name).Client
+}
+
+func (cl *cluster) startEntry(name string) *entryClient {
 	cl.t.Helper()
 	g := group.New(context.Background())
-	j, _ := cl.startJournal(g, name, gatedLog{cl.log, newGate()})
+	e := &entryClient{logGate: newGate(), agents: cl.targets()}
+	j, w := cl.startJournal(g, name, gatedLog{cl.log, e.logGate})
 	options := routing.DefaultOptions()
 	options.Region, options.DataCentre = "serido", "caico"
 	options.AskAfter = 200 * time.Millisecond
-	agents := make([]routing.Agent, 0, len(cl.nodes))
-	for _, n := range cl.nodes {
-		agents = append(agents, cl.target(n))
+	barrier := func(ctx context.Context) error {
+		_, err := w.Append(ctx, journal.Barrier{})
+		return err
 	}
-	client := routing.New(options, func() []routing.Agent { return agents }, j, nil)
+	e.Client = routing.New(options, func() []routing.Agent { return e.agents }, j, barrier, nil)
 	cl.t.Cleanup(func() {
+		e.logGate.open()
 		g.Stop()
 		_ = g.Wait()
-		client.Close()
+		e.Close()
 	})
-	return client
+	return e
+}
+
+func (cl *cluster) targets() []routing.Agent {
+	agents := make([]routing.Agent, 0, len(cl.nodes))
+	for _, n := range cl.nodes {
+		agents = append(agents, cl.target(n))
+	}
+	return agents
 }
 
 // slots bounds the clusters that run at the same time.
@@ -316,27 +338,6 @@
 	}
 }
 
-// Guards against a not-run answer of an entry that is behind the log, for an
-// identity that was run for another entry.
-func TestNotRunIsProvedByTheAgents(t *testing.T) {
-	c := qt.New(t)
-	cl := newCluster(t, 2, nil)
-	q := cl.request("tally", false, 0)
-	cl.nodes[1].logGate.shut()
-	defer cl.nodes[1].logGate.open()
-	assertDone(c, q, cl.run(cl.nodes[0], q, eventually))
-	cl.nodes[1].minion.Leave()
-	cl.awaitTrue("the other agent takes no work", cl.nodes[1].agent.Draining)
-	agents := []routing.Agent{cl.target(cl.nodes[0]), cl.target(cl.nodes[1])}
-	agents[0].State = routing.Draining
-	behind := routing.New(routing.DefaultOptions(), func() []routing.Agent { return agents }, journal.New(), nil)
-	defer behind.Close()
-	c.Assert(submit(behind, q, 300*time.Millisecond).Outcome, qt.Equals, request.Unknown)
-	fresh := cl.request("tally-2", false, 0)
-	c.Assert(submit(behind, fresh, 300*time.Millisecond).Outcome, qt.Equals, request.NotRun)
-	c.Assert(cl.executions(fresh.Identity), qt.Equals, 0)
-}
-
 // Guards against a planned stop under full load that cuts off a long answer.
 func TestDrainUnderFullLoad(t *testing.T) {
 	c := qt.New(t)
--- a/internal/role/agent/harness_test.go
+++ b/internal/role/agent/harness_test.go
@@ -1,10 +1,12 @@
 package agent_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +20,7 @@
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/standin/minionhost"
 	"wasabihoist/internal/traffic/request"
+	"wasabihoist/internal/traffic/routing"
 )
 
 // eventually bounds what needs only a few exchanges on an idle machine.
@@ -42,6 +45,7 @@
 	logService *logservice.Service
 	log        platformlog.Log
 	nodes      []*node
+	listed     atomic.Uint64 // listed is the digest of the agents that the agents list; 0 for that of all nodes.
 }
 
 func newCluster(t *testing.T, nodes int, adjust func(*agent.Options)) *cluster {
@@ -53,6 +57,12 @@
 	for i := range nodes {
 		cl.nodes = append(cl.nodes, cl.startNode(fmt.Sprintf("agent-%d", i), adjust))
 	}
+	for _, n := range cl.nodes {
+		cl.awaitTrue("the agent has read the log", func() bool {
+			_, err := n.agent.Service().Lookup(context.Background(), &wire.LookupRequest{Identity: &wire.Identity{Organisation: "serido", Id: "none"}})
+			return err == nil
+		})
+	}
 	return cl
 }
 
@@ -88,6 +98,7 @@
 	o := agent.DefaultOptions()
 	o.Name = name
 	o.AskAfter, o.ProbeEvery = 200*time.Millisecond, 200*time.Millisecond
+	o.KnownAgents = func() uint64 { return cmp.Or(cl.listed.Load(), routing.Digest(cl.targets())) }
 	if adjust != nil {
 		adjust(&o)
 	}
--- a/internal/role/agent/options.go
+++ b/internal/role/agent/options.go
@@ -25,6 +25,7 @@
 	KeepBytes    int           // KeepBytes bounds the memory for kept answers.
 	MaxRecorded  int           // MaxRecorded bounds the bytes of an answer in the journal.
 	MaxDeadline  time.Duration // MaxDeadline bounds the time until a deadline.
+	KnownAgents  func() uint64 // KnownAgents is the digest of the agents that this process knows; nil for none.
 	JournalRetry time.Duration // JournalRetry is the pause before a record is submitted again.
 }
 
--- a/internal/role/agent/server.go
+++ b/internal/role/agent/server.go
@@ -57,6 +57,7 @@
 	kept      *answers
 	settling  map[request.Identity]*openRecord // settling has the records that must still be appended.
 	draining  bool
+	synced    bool // synced is set once the journal has folded a barrier of this process.
 	minion    minionState
 	changed   chan struct{} // changed is closed when an entry or a record is done, and then replaced.
 }
@@ -91,9 +92,25 @@
 	s.mu.Unlock()
 	g.Go("dispatch", s.dispatch)
 	g.Every("probe", s.options.ProbeEvery, s.probe)
+	g.Go("barrier", s.sync)
 	return g.Wait()
 }
 
+// sync folds a barrier. The journal then has every claim of earlier processes
+// beside the minion.
+func (s *Server) sync(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if _, err := s.writer.Append(ctx, journal.Barrier{}); err == nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.synced = true
+			return nil
+		}
+		pause(ctx, s.options.JournalRetry)
+	}
+	return nil
+}
+
 // Drain refuses new work, waits until everything accepted is answered and
 // recorded, and then ends Run. It returns an error when ctx ends first.
 func (s *Server) Drain(ctx context.Context) error {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -18,8 +18,12 @@
 
 // Router runs requests on agents.
 type Router interface {
-	// Run returns the answer by the deadline of the request.
+	// Run returns the answer by the deadline of the request, or soon after it
+	// when a refusal has to be proved.
 	Run(ctx context.Context, r request.Request) request.Answer
+	// Refuse returns NotRun with the reason, or what became of an earlier
+	// submission of the request.
+	Refuse(ctx context.Context, r request.Request, reason string) request.Answer
 	// Lookup returns the answer of a request that an agent still knows.
 	Lookup(ctx context.Context, id request.Identity) (request.Answer, bool)
 }
--- a/internal/role/entry/entry_test.go
+++ b/internal/role/entry/entry_test.go
@@ -62,6 +62,16 @@
 	c.Assert(s.call(desk, "GET", "/v1/jobs/1", "").body["state"], qt.Equals, "queued")
 }
 
+// Guards against a call that ends at the deadline of its request. The proof of
+// a refusal at the deadline would have no time, and the answer would be unknown.
+func TestRefusalHasTimeForItsProof(t *testing.T) {
+	c := qt.New(t)
+	s := newSite(t, nil)
+	s.call(desk, "POST", "/v1/requests", requestBody("1", "check", time.Minute))
+	c.Assert(s.router.runs, qt.Equals, 1)
+	c.Assert(s.router.limited, qt.IsFalse)
+}
+
 // Guards against findings that are reported one at a time, and against values
 // that overflow further on.
 func TestFindingsAreCollected(t *testing.T) {
--- a/internal/role/entry/harness_test.go
+++ b/internal/role/entry/harness_test.go
@@ -36,20 +36,26 @@
 	answers map[request.Identity]request.Answer
 	hold    chan struct{} // hold blocks Run until it is closed; nil for no wait.
 	runs    int
+	limited bool // limited is set when the last call had a deadline of its own.
 }
 
-func (f *fakeRouter) Run(_ context.Context, r request.Request) request.Answer {
+func (f *fakeRouter) Run(ctx context.Context, r request.Request) request.Answer {
 	if f.hold != nil {
 		<-f.hold
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.runs++
+	_, f.limited = ctx.Deadline()
 	a := request.Answer{Identity: r.Identity, Outcome: request.Done, Body: []byte("for " + r.Identity.String())}
 	f.answers[r.Identity] = a
 	return a
 }
 
+func (f *fakeRouter) Refuse(_ context.Context, r request.Request, reason string) request.Answer {
+	return request.Answer{Identity: r.Identity, Outcome: request.NotRun, Reason: reason}
+}
+
 func (f *fakeRouter) Lookup(_ context.Context, id request.Identity) (request.Answer, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/role/entry/requests.go
+++ b/internal/role/entry/requests.go
@@ -39,10 +39,8 @@
 		if known, ok := e.router.Lookup(ctx, r.Identity); ok {
 			return known
 		}
-		return request.Answer{Identity: r.Identity, Outcome: request.NotRun, Reason: reason}
+		return e.router.Refuse(ctx, r, reason)
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
-	defer cancel()
 	return e.router.Run(ctx, r)
 }
 
--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -10,6 +10,7 @@
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/role/agent"
 	"wasabihoist/internal/run/settings"
+	"wasabihoist/internal/traffic/routing"
 )
 
 const loadInterval = 200 * time.Millisecond
@@ -29,7 +30,9 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{node: n, agent: agent.New(agentOptions(s), n.journal, n.writer)}
+	o := agentOptions(s)
+	o.KnownAgents = func() uint64 { return routing.Digest(n.board.agents.Get()) }
+	a := &Agent{node: n, agent: agent.New(o, n.journal, n.writer)}
 	a.duties, err = newSchedulerDuties(n)
 	if err != nil {
 		return nil, errors.Join(err, n.close())
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -22,6 +22,10 @@
 // the balancer sees the failing health check first.
 const balancerGrace = time.Second
 
+// catchUpInterval is how often an entry proves that its journal is current. An
+// entry appends 0.2 records a second for it.
+const catchUpInterval = 5 * time.Second
+
 // Entry is a process with the role entry.
 type Entry struct {
 	*node
@@ -69,7 +73,7 @@
 	}
 	e := &Entry{node: n}
 	e.collector = report.NewCollector(n.board.holders.Get, e.dialScheduler)
-	e.router = routing.New(routingOptions(s), n.board.agents.Get, n.journal, n.transport)
+	e.router = routing.New(routingOptions(s), n.board.agents.Get, n.journal, n.barrier, n.transport)
 	e.entry = entry.New(entryOptions(s), n.journal, n.writer, e.router, e.collector, n.directory.list)
 	e.callers, err = newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, e.entry.CallerHandler())
 	if err != nil {
@@ -100,11 +104,29 @@
 		}
 		return nil
 	})
+	e.group.Go("catch up", func(ctx context.Context) error {
+		e.catchUp(ctx)
+		return nil
+	})
 	e.awaitStop(ctx, e.stop)
 	_ = e.logger.Log("level", "info", "event", "started", "role", "entry", "name", e.settings.Name)
 	return e.group.Wait()
 }
 
+// catchUp proves from time to time that the journal is current. An outage of
+// the log only makes the last proof older.
+func (e *Entry) catchUp(ctx context.Context) {
+	for ctx.Err() == nil {
+		attempt, cancel := context.WithTimeout(ctx, catchUpInterval)
+		_ = e.router.CatchUp(attempt)
+		cancel()
+		select {
+		case <-ctx.Done():
+		case <-time.After(catchUpInterval):
+		}
+	}
+}
+
 func (e *Entry) stop() error {
 	_ = e.logger.Log("level", "info", "event", "draining", "name", e.settings.Name)
 	e.entry.Drain()
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -271,6 +271,12 @@
 	return ok && holder.Name == n.settings.Name
 }
 
+// barrier returns once the journal has folded all that is on the log now.
+func (n *node) barrier(ctx context.Context) error {
+	_, err := n.writer.Append(ctx, journal.Barrier{})
+	return err
+}
+
 // proberTransport carries the probes of membership.
 type proberTransport struct {
 	transport *transport.Transport
--- a/internal/traffic/routing/client.go
+++ b/internal/traffic/routing/client.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"fmt"
 	"net/http"
 	"time"
 
-	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/traffic/request"
 )
@@ -37,6 +35,7 @@
 	chooser   *chooser
 	exchanger *exchanger
 	budget    *Budget
+	prover    *prover
 	Counters  Counters
 }
 
@@ -50,13 +49,15 @@
 
 // New returns a client that chooses among agents. Nil connections mean
 // connections of its own.
-func New(options Options, agents func() []Agent, j Journal, connections Connections) *Client {
+func New(options Options, agents func() []Agent, j Journal, sync Sync, connections Connections) *Client {
 	c := newChooser(options, agents)
+	x := newExchanger(options, c, connections)
 	return &Client{
 		options:   options,
 		journal:   j,
 		chooser:   c,
-		exchanger: newExchanger(options, c, connections),
+		exchanger: x,
+		prover:    newProver(sync, agents, x),
 		budget:    NewBudget(options.RetryShare, options.RetryPerSecond, options.RetryBurst, time.Now()),
 	}
 }
@@ -67,6 +68,10 @@
 	c.exchanger.fresh.CloseIdleConnections()
 }
 
+// CatchUp brings the journal up to date with the log. Called from time to time,
+// it bounds for how long the proofs without the log have to look back.
+func (c *Client) CatchUp(ctx context.Context) error { return c.prover.catchUp(ctx) }
+
 // Status returns what the client knows of all agents.
 func (c *Client) Status() []AgentStatus { return c.chooser.status() }
 
@@ -92,32 +97,33 @@
 	return c.proveNotRun(caller, q, answer)
 }
 
-// proveNotRun asks all agents of the service whether they know the identity,
-// which may have been submitted at another entry as well. The journal alone is
-// no proof, because this process may be behind it while the log is down. When
-// an agent knows it or does not reply, the outcome is unknown.
+// Refuse answers a request that is not accepted. For a non-idempotent request,
+// NotRun is returned only when no earlier submission of its identity can have
+// run.
+func (c *Client) Refuse(ctx context.Context, q request.Request, reason string) request.Answer {
+	a := request.Answer{Identity: q.Identity, Outcome: request.NotRun, Reason: reason}
+	if q.Idempotent {
+		return a
+	}
+	return c.proveNotRun(ctx, q, a)
+}
+
+// proveNotRun returns the NotRun answer when it is proved that the identity did
+// not run, which may have been submitted at another entry as well. Otherwise
+// the outcome is that in the journal, or unknown.
 func (c *Client) proveNotRun(ctx context.Context, q request.Request, a request.Answer) request.Answer {
 	ctx, cancel := context.WithTimeout(ctx, c.options.ProveTimeout)
 	defer cancel()
-	g := group.New(ctx)
-	for _, target := range c.chooser.agents() {
-		if target.Service != q.Service || target.State == Dead {
-			continue
-		}
-		g.Go("ask "+target.Name, func(ctx context.Context) error {
-			answer, found, err := c.exchanger.lookup(ctx, target, q.Identity)
-			if err != nil {
-				return err
-			}
-			if found && answer.Outcome != request.NotRun {
-				return fmt.Errorf("%s: %w", target.Name, errKnown)
-			}
-			return nil
-		})
-	}
-	if err := g.Wait(); err != nil || ctx.Err() != nil {
+	err := c.prover.prove(ctx, q)
+	state, claimed := c.journal.Request(q.Identity)
+	switch {
+	case claimed && state.Outcome != request.Pending:
+		return answerFromState(state)
+	case claimed:
+		return request.Answer{Identity: a.Identity, Outcome: request.Unknown, Reason: "claimed by " + state.Writer}
+	case err != nil:
 		c.Counters.Unproved.Add(1)
-		reason := fmt.Sprintf("%s; not proved: %v", a.Reason, errors.Join(err, ctx.Err()))
+		reason := fmt.Sprintf("%s; not proved: %v", a.Reason, err)
 		return request.Answer{Identity: a.Identity, Outcome: request.Unknown, Reason: reason}
 	}
 	return a
--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -151,13 +151,18 @@
 
 // lookup asks an agent by identity on a fresh connection.
 func (x *exchanger) lookup(ctx context.Context, a Agent, id request.Identity) (request.Answer, bool, error) {
+	answer, reply, err := x.question(ctx, a, id)
+	return answer, reply.GetFound(), err
+}
+
+func (x *exchanger) question(ctx context.Context, a Agent, id request.Identity) (request.Answer, *wire.RunReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, x.options.AskTimeout)
 	defer cancel()
 	message := &wire.LookupRequest{Identity: &wire.Identity{Organisation: id.Organisation, Id: id.ID}}
 	var sent atomic.Bool
 	reply, err := wire.NewAgentProtobufClient("http://"+a.Address.String(), x.fresh).Lookup(traced(ctx, &sent), message)
 	answer, err := x.check(a, id, reply, err, &sent)
-	return answer, reply.GetFound(), err
+	return answer, reply, err
 }
 
 // traced sets sent once the exchange has a connection.
--- a/internal/traffic/routing/options.go
+++ b/internal/traffic/routing/options.go
@@ -58,7 +58,7 @@
 	AskAfter       time.Duration // AskAfter is how long an exchange is silent before the agent is asked by identity.
 	AskTimeout     time.Duration // AskTimeout bounds a question; it is longer than an agent holds one back.
 	Grace          time.Duration // Grace is how long a reply that the deadline brings about may take.
-	ProveTimeout   time.Duration // ProveTimeout bounds the questions to all agents before a non-idempotent request is answered as not run.
+	ProveTimeout   time.Duration // ProveTimeout bounds the proof before a non-idempotent request is answered as not run: a read barrier and questions to all agents.
 	Dial           time.Duration // Dial bounds the time to open a connection.
 }
 
@@ -81,7 +81,8 @@
 		AskAfter:       time.Second,
 		AskTimeout:     2500 * time.Millisecond,
 		Grace:          200 * time.Millisecond,
-		ProveTimeout:   300 * time.Millisecond,
-		Dial:           time.Second,
+		// A barrier takes about 0.1 s when the log answers.
+		ProveTimeout: time.Second,
+		Dial:         time.Second,
 	}
 }
