--- a/internal/role/agent/options.go
+++ b/internal/role/agent/options.go
@@ -26,6 +26,7 @@
 	MaxRecorded  int           // MaxRecorded bounds the bytes of an answer in the journal.
 	ClaimBytes   int           // ClaimBytes bounds the memory for the claims of the repeat window, without answers; 0 for no bound.
 	MaxDeadline  time.Duration // MaxDeadline bounds the time until a deadline.
+	KnownAgents  func() uint64 // KnownAgents is the digest of the agents that this process knows; nil for none.
 	JournalRetry time.Duration // JournalRetry is the pause before a record is submitted again.
 }
 
--- a/internal/traffic/routing/candidates.go
+++ b/internal/traffic/routing/candidates.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,3 +69,15 @@
 func (c *chooser) witnesses(q request.Request) []Agent {
 	return firstByHash(c.agents(), q.Service, q.Identity, c.options.Candidates+c.options.WitnessMargin)
 }
+
+// earlierWitnesses are the agents that would have been witnesses at some time,
+// as if none of the agents were dead. An agent may be in the list twice.
+func (c *chooser) earlierWitnesses(agents []Agent, q request.Request) []Agent {
+	byName := map[string]Agent{}
+	for _, a := range agents {
+		a.State = Alive
+		byName[a.Name] = a
+	}
+	all := slices.Collect(maps.Values(byName))
+	return firstByHash(all, q.Service, q.Identity, c.options.Candidates+c.options.WitnessMargin)
+}
--- a/internal/traffic/routing/client.go
+++ b/internal/traffic/routing/client.go
@@ -36,6 +36,7 @@
 	chooser   *chooser
 	exchanger *exchanger
 	budget    *Budget
+	prover    *prover
 	Counters  Counters
 }
 
@@ -49,15 +50,18 @@
 
 // New returns a client that chooses among agents. Nil connections mean
 // connections of its own.
-func New(options Options, agents func() []Agent, j Journal, connections Connections) *Client {
+func New(options Options, agents func() []Agent, j Journal, sync Sync, connections Connections) *Client {
 	c := newChooser(options, agents)
-	return &Client{
+	x := newExchanger(options, c, connections)
+	client := &Client{
 		options:   options,
 		journal:   j,
 		chooser:   c,
-		exchanger: newExchanger(options, c, connections),
+		exchanger: x,
 		budget:    NewBudget(options.RetryShare, options.RetryPerSecond, options.RetryBurst, time.Now()),
 	}
+	client.prover = &prover{sync: sync, chooser: c, exchanger: x, options: options, counters: &client.Counters}
+	return client
 }
 
 // Close closes idle connections.
@@ -91,6 +95,17 @@
 	return c.proveNotRun(caller, q, answer)
 }
 
+// Refuse answers a request that is not accepted. For a non-idempotent request,
+// NotRun is returned only when no earlier submission of its identity can have
+// run.
+func (c *Client) Refuse(ctx context.Context, q request.Request, reason string) request.Answer {
+	a := request.Answer{Identity: q.Identity, Outcome: request.NotRun, Reason: reason}
+	if q.Idempotent {
+		return a
+	}
+	return c.proveNotRun(ctx, q, a)
+}
+
 // confirmNotRun checks that no other agent holds a claim of the identity, which
 // may have been submitted at another entry as well.
 func (c *Client) confirmNotRun(ctx context.Context, a request.Answer) request.Answer {
--- a/internal/traffic/routing/proof_test.go
+++ b/internal/traffic/routing/proof_test.go
@@ -85,7 +85,8 @@
 			server := &fullAgent{}
 			agents := fleet(t, server, tt.regions, tt.each)
 			options := impatient()
-			client := New(options, func() []Agent { return agents }, journal.New(), nil)
+			current := func(context.Context) error { return nil }
+			client := New(options, func() []Agent { return agents }, journal.New(), current, nil)
 			defer client.Close()
 			answer := client.Run(t.Context(), tally("tally"))
 			c.Assert(answer.Outcome, qt.Equals, tt.want, qt.Commentf("%s", answer.Reason))
@@ -156,7 +157,7 @@
 		"claimed":      {records: []journal.Record{claimed}, want: request.Unknown},
 		"finished":     {records: []journal.Record{claimed, finished}, want: request.Done},
 		"nothing":      {records: []journal.Record{journal.Barrier{}}, want: request.NotRun},
-		"log is down":  {fails: true, want: request.NotRun},
+		"log is down":  {fails: true, want: request.Unknown},
 		"other claims": {records: []journal.Record{journal.RequestClaimed{Identity: tally("other").Identity}}, want: request.NotRun},
 	}
 	for name, tt := range tests {
@@ -165,7 +166,7 @@
 			agents := fleet(t, &fullAgent{}, 1, 3)
 			j := journal.New()
 			options := impatient()
-			options.ReadBarrier = func(context.Context) error {
+			barrier := func(context.Context) error {
 				if tt.fails {
 					return errors.New("the log is down")
 				}
@@ -175,7 +176,7 @@
 				}
 				return j.Apply(1, platformlog.Page{Entries: []platformlog.Entry{{Offset: 1, Payload: payload}}, Next: 2})
 			}
-			client := New(options, func() []Agent { return agents }, j, nil)
+			client := New(options, func() []Agent { return agents }, j, barrier, nil)
 			defer client.Close()
 			c.Assert(client.Run(t.Context(), q).Outcome, qt.Equals, tt.want)
 			c.Assert(client.Counters.Behind.Value() == 1, qt.Equals, tt.fails)
