--- a/internal/run/bench/fanoutbench/fanoutbench.go
+++ b/internal/run/bench/fanoutbench/fanoutbench.go
@@ -8,10 +8,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/run/bench/journalbench"
 	"wasabihoist/internal/run/bench/usage"
 )
@@ -84,7 +86,7 @@
 		return Point{}, err
 	}
 	defer s.stop()
-	record := journalbench.Configuration(o.Organisations)
+	record := configuration(o.Organisations)
 	// The first change opens the connections.
 	if _, err := s.publish(ctx, record); err != nil {
 		return Point{}, err
@@ -122,6 +124,21 @@
 	return p, nil
 }
 
+// configuration has organisations with random names of the usual length, because
+// numbered names would compress better than real ones.
+func configuration(organisations int) journal.ConfigurationPublished {
+	record := journalbench.Configuration(organisations)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range record.Organisations {
+		name := []byte(record.Organisations[i].Name)
+		for n := range name {
+			name[n] = 'a' + byte(random.IntN('z'-'a'+1))
+		}
+		record.Organisations[i].Name = string(name)
+	}
+	return record
+}
+
 // with adds a member to the mean.
 func (c Cost) with(idle, change float64) Cost {
 	n := float64(c.Members)
