--- a/internal/standin/workerhost/handler.go
+++ b/internal/standin/workerhost/handler.go
@@ -23,7 +23,7 @@
 	mux.HandleFunc("PUT "+worker.PathLease, h.withFaults(h.handleLease))
 	mux.HandleFunc("GET "+worker.PathTasks, h.withFaults(h.handleList))
 	mux.HandleFunc("GET "+worker.PathUsage, h.withFaults(h.handleUsage))
-	mux.HandleFunc("POST "+worker.PathStart, h.withFaults(h.onTask(h.handleStart)))
+	mux.HandleFunc("POST "+worker.PathStart, h.withFaults(h.holdStart(h.onTask(h.handleStart))))
 	mux.HandleFunc("POST "+worker.PathThrottle, h.withFaults(h.onTask(h.handleThrottle)))
 	mux.HandleFunc("POST "+worker.PathStop, h.withFaults(h.onTask(h.handleStop)))
 	mux.HandleFunc("POST "+worker.PathCheckpoint, h.withFaults(h.delayCheckpoint(h.onTask(h.handleCheckpoint))))
@@ -51,6 +51,19 @@
 	}
 }
 
+// holdStart holds the call back while starts are held.
+func (h *Host) holdStart(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		h.mu.Lock()
+		held, thawed := h.faults.HoldStarts, h.thawed
+		h.mu.Unlock()
+		if held {
+			<-thawed
+		}
+		next(w, r)
+	}
+}
+
 // delayCheckpoint delays or hangs the call before it takes effect.
 func (h *Host) delayCheckpoint(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -210,6 +223,7 @@
 	RefuseStarts          bool  `json:"refuse-starts"`
 	Hang                  bool  `json:"hang"`
 	Freeze                bool  `json:"freeze"`
+	HoldStarts            bool  `json:"hold-starts"`
 	LoseAnswers           bool  `json:"lose-answers"`
 	CheckpointDelayMillis int64 `json:"checkpoint-delay-ms"`
 	Crashed               bool  `json:"crashed"`
@@ -225,6 +239,7 @@
 		RefuseStarts:    m.RefuseStarts,
 		Hang:            m.Hang,
 		Freeze:          m.Freeze,
+		HoldStarts:      m.HoldStarts,
 		LoseAnswers:     m.LoseAnswers,
 		CheckpointDelay: time.Duration(m.CheckpointDelayMillis) * time.Millisecond,
 	})
--- a/internal/standin/workerhost/host.go
+++ b/internal/standin/workerhost/host.go
@@ -29,6 +29,7 @@
 	RefuseStarts    bool
 	Hang            bool          // Hang accepts calls and never answers them.
 	Freeze          bool          // Freeze holds calls and carries them out when it is switched off.
+	HoldStarts      bool          // HoldStarts does to starts what Freeze does to all calls.
 	LoseAnswers     bool          // LoseAnswers closes the connection after the effect of a call on a task.
 	CheckpointDelay time.Duration // CheckpointDelay is added to checkpoints; they hang when it is negative.
 }
@@ -69,7 +70,7 @@
 	mu          sync.Mutex
 	faults      Faults
 	crashed     bool
-	thawed      chan struct{} // thawed is closed when Freeze is switched off and then replaced.
+	thawed      chan struct{} // thawed is closed when Freeze or HoldStarts is switched off and then replaced.
 	incarnation int64
 	booted      time.Time
 	lease       worker.Lease
@@ -103,7 +104,7 @@
 func (h *Host) SetFaults(f Faults) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.faults.Freeze && !f.Freeze {
+	if h.faults.Freeze && !f.Freeze || h.faults.HoldStarts && !f.HoldStarts {
 		close(h.thawed)
 		h.thawed = make(chan struct{})
 	}
