Test refusals during an outage in a whole deployment

Cause: the proof of not run without the log depends on how entries and agents are wired (barriers, lists of agents, time beyond the deadline). A fault there would turn every refusal into unknown, which the tests with single parts do not see.

Change: a test refuses non-idempotent requests during an outage of the log. They are not run while all agents work, and unknown once an agent is dead or has restarted.

--- a/internal/run/embedded/replace_test.go
+++ b/internal/run/embedded/replace_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -87,6 +88,42 @@
 	c.Assert(cluster.Stop(), qt.IsNil)
 }
 
+// Guards promise 4 in a whole deployment: during an outage of the log a request
+// that was never started is refused as not run while all agents work, and is
+// unknown once one of them is dead, because nothing tells what that one ran.
+func TestRefusalDuringAnOutage(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	cluster := startCluster(c, oneSite(3, 2))
+	client := cluster.Caller(cluster.Entries[0], organisation)
+	assertOutcome(c, client, nonIdempotent("before", 0), "done")
+	// Before its first proof that it is current, an entry answers unknown.
+	awaitTrue(c, "the refusal is proved", func() bool {
+		cluster.Log.SetFaults(logservice.Faults{Outage: true})
+		defer cluster.Log.SetFaults(logservice.Faults{})
+		return refusedAs(c, cluster, client) == "not-run"
+	})
+	cluster.Log.SetFaults(logservice.Faults{Outage: true})
+	c.Assert(cluster.KillAgent(cluster.Minions[0]), qt.IsNil)
+	c.Assert(refusedAs(c, cluster, client), qt.Equals, "unknown")
+	c.Assert(cluster.StartAgent(cluster.Minions[0]), qt.IsNil)
+	c.Assert(refusedAs(c, cluster, client), qt.Equals, "unknown")
+	cluster.Log.SetFaults(logservice.Faults{})
+	c.Assert(cluster.Stop(), qt.IsNil)
+}
+
+// refusedAs returns the outcome of a new request that cannot be claimed before
+// its deadline.
+func refusedAs(c *qt.C, cluster *embedded.Cluster, client *restapi.Client) string {
+	c.Helper()
+	q := nonIdempotent(fmt.Sprintf("refused-%d", time.Now().UnixNano()), 0)
+	q.Deadline = time.Now().Add(500 * time.Millisecond)
+	answer, err := client.Run(context.Background(), q)
+	c.Assert(err, qt.IsNil)
+	c.Assert(executions(cluster, q), qt.Equals, 0)
+	return answer.Outcome
+}
+
 func nonIdempotent(id string, work time.Duration) restapi.Request {
 	return restapi.Request{
 		ID: id, Service: "folha-app", Kind: "moth-check", Deadline: time.Now().Add(callLimit / 8), Body: minionhost.Body(work, 0),
