--- a/internal/run/embedded/relay_test.go
+++ b/internal/run/embedded/relay_test.go
@@ -17,7 +17,6 @@
 	"wasabihoist/internal/run/deployment"
 	"wasabihoist/internal/run/embedded"
 	"wasabihoist/internal/standin/minionhost"
-	"wasabihoist/internal/traffic/request"
 )
 
 // bundleTag is the first byte of a payload that carries several batches: field
@@ -73,7 +72,7 @@
 	counts := map[string]int{}
 	for id, outcome := range outcomes {
 		counts[outcome]++
-		runs := executions(cluster, id)
+		runs := executions(cluster, restapi.Request{ID: id})
 		note := qt.Commentf("%s: %s, ran %d times", id, outcome, runs)
 		c.Assert(runs <= 1, qt.IsTrue, note)
 		c.Assert(outcome != "done" || runs == 1, qt.IsTrue, note)
@@ -86,14 +85,6 @@
 	c.Assert(cluster.Stop(), qt.IsNil)
 }
 
-func executions(cluster *embedded.Cluster, id string) int {
-	runs := 0
-	for _, m := range cluster.Minions {
-		runs += m.Host.Executions(request.Identity{Organisation: organisation, ID: id})
-	}
-	return runs
-}
-
 func countBundles(c *qt.C, cluster *embedded.Cluster) int {
 	c.Helper()
 	server := httptest.NewServer(cluster.Log.Handler())
