Give urgent work a second place when a worker is silent

Cause: an urgent job whose place depended on a worker that had just stopped answering waited for that worker's lease. Two paths led there: a job that holds a place waited until the reclaimed gang had certainly ended on every worker (gang.stopMember ends only with an answer or the lapse of the lease), and a failed start waited in the same way for the held member on the silent worker. An urgent job also took workers back in each data centre whose claim delay had passed, so two or three gangs were stopped for one job.

Change: the scheduler knows silent workers (no answer for 4.5 s; workers on which an urgent job waits are probed every 0.5 s and have 1 s to answer). Nothing starts on a silent worker, no job is asked to leave it, and no guaranteed shape counts as held there. A job whose place depends on one waits for another place; a later reclaim of an urgent job has what is left of the 4 s, and at least 1.5 s. A failed start of which no member was released is over after 0.5 s: held members never run. Their resources stay set aside until they have certainly ended. Data centres reclaim for an urgent job in turns of 5 s from its submission, the preferred one first. The property test of the planner now has silent workers and delayed reclaims.

Two faults one after the other, such as a silent worker and then a hanging checkpoint in a second data centre, were not measured.

--- a/internal/fleet/gang/gang.go
+++ b/internal/fleet/gang/gang.go
@@ -35,11 +35,12 @@
 	StartDeadline time.Duration // StartDeadline is when a member that is still held ends at its worker.
 	StopRetry     time.Duration // StopRetry is the time between two tries to stop a member.
 	StopTries     int           // StopTries is the number of tries before the lease of the worker is abandoned.
+	GiveUp        time.Duration // GiveUp bounds the stop of members that were never released; 0 for no bound.
 }
 
 // Default returns the limits used in production.
 func Default() Options {
-	return Options{StartDeadline: 4 * time.Second, StopRetry: 200 * time.Millisecond, StopTries: 5}
+	return Options{StartDeadline: 4 * time.Second, StopRetry: 200 * time.Millisecond, StopTries: 5, GiveUp: 500 * time.Millisecond}
 }
 
 // Outcome says how the attempt ended.
@@ -78,6 +79,11 @@
 	Kept     bool          // Kept says that all members were checkpointed.
 	Progress time.Duration // Progress that all members have kept.
 	Reason   string
+
+	// Unsettled are members of an attempt that was not released whose workers did
+	// not answer. They never run, but may hold their resources until StopHeld
+	// returns.
+	Unsettled []int
 }
 
 // Gang is one attempt. Report, Lost, Cancel and Reclaim may be called from any
@@ -88,13 +94,14 @@
 	hurry   context.Context // hurry ends when a checkpoint in progress is to be given up.
 	giveUp  context.CancelFunc
 
-	mu       sync.Mutex
-	tasks    []worker.Task // tasks holds the last report of each member; State 0 before the first.
-	lost     []bool        // lost members are on workers whose lease has lapsed.
-	released bool          // released is set before the first release is sent.
-	cancel   bool
-	reclaim  *reclaim
-	changed  chan struct{} // changed is closed at the next change and then replaced.
+	mu        sync.Mutex
+	tasks     []worker.Task // tasks holds the last report of each member; State 0 before the first.
+	lost      []bool        // lost members are on workers whose lease has lapsed.
+	released  bool          // released is set before the first release is sent.
+	cancel    bool
+	reclaim   *reclaim
+	unsettled []int         // unsettled members were not proved to have ended after a failed start.
+	changed   chan struct{} // changed is closed at the next change and then replaced.
 }
 
 type reclaim struct {
--- a/internal/fleet/gang/gang_test.go
+++ b/internal/fleet/gang/gang_test.go
@@ -28,8 +28,9 @@
 func (holder) Abandon() {}
 
 type fixture struct {
-	hosts []*workerhost.Host
-	gang  *gang.Gang
+	hosts   []*workerhost.Host
+	members []gang.Member
+	gang    *gang.Gang
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -55,6 +56,7 @@
 			Spec:   worker.Spec{Name: fmt.Sprintf("job/%d", i), RunTime: time.Minute},
 		})
 	}
+	f.members = list
 	f.gang = gang.New(list, gang.Options{StartDeadline: deadline, StopRetry: 20 * time.Millisecond, StopTries: 3})
 	return f
 }
@@ -156,6 +158,29 @@
 	}
 }
 
+// Guards against a failed start that waits for the lease of a silent worker
+// although no member was released, and against a member that is left there.
+func TestFailedStartDoesNotWaitForASilentWorker(t *testing.T) {
+	for name, fault := range map[string]workerhost.Faults{"silent": {Hang: true}, "frozen": {Freeze: true}} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture(t)
+			g := gang.New(f.members, gang.Options{StartDeadline: deadline, StopRetry: 20 * time.Millisecond,
+				StopTries: 3, GiveUp: 50 * time.Millisecond})
+			f.hosts[1].SetFaults(fault)
+			begun := time.Now()
+			r, started := g.Start(bounded(t))
+			c.Assert(started, qt.IsFalse)
+			c.Assert(time.Since(begun) < ttl, qt.IsTrue, qt.Commentf("took %s", time.Since(begun)))
+			c.Assert(r.Released, qt.IsFalse)
+			c.Assert(r.Unsettled, qt.DeepEquals, []int{1})
+			f.hosts[1].SetFaults(workerhost.Faults{})
+			c.Assert(g.StopHeld(bounded(t), 1), qt.IsNil)
+			c.Assert(f.check(c), qt.Equals, 0)
+		})
+	}
+}
+
 // Guards against a gang that runs on in part when a worker fails between the
 // confirmation and the end of the release.
 func TestWorkerFailsBeforeTheRelease(t *testing.T) {
--- a/internal/fleet/gang/start.go
+++ b/internal/fleet/gang/start.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"wasabihoist/internal/fleet/worker"
@@ -45,11 +46,42 @@
 		if errors.Is(err, errCancelled) {
 			r.Outcome = Cancelled
 		}
-		return g.finish(ctx, r), false
+		return g.undo(ctx, r), false
 	}
 	return Result{}, true
 }
 
+// undo stops the members after a failed start. Members that were not released
+// never run: they end at their start deadline or with the lease. So the result
+// does not wait for those whose worker does not answer; it names them.
+func (g *Gang) undo(ctx context.Context, r Result) Result {
+	if g.mayHaveRun() || g.options.GiveUp == 0 {
+		return g.finish(ctx, r)
+	}
+	bounded, cancel := context.WithTimeout(ctx, g.options.GiveUp)
+	defer cancel()
+	_ = g.each(bounded, func(ctx context.Context, i int, m Member) error {
+		if g.StopHeld(ctx, i) != nil {
+			g.update(func() { g.unsettled = append(g.unsettled, i) })
+		}
+		return nil
+	})
+	if ctx.Err() != nil {
+		return Result{Outcome: Abandoned, Member: -1, Reason: ctx.Err().Error()}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r.Unsettled = slices.Sorted(slices.Values(g.unsettled))
+	return r
+}
+
+// StopHeld tries until a member that was not released has certainly ended, or
+// ctx ends. It leaves the lease of the worker in force, because the member does
+// not run.
+func (g *Gang) StopHeld(ctx context.Context, member int) error {
+	return g.stopMember(ctx, member, g.members[member], func() {})
+}
+
 // mayHaveRun reports whether any member may have been released.
 func (g *Gang) mayHaveRun() bool {
 	g.mu.Lock()
--- a/internal/fleet/gang/watch.go
+++ b/internal/fleet/gang/watch.go
@@ -104,7 +104,7 @@
 
 // finish stops all members and completes the result.
 func (g *Gang) finish(ctx context.Context, r Result) Result {
-	err := g.each(ctx, func(ctx context.Context, i int, m Member) error { return g.stopMember(ctx, i, m) })
+	err := g.each(ctx, func(ctx context.Context, i int, m Member) error { return g.stopMember(ctx, i, m, m.Host.Abandon) })
 	r.Released = g.mayHaveRun()
 	if err != nil {
 		return Result{Outcome: Abandoned, Released: r.Released, Member: -1, Reason: err.Error()}
@@ -113,8 +113,9 @@
 }
 
 // stopMember tries until the member has ended: it is stopped, or its worker's
-// lease has lapsed. It does not stop its siblings' attempts by an error.
-func (g *Gang) stopMember(ctx context.Context, i int, m Member) error {
+// lease has lapsed. It calls giveUp after StopTries. It does not stop its
+// siblings' attempts by an error.
+func (g *Gang) stopMember(ctx context.Context, i int, m Member, giveUp func()) error {
 	for tries := 1; ctx.Err() == nil; tries++ {
 		g.mu.Lock()
 		lost, changed := g.lost[i], g.changed
@@ -130,7 +131,7 @@
 		case errors.Is(err, worker.ErrUnknownTask):
 			return nil
 		case tries == g.options.StopTries:
-			m.Host.Abandon()
+			giveUp()
 		}
 		select {
 		case <-changed:
--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -33,6 +33,7 @@
 	p.refresh(now)
 	r := &round{Planner: p, now: now}
 	r.stopOverdue()
+	r.openReclaim()
 	r.startHolding()
 	r.relieve()
 	r.useGuarantees()
--- a/internal/fleet/placement/decision.go
+++ b/internal/fleet/placement/decision.go
@@ -34,6 +34,7 @@
 	Job        request.Identity
 	Workers    []string         // Workers has one name for each member of the job, in member order.
 	Checkpoint bool             // Checkpoint asks for a checkpoint before the tasks are stopped.
+	Within     time.Duration    // Within is how long that checkpoint may take.
 	For        request.Identity // For is the job that gains from a Reclaim or Move; zero when there is none.
 	Reason     string
 }
--- a/internal/fleet/placement/entry.go
+++ b/internal/fleet/placement/entry.go
@@ -32,6 +32,11 @@
 
 	leaveBy time.Time // leaveBy is when a reclaimed job is stopped without a checkpoint.
 	forced  bool      // forced is true after that stop was decided.
+	stuck   bool      // stuck jobs were asked to leave a worker that is silent.
+
+	urged       time.Time // urged is when others were first asked to leave for an urgent job.
+	reclaimFrom time.Time // reclaimFrom is when the job may ask others to leave; zero for at once.
+	retry       bool      // retry is set when that time has come and the job was not tried since.
 
 	peak      worker.Resources // peak is the most that one member was seen to use.
 	observed  time.Time        // observed is the time of the newest usage report.
@@ -53,6 +58,9 @@
 // placed reports whether the job uses its place.
 func (e *entry) placed() bool { return e.state >= Starting }
 
+// isLeaving reports whether the room of the job is expected to become free.
+func (e *entry) isLeaving() bool { return e.state == Reclaiming && !e.stuck }
+
 // total returns what all members use.
 func (e *entry) total() worker.Resources {
 	return times(e.member, len(e.place)+len(e.from))
--- a/internal/fleet/placement/model.go
+++ b/internal/fleet/placement/model.go
@@ -14,9 +14,11 @@
 	used        worker.Resources // used by tasks that have been decided on and have not ended.
 	leaving     worker.Resources // leaving is the part of used whose jobs have been asked to leave.
 	promised    worker.Resources // promised to jobs that wait for others to leave.
-	schedulable bool
-	tasks       []task       // tasks has one element for each job, in order of arrival.
-	reservation *reservation // reservation of a waiting job for this worker; nil when there is none.
+	schedulable bool             // schedulable workers are allowed new tasks and answer.
+	allowed     bool             // allowed is what the owner says about new tasks.
+	silent      bool             // silent workers have stopped answering.
+	tasks       []task           // tasks has one element for each job, in order of arrival.
+	reservation *reservation     // reservation of a waiting job for this worker; nil when there is none.
 }
 
 // task is the members of one job on one worker.
@@ -189,7 +191,7 @@
 
 func (m *model) add(w worker.Worker) *node {
 	r := m.rack(w.Rack)
-	n := &node{worker: w, rack: r, schedulable: true}
+	n := &node{worker: w, rack: r, schedulable: true, allowed: true}
 	at, _ := slices.BinarySearchFunc(r.nodes, w.Name, func(n *node, name string) int {
 		return cmp.Compare(n.worker.Name, name)
 	})
@@ -252,7 +254,7 @@
 func (m *model) vacate(e *entry, place []*node) {
 	for _, n := range place {
 		n.used = n.used.Minus(e.member)
-		if e.state == Reclaiming {
+		if e.isLeaving() {
 			n.leaving = n.leaving.Minus(e.member)
 		}
 		n.removeTask(e)
--- a/internal/fleet/placement/moves.go
+++ b/internal/fleet/placement/moves.go
@@ -10,7 +10,7 @@
 
 // move starts a running job at another place that has room, if there is one.
 func (r *round) move(e *entry, reason string, gainer *entry) bool {
-	if e.state != Running || len(e.place) != e.job.Shape.Members {
+	if e.state != Running || len(e.place) != e.job.Shape.Members || e.onSilent() {
 		return false
 	}
 	place := r.find(e, e.job.Shape.Adjacency, r.model.racks, r.now)
@@ -35,7 +35,7 @@
 	r.charge(e, 1)
 	r.model.occupy(e, place)
 	d := r.emit(Move, e, reason)
-	d.Checkpoint = true
+	d.Checkpoint, d.Within = true, r.options.Checkpoint
 	if gainer != nil {
 		d.For = gainer.job.Identity
 	}
@@ -78,7 +78,7 @@
 			e := t.entry
 			pays := r.remaining(e).Seconds() >= r.options.MoveGain*r.options.MoveCost.Seconds()
 			inside := !slices.ContainsFunc(e.place, func(o *node) bool { return o.rack != k })
-			if e.state == Running && e.member.Accelerators > 0 && e.job.Idempotent && pays && inside &&
+			if e.state == Running && e.member.Accelerators > 0 && e.job.Idempotent && pays && inside && !e.onSilent() &&
 				!slices.Contains(list, e) {
 				list = append(list, e)
 			}
--- a/internal/fleet/placement/options.go
+++ b/internal/fleet/placement/options.go
@@ -11,6 +11,7 @@
 
 	Checkpoint       time.Duration // Checkpoint is how long a reclaimed job may take to leave.
 	UrgentCheckpoint time.Duration // UrgentCheckpoint replaces Checkpoint when an urgent job waits.
+	LaterCheckpoint  time.Duration // LaterCheckpoint is the least for a later choice of an urgent job.
 
 	ReserveAfter time.Duration // ReserveAfter is the wait after which a job may get a reservation.
 	MaxWait      time.Duration // MaxWait is the age at which a reservation takes borrowed accelerators back.
@@ -44,13 +45,15 @@
 		// half of that and leaves the rest for the stop and the gang start.
 		Checkpoint:       30 * time.Second,
 		UrgentCheckpoint: 4 * time.Second,
-		ReserveAfter:     10 * time.Minute,
-		MaxWait:          2 * time.Hour,
-		Reservations:     2,
-		RunTimeQuantile:  0.75,
-		SizeQuantile:     0.95,
-		MoveInterval:     5 * time.Second,
-		MoveCost:         30 * time.Second,
-		MoveGain:         2,
+		// A later choice may come 6 s after the submission, and the start needs 1 s.
+		LaterCheckpoint: 1500 * time.Millisecond,
+		ReserveAfter:    10 * time.Minute,
+		MaxWait:         2 * time.Hour,
+		Reservations:    2,
+		RunTimeQuantile: 0.75,
+		SizeQuantile:    0.95,
+		MoveInterval:    5 * time.Second,
+		MoveCost:        30 * time.Second,
+		MoveGain:        2,
 	}
 }
--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -42,6 +42,7 @@
 	holding      []*entry // holding jobs wait for others to leave.
 	leaving      []*entry // leaving jobs have been asked to leave.
 	urgent       []*entry // urgent jobs that wait.
+	delayed      []*entry // delayed jobs may not ask others to leave yet.
 	reservations []*reservation
 	overgrown    []*node // overgrown workers have tasks that outgrew their place.
 
@@ -157,7 +158,17 @@
 // SetSchedulable says whether new tasks may start on the worker.
 func (p *Planner) SetSchedulable(name string, schedulable bool) {
 	n, ok := p.model.nodes[name]
-	if !ok || n.schedulable == schedulable {
+	if !ok {
+		return
+	}
+	n.allowed = schedulable
+	p.reopen(n)
+}
+
+// reopen applies whether new tasks may start on the worker.
+func (p *Planner) reopen(n *node) {
+	schedulable := n.allowed && !n.silent
+	if n.schedulable == schedulable {
 		return
 	}
 	n.schedulable = schedulable
@@ -326,6 +337,9 @@
 	p.forget(e.job.Identity)
 	fresh := p.newEntry(e.job)
 	fresh.resumed, fresh.avoid = resumed, avoid
+	if !resumed {
+		fresh.urged, fresh.reclaimFrom = e.urged, e.reclaimFrom
+	}
 	p.enqueue(fresh)
 }
 
--- a/internal/fleet/placement/property_test.go
+++ b/internal/fleet/placement/property_test.go
@@ -35,6 +35,7 @@
 	jobs      map[request.Identity]job.Job
 	order     []request.Identity
 	running   map[request.Identity]*placed
+	silent    map[string]bool
 	count     int
 	held      bool
 	disturbed bool // disturbed is true when the fleet or configuration has just changed.
@@ -45,7 +46,7 @@
 func newWorld(t *rapid.T) *world {
 	policy := placement.Policies()[rapid.IntRange(0, 3).Draw(t, "policy")]
 	w := &world{T: t, planner: placement.New(policy, placement.Default()), now: epoch, held: true,
-		workers: map[string]worker.Worker{}, jobs: map[request.Identity]job.Job{}, running: map[request.Identity]*placed{}}
+		workers: map[string]worker.Worker{}, jobs: map[request.Identity]job.Job{}, running: map[request.Identity]*placed{}, silent: map[string]bool{}}
 	for i := range rapid.IntRange(2, 7).Draw(t, "workers") {
 		w.addWorker(i)
 	}
@@ -65,6 +66,7 @@
 	k := accelerated(fmt.Sprintf("w%d", i), fmt.Sprintf("r%d", i/3), []int{0, 1, 4, 8}[rapid.IntRange(0, 3).Draw(w.T, "accelerators")])
 	k.Capacity.Cores, k.Capacity.Memory = 16, 64e9
 	w.workers[k.Name] = k
+	delete(w.silent, k.Name)
 	w.planner.AddWorker(k)
 	w.disturbed = true
 }
@@ -90,6 +92,9 @@
 	w.jobs[j.Identity] = j
 	w.order = append(w.order, j.Identity)
 	w.planner.Submit(j)
+	if j.Urgent && rapid.Bool().Draw(w.T, "later") {
+		w.planner.DelayReclaim(j.Identity, w.now.Add(5*time.Second))
+	}
 }
 
 // pick returns a job that has not ended.
@@ -115,7 +120,7 @@
 	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(w.T, "seconds")) * time.Second)
 	id, ok := w.pick()
 	x := w.running[id]
-	switch event := rapid.IntRange(0, 9).Draw(w.T, "event"); {
+	switch event := rapid.IntRange(0, 10).Draw(w.T, "event"); {
 	case event == 0:
 		name := fmt.Sprintf("w%d", rapid.IntRange(0, 6).Draw(w.T, "lost"))
 		delete(w.workers, name)
@@ -137,11 +142,20 @@
 		w.planner.ObserveUsage(id, 0, used, w.now.Add(-time.Minute))
 	case event == 6 && x != nil:
 		w.start(id, x)
+	case event == 7:
+		w.silence(fmt.Sprintf("w%d", rapid.IntRange(0, 6).Draw(w.T, "silent")))
 	default:
 		w.submit()
 	}
 }
 
+// silence makes a worker silent, or lets it answer again.
+func (w *world) silence(name string) {
+	w.silent[name] = !w.silent[name]
+	w.planner.SetSilent(name, w.silent[name])
+	w.disturbed = true
+}
+
 func (w *world) addWorkerBack() {
 	for i := range 7 {
 		if _, ok := w.workers[fmt.Sprintf("w%d", i)]; !ok {
@@ -164,6 +178,7 @@
 		switch d.Kind {
 		case placement.Start:
 			w.whole(j, d.Workers)
+			w.answering(d)
 			w.running[d.Job] = &placed{job: j, workers: d.Workers}
 			lent = lent || (!w.guaranteed(d.Job) && j.Shape.Total() > 0)
 		case placement.Move:
@@ -174,6 +189,9 @@
 			if w.guaranteed(d.Job) {
 				w.Fatalf("guaranteed job %s is reclaimed", d.Job)
 			}
+			if d.Checkpoint {
+				w.answering(d)
+			}
 			if rapid.Bool().Draw(w.T, "leaves") {
 				delete(w.running, d.Job)
 				w.planner.Released(d.Job)
@@ -204,6 +222,15 @@
 	}
 }
 
+// answering fails when a decision depends on a silent worker.
+func (w *world) answering(d placement.Decision) {
+	for _, name := range d.Workers {
+		if w.silent[name] {
+			w.Fatalf("%s of %s on silent worker %s", d.Kind, d.Job, name)
+		}
+	}
+}
+
 // check fails when a worker has more accelerators in use than it has, or when the
 // predicate has become false without a change of the fleet, or when accelerators
 // were lent while it is false.
@@ -229,8 +256,8 @@
 	w.held, w.disturbed = held, false
 }
 
-// Guards against split gangs, oversubscribed workers and broken guarantees when
-// workers are lost, jobs are cancelled and usage reports differ from what was
+// Guards against split gangs, oversubscribed workers, broken guarantees and
+// decisions that depend on silent workers when workers are lost, jobs are cancelled and usage reports differ from what was
 // declared. The guarantee package's own tests compare its verdicts with brute
 // force.
 func TestPlannerKeepsThePromises(t *testing.T) {
--- a/internal/fleet/placement/reclaim.go
+++ b/internal/fleet/placement/reclaim.go
@@ -48,6 +48,9 @@
 			return true
 		}
 		for _, v := range r.vacations(e, adjacency, candidatePlaces) {
+			if len(v.victims) > 0 && !r.mayReclaim(e) {
+				continue
+			}
 			if withinShare(e, v.place) && r.ledger.Hold(id, names(expand(v.place, shape))) {
 				r.hold(e, v, id, reasonGuaranteed)
 				return true
@@ -72,6 +75,9 @@
 		return false
 	}
 	v, ok := r.vacate(e, place)
+	if !r.mayReclaim(e) && (!ok || len(v.victims) > 0) {
+		return false
+	}
 	if !ok {
 		r.breakPromises(place)
 		v, ok = r.vacate(e, place)
@@ -144,11 +150,13 @@
 	if !e.job.Urgent {
 		return
 	}
+	limit := r.now.Add(r.checkpointFor(e))
+	if e.urged.IsZero() {
+		e.urged = r.now
+	}
 	for _, x := range r.leaving {
-		if slices.ContainsFunc(x.place, func(n *node) bool { return slices.Contains(e.place, n) }) {
-			if limit := r.now.Add(r.options.UrgentCheckpoint); limit.Before(x.leaveBy) {
-				x.leaveBy = limit
-			}
+		if overlap(x.place, e.place) && limit.Before(x.leaveBy) {
+			x.leaveBy = limit
 		}
 	}
 }
@@ -156,16 +164,13 @@
 // reclaim asks a running job to leave for the gain of another, which may be the
 // job itself.
 func (r *round) reclaim(x, gainer *entry, reason string) {
-	limit := r.options.Checkpoint
-	if gainer.job.Urgent {
-		limit = r.options.UrgentCheckpoint
-	}
+	limit := r.checkpointFor(gainer)
 	x.state, x.leaveBy = Reclaiming, r.now.Add(limit)
 	x.reason = reason
 	r.model.leave(x)
 	r.leaving = append(r.leaving, x)
 	d := r.emit(Reclaim, x, reason)
-	d.Checkpoint, d.For = true, gainer.job.Identity
+	d.Checkpoint, d.Within, d.For = true, limit, gainer.job.Identity
 }
 
 // stopOverdue stops reclaimed jobs whose checkpoint did not finish in time.
@@ -184,6 +189,9 @@
 	if x.unit != 0 || (x.state != Running && x.state != Starting) || len(x.place) < x.job.Shape.Members {
 		return false
 	}
+	if x.onSilent() {
+		return false
+	}
 	return e.entitled || !x.job.Urgent
 }
 
@@ -382,9 +390,10 @@
 func (r *round) placeUrgent(gained bool) {
 	for _, e := range slices.Clone(r.urgent) {
 		isNew := slices.Contains(e.tenant.fresh, e)
-		if !e.tenant.urgent || (!gained && !isNew) {
+		if !e.tenant.urgent || (!gained && !isNew && !e.retry) {
 			continue
 		}
+		e.retry = false
 		if reason := r.mayBorrow(e); reason != "" {
 			e.reason = reason
 			continue
@@ -393,7 +402,15 @@
 			r.start(e, place, 0, "urgent")
 			continue
 		}
-		if found := r.vacations(e, e.job.Shape.Adjacency, 1); len(found) > 0 {
+		if !r.mayReclaim(e) {
+			continue
+		}
+		found := r.vacations(e, e.job.Shape.Adjacency, 1)
+		if len(found) == 0 && len(e.avoid) > 0 {
+			e.avoid = nil
+			found = r.vacations(e, e.job.Shape.Adjacency, 1)
+		}
+		if len(found) > 0 {
 			r.hold(e, found[0], 0, "urgent")
 		}
 	}
--- a/internal/fleet/placement/usage.go
+++ b/internal/fleet/placement/usage.go
@@ -40,7 +40,7 @@
 	p.charge(e, 1)
 	for _, n := range slices.Concat(e.place, e.from) {
 		n.used = n.used.Plus(more)
-		if e.state == Reclaiming {
+		if e.isLeaving() {
 			n.leaving = n.leaving.Plus(more)
 		}
 		p.model.touch(n.rack)
@@ -59,6 +59,10 @@
 		if r.model.nodes[n.worker.Name] != n {
 			continue
 		}
+		if n.silent {
+			r.overgrown = append(r.overgrown, n)
+			continue
+		}
 		r.throttle(n)
 		for n.eventual().Memory < 0 && r.shrink(n) {
 		}
@@ -89,7 +93,7 @@
 func (r *round) shrink(n *node) bool {
 	choices := make([]*entry, 0, len(n.tasks))
 	for _, t := range n.tasks {
-		if t.entry.state == Running {
+		if t.entry.state == Running && !t.entry.onSilent() {
 			choices = append(choices, t.entry)
 		}
 	}
--- a/internal/fleet/scheduler/attempt.go
+++ b/internal/fleet/scheduler/attempt.go
@@ -169,6 +169,7 @@
 			t.health.notStarted(name)
 		}
 	}
+	t.keepLeftovers(a, r)
 	t.replan(a, r, ended)
 }
 
--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -17,6 +17,7 @@
 // openWorkers tells the planner which workers may take new tasks.
 func (t *term) openWorkers(now time.Time) {
 	for name, h := range t.hosts {
+		t.planner.SetSilent(name, t.isSilent(h, now))
 		if open := h.up && t.health.allows(name, now); open != h.open {
 			h.open = open
 			t.planner.SetSchedulable(name, open)
@@ -83,6 +84,9 @@
 		if h == nil || !h.up {
 			return fmt.Errorf("worker %s is not available", name)
 		}
+		if h.silent {
+			return fmt.Errorf("worker %s does not answer", name)
+		}
 		if !t.health.allows(name, time.Now()) {
 			return fmt.Errorf("worker %s takes no new tasks", name)
 		}
@@ -104,7 +108,13 @@
 	for _, r := range h.reserved {
 		reserved = reserved.Plus(r)
 	}
+	for _, l := range h.leftovers {
+		reserved = reserved.Plus(l.resources)
+	}
 	for name, task := range h.tasks {
+		if _, left := h.leftovers[name]; left {
+			continue
+		}
 		if _, ours := t.byTask[name]; !ours && task.State.Live() {
 			foreign = foreign.Plus(task.Resources)
 		}
@@ -135,17 +145,10 @@
 		}
 		return
 	}
-	var limit time.Duration
-	if d.Checkpoint {
-		limit = t.options.Planner.Checkpoint
-		if js, known := t.journal.Job(d.For); known && js.Job.Urgent {
-			limit = t.options.Planner.UrgentCheckpoint
-		}
-	}
 	a.moveTo = moveTo
 	a.reclaimed = true
 	if a.gang != nil {
-		a.gang.Reclaim(limit, d.Reason)
+		a.gang.Reclaim(d.Within, d.Reason)
 	}
 	t.counters.Reclaimed.Add(1)
 	t.audit(d.Kind.String(), d.Job.String(), fmt.Sprintf("%s (for %s)", d.Reason, d.For), strings.Join(moveTo, ","))
--- a/internal/fleet/scheduler/failure_test.go
+++ b/internal/fleet/scheduler/failure_test.go
@@ -290,7 +290,7 @@
 		target = []string{"w0", "w1"}
 	}
 	p.scheduler.ask(func(t *term) {
-		t.reclaim(placement.Decision{Kind: placement.Move, Job: j.Identity, Workers: target, Checkpoint: true}, target)
+		t.reclaim(placement.Decision{Kind: placement.Move, Job: j.Identity, Workers: target, Checkpoint: true, Within: long}, target)
 	})
 	f.await("the job runs on its new workers", func() bool {
 		now, _ := p.journal.Job(j.Identity)
--- a/internal/fleet/scheduler/fixture_test.go
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -33,7 +33,7 @@
 func testLimits() Limits {
 	return Limits{
 		TTL: time.Second, Renew: 200 * time.Millisecond, Call: 400 * time.Millisecond, Retry: 50 * time.Millisecond,
-		Grace: 500 * time.Millisecond, OtherClaim: 400 * time.Millisecond,
+		Grace: 500 * time.Millisecond, OtherClaim: 400 * time.Millisecond, ReclaimTurn: time.Second,
 		Drain: time.Second, Tick: 50 * time.Millisecond, Usage: time.Second,
 	}
 }
@@ -134,6 +134,12 @@
 }
 
 func (f *fixture) processWith(t *testing.T, name string, limits Limits) *process {
+	t.Helper()
+	return f.processIn(t, name, "acari", limits)
+}
+
+// processIn returns a process that schedules for the data centre.
+func (f *fixture) processIn(t *testing.T, name, dataCentre string, limits Limits) *process {
 	t.Helper()
 	o := journal.DefaultWriterOptions()
 	o.Spacing, o.Backoff = 5*time.Millisecond, 20*time.Millisecond
@@ -144,9 +150,10 @@
 	p.base.Go("writer", p.writer.Run)
 	p.base.Go("follower", journal.NewFollower(j, client, nil).Run)
 	options := Default()
-	options.DataCentre, options.Holder, options.Workers = "acari", name, f.workers
+	options.DataCentre, options.Holder, options.Workers = dataCentre, name, f.workers
 	options.Limits = limits
-	options.Gang = gang.Options{StartDeadline: 3 * time.Second, StopRetry: 50 * time.Millisecond, StopTries: 3}
+	options.Gang = gang.Options{StartDeadline: 3 * time.Second, StopRetry: 50 * time.Millisecond, StopTries: 3,
+		GiveUp: 300 * time.Millisecond}
 	options.Health = HealthOptions{Quick: 300 * time.Millisecond, Streak: 3, Quarantine: time.Second, Avoid: 400 * time.Millisecond}
 	p.scheduler = New(options, j, p.writer)
 	p.duty = group.New(context.Background())
--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -150,6 +150,14 @@
 	if _, known := t.others[j.DataCentre]; known {
 		return t.limits.OtherClaim
 	}
+	order := t.claimOrder(j)
+	place := slices.Index(order, t.options.DataCentre)
+	return t.limits.OtherClaim * time.Duration(max(place, 0)) / time.Duration(max(len(order), 1))
+}
+
+// claimOrder lists the data centres that can ever run the job in the order of
+// their turns; the preferred one goes first.
+func (t *term) claimOrder(j job.Job) []string {
 	names := collection.NewSet[string]()
 	for name, p := range t.others {
 		if p.CanEverRun(j) == nil {
@@ -158,8 +166,21 @@
 	}
 	order := names.Sorted()
 	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(weight(j, a), weight(j, b)) })
-	place := slices.Index(order, t.options.DataCentre)
-	return t.limits.OtherClaim * time.Duration(max(place, 0)) / time.Duration(max(len(order), 1))
+	if at := slices.Index(order, j.DataCentre); at > 0 {
+		order = slices.Insert(slices.Delete(order, at, at+1), 0, j.DataCentre)
+	}
+	return order
+}
+
+// delayReclaim makes an urgent job reclaim in one data centre at a time: each
+// takes its turn when the ones before it did not start the job in theirs. All
+// count from the submission, so a turn may begin early or late by the
+// difference of clocks.
+func (t *term) delayReclaim(j job.Job) {
+	turn := slices.Index(t.claimOrder(j), t.options.DataCentre)
+	if j.Urgent && turn > 0 {
+		t.planner.DelayReclaim(j.Identity, j.Submitted.Add(time.Duration(turn)*t.limits.ReclaimTurn))
+	}
 }
 
 func weight(j job.Job, name string) uint32 {
@@ -194,6 +215,7 @@
 		j := js.Job
 		j.RunTime = max(j.RunTime-js.Progress, 0)
 		t.planner.Submit(j)
+		t.delayReclaim(j)
 	}
 }
 
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -34,10 +34,14 @@
 	Retry      time.Duration // Retry is the pause after a failed call or append.
 	Grace      time.Duration // Grace is how long a new term waits for workers before it places jobs.
 	OtherClaim time.Duration // OtherClaim is how long the preferred data centre has for its claim.
-	Drain      time.Duration // Drain bounds the starts in progress at a graceful stop.
-	Skew       time.Duration // Skew is the largest difference of clocks between hosts.
-	Tick       time.Duration // Tick is the longest time between two decisions.
-	Usage      time.Duration // Usage is the time between two reads of a worker's usage.
+	// ReclaimTurn is how long a data centre has to start an urgent job before
+	// the next one may ask jobs to leave for it.
+	ReclaimTurn time.Duration
+
+	Drain time.Duration // Drain bounds the starts in progress at a graceful stop.
+	Skew  time.Duration // Skew is the largest difference of clocks between hosts.
+	Tick  time.Duration // Tick is the longest time between two decisions.
+	Usage time.Duration // Usage is the time between two reads of a worker's usage.
 }
 
 // DefaultLimits are those of production. An urgent job may wait for the claim of
@@ -51,10 +55,13 @@
 		Retry:      200 * time.Millisecond,
 		Grace:      time.Second,
 		OtherClaim: 2 * time.Second,
-		Drain:      5 * time.Second,
-		Skew:       2 * time.Second,
-		Tick:       500 * time.Millisecond,
-		Usage:      30 * time.Second,
+		// The first data centre needs up to 4 s for a checkpoint and 1 s for the
+		// start; the second one has 4 s left of the 9.1 s.
+		ReclaimTurn: 5 * time.Second,
+		Drain:       5 * time.Second,
+		Skew:        2 * time.Second,
+		Tick:        500 * time.Millisecond,
+		Usage:       30 * time.Second,
 	}
 }
 
--- /dev/null
+++ b/internal/fleet/scheduler/silent_test.go
@@ -0,0 +1,149 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/standin/workerhost"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// urgentTarget is the time within which urgent work starts.
+const urgentTarget = 9100 * time.Millisecond
+
+// publishUrgentPlan lets ana and rui submit urgent jobs.
+func (p *process) publishUrgentPlan() {
+	p.c.Helper()
+	plan := organisation.Plan{Name: "gold", Kinds: []string{"match"}, Share: 1, Urgent: true, AcceleratorLimit: 16}
+	p.append(journal.ConfigurationPublished{
+		Operator:      "test",
+		Organisations: []organisation.Organisation{{Name: "ana", Plan: "gold"}, {Name: "rui", Plan: "gold"}},
+		Plans:         []organisation.Plan{plan},
+	})
+}
+
+// startedAfter waits until a whole attempt of the job was released and returns
+// how long after the submission that was.
+func (f *fixture) startedAfter(j job.Job, submitted time.Time) time.Duration {
+	f.c.Helper()
+	var last time.Time
+	f.await(j.Identity.String()+" starts", func() bool {
+		for _, members := range f.attempts(j) {
+			last = time.Time{}
+			for _, i := range members {
+				if i.Released.IsZero() {
+					last = time.Time{}
+					break
+				}
+				if i.Released.After(last) {
+					last = i.Released
+				}
+			}
+			if !last.IsZero() {
+				return true
+			}
+		}
+		return false
+	})
+	return last.Sub(submitted)
+}
+
+// Guards against urgent work that waits for the lease of a worker which has
+// stopped answering, and against a second run because its place was given up.
+// It runs with the limits of production.
+func TestUrgentJobDoesNotWaitForASilentWorker(t *testing.T) {
+	wide := gangOf("rui", "wide", 2, long)
+	wide.Shape.Adjacency = organisation.WithinDataCentre
+	tests := map[string]struct {
+		running []job.Job // running jobs are borrowed; the urgent job takes the place of the youngest.
+		silent  string
+		delay   time.Duration // delay of the fault after the submission.
+		hangs   bool          // hangs makes the checkpoint hang on the worker until then.
+		members int
+	}{
+		"member starts there":             {silent: "w1", members: 2},
+		"reclaim there":                   {running: []job.Job{gangOf("rui", "1", 2, long), gangOf("rui", "2", 2, long)}, silent: "w2", members: 2},
+		"silent during a reclaim":         {running: []job.Job{gangOf("rui", "1", 2, long), gangOf("rui", "2", 2, long)}, silent: "w2", delay: 2 * time.Second, hangs: true, members: 2},
+		"silent at the end of a reclaim":  {running: []job.Job{gangOf("rui", "1", 2, long), gangOf("rui", "2", 2, long)}, silent: "w2", delay: 3800 * time.Millisecond, hangs: true, members: 2},
+		"sibling of the reclaimed member": {running: []job.Job{gangOf("rui", "1", 2, long), wide}, silent: "w3", members: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 4, nil)
+			p := f.processWith(t, "a@1", DefaultLimits()).run()
+			p.publishUrgentPlan()
+			f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 4 })
+			for _, j := range tt.running {
+				p.submit(j)
+				p.awaitState(j.Identity, job.Running)
+			}
+			if tt.hangs {
+				f.hosts[tt.silent].SetFaults(workerhost.Faults{CheckpointDelay: -1})
+			}
+			urgent := once(gangOf("ana", "1", tt.members, long))
+			urgent.Urgent = true
+			time.AfterFunc(tt.delay, func() { f.hosts[tt.silent].SetFaults(workerhost.Faults{Hang: true}) })
+			submitted := time.Now()
+			p.submit(urgent)
+			took := f.startedAfter(urgent, submitted)
+			t.Logf("started after %s", took.Round(time.Millisecond))
+			f.c.Check(took < urgentTarget, qt.IsTrue, qt.Commentf("started after %s", took))
+			f.hosts[tt.silent].SetFaults(workerhost.Faults{})
+			f.await("the gang of the given up place has ended", func() bool { return f.live(urgent) == tt.members })
+			f.c.Check(f.runs(urgent), qt.Equals, 1)
+			for _, j := range tt.running {
+				f.c.Check(f.runs(j) <= 2, qt.IsTrue)
+			}
+			js, _ := p.journal.Job(request.Identity{Organisation: "ana", ID: "1"})
+			f.c.Check(js.State != job.Ended, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against an urgent job for which several data centres take workers back
+// at once, and against one that waits for a data centre which does not deliver.
+func TestUrgentJobReclaimsInOneDataCentreAtATime(t *testing.T) {
+	for name, first := range map[string]bool{"the first delivers": true, "the first has no scheduler": false} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 4, nil)
+			limits := testLimits()
+			limits.ReclaimTurn = 3 * time.Second
+			for i := range f.workers {
+				f.workers[i].DataCentre = []string{"acari", "caico"}[i/2]
+			}
+			a := f.processIn(t, "a@1", "acari", limits).run()
+			b := f.processIn(t, "b@1", "caico", limits).run()
+			a.publishUrgentPlan()
+			f.await("workers are leased", func() bool { return a.scheduler.Summary().Workers+b.scheduler.Summary().Workers == 4 })
+			for _, id := range []string{"1", "2"} {
+				j := gangOf("rui", id, 2, long)
+				a.submit(j)
+				a.awaitState(j.Identity, job.Running)
+			}
+			for _, h := range f.hosts {
+				h.SetFaults(workerhost.Faults{CheckpointDelay: 800 * time.Millisecond})
+			}
+			urgent := gangOf("ana", "1", 2, long)
+			urgent.Urgent, urgent.DataCentre = true, "acari"
+			if !first {
+				a.duty.Stop()
+				<-a.result
+			}
+			submitted := time.Now()
+			a.submit(urgent)
+			took := f.startedAfter(urgent, submitted)
+			t.Logf("started after %s", took.Round(time.Millisecond))
+			f.c.Check(took < urgentTarget, qt.IsTrue, qt.Commentf("started after %s", took))
+			f.c.Check(took < limits.ReclaimTurn, qt.Equals, first)
+			reclaimed := a.scheduler.Counters().Reclaimed.Value() + b.scheduler.Counters().Reclaimed.Value()
+			f.c.Check(reclaimed, qt.Equals, int64(1))
+		})
+	}
+}
--- a/internal/fleet/scheduler/status.go
+++ b/internal/fleet/scheduler/status.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"wasabihoist/internal/fleet/worker"
 )
@@ -10,7 +11,7 @@
 // The states of a worker as operators see them.
 const (
 	Ready       = "ready"       // Ready workers are leased and take tasks.
-	Unreachable = "unreachable" // Unreachable workers have no lease in force.
+	Unreachable = "unreachable" // Unreachable workers do not answer or have no lease in force.
 	Lost        = "lost"        // Lost workers were silent for longer than a lease lasts.
 	Quarantined = "quarantined" // Quarantined workers failed everything they started.
 )
@@ -37,7 +38,7 @@
 		switch {
 		case h.lost:
 			status.State = Lost
-		case !h.up:
+		case !h.up, t.isSilent(h, time.Now()):
 			status.State = Unreachable
 		case slices.Contains(quarantined, name):
 			status.State = Quarantined
--- a/internal/fleet/scheduler/takeover.go
+++ b/internal/fleet/scheduler/takeover.go
@@ -35,6 +35,7 @@
 func (t *term) workerReport(name string, sent time.Time, report worker.Report) {
 	h := t.hosts[name]
 	h.renewed, h.received, h.completeFor = sent, time.Now(), report.CompleteFor
+	h.heard, h.silent = h.received, false
 	t.dirty = t.dirty || len(report.Tasks) > 0 || len(t.settling) > 0
 	for _, task := range report.Tasks {
 		h.tasks[task.Name] = task
@@ -52,6 +53,10 @@
 	h.tasks = map[string]worker.Task{}
 	t.planner.RemoveWorker(name)
 	t.audit("lost", name, "the worker is silent or has restarted", "")
+	for task, l := range h.leftovers {
+		l.gang.Lost(l.member)
+		delete(h.leftovers, task)
+	}
 	for id := range h.reserved {
 		a := t.active[id]
 		if a == nil || a.gang == nil {
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -45,12 +45,16 @@
 type hostState struct {
 	worker      worker.Worker
 	up          bool
-	reporting   bool          // reporting is set while a report of the worker waits to be folded.
-	lost        bool          // lost workers were silent for longer than a lease lasts.
-	upSince     time.Time     // upSince is when the lease was acquired.
-	renewed     time.Time     // renewed is when the last answered renewal was sent.
-	received    time.Time     // received is when the last report arrived.
-	completeFor time.Duration // completeFor is how far back that report is complete.
+	reporting   bool                // reporting is set while a report of the worker waits to be folded.
+	lost        bool                // lost workers were silent for longer than a lease lasts.
+	upSince     time.Time           // upSince is when the lease was acquired.
+	renewed     time.Time           // renewed is when the last answered renewal was sent.
+	received    time.Time           // received is when the last report arrived.
+	completeFor time.Duration       // completeFor is how far back that report is complete.
+	heard       time.Time           // heard is when the worker last answered a renewal or a probe.
+	silent      bool                // silent workers did not answer a call and have not reported since.
+	probing     bool                // probing is set while a probe is in progress.
+	leftovers   map[string]leftover // leftovers by the name of their task.
 	tasks       map[string]worker.Task
 	reserved    map[request.Identity]worker.Resources // reserved by attempts of this term.
 	open        bool                                  // open says whether the planner may use the worker.
@@ -101,9 +105,10 @@
 	}
 	t.keepers[w.Name] = &keeper{term: t, worker: w, client: worker.NewClient(w.Address, t.limits.Call)}
 	t.hosts[w.Name] = &hostState{
-		worker:   w,
-		tasks:    map[string]worker.Task{},
-		reserved: map[request.Identity]worker.Resources{},
+		worker:    w,
+		tasks:     map[string]worker.Task{},
+		reserved:  map[request.Identity]worker.Resources{},
+		leftovers: map[string]leftover{},
 	}
 }
 
@@ -204,6 +209,7 @@
 	t.openWorkers(now)
 	t.reportWorkers()
 	t.decide(now)
+	t.probeAwaited(now)
 }
 
 func (t *term) auditTakeover() {
