Put off the largest jobs in a long backlog

The slowest hundredth is renders and gangs from a few bursts that wait 30 to 50 minutes for their first start. Reclaims, estimates and idle accelerators are not the cause (2 of 88 accelerators are free in a backlog). Part of the cause is the order: large jobs took their turn in the middle of a backlog and many small ones waited for them.

Change: while the waiting work would take the whole fleet longer than 20 min, completion-first puts the largest jobs off, at most one in a hundred of all jobs and 20 in a row. Urgent jobs are never put off, and a job that is put off may get a reservation after 4 h. The scheduler tells the planner the size of the fleet, because the data centres share the waiting jobs.

--- /dev/null
+++ b/internal/fleet/placement/backlog_test.go
@@ -0,0 +1,56 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/placement"
+	"wasabihoist/internal/tenancy/organisation"
+)
+
+// Guards against a long backlog in which small jobs wait behind a large one, and
+// against a large job that gives way although the backlog is short.
+func TestLargestJobIsPutOffInALongBacklog(t *testing.T) {
+	tests := map[string]struct {
+		fleet int
+		first string
+		none  bool // none allows less than one of the jobs to be put off.
+	}{
+		"long for this data centre":      {fleet: 4, first: "small-0"},
+		"long, but none may be put off":  {fleet: 4, first: "large", none: true},
+		"short for the whole fleet":      {fleet: 40, first: "large"},
+		"fleet unknown, so only its own": {first: "small-0"},
+		"fleet smaller than data centre": {fleet: 1, first: "small-0"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			o := placement.Default()
+			o.Backlog, o.PutOffShare = time.Hour, 1
+			if tt.none {
+				o.PutOffShare = 0.1
+			}
+			p := placement.New(placement.CompletionFirst{}, o)
+			p.SetFleet(tt.fleet)
+			p.AddWorker(accelerated("a", "1", 4))
+			running := gang("ana", "running", 1, 4, organisation.WithinWorker)
+			p.Adopt(running, []string{"a"}, epoch)
+			large := gang("ana", "large", 1, 4, organisation.WithinWorker)
+			large.RunTime, large.Deadline = 2*time.Hour, epoch.Add(3*time.Hour)
+			p.Submit(large)
+			for i := range 8 {
+				j := gang("ana", fmt.Sprintf("small-%d", i), 1, 1, organisation.WithinWorker)
+				j.RunTime, j.Deadline = 10*time.Minute, epoch.Add(5*time.Hour)
+				p.Submit(j)
+			}
+			c.Assert(p.Decide(epoch), qt.HasLen, 0)
+			p.Cancel(running.Identity)
+			decisions := p.Decide(epoch.Add(time.Minute))
+			c.Assert(len(decisions) > 0, qt.IsTrue)
+			c.Assert(decisions[0].Job.ID, qt.Equals, tt.first)
+		})
+	}
+}
--- a/internal/fleet/placement/entry.go
+++ b/internal/fleet/placement/entry.go
@@ -28,6 +28,7 @@
 	started  time.Time
 	avoid    []*node // avoid has the workers of attempts that failed to start; other places go first.
 	reason   string
+	putOff   bool // putOff jobs were the largest when the backlog was too long.
 	demoted  bool // demoted jobs could not meet their deadline any more when they were next in turn.
 
 	leaveBy time.Time // leaveBy is when a reclaimed job is stopped without a checkpoint.
--- a/internal/fleet/placement/options.go
+++ b/internal/fleet/placement/options.go
@@ -17,6 +17,10 @@
 	MaxWait      time.Duration // MaxWait is the age at which a reservation takes borrowed accelerators back.
 	Reservations int           // Reservations is how many jobs may have a reservation at a time.
 
+	Backlog time.Duration // Backlog is the waiting work, in time of the whole fleet, above which the largest jobs are put off; 0 for no bound.
+
+	PutOffShare float64 // PutOffShare is the share of all jobs that may be put off.
+
 	RunTimeQuantile float64 // RunTimeQuantile of the learned ratios corrects declared run times.
 	SizeQuantile    float64 // SizeQuantile of the learned ratios corrects declared memory and cores.
 
@@ -50,6 +54,9 @@
 		ReserveAfter:    10 * time.Minute,
 		MaxWait:         2 * time.Hour,
 		Reservations:    2,
+		Backlog:         20 * time.Minute,
+		// One in a hundred, so that the 99th percentile is that of the others.
+		PutOffShare:     0.01,
 		RunTimeQuantile: 0.75,
 		SizeQuantile:    0.95,
 		MoveInterval:    5 * time.Second,
--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -44,6 +44,9 @@
 	urgent       []*entry // urgent jobs that wait.
 	delayed      []*entry // delayed jobs may not ask others to leave yet.
 	reservations []*reservation
+	fleet        int     // fleet is the accelerators of all data centres that share the jobs; 0 when unknown.
+	backlog      int64   // backlog is the work of waiting jobs that may be put off.
+	putOffs      float64 // putOffs is how many jobs may be put off now.
 	overgrown    []*node // overgrown workers have tasks that outgrew their place.
 
 	round       uint64 // round counts the calls of Decide that found more room than the call before.
@@ -184,6 +187,7 @@
 func (p *Planner) Submit(j job.Job) {
 	if _, ok := p.entries[j.Identity]; !ok {
 		p.enqueue(p.newEntry(j))
+		p.putOffs = min(p.putOffs+p.options.PutOffShare, maxPutOffs)
 	}
 }
 
@@ -210,6 +214,9 @@
 	e.class = p.classes[key]
 	e.class.least = min(e.class.least, e.runTime)
 	e.class.waiting++
+	if e.mayBePutOff() {
+		p.backlog += e.work()
+	}
 	p.entries[e.job.Identity] = e
 	e.tenant.enqueue(e)
 	if e.job.Urgent {
@@ -219,6 +226,9 @@
 
 func (p *Planner) dequeue(e *entry) {
 	e.tenant.dequeue(e)
+	if e.mayBePutOff() {
+		p.backlog -= e.work()
+	}
 	if e.class.waiting--; e.class.waiting == 0 {
 		delete(p.classes, classKey{shape: e.job.Shape, member: e.member})
 	}
--- a/internal/fleet/placement/policy.go
+++ b/internal/fleet/placement/policy.go
@@ -21,7 +21,8 @@
 	// taken once, when the job arrives.
 	rank(e *entry, o *Options) float64
 	// demotes reports whether a job that can no longer meet its deadline gives
-	// way to others, as if it had none.
+	// way to others, as if it had none, and whether the largest jobs give way
+	// while the backlog is long.
 	demotes() bool
 	// turn orders the organisations by their next job; the lowest goes first.
 	turn(head *entry, capacity worker.Resources, o *Options) float64
@@ -123,6 +124,9 @@
 type byLateness struct{}
 
 func (byLateness) rank(e *entry, o *Options) float64 {
+	if e.putOff {
+		return seconds(e.job.Submitted.Add(putOffDelay))
+	}
 	patience := time.Duration(o.Weights.Patience * float64(e.runTime))
 	due := e.job.Submitted.Add(patience)
 	if !e.job.Deadline.IsZero() && !e.demoted {
--- a/internal/fleet/placement/reserve.go
+++ b/internal/fleet/placement/reserve.go
@@ -28,7 +28,7 @@
 	var longest *entry
 	for _, t := range r.order {
 		for _, e := range t.queue {
-			if r.now.Sub(e.job.Submitted) < r.options.ReserveAfter || r.reservationOf(e) != nil || r.mayBorrow(e) != "" {
+			if r.now.Sub(e.job.Submitted) < r.reserveAfter(e) || r.reservationOf(e) != nil || r.mayBorrow(e) != "" {
 				continue
 			}
 			if longest == nil || e.job.Submitted.Before(longest.job.Submitted) {
--- a/internal/fleet/placement/turns.go
+++ b/internal/fleet/placement/turns.go
@@ -74,6 +74,9 @@
 // newTurns lists the organisations with waiting jobs, or only those with new
 // jobs when no room was gained.
 func (r *round) newTurns(gained bool) *turns {
+	if r.policy.demotes() {
+		r.boundBacklog()
+	}
 	h := &turns{}
 	for _, t := range r.order {
 		if r.policy.demotes() {
@@ -101,7 +104,7 @@
 // head of the queue is looked at.
 func (r *round) demote(t *tenant) {
 	now := seconds(r.now)
-	late := func(e *entry) bool { return !e.demoted && !e.job.Deadline.IsZero() }
+	late := func(e *entry) bool { return !e.demoted && !e.putOff && !e.job.Deadline.IsZero() }
 	for at := 0; at < len(t.queue) && t.queue[at].rank < now; {
 		e := t.queue[at]
 		if !late(e) {
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -89,9 +89,12 @@
 		delayed:   map[request.Identity]delayed{},
 		begun:     time.Now(),
 	}
+	accelerators := 0
 	for _, w := range s.options.Workers {
 		t.addWorker(w)
+		accelerators += w.Capacity.Accelerators
 	}
+	t.planner.SetFleet(accelerators)
 	return t
 }
 
--- a/internal/run/bench/placementbench/replay.go
+++ b/internal/run/bench/placementbench/replay.go
@@ -110,6 +110,7 @@
 			broken: map[string]bool{}, failures: map[string]int{}, entitled: divided[name], held: true}
 		x.planner.SetConfiguration(c)
 		x.planner.SetEntitlements(divided[name])
+		x.planner.SetFleet(d.accelerators())
 		r.centres = append(r.centres, x)
 	}
 	for _, k := range r.fleet {
