--- a/internal/fleet/placement/options.go
+++ b/internal/fleet/placement/options.go
@@ -11,11 +11,16 @@
 
 	Checkpoint       time.Duration // Checkpoint is how long a reclaimed job may take to leave.
 	UrgentCheckpoint time.Duration // UrgentCheckpoint replaces Checkpoint when an urgent job waits.
+	LaterCheckpoint  time.Duration // LaterCheckpoint is the least for a later choice of an urgent job.
 
 	ReserveAfter time.Duration // ReserveAfter is the wait after which a job may get a reservation.
 	MaxWait      time.Duration // MaxWait is the age at which a reservation takes borrowed accelerators back.
 	Reservations int           // Reservations is how many jobs may have a reservation at a time.
 
+	Backlog time.Duration // Backlog is the waiting work, in time of the whole fleet, above which the largest jobs are put off; 0 for no bound.
+
+	PutOffShare float64 // PutOffShare is the share of all jobs that may be put off.
+
 	RunTimeQuantile float64 // RunTimeQuantile of the learned ratios corrects declared run times.
 	SizeQuantile    float64 // SizeQuantile of the learned ratios corrects declared memory and cores.
 
@@ -44,13 +49,18 @@
 		// half of that and leaves the rest for the stop and the gang start.
 		Checkpoint:       30 * time.Second,
 		UrgentCheckpoint: 4 * time.Second,
-		ReserveAfter:     10 * time.Minute,
-		MaxWait:          2 * time.Hour,
-		Reservations:     2,
-		RunTimeQuantile:  0.75,
-		SizeQuantile:     0.95,
-		MoveInterval:     5 * time.Second,
-		MoveCost:         30 * time.Second,
-		MoveGain:         2,
+		// A later choice may come 6 s after the submission, and the start needs 1 s.
+		LaterCheckpoint: 1500 * time.Millisecond,
+		ReserveAfter:    10 * time.Minute,
+		MaxWait:         2 * time.Hour,
+		Reservations:    2,
+		Backlog:         20 * time.Minute,
+		// One in a hundred, so that the 99th percentile is that of the others.
+		PutOffShare:     0.01,
+		RunTimeQuantile: 0.75,
+		SizeQuantile:    0.95,
+		MoveInterval:    5 * time.Second,
+		MoveCost:        30 * time.Second,
+		MoveGain:        2,
 	}
 }
--- a/internal/fleet/scheduler/datacentre_test.go
+++ b/internal/fleet/scheduler/datacentre_test.go
@@ -50,7 +50,7 @@
 			lose: func(f *fixture, p *process) {
 				p.kill()
 				f.each("acari", (*workerhost.Host).Crash)
-				f.processIn(t, "acari", "a@2", testLimits()).keep() // the duty moves to an agent elsewhere
+				f.processIn(t, "a@2", "acari", testLimits()).keep() // the duty moves to an agent elsewhere
 			},
 			back: func(f *fixture, _ *process) { f.each("acari", (*workerhost.Host).Restart) },
 		},
@@ -58,7 +58,7 @@
 			lose: func(f *fixture, _ *process) {
 				f.each("acari", func(h *workerhost.Host) { h.SetFaults(workerhost.Faults{Freeze: true}) })
 				f.gate.pause("a@1")
-				f.processIn(t, "acari", "a@2", testLimits()).keep()
+				f.processIn(t, "a@2", "acari", testLimits()).keep()
 			},
 			back: func(f *fixture, _ *process) {
 				f.gate.resume()
@@ -69,8 +69,8 @@
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			f, configuration := twoDataCentres(t)
-			a := f.processIn(t, "acari", "a@1", testLimits()).run()
-			b := f.processIn(t, "caico", "b@1", testLimits()).run()
+			a := f.processIn(t, "a@1", "acari", testLimits()).run()
+			b := f.processIn(t, "b@1", "caico", testLimits()).run()
 			b.append(configuration)
 			guaranteed, tally, borrowed := gangOf("ana", "1", 2, long), once(gangOf("rui", "1", 1, long)), gangOf("eva", "1", 2, long)
 			guaranteed.DataCentre, tally.DataCentre, borrowed.DataCentre = "acari", "acari", "caico"
--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -198,6 +198,14 @@
 	if _, known := t.others[j.DataCentre]; known {
 		return t.limits.OtherClaim, []string{j.DataCentre + ", which the job prefers"}
 	}
+	order := t.claimOrder(j)
+	place := max(slices.Index(order, t.options.DataCentre), 0)
+	return t.limits.OtherClaim * time.Duration(place) / time.Duration(max(len(order), 1)), order[:place]
+}
+
+// claimOrder lists the data centres that can ever run the job in the order of
+// their turns; the preferred one goes first.
+func (t *term) claimOrder(j job.Job) []string {
 	names := collection.NewSet[string]()
 	for name, p := range t.others {
 		if p.CanEverRun(j) == nil {
@@ -206,8 +214,21 @@
 	}
 	order := names.Sorted()
 	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(weight(j, a), weight(j, b)) })
-	place := max(slices.Index(order, t.options.DataCentre), 0)
-	return t.limits.OtherClaim * time.Duration(place) / time.Duration(max(len(order), 1)), order[:place]
+	if at := slices.Index(order, j.DataCentre); at > 0 {
+		order = slices.Insert(slices.Delete(order, at, at+1), 0, j.DataCentre)
+	}
+	return order
+}
+
+// delayReclaim makes an urgent job reclaim in one data centre at a time: each
+// takes its turn when the ones before it did not start the job in theirs. All
+// count from the submission, so a turn may begin early or late by the
+// difference of clocks.
+func (t *term) delayReclaim(j job.Job) {
+	turn := slices.Index(t.claimOrder(j), t.options.DataCentre)
+	if j.Urgent && turn > 0 {
+		t.planner.DelayReclaim(j.Identity, j.Submitted.Add(time.Duration(turn)*t.limits.ReclaimTurn))
+	}
 }
 
 func weight(j job.Job, name string) uint32 {
@@ -242,6 +263,7 @@
 		j := js.Job
 		j.RunTime = max(j.RunTime-js.Progress, 0)
 		t.planner.Submit(j)
+		t.delayReclaim(j)
 	}
 }
 
