Share the worker leases of a data centre among holders

Cause: the scheduler duty holds the leases of all workers of its data centre. At 443 workers that is 60 KB/s, against 13 KB/s for a daemon.

Change: the package lease holds leases for a scheduler, in the same process or behind Twirp. The scheduler cuts its racks into parts of at most 54 workers, gives each part to the first agent in rendezvous order, and asks each holder for what has changed. A call on a worker carries the epoch that the scheduler knows, and the worker refuses it under any other lease. A holder renews only while its session is extended, so leases lapse when the scheduler is gone. A holder that leaves or does not answer for the length of a session (5 s) loses its part; the next one takes the leases with a higher epoch, and the tasks go on. A worker is given up only when no earlier holder can have its lease any more. A scheduler does not take a lease back from another scheduler. Up to 54 workers, the scheduler's own process is the only holder. The processes do not offer themselves as holders yet.

The gate of the test fixture matches the new names of lease holders, which end in a generation.

The new tests kill, pause and silence a holder while a gang runs, in the middle of a start and of a takeover, and kill and pause the placing agent in the middle of a start.

Conclusion: the leases can be held by several agents without a change to the protocol of the workers.

--- /dev/null
+++ b/internal/fleet/lease/table_test.go
@@ -0,0 +1,151 @@
+package lease_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/lease"
+	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/standin/workerhost"
+)
+
+const patience = 10 * time.Second
+
+var times = lease.Times{
+	TTL: 600 * time.Millisecond, Renew: 50 * time.Millisecond, Call: 200 * time.Millisecond, Retry: 20 * time.Millisecond,
+	Session: 300 * time.Millisecond, Silence: 800 * time.Millisecond, Usage: time.Second,
+}
+
+type fixture struct {
+	c      *qt.C
+	host   *workerhost.Host
+	worker worker.Worker
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{c: qt.New(t), host: workerhost.New(worker.Resources{Memory: 100}, nil)}
+	server := httptest.NewServer(f.host.Handler())
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	f.worker = worker.Worker{Name: "w", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	return f
+}
+
+func (f *fixture) table(t *testing.T) *lease.Table {
+	table, work := lease.NewTable(), group.New(context.Background())
+	work.Go(table.String(), table.Run)
+	t.Cleanup(func() {
+		work.Stop()
+		_ = work.Wait()
+	})
+	return table
+}
+
+// query asks for the worker in the first session of an owner.
+func (f *fixture) query(owner string, generation, epoch int64) lease.Query {
+	return lease.Query{
+		Session: lease.SessionID{Owner: owner, DataCentre: "acari", Number: generation}, Extend: true, Wait: times.Session / 3,
+		Assignment: &lease.Assignment{Times: times, Workers: []lease.Wanted{{Worker: f.worker, Generation: generation, Epoch: epoch}}},
+	}
+}
+
+// await queries until the lease is in a state, and returns its epoch.
+func (f *fixture) await(table *lease.Table, q lease.Query, state lease.State) int64 {
+	f.c.Helper()
+	q.Wait = times.Retry
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		changes, err := table.Watch(context.Background(), q)
+		f.c.Assert(err, qt.IsNil)
+		if len(changes.Workers) == 1 && changes.Workers[0].State == state {
+			return changes.Workers[0].Epoch
+		}
+		time.Sleep(times.Retry)
+	}
+	f.c.Fatalf("the lease is not in state %d", state)
+	return 0
+}
+
+func (f *fixture) start(table *lease.Table, q lease.Query, epoch int64, task string) error {
+	_, err := table.Do(context.Background(), lease.Call{
+		Session: q.Session, Worker: "w", Epoch: epoch, Kind: lease.Start, Task: task,
+		Spec: worker.Spec{Name: task, RunTime: time.Minute},
+	})
+	return err
+}
+
+// Guards against a holder that renews leases for a scheduler which no longer
+// asks, and against a delayed query that revives an ended session.
+func TestSessionEndsWithoutQueries(t *testing.T) {
+	f := newFixture(t)
+	table, q := f.table(t), f.query("a", 1, 0)
+	epoch := f.await(table, q, lease.Held)
+	f.c.Assert(f.start(table, q, epoch, "t"), qt.IsNil)
+	time.Sleep(times.Session + times.TTL + times.Call)
+	f.c.Check(f.host.History()[0].Ended.IsZero(), qt.IsFalse)
+	f.c.Check(f.start(table, q, epoch, "late"), qt.ErrorIs, worker.ErrStaleLease)
+	q.After, q.Assignment = 1, nil
+	_, err := table.Watch(context.Background(), q)
+	f.c.Check(err, qt.ErrorIs, lease.ErrNoSession)
+}
+
+// Guards against a session that goes on although the queries whose answers were
+// lost must not prolong it.
+func TestQueryThatDoesNotExtend(t *testing.T) {
+	f := newFixture(t)
+	table, q := f.table(t), f.query("a", 1, 0)
+	f.await(table, q, lease.Held)
+	q.Extend = false
+	for end := time.Now().Add(2 * times.Session); time.Now().Before(end); time.Sleep(times.Retry) {
+		_, _ = table.Watch(context.Background(), lease.Query{Session: q.Session, After: 1})
+	}
+	_, err := table.Watch(context.Background(), lease.Query{Session: q.Session, After: 1})
+	f.c.Assert(err, qt.ErrorIs, lease.ErrNoSession)
+}
+
+// Guards against calls under a lease that has moved to another agent, and
+// against a former holder that takes it back.
+func TestLeaseMovesToAnotherHolder(t *testing.T) {
+	f := newFixture(t)
+	before, after := f.table(t), f.table(t)
+	first, second := f.query("a", 1, 0), f.query("a", 2, 0)
+	old := f.await(before, first, lease.Held)
+	f.c.Assert(f.start(before, first, old, "t"), qt.IsNil)
+	epoch := f.await(after, second, lease.Held)
+	f.c.Assert(epoch > old, qt.IsTrue)
+	f.c.Check(f.start(before, first, old, "stale"), qt.ErrorIs, worker.ErrStaleLease)
+	f.await(before, first, lease.Superseded)
+	f.c.Check(f.start(after, second, epoch, "new"), qt.IsNil)
+	f.c.Check(f.host.History(), qt.HasLen, 2)
+	for _, i := range f.host.History() {
+		f.c.Check(i.Ended.IsZero(), qt.IsTrue)
+	}
+}
+
+// Guards against a scheduler that takes a worker back from its successor when it
+// has lost its session.
+func TestFormerSchedulerDoesNotTakeBack(t *testing.T) {
+	f := newFixture(t)
+	table := f.table(t)
+	first := f.query("a", 1, 0)
+	epoch := f.await(table, first, lease.Held)
+	f.await(table, f.query("b", 1, 0), lease.Held)
+	f.await(table, f.query("a", 2, epoch), lease.Superseded)
+}
+
+// Guards against a delayed first query of an earlier session that ends the
+// later one or competes with it.
+func TestDelayedSessionIsRefused(t *testing.T) {
+	f := newFixture(t)
+	table := f.table(t)
+	f.await(table, f.query("a", 2, 0), lease.Held)
+	_, err := table.Watch(context.Background(), f.query("a", 1, 0))
+	f.c.Assert(err, qt.ErrorIs, lease.ErrNoSession)
+}
--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -214,8 +214,8 @@
 			RunTime:   max(a.job.RunTime-js.Progress, 0),
 			Progress:  js.Progress,
 		}}
-		if k := t.keepers[name]; k != nil {
-			m.Host = k.host()
+		if s := t.seats[name]; s != nil {
+			m.Host = s.host()
 		}
 		a.members = append(a.members, m)
 	}
--- a/internal/fleet/scheduler/fixture_test.go
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -38,34 +39,44 @@
 	}
 }
 
-// gate holds back the calls of one holder, as if it were paused.
+// gate holds back the calls under some leases, as if their holders were paused.
 type gate struct {
 	mu     sync.Mutex
-	holder string
+	leases []string // leases are the starts of the names of their holders.
 	open   chan struct{}
 }
 
-func (g *gate) pause(holder string) {
+// pause holds back all leases of a scheduler.
+func (g *gate) pause(holder string) { g.pauseLeases([]string{holder + "#"}) }
+
+func (g *gate) pauseLeases(names []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.holder, g.open = holder, make(chan struct{})
+	g.leases, g.open = names, make(chan struct{})
 }
 
 func (g *gate) resume() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.holder != "" {
-		g.holder = ""
+	if g.leases != nil {
+		g.leases = nil
 		close(g.open)
 	}
 }
 
+// holds reports whether a call is under one of the leases. g.mu is held.
+func (g *gate) holds(body []byte) bool {
+	return slices.ContainsFunc(g.leases, func(name string) bool {
+		return bytes.Contains(body, []byte(`"holder":"`+name))
+	})
+}
+
 func (g *gate) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(io.LimitReader(r.Body, 1<<20))
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		g.mu.Lock()
-		held, open := g.holder != "" && bytes.Contains(body, []byte(`"holder":"`+g.holder+`"`)), g.open
+		held, open := g.holds(body), g.open
 		g.mu.Unlock()
 		if held {
 			<-open
@@ -81,6 +92,7 @@
 	hosts   map[string]*workerhost.Host
 	workers []worker.Worker
 	gate    gate
+	agents  *agents // agents share the leases; nil for one holder.
 }
 
 // newFixture starts the log and workers with two accelerators each, two to a
@@ -146,6 +158,9 @@
 	options := Default()
 	options.DataCentre, options.Holder, options.Workers = "acari", name, f.workers
 	options.Limits = limits
+	if f.agents != nil {
+		options.Holders, options.Share = f.agents, workersPerAgent
+	}
 	options.Gang = gang.Options{StartDeadline: 3 * time.Second, StopRetry: 50 * time.Millisecond, StopTries: 3}
 	options.Health = HealthOptions{Quick: 300 * time.Millisecond, Streak: 3, Quarantine: time.Second, Avoid: 400 * time.Millisecond}
 	p.scheduler = New(options, j, p.writer)
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -40,6 +40,10 @@
 	Usage      time.Duration // Usage is the time between two reads of a worker's usage.
 }
 
+// defaultShare keeps an agent within 13 KB/s: each worker costs 135 B/s, and
+// membership and the journal take 4.2 KB/s.
+const defaultShare = 54
+
 // DefaultLimits are those of production. An urgent job may wait for the claim of
 // its preferred data centre (2 s) and for a checkpoint (4 s), which leaves 3 s
 // of the 9.1 s for the log, the stop and the start.
@@ -69,7 +73,9 @@
 	Limits     Limits
 	Gang       gang.Options
 	Health     HealthOptions
-	Logger     Logger // Logger receives changes of state; nil for none.
+	Holders    Holders // Holders are the other agents; nil for none.
+	Share      int     // Share is the number of workers for one holder.
+	Logger     Logger  // Logger receives changes of state; nil for none.
 }
 
 // Default returns production options without names and workers.
@@ -80,5 +86,6 @@
 		Limits:  DefaultLimits(),
 		Gang:    gang.Default(),
 		Health:  DefaultHealth(),
+		Share:   defaultShare,
 	}
 }
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -16,12 +16,14 @@
 // Scheduler is the scheduler duty of one data centre. Run may be called again
 // after it has returned.
 type Scheduler struct {
-	options  Options
-	journal  *journal.Journal
-	writer   *journal.Writer
-	changes  *journal.Subscription
-	counters Counters
-	current  atomic.Pointer[term] // current is the term in progress; nil while the duty is not held.
+	options    Options
+	journal    *journal.Journal
+	writer     *journal.Writer
+	changes    *journal.Subscription
+	counters   Counters
+	sessions   atomic.Int64         // sessions counts those with holders, over all terms.
+	generation atomic.Int64         // generation counts the assignments of workers to holders, over all terms.
+	current    atomic.Pointer[term] // current is the term in progress; nil while the duty is not held.
 }
 
 // Counters count what the duty has done since its creation.
@@ -35,6 +37,7 @@
 	Reclaimed   expvar.Int
 	Quarantines expvar.Int
 	LostWorkers expvar.Int
+	Moved       expvar.Int // Moved counts leases that went to another agent or session while the tasks went on.
 	Misfits     expvar.Int // Misfits are decisions that did not fit at the holder.
 }
 
@@ -43,6 +46,9 @@
 	if o.Logger == nil {
 		o.Logger = noLogger{}
 	}
+	if o.Holders == nil {
+		o.Holders = noHolders{}
+	}
 	return &Scheduler{options: o, journal: j, writer: w, changes: j.Subscribe()}
 }
 
@@ -65,11 +71,8 @@
 	t := newTerm(s, work)
 	s.current.Store(t)
 	defer s.current.Store(nil)
-	for _, k := range t.keepers {
-		work.Go(k.String(), k.Run)
-	}
+	work.Go(t.local.String(), t.local.Run)
 	work.Go("barrier", t.syncRun)
-	work.Go("usage", t.usageRun)
 	work.Go("loop", func(inner context.Context) error {
 		defer work.Stop()
 		return t.run(inner, ctx.Done())
--- /dev/null
+++ b/internal/fleet/scheduler/shared_test.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/standin/workerhost"
+	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/request"
+)
+
+// acrossRacks returns a job that needs all four workers, and so two holders.
+func acrossRacks(org, id string, runTime time.Duration) job.Job {
+	j := once(gangOf(org, id, 4, runTime))
+	j.Shape.Adjacency = organisation.WithinDataCentre
+	return j
+}
+
+// Guards against a gang that ends, is split or runs again because one of its
+// holders fails while it runs.
+func TestHolderFailsWhileAGangRuns(t *testing.T) {
+	for name, tt := range faults() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 4, nil).share(t, 4)
+			p := f.processWith(t, "a@1", sharedLimits()).run()
+			p.awaitShared()
+			j := acrossRacks("ana", "1", 8*time.Second)
+			p.submit(j)
+			p.awaitState(j.Identity, job.Running)
+			a, leases := p.holderOf("w0")
+			tt.begin(f, a, leases)
+			time.Sleep(sharedLimits().TTL + sharedLimits().session())
+			f.c.Check(f.live(j), qt.Equals, 4)
+			tt.end(f, a)
+			js := p.awaitState(j.Identity, job.Ended)
+			f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+			f.c.Assert(f.attempts(j), qt.HasLen, 1)
+			f.c.Assert(p.scheduler.Counters().Moved.Value() >= 2, qt.IsTrue)
+		})
+	}
+}
+
+// Guards against a gang that is split, lost or run twice because one of its
+// holders fails in the middle of the start. When the holder fails before the
+// release, nothing has run, so the job must run once after that. When it fails
+// while the gang is released, the job may have run and must not run again.
+func TestHolderFailsDuringAGangStart(t *testing.T) {
+	for name, tt := range faults() {
+		for phase, freeze := range map[string]time.Duration{"before the release": 3 * sharedLimits().Call, "at the release": 0} {
+			t.Run(name+" "+phase, func(t *testing.T) {
+				t.Parallel()
+				f := newFixture(t, 4, nil).share(t, 4)
+				p := f.processWith(t, "a@1", sharedLimits()).run()
+				p.awaitShared()
+				f.hosts["w0"].SetFaults(workerhost.Faults{Freeze: true})
+				j := acrossRacks("ana", "1", 300*time.Millisecond)
+				p.submit(j)
+				f.await("the other members are held", func() bool { return f.live(j) == 3 })
+				a, leases := p.holderOf("w0")
+				tt.begin(f, a, leases)
+				time.Sleep(freeze)
+				f.hosts["w0"].SetFaults(workerhost.Faults{})
+				time.Sleep(2 * sharedLimits().session())
+				tt.end(f, a)
+				js := p.awaitState(j.Identity, job.Ended)
+				f.c.Assert(f.live(j), qt.Equals, 0)
+				if freeze > 0 || js.Outcome != request.Unknown {
+					f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+					f.c.Assert(f.runs(j), qt.Equals, 1)
+				}
+				f.c.Assert(f.runs(j) <= 1, qt.IsTrue)
+			})
+		}
+	}
+}
+
+// Guards against a successor that stops, loses or repeats running gangs when a
+// holder fails together with the placing agent.
+func TestHolderFailsDuringATakeover(t *testing.T) {
+	for name, tt := range faults() {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 4, nil).share(t, 4)
+			first := f.processWith(t, "a@1", sharedLimits()).run()
+			first.awaitShared()
+			j := acrossRacks("ana", "1", 8*time.Second)
+			first.submit(j)
+			first.awaitState(j.Identity, job.Running)
+			a, leases := first.holderOf("w0")
+			first.kill()
+			b := f.processWith(t, "b@1", sharedLimits()).run()
+			tt.begin(f, a, leases)
+			time.Sleep(sharedLimits().TTL + sharedLimits().session())
+			tt.end(f, a)
+			js := b.awaitState(j.Identity, job.Ended)
+			f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+			f.c.Assert(f.attempts(j), qt.HasLen, 1)
+			f.c.Assert(b.scheduler.Counters().Adopted.Value(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// Guards against a gang that is split or run twice when the placing agent dies
+// or pauses in the middle of a start, and against one that goes on with its old
+// leases after the pause.
+func TestPlacingAgentFailsDuringAGangStart(t *testing.T) {
+	for name, pauses := range map[string]bool{"dies": false, "pauses": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 4, nil).share(t, 4)
+			first := f.processWith(t, "a@1", sharedLimits()).run()
+			first.awaitShared()
+			// The lists of the workers must reach back to before the claim.
+			time.Sleep(sharedLimits().session())
+			f.hosts["w0"].SetFaults(workerhost.Faults{Freeze: true})
+			j := acrossRacks("ana", "1", 300*time.Millisecond)
+			first.submit(j)
+			f.await("the other members are held", func() bool { return f.live(j) == 3 })
+			resume := func() {}
+			if pauses {
+				resume = first.pause()
+			} else {
+				first.kill()
+			}
+			f.hosts["w0"].SetFaults(workerhost.Faults{})
+			b := f.processWith(t, "b@1", sharedLimits()).run()
+			f.await("all workers have a new lease", func() bool { return b.scheduler.Summary().Workers == 4 })
+			resume()
+			js := b.awaitState(j.Identity, job.Ended)
+			f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+			f.c.Assert(f.runs(j), qt.Equals, 1)
+			if pauses {
+				first.awaitStepDown()
+			}
+		})
+	}
+}
+
+// Guards against a placing agent that takes the leases back after it was parted
+// from its holders for longer than their sessions last.
+func TestPlacingAgentPausedBeyondItsSessions(t *testing.T) {
+	f := newFixture(t, 4, nil).share(t, 4)
+	first := f.processWith(t, "a@1", sharedLimits()).run()
+	first.awaitShared()
+	j := acrossRacks("ana", "1", 6*time.Second)
+	first.submit(j)
+	first.awaitState(j.Identity, job.Running)
+	resume := first.pause()
+	b := f.processWith(t, "b@1", sharedLimits()).run()
+	f.await("the gang is adopted", func() bool { return b.scheduler.Counters().Adopted.Value() == 1 })
+	time.Sleep(2 * sharedLimits().session())
+	resume()
+	first.awaitStepDown()
+	f.c.Assert(b.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+	f.c.Assert(f.attempts(j), qt.HasLen, 1)
+}
+
+// Guards against holders that keep tasks running for good when the placing
+// agent is gone and nobody takes over.
+func TestLeasesLapseWithoutAPlacingAgent(t *testing.T) {
+	f := newFixture(t, 4, nil).share(t, 4)
+	p := f.process(t, "a@1").run()
+	p.awaitShared()
+	j := acrossRacks("ana", "1", long)
+	p.submit(j)
+	p.awaitState(j.Identity, job.Running)
+	p.kill()
+	limits := testLimits()
+	time.Sleep(limits.session() + limits.TTL + 2*limits.Call)
+	f.c.Assert(f.live(j), qt.Equals, 0)
+}
+
+// Guards against holders that report to the placing agent although nothing has
+// changed.
+func TestHoldersReportChangesOnly(t *testing.T) {
+	f := newFixture(t, 8, nil).share(t, 5)
+	p := f.processWith(t, "a@1", sharedLimits()).run()
+	p.awaitShared()
+	time.Sleep(2 * sharedLimits().Renew)
+	queries := func() int64 {
+		sum := int64(0)
+		for _, a := range f.agents.list {
+			sum += a.queries.Load()
+		}
+		return sum
+	}
+	before := queries()
+	const rounds = 10
+	time.Sleep(rounds * sharedLimits().Renew)
+	holders := int64(8 / workersPerAgent)
+	f.c.Assert(queries()-before <= (rounds+1)*holders, qt.IsTrue, qt.Commentf("%d queries", queries()-before))
+}
+
+// Guards against a small data centre whose leases go to other agents.
+func TestSmallDataCentreHasOneHolder(t *testing.T) {
+	f := newFixture(t, workersPerAgent, nil).share(t, 3)
+	p := f.processWith(t, "a@1", sharedLimits()).run()
+	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == workersPerAgent })
+	for _, a := range f.agents.list {
+		f.c.Assert(a.queries.Load(), qt.Equals, int64(0))
+	}
+}
--- a/internal/fleet/scheduler/takeover.go
+++ b/internal/fleet/scheduler/takeover.go
@@ -20,22 +20,22 @@
 }
 
 // workerUp records a new lease of a worker.
-func (t *term) workerUp(name string, sent time.Time, report worker.Report) {
+func (t *term) workerUp(name string, received time.Time, report worker.Report) {
 	h := t.hosts[name]
-	h.up, h.lost, h.upSince = true, false, sent
+	h.up, h.lost, h.upSince = true, false, received
 	h.tasks = map[string]worker.Task{}
 	h.open = true // as the planner takes a worker that is added
 	t.planner.AddWorker(h.worker)
-	t.workerReport(name, sent, report)
+	h.received, h.completeFor = received, report.CompleteFor
+	t.workerReport(name, report)
 	t.fresh = append(t.fresh, name)
 	t.wantSync()
 }
 
 // workerReport passes the changes of tasks on.
-func (t *term) workerReport(name string, sent time.Time, report worker.Report) {
+func (t *term) workerReport(name string, report worker.Report) {
 	h := t.hosts[name]
-	h.renewed, h.received, h.completeFor = sent, time.Now(), report.CompleteFor
-	t.dirty = t.dirty || len(report.Tasks) > 0 || len(t.settling) > 0
+	t.dirty = t.dirty || len(report.Tasks) > 0
 	for _, task := range report.Tasks {
 		h.tasks[task.Name] = task
 		if m, ok := t.byTask[task.Name]; ok {
@@ -49,6 +49,7 @@
 	h := t.hosts[name]
 	t.counters.LostWorkers.Add(1)
 	h.up, h.lost, h.open = false, true, false
+	t.seats[name].lose()
 	h.tasks = map[string]worker.Task{}
 	t.planner.RemoveWorker(name)
 	t.audit("lost", name, "the worker is silent or has restarted", "")
@@ -207,7 +208,7 @@
 			continue
 		}
 		t.counters.Orphans.Add(1)
-		host := t.keepers[name].host()
+		host := t.seats[name].host()
 		t.work.Go("stop orphan", func(ctx context.Context) error {
 			m := gang.Member{Worker: name, Host: host, Spec: worker.Spec{Name: task}}
 			gang.New([]gang.Member{m}, t.options.Gang).Stop(ctx, "no claim covers the task")
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -9,6 +9,7 @@
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/lease"
 	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/record/journal"
@@ -19,11 +20,16 @@
 // goroutines post functions to it.
 type term struct {
 	*Scheduler
-	limits  Limits
-	work    *group.Group
-	events  chan func(t *term)
-	wanted  chan struct{} // wanted asks for a read barrier.
-	keepers map[string]*keeper
+	limits Limits
+	work   *group.Group
+	events chan func(t *term)
+	wanted chan struct{} // wanted asks for a read barrier.
+
+	local      *lease.Table      // local holds the leases of this process.
+	links      map[string]*link  // links by the name of the holder.
+	seats      map[string]*seat  // seats by worker; the map does not change.
+	candidates []string          // candidates are the agents that were last known to be live.
+	shares     map[string]string // shares maps racks to holders; nil when they are to be divided anew.
 
 	planner  *placement.Planner
 	others   map[string]*placement.Planner // others are empty models of the other data centres.
@@ -45,6 +51,13 @@
 type hostState struct {
 	worker      worker.Worker
 	up          bool
+	holder      string // holder is the agent that is to hold the lease.
+	generation  int64  // generation of that assignment.
+	heldBy      lease.SessionID
+	epoch       int64
+	incarnation int64
+	heldUntil   time.Time     // heldUntil is how long an earlier holder of this term may have the lease.
+	lapsing     bool          // lapsing workers are reported lost by their present holder.
 	reporting   bool          // reporting is set while a report of the worker waits to be folded.
 	lost        bool          // lost workers were silent for longer than a lease lasts.
 	upSince     time.Time     // upSince is when the lease was acquired.
@@ -74,7 +87,9 @@
 		work:      work,
 		events:    make(chan func(t *term), 64),
 		wanted:    make(chan struct{}, 1),
-		keepers:   map[string]*keeper{},
+		local:     lease.NewTable(),
+		links:     map[string]*link{},
+		seats:     map[string]*seat{},
 		planner:   placement.New(s.options.Policy, s.options.Planner),
 		others:    map[string]*placement.Planner{},
 		health:    newHealth(s.options.Health),
@@ -99,7 +114,7 @@
 	if w.DataCentre != t.options.DataCentre {
 		return
 	}
-	t.keepers[w.Name] = &keeper{term: t, worker: w, client: worker.NewClient(w.Address, t.limits.Call)}
+	t.seats[w.Name] = &seat{worker: w}
 	t.hosts[w.Name] = &hostState{
 		worker:   w,
 		tasks:    map[string]worker.Task{},
@@ -151,6 +166,8 @@
 		t.fold()
 		if t.dirty {
 			t.dirty = false
+			t.shareLeases()
+			t.loseLapsed()
 			t.advance()
 		}
 		if t.draining && t.starting() == 0 {
@@ -281,27 +298,6 @@
 	}
 }
 
-// usageRun reads the usage of the workers in turn.
-func (t *term) usageRun(ctx context.Context) error {
-	for ctx.Err() == nil {
-		for _, k := range t.keepers {
-			sleep(ctx, t.limits.Usage/time.Duration(len(t.keepers)))
-			if k.host().Client == nil || ctx.Err() != nil {
-				continue
-			}
-			usage, err := k.client.Usage(ctx)
-			if err == nil && len(usage) > 0 {
-				now := time.Now()
-				t.post(ctx, func(t *term) { t.observeUsage(usage, now) })
-			}
-		}
-		if len(t.keepers) == 0 {
-			return nil
-		}
-	}
-	return nil
-}
-
 func (t *term) observeUsage(usage []worker.Usage, now time.Time) {
 	for _, u := range usage {
 		if m, ok := t.byTask[u.Task]; ok {
@@ -337,3 +333,11 @@
 	id := request.Identity{Organisation: parts[0], ID: strings.Join(parts[1:last-1], "/")}
 	return job.TaskID{Job: id, Attempt: attempt, Member: member}, nil
 }
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
