Offer the agents of a data centre as lease holders

Cause: the scheduler can share its leases, but no process serves a table of leases to the scheduler of another.

Change: each agent serves its table beside its other services. The scheduler duty takes the live agents of its data centre as holders. Suspected members stay holders, because a move for a false suspicion would break off starts in progress; a holder that does not answer is left by the scheduler itself. A draining agent loses its part at once.

--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/fleet/lease"
 	"wasabihoist/internal/role/agent"
 	"wasabihoist/internal/run/settings"
 )
@@ -19,6 +20,7 @@
 	*node
 	agent    *agent.Server
 	duties   *schedulerDuties
+	leases   *lease.Table // leases that this agent holds for schedulers of other agents.
 	announce endpoint
 	stopping atomic.Bool // stopping is set once a planned stop has begun.
 }
@@ -29,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &Agent{node: n, agent: agent.New(agentOptions(s), n.journal, n.writer)}
+	a := &Agent{node: n, agent: agent.New(agentOptions(s), n.journal, n.writer), leases: lease.NewTable()}
 	a.duties, err = newSchedulerDuties(n)
 	if err != nil {
 		return nil, errors.Join(err, n.close())
@@ -40,6 +42,7 @@
 	}
 	n.mux.Handle(wire.AgentPathPrefix, wire.NewAgentServer(a.agent.Service()))
 	n.mux.Handle(wire.SchedulerPathPrefix, wire.NewSchedulerServer(a.duties))
+	n.mux.Handle(wire.LeaseHolderPathPrefix, wire.NewLeaseHolderServer(lease.NewServer(a.leases)))
 	return a, nil
 }
 
@@ -59,6 +62,7 @@
 	a.serveFigures(a.figures())
 	a.announce.start(a.group, "announce listener")
 	a.group.Go(a.agent.String(), a.agent.Run)
+	a.group.Go(a.leases.String(), a.leases.Run)
 	a.group.Go(a.duties.String(), a.duties.Run)
 	a.startMemberChanges(a.duties.holds)
 	a.group.Every("load", loadInterval, func(context.Context) error {
--- a/internal/run/process/duties.go
+++ b/internal/run/process/duties.go
@@ -160,6 +160,7 @@
 	o.Planner.Checkpoint = s.Agent.Timeouts.Checkpoint
 	o.Planner.MaxWait = s.Agent.Timeouts.ReservationWait
 	o.Gang.StartDeadline = s.Agent.Timeouts.GangStart
+	o.Holders = leaseHolders{node: d.node, dataCentre: dataCentre, call: o.Limits.Call}
 	o.Logger = d.node.logger
 	return scheduler.New(o, d.node.journal, d.node.writer)
 }
