Ignore assignments of leases that arrive late

Cause: a query to a lease holder that was given up by the scheduler may arrive after a later one. Its assignment would replace the later one, the holder would drop workers that the scheduler believes to be held there, and their leases would lapse without a report.

Change: assignments are numbered within a session, and a holder ignores one that is not above the last. Abandoned leases are forgotten when their epoch has passed. A holder is told its workers with the first query.

Measured: TestDelayedAssignmentHasNoEffect fails without the number.

Conclusion: the order of queries no longer matters to a holder.

--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -61,6 +61,7 @@
 
 // Assignment is all that a session is to hold.
 type Assignment struct {
+	Version int64 // Version grows with each assignment of a session; one that arrives late has no effect.
 	Times   Times
 	Workers []Wanted
 }
--- a/internal/fleet/lease/mapping.go
+++ b/internal/fleet/lease/mapping.go
@@ -55,7 +55,7 @@
 
 func assignmentToWire(a Assignment) *wire.LeaseAssignment {
 	t := a.Times
-	m := &wire.LeaseAssignment{Times: &wire.LeaseTimes{
+	m := &wire.LeaseAssignment{Version: a.Version, Times: &wire.LeaseTimes{
 		TtlNanos: t.TTL.Nanoseconds(), RenewNanos: t.Renew.Nanoseconds(), CallNanos: t.Call.Nanoseconds(),
 		RetryNanos: t.Retry.Nanoseconds(), SessionNanos: t.Session.Nanoseconds(),
 		SilenceNanos: t.Silence.Nanoseconds(), UsageNanos: t.Usage.Nanoseconds(),
@@ -70,7 +70,7 @@
 
 func assignmentFromWire(m *wire.LeaseAssignment) (Assignment, error) {
 	t := m.GetTimes()
-	a := Assignment{Times: Times{
+	a := Assignment{Version: m.GetVersion(), Times: Times{
 		TTL: time.Duration(t.GetTtlNanos()), Renew: time.Duration(t.GetRenewNanos()), Call: time.Duration(t.GetCallNanos()),
 		Retry: time.Duration(t.GetRetryNanos()), Session: time.Duration(t.GetSessionNanos()),
 		Silence: time.Duration(t.GetSilenceNanos()), Usage: time.Duration(t.GetUsageNanos()),
--- a/internal/fleet/lease/session.go
+++ b/internal/fleet/lease/session.go
@@ -17,6 +17,7 @@
 
 	mu       sync.Mutex
 	deadline time.Time // deadline is when the leases are no longer renewed.
+	assigned int64     // assigned is the version of the last assignment.
 	ended    bool      // ended sessions start nothing any more.
 	version  uint64
 	keepers  map[string]*keeper
@@ -82,9 +83,10 @@
 func (s *session) assign(a Assignment) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended {
+	if s.ended || a.Version <= s.assigned {
 		return
 	}
+	s.assigned = a.Version
 	wanted := map[string]Wanted{}
 	for _, w := range a.Workers {
 		wanted[w.Worker.Name] = w
--- a/internal/fleet/lease/table_test.go
+++ b/internal/fleet/lease/table_test.go
@@ -53,7 +53,7 @@
 func (f *fixture) query(owner string, generation, epoch int64) lease.Query {
 	return lease.Query{
 		Session: lease.SessionID{Owner: owner, DataCentre: "acari", Number: generation}, Extend: true, Wait: times.Session / 3,
-		Assignment: &lease.Assignment{Times: times, Workers: []lease.Wanted{{Worker: f.worker, Generation: generation, Epoch: epoch}}},
+		Assignment: &lease.Assignment{Version: 1, Times: times, Workers: []lease.Wanted{{Worker: f.worker, Generation: generation, Epoch: epoch}}},
 	}
 }
 
@@ -140,6 +140,30 @@
 	f.await(table, f.query("a", 2, epoch), lease.Superseded)
 }
 
+// Guards against a delayed query that takes workers from the holder again, so
+// that their leases lapse unnoticed.
+func TestDelayedAssignmentHasNoEffect(t *testing.T) {
+	f := newFixture(t)
+	table, q := f.table(t), f.query("a", 1, 0)
+	q.Assignment.Version = 2
+	epoch := f.await(table, q, lease.Held)
+	late := q
+	late.Wait, late.Assignment = 0, &lease.Assignment{Version: 1, Times: times}
+	_, err := table.Watch(context.Background(), late)
+	f.c.Assert(err, qt.IsNil)
+	f.c.Check(f.start(table, q, epoch, "t"), qt.IsNil)
+}
+
+// Guards against a call that was decided on under an earlier lease and is
+// carried out under the present one.
+func TestCallUnderAnEarlierEpoch(t *testing.T) {
+	f := newFixture(t)
+	table, q := f.table(t), f.query("a", 1, 0)
+	epoch := f.await(table, q, lease.Held)
+	f.c.Check(f.start(table, q, epoch-1, "t"), qt.ErrorIs, worker.ErrStaleLease)
+	f.c.Check(f.host.History(), qt.HasLen, 0)
+}
+
 // Guards against a delayed first query of an earlier session that ends the
 // later one or competes with it.
 func TestDelayedSessionIsRefused(t *testing.T) {
--- a/internal/fleet/scheduler/link.go
+++ b/internal/fleet/scheduler/link.go
@@ -104,7 +104,7 @@
 
 func (l *link) begin() conversation {
 	o := l.term.options
-	return conversation{session: lease.SessionID{Owner: o.Holder, DataCentre: o.DataCentre, Number: l.term.sessions.Add(1)}}
+	return conversation{assigned: -1, session: lease.SessionID{Owner: o.Holder, DataCentre: o.DataCentre, Number: l.term.sessions.Add(1)}}
 }
 
 // ask sends a query and returns the version of what it told the holder.
@@ -120,7 +120,10 @@
 	version := l.version
 	l.interrupt = cancel
 	if c.assigned != version {
-		q.Assignment = &lease.Assignment{Times: l.term.times(), Workers: l.withEpochs()}
+		q.Assignment = &lease.Assignment{Version: int64(version), Times: l.term.times(), Workers: l.withEpochs()}
+		l.abandoned = slices.DeleteFunc(l.abandoned, func(a lease.Abandoned) bool {
+			return l.term.seats[a.Worker].highestEpoch() != a.Epoch
+		})
 		q.Abandoned = slices.Clone(l.abandoned)
 	}
 	l.mu.Unlock()
