Measure lease holders in processes of their own

Cause: bench capacity measures the scheduler together with the stand-ins of the workers, so the processor time of a holder and of the placing agent could not be told apart, and nothing measured shared leases.

Change: bench leases runs the stand-ins and each holder as processes of their own, with one holder and with the leases shared, at 60, 180 and 443 workers, idle and with 13 tasks on each worker. A part has at most 40 workers instead of 54.

--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -18,6 +18,7 @@
 		{"placement-scale", "time of a decision and memory of a task by fleet size", benchPlacementScale},
 		{"journal", "memory, log bytes and processor time of records and snapshots", benchJournal},
 		{"capacity", "cost of the scheduler duty by workers and tasks, and of requests by rate", benchCapacity},
+		{"leases", "cost of the placing agent and of each lease holder by workers, in processes of their own", benchLeases},
 		{"faults", "work that is lost, run twice or falsely refused under faults, and recovery times", benchFaults},
 		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
 	}
@@ -29,6 +30,17 @@
 	return placementbench.Run(ctx, options)
 }
 
+func benchLeases(ctx context.Context, o benchOptions) (any, error) {
+	options := capacitybench.DefaultLeases()
+	options.Progress = o.progress
+	result, err := capacitybench.RunLeases(ctx, options)
+	if err != nil {
+		return nil, err
+	}
+	data, err := result.JSON()
+	return json.RawMessage(data), err
+}
+
 func benchFaults(ctx context.Context, o benchOptions) (any, error) {
 	options := faultbench.Default()
 	options.Seed = o.seed
--- a/internal/fleet/lease/share_test.go
+++ b/internal/fleet/lease/share_test.go
@@ -28,7 +28,7 @@
 // Guards against holders with more workers than their budget carries, and
 // against leases that leave the scheduler's agent in a small data centre.
 func TestShareBoundsTheHolders(t *testing.T) {
-	const limit = 54
+	const limit = 40
 	tests := map[string]struct {
 		racks, others int
 		holders       int
@@ -37,10 +37,10 @@
 	}{
 		"small":              {racks: 4, others: 10, holders: 1, self: true, most: 12},
 		"no other agent":     {racks: 148, others: 0, holders: 1, self: true, most: 444},
-		"just above one":     {racks: 19, others: 10, holders: 2, most: 30},
-		"planned size":       {racks: 148, others: 440, holders: 9, most: 54},
-		"fewer than are due": {racks: 148, others: 3, holders: 4, self: true, most: 156},
-		"exactly enough":     {racks: 148, others: 9, holders: 9, most: 54},
+		"just above one":     {racks: 14, others: 10, holders: 2, most: 21},
+		"planned size":       {racks: 148, others: 440, holders: 12, most: 39},
+		"fewer than are due": {racks: 148, others: 3, holders: 4, self: true, most: 117},
+		"exactly enough":     {racks: 148, others: 12, holders: 12, most: 39},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,11 +67,11 @@
 	c := qt.New(t)
 	racks := racksOf(148)
 	all := members(20)
-	before := lease.Share("acari", "self", all, racks, 54)
+	before := lease.Share("acari", "self", all, racks, 40)
 	moved, had := 0, 0
 	for i, gone := range all {
 		others := append(append([]string{}, all[:i]...), all[i+1:]...)
-		for rack, holder := range lease.Share("acari", "self", others, racks, 54) {
+		for rack, holder := range lease.Share("acari", "self", others, racks, 40) {
 			if before[rack] == gone {
 				had++
 			}
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -40,9 +40,9 @@
 	Usage      time.Duration // Usage is the time between two reads of a worker's usage.
 }
 
-// defaultShare keeps an agent within 13 KB/s: each worker costs 135 B/s, and
-// membership and the journal take 4.2 KB/s.
-const defaultShare = 54
+// defaultShare keeps an agent within 13 KB/s: a worker with 13 tasks costs its
+// holder 199 B/s, and membership and the journal take 4.2 KB/s.
+const defaultShare = 40
 
 // DefaultLimits are those of production. An urgent job may wait for the claim of
 // its preferred data centre (2 s) and for a checkpoint (4 s), which leaves 3 s
--- a/internal/run/bench/capacitybench/scheduler.go
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -31,6 +31,8 @@
 	memberMemory   = 1_000_000
 )
 
+var workerCapacity = worker.Resources{Cores: 64, Memory: 64_000_000_000, Accelerators: 1}
+
 // SchedulerPoint is the cost of the scheduler duty for one size. Processor
 // time and memory include the stand-ins of the workers, so they are upper
 // bounds.
@@ -78,18 +80,27 @@
 	if err != nil {
 		return err
 	}
-	capacity := worker.Resources{Cores: 64, Memory: 64_000_000_000, Accelerators: 1}
-	for i := range workers {
-		address, err := s.serve(workerhost.New(capacity, nil).Handler(), true)
+	var addresses []netip.AddrPort
+	for range workers {
+		address, err := s.serve(workerhost.New(workerCapacity, nil).Handler(), true)
 		if err != nil {
 			return err
 		}
+		addresses = append(addresses, address)
+	}
+	s.schedule(logAddress, addresses, scheduler.Default())
+	return nil
+}
+
+// schedule starts the scheduler over workers and a log that run already.
+func (s *site) schedule(logAddress netip.AddrPort, workers []netip.AddrPort, o scheduler.Options) {
+	for i, address := range workers {
 		s.workers = append(s.workers, worker.Worker{
 			Name:       fmt.Sprintf("worker-%d", i),
 			Rack:       fmt.Sprintf("rack-%d", i/workersPerRack),
 			DataCentre: dataCentre,
 			Address:    address,
-			Capacity:   capacity,
+			Capacity:   workerCapacity,
 		})
 	}
 	client := platformlog.NewClient(logAddress, nil)
@@ -97,13 +108,11 @@
 	s.writer = journal.NewWriter("capacity@1", client, s.journal, journal.DefaultWriterOptions())
 	s.group.Go("writer", s.writer.Run)
 	s.group.Go("follower", journal.NewFollower(s.journal, client, noSnapshots{}).Run)
-	o := scheduler.Default()
 	o.DataCentre = dataCentre
 	o.Holder = s.writer.Name()
 	o.Workers = s.workers
 	s.scheduler = scheduler.New(o, s.journal, s.writer)
 	s.group.Go(s.scheduler.String(), s.scheduler.Run)
-	return nil
 }
 
 // noSnapshots has none; the log of a measurement is short.
