--- a/internal/run/bench/capacitybench/leases.go
+++ b/internal/run/bench/capacitybench/leases.go
@@ -187,7 +187,7 @@
 	}
 	started := time.Since(start).Seconds()
 	busy, err := s.leaseWindow(ctx, o, x, before)
-	busy.Tasks, busy.StartedSeconds = workers*o.TasksPerWorker, started
+	busy.Tasks, busy.StartedSeconds = workers*o.TasksPerWorker/gangSize*gangSize, started
 	return []LeasePoint{idle, busy}, err
 }
 
--- a/internal/run/bench/capacitybench/scheduler.go
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -29,6 +29,7 @@
 	readyPause     = 50 * time.Millisecond
 	longRunTime    = time.Hour
 	memberMemory   = 1_000_000
+	gangSize       = 20
 )
 
 var workerCapacity = worker.Resources{Cores: 64, Memory: 64_000_000_000, Accelerators: 1}
@@ -156,8 +157,7 @@
 // fill submits one long gang for each batch of workers and waits until all of
 // them run.
 func (s *site) fill(ctx context.Context, workers, perWorker int) error {
-	const gang = 20
-	jobs := workers * perWorker / gang
+	jobs := workers * perWorker / gangSize
 	_, err := s.writer.Append(ctx, journal.ConfigurationPublished{
 		Organisations: []organisation.Organisation{{Name: "capacity", Plan: "capacity"}},
 		Plans:         []organisation.Plan{{Name: "capacity", Kinds: []string{"long"}, Share: 1}},
@@ -169,7 +169,7 @@
 		j := job.Job{
 			Identity:   request.Identity{Organisation: "capacity", ID: fmt.Sprintf("job-%d", i)},
 			Kind:       "long",
-			Shape:      organisation.Shape{Members: gang, Adjacency: organisation.WithinDataCentre},
+			Shape:      organisation.Shape{Members: gangSize, Adjacency: organisation.WithinDataCentre},
 			Cores:      1,
 			Memory:     memberMemory,
 			RunTime:    longRunTime,
