Say in the package comment who holds the leases

Cause: the comment of the package scheduler says that the duty holds the leases.

Change: it names the holders.

--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -1,6 +1,6 @@
-// Package scheduler is the duty that runs the jobs of one data centre: it
-// holds the leases of the workers, decides with the planner, and starts, stops
-// and settles attempts by the journal.
+// Package scheduler is the duty that runs the jobs of one data centre: it gives
+// the leases of the workers to holders, decides with the planner, and starts,
+// stops and settles attempts by the journal.
 package scheduler
 
 import (
