--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -17,7 +17,7 @@
 // openWorkers tells the planner which workers may take new tasks.
 func (t *term) openWorkers(now time.Time) {
 	for name, h := range t.hosts {
-		t.planner.SetSilent(name, t.isSilent(h, now))
+		t.planner.SetSilent(name, h.isSilent())
 		if open := h.up && t.health.allows(name, now); open != h.open {
 			h.open = open
 			t.planner.SetSchedulable(name, open)
@@ -217,8 +217,8 @@
 			RunTime:   max(a.job.RunTime-js.Progress, 0),
 			Progress:  js.Progress,
 		}}
-		if k := t.keepers[name]; k != nil {
-			m.Host = k.host()
+		if s := t.seats[name]; s != nil {
+			m.Host = s.host()
 		}
 		a.members = append(a.members, m)
 	}
--- a/internal/fleet/scheduler/silent.go
+++ b/internal/fleet/scheduler/silent.go
@@ -17,10 +17,18 @@
 }
 
 // isSilent reports whether the worker does not answer although its lease is in
-// force. The reports of an idle worker are at most Renew apart.
-func (t *term) isSilent(h *hostState, now time.Time) bool {
-	overdue := t.limits.Renew + t.limits.Call + t.limits.Tick
-	return h.up && (h.silent || now.Sub(h.heard) > overdue)
+// force.
+func (h *hostState) isSilent() bool { return h.up && h.silent }
+
+// markSilent records a call without an answer.
+func (h *hostState) markSilent(now time.Time) { h.silent, h.silentSince = true, now }
+
+// hear records that the worker has answered a call that was sent at a time.
+func (h *hostState) hear(sent time.Time) {
+	h.heard = latest(h.heard, sent)
+	if sent.After(h.silentSince) {
+		h.silent = false
+	}
 }
 
 // probeAwaited asks the workers on which urgent jobs depend whether they answer.
@@ -33,13 +41,14 @@
 			continue
 		}
 		h.probing = true
-		client := t.keepers[name].client
 		t.work.Go("probe of "+name, func(ctx context.Context) error {
-			answers := t.answers(ctx, client)
+			answers := t.answers(ctx, h.worker)
 			t.post(ctx, func(*term) {
-				h.probing, h.silent = false, !answers
+				h.probing = false
 				if answers {
-					h.heard = time.Now()
+					h.hear(time.Now())
+				} else {
+					h.markSilent(time.Now())
 				}
 			})
 			return nil
@@ -48,8 +57,10 @@
 }
 
 // answers reports whether the worker answers within Call. The second try has a
-// connection of its own, because an open one may be silent while new ones work.
-func (t *term) answers(ctx context.Context, client *worker.Client) bool {
+// connection of its own, because the first one may be silent.
+func (t *term) answers(ctx context.Context, w worker.Worker) bool {
+	client := worker.NewClient(w.Address, t.limits.Call)
+	defer client.Close()
 	for range 2 {
 		bounded, cancel := context.WithTimeout(ctx, t.limits.Call/2)
 		_, err := client.Usage(bounded)
@@ -70,7 +81,7 @@
 		if h == nil || !h.up {
 			continue
 		}
-		h.silent = true
+		h.markSilent(time.Now())
 		h.leftovers[task] = leftover{a.gang, i, a.job.Member()}
 		t.work.Go("stop "+task, func(ctx context.Context) error {
 			if a.gang.StopHeld(ctx, i) == nil {
--- a/internal/fleet/scheduler/status.go
+++ b/internal/fleet/scheduler/status.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"wasabihoist/internal/fleet/worker"
 )
@@ -38,7 +37,7 @@
 		switch {
 		case h.lost:
 			status.State = Lost
-		case !h.up, t.isSilent(h, time.Now()):
+		case !h.up, h.isSilent():
 			status.State = Unreachable
 		case slices.Contains(quarantined, name):
 			status.State = Quarantined
--- a/internal/run/bench/capacitybench/scheduler.go
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -30,8 +30,11 @@
 	readyPause     = 50 * time.Millisecond
 	longRunTime    = time.Hour
 	memberMemory   = 1_000_000
+	gangSize       = 20
 )
 
+var workerCapacity = worker.Resources{Cores: 64, Memory: 64_000_000_000, Accelerators: 1}
+
 // SchedulerPoint is the cost of the scheduler duty for one size. Processor
 // time and memory include the stand-ins of the workers, so they are upper
 // bounds.
@@ -79,18 +82,27 @@
 	if err != nil {
 		return err
 	}
-	capacity := worker.Resources{Cores: 64, Memory: 64_000_000_000, Accelerators: 1}
-	for i := range workers {
-		address, err := s.serve(workerhost.New(capacity, nil).Handler(), true)
+	var addresses []netip.AddrPort
+	for range workers {
+		address, err := s.serve(workerhost.New(workerCapacity, nil).Handler(), true)
 		if err != nil {
 			return err
 		}
+		addresses = append(addresses, address)
+	}
+	s.schedule(logAddress, addresses, scheduler.Default())
+	return nil
+}
+
+// schedule starts the scheduler over workers and a log that run already.
+func (s *site) schedule(logAddress netip.AddrPort, workers []netip.AddrPort, o scheduler.Options) {
+	for i, address := range workers {
 		s.workers = append(s.workers, worker.Worker{
 			Name:       fmt.Sprintf("worker-%d", i),
 			Rack:       fmt.Sprintf("rack-%d", i/workersPerRack),
 			DataCentre: dataCentre,
 			Address:    address,
-			Capacity:   capacity,
+			Capacity:   workerCapacity,
 		})
 	}
 	client := platformlog.NewClient(logAddress, nil)
@@ -98,13 +110,11 @@
 	s.writer = journal.NewWriter("capacity@1", client, s.journal, journal.DefaultWriterOptions())
 	s.group.Go("writer", s.writer.Run)
 	s.group.Go("follower", journal.NewFollower(s.journal, client, noSnapshots{}).Run)
-	o := scheduler.Default()
 	o.DataCentre = dataCentre
 	o.Holder = s.writer.Name()
 	o.Workers = s.workers
 	s.scheduler = scheduler.New(o, s.journal, s.writer)
 	s.group.Go(s.scheduler.String(), s.scheduler.Run)
-	return nil
 }
 
 // noSnapshots has none; the log of a measurement is short.
@@ -148,8 +158,7 @@
 // fill submits one long gang for each batch of workers and waits until all of
 // them run.
 func (s *site) fill(ctx context.Context, workers, perWorker int) error {
-	const gang = 20
-	jobs := workers * perWorker / gang
+	jobs := workers * perWorker / gangSize
 	_, err := s.writer.Append(ctx, journal.ConfigurationPublished{
 		Organisations: []organisation.Organisation{{Name: "capacity", Plan: "capacity"}},
 		Plans:         []organisation.Plan{{Name: "capacity", Kinds: []string{"long"}, Share: 1}},
@@ -161,7 +170,7 @@
 		j := job.Job{
 			Identity:   request.Identity{Organisation: "capacity", ID: fmt.Sprintf("job-%d", i)},
 			Kind:       "long",
-			Shape:      organisation.Shape{Members: gang, Adjacency: organisation.WithinDataCentre},
+			Shape:      organisation.Shape{Members: gangSize, Adjacency: organisation.WithinDataCentre},
 			Cores:      1,
 			Memory:     memberMemory,
 			RunTime:    longRunTime,
