Let processes that start together find each other within two seconds

Processes of one data centre that joined through seeds elsewhere formed groups that did not know each other until the repairs after 5 s. They had also spread the news of their start before they knew whom to tell, partly to the member that the news is about.

Change: the first three later readings of the list ask a seed for the members of the own data centre as well. For 30 s after its start, a process that hears of a new member of its data centre spreads itself again and reads that member's list, at most 16 times. A change is not sent to the member that it is about.

Tried and left out: spreading what remote delegates report once more, which changed nothing once seeds were asked.

--- a/internal/cluster/membership/membership.go
+++ b/internal/cluster/membership/membership.go
@@ -18,6 +18,13 @@
 	sweepInterval      = 200 * time.Millisecond
 	expiryInterval     = 10 * time.Second // expiryInterval lies between searches for old dead members.
 	loadNotifyInterval = time.Second
+	// introductionTime is how long after its start a process introduces itself
+	// again when it hears of another member of the data centre.
+	introductionTime = 30 * time.Second
+	// maxIntroductions bounds the lists that a process reads because of them.
+	maxIntroductions = 16
+	// introductionInterval lies between two of these lists.
+	introductionInterval = 100 * time.Millisecond
 )
 
 // Transport carries probes between processes.
@@ -33,26 +40,29 @@
 	options   Options
 	transport Transport
 
-	mu           sync.Mutex
-	random       *rand.Rand
-	self         *record // self is not in the table.
-	leaving      bool    // leaving stops refutations after Leave.
-	table        *table
-	suspects     map[string]*record       // suspects of the own data centre have a deadline.
-	queue        []*record                // queue holds the changes that wait to be spread.
-	ring         []string                 // ring holds the names that are still to be probed in this round.
-	links        map[string]*link         // links exist for the data centres that this process is the delegate to.
-	reachability map[string]*reachability // reachability is shared within the data centre.
-	offset       int64
-	onOffset     func(peer Member, offset int64)
-	repairAfter  string // repairAfter is the last name of the previous repair page.
-	seedAfter    string // seedAfter is the last name of the previous page from a seed.
-	lastSweep    time.Time
-	lastExpiry   time.Time // lastExpiry is the time of the last search for old dead members.
-	loadChanged  bool
-	loadNotified time.Time
-	changed      chan struct{} // changed is closed at the next change and then replaced.
-	statistics   Statistics
+	mu            sync.Mutex
+	random        *rand.Rand
+	self          *record // self is not in the table.
+	leaving       bool    // leaving stops refutations after Leave.
+	table         *table
+	suspects      map[string]*record       // suspects of the own data centre have a deadline.
+	queue         []*record                // queue holds the changes that wait to be spread.
+	unread        []Member                 // unread are the new members whose lists are still to be read.
+	introductions int                      // introductions counts the members that were added to unread.
+	ring          []string                 // ring holds the names that are still to be probed in this round.
+	links         map[string]*link         // links exist for the data centres that this process is the delegate to.
+	reachability  map[string]*reachability // reachability is shared within the data centre.
+	offset        int64
+	onOffset      func(peer Member, offset int64)
+	repairAfter   string    // repairAfter is the last name of the previous repair page.
+	seedAfter     string    // seedAfter is the last name of the previous page from a seed.
+	started       time.Time // started is the time of Run.
+	lastSweep     time.Time
+	lastExpiry    time.Time // lastExpiry is the time of the last search for old dead members.
+	loadChanged   bool
+	loadNotified  time.Time
+	changed       chan struct{} // changed is closed at the next change and then replaced.
+	statistics    Statistics
 }
 
 // Statistics count events since the start.
@@ -100,12 +110,14 @@
 // Run probes other members until ctx ends.
 func (m *Membership) Run(ctx context.Context) error {
 	m.mu.Lock()
-	m.lastSweep = time.Now()
+	m.started = time.Now()
+	m.lastSweep = m.started
 	start := time.Duration(m.random.Int64N(int64(m.options.ProbeInterval)))
 	m.mu.Unlock()
 	g := group.New(ctx)
 	g.Go("join", m.join)
 	g.Every("sweep", sweepInterval, m.sweep)
+	g.Every("introductions", introductionInterval, m.readUnread)
 	g.Go("start probes", func(ctx context.Context) error {
 		// Processes that start together must not probe in step.
 		if !sleep(ctx, start) {
--- a/internal/cluster/membership/membership_test.go
+++ b/internal/cluster/membership/membership_test.go
@@ -27,6 +27,7 @@
 	stops   map[string]func()
 	names   []string // names are in start order.
 	started int64
+	seeds   []netip.AddrPort // seeds of all members; nil for the first one of the fleet.
 }
 
 // run calls check with a fleet inside a bubble with a fake clock.
@@ -55,11 +56,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(dc), byte(n >> 8), byte(n)}), 7000)
 }
 
-// start runs a member; the first one of the fleet is the seed of the others.
+// start runs a member.
 func (f *fleet) start(name string, address netip.AddrPort) *membership.Membership {
 	f.started++
 	options := f.options
 	options.Seeds = []netip.AddrPort{place(0, 0)}
+	if f.seeds != nil {
+		options.Seeds = f.seeds
+	}
 	self := membership.Member{
 		Name: name, Role: membership.Agent, Region: "gulf", DataCentre: centre(address), Address: address,
 		Incarnation: time.Now().UnixNano() + f.started, Service: "fitting-desk",
@@ -124,6 +128,11 @@
 				fmt.Fprintf(&b, " %s %v", m.Name, m.State)
 			}
 		}
+		for _, other := range f.names {
+			if stateOf(list, other) < 0 {
+				fmt.Fprintf(&b, " %s unknown", other)
+			}
+		}
 	}
 	return b.String()
 }
--- a/internal/cluster/membership/merge.go
+++ b/internal/cluster/membership/merge.go
@@ -88,10 +88,26 @@
 		// A round over a large group takes minutes; a new member must not
 		// wait for the next one.
 		m.ring = slices.Insert(m.ring, m.random.IntN(len(m.ring)+1), report.Name)
+		m.introduce(r)
 	}
 	m.change(r, report, from != listed)
 }
 
+// introduce lets this process spread the news of itself again, and read the
+// list of a member that has become known. Processes that start together have
+// spread the news of their start before they know each other, and a list that
+// is read soon after a start is not complete.
+func (m *Membership) introduce(r *record) {
+	if time.Since(m.started) >= introductionTime {
+		return
+	}
+	m.enqueue(m.self)
+	if m.introductions < maxIntroductions {
+		m.introductions++
+		m.unread = append(m.unread, r.member)
+	}
+}
+
 // change stores a new version of a member, starts or ends its suspicion and
 // passes the change on. The caller holds the lock.
 func (m *Membership) change(r *record, report Member, spread bool) {
--- a/internal/cluster/membership/repair.go
+++ b/internal/cluster/membership/repair.go
@@ -12,6 +12,7 @@
 	joinRetry = time.Second // joinRetry lies between two attempts to join.
 	// catchUpPause lies between the pages of the later readings.
 	catchUpPause = 500 * time.Millisecond
+	seedReadings = 3 // seedReadings are the later readings that also ask a seed.
 )
 
 // catchUpDelays precede the later readings of the list. The first ones come
@@ -28,7 +29,7 @@
 			break
 		}
 		for _, seed := range seeds {
-			if m.joinThrough(ctx, seed) {
+			if m.joinThrough(ctx, seed, "") {
 				m.count(func(s *Statistics) { s.Joined = true })
 				m.catchUp(ctx)
 				return nil
@@ -55,14 +56,16 @@
 	return seeds
 }
 
-func (m *Membership) joinThrough(ctx context.Context, seed netip.AddrPort) bool {
+// joinThrough reads the list of a seed, or the part of one data centre, and
+// reports whether it is complete.
+func (m *Membership) joinThrough(ctx context.Context, seed netip.AddrPort, centre string) bool {
 	after := ""
 	for {
 		res, err := m.exchange(ctx, Member{Address: seed}, call{
 			timeout:    m.options.ExchangeTimeout,
 			fresh:      true,
 			anyName:    true,
-			prepare:    func(r *wire.ProbeRequest) { r.Join, r.PageAfter = true, after },
+			prepare:    func(r *wire.ProbeRequest) { r.Join, r.PageAfter, r.PageDataCentre = true, after, centre },
 			pageSource: listed,
 		})
 		if err != nil {
@@ -76,13 +79,35 @@
 	}
 }
 
-// catchUp reads the list again from members of the data centre.
+// catchUp reads the list again from members of the data centre. Processes of
+// one data centre that joined through seeds elsewhere may not know each other,
+// so the first readings also ask a seed for the members of the data centre.
 func (m *Membership) catchUp(ctx context.Context) {
-	for _, delay := range catchUpDelays {
+	for i, delay := range catchUpDelays {
 		m.readAgain(ctx, delay)
+		seeds := m.otherSeeds()
+		if i < seedReadings && len(seeds) > 0 {
+			m.joinThrough(ctx, seeds[0], m.self.member.DataCentre)
+		}
 	}
 }
 
+// readUnread reads the list of the next new member.
+func (m *Membership) readUnread(ctx context.Context) error {
+	m.mu.Lock()
+	var peer Member
+	next := len(m.unread) > 0
+	if next {
+		peer, m.unread = m.unread[0], m.unread[1:]
+	}
+	m.mu.Unlock()
+	for after := ""; next; {
+		page, err := m.readPage(ctx, peer, after, call{join: true})
+		after, next = page, err == nil && page != ""
+	}
+	return nil
+}
+
 func (m *Membership) readAgain(ctx context.Context, pause time.Duration) {
 	after := ""
 	for sleep(ctx, pause) {
--- a/internal/cluster/membership/serve.go
+++ b/internal/cluster/membership/serve.go
@@ -58,7 +58,7 @@
 	}
 	reply := &wire.ProbeReply{From: Encode(m.self.member), AppliedOffset: m.offset}
 	if to.DataCentre == m.self.member.DataCentre {
-		reply.Changes = m.encodeChanges(required, m.piggyback(append(from.changes, from.from)))
+		reply.Changes = m.encodeChanges(required, m.piggyback(to.Name, append(from.changes, from.from)))
 		reply.Reachability = m.encodeReachability(request.Join || request.Page)
 	} else {
 		reply.Changes = m.encodeChanges(required, nil)
--- a/internal/cluster/membership/spread.go
+++ b/internal/cluster/membership/spread.go
@@ -29,8 +29,8 @@
 
 // piggyback takes the changes for one message within the data centre, those
 // with the fewest transmissions first. It leaves out what the receiver has
-// just sent. The caller holds the lock.
-func (m *Membership) piggyback(received []Member) []*record {
+// just sent and the receiver itself. The caller holds the lock.
+func (m *Membership) piggyback(receiver string, received []Member) []*record {
 	if len(m.queue) > m.options.ChangesPerMessage {
 		slices.SortFunc(m.queue, func(a, b *record) int {
 			return cmp.Or(cmp.Compare(a.transmits, b.transmits), cmp.Compare(b.sequence, a.sequence))
@@ -41,7 +41,7 @@
 		if len(picked) == m.options.ChangesPerMessage {
 			break
 		}
-		if !slices.ContainsFunc(received, r.member.sameVersion) {
+		if r.member.Name != receiver && !slices.ContainsFunc(received, r.member.sameVersion) {
 			r.transmits++
 			picked = append(picked, r)
 		}
@@ -96,7 +96,7 @@
 		request.Changes = m.encodeChanges(required, nil)
 		return request
 	}
-	request.Changes = m.encodeChanges(required, m.piggyback(nil))
+	request.Changes = m.encodeChanges(required, m.piggyback(to.Name, nil))
 	request.Reachability = m.encodeReachability(false)
 	return request
 }
