Prove again soon after a failure that an entry is current

Change: after a failure the entry tries again after 250 ms. The test leaves the log without an outage for a second before each try.

--- a/internal/run/embedded/replace_test.go
+++ b/internal/run/embedded/replace_test.go
@@ -99,6 +99,7 @@
 	assertOutcome(c, client, nonIdempotent("before", 0), "done")
 	// Before its first proof that it is current, an entry answers unknown.
 	awaitTrue(c, "the refusal is proved", func() bool {
+		time.Sleep(time.Second) // with the log, for that proof
 		cluster.Log.SetFaults(logservice.Faults{Outage: true})
 		defer cluster.Log.SetFaults(logservice.Faults{})
 		return refusedAs(c, cluster, client) == "not-run"
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -27,6 +27,10 @@
 // entry appends 0.2 records a second for it.
 const catchUpInterval = 5 * time.Second
 
+// catchUpRetry follows a failure, so that a short time without an outage
+// between two is enough.
+const catchUpRetry = 250 * time.Millisecond
+
 // Entry is a process with the role entry.
 type Entry struct {
 	*node
@@ -122,12 +126,12 @@
 func (e *Entry) catchUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		attempt, cancel := context.WithTimeout(ctx, catchUpInterval)
-		_ = e.router.CatchUp(attempt)
-		cancel()
-		select {
-		case <-ctx.Done():
-		case <-time.After(catchUpInterval):
+		pause := catchUpInterval
+		if e.router.CatchUp(attempt) != nil {
+			pause = catchUpRetry
 		}
+		cancel()
+		_ = group.Pause(ctx, pause)
 	}
 }
 
