--- a/internal/run/embedded/cluster.go
+++ b/internal/run/embedded/cluster.go
@@ -15,9 +15,9 @@
 	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/run/deployment"
 	"wasabihoist/internal/run/settings"
+	"wasabihoist/internal/standin/forwarder"
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/standin/minionhost"
-	"wasabihoist/internal/standin/relay"
 	"wasabihoist/internal/standin/workerhost"
 )
 
@@ -134,23 +134,23 @@
 // Partition cuts or restores the link between the regions.
 func (c *Cluster) Partition(on bool) { c.network.setPartitioned(on) }
 
-// Relay leads the exchanges between an entry and an agent through relays, in
+// Relay leads the exchanges between an entry and an agent through forwarders, in
 // both directions. The result makes them silent, or lets them through again.
 // Connections that are open already stay as they are.
 func (c *Cluster) Relay(e *Entry, m *Minion) (setSilent func(bool), err error) {
 	a, b := e.Settings.ListenAddress, m.Settings.ListenAddress
-	var relays []*relay.Relay
+	var forwarders []*forwarder.Forwarder
 	for _, p := range []path{{a, b}, {b, a}} {
-		r, err := relay.New(p.to)
+		r, err := forwarder.New(p.to)
 		if err != nil {
 			return nil, err
 		}
 		c.group.Go(r.String(), r.Run)
-		c.network.setRelay(p, r.Address())
-		relays = append(relays, r)
+		c.network.setForwarder(p, r.Address())
+		forwarders = append(forwarders, r)
 	}
 	return func(silent bool) {
-		for _, r := range relays {
+		for _, r := range forwarders {
 			r.SetSilent(silent)
 		}
 	}, nil
--- a/internal/run/embedded/network.go
+++ b/internal/run/embedded/network.go
@@ -26,7 +26,7 @@
 	mu          sync.Mutex
 	bound       map[netip.AddrPort]net.Listener // bound listeners that no process has taken yet.
 	sites       map[netip.AddrPort]deployment.Site
-	relays      map[path]netip.AddrPort // relays between processes that are not connected directly.
+	forwarders  map[path]netip.AddrPort // forwarders between processes that are not connected directly.
 	partitioned bool
 }
 
@@ -41,7 +41,7 @@
 		deployment: d,
 		bound:      map[netip.AddrPort]net.Listener{},
 		sites:      map[netip.AddrPort]deployment.Site{},
-		relays:     map[path]netip.AddrPort{},
+		forwarders: map[path]netip.AddrPort{},
 	}
 }
 
@@ -112,24 +112,24 @@
 	return n.deployment.OneWay(from, target), nil
 }
 
-// setRelay leads the exchanges of a process with an address through a relay.
-func (n *network) setRelay(p path, relay netip.AddrPort) {
+// setForwarder leads the exchanges of a process with an address through a forwarder.
+func (n *network) setForwarder(p path, forwarder netip.AddrPort) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.relays[p] = relay
+	n.forwarders[p] = forwarder
 }
 
 // route returns the address to connect to.
 func (n *network) route(p path) netip.AddrPort {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if relay, ok := n.relays[p]; ok {
-		return relay
+	if forwarder, ok := n.forwarders[p]; ok {
+		return forwarder
 	}
 	return p.to
 }
 
-// middleware adds the latencies and relays that the process sees which is at a
+// middleware adds the latencies and forwarders that the process sees which is at a
 // site and listens at an address.
 func (n *network) middleware(site deployment.Site, from netip.AddrPort) transport.Middleware {
 	return func(next http.RoundTripper) http.RoundTripper {
