Give each question to the scheduler a place of its own for its answer

Cause: 19 of 64 runs of TestGangSurvivesTheAgentsThatHoldItsLeases with -race, 16 at a time, reported a data race. Summary, Fleet and Explain give up after 1 s, but the question stays queued; the loop then writes its answer into a variable that the caller reads.

Change: the answer goes through a channel with one place. A question that is reached late writes there, and nobody reads it. Tests that look into the loop require that their function ran.

Measured: TestQuestionAnsweredTooLate fails with the former code under -race and passes now.

Conclusion: a busy scheduler cannot corrupt the status that it reports.

--- a/internal/fleet/scheduler/agents_test.go
+++ b/internal/fleet/scheduler/agents_test.go
@@ -131,7 +131,7 @@
 	p.c.Helper()
 	var holder string
 	var leases []string
-	p.scheduler.ask(func(t *term) {
+	p.inLoop(func(t *term) {
 		holder = t.hosts[name].holder
 		for _, h := range t.hosts {
 			if h.holder == holder {
@@ -148,10 +148,9 @@
 func (p *process) awaitShared() {
 	p.c.Helper()
 	p.await("workers are leased through the agents", func() bool {
-		shared := false
-		p.scheduler.ask(func(t *term) {
+		shared := ask(p.scheduler, func(t *term) bool {
 			_, own := t.links[t.options.Holder]
-			shared = !own && len(t.links) > 1
+			return !own && len(t.links) > 1
 		})
 		return shared && p.scheduler.Summary().Workers == len(p.workers)
 	})
@@ -160,7 +159,7 @@
 // pause holds back all that the placing agent has to say to its holders.
 func (p *process) pause() (resume func()) {
 	var held []*sync.Mutex
-	p.scheduler.ask(func(t *term) {
+	p.inLoop(func(t *term) {
 		for _, l := range t.links {
 			held = append(held, &l.mu)
 		}
--- a/internal/fleet/scheduler/failure_test.go
+++ b/internal/fleet/scheduler/failure_test.go
@@ -292,7 +292,7 @@
 	if js.Workers[0] == "w2" {
 		target = []string{"w0", "w1"}
 	}
-	p.scheduler.ask(func(t *term) {
+	p.inLoop(func(t *term) {
 		t.reclaim(placement.Decision{Kind: placement.Move, Job: j.Identity, Workers: target, Checkpoint: true, Within: long}, target)
 	})
 	f.await("the job runs on its new workers", func() bool {
@@ -312,12 +312,12 @@
 	p := f.process(t, "a@1").run()
 	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
 	foreign := worker.Task{Name: "other/1/1/0", State: worker.Running, Resources: worker.Resources{Memory: 80}}
-	p.scheduler.ask(func(t *term) { t.hosts["w0"].tasks[foreign.Name] = foreign })
+	p.inLoop(func(t *term) { t.hosts["w0"].tasks[foreign.Name] = foreign })
 	j := gangOf("ana", "1", 2, 50*time.Millisecond)
 	p.submit(j)
 	f.await("the misfit is found", func() bool { return p.scheduler.Counters().Misfits.Value() > 0 })
 	f.c.Assert(f.attempts(j), qt.HasLen, 0)
-	p.scheduler.ask(func(t *term) { delete(t.hosts["w0"].tasks, foreign.Name) })
+	p.inLoop(func(t *term) { delete(t.hosts["w0"].tasks, foreign.Name) })
 	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
 }
 
--- a/internal/fleet/scheduler/fixture_test.go
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -210,6 +210,16 @@
 	}
 }
 
+// inLoop runs a function in the loop of the term that is held.
+func (p *process) inLoop(do func(t *term)) {
+	p.c.Helper()
+	ran := ask(p.scheduler, func(t *term) bool {
+		do(t)
+		return true
+	})
+	p.c.Assert(ran, qt.IsTrue)
+}
+
 func (p *process) append(r journal.Record) {
 	p.c.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
--- a/internal/fleet/scheduler/scheduler.go
+++ b/internal/fleet/scheduler/scheduler.go
@@ -107,27 +107,37 @@
 
 // Explain says why a job is where it is, and whether this duty knows it.
 func (s *Scheduler) Explain(id request.Identity) (Explanation, bool) {
-	var x Explanation
-	known := false
-	s.ask(func(t *term) { x, known = t.explain(id) })
-	return x, known
+	type reply struct {
+		explanation Explanation
+		known       bool
+	}
+	r := ask(s, func(t *term) reply {
+		x, known := t.explain(id)
+		return reply{x, known}
+	})
+	return r.explanation, r.known
 }
 
 // Summary returns the state of the data centre; it is zero while the duty is
 // not held.
 func (s *Scheduler) Summary() Summary {
-	var x Summary
-	s.ask(func(t *term) { x = t.summary() })
-	return x
+	return ask(s, (*term).summary)
 }
 
-// ask runs a question in the loop of the term.
-func (s *Scheduler) ask(question func(t *term)) {
+// ask runs a question in the loop of the term. It returns the zero value while
+// there is no term, and when the loop does not answer in time. A question that
+// the loop reaches later still runs, so its answer has a place of its own.
+func ask[T any](s *Scheduler, question func(t *term) T) T {
+	var none T
 	t := s.current.Load()
 	if t == nil {
-		return
+		return none
 	}
 	ctx, cancel := context.WithTimeout(t.work.Context(), answerTime)
 	defer cancel()
-	t.call(ctx, question)
+	answer := make(chan T, 1)
+	if !t.call(ctx, func(t *term) { answer <- question(t) }) {
+		return none
+	}
+	return <-answer
 }
--- a/internal/fleet/scheduler/scheduler_test.go
+++ b/internal/fleet/scheduler/scheduler_test.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"context"
 	"strings"
 	"testing"
 	"time"
@@ -45,3 +46,15 @@
 	})
 	p.awaitState(waiting.Identity, job.Ended)
 }
+
+// Guards against a question that writes its answer after the caller has given
+// up on it; the race detector reports it.
+func TestQuestionAnsweredTooLate(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
+	// A channel would order the late write after the read, and hide the race.
+	p.scheduler.current.Load().post(context.Background(), func(*term) { time.Sleep(answerTime * 5 / 4) })
+	f.c.Assert(p.scheduler.Summary(), qt.DeepEquals, Summary{})
+	f.await("questions are answered again", func() bool { return p.scheduler.Summary().Workers == 2 })
+}
--- a/internal/fleet/scheduler/status.go
+++ b/internal/fleet/scheduler/status.go
@@ -24,9 +24,7 @@
 // Fleet lists the workers of the data centre by name; it is empty while the
 // duty is not held.
 func (s *Scheduler) Fleet() []WorkerStatus {
-	var list []WorkerStatus
-	s.ask(func(t *term) { list = t.fleet() })
-	return list
+	return ask(s, (*term).fleet)
 }
 
 func (t *term) fleet() []WorkerStatus {
