Start test deployments with their configuration in force everywhere

Both tests went on as soon as one entry had published the lists.

Change: startCluster waits until every process has the published version, and the test of leases requires that its submission is accepted.

--- a/internal/run/embedded/leases_test.go
+++ b/internal/run/embedded/leases_test.go
@@ -33,6 +33,8 @@
 		ID: "wide", Kind: "catalog-render", Members: members, Accelerators: 1, Adjacency: "data-centre",
 		Cores: 64, MemoryMB: 100, RunTime: runTime.Seconds(),
 	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(status.State, qt.Not(qt.Equals), "", qt.Commentf("the submission was not accepted: %+v", status))
 	for err == nil && status.State != "running" {
 		status, err = client.Job(ctx, "wide", time.Second)
 	}
--- a/internal/run/embedded/stop_test.go
+++ b/internal/run/embedded/stop_test.go
@@ -37,8 +37,12 @@
 		Ready:      readyLimit,
 	})
 	c.Assert(err, qt.IsNil)
-	_, err = cluster.Publish(context.Background())
+	published, err := cluster.Publish(context.Background())
 	c.Assert(err, qt.IsNil)
+	// An entry refuses work of an organisation whose plan it has not read yet.
+	awaitTrue(c, "the configuration is in force everywhere", func() bool {
+		return cluster.OldestVersion() >= published.Version
+	})
 	return cluster
 }
 
