Read what the log holds before an entry denies work

Cause: the status, cancellation and explanation of a job, and the status of a request, were answered with 404 when the entry had not read the record yet. A caller that submits at one entry and asks at another through the balancer could be told "no such job" about accepted work, also for as long as the entry lags.

Change: an entry that does not know the work waits for a read barrier first. Without the log it answers 503 and counts lookups-unconfirmed.

Conclusion: a 404 says that the work was not on the log at the call.

--- a/internal/role/entry/counters.go
+++ b/internal/role/entry/counters.go
@@ -16,6 +16,7 @@
 	Unknown  atomic.Int64
 	Refused  atomic.Int64 // Refused at the limit of open calls.
 	Invalid  atomic.Int64 // Invalid calls were refused with a list of findings.
+	Behind   atomic.Int64 // Behind counts lookups of unknown work that the log did not confirm.
 }
 
 func (c *Counters) count(o request.Outcome) {
--- a/internal/role/entry/entry.go
+++ b/internal/role/entry/entry.go
@@ -103,6 +103,7 @@
 	router  Router
 	fleet   Fleet
 	members func() []Member
+	current func(context.Context) error // current returns once the journal holds what was on the log at the call.
 	now     func() time.Time
 
 	inFlight atomic.Int64
@@ -111,8 +112,11 @@
 	counters *Counters
 }
 
-// New returns an entry.
-func New(o Options, j *journal.Journal, w *journal.Writer, r Router, f Fleet, members func() []Member) *Entry {
+// New returns an entry. It waits for current before it tells a caller that work
+// is not known.
+func New(
+	o Options, j *journal.Journal, w *journal.Writer, r Router, f Fleet, members func() []Member, current func(context.Context) error,
+) *Entry {
 	return &Entry{
 		options:  o,
 		journal:  j,
@@ -120,6 +124,7 @@
 		router:   r,
 		fleet:    f,
 		members:  members,
+		current:  current,
 		now:      time.Now,
 		counters: &Counters{},
 	}
--- a/internal/role/entry/harness_test.go
+++ b/internal/role/entry/harness_test.go
@@ -94,6 +94,7 @@
 	t         *testing.T
 	log       *logservice.Service
 	lose      atomic.Bool // lose drops the answer of appends after their effect, and hides the log from reads.
+	behind    sync.Mutex  // behind holds back what is read while it is locked.
 	client    platformlog.Log
 	journal   *journal.Journal
 	writer    *journal.Writer
@@ -113,6 +114,8 @@
 
 func (s *site) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
 	page, err := s.client.Read(ctx, from, limit, wait)
+	s.behind.Lock()
+	defer s.behind.Unlock()
 	if s.lose.Load() {
 		return platformlog.Page{}, errors.New("out of reach")
 	}
@@ -128,8 +131,10 @@
 	options := journal.DefaultWriterOptions()
 	options.Spacing, options.Backoff = 5*time.Millisecond, 20*time.Millisecond
 	s.writer = journal.NewWriter("entry@1", s, s.journal, options)
+	barrier := journal.NewReadBarrier(s.writer)
 	g := group.New(context.Background())
 	g.Go("writer", s.writer.Run)
+	g.Go("barrier", barrier.Run)
 	g.Go("follower", journal.NewFollower(s.journal, s, nil).Run)
 	o := entry.Default()
 	o.Tokens = map[string]string{desk: "desk", opera: "opera", "closed-token": "closed"}
@@ -137,7 +142,7 @@
 	if adjust != nil {
 		adjust(&o)
 	}
-	s.entry = entry.New(o, s.journal, s.writer, s.router, fakeFleet{}, func() []entry.Member { return nil })
+	s.entry = entry.New(o, s.journal, s.writer, s.router, fakeFleet{}, func() []entry.Member { return nil }, barrier.Wait)
 	s.entry.SetReady()
 	s.callers = httptest.NewServer(s.entry.CallerHandler())
 	s.operators = httptest.NewServer(s.entry.OperatorHandler())
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -85,12 +85,27 @@
 		writeProblem(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	state, ok := e.awaitEnd(r.Context(), id, wait)
-	if !ok {
-		writeProblem(w, http.StatusNotFound, "no such job")
+	state, err := e.findJob(r.Context(), id)
+	if err != nil {
+		writeLookupError(w, err)
 		return
 	}
-	writeJob(w, state)
+	writeJob(w, e.awaitEnd(r.Context(), state, wait))
+}
+
+// findJob returns a job that was on the log at the call. Another entry may have
+// accepted it a moment ago, so this one catches up before it denies the job.
+func (e *Entry) findJob(ctx context.Context, id request.Identity) (journal.JobState, error) {
+	if state, ok := e.journal.Job(id); ok {
+		return state, nil
+	}
+	if err := e.catchUp(ctx); err != nil {
+		return journal.JobState{}, err
+	}
+	if state, ok := e.journal.Job(id); ok {
+		return state, nil
+	}
+	return journal.JobState{}, errNoJob
 }
 
 func (e *Entry) waitTime(r *http.Request) (time.Duration, error) {
@@ -106,29 +121,31 @@
 }
 
 // awaitEnd returns the job when it has ended or the wait is over.
-func (e *Entry) awaitEnd(ctx context.Context, id request.Identity, wait time.Duration) (journal.JobState, bool) {
+func (e *Entry) awaitEnd(ctx context.Context, state journal.JobState, wait time.Duration) journal.JobState {
 	timeout := time.After(wait)
 	for {
 		changed := e.journal.Watch()
-		state, ok := e.journal.Job(id)
-		if !ok || state.State == job.Ended || wait == 0 {
-			return state, ok
+		if now, ok := e.journal.Job(state.Job.Identity); ok {
+			state = now
+		}
+		if state.State == job.Ended || wait == 0 {
+			return state
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return state, true
+			return state
 		case <-ctx.Done():
-			return state, true
+			return state
 		}
 	}
 }
 
 func (e *Entry) handleJobCancel(w http.ResponseWriter, r *http.Request, name string) {
 	id := request.Identity{Organisation: name, ID: r.PathValue("id")}
-	state, ok := e.journal.Job(id)
-	if !ok {
-		writeProblem(w, http.StatusNotFound, "no such job")
+	state, err := e.findJob(r.Context(), id)
+	if err != nil {
+		writeLookupError(w, err)
 		return
 	}
 	if state.State == job.Ended {
@@ -152,9 +169,9 @@
 }
 
 func (e *Entry) explain(ctx context.Context, w http.ResponseWriter, id request.Identity) {
-	state, ok := e.journal.Job(id)
-	if !ok {
-		writeProblem(w, http.StatusNotFound, "no such job")
+	state, err := e.findJob(ctx, id)
+	if err != nil {
+		writeLookupError(w, err)
 		return
 	}
 	body := restapi.Explanation{ID: id.ID, State: state.State.String()}
--- a/internal/role/entry/requests.go
+++ b/internal/role/entry/requests.go
@@ -92,19 +92,35 @@
 
 func (e *Entry) handleRequestStatus(w http.ResponseWriter, r *http.Request, name string) {
 	id := request.Identity{Organisation: name, ID: r.PathValue("id")}
-	if answer, ok := e.finished(id); ok {
-		writeAnswer(w, answerStatus(answer.Outcome), answer)
+	answer, err := e.findAnswer(r.Context(), id)
+	if err != nil {
+		writeLookupError(w, err)
 		return
 	}
-	if answer, ok := e.router.Lookup(r.Context(), id); ok {
-		writeAnswer(w, answerStatus(answer.Outcome), answer)
-		return
+	writeAnswer(w, answerStatus(answer.Outcome), answer)
+}
+
+// findAnswer returns what became of a request that an agent knows or that was
+// on the log at the call.
+func (e *Entry) findAnswer(ctx context.Context, id request.Identity) (request.Answer, error) {
+	if answer, ok := e.finished(id); ok {
+		return answer, nil
+	}
+	if answer, ok := e.router.Lookup(ctx, id); ok {
+		return answer, nil
+	}
+	if _, ok := e.journal.Request(id); !ok {
+		if err := e.catchUp(ctx); err != nil {
+			return request.Answer{}, err
+		}
+	}
+	if answer, ok := e.finished(id); ok {
+		return answer, nil
 	}
 	if known, ok := e.journal.Request(id); ok {
-		writeAnswer(w, http.StatusOK, e.unfinished(id, known.Deadline))
-		return
+		return e.unfinished(id, known.Deadline), nil
 	}
-	writeProblem(w, http.StatusNotFound, "no agent and no record knows this request")
+	return request.Answer{}, errNoRequest
 }
 
 // unfinished is the answer for a claimed request that no agent knows.
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -81,7 +81,7 @@
 	e.collector = report.NewCollector(n.board.holders.Get, e.dialScheduler)
 	e.barrier = journal.NewReadBarrier(n.writer)
 	e.router = routing.New(routingOptions(s), n.board.agents.Get, n.journal, e.barrier.Wait, n.transport)
-	e.entry = entry.New(entryOptions(s), n.journal, n.writer, e.router, e.collector, n.directory.list)
+	e.entry = entry.New(entryOptions(s), n.journal, n.writer, e.router, e.collector, n.directory.list, e.barrier.Wait)
 	e.callers, err = newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, e.entry.CallerHandler())
 	if err != nil {
 		return nil, errors.Join(err, n.close())
--- a/internal/run/process/figures.go
+++ b/internal/run/process/figures.go
@@ -71,6 +71,7 @@
 		counter("answers-unknown", "answers", "Answers with the outcome unknown.", ofAtomic(&c.Unknown)),
 		counter("calls-refused", "calls", "Calls refused at the limit of open calls.", ofAtomic(&c.Refused)),
 		counter("calls-invalid", "calls", "Calls refused with findings.", ofAtomic(&c.Invalid)),
+		counter("lookups-unconfirmed", "calls", "Questions about unknown work that the log did not confirm in time.", ofAtomic(&c.Behind)),
 		counter("routing-retries", "retries", "Requests sent to another agent.", ofInt(&r.Retries)),
 		counter("routing-retries-denied", "retries", "Retries that the budget did not allow.", ofInt(&r.Denied)),
 		counter("routing-link-full", "choices", "Remote agents left out because of the cap on the region link.", ofInt(&r.LinkFull)),
