Let wait go on when its entry is replaced or a connection breaks

Cause: wasabihoist wait ended with an error at the first call without an answer, although entries are replaced at any time and the job goes on. On a connection that had fallen silent it waited for its whole timeout, 10 minutes by default.

Change: each call is bounded (30 s and 5 s more), and once the entry has answered, a call without an answer or with 503 is made again after 1 s until the timeout. A first call that fails still ends the command, because the address is then probably wrong.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -5,11 +5,15 @@
 	"fmt"
 	"time"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/role/restapi"
 )
 
-// waitStep is how long one call waits; an entry bounds it as well.
-const waitStep = 30 * time.Second
+const (
+	waitStep  = 30 * time.Second // waitStep is how long one call waits; an entry bounds it as well.
+	waitGrace = 5 * time.Second  // waitGrace is how much later the answer to such a call may come.
+	waitRetry = time.Second      // waitRetry is the pause after a call without an answer.
+)
 
 type statusCommand struct {
 	callerOptions
@@ -59,17 +63,19 @@
 	Args    struct {
 		ID string `positional-arg-name:"ID"`
 	} `positional-args:"yes" required:"yes"`
+
+	step time.Duration // step is how long one call waits.
 }
 
 func waitEntry() command {
 	return command{
 		name:  "wait",
 		short: "Wait until a job has ended",
-		long: `Waits until a job has ended and shows its outcome.
+		long: `Waits until a job has ended and shows its outcome. Once the entry has answered, the command goes on waiting when the entry is replaced or a connection breaks.
 
 Exit codes: 0 when the job is done, 1 for any other outcome or when the time is over, 2 for wrong usage.`,
 		examples: []string{"wasabihoist wait --timeout 1h match-17"},
-		runner:   &waitCommand{},
+		runner:   &waitCommand{step: waitStep},
 	}
 }
 
@@ -83,11 +89,17 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(defaultCallTimeout))
 	defer cancel()
 	defer env.showProgress(ctx, jobProgress(client, c.Args.ID))()
+	var last restapi.JobStatus
 	for {
-		wait := min(waitStep, time.Until(deadline))
-		status, err := client.Job(ctx, c.Args.ID, max(wait, time.Millisecond))
-		if err != nil {
+		status, err := c.ask(ctx, client, time.Until(deadline))
+		switch {
+		case err == nil:
+			last = status
+		case last.ID == "" || !restapi.Retryable(err) || !time.Now().Before(deadline):
 			return err
+		default:
+			_ = group.Pause(ctx, waitRetry)
+			continue
 		}
 		if ended(status) || !time.Now().Before(deadline) {
 			return c.finish(env, status)
@@ -95,6 +107,15 @@
 	}
 }
 
+// ask waits for the job in one call. The call is bounded, because a connection
+// may fall silent for good.
+func (c *waitCommand) ask(ctx context.Context, client *restapi.Client, rest time.Duration) (restapi.JobStatus, error) {
+	wait := max(min(c.step, rest), time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, wait+waitGrace)
+	defer cancel()
+	return client.Job(ctx, c.Args.ID, wait)
+}
+
 func (c *waitCommand) finish(env environment, status restapi.JobStatus) error {
 	if err := writeJobStatus(env.stdout, c.outputOption, status); err != nil {
 		return err
--- a/internal/role/restapi/client.go
+++ b/internal/role/restapi/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -43,6 +44,14 @@
 	return text
 }
 
+// Retryable reports whether a call that failed with err may work at a later
+// time or at another entry: no answer came, or the entry could not answer. It
+// says nothing about whether the call took effect.
+func Retryable(err error) bool {
+	var answer *Error
+	return !errors.As(err, &answer) || answer.Status == http.StatusServiceUnavailable
+}
+
 func (f Finding) line() string {
 	place := f.File
 	if f.Line > 0 {
