Report at once that a silent worker answers again

Cause: a worker that answered again stayed marked as silent for 6 to 9 s. The holder did not end the waiting query for it, and the answer named only the earliest renewal of all its workers. Each query in between repeated the report of silence and moved the time that a later renewal has to exceed.

Change: the first answered renewal of a silent worker counts as a change of it, which the holder reports at once with the time at which the renewal was sent. A repeated report of silence keeps the time of the first one. The messages stay as they are, because a change of a worker has had that time already.

Conclusion: a short silence no longer keeps new work off a worker for longer than the silence itself. A mark that comes from an unanswered call of the scheduler, without an unanswered renewal, still waits for a later renewal.

--- a/internal/fleet/lease/keeper.go
+++ b/internal/fleet/lease/keeper.go
@@ -198,18 +198,16 @@
 	return false
 }
 
-// renew records an answered renewal. Only changes of tasks are reported.
+// renew records an answered renewal. It is reported at once when it brings
+// changes of tasks, or when the worker has been reported silent.
 func (k *keeper) renew(sent time.Time, report worker.Report) {
-	if len(report.Tasks) > 0 {
-		k.session.update(k, func() {
-			k.renewed, k.silent = sent, false
-			k.take(report)
-		})
-		return
-	}
 	k.session.mu.Lock()
 	defer k.session.mu.Unlock()
+	if len(report.Tasks) > 0 || k.silent {
+		k.session.advance(k)
+	}
 	k.renewed, k.silent = sent, false
+	k.take(report)
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/fleet/lease/session.go
+++ b/internal/fleet/lease/session.go
@@ -67,9 +67,15 @@
 func (s *session) update(k *keeper, change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.advance(k)
+	change()
+}
+
+// advance gives the keeper a new version and tells the waiting query, which
+// sees what is changed before s.mu is released. s.mu is held.
+func (s *session) advance(k *keeper) {
 	s.version++
 	k.version = s.version
-	change()
 	s.notify()
 }
 
--- a/internal/fleet/scheduler/holders.go
+++ b/internal/fleet/scheduler/holders.go
@@ -151,7 +151,7 @@
 		}
 		switch {
 		case slices.Contains(changes.Silent, name):
-			h.markSilent(received)
+			h.reportSilent(received)
 		case !h.lapsing:
 			h.renewed = latest(h.renewed, sent.Add(changes.Renewed))
 			h.hear(h.renewed)
--- a/internal/fleet/scheduler/silent.go
+++ b/internal/fleet/scheduler/silent.go
@@ -23,6 +23,15 @@
 // markSilent records a call without an answer.
 func (h *hostState) markSilent(now time.Time) { h.silent, h.silentSince = true, now }
 
+// reportSilent records that a holder has had no answer to a renewal. A repeated
+// report may arrive after the renewal that the worker answers next was sent, so
+// it does not change the time of the first one.
+func (h *hostState) reportSilent(received time.Time) {
+	if !h.silent {
+		h.markSilent(received)
+	}
+}
+
 // hear records that the worker has answered a call that was sent at a time.
 func (h *hostState) hear(sent time.Time) {
 	h.heard = latest(h.heard, sent)
--- a/internal/fleet/scheduler/silent_test.go
+++ b/internal/fleet/scheduler/silent_test.go
@@ -147,3 +147,36 @@
 		})
 	}
 }
+
+// Guards against a worker that answers again and stays marked as silent until
+// all workers of its holder have been renewed and the next query ends. It runs
+// with the limits of production.
+func TestWorkerAnswersAgain(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.processWith(t, "a@1", DefaultLimits()).run()
+	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
+	silent := func() (mark bool) {
+		p.inLoop(func(t *term) { mark = t.hosts["w0"].isSilent() })
+		return mark
+	}
+	f.hosts["w0"].SetFaults(workerhost.Faults{Hang: true})
+	f.await("the worker is marked as silent", silent)
+	f.hosts["w0"].SetFaults(workerhost.Faults{})
+	answers := time.Now()
+	f.await("the mark is gone", func() bool { return !silent() })
+	took := time.Since(answers)
+	t.Logf("the mark was gone after %s", took.Round(time.Millisecond))
+	f.c.Check(took < DefaultLimits().Renew, qt.IsTrue, qt.Commentf("after %s", took))
+}
+
+// Guards against a repeated report of silence that hides an answer to a renewal
+// which was sent between the two reports.
+func TestRepeatedReportOfSilence(t *testing.T) {
+	c := qt.New(t)
+	h, first := &hostState{up: true}, time.Now()
+	h.reportSilent(first)
+	h.reportSilent(first.Add(2 * time.Second))
+	c.Check(h.isSilent(), qt.IsTrue)
+	h.hear(first.Add(time.Second))
+	c.Check(h.isSilent(), qt.IsFalse)
+}
