Count tasks in the parts of shared leases

Cause: a part of the leases was bounded by 40 workers whatever they ran, but 13 tasks cost their holder about as much as a third of a worker. With 39 tasks on each worker a full part exceeds the budget of its holder.

Change: a worker counts as one up to 13 tasks, and 52 more count as another worker. The scheduler compares the parts with the live tasks once a minute. It cuts them anew only when one is above the bound by a tenth and new parts would lower the largest by a twentieth, or when fewer parts would have been filled to three quarters at most in ten comparisons in a row. The bound is the setting agent.lease-workers. A new scheduler cannot know whether the former one shared its leases, so it always waits for the sessions of holders to end before it gives up a worker that it has never leased: 16 s instead of 11 s up to 40 workers.

A gang keeps running while its workers move.

--- a/internal/fleet/lease/share.go
+++ b/internal/fleet/lease/share.go
@@ -10,14 +10,14 @@
 )
 
 // Share divides the racks of a data centre among members and maps racks to
-// members. The racks are cut into parts of at most limit workers, give or take
-// a rack, and each part belongs to the first member in rendezvous order of
-// (part, member) that has fewest parts, so that a join or a leave moves the
-// part of one member. self is the scheduler's own agent: it holds the leases
+// members. The racks, given with their costs, are cut into parts of at most
+// limit, give or take a rack, and each part belongs to the first member in
+// rendezvous order of (part, member) that has fewest parts, so that a join or a
+// leave moves the part of one member. self is the scheduler's own agent: it holds the leases
 // when they are one part, and otherwise only when the other agents are fewer
 // than the parts, because it has the placement to do.
-func Share(dataCentre, self string, others []string, racks map[string]int, limit int) map[string]string {
-	parts := cut(racks, limit)
+func Share(dataCentre, self string, others []string, costs map[string]int, limit int) map[string]string {
+	parts := cut(costs, limit)
 	members := slices.Clone(others)
 	if len(parts) <= 1 {
 		members = nil
@@ -42,25 +42,36 @@
 }
 
 // cut divides the racks, in the order of their names, into parts of about equal
-// size. It depends on the racks only.
-func cut(racks map[string]int, limit int) [][]string {
-	total := 0
+// cost. It depends on the costs only.
+func cut(costs map[string]int, limit int) [][]string {
+	total, count := totalCost(costs), partCount(costs, limit)
 	names := collection.NewSet[string]()
-	for name, workers := range racks {
+	for name := range costs {
 		names.Add(name)
-		total += workers
 	}
-	count := (total + limit - 1) / limit
 	var parts [][]string
 	placed := 0
 	for _, name := range names.Sorted() {
 		// The part in which the middle of the rack lies.
-		part := (2*placed + racks[name]) * count / (2 * max(total, 1))
+		part := (2*placed + costs[name]) * count / (2 * max(total, 1))
 		for len(parts) <= part {
 			parts = append(parts, nil)
 		}
 		parts[part] = append(parts[part], name)
-		placed += racks[name]
+		placed += costs[name]
 	}
 	return parts
 }
+
+// partCount is the number of parts if racks could be cut.
+func partCount(costs map[string]int, limit int) int {
+	return (totalCost(costs) + limit - 1) / limit
+}
+
+func totalCost(costs map[string]int) int {
+	total := 0
+	for _, cost := range costs {
+		total += cost
+	}
+	return total
+}
--- a/internal/fleet/scheduler/fixture_test.go
+++ b/internal/fleet/scheduler/fixture_test.go
@@ -37,6 +37,7 @@
 		TTL: time.Second, Renew: 200 * time.Millisecond, Call: 400 * time.Millisecond, Retry: 50 * time.Millisecond,
 		Grace: 500 * time.Millisecond, OtherClaim: 400 * time.Millisecond, ReclaimTurn: time.Second,
 		Drain: time.Second, Tick: 50 * time.Millisecond, Usage: time.Second,
+		Divide: 100 * time.Millisecond,
 	}
 }
 
--- a/internal/fleet/scheduler/holders.go
+++ b/internal/fleet/scheduler/holders.go
@@ -31,25 +31,24 @@
 // covers a query that waits, and one that fails.
 func (l Limits) session() time.Duration { return l.Renew + 2*l.Call }
 
-// times are those that the holders keep. Where leases are shared, holders may
-// go on for a scheduler that is gone until its session ends.
+// times are those that the holders keep. Holders may go on for a scheduler that
+// is gone until its session ends. Whether it shared its leases depended on its
+// tasks, which the successor does not know.
 func (t *term) times() lease.Times {
 	l := t.limits
-	silence := l.TTL + l.Call
-	if len(t.hosts) > t.options.Share {
-		silence += l.session()
-	}
 	return lease.Times{
 		TTL: l.TTL, Renew: l.Renew, Call: l.Call, Retry: l.Retry,
-		Session: l.session(), Silence: silence, Usage: l.Usage,
+		Session: l.session(), Silence: l.TTL + l.Call + l.session(), Usage: l.Usage,
 	}
 }
 
 // shareLeases divides the workers among the holders when the live agents have
-// changed, or when one has ceased or begun to answer.
+// changed, when one has ceased or begun to answer, or when the tasks call for
+// other parts.
 func (t *term) shareLeases() {
 	names := slices.Sorted(slices.Values(t.options.Holders.Names()))
-	if t.shares != nil && slices.Equal(names, t.candidates) {
+	divided := t.divide(time.Now())
+	if t.shares != nil && !divided && slices.Equal(names, t.candidates) {
 		return
 	}
 	t.candidates = names
@@ -57,11 +56,7 @@
 	usable := slices.DeleteFunc(slices.Clone(names), func(name string) bool {
 		return t.links[name] != nil && t.links[name].isAvoided()
 	})
-	racks := map[string]int{}
-	for _, h := range t.hosts {
-		racks[h.worker.Rack]++
-	}
-	t.shares = lease.Share(t.options.DataCentre, self, usable, racks, t.options.Share)
+	t.shares = t.division.Holders(t.options.DataCentre, self, usable)
 	t.assignWorkers()
 	for name, l := range t.links {
 		if name != self && !slices.Contains(names, name) {
@@ -71,6 +66,31 @@
 	}
 }
 
+// divide compares the parts of the leases with the tasks now and then, and
+// reports whether there are new parts. A worker that is not leased has no known
+// tasks.
+func (t *term) divide(now time.Time) bool {
+	if now.Sub(t.compared) < t.limits.Divide {
+		return false
+	}
+	t.compared = now
+	costs := map[string]int{}
+	for _, h := range t.hosts {
+		costs[h.worker.Rack] += lease.Cost(h.liveTasks())
+	}
+	return t.division.Update(costs)
+}
+
+func (h *hostState) liveTasks() int {
+	count := 0
+	for _, task := range h.tasks {
+		if task.State.Live() {
+			count++
+		}
+	}
+	return count
+}
+
 // assignWorkers tells the holders which workers are theirs.
 func (t *term) assignWorkers() {
 	wanted := map[string][]lease.Wanted{}
--- a/internal/fleet/scheduler/options.go
+++ b/internal/fleet/scheduler/options.go
@@ -42,6 +42,8 @@
 	Skew  time.Duration // Skew is the largest difference of clocks between hosts.
 	Tick  time.Duration // Tick is the longest time between two decisions.
 	Usage time.Duration // Usage is the time between two reads of a worker's usage.
+
+	Divide time.Duration // Divide is the time between two comparisons of the parts of the leases with the tasks.
 }
 
 // defaultShare keeps an agent within 13 KB/s: a worker with 13 tasks costs its
@@ -66,6 +68,7 @@
 		Skew:        2 * time.Second,
 		Tick:        500 * time.Millisecond,
 		Usage:       30 * time.Second,
+		Divide:      time.Minute,
 	}
 }
 
@@ -81,7 +84,7 @@
 	Gang       gang.Options
 	Health     HealthOptions
 	Holders    Holders // Holders are the other agents; nil for none.
-	Share      int     // Share is the number of workers for one holder.
+	Share      int     // Share is the number of workers for one holder; many tasks on a worker count as further workers.
 	Logger     Logger  // Logger receives changes of state; nil for none.
 }
 
--- a/internal/fleet/scheduler/shared_test.go
+++ b/internal/fleet/scheduler/shared_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/fleet/worker"
 	"wasabihoist/internal/standin/workerhost"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
@@ -203,3 +204,29 @@
 		f.c.Assert(a.queries.Load(), qt.Equals, int64(0))
 	}
 }
+
+// Guards against a holder that keeps its part however many tasks run there, and
+// against a gang that ends or runs again because its workers move.
+func TestManyTasksDivideTheLeases(t *testing.T) {
+	f := newFixture(t, 4, nil).share(t, 4)
+	p := f.processWith(t, "a@1", sharedLimits())
+	p.scheduler.options.Share = 4
+	p.run()
+	j := acrossRacks("ana", "1", 4*time.Second)
+	p.submit(j)
+	p.awaitState(j.Identity, job.Running)
+	p.inLoop(func(t *term) {
+		f.c.Assert(t.hosts["w0"].holder, qt.Equals, t.hosts["w2"].holder)
+		for _, name := range []string{"w0", "w2"} {
+			for i := range 60 {
+				task := worker.Task{Name: taskName(request.Identity{Organisation: "rui", ID: name}, 1, i), State: worker.Running}
+				t.hosts[name].tasks[task.Name] = task
+			}
+		}
+	})
+	f.await("the leases have moved", func() bool { return p.scheduler.Counters().Moved.Value() == 4 })
+	js := p.awaitState(j.Identity, job.Ended)
+	f.c.Assert(js.Outcome, qt.Equals, request.Done, qt.Commentf("%s", js.Reason))
+	f.c.Assert(f.attempts(j), qt.HasLen, 1)
+	f.c.Assert(p.scheduler.Counters().Moved.Value(), qt.Equals, int64(4))
+}
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -31,6 +31,8 @@
 	seats      map[string]*seat  // seats by worker; the map does not change.
 	candidates []string          // candidates are the agents that were last known to be live.
 	shares     map[string]string // shares maps racks to holders; nil when they are to be divided anew.
+	division   *lease.Division   // division of the racks into parts.
+	compared   time.Time         // compared is when the division was last compared with the tasks.
 
 	planner    *placement.Planner
 	others     map[string]*placement.Planner // others are empty models of the other data centres.
@@ -97,6 +99,7 @@
 		wanted:    make(chan struct{}, 1),
 		local:     lease.NewTable(),
 		links:     map[string]*link{},
+		division:  lease.NewDivision(s.options.Share),
 		seats:     map[string]*seat{},
 		planner:   placement.New(s.options.Policy, s.options.Planner),
 		others:    map[string]*placement.Planner{},
--- a/internal/run/process/duties.go
+++ b/internal/run/process/duties.go
@@ -154,6 +154,7 @@
 	o.Holder = d.node.writer.Name()
 	o.Workers = s.Agent.Workers
 	o.Policy = d.policy
+	o.Share = s.Agent.LeaseWorkers
 	o.Limits.TTL = s.Agent.Timeouts.Lease
 	o.Limits.Renew = s.Agent.Timeouts.LeaseRenewal
 	o.Planner.Weights = s.Agent.Weights
--- a/internal/run/settings/check.go
+++ b/internal/run/settings/check.go
@@ -115,6 +115,7 @@
 	c.atLeast("agent.claim-memory-mb", s.ClaimMemory/megabyte, 1)
 	c.atLeast("agent.slots", int64(s.Slots), 1)
 	c.atLeast("agent.connections", int64(s.Connections), 1)
+	c.atLeast("agent.lease-workers", int64(s.LeaseWorkers), 1)
 	c.oneOf("agent.policy", string(s.Policy), policyNames())
 	c.weights(s.Weights)
 	c.agentTimeouts(s.Timeouts)
--- a/internal/run/settings/file.go
+++ b/internal/run/settings/file.go
@@ -58,6 +58,7 @@
 	ClaimMemoryMB   int64              `toml:"claim-memory-mb"`
 	Slots           int                `toml:"slots"`
 	Connections     int                `toml:"connections"`
+	LeaseWorkers    int                `toml:"lease-workers"`
 	Policy          string             `toml:"policy"`
 	Weights         weightsTable       `toml:"weights"`
 	Timeouts        agentTimeoutsTable `toml:"timeouts"`
@@ -159,6 +160,7 @@
 		ClaimMemoryMB:   s.ClaimMemory / megabyte,
 		Slots:           s.Slots,
 		Connections:     s.Connections,
+		LeaseWorkers:    s.LeaseWorkers,
 		Policy:          string(s.Policy),
 		Weights:         weightsTable(s.Weights),
 		Timeouts:        agentTimeoutsTable(s.Timeouts),
@@ -223,6 +225,7 @@
 		ClaimMemory:     t.ClaimMemoryMB * megabyte,
 		Slots:           t.Slots,
 		Connections:     t.Connections,
+		LeaseWorkers:    t.LeaseWorkers,
 		Policy:          Policy(t.Policy),
 		Weights:         placement.Weights(t.Weights),
 		Timeouts:        AgentTimeouts(t.Timeouts),
--- a/internal/run/settings/settings.go
+++ b/internal/run/settings/settings.go
@@ -97,6 +97,7 @@
 	ClaimMemory     int64 // ClaimMemory bounds the memory for claims of non-idempotent requests, in bytes.
 	Slots           int   // Slots is the number of requests that the minion runs at the same time.
 	Connections     int   // Connections bounds open connections to the minion.
+	LeaseWorkers    int   // LeaseWorkers is the number of workers for one lease holder, at least 1.
 	Policy          Policy
 	Weights         placement.Weights // Weights of the weighted policies, each at least 0.
 	Workers         []worker.Worker   // Workers that the scheduler duty may use.
@@ -173,11 +174,12 @@
 
 func defaultAgent() AgentSettings {
 	return AgentSettings{
-		ClaimMemory: 16 * megabyte,
-		Slots:       8,
-		Connections: 64,
-		Policy:      BestFit,
-		Weights:     placement.Default().Weights,
+		ClaimMemory:  16 * megabyte,
+		Slots:        8,
+		Connections:  64,
+		LeaseWorkers: 40,
+		Policy:       BestFit,
+		Weights:      placement.Default().Weights,
 		Timeouts: AgentTimeouts{
 			Lease:           10 * time.Second,
 			LeaseRenewal:    3 * time.Second,
--- a/internal/run/settings/settings_test.go
+++ b/internal/run/settings/settings_test.go
@@ -48,6 +48,7 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(s.Agent.Slots, qt.Equals, 8)
 	c.Assert(s.Agent.Connections, qt.Equals, 64)
+	c.Assert(s.Agent.LeaseWorkers, qt.Equals, 40)
 	c.Assert(s.Agent.Weights, qt.Equals, placement.Weights{Patience: 20, Fairness: 1800, Rack: 0.5, Worker: 4, Core: 16})
 	c.Assert(s.Agent.Timeouts.Lease, qt.Equals, 20*time.Second)
 	c.Assert(s.Agent.Timeouts.LeaseRenewal, qt.Equals, 3*time.Second)
@@ -65,14 +66,15 @@
 		"wrong type":   {agent + "slots = \"3\"\n", `f:13: agent.slots: want a whole number, got the string "3"`},
 		"other role":   {agent + "[entry]\ncaller-address = \"127.0.0.1:9\"\n", `f:13: entry: not used by role agent`},
 		"bad duration": {agent + "[timeouts]\ndrain = \"0s\"\nsuspect = 2\n", "f:14: timeouts.drain: want more than 0s, got 0s\nf:15: timeouts.suspect: want a duration .*"},
-		"worker without values": {agent + "connections = 0\n[[agent.worker]]\naccelerators = 9\n",
+		"worker without values": {agent + "connections = 0\nlease-workers = 0\n[[agent.worker]]\naccelerators = 9\n",
 			"f:13: agent.connections: want at least 1, got 0\n" +
-				"f:14: agent.worker\\[0\\].address: missing\n" +
-				"f:14: agent.worker\\[0\\].cores: want more than 0, got 0\n" +
-				"f:14: agent.worker\\[0\\].memory-mb: want at least 1, got 0\n" +
-				"f:14: agent.worker\\[0\\].name: missing\n" +
-				"f:14: agent.worker\\[0\\].rack: missing\n" +
-				"f:15: agent.worker\\[0\\].accelerators: want 0 to 8, got 9"},
+				"f:14: agent.lease-workers: want at least 1, got 0\n" +
+				"f:15: agent.worker\\[0\\].address: missing\n" +
+				"f:15: agent.worker\\[0\\].cores: want more than 0, got 0\n" +
+				"f:15: agent.worker\\[0\\].memory-mb: want at least 1, got 0\n" +
+				"f:15: agent.worker\\[0\\].name: missing\n" +
+				"f:15: agent.worker\\[0\\].rack: missing\n" +
+				"f:16: agent.worker\\[0\\].accelerators: want 0 to 8, got 9"},
 		"policy": {
 			strings.Replace(agent, "seeds = [\"127.0.0.1:3\"]", "log-level = \"loud\"", 1) + "policy = \"worst-fit\"\n" +
 				"[agent.weights]\npatience = 0\nrack = -1.0\n[agent.timeouts]\nlease = \"1s\"\nlease-renewal = \"1s\"\n",
