End the silence of a worker that answers a stop

Cause: when only the start of a task had no answer, the holder saw no silence and so had no change to report. The mark waited until a renewal that was sent after it had been answered and reported, although the worker had answered the stop of that task before.

Change: the answer to the stop of a task that was set aside counts as an answer of the worker, unless the worker was lost meanwhile.

Conclusion: a failed start keeps other work off the worker only as long as the worker is silent.

--- a/internal/fleet/scheduler/silent.go
+++ b/internal/fleet/scheduler/silent.go
@@ -94,12 +94,20 @@
 		h.leftovers[task] = leftover{a.gang, i, a.job.Member()}
 		t.work.Go("stop "+task, func(ctx context.Context) error {
 			if a.gang.StopHeld(ctx, i) == nil {
-				t.post(ctx, func(*term) {
-					delete(h.leftovers, task)
-					delete(h.tasks, task)
-				})
+				ended := time.Now()
+				t.post(ctx, func(*term) { h.dropLeftover(task, ended) })
 			}
 			return nil
 		})
 	}
 }
+
+// dropLeftover frees the resources of a leftover that ended at a time. Unless
+// the worker was lost meanwhile, it has answered the call that stopped the task.
+func (h *hostState) dropLeftover(task string, ended time.Time) {
+	if _, kept := h.leftovers[task]; kept {
+		h.hear(ended)
+	}
+	delete(h.leftovers, task)
+	delete(h.tasks, task)
+}
--- a/internal/fleet/scheduler/silent_test.go
+++ b/internal/fleet/scheduler/silent_test.go
@@ -149,24 +149,41 @@
 }
 
 // Guards against a worker that answers again and stays marked as silent until
-// all workers of its holder have been renewed and the next query ends. It runs
-// with the limits of production.
+// all workers of its holder have been renewed and the next query ends, or until
+// its next renewal when only the start of a task had no answer.
 func TestWorkerAnswersAgain(t *testing.T) {
-	f := newFixture(t, 2, nil)
-	p := f.processWith(t, "a@1", DefaultLimits()).run()
-	f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
-	silent := func() (mark bool) {
-		p.inLoop(func(t *term) { mark = t.hosts["w0"].isSilent() })
-		return mark
+	between := DefaultLimits()
+	between.Renew, between.TTL = 8*time.Second, 30*time.Second
+	tests := map[string]struct {
+		limits Limits
+		start  bool // start begins a gang between two renewals.
+	}{
+		"no answer to a renewal": {limits: DefaultLimits()},
+		"no answer to a start":   {limits: between, start: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, 2, nil)
+			p := f.processWith(t, "a@1", tt.limits).run()
+			f.await("workers are leased", func() bool { return p.scheduler.Summary().Workers == 2 })
+			silent := func() (mark bool) {
+				p.inLoop(func(t *term) { mark = t.hosts["w0"].isSilent() })
+				return mark
+			}
+			f.hosts["w0"].SetFaults(workerhost.Faults{Hang: true})
+			if tt.start {
+				p.submit(gangOf("ana", "1", 2, long))
+			}
+			f.await("the worker is marked as silent", silent)
+			f.hosts["w0"].SetFaults(workerhost.Faults{})
+			answers := time.Now()
+			f.await("the mark is gone", func() bool { return !silent() })
+			took := time.Since(answers)
+			t.Logf("the mark was gone after %s", took.Round(time.Millisecond))
+			f.c.Check(took < DefaultLimits().Renew, qt.IsTrue, qt.Commentf("after %s", took))
+		})
 	}
-	f.hosts["w0"].SetFaults(workerhost.Faults{Hang: true})
-	f.await("the worker is marked as silent", silent)
-	f.hosts["w0"].SetFaults(workerhost.Faults{})
-	answers := time.Now()
-	f.await("the mark is gone", func() bool { return !silent() })
-	took := time.Since(answers)
-	t.Logf("the mark was gone after %s", took.Round(time.Millisecond))
-	f.c.Check(took < DefaultLimits().Renew, qt.IsTrue, qt.Commentf("after %s", took))
 }
 
 // Guards against a repeated report of silence that hides an answer to a renewal
