--- a/internal/fleet/scheduler/silent.go
+++ b/internal/fleet/scheduler/silent.go
@@ -23,6 +23,15 @@
 // markSilent records a call without an answer.
 func (h *hostState) markSilent(now time.Time) { h.silent, h.silentSince = true, now }
 
+// reportSilent records that a holder has had no answer to a renewal. A repeated
+// report may arrive after the renewal that the worker answers next was sent, so
+// it does not change the time of the first one.
+func (h *hostState) reportSilent(received time.Time) {
+	if !h.silent {
+		h.markSilent(received)
+	}
+}
+
 // hear records that the worker has answered a call that was sent at a time.
 func (h *hostState) hear(sent time.Time) {
 	h.heard = latest(h.heard, sent)
@@ -85,12 +94,20 @@
 		h.leftovers[task] = leftover{a.gang, i, a.job.Member()}
 		t.work.Go("stop "+task, func(ctx context.Context) error {
 			if a.gang.StopHeld(ctx, i) == nil {
-				t.post(ctx, func(*term) {
-					delete(h.leftovers, task)
-					delete(h.tasks, task)
-				})
+				ended := time.Now()
+				t.post(ctx, func(*term) { h.dropLeftover(task, ended) })
 			}
 			return nil
 		})
 	}
 }
+
+// dropLeftover frees the resources of a leftover that ended at a time. Unless
+// the worker was lost meanwhile, it has answered the call that stopped the task.
+func (h *hostState) dropLeftover(task string, ended time.Time) {
+	if _, kept := h.leftovers[task]; kept {
+		h.hear(ended)
+	}
+	delete(h.leftovers, task)
+	delete(h.tasks, task)
+}
