Stop lending in every data centre while a guarantee has no place

Cause: lost workers can leave a guaranteed shape without a place in any data centre. It is then in nobody's part of the guarantees, every data centre's own part fits, and all went on lending accelerators.

Change: the scheduler hands what guarantee.Divide could not place to the planner, which lends nothing while there is any. What is lent already is left alone unless a guarantee with a place needs it: Divide counts all accelerators of the workers, so taking more back gives no missing guarantee a place. The scheduler also divides again when an organisation closes while a guarantee is missing, because no record follows its closing.

The lease time decides how long a loss goes unnoticed. Silent or quarantined workers still stop only the data centre that has the guarantee in its part.

--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -55,16 +55,11 @@
 	if p.configured && !due {
 		return
 	}
-	p.configured, p.nextClose = true, time.Time{}
+	p.configured, p.nextClose = true, p.configuration.NextClose(now)
 	entitlements := guarantee.Entitlements(p.configuration, now)
 	if p.divided {
 		entitlements = p.openOnly(now)
 	}
-	for _, o := range p.configuration.Organisations {
-		if o.Closes.After(now) && (p.nextClose.IsZero() || o.Closes.Before(p.nextClose)) {
-			p.nextClose = o.Closes
-		}
-	}
 	p.ledger.SetEntitlements(entitlements)
 	for id, e := range p.holders {
 		if !p.ledger.IsHeld(id) {
@@ -87,7 +82,7 @@
 // openRound starts a new round when there is more room than before, and reports
 // whether there is.
 func (r *round) openRound() bool {
-	lends := r.ledger.Holds()
+	lends := r.lends()
 	if lends && !r.lent {
 		r.rescan = true
 	}
@@ -142,7 +137,7 @@
 // gives its place up when lending has stopped meanwhile.
 func (r *round) startHolding() {
 	for _, e := range slices.Clone(r.holding) {
-		if e.unit == 0 && e.job.Shape.Total() > 0 && !r.ledger.Holds() {
+		if e.unit == 0 && e.job.Shape.Total() > 0 && !r.lends() {
 			r.requeue(e)
 			continue
 		}
--- a/internal/fleet/placement/explain.go
+++ b/internal/fleet/placement/explain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/tenancy/organisation"
 )
 
@@ -89,8 +90,8 @@
 		return nil
 	}
 	var causes []cause
-	if !x.ledger.Holds() {
-		verdict := x.ledger.Verdict()
+	if !x.lends() {
+		verdict := guarantee.Verdict{Shortfalls: slices.Concat(x.ledger.Verdict().Shortfalls, x.shortfalls)}
 		var missing []string
 		for _, s := range verdict.Shortfalls {
 			missing = append(missing, fmt.Sprintf("%d of %s of organisation %s", s.Count, s.Shape, s.Organisation))
--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -30,8 +30,9 @@
 	configuration organisation.Configuration
 	entitled      []guarantee.Entitlement // entitled replaces the guarantees of the configuration when divided is true.
 	divided       bool
-	configured    bool      // configured is false when entitlements must be computed again.
-	nextClose     time.Time // nextClose is when the next organisation closes; zero when none will.
+	shortfalls    []guarantee.Shortfall // shortfalls are the guarantees that no data centre has a place for.
+	configured    bool                  // configured is false when entitlements must be computed again.
+	nextClose     time.Time             // nextClose is when the next organisation closes; zero when none will.
 
 	entries      map[request.Identity]*entry
 	holders      map[guarantee.UnitID]*entry
@@ -51,7 +52,7 @@
 
 	round       uint64 // round counts the calls of Decide that found more room than the call before.
 	rescan      bool   // rescan asks for a search on all racks.
-	lent        bool   // lent is whether the predicate held at the last call of Decide.
+	lent        bool   // lent is whether accelerators were lent at the last call of Decide.
 	nextReserve time.Time
 	nextMove    time.Time
 }
@@ -85,8 +86,18 @@
 	p.entitled, p.divided, p.configured = entitlements, true, false
 }
 
-// Verdict returns the value of the guarantee predicate as of the last call of
-// Decide, with the plans that are affected and what they lack.
+// SetShortfalls names the guarantees that no data centre has a place for, as
+// guarantee.Divide returns them. Nothing is lent while there are any. Divide
+// counts all accelerators of the workers, whoever uses them, so what is lent
+// already would give these guarantees no place and stays.
+func (p *Planner) SetShortfalls(shortfalls []guarantee.Shortfall) { p.shortfalls = shortfalls }
+
+// lends reports whether jobs may start on accelerators that are guaranteed to
+// others.
+func (p *Planner) lends() bool { return len(p.shortfalls) == 0 && p.ledger.Holds() }
+
+// Verdict returns the value of the guarantee predicate in this data centre as of
+// the last call of Decide, with the plans that are affected and what they lack.
 func (p *Planner) Verdict() guarantee.Verdict { return p.ledger.Verdict() }
 
 // AddWorker adds a worker, or replaces what is known of it.
--- a/internal/fleet/placement/property_test.go
+++ b/internal/fleet/placement/property_test.go
@@ -11,6 +11,7 @@
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/fleet/placement"
 	"wasabihoist/internal/fleet/worker"
+	"wasabihoist/internal/tenancy/guarantee"
 	"wasabihoist/internal/tenancy/organisation"
 	"wasabihoist/internal/traffic/request"
 )
@@ -38,6 +39,7 @@
 	silent    map[string]bool
 	count     int
 	held      bool
+	short     bool // short is true while a guarantee has no place in any data centre.
 	disturbed bool // disturbed is true when the fleet or configuration has just changed.
 }
 
@@ -120,7 +122,7 @@
 	w.now = w.now.Add(time.Duration(rapid.IntRange(0, 900).Draw(w.T, "seconds")) * time.Second)
 	id, ok := w.pick()
 	x := w.running[id]
-	switch event := rapid.IntRange(0, 10).Draw(w.T, "event"); {
+	switch event := rapid.IntRange(0, 11).Draw(w.T, "event"); {
 	case event == 0:
 		name := fmt.Sprintf("w%d", rapid.IntRange(0, 6).Draw(w.T, "lost"))
 		delete(w.workers, name)
@@ -144,6 +146,8 @@
 		w.start(id, x)
 	case event == 7:
 		w.silence(fmt.Sprintf("w%d", rapid.IntRange(0, 6).Draw(w.T, "silent")))
+	case event == 8:
+		w.setShort(!w.short)
 	default:
 		w.submit()
 	}
@@ -156,6 +160,16 @@
 	w.disturbed = true
 }
 
+// setShort says whether a guarantee has no place in any data centre.
+func (w *world) setShort(short bool) {
+	w.short = short
+	var shortfalls []guarantee.Shortfall
+	if short {
+		shortfalls = []guarantee.Shortfall{{Organisation: "o0", Plan: "o0", Shape: organisation.Shape{Members: 1, Accelerators: 64}, Count: 1}}
+	}
+	w.planner.SetShortfalls(shortfalls)
+}
+
 func (w *world) addWorkerBack() {
 	for i := range 7 {
 		if _, ok := w.workers[fmt.Sprintf("w%d", i)]; !ok {
@@ -191,6 +205,7 @@
 			}
 			if d.Checkpoint {
 				w.answering(d)
+				w.needed(d)
 			}
 			if rapid.Bool().Draw(w.T, "leaves") {
 				delete(w.running, d.Job)
@@ -231,6 +246,15 @@
 	}
 }
 
+// needed fails when a job is asked to leave for one that may not borrow. A job
+// that outgrows its worker leaves for itself, and jobs without accelerators may
+// borrow at all times.
+func (w *world) needed(d placement.Decision) {
+	if w.short && d.For != d.Job && w.jobs[d.For].Shape.Total() > 0 && !w.guaranteed(d.For) {
+		w.Fatalf("%s is reclaimed for borrowed job %s while lending has stopped", d.Job, d.For)
+	}
+}
+
 // check fails when a worker has more accelerators in use than it has, or when the
 // predicate has become false without a change of the fleet, or when accelerators
 // were lent while it is false.
@@ -247,8 +271,8 @@
 		}
 	}
 	held := w.planner.Verdict().Holds
-	if !held && lent {
-		w.Fatalf("accelerators were lent while %s", w.planner.Verdict())
+	if lent && (!held || w.short) {
+		w.Fatalf("accelerators were lent while %s, without a place in any data centre: %t", w.planner.Verdict(), w.short)
 	}
 	if !held && w.held && !w.disturbed {
 		w.Fatalf("decisions made the predicate false: %s", w.planner.Verdict())
--- a/internal/fleet/scheduler/fold.go
+++ b/internal/fleet/scheduler/fold.go
@@ -23,8 +23,9 @@
 // fold passes the changes of the journal on.
 func (t *term) fold() {
 	c := t.changes.Take()
-	t.dirty = t.dirty || c.All || c.Configuration || len(c.Jobs) > 0
-	if c.All || c.Configuration {
+	configure := c.All || c.Configuration || t.organisationCloses()
+	t.dirty = t.dirty || configure || len(c.Jobs) > 0
+	if configure {
 		t.configure()
 	}
 	if !c.All {
@@ -38,14 +39,23 @@
 	}
 }
 
-// configure gives the planner the configuration and this data centre's part of
-// the guarantees.
+// configure gives the planner the configuration, this data centre's part of the
+// guarantees and those that have no place in any data centre.
 func (t *term) configure() {
-	c := t.journal.Configuration()
+	c, now := t.journal.Configuration(), time.Now()
 	t.planner.SetConfiguration(c)
-	parts, shortfalls := guarantee.Divide(guarantee.Entitlements(c, time.Now()), t.presentWorkers())
+	parts, shortfalls := guarantee.Divide(guarantee.Entitlements(c, now), t.presentWorkers())
 	t.planner.SetEntitlements(parts[t.options.DataCentre])
+	t.planner.SetShortfalls(shortfalls)
 	t.guarantees = guarantee.Verdict{Holds: len(shortfalls) == 0, Shortfalls: shortfalls}
+	t.nextClose = c.NextClose(now)
+}
+
+// organisationCloses reports whether an organisation has closed since a
+// guarantee lost its place. Its guarantees no longer count then, and without a
+// record in the journal lending would not begin again.
+func (t *term) organisationCloses() bool {
+	return !t.guarantees.Holds && !t.nextClose.IsZero() && !time.Now().Before(t.nextClose)
 }
 
 // reportShortfalls writes to the audit trail which guarantees of the deployment
--- /dev/null
+++ b/internal/fleet/scheduler/lending_test.go
@@ -0,0 +1,128 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/job"
+	"wasabihoist/internal/record/journal"
+)
+
+// borrower submits short borrowed jobs that prefer its data centre, one after
+// another.
+type borrower struct {
+	*process
+	count int
+	last  job.Job
+}
+
+// borrow submits the next job when the last one has ended, and reports whether
+// it waits.
+func (b *borrower) borrow() bool {
+	if js, known := b.journal.Job(b.last.Identity); known && js.State != job.Ended {
+		return js.State == job.Queued
+	}
+	b.count++
+	name := b.scheduler.options.DataCentre
+	b.last = gangOf("eva", fmt.Sprintf("%s-%d", name, b.count), 1, 10*time.Millisecond)
+	b.last.DataCentre = name
+	b.submit(b.last)
+	return false
+}
+
+// lent counts the starts of borrowed jobs and returns the last of them.
+func (f *fixture) lent() (count int, last time.Time) {
+	for _, h := range f.hosts {
+		for _, i := range h.History() {
+			if strings.HasPrefix(i.Task, "eva/") && !i.Released.IsZero() {
+				count, last = count+1, latest(last, i.Released)
+			}
+		}
+	}
+	return count, last
+}
+
+// verdictAt returns when the last verdict on the guarantees was reported.
+func (p *process) verdictAt() time.Time {
+	var at time.Time
+	for _, e := range p.journal.AuditTrail() {
+		if e.Audit.Action == auditGuarantees {
+			at = e.Time
+		}
+	}
+	return at
+}
+
+// Guards promise 1 against a data centre that goes on lending, or takes back
+// what does not help, while a guarantee has no place in any of them, and against
+// lending that does not begin again. Each data centre has a place for its own
+// part of the guarantees, and a free worker.
+func TestLendingStopsInEveryDataCentre(t *testing.T) {
+	lost := []string{"w1", "w2", "w3"}
+	tests := map[string]func(f *fixture, p *process, c journal.ConfigurationPublished){
+		"the workers come back": func(f *fixture, _ *process, _ journal.ConfigurationPublished) {
+			for _, name := range lost {
+				f.hosts[name].Restart()
+			}
+		},
+		"the organisation closes": func(_ *fixture, p *process, c journal.ConfigurationPublished) {
+			c.Base = p.journal.Configuration().Version
+			c.Organisations[1].Closes = time.Now().Add(time.Second)
+			p.append(c)
+		},
+	}
+	for name, end := range tests {
+		t.Run(name, func(t *testing.T) {
+			f, configuration := twoDataCentres(t)
+			a := &borrower{process: f.processIn(t, "a@1", "acari", testLimits()).run()}
+			b := &borrower{process: f.processIn(t, "b@1", "caico", testLimits()).run()}
+			wait := func() bool {
+				waits := a.borrow()
+				return b.borrow() && waits
+			}
+			lend := func(what string) {
+				begun := [2]int{a.count, b.count}
+				f.await(what, func() bool { wait(); return a.count > begun[0]+2 && b.count > begun[1]+2 })
+			}
+			keeps := gangOf("eva", "keeps", 1, long)
+			keeps.DataCentre = "caico"
+			b.append(configuration)
+			b.submit(keeps)
+			b.awaitState(keeps.Identity, job.Running)
+			lend("both lend")
+
+			lostAt := time.Now()
+			for _, name := range lost {
+				f.hosts[name].Crash()
+			}
+			f.await("the loss is reported", func() bool { wait(); return strings.Contains(b.lastAudit(auditGuarantees), "lacks") })
+			reportedAt := b.verdictAt()
+			f.await("no more is lent", wait)
+			time.Sleep(time.Second) // longer than a data centre leaves a job to others
+			count, last := f.lent()
+			f.c.Check(last.Sub(reportedAt) < 500*time.Millisecond, qt.IsTrue, qt.Commentf("lent %s after the report", last.Sub(reportedAt)))
+			f.c.Check(f.live(keeps), qt.Equals, 1)
+			explanation, _ := b.scheduler.Explain(b.last.Identity)
+			f.c.Check(explanation.BlockedBy, qt.Equals, "lending has stopped: plan silver of organisation rui lacks a place for 1 of 1x2 within worker (2 accelerators)")
+
+			guaranteed := gangOf("ana", "1", 2, 100*time.Millisecond)
+			b.submit(guaranteed)
+			f.c.Check(b.awaitState(guaranteed.Identity, job.Ended).DataCentre, qt.Equals, "caico")
+			f.c.Check(f.live(keeps), qt.Equals, 0)
+			after, first := f.lent()
+			f.c.Check(after, qt.Equals, count)
+
+			end(f, b.process, configuration)
+			f.await("lending begins again", func() bool { after, first = f.lent(); return after > count })
+			f.await("a place for all is reported", func() bool { return !strings.Contains(b.lastAudit(auditGuarantees), "lacks") })
+			t.Logf("reported after %s; last borrowed start %s after it, first one %s after a place for all",
+				reportedAt.Sub(lostAt), last.Sub(reportedAt), first.Sub(b.verdictAt()))
+			lend("both lend again")
+			b.awaitState(keeps.Identity, job.Running)
+		})
+	}
+}
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -44,6 +44,7 @@
 	begun      time.Time
 	synced     time.Time         // synced is when the last barrier that was folded was sent; zero before the first.
 	guarantees guarantee.Verdict // guarantees says which guarantees of the deployment have no place.
+	nextClose  time.Time         // nextClose is when the next organisation closes; zero when none will.
 	reported   string            // reported is the last verdict that this term has seen; empty before the first one.
 	dirty      bool              // dirty is set when something happened on which a step may follow.
 	placing    bool              // placing is set once the workers are known well enough to place jobs.
--- a/internal/tenancy/organisation/organisation.go
+++ b/internal/tenancy/organisation/organisation.go
@@ -101,6 +101,18 @@
 	Plans         []Plan
 }
 
+// NextClose returns when the next organisation closes after now; zero when none
+// will.
+func (c Configuration) NextClose(now time.Time) time.Time {
+	var next time.Time
+	for _, o := range c.Organisations {
+		if o.Closes.After(now) && (next.IsZero() || o.Closes.Before(next)) {
+			next = o.Closes
+		}
+	}
+	return next
+}
+
 // PlanOf returns the plan of the organisation, and whether both exist.
 func (c Configuration) PlanOf(name string) (Organisation, Plan, bool) {
 	for _, o := range c.Organisations {
