Withhold borrowed starts that were decided on before lending stopped

Cause: a start waits for its claim in the log. When the log is slow, a borrowed job could start long after lending had stopped, because only the decision had looked at it.

Conclusion: a borrowed gang whose claim follows the report of the loss in the log does not start. A gang whose members are being started already goes on, and counts as lent.

--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -96,6 +96,13 @@
 // others.
 func (p *Planner) lends() bool { return len(p.shortfalls) == 0 && p.ledger.Holds() }
 
+// Withheld reports whether a start that was decided on must not go on, because
+// the job would borrow and lending has stopped since.
+func (p *Planner) Withheld(id request.Identity) bool {
+	e, ok := p.entries[id]
+	return ok && e.state == Starting && e.unit == 0 && e.job.Shape.Total() > 0 && !p.lends()
+}
+
 // Verdict returns the value of the guarantee predicate in this data centre as of
 // the last call of Decide, with the plans that are affected and what they lack.
 func (p *Planner) Verdict() guarantee.Verdict { return p.ledger.Verdict() }
--- a/internal/fleet/scheduler/decide.go
+++ b/internal/fleet/scheduler/decide.go
@@ -185,8 +185,10 @@
 	})
 }
 
-// assemble builds the gang of a claimed attempt under the leases in force.
+// assemble builds the gang of a claimed attempt under the leases in force. It
+// folds first, so that it knows of a loss that the log has before the claim.
 func (t *term) assemble(a *attempt, claim int64, js journal.JobState) (*gang.Gang, error) {
+	t.fold()
 	current, _ := t.journal.Job(a.job.Identity)
 	switch {
 	case current.Claim != claim:
@@ -195,6 +197,8 @@
 		return nil, fmt.Errorf("cancelled by the caller")
 	case a.reclaimed:
 		return nil, fmt.Errorf("reclaimed before the start")
+	case t.planner.Withheld(a.job.Identity):
+		return nil, fmt.Errorf("lending stopped before the start")
 	}
 	for _, name := range a.workers {
 		if h := t.hosts[name]; h == nil || !h.up {
--- a/internal/fleet/scheduler/lending_test.go
+++ b/internal/fleet/scheduler/lending_test.go
@@ -10,6 +10,9 @@
 
 	"wasabihoist/internal/fleet/job"
 	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/standin/logservice"
+	"wasabihoist/internal/tenancy/guarantee"
+	"wasabihoist/internal/traffic/request"
 )
 
 // borrower submits short borrowed jobs that prefer its data centre, one after
@@ -126,3 +129,34 @@
 		})
 	}
 }
+
+// Guards against a borrowed job that starts long after lending has stopped,
+// because the log was slow to take its claim.
+func TestBorrowedStartIsWithheld(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	p := f.process(t, "a@1").run()
+	j := gangOf("eva", "1", 2, 50*time.Millisecond)
+	p.submit(j)
+	p.awaitState(j.Identity, job.Ended) // the workers are leased
+	j.Identity.ID = "2"
+	f.log.SetFaults(logservice.Faults{Delay: 300 * time.Millisecond})
+	p.submit(j)
+	decided := func() (found bool) {
+		p.inLoop(func(t *term) {
+			a := t.active[j.Identity]
+			if found = a != nil && a.gang == nil; found {
+				t.planner.SetShortfalls([]guarantee.Shortfall{{Organisation: "ana", Count: 1}})
+			}
+		})
+		return found
+	}
+	f.await("the start is decided on", decided)
+	f.log.SetFaults(logservice.Faults{})
+	f.await("the claim is given up", func() bool {
+		js, _ := p.journal.Job(j.Identity)
+		return js.State == job.Queued && js.Attempt == 1
+	})
+	f.c.Assert(f.attempts(j), qt.HasLen, 0)
+	p.inLoop(func(t *term) { t.planner.SetShortfalls(nil) })
+	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
+}
