Let roots without a reader ask the log themselves

In a region without the log service, the loss of the data centre whose roots read the log delayed a configuration by 9.0 s: the trace shows that the roots of the other data centres wait 3 s each for their first parent, their second one and the reader of the region, which are all in the lost data centre. A reader of the region that answers without reading the log any more kept the whole region behind without an end, because the second root took its empty pages for the end of the log.

The roots of the other data centres now poll for 0.5 s, and their guards ask the log when a watch fails.

Without the change, the cases "the data centre of the readers is lost" and "one member of each level lags" of the new tests fail.

The promised 4 s hold in a region of four data centres in these cases.

--- a/internal/cluster/readertree/readertree.go
+++ b/internal/cluster/readertree/readertree.go
@@ -26,6 +26,7 @@
 type Place struct {
 	Parents []membership.Member // Parents in the order of preference; none when the process reads the log.
 	Standby bool                // Standby is set for the second reader of a region without the log service.
+	Guest   bool                // Guest is set for a root whose parents are in another data centre.
 }
 
 // Of returns the place of a process. logRegion is the region of the log service.
@@ -47,7 +48,9 @@
 		return Place{Standby: !isRoot(first, self)}
 	}
 	first, second = homeOrders(self, members, home)
-	return placeIn(first, second, self)
+	place := placeIn(first, second, self)
+	place.Guest = true
+	return place
 }
 
 // isRoot reports whether the process is the first live member of the order.
--- a/internal/cluster/readertree/readertree_test.go
+++ b/internal/cluster/readertree/readertree_test.go
@@ -27,20 +27,22 @@
 }
 
 // Guards against a tree that leaves a member without records: one with a cycle,
-// with a member that serves too many, or in which a member depends on one other
-// member in both trees.
+// with a member that serves too many, in which a member depends on one other
+// member in both trees, or in which a root does not know that it reads from
+// another data centre.
 func TestEveryMemberIsReachedTwice(t *testing.T) {
 	tests := map[string]struct {
 		region string
 		sizes  []int
 		depth  int
 		roots  int // roots read the log, or in a far region stand by for the one that does.
+		guests int // guests are the roots of other data centres of a far region.
 	}{
-		"one data centre of the planned size": {logRegion, []int{443}, 3, 2},
-		"today":                               {logRegion, []int{6, 5}, 1, 4},
-		"far region, planned size":            {farRegion, []int{443, 443, 443}, 7, 2},
-		"far region of today":                 {farRegion, []int{4}, 1, 2},
-		"two members":                         {farRegion, []int{2}, 1, 2},
+		"one data centre of the planned size": {logRegion, []int{443}, 3, 2, 0},
+		"today":                               {logRegion, []int{6, 5}, 1, 4, 0},
+		"far region, planned size":            {farRegion, []int{443, 443, 443}, 7, 2, 4},
+		"far region of today":                 {farRegion, []int{4}, 1, 2, 0},
+		"two members":                         {farRegion, []int{2}, 1, 2, 0},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -50,18 +52,22 @@
 				members = append(members, centre(tt.region, fmt.Sprint("dc", i), size)...)
 			}
 			parents, inner := [2]map[string]string{{}, {}}, [2]map[string]int{{}, {}}
-			roots := 0
+			roots, guests := 0, 0
 			for _, m := range members {
 				place := readertree.Of(m, members, logRegion)
 				if len(place.Parents) == 0 {
 					roots++
 				}
+				if place.Guest {
+					guests++
+				}
 				for i, p := range place.Parents {
 					parents[i][m.Name] = p.Name
 					inner[i][p.Name]++
 				}
 			}
 			c.Assert(roots, qt.Equals, tt.roots)
+			c.Assert(guests, qt.Equals, tt.guests)
 			for _, m := range members {
 				c.Assert(inner[0][m.Name] <= readertree.Degree && inner[1][m.Name] <= readertree.Degree, qt.IsTrue)
 				if len(members) > readertree.Degree*readertree.Degree {
--- a/internal/record/source/guard.go
+++ b/internal/record/source/guard.go
@@ -25,12 +25,13 @@
 type Guard struct {
 	journal *journal.Journal
 	tree    *Tree
+	log     journal.Reader
 	puller  *Puller
 }
 
-// NewGuard returns the guard of a tree.
-func NewGuard(j *journal.Journal, t *Tree) *Guard {
-	return &Guard{journal: j, tree: t, puller: NewPuller(j, t.dial)}
+// NewGuard returns the guard of a tree. log reads the log itself.
+func NewGuard(j *journal.Journal, t *Tree, log journal.Reader) *Guard {
+	return &Guard{journal: j, tree: t, log: log, puller: NewPuller(j, t.dial)}
 }
 
 // String names the controller.
@@ -40,6 +41,7 @@
 func (g *Guard) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		if !g.step(ctx) {
+			g.checkLog(ctx)
 			_ = group.Pause(ctx, guardPause) // The loop ends with ctx.
 		}
 	}
@@ -54,7 +56,7 @@
 		return false
 	}
 	from := g.journal.Next()
-	next, err := g.tree.dial(watched).Watch(ctx, from, watchWait)
+	next, err := g.tree.dial(watched).Watch(ctx, from, g.tree.bounded(watchWait))
 	if err != nil {
 		g.tree.avoid(watched)
 		return false
@@ -75,6 +77,25 @@
 	return true
 }
 
+// checkLog reads the log when no member outside of a possible failure can be
+// watched: the second reader of a region has nobody to compare the first one
+// with, and both parents of a guest are lost together with their data centre.
+func (g *Guard) checkLog(ctx context.Context) {
+	if !g.tree.checksLog() {
+		return
+	}
+	// One record is enough to know that there are some. While the process catches
+	// up, more of them would cross the region link twice.
+	page, err := g.log.Read(ctx, g.journal.Next(), 1, 0)
+	if err != nil || g.awaitOffset(ctx, page.Next) {
+		return
+	}
+	from := g.journal.Next()
+	if page, err = g.log.Read(ctx, from, pullEntries, 0); err == nil {
+		_ = g.journal.Apply(from, page) // The follower reports pages that cannot be folded.
+	}
+}
+
 // awaitOffset reports whether the parent that is read delivers in time.
 func (g *Guard) awaitOffset(ctx context.Context, next int64) bool {
 	late := time.After(guardDelay)
--- a/internal/record/source/tree.go
+++ b/internal/record/source/tree.go
@@ -10,14 +10,15 @@
 	"wasabihoist/internal/record/platformlog"
 )
 
-// standbyWait lets the second reader of a region without the log service learn
-// soon that the first one is silent.
-const standbyWait = 500 * time.Millisecond
+// remoteWait bounds the polls of a process whose failure would keep a whole data
+// centre or region waiting, so that it learns soon that its readers are silent.
+const remoteWait = 500 * time.Millisecond
 
 // TreePlace is the place of this process among the readers of its data centre.
 type TreePlace struct {
 	Parents []Peer // Parents to read from, the preferred one first; none for a process that reads the log.
 	Standby bool   // Standby is set for the second reader of a region without the log service.
+	Guest   bool   // Guest is set for a root whose parents are in another data centre.
 }
 
 // Tree reads records from a parent of the reader tree, and from the next reader
@@ -61,16 +62,26 @@
 	return slices.ContainsFunc(t.place.Parents, func(p Peer) bool { return p.Name == name })
 }
 
-func (t *Tree) isStandby() bool {
+// checksLog reports whether the guard reads the log from time to time.
+func (t *Tree) checksLog() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.place.Standby
+	return t.place.Standby || t.place.Guest
+}
+
+// bounded returns how long a poll may wait at this place.
+func (t *Tree) bounded(wait time.Duration) time.Duration {
+	if t.checksLog() {
+		return min(wait, remoteWait)
+	}
+	return wait
 }
 
 // Read implements journal.Reader. A read that does not wait goes to the next
 // reader: it comes from a process that starts, and a parent that starts at the
 // same time has nothing yet and would pass for the end of the log.
 func (t *Tree) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
+	wait = t.bounded(wait)
 	for wait > 0 {
 		p, ok := t.parent()
 		if !ok {
@@ -82,9 +93,6 @@
 		}
 		t.avoid(p)
 	}
-	if t.isStandby() {
-		wait = min(wait, standbyWait)
-	}
 	return t.next.Read(ctx, from, limit, wait)
 }
 
--- a/internal/record/source/tree_test.go
+++ b/internal/record/source/tree_test.go
@@ -106,6 +106,49 @@
 	}
 }
 
+// Guards against a configuration that comes late in a region of several data
+// centres because one member of each level fails, and against a reader of the
+// region that answers without reading the log and passes for the end of the log.
+func TestRegionUnderFailuresOfMembers(t *testing.T) {
+	testRegion(t, readerfleet.MemberFaults())
+}
+
+// Guards against a region that waits for readers of the log or of a data centre,
+// and against a lost data centre that costs a deadline for each reader in it.
+func TestRegionUnderFailuresOfReaders(t *testing.T) {
+	testRegion(t, readerfleet.ReaderFaults())
+}
+
+func testRegion(t *testing.T, faults []readerfleet.Fault) {
+	for _, fault := range faults {
+		t.Run(fault.Name, func(t *testing.T) {
+			fleetTest(t, readerfleet.PlannedRegion(), func(c *qt.C, f *readerfleet.Fleet) {
+				fault.Apply(f)
+				for _, pause := range []time.Duration{0, 10 * time.Millisecond, 3 * time.Second} {
+					time.Sleep(pause)
+					c.Assert(measure(c, f) < inForce, qt.IsTrue)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a region that stays behind, or goes back, after it was parted
+// from the log. The second reader of the region tries the log every 2 s while it
+// is silent, so the lengths of the cut are at different times of its turn.
+func TestRegionRejoins(t *testing.T) {
+	fleetTest(t, readerfleet.Layout{DataCentres: []int{1, 2}, Members: 443}, func(c *qt.C, f *readerfleet.Fleet) {
+		for _, parted := range []time.Duration{time.Minute, 5 * time.Second, 5500 * time.Millisecond, 6100 * time.Millisecond, 6700 * time.Millisecond} {
+			ctx, cancel := context.WithTimeout(context.Background(), parted+inForce)
+			took, err := f.MeasureRejoin(ctx, parted)
+			cancel()
+			c.Assert(err, qt.IsNil)
+			c.Logf("in force %s after the end of a cut of %s", took, parted)
+			c.Assert(took < inForce, qt.IsTrue)
+		}
+	})
+}
+
 // Guards against a fleet of the planned size in which the levels of the trees and
 // the latencies between regions add up to more than the promised time.
 func TestFleetOfThePlannedSize(t *testing.T) {
--- a/internal/run/bench/fanoutbench/site.go
+++ b/internal/run/bench/fanoutbench/site.go
@@ -114,11 +114,12 @@
 	for i, m := range s.members {
 		m.kind = kindOf(places[i], children[m.peer.Name])
 		dial := func(p source.Peer) source.PeerReader { return peer.NewClient(p.Address, m.transport.Shared()) }
-		tree := source.NewTree(dial, platformlog.NewClient(s.log, m.transport.Shared()))
+		log := platformlog.NewClient(s.log, m.transport.Shared())
+		tree := source.NewTree(dial, log)
 		tree.SetPlace(places[i])
 		s.group.Go("follower", journal.NewFollower(m.journal, tree, nil).Run)
 		if w == treeWay {
-			s.group.Go("guard", source.NewGuard(m.journal, tree).Run)
+			s.group.Go("guard", source.NewGuard(m.journal, tree, log).Run)
 		}
 	}
 }
--- a/internal/run/process/directory.go
+++ b/internal/run/process/directory.go
@@ -107,7 +107,7 @@
 func (d *directory) treePlace(members []membership.Member) source.TreePlace {
 	logRegion := cmp.Or(d.settings.LogRegion, d.settings.Region)
 	place := readertree.Of(d.members.Self(), members, logRegion)
-	result := source.TreePlace{Standby: place.Standby}
+	result := source.TreePlace{Standby: place.Standby, Guest: place.Guest}
 	for _, p := range place.Parents {
 		result.Parents = append(result.Parents, source.Peer{Name: p.Name, Address: p.Address})
 	}
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -108,7 +108,7 @@
 	n.relay = relay.New(relay.Default(), n.log)
 	appends := relay.NewLog(n.log, n.directory, relay.DialOver(n.transport.Fresh()), n.relay, s.ListenAddress)
 	n.writer = journal.NewWriter(name, appends, n.journal, journal.DefaultWriterOptions())
-	n.guard = source.NewGuard(n.journal, n.tree)
+	n.guard = source.NewGuard(n.journal, n.tree, n.log)
 	n.reader = newStartReader(n.tree)
 	n.startLimit = startLimit
 	n.puller = source.NewPuller(n.journal, n.dialPeer)
--- a/internal/standin/readerfleet/fleet.go
+++ b/internal/standin/readerfleet/fleet.go
@@ -28,6 +28,8 @@
 const (
 	// LogRegion is the region of the log service and of the publisher.
 	LogRegion = "region-0"
+	// FarRegion is the first region without the log service.
+	FarRegion = "region-1"
 
 	// siteLatency is one way between data centres. It is used within them as
 	// well, where it is an upper bound.
@@ -37,6 +39,9 @@
 	peerPort      = 7000
 	// candidates is how many peers a process knows to ask while the log is down.
 	candidates = 3
+	// partedChanges is how many configurations are published while regions are
+	// parted.
+	partedChanges = 4
 )
 
 var logAddress = netip.MustParseAddrPort("10.255.0.1:7000")
@@ -50,12 +55,16 @@
 // Planned is the planned size: 14 data centres in 4 regions.
 func Planned() Layout { return Layout{DataCentres: []int{4, 4, 3, 3}, Members: 443} }
 
+// PlannedRegion is the largest region without the log service.
+func PlannedRegion() Layout { return Layout{DataCentres: []int{0, 4}, Members: 443} }
+
 // Fleet is a running fleet. Its member lists stay as they are until Suspect.
 type Fleet struct {
 	service   http.Handler
 	group     *group.Group
 	regions   []*region
 	processes map[string]*Process // processes by address, as in URLs.
+	parted    atomic.Bool         // parted keeps the log region and the far region from each other.
 	publisher *Process
 	writer    *journal.Writer
 	reverted  atomic.Bool // reverted is set when an older configuration came into force.
@@ -144,7 +153,7 @@
 	}
 	for _, p := range r.processes {
 		place := r.placeOf(p.member, centres[p.member.DataCentre])
-		v := &view{place: source.TreePlace{Standby: place.Standby}}
+		v := &view{place: source.TreePlace{Standby: place.Standby, Guest: place.Guest}}
 		for _, parent := range place.Parents {
 			v.place.Parents = append(v.place.Parents, peerOf(parent))
 		}
@@ -181,6 +190,18 @@
 	})
 }
 
+// Part cuts the far region off from the log region. Calls that meet the cut stay
+// silent until their deadline, even when it ends before.
+func (f *Fleet) Part() { f.parted.Store(true) }
+
+// Join ends the cut.
+func (f *Fleet) Join() { f.parted.Store(false) }
+
+// isCut reports whether messages between two regions are lost.
+func (f *Fleet) isCut(a, b string) bool {
+	return f.parted.Load() && a != b && (a == LogRegion || b == LogRegion) && (a == FarRegion || b == FarRegion)
+}
+
 // Publish appends a configuration and returns its version as soon as the
 // publisher has folded it.
 func (f *Fleet) Publish(ctx context.Context) (int64, error) {
@@ -194,10 +215,13 @@
 	return verdict.Offset, nil
 }
 
-// Await returns when all live members have the version. It
+// Await returns when all live members that can be reached have the version. It
 // fails when one of them does not have it before ctx ends.
 func (f *Fleet) Await(ctx context.Context, version int64) error {
 	for _, r := range f.regions {
+		if f.isCut(r.name, LogRegion) {
+			continue
+		}
 		for _, p := range r.processes {
 			for !p.failed() && p.Version() < version {
 				if err := group.Pause(ctx, pollPause); err != nil {
@@ -221,6 +245,37 @@
 	return time.Since(begun), err
 }
 
+// MeasureRejoin parts the far region from the log region, publishes
+// configurations meanwhile, and returns the time from the end of the cut until
+// all live members have the last one. It fails when the cut lets one through.
+func (f *Fleet) MeasureRejoin(ctx context.Context, parted time.Duration) (time.Duration, error) {
+	before := f.publisher.Version()
+	f.Part()
+	defer f.Join()
+	var version int64
+	for range partedChanges {
+		var err error
+		if version, err = f.Publish(ctx); err != nil {
+			return 0, err
+		}
+		if err := f.Await(ctx, version); err != nil {
+			return 0, err
+		}
+		if err := group.Pause(ctx, parted/partedChanges); err != nil {
+			return 0, fmt.Errorf("regions parted: %w", err)
+		}
+	}
+	for _, p := range f.region().processes {
+		if p.Version() != before {
+			return 0, fmt.Errorf("%s has version %d during the cut, not %d", p.member.Name, p.Version(), before)
+		}
+	}
+	f.Join()
+	begun := time.Now()
+	err := f.Await(ctx, version)
+	return time.Since(begun), err
+}
+
 // Members returns the number of members.
 func (f *Fleet) Members() int { return len(f.processes) }
 
@@ -278,3 +333,33 @@
 	}
 	return roots
 }
+
+// GuestRoots returns the roots of a data centre whose roots read from another
+// data centre.
+func (f *Fleet) GuestRoots() []*Process {
+	home := f.Roots()[0].member.DataCentre
+	var roots []*Process
+	for _, p := range f.region().processes {
+		dataCentre := p.member.DataCentre
+		crosses := func(o source.Peer) bool { return f.processes[o.Address.String()].member.DataCentre != dataCentre }
+		if dataCentre == home || !slices.ContainsFunc(p.parents(), crosses) {
+			continue
+		}
+		if len(roots) == 0 || roots[0].member.DataCentre == dataCentre {
+			roots = append(roots, p)
+		}
+	}
+	return roots
+}
+
+// Home returns the members of the data centre whose roots read the log.
+func (f *Fleet) Home() []*Process {
+	home := f.Roots()[0].member.DataCentre
+	var list []*Process
+	for _, p := range f.region().processes {
+		if p.member.DataCentre == home {
+			list = append(list, p)
+		}
+	}
+	return list
+}
--- a/internal/standin/readerfleet/process.go
+++ b/internal/standin/readerfleet/process.go
@@ -52,7 +52,7 @@
 
 func (p *Process) run() {
 	p.start("follower", journal.NewFollower(p.journal, p.tree, p.selector).Run)
-	p.start("guard", source.NewGuard(p.journal, p.tree).Run)
+	p.start("guard", source.NewGuard(p.journal, p.tree, p.log()).Run)
 	p.start("versions", p.watchVersions)
 }
 
@@ -156,7 +156,7 @@
 	if err := group.Pause(ctx, latency); err != nil {
 		return errGone
 	}
-	if silent() {
+	if silent() || p.fleet.isCut(region, p.member.Region) {
 		<-ctx.Done()
 		return errGone
 	}
