Turn to a new parent as soon as the place in the tree changes

In a run on the real clock, both readers of a region froze and the configuration was in force after 5.0 s. Membership suspected them just after the reads of the first root had reached their deadline of 3 s. The members were then waiting for their second parent, which had nothing, and a change of the place ended only reads of a peer that was no parent any more. They turned to the new root when the poll ended, up to 2 s later.

A change of the place now ends a read of any peer that is not the preferred parent, and a read that ends for this reason does not make its peer avoided.

On the virtual clock, with both roots frozen and suspect after 3.1 s, the configuration is in force after 3.11 s. Without the change it is not in force within 4 s, and the new case of TestRootsFreeze fails. The other cases are as before.

The time after the loss of both roots is now the time until membership suspects them, also when a read has reached its deadline before that.

--- a/internal/record/source/tree.go
+++ b/internal/record/source/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -31,9 +32,9 @@
 
 	mu      sync.Mutex
 	place   TreePlace
-	reading string               // reading is the parent that is being read.
-	stop    context.CancelFunc   // stop ends that read.
-	avoided map[string]time.Time // avoided parents and since when.
+	reading string                  // reading is the parent that is being read.
+	stop    context.CancelCauseFunc // stop ends that read.
+	avoided map[string]time.Time    // avoided parents and since when.
 }
 
 // NewTree returns a reader that has no parent yet and reads from next.
@@ -41,21 +42,25 @@
 	return &Tree{dial: dial, next: next, avoided: map[string]time.Time{}}
 }
 
-// SetPlace changes the place in the tree. A read of a peer that is not a parent
-// any more ends at once: when both parents of a process are lost, membership
-// knows it before the reads reach their deadlines.
+// errMoved ends a read because the place has changed, not because of the parent.
+var errMoved = errors.New("the place in the tree has changed")
+
+// SetPlace changes the place in the tree. A read of a peer that is not the
+// preferred parent any more ends at once: when both parents of a process are
+// lost, membership knows it before the reads reach their deadlines, and when the
+// first one is replaced, the second one may have nothing to deliver.
 func (t *Tree) SetPlace(place TreePlace) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.place = place
-	if t.stop != nil && !t.isParent(t.reading) {
-		t.stop()
-	}
 	for name := range t.avoided {
 		if !t.isParent(name) {
 			delete(t.avoided, name)
 		}
 	}
+	if p, _ := t.preferred(); t.stop != nil && p.Name != t.reading {
+		t.stop(errMoved)
+	}
 }
 
 func (t *Tree) isParent(name string) bool {
@@ -91,15 +96,21 @@
 		if err == nil || ctx.Err() != nil {
 			return page, err
 		}
-		t.avoid(p)
+		if !errors.Is(err, errMoved) {
+			t.avoid(p)
+		}
 	}
 	return t.next.Read(ctx, from, limit, wait)
 }
 
-// parent returns the first parent that is not avoided.
 func (t *Tree) parent() (Peer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.preferred()
+}
+
+// preferred returns the first parent that is not avoided.
+func (t *Tree) preferred() (Peer, bool) {
 	for _, p := range t.place.Parents {
 		if _, avoided := t.avoided[p.Name]; !avoided {
 			return p, true
@@ -110,8 +121,8 @@
 
 // readParent reads until the parent answers or is avoided.
 func (t *Tree) readParent(ctx context.Context, p Peer, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	t.mu.Lock()
 	t.reading, t.stop = p.Name, cancel
 	t.mu.Unlock()
@@ -119,6 +130,9 @@
 	t.mu.Lock()
 	t.reading, t.stop = "", nil
 	t.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(ctx), errMoved) {
+		err = errMoved
+	}
 	return page, err
 }
 
@@ -148,7 +162,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.reading == p.Name && t.stop != nil {
-		t.stop()
+		t.stop(nil)
 	}
 	if t.isParent(p.Name) {
 		t.avoided[p.Name] = time.Now()
--- a/internal/record/source/tree_test.go
+++ b/internal/record/source/tree_test.go
@@ -77,15 +77,19 @@
 
 // Guards against a tree that holds up a configuration for longer than the
 // promised time when both roots freeze at once, and against a region that waits
-// for the member that reads the log for it.
+// for the member that reads the log for it. Reads of the first root reach their
+// deadline after 3 s; readers that then wait for a second parent without news
+// must turn to the new root as soon as it is known.
 func TestRootsFreeze(t *testing.T) {
-	const suspected = 2 * time.Second
+	const early, late = 2 * time.Second, 3100 * time.Millisecond
 	tests := map[string]struct {
-		layout readerfleet.Layout
-		frozen int
+		layout    readerfleet.Layout
+		frozen    int
+		suspected time.Duration
 	}{
-		"both roots":             {nearCentre, 2},
-		"reader of a far region": {farCentre, 1},
+		"both roots":                 {nearCentre, 2, early},
+		"both roots, suspected late": {nearCentre, 2, late},
+		"reader of a far region":     {farCentre, 1, early},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -94,10 +98,10 @@
 				for _, p := range frozen {
 					p.Freeze()
 				}
-				f.Suspect(suspected, frozen...)
+				f.Suspect(tt.suspected, frozen...)
 				// Reads of a frozen parent must end when it is suspect.
-				c.Assert(measure(c, f) < suspected+extraWait/2, qt.IsTrue)
-				time.Sleep(suspected)
+				c.Assert(measure(c, f) < tt.suspected+extraWait/2, qt.IsTrue)
+				time.Sleep(tt.suspected)
 				for range 3 {
 					c.Assert(measure(c, f) < extraWait, qt.IsTrue)
 				}
