Measure when a configuration is in force in the whole fleet

The time until a configuration is in force was measured in one data centre only; for a region of several data centres the depth of the trees was computed.

The subject fanout-fleet of bench runs a region of four data centres without the log service, and the whole planned fleet, in one process on the real clock with an in-memory network. It prints the time of the first and of the slowest change for each failure of the readers and after two regions were parted.

The network of the measurement is in memory, and its records are empty; bytes are measured by the subject fanout.

--- a/cmd/bench_subjects.go
+++ b/cmd/bench_subjects.go
@@ -23,6 +23,7 @@
 		{"faults", "work that is lost, run twice or falsely refused under faults, and recovery times", benchFaults},
 		{"membership", "bytes, messages, processor time and memory of membership by fleet size", benchMembership},
 		{"fanout", "bytes, delay and processor time of passing records on, through one reader and through the tree", benchFanout},
+		{"fanout-fleet", "time until a configuration is in force in a region and in the whole fleet, without and under failures", benchFanoutFleet},
 	}
 }
 
@@ -32,6 +33,12 @@
 	return encoded(fanoutbench.Run(ctx, options))
 }
 
+func benchFanoutFleet(ctx context.Context, o benchOptions) (any, error) {
+	options := fanoutbench.DefaultFleet()
+	options.Progress = o.progress
+	return encoded(fanoutbench.RunFleet(ctx, options))
+}
+
 func benchPlacement(ctx context.Context, o benchOptions) (any, error) {
 	options := placementbench.Default()
 	options.Seed = o.seed
--- a/internal/run/bench/fanoutbench/fanoutbench.go
+++ b/internal/run/bench/fanoutbench/fanoutbench.go
@@ -1,6 +1,7 @@
 // Package fanoutbench measures what it costs the members of a data centre to
 // pass on the records of the log, over loopback with HTTP: through one reader,
-// and through the tree of readers.
+// and through the tree of readers. It also measures how long a change takes in a
+// region and in the whole fleet, over an in-memory network, when readers fail.
 package fanoutbench
 
 import (
--- a/internal/run/bench/fanoutbench/fanoutbench_test.go
+++ b/internal/run/bench/fanoutbench/fanoutbench_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/run/bench/fanoutbench"
+	"wasabihoist/internal/standin/readerfleet"
 )
 
 // Guards against a tree whose root or inner members send more than to eight
@@ -25,3 +26,20 @@
 	c.Assert(tree["root"].PerChange < ownAndReaders*reader["leaf"].PerChange, qt.IsTrue)
 	c.Assert(tree["inner"].PerChange < ownAndReaders*reader["leaf"].PerChange, qt.IsTrue)
 }
+
+// Guards against a measurement of a fleet that leaves failures out, or does not
+// wait until the change has crossed the region link.
+func TestFleetIsMeasured(t *testing.T) {
+	c := qt.New(t)
+	o := fanoutbench.DefaultFleet()
+	o.Fleets = []fanoutbench.NamedLayout{{Name: "small", Layout: readerfleet.Layout{DataCentres: []int{1, 2}, Members: 20}}}
+	o.Faults = readerfleet.MemberFaults()[:2]
+	o.Settle, o.Pauses, o.Parted = 200*time.Millisecond, []time.Duration{0}, []time.Duration{100 * time.Millisecond}
+	r, err := fanoutbench.RunFleet(context.Background(), o)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.Points, qt.HasLen, len(o.Faults)+1)
+	const regionLatency = 8 * time.Millisecond
+	for _, p := range r.Points {
+		c.Assert(p.First > regionLatency && p.Members == 60, qt.IsTrue, qt.Commentf("%+v", p))
+	}
+}
