--- a/internal/record/source/tree.go
+++ b/internal/record/source/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -10,14 +11,15 @@
 	"wasabihoist/internal/record/platformlog"
 )
 
-// standbyWait lets the second reader of a region without the log service learn
-// soon that the first one is silent.
-const standbyWait = 500 * time.Millisecond
+// remoteWait bounds the polls of a process whose failure would keep a whole data
+// centre or region waiting, so that it learns soon that its readers are silent.
+const remoteWait = 500 * time.Millisecond
 
 // TreePlace is the place of this process among the readers of its data centre.
 type TreePlace struct {
 	Parents []Peer // Parents to read from, the preferred one first; none for a process that reads the log.
 	Standby bool   // Standby is set for the second reader of a region without the log service.
+	Guest   bool   // Guest is set for a root whose parents are in another data centre.
 }
 
 // Tree reads records from a parent of the reader tree, and from the next reader
@@ -30,9 +32,9 @@
 
 	mu      sync.Mutex
 	place   TreePlace
-	reading string               // reading is the parent that is being read.
-	stop    context.CancelFunc   // stop ends that read.
-	avoided map[string]time.Time // avoided parents and since when.
+	reading string                  // reading is the parent that is being read.
+	stop    context.CancelCauseFunc // stop ends that read.
+	avoided map[string]time.Time    // avoided parents and since when.
 }
 
 // NewTree returns a reader that has no parent yet and reads from next.
@@ -40,37 +42,51 @@
 	return &Tree{dial: dial, next: next, avoided: map[string]time.Time{}}
 }
 
-// SetPlace changes the place in the tree. A read of a peer that is not a parent
-// any more ends at once: when both parents of a process are lost, membership
-// knows it before the reads reach their deadlines.
+// errMoved ends a read because the place has changed, not because of the parent.
+var errMoved = errors.New("the place in the tree has changed")
+
+// SetPlace changes the place in the tree. A read of a peer that is not the
+// preferred parent any more ends at once: when both parents of a process are
+// lost, membership knows it before the reads reach their deadlines, and when the
+// first one is replaced, the second one may have nothing to deliver.
 func (t *Tree) SetPlace(place TreePlace) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.place = place
-	if t.stop != nil && !t.isParent(t.reading) {
-		t.stop()
-	}
 	for name := range t.avoided {
 		if !t.isParent(name) {
 			delete(t.avoided, name)
 		}
 	}
+	if p, _ := t.preferred(); t.stop != nil && p.Name != t.reading {
+		t.stop(errMoved)
+	}
 }
 
 func (t *Tree) isParent(name string) bool {
 	return slices.ContainsFunc(t.place.Parents, func(p Peer) bool { return p.Name == name })
 }
 
-func (t *Tree) isStandby() bool {
+// checksLog reports whether the guard reads the log from time to time.
+func (t *Tree) checksLog() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.place.Standby
+	return t.place.Standby || t.place.Guest
+}
+
+// bounded returns how long a poll may wait at this place.
+func (t *Tree) bounded(wait time.Duration) time.Duration {
+	if t.checksLog() {
+		return min(wait, remoteWait)
+	}
+	return wait
 }
 
 // Read implements journal.Reader. A read that does not wait goes to the next
 // reader: it comes from a process that starts, and a parent that starts at the
 // same time has nothing yet and would pass for the end of the log.
 func (t *Tree) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
+	wait = t.bounded(wait)
 	for wait > 0 {
 		p, ok := t.parent()
 		if !ok {
@@ -80,18 +96,21 @@
 		if err == nil || ctx.Err() != nil {
 			return page, err
 		}
-		t.avoid(p)
-	}
-	if t.isStandby() {
-		wait = min(wait, standbyWait)
+		if !errors.Is(err, errMoved) {
+			t.avoid(p)
+		}
 	}
 	return t.next.Read(ctx, from, limit, wait)
 }
 
-// parent returns the first parent that is not avoided.
 func (t *Tree) parent() (Peer, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.preferred()
+}
+
+// preferred returns the first parent that is not avoided.
+func (t *Tree) preferred() (Peer, bool) {
 	for _, p := range t.place.Parents {
 		if _, avoided := t.avoided[p.Name]; !avoided {
 			return p, true
@@ -102,8 +121,8 @@
 
 // readParent reads until the parent answers or is avoided.
 func (t *Tree) readParent(ctx context.Context, p Peer, from int64, limit int, wait time.Duration) (platformlog.Page, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	t.mu.Lock()
 	t.reading, t.stop = p.Name, cancel
 	t.mu.Unlock()
@@ -111,6 +130,9 @@
 	t.mu.Lock()
 	t.reading, t.stop = "", nil
 	t.mu.Unlock()
+	if err != nil && errors.Is(context.Cause(ctx), errMoved) {
+		err = errMoved
+	}
 	return page, err
 }
 
@@ -140,7 +162,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.reading == p.Name && t.stop != nil {
-		t.stop()
+		t.stop(nil)
 	}
 	if t.isParent(p.Name) {
 		t.avoided[p.Name] = time.Now()
