--- a/internal/run/bench/journalbench/fold.go
+++ b/internal/run/bench/journalbench/fold.go
@@ -9,7 +9,6 @@
 
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
-	"wasabihoist/internal/record/snapshot"
 	"wasabihoist/internal/run/bench/usage"
 )
 
@@ -108,7 +107,7 @@
 
 func (f *Fold) measureSnapshot(ctx context.Context, j *journal.Journal) error {
 	began := time.Now()
-	data, covers, err := j.Snapshot()
+	data, _, err := j.Snapshot()
 	if err != nil {
 		return err
 	}
@@ -124,16 +123,12 @@
 	f.HeapBytes = usage.Heap() - before
 	runtime.KeepAlive(restored)
 	runtime.KeepAlive(data)
-	log, err := snapshotLog(data, covers)
+	log, err := snapshotLog(j)
 	if err != nil {
 		return err
 	}
 	began = time.Now()
-	found, err := snapshot.NewScan(log).Snapshot(ctx, covers)
-	if err != nil {
-		return err
-	}
-	if err := journal.New().Restore(found); err != nil {
+	if err := restoreFrom(ctx, log, journal.New()); err != nil {
 		return err
 	}
 	f.StartTime = time.Since(began)
@@ -143,19 +138,14 @@
 // memoryLog is a log of fixed entries with ascending offsets without gaps.
 type memoryLog []platformlog.Entry
 
-func snapshotLog(data []byte, covers int64) (memoryLog, error) {
-	count := (len(data) + chunkBytes - 1) / chunkBytes
+func snapshotLog(j *journal.Journal) (memoryLog, error) {
 	var log memoryLog
-	for i := range count {
-		part := data[i*chunkBytes : min(len(data), (i+1)*chunkBytes)]
-		chunk := journal.SnapshotChunk{Covers: covers, Index: i, Count: count, State: part}
-		payload, err := journal.Encode("bench@1", uint64(i+1), time.Now(), chunk)
-		if err != nil {
-			return nil, err
-		}
-		log = append(log, platformlog.Entry{Offset: covers + int64(i), Payload: payload})
-	}
-	return log, nil
+	err := writeChunks(j, func(chunk journal.SnapshotChunk) error {
+		payload, err := journal.Encode("bench@1", uint64(chunk.Index+1), time.Now(), chunk)
+		log = append(log, platformlog.Entry{Offset: chunk.Covers + int64(chunk.Index), Payload: payload})
+		return err
+	})
+	return log, err
 }
 
 // Append implements platformlog.Log.
--- a/internal/run/bench/journalbench/hold.go
+++ b/internal/run/bench/journalbench/hold.go
@@ -22,6 +22,7 @@
 	EncodeTime    time.Duration // EncodeTime is the longest of all snapshots.
 	WaitTime      time.Duration // WaitTime is the longest wait of a record for the fold meanwhile.
 	IdleTime      time.Duration // IdleTime is the same without snapshots.
+	Memory        Memory
 }
 
 // measureHold folds one record after the other while snapshots are taken.
@@ -53,6 +54,10 @@
 		return h, err
 	}
 	h.WaitTime, err = longestWait(ctx, j, "busy@1", func() error { return h.snapshots(j) })
+	if err != nil {
+		return h, err
+	}
+	h.Memory, err = measureMemory(ctx, j)
 	return h, err
 }
 
--- a/internal/run/bench/journalbench/report.go
+++ b/internal/run/bench/journalbench/report.go
@@ -33,6 +33,10 @@
 	EncodeMillis  float64 `json:"encode-ms"`
 	WaitMillis    float64 `json:"wait-ms"`
 	IdleMillis    float64 `json:"idle-wait-ms"`
+	WriteBytes    int64   `json:"write-memory-bytes"`
+	WriteMillis   float64 `json:"write-ms"`
+	RestoreBytes  int64   `json:"restore-memory-bytes"`
+	RestoreMillis float64 `json:"restore-ms"`
 }
 
 type throughputJSON struct {
@@ -112,6 +116,10 @@
 		EncodeMillis:  millis(h.EncodeTime),
 		WaitMillis:    millis(h.WaitTime),
 		IdleMillis:    millis(h.IdleTime),
+		WriteBytes:    h.Memory.WriteBytes,
+		WriteMillis:   millis(h.Memory.WriteTime),
+		RestoreBytes:  h.Memory.RestoreBytes,
+		RestoreMillis: millis(h.Memory.RestoreTime),
 	}
 }
 
