--- a/internal/cluster/peer/client.go
+++ b/internal/cluster/peer/client.go
@@ -82,7 +82,7 @@
 
 // Snapshot returns the folded state of the peer when it covers all offsets
 // below least.
-func (c *Client) Snapshot(ctx context.Context, least int64) ([]byte, error) {
+func (c *Client) Snapshot(ctx context.Context, least int64) (*journal.Restored, error) {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	reply, err := c.peer.ReadSnapshot(ctx, &wire.ReadSnapshotRequest{})
@@ -92,7 +92,9 @@
 	if reply.GetNext() < least {
 		return nil, fmt.Errorf("peer has folded up to %d, wanted %d: %w", reply.GetNext(), least, journal.ErrNoSnapshot)
 	}
-	return reply.GetState(), nil
+	d := journal.NewDecoder()
+	_, _ = d.Write(reply.GetState()) // It returns no errors.
+	return d.Restored()
 }
 
 // Push hands a page that was read from an offset to the peer and returns the
--- a/internal/record/journal/bodies.go
+++ b/internal/record/journal/bodies.go
@@ -10,43 +10,24 @@
 	ReasonBodyDropped = "the answer is no longer kept; the outcome is"
 )
 
-// bodies holds the answers of finished requests in claim order. The order
+// bodies bounds the answers of finished requests, in claim order. The order
 // depends on the state alone, so all processes drop the same bodies.
 type bodies struct {
-	kept  []keptBody
+	kept  []*claim // kept are the claims that have a body.
 	bytes int
 }
 
-type keptBody struct {
-	claim *claim
-	body  []byte
-}
-
-func (b *bodies) find(c *claim) (int, bool) {
-	return slices.BinarySearchFunc(b.kept, c, func(k keptBody, c *claim) int { return claimOrder(k.claim, c) })
-}
-
-// of returns the body of a claim, or nil.
-func (b *bodies) of(c *claim) []byte {
-	if i, found := b.find(c); found {
-		return b.kept[i].body
-	}
-	return nil
-}
-
-// set replaces the body of a claim.
-func (b *bodies) set(c *claim, body []byte) {
-	b.remove(c)
-	if len(body) == 0 {
+func (b *bodies) add(c *claim) {
+	if c.body == "" {
 		return
 	}
-	i, _ := b.find(c)
-	b.kept = slices.Insert(b.kept, i, keptBody{c, body})
-	b.bytes += len(body)
+	i, _ := slices.BinarySearchFunc(b.kept, c, claimOrder)
+	b.kept = slices.Insert(b.kept, i, c)
+	b.bytes += len(c.body)
 }
 
 func (b *bodies) remove(c *claim) {
-	if i, found := b.find(c); found {
+	if i, found := slices.BinarySearchFunc(b.kept, c, claimOrder); found {
 		b.bytes -= len(b.kept[i].body)
 		b.kept = slices.Delete(b.kept, i, i+1)
 	}
@@ -59,7 +40,7 @@
 	for b.bytes > limit {
 		oldest := b.kept[len(dropped)]
 		b.bytes -= len(oldest.body)
-		dropped = append(dropped, oldest.claim)
+		dropped = append(dropped, oldest)
 	}
 	b.kept = slices.Delete(b.kept, 0, len(dropped))
 	return dropped
--- a/internal/record/journal/claims.go
+++ b/internal/record/journal/claims.go
@@ -29,6 +29,7 @@
 	deadline int64 // deadline is in nanoseconds since 1970; 0 for none.
 	changed  int64 // changed is the clock of the fold in the same unit.
 	ending   unique.Handle[ending]
+	body     string // body is the answer of a finished request while it is kept.
 	before   *claim // before is the neighbour that changed earlier.
 	after    *claim
 }
@@ -89,6 +90,7 @@
 		c.remove(former)
 	}
 	c.byKey[added.key] = added
+	c.bodies.add(added)
 	c.link(added)
 	c.count(added, added.bytes())
 }
@@ -106,14 +108,16 @@
 	finished := *open
 	finished.ending = unique.Make(end)
 	finished.changed = nanos(now)
+	finished.body = string(body)
 	c.add(&finished)
-	c.bodies.set(&finished, body)
 }
 
-// replace puts a claim with another ending into the place of the former one.
+// replace puts a claim with another ending and without a body into the place
+// of the former one.
 func (c *claims) replace(former *claim, end ending) {
 	replaced := *former
 	replaced.ending = unique.Make(end)
+	replaced.body = ""
 	if former.before == nil {
 		c.oldest = &replaced
 	} else {
@@ -176,19 +180,18 @@
 }
 
 // restore adds claims that were decoded, in any order.
-func (c *claims) restore(list []RequestState) {
-	slices.SortStableFunc(list, func(a, b RequestState) int { return a.Changed.Compare(b.Changed) })
-	for _, r := range list {
-		added := compact(r)
+func (c *claims) restore(list []*claim) {
+	slices.SortStableFunc(list, func(a, b *claim) int { return cmp.Compare(a.changed, b.changed) })
+	for _, added := range list {
 		c.add(added)
-		c.bodies.set(added, r.Body)
 	}
 }
 
-// state returns the claim with its body.
-func (c *claims) state(of *claim) RequestState { return of.state(c.bodies.of(of)) }
-
-func (c *claim) state(body []byte) RequestState {
+func (c *claim) state() RequestState {
+	var body []byte
+	if c.body != "" {
+		body = []byte(c.body)
+	}
 	end := c.ending.Value()
 	return RequestState{
 		Identity: c.identity(),
@@ -210,5 +213,6 @@
 		deadline: nanos(r.Deadline),
 		changed:  nanos(r.Changed),
 		ending:   unique.Make(ending{r.Outcome, r.Reason}),
+		body:     string(r.Body),
 	}
 }
--- a/internal/record/journal/follower.go
+++ b/internal/record/journal/follower.go
@@ -30,7 +30,7 @@
 type SnapshotSource interface {
 	// Snapshot returns a state whose first offset that is not folded is least
 	// or above.
-	Snapshot(ctx context.Context, least int64) ([]byte, error)
+	Snapshot(ctx context.Context, least int64) (*Restored, error)
 }
 
 // ErrNoSnapshot is returned by sources whose state does not reach far enough.
@@ -86,9 +86,9 @@
 func (f *Follower) restore(ctx context.Context, least int64) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotWait)
 	defer cancel()
-	data, err := f.snapshots.Snapshot(ctx, least)
+	restored, err := f.snapshots.Snapshot(ctx, least)
 	if err != nil {
 		return fmt.Errorf("fetch snapshot: %w", err)
 	}
-	return f.journal.Restore(data)
+	return f.journal.Adopt(restored)
 }
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -185,23 +185,37 @@
 	return page, nil
 }
 
-// Snapshot returns the encoded state and the first offset that it does not
-// cover. The fold waits while the state is copied, not while it is encoded.
-func (j *Journal) Snapshot() ([]byte, int64, error) {
+// Capture returns the state as it is now. The fold waits while pointers are
+// copied, not while the state is encoded.
+func (j *Journal) Capture() *Capture {
 	j.mu.RLock()
 	c := j.state.copy()
 	j.mu.RUnlock()
+	return newCapture(c)
+}
+
+// Snapshot returns the whole encoded state and the first offset that it does
+// not cover. Capture needs less memory.
+func (j *Journal) Snapshot() ([]byte, int64, error) {
+	c := j.Capture()
 	data, err := c.encode()
-	return data, c.next, err
+	return data, c.Covers(), err
 }
 
-// Restore replaces the state by a snapshot, unless the snapshot is older.
-// Observers do not see the records that the snapshot covers.
+// Restore decodes a whole snapshot and adopts it.
 func (j *Journal) Restore(data []byte) error {
 	restored, err := decodeState(data)
 	if err != nil {
 		return err
 	}
+	return j.Adopt(&Restored{restored})
+}
+
+// Adopt replaces the state by a restored one, unless that is older. The
+// restored state must not be adopted again. Observers do not see the records
+// that it covers.
+func (j *Journal) Adopt(r *Restored) error {
+	restored := r.state
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if restored.next <= j.state.next {
@@ -278,7 +292,7 @@
 	j.mu.RLock()
 	defer j.mu.RUnlock()
 	if known := j.state.claims.get(id); known != nil {
-		return j.state.claims.state(known), true
+		return known.state(), true
 	}
 	return RequestState{}, false
 }
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -77,7 +77,7 @@
 	clock         foldClock
 	configuration organisation.Configuration
 	operator      string
-	jobs          map[request.Identity]*JobState
+	jobs          map[request.Identity]*JobState // jobs do not change; they are replaced, so that copies of the state can share them.
 	claims        claims
 	audit         []AuditEntry
 	bodyLimit     int // bodyLimit is the bound of bodies in bytes.
--- a/internal/record/journal/state_job.go
+++ b/internal/record/journal/state_job.go
@@ -22,6 +22,13 @@
 	return ""
 }
 
+// changedJob replaces a job by a copy that may be changed.
+func (s *state) changedJob(former *JobState) *JobState {
+	changed := *former
+	s.jobs[former.Job.Identity] = &changed
+	return &changed
+}
+
 func (s *state) claimJob(offset int64, writer string, r JobClaimed) string {
 	j := s.jobs[r.Identity]
 	switch {
@@ -36,6 +43,7 @@
 	case len(r.Workers) != j.Job.Shape.Members:
 		return "a claim names one worker for each member"
 	}
+	j = s.changedJob(j)
 	j.State = job.Claimed
 	j.Claim = offset
 	j.Claimant = writer
@@ -54,6 +62,7 @@
 	if j.State != job.Claimed {
 		return "the job runs already"
 	}
+	j = s.changedJob(j)
 	j.State = job.Running
 	j.Started = at
 	j.Changed = s.clock.now
@@ -65,6 +74,7 @@
 	if reason != "" {
 		return reason
 	}
+	j = s.changedJob(j)
 	lost := r.Started && !r.Checkpointed
 	if lost {
 		j.Failures++
@@ -104,7 +114,7 @@
 	case j.Claim != r.Claim:
 		return reasonNotClaim
 	}
-	s.finishJob(j, r.Outcome, r.Reason)
+	s.finishJob(s.changedJob(j), r.Outcome, r.Reason)
 	return ""
 }
 
@@ -116,8 +126,9 @@
 	case j.State == job.Ended:
 		return "the job has ended"
 	case j.State == job.Queued:
-		s.finishCancelled(j)
+		s.finishCancelled(s.changedJob(j))
 	default:
+		j = s.changedJob(j)
 		j.CancelRequested = true
 		j.Changed = s.clock.now
 	}
--- a/internal/record/snapshot/scan.go
+++ b/internal/record/snapshot/scan.go
@@ -13,8 +13,12 @@
 	scanEntries = 500
 	// maxChunks bounds the chunks of one snapshot.
 	maxChunks = 1024
-	// maxPartial bounds the bytes of snapshots that are not complete yet.
-	maxPartial = 32 << 20
+	// maxPlaces bounds the bytes for the places of chunks, which are those of
+	// the largest snapshots of 128 writers.
+	maxPlaces = 128 * maxChunks * placeBytes
+	// maxSnapshot bounds the encoded bytes of one snapshot. The state takes more
+	// memory, and a process has 64 MB in all.
+	maxSnapshot = 32 << 20
 )
 
 // ErrNotFound is returned when the log keeps no complete snapshot whose
@@ -31,26 +35,27 @@
 
 // Snapshot reads the log from its earliest record to the first complete
 // snapshot whose following records are all kept.
-func (s *Scan) Snapshot(ctx context.Context, least int64) ([]byte, error) {
+func (s *Scan) Snapshot(ctx context.Context, least int64) (*journal.Restored, error) {
 	from, err := s.earliest(ctx)
 	if err != nil {
 		return nil, err
 	}
-	collected := newCollector(maxPartial)
-	for least = max(least, from); ; {
+	find := &search{log: s.log, least: max(least, from), found: newCollector(maxPlaces)}
+	for {
 		page, err := s.log.Read(ctx, from, scanEntries, 0)
 		if errors.Is(err, platformlog.ErrExpired) && page.Earliest > from {
 			// Retention has passed the scan.
-			from, least = page.Earliest, max(least, page.Earliest)
+			from, find.least = page.Earliest, max(find.least, page.Earliest)
 			continue
 		}
 		if err != nil {
 			return nil, fmt.Errorf("scan log for a snapshot: %w", err)
 		}
-		least = max(least, page.Earliest)
+		find.least = max(find.least, page.Earliest)
 		for _, e := range page.Entries {
-			if data := collected.add(e.Payload, least); data != nil {
-				return data, nil
+			restored, err := find.entry(ctx, e)
+			if restored != nil || err != nil {
+				return restored, err
 			}
 		}
 		if page.Next <= from {
--- a/internal/record/source/puller.go
+++ b/internal/record/source/puller.go
@@ -91,9 +91,9 @@
 	if !errors.Is(err, platformlog.ErrExpired) {
 		return err
 	}
-	data, err := p.dial(n.peer).Snapshot(ctx, from+1)
+	restored, err := p.dial(n.peer).Snapshot(ctx, from+1)
 	if err != nil {
 		return err
 	}
-	return p.journal.Restore(data)
+	return p.journal.Adopt(restored)
 }
--- a/internal/record/source/selector.go
+++ b/internal/record/source/selector.go
@@ -114,19 +114,19 @@
 
 // Snapshot implements journal.SnapshotSource: peers first, because their state
 // is newer and costs the log nothing.
-func (s *Selector) Snapshot(ctx context.Context, least int64) ([]byte, error) {
+func (s *Selector) Snapshot(ctx context.Context, least int64) (*journal.Restored, error) {
 	for i, p := range s.directory.Fallbacks() {
 		if i == maxFallbacks {
 			break
 		}
-		if data, err := s.peerSnapshot(ctx, p, least); err == nil {
-			return data, nil
+		if restored, err := s.peerSnapshot(ctx, p, least); err == nil {
+			return restored, nil
 		}
 	}
 	return s.scan.Snapshot(ctx, least)
 }
 
-func (s *Selector) peerSnapshot(ctx context.Context, p Peer, least int64) ([]byte, error) {
+func (s *Selector) peerSnapshot(ctx context.Context, p Peer, least int64) (*journal.Restored, error) {
 	ctx, cancel := context.WithTimeout(ctx, peerSnapshotTimeout)
 	defer cancel()
 	return s.dial(p).Snapshot(ctx, least)
--- a/internal/run/bench/capacitybench/scheduler.go
+++ b/internal/run/bench/capacitybench/scheduler.go
@@ -121,7 +121,7 @@
 type noSnapshots struct{}
 
 // Snapshot implements journal.SnapshotSource.
-func (noSnapshots) Snapshot(context.Context, int64) ([]byte, error) {
+func (noSnapshots) Snapshot(context.Context, int64) (*journal.Restored, error) {
 	return nil, journal.ErrNoSnapshot
 }
 
--- a/internal/run/bench/journalbench/report.go
+++ b/internal/run/bench/journalbench/report.go
@@ -34,9 +34,12 @@
 	WaitMillis    float64 `json:"wait-ms"`
 	IdleMillis    float64 `json:"idle-wait-ms"`
 	WriteBytes    int64   `json:"write-memory-bytes"`
+	WriteLive     int64   `json:"write-live-bytes"`
 	WriteMillis   float64 `json:"write-ms"`
 	RestoreBytes  int64   `json:"restore-memory-bytes"`
 	RestoreMillis float64 `json:"restore-ms"`
+	PeerBytes     int64   `json:"peer-memory-bytes"`
+	PeerMillis    float64 `json:"peer-ms"`
 }
 
 type throughputJSON struct {
@@ -117,9 +120,12 @@
 		WaitMillis:    millis(h.WaitTime),
 		IdleMillis:    millis(h.IdleTime),
 		WriteBytes:    h.Memory.WriteBytes,
+		WriteLive:     h.Memory.WriteLive,
 		WriteMillis:   millis(h.Memory.WriteTime),
 		RestoreBytes:  h.Memory.RestoreBytes,
 		RestoreMillis: millis(h.Memory.RestoreTime),
+		PeerBytes:     h.Memory.PeerBytes,
+		PeerMillis:    millis(h.Memory.PeerTime),
 	}
 }
 
--- a/internal/run/process/start.go
+++ b/internal/run/process/start.go
@@ -66,8 +66,8 @@
 		if seed == n.settings.ListenAddress {
 			continue
 		}
-		data, err := peer.NewClient(seed, n.transport.Shared()).Snapshot(ctx, before)
-		if err != nil || n.journal.Restore(data) != nil {
+		restored, err := peer.NewClient(seed, n.transport.Shared()).Snapshot(ctx, before)
+		if err != nil || n.journal.Adopt(restored) != nil {
 			continue
 		}
 		if n.journal.Next() > before {
