Send the state to a starting process while it is encoded

Cause: a process that gave its state to another one held the whole encoding of 18 MB and the Twirp reply with it, and the other one held the reply.

--- a/internal/cluster/peer/client.go
+++ b/internal/cluster/peer/client.go
@@ -11,7 +11,6 @@
 	"github.com/twitchtv/twirp"
 
 	"wasabihoist/internal/cluster/wire"
-	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
 )
 
@@ -25,11 +24,14 @@
 // Client reads the journal of one peer.
 type Client struct {
 	peer wire.Peer
+	base string // base is the URL without a path.
+	http *http.Client
 }
 
 // NewClient returns a client of the peer at address.
 func NewClient(address netip.AddrPort, transport http.RoundTripper) *Client {
-	return &Client{peer: wire.NewPeerProtobufClient("http://"+address.String(), &http.Client{Transport: boundedBody{transport}})}
+	base, client := "http://"+address.String(), &http.Client{Transport: boundedBody{transport}}
+	return &Client{peer: wire.NewPeerProtobufClient(base, client), base: base, http: client}
 }
 
 // boundedBody cuts replies that are too large. Twirp reads whole replies into
@@ -80,23 +82,6 @@
 	return fmt.Errorf("read from peer: %w", err)
 }
 
-// Snapshot returns the folded state of the peer when it covers all offsets
-// below least.
-func (c *Client) Snapshot(ctx context.Context, least int64) (*journal.Restored, error) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	reply, err := c.peer.ReadSnapshot(ctx, &wire.ReadSnapshotRequest{})
-	if err != nil {
-		return nil, fmt.Errorf("read snapshot from peer: %w", err)
-	}
-	if reply.GetNext() < least {
-		return nil, fmt.Errorf("peer has folded up to %d, wanted %d: %w", reply.GetNext(), least, journal.ErrNoSnapshot)
-	}
-	d := journal.NewDecoder()
-	_, _ = d.Write(reply.GetState()) // It returns no errors.
-	return d.Restored()
-}
-
 // Push hands a page that was read from an offset to the peer and returns the
 // first offset that the peer has not folded afterwards.
 func (c *Client) Push(ctx context.Context, from int64, page platformlog.Page) (int64, error) {
--- a/internal/record/source/harness_test.go
+++ b/internal/record/source/harness_test.go
@@ -17,7 +17,6 @@
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/cluster/peer"
-	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/platformlog"
 	"wasabihoist/internal/record/snapshot"
@@ -120,14 +119,14 @@
 	n.puller = source.NewPuller(n.journal, dial)
 	selector := source.NewSelector(n, snapshot.NewScan(n), n, dial)
 	n.follower = journal.NewFollower(n.journal, selector, selector)
-	twirp := wire.NewPeerServer(peer.NewServer(n.journal, nil))
+	handler := peer.NewHandler(peer.NewServer(n.journal, nil))
 	n.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if n.silent.Load() {
 			_, _ = io.Copy(io.Discard, r.Body) // The context ends only after the body was read.
 			<-r.Context().Done()
 			return
 		}
-		twirp.ServeHTTP(w, r)
+		handler.ServeHTTP(w, r)
 	}))
 	n.Peer = source.Peer{Name: name, Address: netip.MustParseAddrPort(n.server.Listener.Addr().String())}
 	n.group.Go("watch", n.watchVersions)
--- a/internal/run/bench/journalbench/memory.go
+++ b/internal/run/bench/journalbench/memory.go
@@ -12,7 +12,6 @@
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/cluster/peer"
-	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/record/snapshot"
 	"wasabihoist/internal/run/bench/usage"
@@ -68,7 +67,7 @@
 
 // measurePeer takes the state of a journal over a connection.
 func measurePeer(ctx context.Context, j *journal.Journal) (int64, time.Duration, error) {
-	server := httptest.NewServer(wire.NewPeerServer(peer.NewServer(j, nil)))
+	server := httptest.NewServer(peer.NewHandler(peer.NewServer(j, nil)))
 	defer server.Close()
 	address, err := netip.ParseAddrPort(server.Listener.Addr().String())
 	if err != nil {
--- a/internal/run/process/node.go
+++ b/internal/run/process/node.go
@@ -113,7 +113,7 @@
 	n.startLimit = startLimit
 	n.puller = source.NewPuller(n.journal, n.dialPeer)
 	n.publisher = snapshot.NewPublisher(snapshot.Default(), n.journal, n.writer, n.holdsSnapshotDuty)
-	n.mux.Handle(wire.PeerPathPrefix, wire.NewPeerServer(peer.NewServer(n.journal, n.members)))
+	n.mux.Handle(wire.PeerPathPrefix, peer.NewHandler(peer.NewServer(n.journal, n.members)))
 	n.server = newServer(http.MaxBytesHandler(n.mux, maxPeerBody))
 	n.group = group.New(context.Background())
 	return n, nil
