Explain jobs that a long backlog holds up

A decision makes at most 256 searches, and completion-first puts the largest jobs off in a long backlog. A job that waited for one of these reasons was explained by the place or the turn alone.

The planner keeps where the turns of a decision ended, one entry for each organisation and only at the limit. An explanation goes through the turns on copies and states how many jobs are before the job, which organisation or shape most of them have, and about when it is examined: the decisions that take 500 ms each, the time that their work takes the fleet, or the reservation.

The time is an estimate: it assumes that nothing arrives or ends.

--- a/internal/fleet/placement/backlog.go
+++ b/internal/fleet/placement/backlog.go
@@ -67,9 +67,9 @@
 
 // reserveAfter is the wait after which the job may get a reservation. One that
 // is put off waits for longer, or it would take its place back at once.
-func (r *round) reserveAfter(e *entry) time.Duration {
+func (p *Planner) reserveAfter(e *entry) time.Duration {
 	if e.putOff {
-		return 2 * r.options.MaxWait
+		return 2 * p.options.MaxWait
 	}
-	return r.options.ReserveAfter
+	return p.options.ReserveAfter
 }
--- a/internal/fleet/placement/decide.go
+++ b/internal/fleet/placement/decide.go
@@ -14,6 +14,7 @@
 	reasonLending    = "lending has stopped because a guaranteed shape has no place"
 	reasonGuaranteed = "within the guarantee"
 	reasonLeaving    = "waits for other jobs to leave"
+	reasonLeft       = "the last decision reached its limit of searches before the turn of the job"
 )
 
 // decision round of one call of Decide.
@@ -31,6 +32,7 @@
 // are stopped in time.
 func (p *Planner) Decide(now time.Time) []Decision {
 	p.refresh(now)
+	p.left = nil
 	r := &round{Planner: p, now: now}
 	r.stopOverdue()
 	r.openReclaim()
--- a/internal/fleet/placement/explain.go
+++ b/internal/fleet/placement/explain.go
@@ -22,6 +22,7 @@
 	*Planner
 	entry *entry
 	now   time.Time
+	probe entry // probe is the job of an assumed turn.
 }
 
 // roomOf returns what the job could use on a worker under some assumption.
@@ -43,6 +44,9 @@
 	case Waiting:
 		to.WaitsFor = x.wanted()
 		causes := x.rules()
+		if c, ok := x.backlog(); ok {
+			causes = append(causes, c)
+		}
 		if c, ok := x.space(); ok || len(causes) == 0 {
 			causes = append(causes, c)
 		}
--- a/internal/fleet/placement/planner.go
+++ b/internal/fleet/placement/planner.go
@@ -49,9 +49,11 @@
 	putOffs      float64 // putOffs is how many jobs may be put off now.
 	overgrown    []*node // overgrown workers have tasks that outgrew their place.
 
-	round       uint64 // round counts the calls of Decide that found more room than the call before.
-	rescan      bool   // rescan asks for a search on all racks.
-	lent        bool   // lent is whether the predicate held at the last call of Decide.
+	round       uint64           // round counts the calls of Decide that found more room than the call before.
+	rescan      bool             // rescan asks for a search on all racks.
+	left        map[*tenant]rest // left is what the last call of Decide has not reached; nil when it reached all.
+	interval    time.Duration    // interval is the longest time between two calls of Decide; 0 when unknown.
+	lent        bool             // lent is whether the predicate held at the last call of Decide.
 	nextReserve time.Time
 	nextMove    time.Time
 }
@@ -69,6 +71,10 @@
 	}
 }
 
+// SetInterval says how much time passes at most between two calls of Decide while
+// jobs wait. Explanations derive from it when a job is examined.
+func (p *Planner) SetInterval(interval time.Duration) { p.interval = interval }
+
 // SetConfiguration replaces the configuration. Running jobs go on; those whose
 // guarantee has gone become borrowed.
 func (p *Planner) SetConfiguration(c organisation.Configuration) {
--- a/internal/fleet/placement/summary.go
+++ b/internal/fleet/placement/summary.go
@@ -14,7 +14,11 @@
 		return Explanation{}, false
 	}
 	x := Explanation{State: e.state, Guaranteed: e.unit != 0, Workers: e.workers(), Reason: e.reason}
-	if e.state == Waiting && x.Reason == "" {
+	switch {
+	case e.state != Waiting:
+	case p.isLeft(e):
+		x.Reason = reasonLeft
+	case x.Reason == "":
 		x.Reason = reasonNoRoom
 	}
 	if !e.placed() {
--- a/internal/fleet/placement/turns.go
+++ b/internal/fleet/placement/turns.go
@@ -58,6 +58,7 @@
 		}
 		if r.attempts >= r.options.AttemptLimit {
 			r.rescan = true
+			r.leave(h)
 			return
 		}
 		started := r.borrow(e)
@@ -155,11 +156,10 @@
 // for a job of this class.
 func (r *round) search(e *entry) []*node {
 	c, racks := e.class, r.model.racks
-	same := len(r.reservations) == 0 || e.runTime >= c.runTime
-	if same && c.round == r.round {
+	if r.hasFailed(e) {
 		return nil
 	}
-	if same && c.round == r.round-1 && c.round > 0 {
+	if r.isCovered(e) && c.round == r.round-1 && c.round > 0 {
 		if racks = r.model.dirty; len(racks) == 0 {
 			return nil
 		}
@@ -174,6 +174,15 @@
 	return place
 }
 
+// isCovered reports whether the last failed search of the class speaks for the
+// job.
+func (p *Planner) isCovered(e *entry) bool {
+	return len(p.reservations) == 0 || e.runTime >= e.class.runTime
+}
+
+// hasFailed reports whether a search of this round has shown that no place fits.
+func (p *Planner) hasFailed(e *entry) bool { return p.isCovered(e) && e.class.round == p.round }
+
 // openClasses finds the classes of waiting jobs that may fit now, so that the
 // queues are walked only when some job may start. It reports whether there are
 // any. A class is searched with its least run time, which fits before a
--- a/internal/fleet/scheduler/term.go
+++ b/internal/fleet/scheduler/term.go
@@ -114,6 +114,7 @@
 		accelerators += w.Capacity.Accelerators
 	}
 	t.planner.SetFleet(accelerators)
+	t.planner.SetInterval(t.limits.Tick)
 	return t
 }
 
