Show the history of a job in its explanation

The audit trail keeps 1,000 entries in a process, about two hours of starts at the planned size, and releases and ends are not in it. Operators could not see why a job started where it did, or why it was moved, reclaimed or retried.

The fold keeps the steps of all jobs in one list of at most 2 MiB: the audit entries about a job, and its releases, end and cancellation. The last 20 steps of a job are returned. At the bound, the steps of ended jobs go first.

Without the steps TestHistoryIsBounded and TestFoldAgreesWithReplay fail; when steps of ended jobs do not go first, "many ended jobs" fails.

--- a/internal/record/journal/fold_test.go
+++ b/internal/record/journal/fold_test.go
@@ -22,6 +22,9 @@
 
 const testBodyLimit = 200
 
+// testHistoryLimit is low enough for most cases to cut histories.
+const testHistoryLimit = 6 * stepBytes
+
 var start = time.Date(2026, 5, 4, 6, 0, 0, 0, time.UTC)
 
 // generator draws batches. Most records fit the state that the batches before
@@ -37,6 +40,7 @@
 func newGenerator(t *rapid.T) *generator {
 	s := newState()
 	s.bodyLimit = testBodyLimit
+	s.history.limit = rapid.SampledFrom([]int{testHistoryLimit, historyBytes}).Draw(t, "history limit")
 	return &generator{t: t, now: start, sequences: map[string]uint64{}, state: s}
 }
 
@@ -109,7 +113,8 @@
 	switch rapid.IntRange(0, 12).Draw(g.t, "kind") {
 	case 0:
 		if flip("audit") {
-			return Audit{Actor: "op", Action: "act", Subject: fmt.Sprint(len(g.batches))}
+			subject := rapid.SampledFrom([]string{id.String(), fmt.Sprint(len(g.batches))}).Draw(g.t, "subject")
+			return Audit{Actor: "op", Action: "act", Subject: subject}
 		}
 		base := g.state.configuration.Version
 		if flip("stale") {
@@ -172,6 +177,30 @@
 	same(t, "jobs", jobs, n.jobs)
 	same(t, "requests", requests, n.requests)
 	same(t, "audit", s.audit, n.audit)
+	assertHistory(t, s, n)
+}
+
+// assertHistory compares the histories. A low bound of memory may have cut the
+// oldest entries.
+func assertHistory(t *rapid.T, s *state, n *naiveFold) {
+	bytes := 0
+	for _, step := range s.history.steps {
+		bytes += step.bytes()
+	}
+	same(t, "bytes of histories", s.history.bytes, bytes)
+	if bytes > s.history.limit {
+		t.Fatalf("histories of %d bytes exceed %d", bytes, s.history.limit)
+	}
+	for id := range n.jobs {
+		got, want := s.historyOf(id), n.history[id]
+		want = want[max(0, len(want)-HistoryKept):]
+		if s.history.limit == historyBytes && len(got) != len(want) || len(got) > len(want) {
+			t.Fatalf("history of %s: %d entries, want %d", id, len(got), len(want))
+		}
+		for i, h := range want[len(want)-len(got):] {
+			same(t, "history of "+id.String(), got[i], h)
+		}
+	}
 }
 
 func same(t *rapid.T, what string, got, want any) {
@@ -229,7 +258,7 @@
 		noError(t, err)
 		restored, err := decodeState(encoded)
 		noError(t, err)
-		restored.bodyLimit = testBodyLimit
+		restored.bodyLimit, restored.history.limit = testBodyLimit, g.state.history.limit
 		for range rapid.IntRange(1, 40).Draw(t, "after") {
 			payload, want := g.next()
 			same(t, "verdicts", restored.apply(int64(len(g.batches)), payload), want)
--- a/internal/record/journal/journal.go
+++ b/internal/record/journal/journal.go
@@ -291,6 +291,13 @@
 	return j.state.claims.bytes, j.state.claims.used[unique.Make(organisation)]
 }
 
+// History returns the last steps of a job, the oldest of them first.
+func (j *Journal) History(id request.Identity) []HistoryEntry {
+	j.mu.RLock()
+	defer j.mu.RUnlock()
+	return j.state.historyOf(id)
+}
+
 // AuditTrail returns the kept entries of the audit trail in order.
 func (j *Journal) AuditTrail() []AuditEntry {
 	j.mu.RLock()
--- a/internal/record/journal/naive_test.go
+++ b/internal/record/journal/naive_test.go
@@ -19,6 +19,7 @@
 	jobs          map[request.Identity]JobState
 	requests      map[request.Identity]RequestState
 	audit         []AuditEntry
+	history       map[request.Identity][]HistoryEntry
 	verdicts      []Verdict
 
 	last  map[string]uint64
@@ -29,7 +30,8 @@
 func replay(batches []batch, bodyLimit int) *naiveFold {
 	n := &naiveFold{
 		jobs: map[request.Identity]JobState{}, requests: map[request.Identity]RequestState{},
-		last: map[string]uint64{}, times: map[string]time.Time{},
+		history: map[request.Identity][]HistoryEntry{},
+		last:    map[string]uint64{}, times: map[string]time.Time{},
 	}
 	for i, b := range batches {
 		offset := int64(i + 1)
@@ -38,7 +40,9 @@
 			if e.sequence > n.last[b.writer] {
 				n.last[b.writer] = e.sequence
 				n.tick(b.writer, e.time)
-				reason = n.one(offset, b.writer, e)
+				if reason = n.one(offset, b.writer, e); reason == "" {
+					n.note(offset, e)
+				}
 			}
 			n.verdicts = append(n.verdicts, Verdict{offset, reason == "", reason})
 		}
@@ -137,6 +141,34 @@
 	return ""
 }
 
+// note keeps every step of every job.
+func (n *naiveFold) note(offset int64, e envelope) {
+	add := func(id request.Identity, action, reason string) {
+		j := n.jobs[id]
+		after := j.State.String()
+		if j.State == job.Ended {
+			after = j.Outcome.String()
+		}
+		n.history[id] = append(n.history[id], HistoryEntry{offset, e.time, action, reason, after})
+	}
+	switch r := e.record.(type) {
+	case JobSubmitted:
+		n.history[r.Job.Identity] = nil
+	case JobReleased:
+		add(r.Identity, "release", r.Reason)
+	case JobEnded:
+		add(r.Identity, "end", r.Reason)
+	case JobCancelled:
+		add(r.Identity, "cancel", "cancelled by the caller")
+	case Audit:
+		for id := range n.jobs {
+			if id.String() == r.Subject {
+				n.history[id] = append(n.history[id], HistoryEntry{offset, e.time, r.Action, r.Reason, r.After})
+			}
+		}
+	}
+}
+
 func (n *naiveFold) open(id request.Identity, writer string) (RequestState, string) {
 	known, ok := n.requests[id]
 	if !ok {
--- a/internal/record/journal/newer_test.go
+++ b/internal/record/journal/newer_test.go
@@ -114,7 +114,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		g := newGenerator(t)
 		newer := newState()
-		newer.bodyLimit = testBodyLimit
+		newer.bodyLimit, newer.history.limit = testBodyLimit, g.state.history.limit
 		for range rapid.IntRange(5, 40).Draw(t, "batches") {
 			_, older := g.next()
 			b := g.batches[len(g.batches)-1]
--- a/internal/record/journal/snapshot.go
+++ b/internal/record/journal/snapshot.go
@@ -74,6 +74,7 @@
 	for _, e := range m.GetAudit() {
 		s.audit = append(s.audit, AuditEntry{e.GetOffset(), fromNanos(e.GetTimeUnixNanos()), auditFromWire(e.GetEntry())})
 	}
+	s.restoreHistory(m.GetHistory())
 	for _, e := range m.GetWriters() {
 		s.writers[e.GetWriter()] = &writerState{
 			sequence: e.GetSequence(),
--- a/internal/record/journal/state.go
+++ b/internal/record/journal/state.go
@@ -80,6 +80,7 @@
 	jobs          map[request.Identity]*JobState
 	claims        claims
 	audit         []AuditEntry
+	history       history
 	bodyLimit     int // bodyLimit is the bound of bodies in bytes.
 	writers       map[string]*writerState
 	lost          collection.Set[string] // lost are the workers that were reported lost.
@@ -93,6 +94,7 @@
 		next:      1,
 		jobs:      map[request.Identity]*JobState{},
 		claims:    newClaims(),
+		history:   history{limit: historyBytes},
 		bodyLimit: MaxBodyBytes,
 		writers:   map[string]*writerState{},
 		lost:      collection.NewSet[string](),
@@ -142,6 +144,9 @@
 	results := make([]judged, 0, len(b.records))
 	for _, e := range b.records {
 		reason := s.applyRecord(offset, b.writer, e)
+		if reason == "" {
+			s.noteStep(offset, e)
+		}
 		results = append(results, judged{b.writer, e.sequence, e.record, Verdict{offset, reason == "", reason}})
 	}
 	return results
--- a/internal/record/journal/statecopy.go
+++ b/internal/record/journal/statecopy.go
@@ -32,6 +32,7 @@
 	claims        []*claim   // claims do not change; the fold replaces them.
 	bodies        []keptBody // bodies are in claim order.
 	audit         []AuditEntry
+	history       []jobStep
 	writers       []writerCopy
 	lost          []string
 }
@@ -52,6 +53,7 @@
 		claims:        slices.AppendSeq(make([]*claim, 0, len(s.claims.byKey)), maps.Values(s.claims.byKey)),
 		bodies:        slices.Clone(s.claims.bodies.kept),
 		audit:         slices.Clone(s.audit),
+		history:       slices.Clone(s.history.steps),
 		writers:       make([]writerCopy, 0, len(s.writers)),
 		lost:          s.lost.Sorted(),
 	}
@@ -72,6 +74,7 @@
 	c.addJobs(&e)
 	c.addClaims(&e)
 	e.add(c.tail())
+	c.addHistory(&e)
 	if e.err != nil {
 		return nil, fmt.Errorf("encode snapshot: %w", e.err)
 	}
@@ -133,6 +136,16 @@
 	}
 }
 
+func (c *stateCopy) addHistory(e *encoder) {
+	for part := range slices.Chunk(c.history, encodePart) {
+		m := &wire.State{}
+		for _, step := range part {
+			m.History = append(m.History, jobStepToWire(step))
+		}
+		e.add(m)
+	}
+}
+
 func (c *stateCopy) tail() *wire.State {
 	m := &wire.State{ClockUnixNanos: nanos(c.now), LostWorkers: c.lost, Needs: c.needs}
 	for _, a := range c.audit {
--- a/internal/role/entry/entry_test.go
+++ b/internal/role/entry/entry_test.go
@@ -181,6 +181,11 @@
 	c.Assert(s.call(desk, "GET", "/v1/jobs/1?wait=soon", "").status, qt.Equals, http.StatusBadRequest)
 	c.Assert(s.call(desk, "GET", "/v1/jobs/1/explanation", "").body["waits-for"], qt.Equals,
 		"nothing: the job has ended as not-run: cancelled by the caller")
+	history := s.call(desk, "GET", "/v1/jobs/1/explanation", "").body["history"].([]any)
+	c.Assert(history, qt.HasLen, 1)
+	step := history[0].(map[string]any)
+	c.Assert(step["offset"], qt.Not(qt.Equals), 0.0)
+	c.Assert([]any{step["action"], step["reason"], step["after"]}, qt.DeepEquals, []any{"cancel", "cancelled by the caller", "not-run"})
 }
 
 // Guards against a claimed job whose scheduler is not asked: its claim may wait
--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -157,7 +157,7 @@
 		writeProblem(w, http.StatusNotFound, "no such job")
 		return
 	}
-	body := restapi.Explanation{ID: id.ID, State: state.State.String()}
+	body := restapi.Explanation{ID: id.ID, State: state.State.String(), History: historyToBody(e.journal.History(id))}
 	if state.State == job.Ended {
 		body.WaitsFor = "nothing: the job has ended as " + state.Outcome.String()
 		if state.Reason != "" {
@@ -176,3 +176,13 @@
 	body.WouldStartIf = explanation.WouldStartIf
 	writeJSON(w, http.StatusOK, body)
 }
+
+func historyToBody(entries []journal.HistoryEntry) []restapi.HistoryEntry {
+	var list []restapi.HistoryEntry
+	for _, h := range entries {
+		list = append(list, restapi.HistoryEntry{
+			Offset: h.Offset, Time: h.Time, Action: h.Action, Reason: h.Reason, After: h.After,
+		})
+	}
+	return list
+}
--- a/internal/role/restapi/bodies.go
+++ b/internal/role/restapi/bodies.go
@@ -49,13 +49,23 @@
 	Attempt    int      `json:"attempt"`
 }
 
-// Explanation is why a job waits.
+// Explanation is why a job waits, and what has happened to it.
 type Explanation struct {
-	ID           string `json:"id"`
-	State        string `json:"state"`
-	WaitsFor     string `json:"waits-for,omitempty"`
-	BlockedBy    string `json:"blocked-by,omitempty"`
-	WouldStartIf string `json:"would-start-if,omitempty"`
+	ID           string         `json:"id"`
+	State        string         `json:"state"`
+	WaitsFor     string         `json:"waits-for,omitempty"`
+	BlockedBy    string         `json:"blocked-by,omitempty"`
+	WouldStartIf string         `json:"would-start-if,omitempty"`
+	History      []HistoryEntry `json:"history,omitempty"` // History has the oldest entry first.
+}
+
+// HistoryEntry is one step in the life of a job.
+type HistoryEntry struct {
+	Offset int64     `json:"offset"`
+	Time   time.Time `json:"time"`
+	Action string    `json:"action"`
+	Reason string    `json:"reason"`
+	After  string    `json:"after,omitempty"`
 }
 
 // Finding is one problem in an input, with its place.
