--- a/internal/record/journal/decoder.go
+++ b/internal/record/journal/decoder.go
@@ -32,6 +32,7 @@
 	auditField    = 6
 	writersField  = 7
 	lostField     = 9
+	historyField  = 11
 )
 
 // ErrDamaged is returned for an encoded state with a wrong checksum.
@@ -112,7 +113,7 @@
 
 func (d *Decoder) field(number protowire.Number, encoded []byte) error {
 	switch number {
-	case jobsField, requestsField, auditField, writersField, lostField:
+	case jobsField, requestsField, auditField, writersField, lostField, historyField:
 	default:
 		return proto.UnmarshalOptions{Merge: true, DiscardUnknown: true}.Unmarshal(encoded, &d.single)
 	}
@@ -150,6 +151,7 @@
 	for _, worker := range m.GetLostWorkers() {
 		d.state.lost.Add(worker)
 	}
+	d.state.restoreHistory(m.GetHistory())
 }
 
 func (d *Decoder) invalidate(err error) {
--- a/internal/record/journal/statecopy.go
+++ b/internal/record/journal/statecopy.go
@@ -31,6 +31,7 @@
 	jobs          []*JobState // jobs do not change; the fold replaces them.
 	claims        []*claim    // claims do not change either, except for their neighbours.
 	audit         []AuditEntry
+	history       []jobStep
 	writers       []writerCopy
 	lost          []string
 }
@@ -50,6 +51,7 @@
 		jobs:          slices.AppendSeq(make([]*JobState, 0, len(s.jobs)), maps.Values(s.jobs)),
 		claims:        slices.AppendSeq(make([]*claim, 0, len(s.claims.byKey)), maps.Values(s.claims.byKey)),
 		audit:         slices.Clone(s.audit),
+		history:       slices.Clone(s.history.steps),
 		writers:       make([]writerCopy, 0, len(s.writers)),
 		lost:          s.lost.Sorted(),
 	}
@@ -105,7 +107,18 @@
 			return
 		}
 	}
-	yield(&wire.State{ClockUnixNanos: nanos(c.now), LostWorkers: c.lost, Needs: c.needs})
+	if !yield(&wire.State{ClockUnixNanos: nanos(c.now), LostWorkers: c.lost, Needs: c.needs}) {
+		return
+	}
+	for part := range slices.Chunk(c.history, encodePart) {
+		m := &wire.State{}
+		for _, step := range part {
+			m.History = append(m.History, jobStepToWire(step))
+		}
+		if !yield(m) {
+			return
+		}
+	}
 }
 
 func (c *stateCopy) head() *wire.State {
