--- a/internal/record/journal/statecopy.go
+++ b/internal/record/journal/statecopy.go
@@ -75,18 +75,32 @@
 // parts yields the state in small messages. They are in the order of their
 // fields, so together they encode to the same bytes as one message.
 func (c *stateCopy) parts(yield func(*wire.State) bool) {
-	if !yield(c.head()) {
-		return
-	}
-	for part := range slices.Chunk(c.jobs, encodePart) {
+	_ = yield(c.head()) &&
+		eachPart(c.jobs, encodePart, yield, func(m *wire.State, j *JobState) { m.Jobs = append(m.Jobs, jobStateToWire(j)) }) &&
+		c.claimParts(yield) &&
+		eachPart(c.audit, 1, yield, func(m *wire.State, a AuditEntry) { m.Audit = append(m.Audit, auditStateToWire(a)) }) &&
+		eachPart(c.writers, 1, yield, func(m *wire.State, w writerCopy) { m.Writers = append(m.Writers, writerStateToWire(w)) }) &&
+		yield(&wire.State{ClockUnixNanos: nanos(c.now), LostWorkers: c.lost, Needs: c.needs}) &&
+		eachPart(c.history, encodePart, yield, func(m *wire.State, s jobStep) { m.History = append(m.History, jobStepToWire(s)) })
+}
+
+// eachPart yields messages of at most size elements and reports whether more
+// may follow.
+func eachPart[T any](list []T, size int, yield func(*wire.State) bool, add func(*wire.State, T)) bool {
+	for part := range slices.Chunk(list, size) {
 		m := &wire.State{}
-		for _, j := range part {
-			m.Jobs = append(m.Jobs, jobStateToWire(j))
+		for _, element := range part {
+			add(m, element)
 		}
 		if !yield(m) {
-			return
+			return false
 		}
 	}
+	return true
+}
+
+// claimParts yields the claims in messages whose answers are bounded together.
+func (c *stateCopy) claimParts(yield func(*wire.State) bool) bool {
 	for rest := c.claims; len(rest) > 0; {
 		m := &wire.State{}
 		for size := 0; len(rest) > 0 && len(m.Requests) < encodePart && size < encodeBodies; rest = rest[1:] {
@@ -94,31 +108,10 @@
 			size += len(rest[0].body)
 		}
 		if !yield(m) {
-			return
-		}
-	}
-	for _, a := range c.audit {
-		if !yield(&wire.State{Audit: []*wire.AuditState{auditStateToWire(a)}}) {
-			return
-		}
-	}
-	for _, w := range c.writers {
-		if !yield(&wire.State{Writers: []*wire.WriterState{writerStateToWire(w)}}) {
-			return
-		}
-	}
-	if !yield(&wire.State{ClockUnixNanos: nanos(c.now), LostWorkers: c.lost, Needs: c.needs}) {
-		return
-	}
-	for part := range slices.Chunk(c.history, encodePart) {
-		m := &wire.State{}
-		for _, step := range part {
-			m.History = append(m.History, jobStepToWire(step))
-		}
-		if !yield(m) {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 func (c *stateCopy) head() *wire.State {
