Put off the last of equal jobs in a long backlog, not the first

A trace shows ana/14 and ana/18 running while the identical jobs ana/8 to ana/13 were never claimed: completion-first puts the largest jobs off in a long backlog, and of equal ones it took those first that had been submitted first.

Change: of equal jobs the last ones are put off.

TestEqualJobsKeepTheirTurnInALongBacklog fails with the former order (job 3 starts first) and passes now.

Conclusion: equal jobs of an organisation start in the order of submission.

--- a/internal/fleet/placement/backlog.go
+++ b/internal/fleet/placement/backlog.go
@@ -43,7 +43,8 @@
 			}
 		}
 	}
-	slices.SortStableFunc(list, func(a, b *entry) int { return cmp.Compare(b.work(), a.work()) })
+	// Of equal jobs the last ones are put off, so that the others keep their turn.
+	slices.SortFunc(list, func(a, b *entry) int { return cmp.Or(cmp.Compare(b.work(), a.work()), compareEntries(b, a)) })
 	for _, e := range list {
 		if r.backlog <= limit || r.putOffs < 1 {
 			return
--- a/internal/fleet/placement/backlog_test.go
+++ b/internal/fleet/placement/backlog_test.go
@@ -54,3 +54,29 @@
 		})
 	}
 }
+
+// Guards against a long backlog of equal jobs in which the first ones are put
+// off, so that jobs submitted after them start before them.
+func TestEqualJobsKeepTheirTurnInALongBacklog(t *testing.T) {
+	c := qt.New(t)
+	o := placement.Default()
+	o.Backlog, o.PutOffShare = time.Hour, 0.5
+	p := placement.New(placement.CompletionFirst{}, o)
+	p.AddWorker(accelerated("a", "1", 4))
+	running := gang("ana", "running", 1, 4, organisation.WithinWorker)
+	p.Adopt(running, []string{"a"}, epoch)
+	const jobs = 6
+	for i := range jobs {
+		p.Submit(gang("ana", fmt.Sprint(i), 1, 4, organisation.WithinWorker))
+	}
+	now := epoch
+	c.Assert(p.Decide(now), qt.HasLen, 0)
+	p.Cancel(running.Identity)
+	for i := range jobs {
+		now = now.Add(time.Minute)
+		decisions := p.Decide(now)
+		c.Assert(decisions, qt.HasLen, 1)
+		c.Assert(decisions[0].Job.ID, qt.Equals, fmt.Sprint(i))
+		p.Cancel(decisions[0].Job)
+	}
+}
