--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -22,6 +22,8 @@
 		demoEntry(),
 		entryEntry(),
 		agentEntry(),
+		hostedEntryEntry(),
+		hostedAgentEntry(),
 		standinEntry(),
 		submitEntry(),
 		statusEntry(),
--- /dev/null
+++ b/internal/cluster/entrylink/entrylink.go
@@ -0,0 +1,61 @@
+// Package entrylink carries calls of clients between entries, for an entry that
+// cannot reach the store.
+package entrylink
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/role/gateway"
+)
+
+// forwardTimeout bounds a call at one entry, so that another can be asked.
+const forwardTimeout = 1200 * time.Millisecond
+
+// Client calls another entry. It implements gateway.Peer.
+type Client struct{ peer wire.EntryPeer }
+
+var _ gateway.Peer = (*Client)(nil)
+
+// NewClient returns a client of the entry at an address.
+func NewClient(address netip.AddrPort, transport http.RoundTripper) *Client {
+	return &Client{wire.NewEntryPeerProtobufClient("http://"+address.String(), &http.Client{Transport: transport})}
+}
+
+// Forward implements gateway.Peer.
+func (c *Client) Forward(ctx context.Context, call gateway.Call) (gateway.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	reply, err := c.peer.Forward(ctx, &wire.ForwardRequest{
+		WaitMillis: min(call.Wait, forwardTimeout).Milliseconds(), Method: int64(call.Method), Host: call.Host, Path: call.Path, Key: call.Key, Body: call.Body,
+	})
+	if err != nil {
+		return gateway.Answer{}, fmt.Errorf("forward: %w", err)
+	}
+	return gateway.Answer{
+		Outcome: gateway.Outcome(reply.GetOutcome()), State: workload.State(reply.GetState()), Pending: int(reply.GetPending()),
+		Reason: reply.GetReason(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond,
+	}, nil
+}
+
+// Handler serves the calls that other entries forward.
+func Handler(g *gateway.Gateway) http.Handler { return wire.NewEntryPeerServer(&server{g}) }
+
+type server struct{ gateway *gateway.Gateway }
+
+// Forward implements wire.EntryPeer.
+func (s *server) Forward(ctx context.Context, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	answer := s.gateway.Serve(ctx, gateway.Call{
+		Method: gateway.Method(r.GetMethod()), Host: r.GetHost(), Path: r.GetPath(), Key: r.GetKey(), Body: r.GetBody(),
+		Wait: time.Duration(r.GetWaitMillis()) * time.Millisecond, Forwarded: true,
+	})
+	return &wire.ForwardReply{
+		Outcome: int64(answer.Outcome), State: int64(answer.State), Pending: int64(answer.Pending),
+		Reason: answer.Reason, RetryAfterMillis: answer.RetryAfter.Milliseconds(),
+	}, nil
+}
--- /dev/null
+++ b/internal/cluster/hostlink/client.go
@@ -0,0 +1,125 @@
+// Package hostlink carries calls on minions from the coordinator to the agents
+// beside them.
+package hostlink
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+)
+
+const (
+	// callSlack is what a call may take beside its wait. It is above the time
+	// that an agent allows its minion.
+	callSlack = 1200 * time.Millisecond
+)
+
+// Client calls a minion through its agent. It implements host.Client.
+type Client struct {
+	agent wire.TaskAgent
+	idle  func()
+}
+
+var _ host.Client = (*Client)(nil)
+
+// NewClient returns a client of the agent at an address. closeIdle gives up the
+// idle connections of the transport; it is called after an error, because they
+// may have become silent.
+func NewClient(address netip.AddrPort, transport http.RoundTripper, closeIdle func()) *Client {
+	return &Client{agent: wire.NewTaskAgentProtobufClient("http://"+address.String(), &http.Client{Transport: transport}), idle: closeIdle}
+}
+
+// Hold implements host.Client.
+func (c *Client) Hold(ctx context.Context, r host.HoldRequest) (host.Listing, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Wait+callSlack)
+	defer cancel()
+	reply, err := c.agent.Hold(ctx, &wire.HoldRequest{
+		Incarnation: r.Incarnation, Token: r.Token, UntilMillis: r.Until.Milliseconds(),
+		Acknowledged: r.Acknowledged, WaitMillis: r.Wait.Milliseconds(),
+	})
+	if err != nil {
+		c.idle()
+		return host.Listing{}, fmt.Errorf("hold: %w", err)
+	}
+	if err := fromRefusal(reply.GetRefusal()); err != nil {
+		return host.Listing{}, fmt.Errorf("hold: %w", err)
+	}
+	return fromReply(reply)
+}
+
+// Start implements host.Client.
+func (c *Client) Start(ctx context.Context, r host.StartRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	reply, err := c.agent.Start(ctx, &wire.StartRunRequest{
+		Incarnation: r.Incarnation, Token: r.Token, Task: r.Task.String(), Number: int64(r.Number),
+		Spec: r.Spec, UntilMillis: r.Until.Milliseconds(), Checkpoint: r.Checkpoint,
+	})
+	return c.orderError("start", reply, err)
+}
+
+// Stop implements host.Client.
+func (c *Client) Stop(ctx context.Context, r host.StopRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	reply, err := c.agent.Stop(ctx, &wire.StopRunRequest{
+		Incarnation: r.Incarnation, Token: r.Token, Task: r.Task.String(), Number: int64(r.Number),
+	})
+	return c.orderError("stop", reply, err)
+}
+
+func (c *Client) orderError(call string, reply *wire.OrderReply, err error) error {
+	if err != nil {
+		c.idle()
+		return fmt.Errorf("%s: %w", call, err)
+	}
+	if err := fromRefusal(reply.GetRefusal()); err != nil {
+		return fmt.Errorf("%s: %w", call, err)
+	}
+	return nil
+}
+
+func fromReply(reply *wire.HoldReply) (host.Listing, error) {
+	listing := host.Listing{
+		Clock: time.Duration(reply.GetClockMillis()) * time.Millisecond,
+		Gone:  reply.GetGone(),
+	}
+	listing.Minion = fromReport(reply.GetMinion())
+	for _, r := range reply.GetRunning() {
+		task, err := workload.ParseTaskID(r.GetTask())
+		if err != nil {
+			return host.Listing{}, fmt.Errorf("hold: running: %w", err)
+		}
+		listing.Running = append(listing.Running, host.Run{
+			Task: task, Number: int(r.GetNumber()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent()),
+		})
+	}
+	for _, e := range reply.GetEnds() {
+		task, err := workload.ParseTaskID(e.GetTask())
+		if err != nil {
+			return host.Listing{}, fmt.Errorf("hold: ends: %w", err)
+		}
+		listing.Ends = append(listing.Ends, host.End{
+			Sequence: e.GetSequence(), Task: task, Number: int(e.GetNumber()),
+			Outcome: host.Outcome(e.GetOutcome()), Checkpoint: e.GetCheckpoint(),
+		})
+	}
+	return listing, nil
+}
+
+func fromReport(m *wire.MinionReport) host.Minion {
+	return host.Minion{
+		ID: m.GetId(), Born: time.UnixMilli(m.GetBornMillis()), Service: m.GetService(), DataCentre: m.GetDataCentre(),
+		Rack: m.GetRack(), Labels: m.GetLabels(), Draining: m.GetDraining(),
+		Capacity: workload.Resources{
+			MilliCores: int(m.GetMilliCores()), MemoryMB: int(m.GetMemoryMb()), Accelerators: int(m.GetAccelerators()),
+		},
+		Remaining: time.Duration(m.GetRemainingMillis()) * time.Millisecond,
+	}
+}
--- /dev/null
+++ b/internal/cluster/hostlink/server.go
@@ -0,0 +1,110 @@
+package hostlink
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+)
+
+// Handler serves the calls of coordinators on a minion.
+func Handler(minion host.Client) http.Handler {
+	return wire.NewTaskAgentServer(&server{minion})
+}
+
+type server struct{ minion host.Client }
+
+// Hold implements wire.TaskAgent.
+func (s *server) Hold(ctx context.Context, r *wire.HoldRequest) (*wire.HoldReply, error) {
+	listing, err := s.minion.Hold(ctx, host.HoldRequest{
+		Incarnation: r.GetIncarnation(), Token: r.GetToken(), Until: time.Duration(r.GetUntilMillis()) * time.Millisecond,
+		Acknowledged: r.GetAcknowledged(), Wait: time.Duration(r.GetWaitMillis()) * time.Millisecond,
+	})
+	refusal, err := toRefusal(err)
+	if err != nil {
+		return nil, err
+	}
+	reply := &wire.HoldReply{ClockMillis: listing.Clock.Milliseconds(), Gone: listing.Gone, Refusal: refusal, Minion: toReport(listing.Minion)}
+	for _, run := range listing.Running {
+		reply.Running = append(reply.Running, &wire.RunEntry{
+			Task: run.Task.String(), Number: int64(run.Number), Checkpoint: run.Checkpoint, Percent: int64(run.Percent),
+		})
+	}
+	for _, e := range listing.Ends {
+		reply.Ends = append(reply.Ends, &wire.EndEntry{
+			Sequence: e.Sequence, Task: e.Task.String(), Number: int64(e.Number), Outcome: int64(e.Outcome), Checkpoint: e.Checkpoint,
+		})
+	}
+	return reply, nil
+}
+
+// Start implements wire.TaskAgent.
+func (s *server) Start(ctx context.Context, r *wire.StartRunRequest) (*wire.OrderReply, error) {
+	task, err := workload.ParseTaskID(r.GetTask())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("task", err.Error())
+	}
+	return orderReply(s.minion.Start(ctx, host.StartRequest{
+		Incarnation: r.GetIncarnation(), Token: r.GetToken(), Task: task, Number: int(r.GetNumber()), Spec: r.GetSpec(),
+		Until: time.Duration(r.GetUntilMillis()) * time.Millisecond, Checkpoint: r.GetCheckpoint(),
+	}))
+}
+
+// Stop implements wire.TaskAgent.
+func (s *server) Stop(ctx context.Context, r *wire.StopRunRequest) (*wire.OrderReply, error) {
+	task, err := workload.ParseTaskID(r.GetTask())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("task", err.Error())
+	}
+	return orderReply(s.minion.Stop(ctx, host.StopRequest{
+		Incarnation: r.GetIncarnation(), Token: r.GetToken(), Task: task, Number: int(r.GetNumber()),
+	}))
+}
+
+func orderReply(err error) (*wire.OrderReply, error) {
+	refusal, err := toRefusal(err)
+	if err != nil {
+		return nil, err
+	}
+	return &wire.OrderReply{Refusal: refusal}, nil
+}
+
+var refusals = map[wire.OrderRefusal]error{
+	wire.OrderRefusal_ORDER_REFUSAL_FENCED:      host.ErrFenced,
+	wire.OrderRefusal_ORDER_REFUSAL_OLD:         host.ErrOld,
+	wire.OrderRefusal_ORDER_REFUSAL_LATE:        host.ErrLate,
+	wire.OrderRefusal_ORDER_REFUSAL_NO_ROOM:     host.ErrNoRoom,
+	wire.OrderRefusal_ORDER_REFUSAL_UNHEALTHY:   host.ErrUnhealthy,
+	wire.OrderRefusal_ORDER_REFUSAL_INCARNATION: host.ErrIncarnation,
+	wire.OrderRefusal_ORDER_REFUSAL_DRAINING:    host.ErrDraining,
+	wire.OrderRefusal_ORDER_REFUSAL_INVALID:     host.ErrInvalid,
+}
+
+// toRefusal separates a call that had no effect from one whose effect is open.
+func toRefusal(err error) (wire.OrderRefusal, error) {
+	if err == nil {
+		return wire.OrderRefusal_ORDER_REFUSAL_NONE, nil
+	}
+	for refusal, known := range refusals {
+		if errors.Is(err, known) {
+			return refusal, nil
+		}
+	}
+	return 0, twirp.NewError(twirp.Unavailable, err.Error())
+}
+
+func fromRefusal(r wire.OrderRefusal) error { return refusals[r] }
+
+func toReport(m host.Minion) *wire.MinionReport {
+	return &wire.MinionReport{
+		Id: m.ID, BornMillis: m.Born.UnixMilli(), Service: m.Service, DataCentre: m.DataCentre, Rack: m.Rack, Labels: m.Labels,
+		MilliCores: int64(m.Capacity.MilliCores), MemoryMb: int64(m.Capacity.MemoryMB), Accelerators: int64(m.Capacity.Accelerators),
+		Draining: m.Draining, RemainingMillis: m.Remaining.Milliseconds(),
+	}
+}
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -31,6 +31,7 @@
 type Transport struct {
 	traffic *Traffic
 	remote  func(netip.AddrPort) bool
+	idle    *http.Transport // idle holds the connections of shared.
 	shared  http.RoundTripper
 	fresh   http.RoundTripper
 }
@@ -51,6 +52,7 @@
 	shared.IdleConnTimeout = idleTimeout
 	fresh := t.base()
 	fresh.DisableKeepAlives = true
+	t.idle = shared
 	t.shared = middleware(shared)
 	t.fresh = middleware(fresh)
 	return t
@@ -63,6 +65,9 @@
 // Shared returns the round tripper that reuses connections.
 func (t *Transport) Shared() http.RoundTripper { return t.shared }
 
+// CloseIdle gives up the connections that are not in use.
+func (t *Transport) CloseIdle() { t.idle.CloseIdleConnections() }
+
 // Fresh returns the round tripper that opens a connection for each exchange.
 // Retries use it, because an open connection may have gone silent.
 func (t *Transport) Fresh() http.RoundTripper { return t.fresh }
--- /dev/null
+++ b/internal/fleet/allocation/allocation.go
@@ -0,0 +1,198 @@
+// Package allocation decides which tasks run on which hosts and what has to
+// make room. It is a pure function of a model of the fleet.
+//
+// Demands are served in their order. A demand that does not fit on what is free
+// waits for what is being stopped, and an urgent one may have units of a lower
+// rank stopped. What a waiting demand will get is set aside, so that later
+// demands do not take it.
+package allocation
+
+import (
+	"slices"
+
+	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/fleet/workload"
+)
+
+// Rank orders demands and units by urgency; lower is more urgent.
+type Rank int
+
+// The ranks. A demand may stop units of a rank below its own when it is urgent.
+const (
+	Guaranteed Rank = iota // Guaranteed work is within the guarantee of its organisation.
+	Urgent                 // Urgent work has priority 0 beyond the guarantee.
+	Ordinary               // Ordinary work and all after it has the priorities from 1.
+)
+
+// RankOf returns the rank of a priority.
+func RankOf(priority int, guaranteed bool) Rank {
+	if priority == 0 && guaranteed {
+		return Guaranteed
+	}
+	return Urgent + Rank(priority)
+}
+
+func (r Rank) mayStop(other Rank) bool { return r <= Urgent && other > r }
+
+// Host is what one minion offers.
+type Host struct {
+	Name     string
+	Rack     string
+	Service  string
+	Labels   collection.Set[string]
+	Open     bool // Open hosts take new work.
+	Capacity workload.Resources
+	Free     workload.Resources // Free is not used by anything.
+	Soon     workload.Resources // Soon is Free and what is being stopped.
+}
+
+// Unit is work that runs and ends together: a gang or a single task.
+type Unit struct {
+	ID    int
+	Rank  Rank
+	Loss  float64                       // Loss is the work in core seconds that a stop throws away.
+	Parts map[string]workload.Resources // Parts holds what the unit uses on each host.
+}
+
+// Demand is the waiting tasks of a step.
+type Demand struct {
+	ID          int
+	Rank        Rank
+	Service     string
+	Need        workload.Resources // Need of each task.
+	Tasks       int
+	Gang        bool           // Gang demands are placed whole or not at all.
+	Local       bool           // Local demands should be on one rack.
+	Rack        string         // Rack is where the data is; empty when there is none.
+	Label       string         // Label is required of the host; empty when any will do.
+	SpreadLimit int            // SpreadLimit bounds the tasks on one host; 0 is no bound.
+	Present     map[string]int // Present counts the step's tasks that are on a host already.
+	Avoid       collection.Set[string]
+	Far         bool // Far allows places away from the data or across racks.
+}
+
+// Placement gives tasks of a demand to hosts. Hosts has one name for each task,
+// in order; it is shorter than the demand unless that is a gang.
+type Placement struct {
+	Demand int
+	Hosts  []string
+}
+
+// Plan is what to do now.
+type Plan struct {
+	Placements []Placement
+	Stops      []int               // Stops lists units that have to make room.
+	Waiting    collection.Set[int] // Waiting holds demands that something is set aside for.
+}
+
+// Decide plans for the demands in their order. The arguments are not changed.
+func Decide(hosts []Host, units []Unit, demands []Demand) Plan {
+	p := newPlanner(hosts, units)
+	for _, d := range demands {
+		p.serve(d)
+	}
+	return p.plan
+}
+
+// room is the state of a host during planning.
+type room struct {
+	Host
+	units []int // units holds the indices of the units on the host that were not stopped.
+}
+
+// now is what a task can be started on without touching what is set aside.
+func (r *room) now() workload.Resources { return r.Free.Min(r.Soon) }
+
+func (r *room) soon() workload.Resources { return r.Soon }
+
+type planner struct {
+	rooms   []*room
+	racks   map[string][]*room
+	names   []string // names of the racks in order.
+	byName  map[string]*room
+	units   []Unit
+	stopped collection.Set[int] // stopped holds indices of units.
+	plan    Plan
+}
+
+func newPlanner(hosts []Host, units []Unit) *planner {
+	p := &planner{
+		racks: make(map[string][]*room), byName: make(map[string]*room, len(hosts)), units: units,
+		stopped: collection.NewSet[int](), plan: Plan{Waiting: collection.NewSet[int]()},
+	}
+	for _, h := range hosts {
+		r := &room{Host: h}
+		p.rooms = append(p.rooms, r)
+		p.byName[h.Name] = r
+		if p.racks[h.Rack] == nil {
+			p.names = append(p.names, h.Rack)
+		}
+		p.racks[h.Rack] = append(p.racks[h.Rack], r)
+	}
+	slices.Sort(p.names)
+	for i, u := range units {
+		for name := range u.Parts {
+			if r := p.byName[name]; r != nil {
+				r.units = append(r.units, i)
+			}
+		}
+	}
+	return p
+}
+
+// serve places a demand, or sets aside what it waits for.
+func (p *planner) serve(d Demand) {
+	if chosen := p.choose(d, (*room).now); len(chosen) > 0 {
+		p.place(d, chosen)
+		d.Tasks -= len(chosen)
+		d.Present = withPresent(d.Present, chosen)
+		if d.Tasks == 0 {
+			return
+		}
+	}
+	if chosen := p.choose(d, (*room).soon); len(chosen) > 0 {
+		p.setAside(d, chosen)
+		d.Tasks -= len(chosen)
+		d.Present = withPresent(d.Present, chosen)
+		if d.Tasks == 0 {
+			return
+		}
+	}
+	if d.Rank <= Urgent {
+		p.makeRoom(d)
+	}
+}
+
+func withPresent(present map[string]int, chosen []*room) map[string]int {
+	sum := make(map[string]int, len(present)+len(chosen))
+	for name, n := range present {
+		sum[name] = n
+	}
+	for _, r := range chosen {
+		sum[r.Name]++
+	}
+	return sum
+}
+
+func (p *planner) place(d Demand, chosen []*room) {
+	placement := Placement{Demand: d.ID}
+	for _, r := range chosen {
+		r.Free = r.Free.Sub(d.Need)
+		r.Soon = r.Soon.Sub(d.Need)
+		placement.Hosts = append(placement.Hosts, r.Name)
+	}
+	p.plan.Placements = append(p.plan.Placements, placement)
+}
+
+func (p *planner) setAside(d Demand, chosen []*room) {
+	for _, r := range chosen {
+		r.Soon = r.Soon.Sub(d.Need)
+	}
+	p.plan.Waiting.Add(d.ID)
+}
+
+// usable reports whether a task of the demand may run on a host at all.
+func usable(d Demand, r *room) bool {
+	return r.Open && r.Service == d.Service && !d.Avoid.Has(r.Name) &&
+		(d.Label == "" || r.Labels.Has(d.Label)) && r.Capacity.Fits(d.Need)
+}
--- /dev/null
+++ b/internal/fleet/allocation/choose.go
@@ -0,0 +1,136 @@
+package allocation
+
+import "wasabihoist/internal/fleet/workload"
+
+// choose returns a host for each task, as many as there is room for; for a gang
+// all or none. available says what counts as room.
+func (p *planner) choose(d Demand, available func(*room) workload.Resources) []*room {
+	switch {
+	case d.Gang && d.Local && d.Tasks > 1:
+		return p.chooseRack(d, available)
+	case d.Rack != "":
+		return p.chooseNear(d, available)
+	default:
+		return fill(d, p.rooms, available)
+	}
+}
+
+// chooseRack looks for one rack that holds the whole gang and takes the one
+// where the least is left over. A gang too large for any rack, or one that may
+// be far, is spread.
+func (p *planner) chooseRack(d Demand, available func(*room) workload.Resources) []*room {
+	var best []*room
+	bestLeft := 0
+	for _, name := range p.names {
+		chosen := fill(d, p.racks[name], available)
+		if len(chosen) < d.Tasks {
+			continue
+		}
+		left := -d.Tasks * d.Need.Accelerators
+		for _, r := range p.racks[name] {
+			left += available(r).Accelerators
+		}
+		if name == d.Rack {
+			return chosen
+		}
+		if best == nil || left < bestLeft {
+			best, bestLeft = chosen, left
+		}
+	}
+	if best != nil && (d.Rack == "" || d.Far) {
+		return best
+	}
+	if d.Far || !p.rackCanHold(d) {
+		return fill(d, p.rooms, available)
+	}
+	return nil
+}
+
+// rackCanHold reports whether some rack could hold the gang if it were empty.
+func (p *planner) rackCanHold(d Demand) bool {
+	empty := func(r *room) workload.Resources { return r.Capacity }
+	for _, name := range p.names {
+		if len(fill(d, p.racks[name], empty)) == d.Tasks {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseNear prefers the rack with the data.
+func (p *planner) chooseNear(d Demand, available func(*room) workload.Resources) []*room {
+	near := fill(d, p.racks[d.Rack], available)
+	if len(near) == d.Tasks || !d.Far && p.nearCanHold(d) {
+		return near
+	}
+	if d.Gang {
+		return fill(d, p.rooms, available)
+	}
+	rest := d
+	rest.Tasks -= len(near)
+	rest.Present = withPresent(d.Present, near)
+	taken := withPresent(nil, near)
+	left := func(r *room) workload.Resources {
+		a := available(r)
+		for range taken[r.Name] {
+			a = a.Sub(d.Need)
+		}
+		return a
+	}
+	return append(near, fill(rest, p.rooms, left)...)
+}
+
+// nearCanHold reports whether the rack with the data could hold the demand, or
+// for single tasks one of them, if it were empty.
+func (p *planner) nearCanHold(d Demand) bool {
+	empty := func(r *room) workload.Resources { return r.Capacity }
+	chosen := len(fill(d, p.racks[d.Rack], empty))
+	return chosen == d.Tasks || !d.Gang && chosen > 0
+}
+
+// fill gives tasks to hosts one by one, each to the host where the fewest
+// accelerators and cores are left over, so that whole hosts stay free. For a
+// gang it returns all or none.
+func fill(d Demand, rooms []*room, available func(*room) workload.Resources) []*room {
+	type candidate struct {
+		r    *room
+		left workload.Resources
+		here int
+	}
+	var candidates []candidate
+	for _, r := range rooms {
+		if usable(d, r) {
+			candidates = append(candidates, candidate{r, available(r), d.Present[r.Name]})
+		}
+	}
+	var chosen []*room
+	for range d.Tasks {
+		best := -1
+		for i, c := range candidates {
+			if !c.left.Fits(d.Need) || d.SpreadLimit > 0 && c.here >= d.SpreadLimit {
+				continue
+			}
+			if best < 0 || tighter(c.left, candidates[best].left) {
+				best = i
+			}
+		}
+		if best < 0 {
+			if d.Gang {
+				return nil
+			}
+			break
+		}
+		c := &candidates[best]
+		c.left = c.left.Sub(d.Need)
+		c.here++
+		chosen = append(chosen, c.r)
+	}
+	return chosen
+}
+
+func tighter(a, b workload.Resources) bool {
+	if a.Accelerators != b.Accelerators {
+		return a.Accelerators < b.Accelerators
+	}
+	return a.MilliCores < b.MilliCores
+}
--- /dev/null
+++ b/internal/fleet/coordinator/coordinator.go
@@ -0,0 +1,175 @@
+// Package coordinator places the tasks of all jobs. One process at a time leads
+// a term; the store gives each term a higher number, which fences the terms
+// before it in the ledger and at the minions.
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/tenancy/catalogue"
+)
+
+// writerName is the name under which the store fences the terms.
+const writerName = "coordinator"
+
+const (
+	// campaignInterval is the time between claims of the leadership. Three
+	// claims may be lost before it passes to another process.
+	campaignInterval = 500 * time.Millisecond
+	// leadershipTime is how long the store keeps the leadership of a process
+	// that has become silent.
+	leadershipTime = 2 * time.Second
+	// campaignTimeout bounds one claim.
+	campaignTimeout = time.Second
+	// resignTimeout bounds giving the leadership up at a stop.
+	resignTimeout = 500 * time.Millisecond
+)
+
+// Options are the settings of a coordinator.
+type Options struct {
+	Name            string        // Name of the process; it is different in each of its lives.
+	LongestLease    time.Duration // LongestLease bounds the lease of a task.
+	GangTime        time.Duration // GangTime is how long a member of a gang waits for the others.
+	TaskStopTime    time.Duration // TaskStopTime bounds how long a task takes to stop.
+	StatusTime      time.Duration // StatusTime is how long the state of an ended job is kept.
+	FarFactor       float64       // FarFactor is how many times longer a task takes away from its data.
+	CheckpointEvery time.Duration // CheckpointEvery is the work between two checkpoints.
+	RestoreTime     time.Duration // RestoreTime is what a start from a checkpoint takes.
+	LeadershipTime  time.Duration // LeadershipTime is at least what the store supports.
+}
+
+// Dial returns a client of the agent at an address.
+type Dial func(address netip.AddrPort) host.Client
+
+// Coordinator campaigns for the leadership and leads the terms that it wins.
+type Coordinator struct {
+	options   Options
+	store     ledger.Store
+	topic     ledger.Topic
+	state     *ledger.State
+	reader    *ledger.Reader
+	catalogue *catalogue.Current
+	dial      Dial
+	logger    log.Logger
+
+	generation int64 // generation is the last one that the store has answered.
+	term       *runningTerm
+}
+
+// runningTerm is a term with the group that it runs in.
+type runningTerm struct {
+	*term
+	group *group.Group
+}
+
+// New returns a coordinator that leads nothing yet.
+func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
+	current *catalogue.Current, dial Dial, logger log.Logger,
+) *Coordinator {
+	options.LeadershipTime = max(options.LeadershipTime, leadershipTime)
+	return &Coordinator{
+		options: options, store: store, topic: topic, state: state, reader: reader,
+		catalogue: current, dial: dial, logger: logger,
+	}
+}
+
+// String names the coordinator.
+func (c *Coordinator) String() string { return "coordinator" }
+
+// Run campaigns until ctx ends, and then gives the leadership up.
+func (c *Coordinator) Run(ctx context.Context) error {
+	select {
+	case <-c.reader.Loaded():
+	case <-ctx.Done():
+		return nil
+	}
+	for ctx.Err() == nil {
+		c.campaign(ctx)
+		_ = group.Pause(ctx, campaignInterval)
+	}
+	held := c.term != nil
+	c.endTerm("the process stops")
+	resignCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
+	defer cancel()
+	if err := c.store.Resign(resignCtx, c.topic, c.options.Name); err != nil && held {
+		_ = level.Warn(c.logger).Log("event", "resign failed", "reason", err)
+	}
+	return nil
+}
+
+// campaign claims the leadership once and starts or ends a term accordingly.
+func (c *Coordinator) campaign(ctx context.Context) {
+	if c.term != nil && c.term.group.Context().Err() != nil {
+		c.endTerm("the term has failed")
+	}
+	start := now()
+	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
+	defer cancel()
+	leadership, err := c.store.Lead(callCtx, c.topic, c.options.Name, c.generation, c.options.LeadershipTime)
+	if err != nil {
+		_ = level.Debug(c.logger).Log("event", "claim failed", "reason", err)
+		return
+	}
+	c.generation = leadership.Generation
+	switch {
+	case !leadership.Holds:
+		c.endTerm("another process leads")
+	case c.term == nil:
+		c.beginTerm(ctx, leadership.Generation, start)
+	default:
+		c.term.confirm(start)
+	}
+}
+
+// beginTerm fences the former terms and then reads all that they have written.
+func (c *Coordinator) beginTerm(ctx context.Context, token int64, confirmed time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
+	defer cancel()
+	fence := ledger.Fence{Writer: writerName, Epoch: token}
+	if err := c.store.AppendFenced(callCtx, c.topic, fence, nil); err != nil {
+		_ = level.Warn(c.logger).Log("event", "term not begun", "token", token, "reason", err)
+		return
+	}
+	if err := c.reader.Refresh(callCtx); err != nil {
+		_ = level.Warn(c.logger).Log("event", "term not begun", "token", token, "reason", err)
+		return
+	}
+	g := group.New(ctx)
+	t := newTerm(c, token, confirmed, g)
+	c.term = &runningTerm{t, g}
+	_ = level.Info(c.logger).Log("event", "term begun", "token", token, "jobs", len(t.jobs), "offset", c.state.Next())
+	g.Go("term", t.run)
+}
+
+func (c *Coordinator) endTerm(reason string) {
+	if c.term == nil {
+		return
+	}
+	c.term.group.Stop()
+	err := c.term.group.Wait()
+	_ = level.Info(c.logger).Log("event", "term ended", "token", c.term.token, "reason", reason, "error", errorText(err))
+	c.term = nil
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return "none"
+	}
+	return err.Error()
+}
+
+// Leads reports whether a term is in progress. It is called by Run's goroutine
+// and tests only.
+func (c *Coordinator) Leads() bool { return c.term != nil && c.term.group.Context().Err() == nil }
+
+// errFenced ends a term that another one has replaced.
+var errFenced = errors.New("another term has begun")
--- /dev/null
+++ b/internal/fleet/coordinator/runs.go
@@ -0,0 +1,357 @@
+package coordinator
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+)
+
+const (
+	// orderPause is the time between two tries of an order without an answer.
+	orderPause = 100 * time.Millisecond
+	// startWindow is how long after it was sent a start may be carried out.
+	startWindow = 2 * time.Second
+	// startTime is how long a start is tried before the attempt is given up. It
+	// leaves time within what the members of a gang wait for each other.
+	startTime = 1500 * time.Millisecond
+	// retryDelay keeps a job whose start failed from being placed at once again.
+	retryDelay = 300 * time.Millisecond
+)
+
+// runKey names a run of a task.
+type runKey struct {
+	task   workload.TaskID
+	number int
+}
+
+// phase is where a run is in its life.
+type phase int
+
+const (
+	proposed phase = iota // proposed runs are not yet durable.
+	adopted               // adopted runs were given out by a former term.
+	starting              // starting runs may be on their minion.
+	running
+)
+
+// run is a run of a task that holds resources of a host until it has certainly
+// ended.
+type run struct {
+	task       workload.TaskID
+	number     int
+	attempt    *attempt
+	host       *hostState
+	minion     string // minion is the incarnation.
+	need       workload.Resources
+	phase      phase
+	answered   time.Duration // answered is when the minion last answered an order on the run.
+	startedAt  time.Duration
+	percent    int
+	movedAt    time.Duration // movedAt is when the percentage last rose.
+	checkpoint string
+	savedAt    time.Duration // savedAt is when the checkpoint last changed.
+}
+
+// attempt is the runs that start and end together: those of a gang, or one.
+type attempt struct {
+	id       int
+	job      *jobState
+	step     int
+	runs     []*run
+	stopping bool
+	over     bool // over means that the outcome is known; what still runs ends by itself.
+	began    time.Duration
+}
+
+func (t *term) newAttempt(j *jobState, step int) *attempt {
+	t.nextID++
+	a := &attempt{id: t.nextID, job: j, step: step, began: now()}
+	t.attempts[a.id] = a
+	return a
+}
+
+func (t *term) addRun(a *attempt, id workload.TaskID, number int, h *hostState, minion string) *run {
+	r := &run{task: id, number: number, attempt: a, host: h, minion: minion, need: a.job.job.Steps[a.step].Need}
+	r.startedAt = now()
+	r.movedAt = r.startedAt
+	a.runs = append(a.runs, r)
+	h.runs[runKey{id, number}] = r
+	a.job.runs++
+	return r
+}
+
+func runsOf(h *hostState) []*run {
+	list := make([]*run, 0, len(h.runs))
+	for _, r := range h.runs {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b *run) int { return a.attempt.id - b.attempt.id })
+	return list
+}
+
+// note takes what the minion lists of a run.
+func (r *run) note(l host.Run) {
+	at := now()
+	if l.Percent != r.percent {
+		r.percent, r.movedAt = l.Percent, at
+	}
+	if l.Checkpoint != "" && l.Checkpoint != r.checkpoint {
+		r.checkpoint, r.savedAt = l.Checkpoint, at
+	}
+}
+
+func (t *term) started(r *run) {
+	r.phase = running
+	r.startedAt = now()
+	r.movedAt = r.startedAt
+}
+
+// release frees what a run held.
+func (t *term) release(r *run) {
+	delete(r.host.runs, runKey{r.task, r.number})
+	r.attempt.runs = slices.DeleteFunc(r.attempt.runs, func(o *run) bool { return o == r })
+	r.attempt.job.runs--
+	if len(r.attempt.runs) == 0 {
+		delete(t.attempts, r.attempt.id)
+	}
+}
+
+// current reports whether the run is the one that the progress of its task
+// names.
+func (r *run) current() bool {
+	task := r.attempt.job.progress.Steps[r.task.Step].Tasks[r.task.Index]
+	return task.Phase == workload.Placed && task.Run == r.number
+}
+
+// requeue frees a run and lets its task wait again.
+func (t *term) requeue(r *run, checkpoint string) {
+	if checkpoint == "" {
+		checkpoint = r.checkpoint
+	}
+	j := r.attempt.job
+	t.release(r)
+	if r.current() {
+		j.progress.Release(r.task, checkpoint)
+	}
+	t.settle(j)
+	t.forget(j)
+}
+
+// lose gives up a run that has certainly ended without an outcome. The other
+// members of its gang are stopped.
+func (t *term) lose(r *run, reason string) {
+	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason)
+	a := r.attempt
+	t.requeue(r, "")
+	t.stop(a, "a member was lost")
+}
+
+// takeEnd works on an end that a minion lists.
+func (t *term) takeEnd(h *hostState, e host.End) {
+	r := h.runs[runKey{e.Task, e.Number}]
+	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name,
+		"outcome", e.Outcome, "end", e.Sequence, "expected", r != nil, "percent", percentOf(r))
+	if r == nil {
+		return
+	}
+	a := r.attempt
+	j := a.job
+	if !r.current() || j.progress.State.Ended() {
+		t.requeue(r, e.Checkpoint)
+		return
+	}
+	switch e.Outcome {
+	case host.Completed:
+		h.health.succeeded(j.job.ID)
+		t.release(r)
+		j.progress.Finish(j.job, e.Task)
+		a.over = true
+		t.settle(j)
+		t.forget(j)
+	case host.Crashed:
+		t.takeCrash(h, r, e)
+	default:
+		t.requeue(r, e.Checkpoint)
+		if e.Outcome == host.Alone || e.Outcome == host.Lapsed {
+			t.stop(a, "a member has ended as "+e.Outcome.String())
+		}
+	}
+}
+
+func percentOf(r *run) int {
+	if r == nil {
+		return 0
+	}
+	return r.percent
+}
+
+// takeCrash counts a failed run against its job and its host.
+func (t *term) takeCrash(h *hostState, r *run, e host.End) {
+	a := r.attempt
+	j := a.job
+	h.health.failed(j.job.ID, now())
+	if j.avoid[a.step] == nil {
+		j.avoid[a.step] = collection.NewSet[string]()
+	}
+	j.avoid[a.step].Add(h.name)
+	t.release(r)
+	if a.over { // Another member of the gang has failed before.
+		j.progress.Release(e.Task, e.Checkpoint)
+	} else {
+		j.progress.Fail(j.job, e.Task, e.Checkpoint)
+	}
+	a.over = true
+	t.stop(a, "a member has failed")
+	if j.progress.State.Ended() {
+		_ = level.Info(t.logger).Log("event", "job failed", "job", j.job.ID, "task", e.Task, "run", e.Number, "attempts", j.job.Attempts)
+	}
+	t.settle(j)
+	t.forget(j)
+}
+
+// stop stops all runs of an attempt.
+func (t *term) stop(a *attempt, reason string) {
+	if a.stopping {
+		return
+	}
+	a.stopping = true
+	for _, r := range slices.Clone(a.runs) {
+		_ = level.Info(t.logger).Log("event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason)
+		if r.phase != proposed { // A proposed run is dropped before its start.
+			t.order(r, t.stopRun)
+		}
+	}
+}
+
+// order carries an order out beside the loop.
+func (t *term) order(r *run, carry func(ctx context.Context, r *run, client host.Client) error) {
+	client := r.host.client
+	if client == nil {
+		return // The host is known from the ledger only; its lease ends the run.
+	}
+	t.group.Go("order", func(ctx context.Context) error { return carry(ctx, r, client) })
+}
+
+// stopRun repeats a stop until it is answered or the run has ended.
+func (t *term) stopRun(ctx context.Context, r *run, client host.Client) error {
+	request := host.StopRequest{Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number}
+	for {
+		sent := now()
+		err := client.Stop(ctx, request)
+		if errors.Is(err, host.ErrFenced) {
+			return errFenced
+		}
+		held := make(chan bool, 1)
+		answered := err == nil || errors.Is(err, host.ErrOld) || errors.Is(err, host.ErrIncarnation)
+		if !t.do(func() {
+			if answered {
+				r.answered = now()
+			}
+			held <- r.host.runs[runKey{r.task, r.number}] == r
+		}) {
+			return nil
+		}
+		if answered || !<-held {
+			return nil
+		}
+		_ = level.Debug(t.logger).Log("event", "stop unanswered", "job", r.task.Job, "task", r.task, "run", r.number, "took", now()-sent, "reason", err)
+		if group.Pause(ctx, orderPause) != nil {
+			return nil
+		}
+	}
+}
+
+// launch sends the starts of an attempt whose placement is durable.
+func (t *term) launch(a *attempt) {
+	if a.stopping {
+		for _, r := range slices.Clone(a.runs) {
+			t.requeue(r, "")
+		}
+		return
+	}
+	for _, r := range a.runs {
+		r.phase = starting
+		r.startedAt = now()
+		r.host.lapse = max(r.host.lapse, r.startedAt+lapseTime(startWindow))
+	}
+	for _, r := range slices.Clone(a.runs) {
+		t.order(r, t.startRun)
+	}
+}
+
+// startRun repeats a start until it is answered or has taken too long.
+func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
+	begin := now()
+	j := r.attempt.job
+	for {
+		request := make(chan host.StartRequest, 1)
+		if !t.do(func() { request <- t.startRequest(r) }) {
+			return nil
+		}
+		err := client.Start(ctx, <-request)
+		if errors.Is(err, host.ErrFenced) {
+			return errFenced
+		}
+		again := make(chan bool, 1)
+		if !t.do(func() { again <- t.takeStart(r, err, now()-begin > startTime) }) || !<-again {
+			return nil
+		}
+		_ = level.Debug(t.logger).Log("event", "start unanswered", "job", j.job.ID, "task", r.task, "run", r.number, "reason", err)
+		if group.Pause(ctx, orderPause) != nil {
+			return nil
+		}
+	}
+}
+
+func (t *term) startRequest(r *run) host.StartRequest {
+	j := r.attempt.job
+	return host.StartRequest{
+		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
+		Until:      r.host.clockNow() + startWindow,
+		Checkpoint: j.progress.Steps[r.task.Step].Tasks[r.task.Index].Checkpoint,
+	}
+}
+
+// takeStart works on the answer to a start and reports whether to send it
+// again.
+func (t *term) takeStart(r *run, err error, tooLong bool) bool {
+	if r.host.runs[runKey{r.task, r.number}] != r || r.attempt.stopping {
+		if err == nil {
+			r.answered = now()
+		}
+		return false
+	}
+	switch {
+	case err == nil:
+		r.answered = now()
+		if r.phase == starting {
+			t.started(r)
+		}
+		return false
+	case errors.Is(err, host.ErrOld):
+		r.answered = now()
+		return false
+	case errors.Is(err, host.ErrNoRoom), errors.Is(err, host.ErrUnhealthy), errors.Is(err, host.ErrDraining),
+		errors.Is(err, host.ErrIncarnation), errors.Is(err, host.ErrInvalid):
+		r.attempt.job.retryAt = now() + retryDelay
+		if errors.Is(err, host.ErrUnhealthy) {
+			r.host.health.failed(r.task.Job, now())
+		}
+		t.lose(r, err.Error())
+		return false
+	case tooLong:
+		r.attempt.job.retryAt = now() + retryDelay
+		t.stop(r.attempt, "a start was not answered")
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleet/host/host.go
@@ -0,0 +1,130 @@
+// Package host holds what a minion reports of itself and of the tasks that it
+// runs, and the calls that it takes. Times on a minion are durations on its own
+// steady clock, which starts anew with each incarnation.
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"time"
+
+	"wasabihoist/internal/fleet/workload"
+)
+
+// Minion is what a minion reports of itself.
+type Minion struct {
+	ID         string
+	Born       time.Time // Born is when the incarnation started.
+	Service    string
+	DataCentre string
+	Rack       string // Rack is empty when the minion does not name one.
+	Labels     []string
+	Capacity   workload.Resources
+	Draining   bool
+	Remaining  time.Duration // Remaining is the least time before a draining minion leaves.
+}
+
+// Incarnation names one life of the minion.
+func (m Minion) Incarnation() string {
+	return m.ID + "@" + strconv.FormatInt(m.Born.UnixMilli(), 36)
+}
+
+// Run is a task that a minion runs.
+type Run struct {
+	Task       workload.TaskID
+	Number     int
+	Checkpoint string
+	Percent    int // Percent of the work that is done.
+}
+
+// Outcome is how a run ended.
+type Outcome int
+
+// The outcomes of a run.
+const (
+	Completed Outcome = iota
+	Crashed           // Crashed runs failed through their own fault or the minion's.
+	Stopped
+	Lapsed // Lapsed runs lost their lease.
+	Broken // Broken runs ended because another member of the gang ended.
+	Alone  // Alone runs waited in vain for the other members of the gang.
+)
+
+var outcomeNames = [...]string{"completed", "crashed", "stopped", "lapsed", "broken", "alone"}
+
+// String returns the name of the outcome.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome(%d)", int(o))
+	}
+	return outcomeNames[o]
+}
+
+// End is a run that has ended.
+type End struct {
+	Sequence   int64 // Sequence numbers the ends of an incarnation from 1.
+	Task       workload.TaskID
+	Number     int
+	Outcome    Outcome
+	Checkpoint string
+}
+
+// Listing is what a minion runs and what has ended there and was not yet
+// acknowledged, at one moment.
+type Listing struct {
+	Clock   time.Duration
+	Minion  Minion
+	Running []Run
+	Ends    []End
+	Gone    bool // Gone means that no minion answers at its address.
+}
+
+// HoldRequest renews the lease of everything that runs on a minion.
+type HoldRequest struct {
+	Incarnation  string        // Incarnation is empty when any will do.
+	Token        int64         // Token is the fencing token of the coordinator's term.
+	Until        time.Duration // Until is the end of the lease on the minion's clock; 0 renews nothing.
+	Acknowledged int64         // Acknowledged is the last end that the minion may forget.
+	Wait         time.Duration // Wait is how long the reply may wait for a change.
+}
+
+// StartRequest starts a run.
+type StartRequest struct {
+	Incarnation string
+	Token       int64
+	Task        workload.TaskID
+	Number      int
+	Spec        string
+	Until       time.Duration // Until is the last moment on the minion's clock at which the run may start.
+	Checkpoint  string
+}
+
+// StopRequest stops a run and makes a later start of it impossible.
+type StopRequest struct {
+	Incarnation string
+	Token       int64
+	Task        workload.TaskID
+	Number      int
+}
+
+// Errors of calls that certainly had no effect.
+var (
+	ErrFenced      = errors.New("a higher fencing token was seen")
+	ErrOld         = errors.New("the run was stopped or has ended")
+	ErrLate        = errors.New("the time for the start has passed")
+	ErrNoRoom      = errors.New("the minion has no room")
+	ErrUnhealthy   = errors.New("the minion takes no work")
+	ErrIncarnation = errors.New("another incarnation of the minion answered")
+	ErrDraining    = errors.New("the minion is leaving")
+	ErrInvalid     = errors.New("the minion could not read the call")
+)
+
+// Client calls one minion. Any other error than those above leaves open
+// whether the call had an effect.
+type Client interface {
+	Hold(ctx context.Context, r HoldRequest) (Listing, error)
+	Start(ctx context.Context, r StartRequest) error
+	Stop(ctx context.Context, r StopRequest) error
+}
--- /dev/null
+++ b/internal/fleet/workload/job.go
@@ -0,0 +1,170 @@
+// Package workload holds the domain types of jobs that consist of steps, and
+// the life of their tasks. A job is submitted once; its steps run in the order
+// of their dependencies, and the tasks of a step run alone or as a gang.
+package workload
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ID names a job. The caller chooses it.
+type ID string
+
+// Resources are what a task needs or a minion has.
+type Resources struct {
+	MilliCores   int // MilliCores are thousandths of a core.
+	MemoryMB     int
+	Accelerators int
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r without o. Fields may become negative.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Min returns the smaller value of each field.
+func (r Resources) Min(o Resources) Resources {
+	return Resources{min(r.MilliCores, o.MilliCores), min(r.MemoryMB, o.MemoryMB), min(r.Accelerators, o.Accelerators)}
+}
+
+// Fits reports whether r has room for need.
+func (r Resources) Fits(need Resources) bool {
+	return r.MilliCores >= need.MilliCores && r.MemoryMB >= need.MemoryMB && r.Accelerators >= need.Accelerators
+}
+
+// coresPerAccelerator converts accelerators to cores when work is compared. It
+// is the users' price of an accelerator.
+const coresPerAccelerator = 8
+
+// Cores returns the weight of the resources in cores, accelerators included.
+func (r Resources) Cores() float64 {
+	return float64(r.MilliCores)/1000 + float64(r.Accelerators*coresPerAccelerator)
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count     int // Count is at least 1.
+	Need      Resources
+	Estimate  time.Duration // Estimate of the run time of a task; it may be far off.
+	DependsOn []int         // DependsOn lists earlier steps of the same job.
+
+	Checkpoints bool
+	Gang        bool // Gang tasks run together or not at all, and end together.
+	Local       bool // Local tasks run slower when they are on more than one rack.
+	Label       string
+	Rack        string // Rack holds the data of the step; empty when there is none.
+	SpreadLimit int    // SpreadLimit bounds the tasks of the step on one minion; 0 is no bound.
+	Fills       bool   // Fills tasks use only processor time that is left over.
+}
+
+// Job is an accepted submission. It never changes.
+type Job struct {
+	ID           ID
+	Queue        string
+	Organisation string
+	Service      string
+	Spec         string // Spec is passed to the tasks as it is.
+	Steps        []Step
+	Submitted    time.Time
+
+	Priority  int           // Priority 0 is the most urgent; it may preempt others.
+	Attempts  int           // Attempts bounds the failed runs of a task; at least 1.
+	Stretch   float64       // Stretch times the longest chain of steps, and Objective more, is the aim.
+	Objective time.Duration // Objective is the fixed part of the aim.
+}
+
+// Chain returns the estimated time of the longest chain of dependent steps.
+func (j Job) Chain() time.Duration {
+	ends := make([]time.Duration, len(j.Steps))
+	var longest time.Duration
+	for i, s := range j.Steps {
+		for _, d := range s.DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += s.Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Due returns when the job should be done.
+func (j Job) Due() time.Time {
+	return j.Submitted.Add(time.Duration(j.Stretch*float64(j.Chain())) + j.Objective)
+}
+
+// Accelerators returns the accelerators of all tasks of the job.
+func (j Job) Accelerators() int {
+	sum := 0
+	for _, s := range j.Steps {
+		sum += s.Count * s.Need.Accelerators
+	}
+	return sum
+}
+
+// Work returns the estimated work of the job in core seconds.
+func (j Job) Work() float64 {
+	sum := 0.0
+	for _, s := range j.Steps {
+		sum += float64(s.Count) * s.Need.Cores() * s.Estimate.Seconds()
+	}
+	return sum
+}
+
+// Validate returns what makes a job impossible to read, with the step.
+func (j Job) Validate() error {
+	if len(j.Steps) == 0 {
+		return fmt.Errorf("job has no steps")
+	}
+	for i, s := range j.Steps {
+		if s.Count < 1 {
+			return fmt.Errorf("step %d: count %d is below 1", i, s.Count)
+		}
+		if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 || s.SpreadLimit < 0 {
+			return fmt.Errorf("step %d: a size is negative", i)
+		}
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= i {
+				return fmt.Errorf("step %d: depends on step %d, which is not an earlier one", i, d)
+			}
+		}
+	}
+	return nil
+}
+
+// TaskID names a task of a job.
+type TaskID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String formats the identity as JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// ParseTaskID reads what String writes.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task name %q: want four parts", s)
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil || n < 0 {
+			return TaskID{}, fmt.Errorf("task name %q: part %d is not a number", s, i+1)
+		}
+		numbers[i] = n
+	}
+	return TaskID{ID(parts[0]), numbers[0], numbers[1], numbers[2]}, nil
+}
--- /dev/null
+++ b/internal/fleet/workload/progress.go
@@ -0,0 +1,173 @@
+package workload
+
+import (
+	"fmt"
+	"slices"
+)
+
+// State is what a caller sees of a job.
+type State int
+
+// The states of a job. A job only moves forward through them.
+const (
+	Pending State = iota
+	Running
+	Done
+	Failed
+	Cancelled
+)
+
+var stateNames = [...]string{"pending", "running", "done", "failed", "cancelled"}
+
+// String returns the name of the state.
+func (s State) String() string {
+	if s < 0 || int(s) >= len(stateNames) {
+		return fmt.Sprintf("state(%d)", int(s))
+	}
+	return stateNames[s]
+}
+
+// Ended reports whether nothing of the job runs any more.
+func (s State) Ended() bool { return s >= Done }
+
+// Phase is where a task is in its life.
+type Phase int
+
+// The phases of a task.
+const (
+	Waiting  Phase = iota
+	Placed         // Placed tasks may run on a minion.
+	Finished       // Finished tasks have ended well.
+)
+
+// Task is the durable state of one task.
+type Task struct {
+	Phase      Phase
+	Run        int    // Run is the highest run number that was given out; runs only rise.
+	Host       string // Host is where the run was given to; empty unless Placed.
+	Minion     string // Minion is the incarnation that the run was given to; empty unless Placed.
+	Failures   int    // Failures counts the runs that ended as failed, for tasks outside of a gang.
+	Checkpoint string // Checkpoint is the last one that is known; empty when there is none.
+}
+
+// StepProgress is the durable state of one step.
+type StepProgress struct {
+	Failures int // Failures counts the runs of a gang that ended as failed.
+	Tasks    []Task
+}
+
+// Progress is the durable state of a job. Only the coordinator writes it.
+type Progress struct {
+	Job   ID
+	State State
+	Steps []StepProgress // Steps and their Tasks have the lengths that the job gives them.
+}
+
+// NewProgress returns the state of a job of which nothing has run.
+func NewProgress(j Job) *Progress {
+	p := &Progress{Job: j.ID, Steps: make([]StepProgress, len(j.Steps))}
+	for i, s := range j.Steps {
+		p.Steps[i].Tasks = make([]Task, s.Count)
+	}
+	return p
+}
+
+// Clone returns a copy that shares nothing with p.
+func (p *Progress) Clone() *Progress {
+	c := &Progress{Job: p.Job, State: p.State, Steps: make([]StepProgress, len(p.Steps))}
+	for i, s := range p.Steps {
+		c.Steps[i] = StepProgress{Failures: s.Failures, Tasks: slices.Clone(s.Tasks)}
+	}
+	return c
+}
+
+// Matches reports whether the progress has the shape of the job.
+func (p *Progress) Matches(j Job) bool {
+	if len(p.Steps) != len(j.Steps) {
+		return false
+	}
+	for i, s := range j.Steps {
+		if len(p.Steps[i].Tasks) != s.Count {
+			return false
+		}
+	}
+	return true
+}
+
+// StepFinished reports whether all tasks of a step have ended well.
+func (p *Progress) StepFinished(step int) bool {
+	for _, t := range p.Steps[step].Tasks {
+		if t.Phase != Finished {
+			return false
+		}
+	}
+	return true
+}
+
+// Ready reports whether all steps that a step depends on have finished.
+func (p *Progress) Ready(j Job, step int) bool {
+	for _, d := range j.Steps[step].DependsOn {
+		if !p.StepFinished(d) {
+			return false
+		}
+	}
+	return true
+}
+
+// Place gives a task to a minion and returns the number of the run.
+func (p *Progress) Place(t TaskID, run int, host, minion string) {
+	task := &p.Steps[t.Step].Tasks[t.Index]
+	task.Phase, task.Run, task.Host, task.Minion = Placed, run, host, minion
+	if p.State == Pending {
+		p.State = Running
+	}
+}
+
+// NextRun returns a run number above those of all tasks given.
+func (p *Progress) NextRun(step int, indices []int) int {
+	highest := 0
+	for _, i := range indices {
+		highest = max(highest, p.Steps[step].Tasks[i].Run)
+	}
+	return highest + 1
+}
+
+// Release returns a placed task to the queue, keeping a newer checkpoint.
+func (p *Progress) Release(t TaskID, checkpoint string) {
+	task := &p.Steps[t.Step].Tasks[t.Index]
+	task.Phase, task.Host, task.Minion = Waiting, "", ""
+	if checkpoint != "" {
+		task.Checkpoint = checkpoint
+	}
+}
+
+// Finish records that a task, or with a gang its whole step, has ended well.
+func (p *Progress) Finish(j Job, t TaskID) {
+	tasks := p.Steps[t.Step].Tasks[t.Index : t.Index+1]
+	if j.Steps[t.Step].Gang {
+		tasks = p.Steps[t.Step].Tasks
+	}
+	for i := range tasks {
+		tasks[i].Phase, tasks[i].Host, tasks[i].Minion = Finished, "", ""
+	}
+	for i := range p.Steps {
+		if !p.StepFinished(i) {
+			return
+		}
+	}
+	p.State = Done
+}
+
+// Fail counts a failed run. The job fails when the task, or the gang, has used
+// all its attempts.
+func (p *Progress) Fail(j Job, t TaskID, checkpoint string) {
+	p.Release(t, checkpoint)
+	failures := &p.Steps[t.Step].Tasks[t.Index].Failures
+	if j.Steps[t.Step].Gang {
+		failures = &p.Steps[t.Step].Failures
+	}
+	*failures++
+	if *failures >= j.Attempts {
+		p.State = Failed
+	}
+}
--- /dev/null
+++ b/internal/record/ledger/codec.go
@@ -0,0 +1,215 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"strings"
+	"time"
+
+	"wasabihoist/internal/fleet/workload"
+)
+
+// Kind is the first part of a key.
+type Kind string
+
+// The kinds of records.
+const (
+	JobKind          Kind = "job"
+	CancellationKind Kind = "cancellation"
+	ProgressKind     Kind = "progress"
+	MemberKind       Kind = "member"
+)
+
+// Key returns the key of a record.
+func (k Kind) Key(name string) string { return string(k) + "/" + name }
+
+func splitKey(key string) (Kind, string) {
+	kind, name, _ := strings.Cut(key, "/")
+	return Kind(kind), name
+}
+
+// Role is what a member does.
+type Role string
+
+// The roles of members.
+const (
+	EntryRole Role = "entry"
+	AgentRole Role = "agent"
+)
+
+// Member is a process that others can reach.
+type Member struct {
+	Name       string
+	Role       Role
+	DataCentre string
+	Address    netip.AddrPort
+	Started    time.Time // Started tells the lives of a process apart.
+}
+
+type jobRecord struct {
+	Queue        string       `json:"queue"`
+	Organisation string       `json:"organisation,omitempty"`
+	Service      string       `json:"service"`
+	Spec         string       `json:"spec,omitempty"`
+	Submitted    int64        `json:"submitted-ms"`
+	Priority     int          `json:"priority,omitempty"`
+	Attempts     int          `json:"attempts"`
+	Stretch      float64      `json:"stretch"`
+	Objective    int64        `json:"objective-ms"`
+	Steps        []stepRecord `json:"steps"`
+}
+
+type stepRecord struct {
+	Count        int    `json:"count"`
+	MilliCores   int    `json:"milli-cores,omitempty"`
+	MemoryMB     int    `json:"memory-mb,omitempty"`
+	Accelerators int    `json:"accelerators,omitempty"`
+	Estimate     int64  `json:"estimate-ms,omitempty"`
+	DependsOn    []int  `json:"depends-on,omitempty"`
+	Checkpoints  bool   `json:"checkpoints,omitempty"`
+	Gang         bool   `json:"gang,omitempty"`
+	Local        bool   `json:"local,omitempty"`
+	Label        string `json:"label,omitempty"`
+	Rack         string `json:"rack,omitempty"`
+	SpreadLimit  int    `json:"spread-limit,omitempty"`
+	Fills        bool   `json:"fills,omitempty"`
+}
+
+// EncodeJob returns the record of a submission.
+func EncodeJob(j workload.Job) (Record, error) {
+	r := jobRecord{
+		Queue: j.Queue, Organisation: j.Organisation, Service: j.Service, Spec: j.Spec,
+		Submitted: j.Submitted.UnixMilli(), Priority: j.Priority, Attempts: j.Attempts,
+		Stretch: j.Stretch, Objective: j.Objective.Milliseconds(),
+	}
+	for _, s := range j.Steps {
+		r.Steps = append(r.Steps, stepRecord{
+			Count: s.Count, MilliCores: s.Need.MilliCores, MemoryMB: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
+			Estimate: s.Estimate.Milliseconds(), DependsOn: s.DependsOn, Checkpoints: s.Checkpoints, Gang: s.Gang,
+			Local: s.Local, Label: s.Label, Rack: s.Rack, SpreadLimit: s.SpreadLimit, Fills: s.Fills,
+		})
+	}
+	return encode(JobKind.Key(string(j.ID)), r)
+}
+
+func decodeJob(id string, value []byte) (workload.Job, error) {
+	var r jobRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return workload.Job{}, fmt.Errorf("decode job %s: %w", id, err)
+	}
+	j := workload.Job{
+		ID: workload.ID(id), Queue: r.Queue, Organisation: r.Organisation, Service: r.Service, Spec: r.Spec,
+		Submitted: time.UnixMilli(r.Submitted), Priority: r.Priority, Attempts: r.Attempts,
+		Stretch: r.Stretch, Objective: time.Duration(r.Objective) * time.Millisecond,
+	}
+	for _, s := range r.Steps {
+		j.Steps = append(j.Steps, workload.Step{
+			Count: s.Count, Need: workload.Resources{MilliCores: s.MilliCores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators},
+			Estimate: time.Duration(s.Estimate) * time.Millisecond, DependsOn: s.DependsOn, Checkpoints: s.Checkpoints, Gang: s.Gang,
+			Local: s.Local, Label: s.Label, Rack: s.Rack, SpreadLimit: s.SpreadLimit, Fills: s.Fills,
+		})
+	}
+	if err := j.Validate(); err != nil {
+		return j, fmt.Errorf("decode job %s: %w", id, err)
+	}
+	return j, nil
+}
+
+type progressRecord struct {
+	State string               `json:"state"`
+	Steps []stepProgressRecord `json:"steps,omitempty"` // Steps are left out once the job has ended.
+}
+
+type stepProgressRecord struct {
+	Failures int          `json:"failures,omitempty"`
+	Tasks    []taskRecord `json:"tasks"`
+}
+
+type taskRecord struct {
+	Phase      workload.Phase `json:"phase,omitempty"`
+	Run        int            `json:"run,omitempty"`
+	Host       string         `json:"host,omitempty"`
+	Minion     string         `json:"minion,omitempty"`
+	Failures   int            `json:"failures,omitempty"`
+	Checkpoint string         `json:"checkpoint,omitempty"`
+}
+
+// EncodeProgress returns the record of the progress of a job.
+func EncodeProgress(p *workload.Progress) (Record, error) {
+	r := progressRecord{State: p.State.String()}
+	if !p.State.Ended() {
+		for _, s := range p.Steps {
+			step := stepProgressRecord{Failures: s.Failures}
+			for _, t := range s.Tasks {
+				step.Tasks = append(step.Tasks, taskRecord(t))
+			}
+			r.Steps = append(r.Steps, step)
+		}
+	}
+	return encode(ProgressKind.Key(string(p.Job)), r)
+}
+
+func decodeProgress(id string, value []byte) (*workload.Progress, error) {
+	var r progressRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("decode progress of %s: %w", id, err)
+	}
+	p := &workload.Progress{Job: workload.ID(id), State: -1}
+	for s := workload.Pending; s <= workload.Cancelled; s++ {
+		if s.String() == r.State {
+			p.State = s
+		}
+	}
+	if p.State < 0 {
+		return nil, fmt.Errorf("decode progress of %s: unknown state %q", id, r.State)
+	}
+	for _, s := range r.Steps {
+		step := workload.StepProgress{Failures: s.Failures}
+		for _, t := range s.Tasks {
+			step.Tasks = append(step.Tasks, workload.Task(t))
+		}
+		p.Steps = append(p.Steps, step)
+	}
+	return p, nil
+}
+
+type cancellationRecord struct {
+	At int64 `json:"at-ms"`
+}
+
+// EncodeCancellation returns the record that cancels a job.
+func EncodeCancellation(id workload.ID, at time.Time) (Record, error) {
+	return encode(CancellationKind.Key(string(id)), cancellationRecord{At: at.UnixMilli()})
+}
+
+type memberRecord struct {
+	Role       Role           `json:"role"`
+	DataCentre string         `json:"data-centre"`
+	Address    netip.AddrPort `json:"address"`
+	Started    int64          `json:"started-ms"`
+}
+
+// EncodeMember returns the record of a member.
+func EncodeMember(m Member) (Record, error) {
+	return encode(MemberKind.Key(m.Name), memberRecord{m.Role, m.DataCentre, m.Address, m.Started.UnixMilli()})
+}
+
+func decodeMember(name string, value []byte) (Member, error) {
+	var r memberRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return Member{}, fmt.Errorf("decode member %s: %w", name, err)
+	}
+	return Member{Name: name, Role: r.Role, DataCentre: r.DataCentre, Address: r.Address, Started: time.UnixMilli(r.Started)}, nil
+}
+
+// Dropped returns the record that removes what a key held.
+func Dropped(kind Kind, name string) Record { return Record{Key: kind.Key(name)} }
+
+func encode(key string, value any) (Record, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return Record{}, fmt.Errorf("encode %s: %w", key, err)
+	}
+	return Record{Key: key, Value: data}, nil
+}
--- /dev/null
+++ b/internal/record/ledger/state.go
@@ -0,0 +1,251 @@
+package ledger
+
+import (
+	"errors"
+	"sync"
+
+	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/fleet/workload"
+)
+
+// Entry is what the ledger holds of one job.
+type Entry struct {
+	Job       workload.Job
+	Accepted  bool               // Accepted is false while only a cancellation or a progress is known.
+	Progress  *workload.Progress // Progress is nil until a task was placed; it is not changed once it is here.
+	Cancelled bool               // Cancelled was recorded before the job had ended.
+	Order     int64              // Order is the offset of the first submission that this process has seen.
+}
+
+// State returns what callers see of the job.
+func (e Entry) State() workload.State {
+	switch {
+	case e.Cancelled:
+		return workload.Cancelled
+	case e.Progress == nil:
+		return workload.Pending
+	default:
+		return e.Progress.State
+	}
+}
+
+// State is the fold of all records. It is safe for concurrent use.
+type State struct {
+	mu      sync.Mutex
+	entries map[workload.ID]*Entry
+	members map[string]Member
+	offsets map[string]int64                       // offsets holds the place of the newest record of each key.
+	next    int64                                  // next is the offset after the last record that was folded.
+	changed collection.Set[workload.ID]            // changed holds the jobs that changed since the last call of Changes.
+	notify  chan struct{}                          // notify has room for one signal that there are changes.
+	pending map[string]collection.Set[workload.ID] // pending holds the jobs of each queue of which nothing has started.
+}
+
+// NewState returns the state without records.
+func NewState() *State {
+	s := &State{notify: make(chan struct{}, 1)}
+	s.clear()
+	return s
+}
+
+func (s *State) clear() {
+	s.entries = make(map[workload.ID]*Entry)
+	s.members = make(map[string]Member)
+	s.offsets = make(map[string]int64)
+	s.changed = collection.NewSet[workload.ID]()
+	s.pending = make(map[string]collection.Set[workload.ID])
+}
+
+// Next returns the offset from which the next records are read.
+func (s *State) Next() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
+}
+
+// Apply folds records that follow each other and returns the findings on
+// records that could not be read; those are passed over.
+func (s *State) Apply(page Page) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var errs []error
+	for _, r := range page.Records {
+		errs = append(errs, s.apply(r))
+	}
+	s.next = max(s.next, page.Next)
+	s.signal()
+	return errors.Join(errs...)
+}
+
+// Replace folds a page of the newest records of all keys. Keys that it lacks
+// are dropped, unless they were written after the page. A page that is older
+// than the state is refused.
+func (s *State) Replace(page Page) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if page.Next < s.next {
+		return false, nil
+	}
+	listed := collection.NewSet[string]()
+	for _, r := range page.Records {
+		listed.Add(r.Key)
+	}
+	var errs []error
+	for key, offset := range s.offsets {
+		if !listed.Has(key) && offset < page.Next {
+			errs = append(errs, s.apply(Stored{Record{Key: key}, page.Next - 1}))
+		}
+	}
+	for _, r := range page.Records {
+		errs = append(errs, s.apply(r))
+	}
+	s.next = page.Next
+	s.signal()
+	return true, errors.Join(errs...)
+}
+
+func (s *State) signal() {
+	select {
+	case s.notify <- struct{}{}:
+	default:
+	}
+}
+
+// apply folds one record unless a newer one of its key is known.
+func (s *State) apply(r Stored) error {
+	if known, ok := s.offsets[r.Key]; ok && known >= r.Offset {
+		return nil
+	}
+	s.offsets[r.Key] = r.Offset
+	kind, name := splitKey(r.Key)
+	dropped := len(r.Value) == 0
+	if dropped {
+		delete(s.offsets, r.Key)
+	}
+	if kind == MemberKind {
+		return s.applyMember(name, r.Value, dropped)
+	}
+	return s.applyJob(kind, workload.ID(name), r, dropped)
+}
+
+func (s *State) applyMember(name string, value []byte, dropped bool) error {
+	if dropped {
+		delete(s.members, name)
+		return nil
+	}
+	m, err := decodeMember(name, value)
+	if err == nil {
+		s.members[name] = m
+	}
+	return err
+}
+
+func (s *State) applyJob(kind Kind, id workload.ID, r Stored, dropped bool) error {
+	e := s.entries[id]
+	if e == nil {
+		if dropped {
+			return nil
+		}
+		e = &Entry{Order: r.Offset}
+		s.entries[id] = e
+	}
+	var err error
+	switch {
+	case kind == JobKind && dropped:
+		s.unqueue(e)
+		delete(s.entries, id)
+	case kind == JobKind && !e.Accepted:
+		e.Job, err = decodeJob(string(id), r.Value)
+		e.Accepted, e.Order = err == nil, r.Offset
+	case kind == ProgressKind && !dropped:
+		var p *workload.Progress
+		if p, err = decodeProgress(string(id), r.Value); err == nil {
+			e.Progress = p
+		}
+	case kind == CancellationKind && !dropped:
+		e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
+	}
+	s.changed.Add(id)
+	s.requeue(id, e)
+	return err
+}
+
+// requeue keeps the sets of pending jobs in step with an entry.
+func (s *State) requeue(id workload.ID, e *Entry) {
+	if !e.Accepted {
+		return
+	}
+	if e.State() != workload.Pending {
+		s.unqueue(e)
+		return
+	}
+	queue := s.pending[e.Job.Queue]
+	if queue == nil {
+		queue = collection.NewSet[workload.ID]()
+		s.pending[e.Job.Queue] = queue
+	}
+	queue.Add(id)
+}
+
+func (s *State) unqueue(e *Entry) {
+	if queue := s.pending[e.Job.Queue]; queue != nil {
+		queue.Remove(e.Job.ID)
+	}
+}
+
+// Job returns what is known of a job.
+func (s *State) Job(id workload.ID) (Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[id]
+	if e == nil || !e.Accepted {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+// Pending returns the number of jobs of a queue of which nothing has started.
+func (s *State) Pending(queue string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.pending[queue])
+}
+
+// Members returns the members with a role, by name.
+func (s *State) Members(role Role) map[string]Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	members := make(map[string]Member)
+	for name, m := range s.members {
+		if m.Role == role {
+			members[name] = m
+		}
+	}
+	return members
+}
+
+// Changed signals that Changes has something to return.
+func (s *State) Changed() <-chan struct{} { return s.notify }
+
+// Changes returns the jobs that have changed since the last call. Dropped ones
+// are among them.
+func (s *State) Changes() []workload.ID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := s.changed.Sorted()
+	s.changed = collection.NewSet[workload.ID]()
+	return ids
+}
+
+// All returns every accepted job.
+func (s *State) All() []Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := make([]Entry, 0, len(s.entries))
+	for _, e := range s.entries {
+		if e.Accepted {
+			all = append(all, *e)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/role/gateway/changes.go
@@ -0,0 +1,102 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/record/ledger"
+)
+
+// submit accepts a job by making it durable. The same submission may come
+// again at any entry; the record of the job has the same key then.
+func (g *Gateway) submit(ctx context.Context, c Call, a admission) Answer {
+	if e, ok := g.state.Job(a.job); ok && e.Job.Organisation == a.organisation {
+		return Answer{Outcome: Accepted, Reason: "it was submitted before"}
+	}
+	submission, err := g.options.Decode(c.Body)
+	if err != nil {
+		return Answer{Outcome: Invalid, Reason: err.Error()}
+	}
+	q := a.queue
+	job := workload.Job{
+		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps,
+		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
+	}
+	if err := job.Validate(); err != nil {
+		return Answer{Outcome: Invalid, Reason: err.Error()}
+	}
+	record, err := ledger.EncodeJob(job)
+	if err != nil {
+		return Answer{Outcome: Invalid, Reason: err.Error()}
+	}
+	return g.record(ctx, c, record, Answer{Outcome: Accepted})
+}
+
+func (g *Gateway) cancel(ctx context.Context, c Call, a admission) Answer {
+	e, denial := g.find(ctx, a)
+	if denial != nil {
+		if denial.Outcome == Unavailable {
+			return g.forward(ctx, c, *denial)
+		}
+		return *denial
+	}
+	if e.State().Ended() {
+		return Answer{Outcome: Known, State: e.State()}
+	}
+	record, err := ledger.EncodeCancellation(a.job, time.Now())
+	if err != nil {
+		return Answer{Outcome: Invalid, Reason: err.Error()}
+	}
+	return g.record(ctx, c, record, Answer{Outcome: Known, State: workload.Cancelled})
+}
+
+// localShare is the share of the waiting time in which an entry tries to reach
+// the store itself, before it asks other entries.
+const localShare = 0.5
+
+// record makes a record durable and returns done. When the store cannot be
+// reached from here, another entry is asked.
+func (g *Gateway) record(ctx context.Context, c Call, record ledger.Record, done Answer) Answer {
+	share := 1.0
+	if !c.Forwarded {
+		share = localShare
+	}
+	localCtx := ctx
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		localCtx, cancel = context.WithTimeout(ctx, time.Duration(share*float64(time.Until(deadline))))
+		defer cancel()
+	}
+	undecided, err := g.append(localCtx, record)
+	if err == nil {
+		return done
+	}
+	fallback := Answer{Outcome: Refused, Reason: "the store cannot be reached", RetryAfter: retryAfter}
+	if undecided {
+		fallback.Outcome = Undecided
+	}
+	_ = level.Warn(g.logger).Log("event", "record not written", "key", record.Key, "undecided", undecided, "reason", err)
+	return g.forward(ctx, c, fallback)
+}
+
+// append tries until the record is durable or ctx ends. It reports whether a
+// try may have been done all the same.
+func (g *Gateway) append(ctx context.Context, record ledger.Record) (undecided bool, err error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+		err = g.store.Append(callCtx, g.options.Topic, []ledger.Record{record})
+		cancel()
+		if err == nil {
+			return false, nil
+		}
+		undecided = undecided || !errors.Is(err, ledger.ErrNotDone)
+		if group.Pause(ctx, appendPause) != nil {
+			return undecided, err
+		}
+	}
+}
--- /dev/null
+++ b/internal/run/hosted/entry.go
@@ -0,0 +1,152 @@
+package hosted
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/cluster/entrylink"
+	"wasabihoist/internal/cluster/hostlink"
+	"wasabihoist/internal/cluster/transport"
+	"wasabihoist/internal/fleet/coordinator"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/role/gateway"
+	"wasabihoist/internal/tenancy/catalogue"
+)
+
+const (
+	// plansWait bounds the long poll for configurations. Its end confirms the
+	// configuration in force.
+	plansWait = 700 * time.Millisecond
+	// leaveShare is the part of the time before the process is killed in which a
+	// stopping entry still serves open connections.
+	leaveShare = 0.5
+	// finishShare is the part after which calls in progress are cut off.
+	finishShare = 0.85
+)
+
+// EntryOptions are the settings of an entry.
+type EntryOptions struct {
+	Node          string
+	DataCentre    string
+	Regions       map[string]string // Regions holds the region of each data centre.
+	Callers       netip.AddrPort
+	Ready         netip.AddrPort
+	Internal      netip.AddrPort // Internal takes calls of other entries.
+	MemoryMB      int
+	FreshTime     time.Duration // FreshTime is how old the confirmation of the configuration may be.
+	StopGrace     time.Duration // StopGrace is the time from the order to stop until the process is killed.
+	Topic         ledger.Topic
+	OperatorTopic ledger.Topic
+	// ConfigurationKey is the key of the configuration in the operators' topic.
+	ConfigurationKey string
+	Coordinator      coordinator.Options
+
+	DecodeConfiguration func(value []byte) (*catalogue.Catalogue, error)
+	DecodeJob           func(body []byte) (gateway.Submission, error)
+	CallerHandler       func(g *gateway.Gateway) http.Handler
+	ReadyHandler        func(g *gateway.Gateway) http.Handler
+}
+
+// RunEntry runs an entry until ctx ends, and then lets open calls finish.
+func RunEntry(ctx context.Context, o EntryOptions, store ledger.Store, logger log.Logger) error {
+	limitMemory(o.MemoryMB)
+	started := time.Now()
+	state := ledger.NewState()
+	current := catalogue.NewCurrent(o.ConfigurationKey, o.DecodeConfiguration, logger)
+	jobs := ledger.NewReader(store, o.Topic, state, 0, logger)
+	plans := ledger.NewReader(store, o.OperatorTopic, current, plansWait, logger)
+	self := ledger.Member{
+		Name: memberName(o.Node, o.Internal), Role: ledger.EntryRole, DataCentre: o.DataCentre, Address: o.Internal, Started: started,
+	}
+	links := transport.New(nil, nil)
+	g := gateway.New(gateway.Options{
+		Topic: o.Topic, FreshTime: o.FreshTime, Decode: o.DecodeJob, Peers: peers(o, self, state, links),
+	}, store, state, jobs, plans, current, logger)
+	open, err := listen([]Endpoint{
+		{"calls of entries", o.Internal, entrylink.Handler(g)},
+		{"readiness", o.Ready, o.ReadyHandler(g)},
+		{"clients", o.Callers, o.CallerHandler(g)},
+	})
+	if err != nil {
+		return err
+	}
+	_ = level.Info(logger).Log("event", "started", "role", "entry", "callers", o.Callers, "internal", o.Internal)
+	o.Coordinator.Name = self.Name + "/" + started.UTC().Format(time.RFC3339Nano)
+	c := coordinator.New(o.Coordinator, store, o.Topic, state, jobs, current, dialAgents, logger)
+	services := group.New(context.WithoutCancel(ctx))
+	services.Go(jobs.String(), jobs.Run)
+	services.Go(plans.String(), plans.Run)
+	for _, l := range open {
+		l.start(services)
+	}
+	services.Go("announcement", func(ctx context.Context) error { return announce(ctx, store, o.Topic, self, logger) })
+	// The leadership is given up as soon as the stop begins.
+	services.Go(c.String(), func(context.Context) error { return c.Run(ctx) })
+	err = awaitStop(ctx, o, g, services, open, logger)
+	_ = level.Info(logger).Log("event", "stopped", "role", "entry", "error", err)
+	return err
+}
+
+// awaitStop serves until ctx ends. Then the platform's check fails, open
+// connections are served for a while, and the rest of the calls finish.
+func awaitStop(ctx context.Context, o EntryOptions, g *gateway.Gateway, services *group.Group, open []listening, logger log.Logger) error {
+	select {
+	case <-ctx.Done():
+	case <-services.Context().Done():
+		return services.Wait()
+	}
+	_ = level.Info(logger).Log("event", "stopping", "role", "entry", "grace", o.StopGrace)
+	g.Leave()
+	_ = group.Pause(services.Context(), time.Duration(leaveShare*float64(o.StopGrace)))
+	finishCtx, cancel := context.WithTimeout(context.Background(), time.Duration((finishShare-leaveShare)*float64(o.StopGrace)))
+	defer cancel()
+	for _, l := range slices.Backward(open) {
+		if err := l.server.Shutdown(finishCtx); err != nil {
+			_ = level.Warn(logger).Log("event", "calls cut off", "endpoint", l.Name, "reason", err)
+		}
+	}
+	services.Stop()
+	return services.Wait()
+}
+
+func dialAgents(address netip.AddrPort) host.Client {
+	links := transport.New(nil, nil)
+	return hostlink.NewClient(address, links.Shared(), links.CloseIdle)
+}
+
+// peers returns the other entries, those of the same region first.
+func peers(o EntryOptions, self ledger.Member, state *ledger.State, links *transport.Transport) func() []gateway.Peer {
+	region := func(m ledger.Member) string { return o.Regions[m.DataCentre] }
+	return func() []gateway.Peer {
+		var members []ledger.Member
+		for name, m := range state.Members(ledger.EntryRole) {
+			if name != self.Name {
+				members = append(members, m)
+			}
+		}
+		slices.SortFunc(members, func(a, b ledger.Member) int {
+			nearA, nearB := region(a) == region(self), region(b) == region(self)
+			if nearA != nearB {
+				if nearA {
+					return -1
+				}
+				return 1
+			}
+			return cmp.Compare(a.Name, b.Name)
+		})
+		var list []gateway.Peer
+		for _, m := range members {
+			list = append(list, entrylink.NewClient(m.Address, links.Fresh()))
+		}
+		return list
+	}
+}
--- /dev/null
+++ b/internal/tenancy/catalogue/current.go
@@ -0,0 +1,96 @@
+package catalogue
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"wasabihoist/internal/record/ledger"
+)
+
+// Current holds the newest configuration that this process has read. It never
+// goes back to an older version. It implements ledger.Fold and is safe for
+// concurrent use.
+type Current struct {
+	key    string
+	decode func(value []byte) (*Catalogue, error)
+	logger log.Logger
+
+	mu        sync.Mutex
+	catalogue *Catalogue // catalogue is nil until a configuration was read.
+	next      int64
+	changed   chan struct{} // changed is closed at the next change and then replaced.
+}
+
+// NewCurrent returns the fold of the records with the key of the
+// configuration.
+func NewCurrent(key string, decode func(value []byte) (*Catalogue, error), logger log.Logger) *Current {
+	return &Current{key: key, decode: decode, logger: logger, changed: make(chan struct{})}
+}
+
+// Get returns the configuration in force, nil when there is none.
+func (c *Current) Get() *Catalogue {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.catalogue
+}
+
+// Changed is closed when another configuration is in force.
+func (c *Current) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// Next implements ledger.Fold.
+func (c *Current) Next() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.next
+}
+
+// Apply implements ledger.Fold. Only the newest record of the page is read.
+func (c *Current) Apply(page ledger.Page) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.next = max(c.next, page.Next)
+	var newest []byte
+	for _, r := range page.Records {
+		if r.Key == c.key && len(r.Value) > 0 {
+			newest = r.Value
+		}
+	}
+	if newest == nil {
+		return nil
+	}
+	return c.adopt(newest)
+}
+
+// Replace implements ledger.Fold.
+func (c *Current) Replace(page ledger.Page) (bool, error) {
+	c.mu.Lock()
+	older := page.Next < c.next
+	c.mu.Unlock()
+	if older {
+		return false, nil
+	}
+	return true, c.Apply(page)
+}
+
+func (c *Current) adopt(value []byte) error {
+	next, err := c.decode(value)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	if c.catalogue != nil && next.Version <= c.catalogue.Version {
+		return nil
+	}
+	_ = level.Info(c.logger).Log("event", "configuration in force", "version", next.Version,
+		"queues", len(next.Queues), "organisations", len(next.Organisations))
+	c.catalogue = next.Index()
+	close(c.changed)
+	c.changed = make(chan struct{})
+	return nil
+}
