Keep the runs of ended jobs in the ledger until they have ended

A run that is being stopped is not listed until it has ended, and was taken for gone.

Change: steps stay in the record while a task is placed; a run that is being stopped is given up only after the time that a stop takes; an open fate stays undecided unless another entry accepts.

--- a/internal/fleet/allocation/makeroom.go
+++ b/internal/fleet/allocation/makeroom.go
@@ -38,8 +38,9 @@
 		p.plan.Stops = append(p.plan.Stops, p.units[i].ID)
 	}
 	for name, gained := range best.gained {
-		r := p.byName[name]
-		r.Soon = r.Soon.Add(gained)
+		if r := p.byName[name]; r != nil { // A part may be on a host that is not known yet.
+			r.Soon = r.Soon.Add(gained)
+		}
 	}
 	p.setAside(d, best.chosen)
 }
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -26,6 +26,8 @@
 	silentTime = 1500 * time.Millisecond
 	// slowClock is by how much the clock of a minion may be slow.
 	slowClock = 0.02
+	// stopMargin is added to the time that a stop may take.
+	stopMargin = 200 * time.Millisecond
 	// lapseMargin covers what measuring times on two hosts may be off.
 	lapseMargin = 300 * time.Millisecond
 )
@@ -299,6 +301,9 @@
 			t.started(r)
 		}
 		r.note(l)
+		if r.attempt.stopping {
+			t.sendStop(r)
+		}
 	}
 }
 
@@ -332,6 +337,9 @@
 	}
 	for _, r := range runsOf(h) {
 		settled := r.phase == adopted || r.answered != 0 && r.answered < sent
+		if r.attempt.stopping { // A run that is being stopped is not listed until it has ended.
+			settled = r.answered != 0 && r.answered+t.options.TaskStopTime+stopMargin < sent
+		}
 		if settled && !listed[runKey{r.task, r.number}] {
 			t.lose(r, "the minion does not list it")
 		}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -58,6 +58,7 @@
 	movedAt    time.Duration // movedAt is when the percentage last rose.
 	checkpoint string
 	savedAt    time.Duration // savedAt is when the checkpoint last changed.
+	stopSent   bool          // stopSent is set once a stop is on its way.
 }
 
 // attempt is the runs that start and end together: those of a gang, or one.
@@ -225,18 +226,23 @@
 	a.stopping = true
 	for _, r := range slices.Clone(a.runs) {
 		_ = level.Info(t.logger).Log("event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason)
-		if r.phase != proposed { // A proposed run is dropped before its start.
-			t.order(r, t.stopRun)
-		}
+		t.sendStop(r)
+	}
+}
+
+// sendStop sends a stop unless one is on its way. A proposed run is dropped
+// before its start instead.
+func (t *term) sendStop(r *run) {
+	if r.phase == proposed || r.stopSent || r.host.client == nil {
+		return
 	}
+	r.stopSent = true
+	t.order(r, t.stopRun)
 }
 
 // order carries an order out beside the loop.
 func (t *term) order(r *run, carry func(ctx context.Context, r *run, client host.Client) error) {
 	client := r.host.client
-	if client == nil {
-		return // The host is known from the ledger only; its lease ends the run.
-	}
 	t.group.Go("order", func(ctx context.Context) error { return carry(ctx, r, client) })
 }
 
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -157,7 +157,7 @@
 
 // adopt takes a job up as the ledger shows it.
 func (t *term) adopt(e ledger.Entry) {
-	if e.Progress != nil && e.Progress.State.Ended() {
+	if e.Progress != nil && e.Progress.State.Ended() && !e.Progress.Held() {
 		t.ended = append(t.ended, endedJob{e.Job.ID, now() + t.options.StatusTime + dropMargin})
 		return
 	}
@@ -171,8 +171,11 @@
 		_ = level.Info(t.logger).Log("event", "job taken up", "job", e.Job.ID, "queue", e.Job.Queue, "organisation", e.Job.Organisation,
 			"priority", e.Job.Priority, "offset", e.Order, "age", time.Since(e.Job.Submitted).Round(time.Millisecond))
 	}
-	if e.Cancelled {
+	switch {
+	case e.Cancelled:
 		t.cancel(j)
+	case j.progress.State.Ended():
+		t.settle(j)
 	}
 }
 
--- a/internal/fleet/workload/progress.go
+++ b/internal/fleet/workload/progress.go
@@ -94,6 +94,18 @@
 	return true
 }
 
+// Held reports whether a task may still run on a minion.
+func (p *Progress) Held() bool {
+	for _, s := range p.Steps {
+		for _, t := range s.Tasks {
+			if t.Phase == Placed {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // StepFinished reports whether all tasks of a step have ended well.
 func (p *Progress) StepFinished(step int) bool {
 	for _, t := range p.Steps[step].Tasks {
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -118,7 +118,7 @@
 
 type progressRecord struct {
 	State string               `json:"state"`
-	Steps []stepProgressRecord `json:"steps,omitempty"` // Steps are left out once the job has ended.
+	Steps []stepProgressRecord `json:"steps,omitempty"` // Steps are left out once the job has ended and nothing of it runs.
 }
 
 type stepProgressRecord struct {
@@ -138,7 +138,7 @@
 // EncodeProgress returns the record of the progress of a job.
 func EncodeProgress(p *workload.Progress) (Record, error) {
 	r := progressRecord{State: p.State.String()}
-	if !p.State.Ended() {
+	if !p.State.Ended() || p.Held() {
 		for _, s := range p.Steps {
 			step := stepProgressRecord{Failures: s.Failures}
 			for _, t := range s.Tasks {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -302,6 +302,11 @@
 		case Undecided:
 			fallback.Outcome = Undecided
 			continue
+		case Accepted, Known, Counted:
+			return answer
+		}
+		if fallback.Outcome == Undecided { // What was tried before may still be done.
+			return fallback
 		}
 		return answer
 	}
