--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -3,88 +3,170 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/coordinator"
 	"wasabihoist/internal/role/hostagent"
 	"wasabihoist/internal/run/hosted"
 	"wasabihoist/internal/run/logging"
 	"wasabihoist/platform"
-
-	"net/http"
 )
 
-// hostedSettings loads the settings of a process on the platform and starts
-// its log.
-func hostedSettings(env environment) (platform.Settings, log.Logger, error) {
+// logDrainTime is how long the last log lines may take at a stop.
+const logDrainTime = 200 * time.Millisecond
+
+// hostedOptions are the options of the processes on the users' platform.
+type hostedOptions struct {
+	MetricsPort uint16 `long:"metrics-port" value-name:"PORT" default:"9464" description:"Port of the host's address that serves counters and histograms"`
+}
+
+// hostedProcess is what a process on the platform is given.
+type hostedProcess struct {
+	settings platform.Settings
+	metrics  netip.AddrPort
+	changes  <-chan platform.Settings // changes brings settings that have changed.
+	logger   log.Logger
+}
+
+// runHosted loads the settings that the environment names, and runs a process
+// with its log and with the watch of its settings file until ctx ends.
+func runHosted(ctx context.Context, env environment, o hostedOptions, run func(ctx context.Context, p hostedProcess) error) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
-		return platform.Settings{}, nil, err
+		return err
 	}
 	s, err := platform.LoadSettings(path)
 	if err != nil {
-		return s, nil, err
+		return err
 	}
-	logger, err := logging.New(env.stdout, "info", s.Node)
+	lines := logging.NewQueue()
+	logger, err := logging.New(lines, "info", s.Node)
 	if err != nil {
-		return s, nil, fmt.Errorf("start logging: %w", err)
+		return fmt.Errorf("start logging: %w", err)
+	}
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	changes := make(chan platform.Settings, 1)
+	g := group.New(context.WithoutCancel(ctx))
+	logs := group.New(context.WithoutCancel(ctx))
+	logs.Go("log", func(ctx context.Context) error { return lines.Run(ctx, env.stdout) })
+	g.Go("settings", func(ctx context.Context) error {
+		return platform.WatchSettings(ctx, path, hangup, func(next platform.Settings) {
+			select {
+			case changes <- next:
+			case <-ctx.Done():
+			}
+		}, logger)
+	})
+	err = run(ctx, hostedProcess{s, netip.AddrPortFrom(s.IP, o.MetricsPort), changes, logger})
+	g.Stop()
+	watchErr := g.Wait()
+	stopLog(logs)
+	if err == nil {
+		err = watchErr
+	}
+	return err
+}
+
+// stopLog lets the last lines out, unless nobody reads them.
+func stopLog(logs *group.Group) {
+	done := make(chan struct{})
+	waiting := group.New(context.Background())
+	waiting.Go("last lines", func(context.Context) error {
+		defer close(done)
+		return logs.Wait()
+	})
+	logs.Stop()
+	select {
+	case <-done:
+	case <-time.After(logDrainTime):
 	}
-	return s, logger, nil
 }
 
-type hostedEntryCommand struct{}
+type hostedEntryCommand struct{ hostedOptions }
 
 func hostedEntryEntry() command {
 	return command{
 		name:     "hosted-entry",
 		short:    "Run an entry on the users' platform",
-		long:     "Runs an entry on the users' platform: it serves clients and takes part in the election of the coordinator, until SIGTERM. The environment names the settings file." + roleExitCodes,
+		long:     "Runs an entry on the users' platform: it serves clients and takes part in the election of the coordinator, until SIGTERM. The environment names the settings file; it is read again on SIGHUP and when it changes." + roleExitCodes,
 		examples: []string{"wasabihoist hosted-entry"},
 		runner:   &hostedEntryCommand{},
 	}
 }
 
 // Run implements runner.
-func (*hostedEntryCommand) Run(ctx context.Context, env environment) error {
-	s, logger, err := hostedSettings(env)
-	if err != nil {
-		return err
-	}
-	return hosted.RunEntry(ctx, hosted.EntryOptions{
-		Node: s.Node, DataCentre: s.DataCentre, Regions: s.Regions, Callers: s.Callers, Ready: s.Ready, Internal: s.Internal,
-		MemoryMB: s.MemoryMB, FreshTime: s.RevokeTime / 2, StopGrace: s.StopGrace,
-		Topic: platform.FleetTopic, OperatorTopic: platform.OperatorTopic, ConfigurationKey: platform.ConfigurationKey,
+func (c *hostedEntryCommand) Run(ctx context.Context, env environment) error {
+	return runHosted(ctx, env, c.hostedOptions, func(ctx context.Context, p hostedProcess) error {
+		s := p.settings
+		tunings := make(chan hosted.Tuning)
+		g := group.New(ctx)
+		g.Go("settings", func(ctx context.Context) error { return passTunings(ctx, p.changes, tunings) })
+		defer g.Stop()
+		return hosted.RunEntry(ctx, hosted.EntryOptions{
+			Node: s.Node, DataCentre: s.DataCentre, Regions: s.Regions, Callers: s.Callers, Ready: s.Ready, Internal: s.Internal,
+			Metrics: p.metrics, MemoryMB: s.MemoryMB, Tuning: tuning(s), Tunings: tunings,
+			Topic: platform.FleetTopic, OperatorTopic: platform.OperatorTopic, ConfigurationKey: platform.ConfigurationKey,
+			DecodeConfiguration: platform.DecodeConfiguration, DecodeJob: platform.DecodeJob,
+			CallerHandler: platform.CallerHandler, ReadyHandler: platform.ReadyHandler,
+		}, platform.NewStore(s.Store), p.logger)
+	})
+}
+
+func tuning(s platform.Settings) hosted.Tuning {
+	return hosted.Tuning{
+		FreshTime: s.RevokeTime / 2, StopGrace: s.StopGrace, // Half of the time leaves the other half to a call in progress.
 		Coordinator: coordinator.Options{
 			LongestLease: s.LongestLease, GangTime: s.GangTime, TaskStopTime: s.TaskStopTime, StatusTime: s.StatusTime,
 			FarFactor: s.FarFactor, CheckpointEvery: s.CheckpointEvery, RestoreTime: s.RestoreTime, LeadershipTime: s.ShortestTimeLive,
 		},
-		DecodeConfiguration: platform.DecodeConfiguration, DecodeJob: platform.DecodeJob,
-		CallerHandler: platform.CallerHandler, ReadyHandler: platform.ReadyHandler,
-	}, platform.NewStore(s.Store), logger)
+	}
 }
 
-type hostedAgentCommand struct{}
+func passTunings(ctx context.Context, changes <-chan platform.Settings, tunings chan<- hosted.Tuning) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-changes:
+			select {
+			case <-ctx.Done():
+				return nil
+			case tunings <- tuning(s):
+			}
+		}
+	}
+}
+
+type hostedAgentCommand struct{ hostedOptions }
 
 func hostedAgentEntry() command {
 	return command{
 		name:     "hosted-agent",
 		short:    "Run the agent beside a minion on the users' platform",
-		long:     "Runs the agent beside a minion on the users' platform, until SIGTERM. Tasks go on meanwhile. The environment names the settings file." + roleExitCodes,
+		long:     "Runs the agent beside a minion on the users' platform, until SIGTERM. Tasks go on meanwhile. The environment names the settings file; it is read again on SIGHUP and when it changes." + roleExitCodes,
 		examples: []string{"wasabihoist hosted-agent"},
 		runner:   &hostedAgentCommand{},
 	}
 }
 
 // Run implements runner.
-func (*hostedAgentCommand) Run(ctx context.Context, env environment) error {
-	s, logger, err := hostedSettings(env)
-	if err != nil {
-		return err
-	}
-	return hosted.RunAgent(ctx, hosted.AgentOptions{
-		Node: s.Node, DataCentre: s.DataCentre, Internal: s.Internal, Control: s.Control, MemoryMB: s.MemoryMB,
-		Topic:          platform.FleetTopic,
-		ControlHandler: func(a *hostagent.Agent) http.Handler { return platform.ControlHandler(a, logger) },
-	}, platform.NewStore(s.Store), platform.NewMinionClient(s.Minion), logger)
+func (c *hostedAgentCommand) Run(ctx context.Context, env environment) error {
+	return runHosted(ctx, env, c.hostedOptions, func(ctx context.Context, p hostedProcess) error {
+		s := p.settings
+		return hosted.RunAgent(ctx, hosted.AgentOptions{
+			Node: s.Node, DataCentre: s.DataCentre, Internal: s.Internal, Control: s.Control, Metrics: p.metrics, MemoryMB: s.MemoryMB,
+			Topic:          platform.FleetTopic,
+			ControlHandler: func(a *hostagent.Agent) http.Handler { return platform.ControlHandler(a, p.logger) },
+		}, platform.NewStore(s.Store), platform.NewMinionClient(s.Minion), p.logger)
+	})
 }
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -15,6 +16,7 @@
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/metrics"
 	"wasabihoist/internal/tenancy/catalogue"
 )
 
@@ -52,7 +54,8 @@
 
 // Coordinator campaigns for the leadership and leads the terms that it wins.
 type Coordinator struct {
-	options   Options
+	options   atomic.Pointer[Options]
+	figures   figures
 	store     ledger.Store
 	topic     ledger.Topic
 	state     *ledger.State
@@ -73,15 +76,28 @@
 
 // New returns a coordinator that leads nothing yet.
 func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
-	current *catalogue.Current, dial Dial, logger log.Logger,
+	current *catalogue.Current, dial Dial, registry *metrics.Registry, logger log.Logger,
 ) *Coordinator {
-	options.LeadershipTime = max(options.LeadershipTime, leadershipTime)
-	return &Coordinator{
-		options: options, store: store, topic: topic, state: state, reader: reader,
-		catalogue: current, dial: dial, logger: logger,
+	c := &Coordinator{
+		store: store, topic: topic, state: state, reader: reader,
+		catalogue: current, dial: dial, logger: logger, figures: newFigures(registry),
+	}
+	c.Apply(options)
+	return c
+}
+
+// Apply replaces the settings, also those of a term in progress. The name
+// stays.
+func (c *Coordinator) Apply(options Options) {
+	if former := c.options.Load(); former != nil {
+		options.Name = former.Name
 	}
+	options.LeadershipTime = max(options.LeadershipTime, leadershipTime)
+	c.options.Store(&options)
 }
 
+func (c *Coordinator) settings() *Options { return c.options.Load() }
+
 // String names the coordinator.
 func (c *Coordinator) String() string { return "coordinator" }
 
@@ -100,7 +116,7 @@
 	c.endTerm("the process stops")
 	resignCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
 	defer cancel()
-	if err := c.store.Resign(resignCtx, c.topic, c.options.Name); err != nil && held {
+	if err := c.store.Resign(resignCtx, c.topic, c.settings().Name); err != nil && held {
 		_ = level.Warn(c.logger).Log("event", "resign failed", "reason", err)
 	}
 	return nil
@@ -114,7 +130,7 @@
 	start := now()
 	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	leadership, err := c.store.Lead(callCtx, c.topic, c.options.Name, c.generation, c.options.LeadershipTime)
+	leadership, err := c.store.Lead(callCtx, c.topic, c.settings().Name, c.generation, c.settings().LeadershipTime)
 	if err != nil {
 		_ = level.Debug(c.logger).Log("event", "claim failed", "reason", err)
 		return
@@ -146,6 +162,7 @@
 	g := group.New(ctx)
 	t := newTerm(c, token, confirmed, g)
 	c.term = &runningTerm{t, g}
+	c.figures.terms.Add(1)
 	_ = level.Info(c.logger).Log("event", "term begun", "token", token, "jobs", len(t.jobs), "offset", c.state.Next())
 	g.Go("term", t.run)
 }
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -169,8 +169,8 @@
 			r.Incarnation = h.minion.Incarnation()
 		}
 		if h.listed && t.mayRenew() {
-			r.Until = h.clock + t.options.LongestLease
-			h.lapse = max(h.lapse, h.contact+lapseTime(t.options.LongestLease))
+			r.Until = h.clock + t.settings().LongestLease
+			h.lapse = max(h.lapse, h.contact+lapseTime(t.settings().LongestLease))
 		}
 		reply <- r
 	}) {
@@ -338,7 +338,7 @@
 	for _, r := range runsOf(h) {
 		settled := r.phase == adopted || r.answered != 0 && r.answered < sent
 		if r.attempt.stopping { // A run that is being stopped is not listed until it has ended.
-			settled = r.answered != 0 && r.answered+t.options.TaskStopTime+stopMargin < sent
+			settled = r.answered != 0 && r.answered+t.settings().TaskStopTime+stopMargin < sent
 		}
 		if settled && !listed[runKey{r.task, r.number}] {
 			t.lose(r, "the minion does not list it")
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -34,7 +34,9 @@
 	if len(demands) == 0 {
 		return
 	}
+	begin := now()
 	plan := allocation.Decide(t.hostModel(), t.units(), demands)
+	t.figures.planTime.Record(now() - begin)
 	for _, id := range plan.Stops {
 		t.stop(t.attempts[id], "it makes room for more urgent work")
 	}
@@ -237,7 +239,7 @@
 func (t *term) loss(r *run, at time.Duration) float64 {
 	lost := at - r.startedAt
 	if r.attempt.job.job.Steps[r.task.Step].Checkpoints {
-		lost = min(lost, t.options.RestoreTime)
+		lost = min(lost, t.settings().RestoreTime)
 	}
 	return r.need.Cores() * lost.Seconds()
 }
@@ -273,6 +275,8 @@
 	}
 	_ = level.Info(t.logger).Log("event", "placed", "job", j.job.ID, "step", a.step, "tasks", len(indices), "run", number, "first-task", indices[0],
 		"hosts", join(hosts), "age", time.Since(j.job.Submitted).Round(time.Millisecond), "slack", (time.Until(j.job.Due()) - t.remaining(j)).Round(time.Millisecond))
+	t.figures.placements.Add(1)
+	t.figures.waitTime.Record(time.Since(j.job.Submitted))
 	t.settle(j)
 	t.effects = append(t.effects, func() { t.launch(a) })
 }
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -150,6 +150,7 @@
 // members of its gang are stopped.
 func (t *term) lose(r *run, reason string) {
 	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason)
+	t.figures.lost.Add(1)
 	a := r.attempt
 	t.requeue(r, "")
 	t.stop(a, "a member was lost")
@@ -158,6 +159,7 @@
 // takeEnd works on an end that a minion lists.
 func (t *term) takeEnd(h *hostState, e host.End) {
 	r := h.runs[runKey{e.Task, e.Number}]
+	t.figures.ends[e.Outcome].Add(1)
 	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name,
 		"outcome", e.Outcome, "end", e.Sequence, "expected", r != nil, "percent", percentOf(r))
 	if r == nil {
@@ -224,6 +226,7 @@
 		return
 	}
 	a.stopping = true
+	t.figures.stops.Add(1)
 	for _, r := range slices.Clone(a.runs) {
 		_ = level.Info(t.logger).Log("event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason)
 		t.sendStop(r)
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -158,7 +158,7 @@
 // adopt takes a job up as the ledger shows it.
 func (t *term) adopt(e ledger.Entry) {
 	if e.Progress != nil && e.Progress.State.Ended() && !e.Progress.Held() {
-		t.ended = append(t.ended, endedJob{e.Job.ID, now() + t.options.StatusTime + dropMargin})
+		t.ended = append(t.ended, endedJob{e.Job.ID, now() + t.settings().StatusTime + dropMargin})
 		return
 	}
 	j := &jobState{job: e.Job, order: e.Order, avoid: make(map[int]collection.Set[string])}
@@ -197,7 +197,7 @@
 			id := workload.TaskID{Job: j.job.ID, Step: s, Index: i}
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
 			r.phase = adopted
-			r.host.lapse = max(r.host.lapse, t.begun+confirmTime+lapseTime(t.options.LongestLease))
+			r.host.lapse = max(r.host.lapse, t.begun+confirmTime+lapseTime(t.settings().LongestLease))
 		}
 	}
 }
@@ -233,5 +233,5 @@
 	}
 	delete(t.jobs, j.job.ID)
 	t.finished.Add(j.job.ID)
-	t.ended = append(t.ended, endedJob{j.job.ID, now() + t.options.StatusTime + dropMargin})
+	t.ended = append(t.ended, endedJob{j.job.ID, now() + t.settings().StatusTime + dropMargin})
 }
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -59,6 +59,7 @@
 		t.do(func() {
 			t.writer.busy = false
 			t.confirm(start)
+			t.figures.appendTime.Record(now() - start)
 			t.carryOut(effects, written)
 		})
 		return nil
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -13,6 +13,7 @@
 
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/metrics"
 	"wasabihoist/internal/tenancy/catalogue"
 )
 
@@ -104,27 +105,38 @@
 	Topic     ledger.Topic
 	FreshTime time.Duration // FreshTime is how old the confirmation of the configuration may be.
 	Decode    func(body []byte) (Submission, error)
+	Registry  *metrics.Registry
 	// Peers returns the other entries in the order in which they are asked.
 	Peers func() []Peer
 }
 
 // Gateway answers calls. It is safe for concurrent use.
 type Gateway struct {
-	options Options
-	store   ledger.Store
-	state   *ledger.State
-	jobs    *ledger.Reader // jobs keeps state in step with the ledger.
-	plans   *ledger.Reader // plans keeps current in step with the operators' topic.
-	current *catalogue.Current
-	logger  log.Logger
-	leaving atomic.Bool
+	options   Options
+	store     ledger.Store
+	state     *ledger.State
+	jobs      *ledger.Reader // jobs keeps state in step with the ledger.
+	plans     *ledger.Reader // plans keeps current in step with the operators' topic.
+	current   *catalogue.Current
+	logger    log.Logger
+	leaving   atomic.Bool
+	freshTime atomic.Int64 // freshTime is the limit in force of Options.FreshTime.
+	figures   figures
 }
 
 // New returns a gateway.
 func New(options Options, store ledger.Store, state *ledger.State, jobs, plans *ledger.Reader, current *catalogue.Current, logger log.Logger) *Gateway {
-	return &Gateway{options: options, store: store, state: state, jobs: jobs, plans: plans, current: current, logger: logger}
+	g := &Gateway{
+		options: options, store: store, state: state, jobs: jobs, plans: plans, current: current, logger: logger,
+		figures: newFigures(options.Registry),
+	}
+	g.SetFreshTime(options.FreshTime)
+	return g
 }
 
+// SetFreshTime replaces Options.FreshTime.
+func (g *Gateway) SetFreshTime(d time.Duration) { g.freshTime.Store(int64(d)) }
+
 // Ready reports whether the gateway can serve calls by itself.
 func (g *Gateway) Ready() bool {
 	return !g.leaving.Load() && g.current.Get() != nil && g.fresh() && !g.jobs.AsOf().IsZero()
@@ -136,7 +148,9 @@
 // Leaving reports whether Leave was called.
 func (g *Gateway) Leaving() bool { return g.leaving.Load() }
 
-func (g *Gateway) fresh() bool { return time.Since(g.plans.AsOf()) < g.options.FreshTime }
+func (g *Gateway) fresh() bool {
+	return time.Since(g.plans.AsOf()) < time.Duration(g.freshTime.Load())
+}
 
 // Serve answers a call within the time that the client waits.
 func (g *Gateway) Serve(ctx context.Context, c Call) Answer {
@@ -144,6 +158,7 @@
 	ctx, cancel := context.WithTimeout(ctx, max(c.Wait-answerMargin, answerMargin))
 	defer cancel()
 	answer := g.serve(ctx, c)
+	g.figures.count(c.Method, answer.Outcome, time.Since(begin))
 	version := int64(0)
 	if plans := g.current.Get(); plans != nil {
 		version = plans.Version
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -13,6 +13,7 @@
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/run/metrics"
 )
 
 // Agent adds what a minion reports of itself to the listings of the minion. It
@@ -20,6 +21,9 @@
 type Agent struct {
 	minion host.Client
 	logger log.Logger
+	calls  map[string]metrics.Counter    // calls counts by the kind of call.
+	fails  map[string]metrics.Counter    // fails counts calls without success by their kind.
+	times  map[string]*metrics.Histogram // times holds how long calls took at the minion.
 
 	mu          sync.Mutex
 	report      host.Minion // report is the newest one; its ID is empty before the first.
@@ -33,8 +37,26 @@
 var _ host.Client = (*Agent)(nil)
 
 // New returns the agent of a minion.
-func New(minion host.Client, logger log.Logger) *Agent {
-	return &Agent{minion: minion, logger: logger, changed: make(chan struct{})}
+func New(minion host.Client, r *metrics.Registry, logger log.Logger) *Agent {
+	a := &Agent{
+		minion: minion, logger: logger, changed: make(chan struct{}),
+		calls: make(map[string]metrics.Counter), fails: make(map[string]metrics.Counter), times: make(map[string]*metrics.Histogram),
+	}
+	for _, call := range []string{"hold", "start", "stop"} {
+		a.calls[call] = r.Counter("agent-"+call+"-calls", "calls", "Calls to "+call+" that were passed on to the minion.")
+		a.fails[call] = r.Counter("agent-"+call+"-failures", "calls", "Calls to "+call+" that the minion refused or did not answer.")
+		a.times[call] = r.Histogram("agent-"+call+"-time", "Time of a call to "+call+" at the minion; hold waits for changes.")
+	}
+	return a
+}
+
+// count notes a call that was passed on at a time.
+func (a *Agent) count(call string, begin time.Time, err error) {
+	a.calls[call].Add(1)
+	if err != nil {
+		a.fails[call].Add(1)
+	}
+	a.times[call].Record(time.Since(begin))
 }
 
 // Heartbeat takes a report of the minion. Reports of a former incarnation and
@@ -97,6 +119,7 @@
 // Hold implements host.Client. A change of the report ends the wait.
 func (a *Agent) Hold(ctx context.Context, r host.HoldRequest) (host.Listing, error) {
 	changed := a.contact(r.Token)
+	begin := time.Now()
 	waitCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	g := group.New(waitCtx)
@@ -118,6 +141,7 @@
 		r.Wait = 0
 		listing, err = a.minion.Hold(ctx, r)
 	}
+	a.count("hold", begin, err)
 	if err != nil {
 		return host.Listing{}, err
 	}
@@ -147,7 +171,9 @@
 		_ = level.Info(a.logger).Log("event", "start refused", "task", r.Task, "run", r.Number, "reason", host.ErrDraining)
 		return host.ErrDraining
 	}
+	begin := time.Now()
 	err := a.minion.Start(ctx, r)
+	a.count("start", begin, err)
 	_ = level.Info(a.logger).Log("event", "start", "task", r.Task, "run", r.Number, "token", r.Token, "outcome", outcome(err))
 	return err
 }
@@ -155,7 +181,9 @@
 // Stop implements host.Client.
 func (a *Agent) Stop(ctx context.Context, r host.StopRequest) error {
 	a.contact(r.Token)
+	begin := time.Now()
 	err := a.minion.Stop(ctx, r)
+	a.count("stop", begin, err)
 	_ = level.Info(a.logger).Log("event", "stop", "task", r.Task, "run", r.Number, "token", r.Token, "outcome", outcome(err))
 	return err
 }
--- a/internal/run/hosted/agent.go
+++ b/internal/run/hosted/agent.go
@@ -14,6 +14,7 @@
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/role/hostagent"
+	"wasabihoist/internal/run/metrics"
 )
 
 const (
@@ -29,6 +30,7 @@
 	DataCentre string
 	Internal   netip.AddrPort // Internal takes the calls of the coordinator.
 	Control    netip.AddrPort // Control takes the heartbeats of the minion.
+	Metrics    netip.AddrPort // Metrics serves the figures.
 	MemoryMB   int
 	Topic      ledger.Topic
 	// ControlHandler serves the heartbeats.
@@ -38,9 +40,11 @@
 // RunAgent runs an agent until ctx ends.
 func RunAgent(ctx context.Context, o AgentOptions, store ledger.Store, minion host.Client, logger log.Logger) error {
 	limitMemory(o.MemoryMB)
-	agent := hostagent.New(minion, logger)
+	registry := metrics.For(o.Node)
+	agent := hostagent.New(minion, registry, logger)
 	open, err := listen([]Endpoint{
 		{"heartbeats", o.Control, o.ControlHandler(agent)},
+		{"metrics", o.Metrics, registry.Handler()},
 		{"calls of the coordinator", o.Internal, hostlink.Handler(agent)},
 	})
 	if err != nil {
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,6 +20,7 @@
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/role/gateway"
+	"wasabihoist/internal/run/metrics"
 	"wasabihoist/internal/tenancy/catalogue"
 )
 
@@ -42,13 +44,13 @@
 	Ready         netip.AddrPort
 	Internal      netip.AddrPort // Internal takes calls of other entries.
 	MemoryMB      int
-	FreshTime     time.Duration // FreshTime is how old the confirmation of the configuration may be.
-	StopGrace     time.Duration // StopGrace is the time from the order to stop until the process is killed.
+	Metrics       netip.AddrPort // Metrics serves the figures.
+	Tuning        Tuning
+	Tunings       <-chan Tuning // Tunings brings settings that have changed.
 	Topic         ledger.Topic
 	OperatorTopic ledger.Topic
 	// ConfigurationKey is the key of the configuration in the operators' topic.
 	ConfigurationKey string
-	Coordinator      coordinator.Options
 
 	DecodeConfiguration func(value []byte) (*catalogue.Catalogue, error)
 	DecodeJob           func(body []byte) (gateway.Submission, error)
@@ -56,6 +58,13 @@
 	ReadyHandler        func(g *gateway.Gateway) http.Handler
 }
 
+// Tuning is the settings of an entry that may change while it runs.
+type Tuning struct {
+	FreshTime   time.Duration // FreshTime is how old the confirmation of the configuration may be.
+	StopGrace   time.Duration // StopGrace is the time from the order to stop until the process is killed.
+	Coordinator coordinator.Options
+}
+
 // RunEntry runs an entry until ctx ends, and then lets open calls finish.
 func RunEntry(ctx context.Context, o EntryOptions, store ledger.Store, logger log.Logger) error {
 	limitMemory(o.MemoryMB)
@@ -68,20 +77,22 @@
 		Name: memberName(o.Node, o.Internal), Role: ledger.EntryRole, DataCentre: o.DataCentre, Address: o.Internal, Started: started,
 	}
 	links := transport.New(nil, nil)
+	registry := metrics.For(o.Node)
 	g := gateway.New(gateway.Options{
-		Topic: o.Topic, FreshTime: o.FreshTime, Decode: o.DecodeJob, Peers: peers(o, self, state, links),
+		Topic: o.Topic, FreshTime: o.Tuning.FreshTime, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, links),
 	}, store, state, jobs, plans, current, logger)
 	open, err := listen([]Endpoint{
 		{"calls of entries", o.Internal, entrylink.Handler(g)},
 		{"readiness", o.Ready, o.ReadyHandler(g)},
+		{"metrics", o.Metrics, registry.Handler()},
 		{"clients", o.Callers, o.CallerHandler(g)},
 	})
 	if err != nil {
 		return err
 	}
 	_ = level.Info(logger).Log("event", "started", "role", "entry", "callers", o.Callers, "internal", o.Internal)
-	o.Coordinator.Name = self.Name + "/" + started.UTC().Format(time.RFC3339Nano)
-	c := coordinator.New(o.Coordinator, store, o.Topic, state, jobs, current, dialAgents, logger)
+	o.Tuning.Coordinator.Name = self.Name + "/" + started.UTC().Format(time.RFC3339Nano)
+	c := coordinator.New(o.Tuning.Coordinator, store, o.Topic, state, jobs, current, dialAgents, registry, logger)
 	services := group.New(context.WithoutCancel(ctx))
 	services.Go(jobs.String(), jobs.Run)
 	services.Go(plans.String(), plans.Run)
@@ -91,23 +102,38 @@
 	services.Go("announcement", func(ctx context.Context) error { return announce(ctx, store, o.Topic, self, logger) })
 	// The leadership is given up as soon as the stop begins.
 	services.Go(c.String(), func(context.Context) error { return c.Run(ctx) })
-	err = awaitStop(ctx, o, g, services, open, logger)
+	grace := &atomic.Int64{}
+	grace.Store(int64(o.Tuning.StopGrace))
+	services.Go("settings", func(ctx context.Context) error {
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case next := <-o.Tunings:
+				g.SetFreshTime(next.FreshTime)
+				c.Apply(next.Coordinator)
+				grace.Store(int64(next.StopGrace))
+			}
+		}
+	})
+	err = awaitStop(ctx, grace, g, services, open, logger)
 	_ = level.Info(logger).Log("event", "stopped", "role", "entry", "error", err)
 	return err
 }
 
 // awaitStop serves until ctx ends. Then the platform's check fails, open
 // connections are served for a while, and the rest of the calls finish.
-func awaitStop(ctx context.Context, o EntryOptions, g *gateway.Gateway, services *group.Group, open []listening, logger log.Logger) error {
+func awaitStop(ctx context.Context, graceTime *atomic.Int64, g *gateway.Gateway, services *group.Group, open []listening, logger log.Logger) error {
 	select {
 	case <-ctx.Done():
 	case <-services.Context().Done():
 		return services.Wait()
 	}
-	_ = level.Info(logger).Log("event", "stopping", "role", "entry", "grace", o.StopGrace)
+	grace := time.Duration(graceTime.Load())
+	_ = level.Info(logger).Log("event", "stopping", "role", "entry", "grace", grace)
 	g.Leave()
-	_ = group.Pause(services.Context(), time.Duration(leaveShare*float64(o.StopGrace)))
-	finishCtx, cancel := context.WithTimeout(context.Background(), time.Duration((finishShare-leaveShare)*float64(o.StopGrace)))
+	_ = group.Pause(services.Context(), time.Duration(leaveShare*float64(grace)))
+	finishCtx, cancel := context.WithTimeout(context.Background(), time.Duration((finishShare-leaveShare)*float64(grace)))
 	defer cancel()
 	for _, l := range slices.Backward(open) {
 		if err := l.server.Shutdown(finishCtx); err != nil {
