--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -99,7 +99,7 @@
 		name:     "hosted-entry",
 		short:    "Run an entry on the users' platform",
 		long:     "Runs an entry on the users' platform: it serves clients and takes part in the election of the coordinator, until SIGTERM. The environment names the settings file; it is read again on SIGHUP and when it changes." + roleExitCodes,
-		examples: []string{"wasabihoist hosted-entry"},
+		examples: []string{"wasabihoist hosted-entry --metrics-port 9464"},
 		runner:   &hostedEntryCommand{},
 	}
 }
@@ -154,7 +154,7 @@
 		name:     "hosted-agent",
 		short:    "Run the agent beside a minion on the users' platform",
 		long:     "Runs the agent beside a minion on the users' platform, until SIGTERM. Tasks go on meanwhile. The environment names the settings file; it is read again on SIGHUP and when it changes." + roleExitCodes,
-		examples: []string{"wasabihoist hosted-agent"},
+		examples: []string{"wasabihoist hosted-agent --metrics-port 9465"},
 		runner:   &hostedAgentCommand{},
 	}
 }
--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -8,6 +8,7 @@
 package allocation
 
 import (
+	"cmp"
 	"slices"
 
 	"wasabihoist/internal/base/collection"
@@ -91,13 +92,15 @@
 	for _, d := range demands {
 		p.serve(d)
 	}
+	slices.Sort(p.plan.Stops)
 	return p.plan
 }
 
 // room is the state of a host during planning.
 type room struct {
 	Host
-	units []int // units holds the indices of the units on the host that were not stopped.
+	index int
+	units []int // units holds the indices of the units on the host, the least urgent first and of these the cheapest.
 }
 
 // now is what a task can be started on without touching what is set aside.
@@ -106,24 +109,25 @@
 func (r *room) soon() workload.Resources { return r.Soon }
 
 type planner struct {
-	rooms   []*room
-	racks   map[string][]*room
-	names   []string // names of the racks in order.
-	byName  map[string]*room
-	units   []Unit
-	stopped collection.Set[int] // stopped holds indices of units.
-	plan    Plan
+	rooms     []*room
+	racks     map[string][]*room
+	names     []string // names of the racks in order.
+	units     []Unit
+	parts     [][]part // parts holds what each unit uses on the hosts that are known.
+	isStopped []bool   // isStopped holds for each unit whether it has to make room.
+	plan      Plan
 }
 
 func newPlanner(hosts []Host, units []Unit) *planner {
 	p := &planner{
-		racks: make(map[string][]*room), byName: make(map[string]*room, len(hosts)), units: units,
-		stopped: collection.NewSet[int](), plan: Plan{Waiting: collection.NewSet[int]()},
+		racks: make(map[string][]*room), units: units, parts: make([][]part, len(units)),
+		isStopped: make([]bool, len(units)), plan: Plan{Waiting: collection.NewSet[int]()},
 	}
-	for _, h := range hosts {
-		r := &room{Host: h}
+	byName := make(map[string]*room, len(hosts))
+	for i, h := range hosts {
+		r := &room{Host: h, index: i}
 		p.rooms = append(p.rooms, r)
-		p.byName[h.Name] = r
+		byName[h.Name] = r
 		if p.racks[h.Rack] == nil {
 			p.names = append(p.names, h.Rack)
 		}
@@ -131,12 +135,18 @@
 	}
 	slices.Sort(p.names)
 	for i, u := range units {
-		for name := range u.Parts {
-			if r := p.byName[name]; r != nil {
+		for name, used := range u.Parts {
+			if r := byName[name]; r != nil {
 				r.units = append(r.units, i)
+				p.parts[i] = append(p.parts[i], part{r.index, used})
 			}
 		}
 	}
+	for _, r := range p.rooms {
+		slices.SortFunc(r.units, func(a, b int) int {
+			return cmp.Or(cmp.Compare(units[b].Rank, units[a].Rank), cmp.Compare(units[a].Loss, units[b].Loss), cmp.Compare(a, b))
+		})
+	}
 	return p
 }
 
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -97,13 +97,18 @@
 		left workload.Resources
 		here int
 	}
-	var candidates []candidate
+	candidates := make([]candidate, 0, len(rooms))
+	reach := 0
 	for _, r := range rooms {
-		if usable(d, r) {
-			candidates = append(candidates, candidate{r, available(r), d.Present[r.Name]})
+		if left := available(r); left.Fits(d.Need) && usable(d, r) {
+			candidates = append(candidates, candidate{r, left, d.Present[r.Name]})
+			reach += left.Times(d.Need)
 		}
 	}
-	var chosen []*room
+	if d.Gang && reach < d.Tasks || reach == 0 {
+		return nil
+	}
+	chosen := make([]*room, 0, d.Tasks)
 	for range d.Tasks {
 		best := -1
 		for i, c := range candidates {
--- a/internal/fleet/allocation/makeroom.go
+++ b/internal/fleet/allocation/makeroom.go
@@ -1,18 +1,24 @@
 package allocation
 
 import (
+	"cmp"
 	"slices"
 
-	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/workload"
 )
 
+// part is what a unit uses on a host.
+type part struct {
+	room int // room is the index of the host.
+	used workload.Resources
+}
+
 // clearing is a trial of stopping units to make room for a demand.
 type clearing struct {
-	gained  map[string]workload.Resources // gained holds what stopped units give back on each host.
-	used    map[string]workload.Resources // used holds what the demand takes on each host.
-	tasks   map[string]int                // tasks counts the demand's tasks on each host.
-	stopped collection.Set[int]
+	left    []workload.Resources // left holds what every host has after the stops and the tasks so far.
+	tasks   []int                // tasks counts the demand's tasks on each host.
+	stopped []int                // stopped holds indices of units.
+	isGone  []bool               // isGone holds for each unit whether it is stopped, here or before.
 	loss    float64
 	chosen  []*room
 }
@@ -33,13 +39,11 @@
 	if best == nil {
 		return
 	}
-	for _, i := range best.stopped.Sorted() {
-		p.stopped.Add(i)
+	for _, i := range best.stopped {
+		p.isStopped[i] = true
 		p.plan.Stops = append(p.plan.Stops, p.units[i].ID)
-	}
-	for name, gained := range best.gained {
-		if r := p.byName[name]; r != nil { // A part may be on a host that is not known yet.
-			r.Soon = r.Soon.Add(gained)
+		for _, q := range p.parts[i] {
+			p.rooms[q.room].Soon = p.rooms[q.room].Soon.Add(q.used)
 		}
 	}
 	p.setAside(d, best.chosen)
@@ -63,9 +67,15 @@
 // clear tries to place a demand on the given hosts. It returns nil when not
 // even all units of lower ranks make enough room.
 func (p *planner) clear(d Demand, rooms []*room) *clearing {
+	everything := func(r *room) workload.Resources { return p.reclaimable(r, d.Rank) }
+	if reach := len(fill(d, rooms, everything)); reach == 0 || d.Gang && reach < d.Tasks {
+		return nil
+	}
 	c := &clearing{
-		gained: make(map[string]workload.Resources), used: make(map[string]workload.Resources),
-		tasks: make(map[string]int), stopped: collection.NewSet[int](),
+		left: make([]workload.Resources, len(p.rooms)), tasks: make([]int, len(p.rooms)), isGone: slices.Clone(p.isStopped),
+	}
+	for i, r := range p.rooms {
+		c.left[i] = r.Soon
 	}
 	for range d.Tasks {
 		if !p.clearOne(d, rooms, c) {
@@ -78,13 +88,35 @@
 	return c
 }
 
+// reclaimable returns what a host has when all units that a rank may stop are
+// gone.
+func (p *planner) reclaimable(r *room, rank Rank) workload.Resources {
+	sum := r.Soon
+	for _, i := range r.units {
+		if rank.mayStop(p.units[i].Rank) && !p.isStopped[i] {
+			sum = sum.Add(p.usedOn(i, r))
+		}
+	}
+	return sum
+}
+
+// usedOn returns what a unit uses on a host.
+func (p *planner) usedOn(unit int, r *room) workload.Resources {
+	for _, q := range p.parts[unit] {
+		if q.room == r.index {
+			return q.used
+		}
+	}
+	return workload.Resources{}
+}
+
 // clearOne makes room for one more task on the host where that costs least.
 func (p *planner) clearOne(d Demand, rooms []*room, c *clearing) bool {
 	var bestRoom *room
 	var bestStops []int
 	bestLoss := 0.0
 	for _, r := range rooms {
-		if !usable(d, r) || d.SpreadLimit > 0 && d.Present[r.Name]+c.tasks[r.Name] >= d.SpreadLimit {
+		if !usable(d, r) || d.SpreadLimit > 0 && d.Present[r.Name]+c.tasks[r.index] >= d.SpreadLimit {
 			continue
 		}
 		stops, loss, ok := p.cheapest(d, r, c)
@@ -92,7 +124,7 @@
 			continue
 		}
 		better := bestRoom == nil || loss < bestLoss ||
-			loss == bestLoss && tighter(c.left(r), c.left(bestRoom))
+			loss == bestLoss && tighter(c.left[r.index], c.left[bestRoom.index])
 		if better {
 			bestRoom, bestStops, bestLoss = r, stops, loss
 		}
@@ -101,57 +133,44 @@
 		return false
 	}
 	for _, i := range bestStops {
-		c.stopped.Add(i)
-		for name, part := range p.units[i].Parts {
-			c.gained[name] = c.gained[name].Add(part)
+		c.isGone[i] = true
+		c.stopped = append(c.stopped, i)
+		for _, q := range p.parts[i] {
+			c.left[q.room] = c.left[q.room].Add(q.used)
 		}
 	}
-	c.used[bestRoom.Name] = c.used[bestRoom.Name].Add(d.Need)
-	c.tasks[bestRoom.Name]++
+	c.left[bestRoom.index] = c.left[bestRoom.index].Sub(d.Need)
+	c.tasks[bestRoom.index]++
 	c.loss += bestLoss
 	c.chosen = append(c.chosen, bestRoom)
 	return true
 }
 
-func (c *clearing) left(r *room) workload.Resources {
-	return r.Soon.Add(c.gained[r.Name]).Sub(c.used[r.Name])
-}
-
 // cheapest returns the units on a host whose stop makes room for one more task.
 // It takes the least urgent ones first and keeps those that turn out not to be
 // needed, the dearest first.
 func (p *planner) cheapest(d Demand, r *room, c *clearing) (stops []int, loss float64, ok bool) {
-	left := c.left(r)
+	left := c.left[r.index]
 	if left.Fits(d.Need) {
 		return nil, 0, true
 	}
-	var candidates []int
 	for _, i := range r.units {
-		if d.Rank.mayStop(p.units[i].Rank) && !p.stopped.Has(i) && !c.stopped.Has(i) {
-			candidates = append(candidates, i)
-		}
-	}
-	slices.SortFunc(candidates, func(a, b int) int {
-		ua, ub := p.units[a], p.units[b]
-		if ua.Rank != ub.Rank {
-			return int(ub.Rank - ua.Rank)
+		if !d.Rank.mayStop(p.units[i].Rank) || c.isGone[i] {
+			continue
 		}
-		return compareFloats(ua.Loss, ub.Loss)
-	})
-	for _, i := range candidates {
+		left = left.Add(p.usedOn(i, r))
+		stops = append(stops, i)
 		if left.Fits(d.Need) {
 			break
 		}
-		left = left.Add(p.units[i].Parts[r.Name])
-		stops = append(stops, i)
 	}
 	if !left.Fits(d.Need) {
 		return nil, 0, false
 	}
-	slices.SortFunc(stops, func(a, b int) int { return compareFloats(p.units[b].Loss, p.units[a].Loss) })
+	slices.SortFunc(stops, func(a, b int) int { return cmp.Compare(p.units[b].Loss, p.units[a].Loss) })
 	needed := stops[:0]
 	for _, i := range stops {
-		if without := left.Sub(p.units[i].Parts[r.Name]); without.Fits(d.Need) {
+		if without := left.Sub(p.usedOn(i, r)); without.Fits(d.Need) {
 			left = without
 			continue
 		}
@@ -160,14 +179,3 @@
 	}
 	return needed, loss, true
 }
-
-func compareFloats(a, b float64) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	default:
-		return 0
-	}
-}
--- /dev/null
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -0,0 +1,153 @@
+package coordinator_test
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/coordinator"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/metrics"
+	"wasabihoist/internal/standin/fleethost"
+	"wasabihoist/internal/standin/fleetstore"
+	"wasabihoist/internal/tenancy/catalogue"
+)
+
+const (
+	topic     ledger.Topic = "fleet"
+	operators ledger.Topic = "operators"
+	// patience bounds every wait of a test.
+	patience = 20 * time.Second
+	stopTime = 30 * time.Millisecond
+	lease    = 2 * time.Second
+)
+
+var whole = workload.Resources{MilliCores: 64000, MemoryMB: 1000, Accelerators: 8}
+
+// fixture is a fleet of minions with their store.
+type fixture struct {
+	c       *qt.C
+	store   *fleetstore.Store
+	fleet   *fleethost.Fleet
+	minions map[netip.AddrPort]*fleethost.Minion
+	list    []*fleethost.Minion
+	state   *ledger.State
+	reader  *ledger.Reader
+	group   *group.Group
+}
+
+// newFixture starts a fleet with one minion for each rack named.
+func newFixture(t *testing.T, racks ...string) *fixture {
+	c := qt.New(t)
+	f := &fixture{
+		c: c, store: fleetstore.New(), fleet: fleethost.NewFleet(stopTime), minions: make(map[netip.AddrPort]*fleethost.Minion),
+		state: ledger.NewState(), group: group.New(context.Background()),
+	}
+	f.append(operators, ledger.Record{Key: "config", Value: []byte("1")})
+	for i, rack := range racks {
+		address := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1))
+		m := fleethost.NewMinion(f.fleet, host.Minion{ID: fmt.Sprintf("m-%d", i), Service: "app", Rack: rack, Labels: []string{"a", rack}, Capacity: whole})
+		f.minions[address] = m
+		f.list = append(f.list, m)
+		record, err := ledger.EncodeMember(ledger.Member{Name: fmt.Sprintf("host-%d", i), Role: ledger.AgentRole, Address: address})
+		c.Assert(err, qt.IsNil)
+		f.append(topic, record)
+	}
+	f.reader = ledger.NewReader(f.store, topic, f.state, 0, log.NewNopLogger())
+	f.group.Go("reader", f.reader.Run)
+	c.Cleanup(func() {
+		f.group.Stop()
+		c.Check(f.group.Wait(), qt.IsNil)
+		c.Check(f.fleet.Findings(), qt.HasLen, 0)
+	})
+	return f
+}
+
+func (f *fixture) append(to ledger.Topic, records ...ledger.Record) {
+	f.c.Assert(f.store.Append(context.Background(), to, records), qt.IsNil)
+}
+
+// lead starts a coordinator and returns the function that ends it.
+func (f *fixture) lead(name string) (stop func()) {
+	current := catalogue.NewCurrent("config", func([]byte) (*catalogue.Catalogue, error) {
+		return &catalogue.Catalogue{
+			Version: 1, Queues: []catalogue.Queue{{Name: "q", Service: "app"}},
+			Organisations: []catalogue.Organisation{{Name: "owner", Guaranteed: 8}},
+		}, nil
+	}, log.NewNopLogger())
+	g := group.New(f.group.Context())
+	state := ledger.NewState()
+	reader := ledger.NewReader(f.store, topic, state, 0, log.NewNopLogger())
+	g.Go("jobs", reader.Run)
+	plans := ledger.NewReader(f.store, operators, current, 0, log.NewNopLogger())
+	g.Go("plans", plans.Run)
+	options := coordinator.Options{
+		Name: name, LongestLease: lease, GangTime: time.Second, TaskStopTime: stopTime, StatusTime: time.Minute, FarFactor: 3,
+	}
+	coord := coordinator.New(options, f.store, topic, state, reader, current,
+		func(a netip.AddrPort) host.Client { return f.minions[a] }, metrics.For(f.c.Name()+name), log.NewNopLogger())
+	g.Go("coordinator", coord.Run)
+	return func() {
+		g.Stop()
+		f.c.Check(g.Wait(), qt.IsNil)
+	}
+}
+
+// submit accepts a job and tells the minions what its tasks are like.
+func (f *fixture) submit(j workload.Job, duration time.Duration) workload.Job {
+	j.Queue, j.Service, j.Submitted = "q", "app", time.Now()
+	j.Attempts, j.Stretch, j.Objective = max(1, j.Attempts), 2, time.Second
+	for i := range j.Steps {
+		j.Steps[i].Estimate = duration
+		f.fleet.SetWork(j.ID, i, fleethost.Work{Duration: duration, Need: j.Steps[i].Need})
+	}
+	record, err := ledger.EncodeJob(j)
+	f.c.Assert(err, qt.IsNil)
+	f.append(topic, record)
+	return j
+}
+
+func (f *fixture) cancel(id workload.ID) {
+	record, err := ledger.EncodeCancellation(id, time.Now())
+	f.c.Assert(err, qt.IsNil)
+	f.append(topic, record)
+}
+
+func (f *fixture) stateOf(id workload.ID) workload.State {
+	e, ok := f.state.Job(id)
+	if !ok {
+		return -1
+	}
+	return e.State()
+}
+
+// await waits until the job is in the state.
+func (f *fixture) await(id workload.ID, want workload.State) {
+	f.until(fmt.Sprintf("%s is %s", id, want), func() bool { return f.stateOf(id) == want })
+}
+
+func (f *fixture) until(what string, holds func() bool) {
+	for deadline := time.Now().Add(patience); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.c.Fatalf("not within %s: %s; findings: %v", patience, what, f.fleet.Findings())
+		}
+	}
+}
+
+func step(count, accelerators int) workload.Step {
+	return workload.Step{Count: count, Need: workload.Resources{MilliCores: 1000, MemoryMB: 10, Accelerators: accelerators}}
+}
+
+func gang(count, accelerators int) workload.Step {
+	s := step(count, accelerators)
+	s.Gang = true
+	return s
+}
--- a/internal/fleet/coordinator/health.go
+++ b/internal/fleet/coordinator/health.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// failedJobs is how many jobs in a row have to fail on a host before it gets
-	// no new work for a while. One alone may be the fault of the job.
+	// suspicionTime is how long a host gets no new work after one failure. A
+	// host that fails everything frees its room at once and would get the next
+	// tasks too.
+	suspicionTime = 1500 * time.Millisecond
+	// failedJobs is how many jobs in a row have to fail on a host before it is
+	// taken to fail everything.
 	failedJobs = 2
-	// quarantineTime is how long a host that fails gets no new work.
+	// quarantineTime is how long such a host gets no new work.
 	quarantineTime = 4 * time.Second
 	// longestQuarantine bounds the time, which doubles with each further one.
 	longestQuarantine = 16 * time.Second
@@ -24,18 +28,30 @@
 	length time.Duration               // length of the last quarantine; 0 since a job has succeeded.
 }
 
-func (h *health) succeeded(workload.ID) { *h = health{} }
+func (h *health) succeeded() { *h = health{} }
 
-func (h *health) failed(id workload.ID, at time.Duration) {
+// failed counts a failure of a job. A suspect job has failed on other hosts
+// too, and says nothing of this one.
+func (h *health) failed(id workload.ID, suspect bool, at time.Duration) {
+	if suspect {
+		return
+	}
 	if h.jobs == nil {
 		h.jobs = collection.NewSet[workload.ID]()
 	}
 	h.jobs.Add(id)
-	if len(h.jobs) < failedJobs || at < h.until {
+	if at < h.until {
+		return
+	}
+	if len(h.jobs) < failedJobs {
+		h.until = at + suspicionTime
 		return
 	}
 	h.length = min(max(quarantineTime, 2*h.length), longestQuarantine)
 	h.until = at + h.length
 }
 
+// refused counts a start that the host turned away.
+func (h *health) refused(at time.Duration) { h.until = max(h.until, at+suspicionTime) }
+
 func (h *health) quarantined(at time.Duration) bool { return at < h.until }
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -109,7 +109,7 @@
 		sent := now()
 		listing, err := client.Hold(ctx, request)
 		if ctx.Err() != nil {
-			return nil
+			return ctx.Err()
 		}
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
@@ -205,6 +205,7 @@
 func (t *term) take(h *hostState, l host.Listing, sent time.Duration) bool {
 	if h.silent {
 		h.silent = false
+		t.replan = true
 		_ = level.Info(t.logger).Log("event", "host answers", "host", h.name)
 	}
 	h.contact = now()
@@ -259,6 +260,7 @@
 				"accelerators", l.Minion.Capacity.Accelerators, "draining", l.Minion.Draining, "remaining", l.Minion.Remaining, "former", h.minion.Incarnation())
 		}
 		h.minion = l.Minion
+		t.replan = t.replan || !known || !h.listed
 	}
 	if !known {
 		h.seen, h.acknowledged = 0, 0
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -318,7 +318,7 @@
 				continue
 			}
 			if at-r.movedAt > stallTime && r.host.contact > r.movedAt+stallTime && r.percent < 100 {
-				r.host.health.failed(a.job.job.ID, at)
+				r.host.health.failed(a.job.job.ID, false, at)
 				t.stop(a, "it makes no progress")
 				break
 			}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -117,6 +117,7 @@
 
 // release frees what a run held.
 func (t *term) release(r *run) {
+	t.replan = true
 	delete(r.host.runs, runKey{r.task, r.number})
 	r.attempt.runs = slices.DeleteFunc(r.attempt.runs, func(o *run) bool { return o == r })
 	r.attempt.job.runs--
@@ -173,7 +174,7 @@
 	}
 	switch e.Outcome {
 	case host.Completed:
-		h.health.succeeded(j.job.ID)
+		h.health.succeeded()
 		t.release(r)
 		j.progress.Finish(j.job, e.Task)
 		a.over = true
@@ -196,11 +197,18 @@
 	return r.percent
 }
 
+// suspect reports whether a job rather than a host is at fault for a failure,
+// because a run of the same step has failed on another host before.
+func (t *term) suspect(j *jobState, step int, h *hostState) bool {
+	failedOn := j.avoid[step]
+	return len(failedOn) > 1 || len(failedOn) == 1 && !failedOn.Has(h.name)
+}
+
 // takeCrash counts a failed run against its job and its host.
 func (t *term) takeCrash(h *hostState, r *run, e host.End) {
 	a := r.attempt
 	j := a.job
-	h.health.failed(j.job.ID, now())
+	h.health.failed(j.job.ID, t.suspect(j, a.step, h), now())
 	if j.avoid[a.step] == nil {
 		j.avoid[a.step] = collection.NewSet[string]()
 	}
@@ -272,8 +280,8 @@
 			return nil
 		}
 		_ = level.Debug(t.logger).Log("event", "stop unanswered", "job", r.task.Job, "task", r.task, "run", r.number, "took", now()-sent, "reason", err)
-		if group.Pause(ctx, orderPause) != nil {
-			return nil
+		if err := group.Pause(ctx, orderPause); err != nil {
+			return err
 		}
 	}
 }
@@ -314,8 +322,8 @@
 			return nil
 		}
 		_ = level.Debug(t.logger).Log("event", "start unanswered", "job", j.job.ID, "task", r.task, "run", r.number, "reason", err)
-		if group.Pause(ctx, orderPause) != nil {
-			return nil
+		if err := group.Pause(ctx, orderPause); err != nil {
+			return err
 		}
 	}
 }
@@ -329,6 +337,21 @@
 	}
 }
 
+// takeRefusal notes what a refused start says of the host, so that the next
+// plan does not choose it again.
+func (t *term) takeRefusal(r *run, err error) {
+	switch {
+	case errors.Is(err, host.ErrDraining):
+		r.host.minion.Draining = true
+	case errors.Is(err, host.ErrIncarnation):
+		r.host.listed = false
+	case errors.Is(err, host.ErrUnhealthy):
+		r.host.health.refused(now())
+	default:
+		r.attempt.job.retryAt = now() + retryDelay
+	}
+}
+
 // takeStart works on the answer to a start and reports whether to send it
 // again.
 func (t *term) takeStart(r *run, err error, tooLong bool) bool {
@@ -350,10 +373,7 @@
 		return false
 	case errors.Is(err, host.ErrNoRoom), errors.Is(err, host.ErrUnhealthy), errors.Is(err, host.ErrDraining),
 		errors.Is(err, host.ErrIncarnation), errors.Is(err, host.ErrInvalid):
-		r.attempt.job.retryAt = now() + retryDelay
-		if errors.Is(err, host.ErrUnhealthy) {
-			r.host.health.failed(r.task.Job, now())
-		}
+		t.takeRefusal(r, err)
 		t.lose(r, err.Error())
 		return false
 	case tooLong:
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -23,6 +23,9 @@
 	// confirmTime is how long leases are renewed without word from the store
 	// that the term is still the newest.
 	confirmTime = 4 * time.Second
+	// planShare bounds the part of the time that planning takes, so that a busy
+	// fleet still gets its renewals and orders.
+	planShare = 0.2
 	// eventBacklog bounds the events that wait for the loop of the term.
 	eventBacklog = 256
 )
@@ -44,6 +47,8 @@
 	nextID   int
 	writer   writer
 	members  time.Duration // members is when the members were last read.
+	replan   bool          // replan is set when something has changed that a plan depends on.
+	planAt   time.Duration // planAt is when the next plan may be made.
 	dirty    collection.Set[workload.ID]
 	effects  []func() // effects are carried out when all that is dirty is durable.
 	ended    []endedJob
@@ -59,7 +64,6 @@
 	runs      int                            // runs counts the runs that hold resources somewhere.
 	avoid     map[int]collection.Set[string] // avoid holds for each step the hosts on which a run of it failed.
 	retryAt   time.Duration                  // retryAt is when the job may be placed again after a failed start.
-	waiting   string                         // waiting is the last reason that was logged for waiting.
 }
 
 // endedJob is a job whose records are dropped after a while.
@@ -104,11 +108,19 @@
 func (t *term) run(ctx context.Context) error {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	wake := time.NewTimer(0)
+	defer wake.Stop()
 	for {
 		t.readMembers()
 		t.expireLeases()
 		t.dropEnded()
-		t.plan()
+		if at := now(); t.replan && at >= t.planAt {
+			t.replan = false
+			t.plan()
+			t.planAt = now() + time.Duration(float64(now()-at)/planShare)
+		} else if t.replan {
+			wake.Reset(t.planAt - at)
+		}
 		t.flush()
 		select {
 		case <-ctx.Done():
@@ -117,8 +129,10 @@
 			event()
 		case <-t.state.Changed():
 			t.readChanges()
+		case <-wake.C:
 		case <-ticker.C:
 			t.checkProgress()
+			t.replan = true // Work becomes late and quarantines end with time.
 		}
 		t.drainEvents()
 	}
@@ -163,6 +177,7 @@
 	}
 	j := &jobState{job: e.Job, order: e.Order, avoid: make(map[int]collection.Set[string])}
 	t.jobs[e.Job.ID] = j
+	t.replan = true
 	if e.Progress != nil && e.Progress.Matches(e.Job) {
 		j.progress = e.Progress.Clone()
 		t.adoptRuns(j)
@@ -216,6 +231,7 @@
 // ended.
 func (t *term) settle(j *jobState) {
 	t.dirty.Add(j.job.ID)
+	t.replan = true
 	if state := j.progress.State; state != workload.Failed && state != workload.Cancelled {
 		return // The runs of a job that is done have ended by themselves.
 	}
--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -40,6 +40,20 @@
 	return r.MilliCores >= need.MilliCores && r.MemoryMB >= need.MemoryMB && r.Accelerators >= need.Accelerators
 }
 
+// Times returns how often need fits into r, at most maxTimes.
+func (r Resources) Times(need Resources) int {
+	times := maxTimes
+	for _, f := range [][2]int{{r.MilliCores, need.MilliCores}, {r.MemoryMB, need.MemoryMB}, {r.Accelerators, need.Accelerators}} {
+		if f[1] > 0 {
+			times = min(times, f[0]/f[1])
+		}
+	}
+	return max(0, times)
+}
+
+// maxTimes stands for tasks that need nothing.
+const maxTimes = 1 << 20
+
 // coresPerAccelerator converts accelerators to cores when work is compared. It
 // is the users' price of an accelerator.
 const coresPerAccelerator = 8
--- /dev/null
+++ b/internal/record/ledger/ledger_test.go
@@ -0,0 +1,202 @@
+package ledger_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/standin/fleetstore"
+)
+
+const topic ledger.Topic = "fleet"
+
+func sample(id workload.ID) workload.Job {
+	return workload.Job{
+		ID: id, Queue: "q", Organisation: "o", Service: "app", Spec: "text", Submitted: time.UnixMilli(1000), Priority: 1,
+		Attempts: 2, Stretch: 1.5, Objective: 300 * time.Millisecond,
+		Steps: []workload.Step{
+			{Count: 2, Need: workload.Resources{MilliCores: 1, MemoryMB: 2, Accelerators: 3}, Estimate: time.Second, Checkpoints: true, Gang: true, Local: true},
+			{Count: 1, DependsOn: []int{0}, Label: "a", Rack: "r1", SpreadLimit: 2, Fills: true},
+		},
+	}
+}
+
+func record(c *qt.C, r ledger.Record, err error) ledger.Record {
+	c.Assert(err, qt.IsNil)
+	return r
+}
+
+func stored(offset int64, r ledger.Record) ledger.Stored {
+	return ledger.Stored{Record: r, Offset: offset}
+}
+
+func TestJobsAndProgressSurviveTheirRecords(t *testing.T) {
+	c := qt.New(t)
+	j := sample("j")
+	p := workload.NewProgress(j)
+	p.Place(workload.TaskID{Job: "j", Index: 1}, 3, "host", "minion@1")
+	s := ledger.NewState()
+	jobRecord, err := ledger.EncodeJob(j)
+	c.Assert(err, qt.IsNil)
+	progressRecord, err := ledger.EncodeProgress(p)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Apply(ledger.Page{Records: []ledger.Stored{stored(0, jobRecord), stored(1, progressRecord)}, Next: 2}), qt.IsNil)
+	e, ok := s.Job("j")
+	c.Assert(ok, qt.IsTrue)
+	c.Check(e.Job, qt.DeepEquals, j)
+	c.Check(e.Progress, qt.DeepEquals, p)
+	c.Check(e.State(), qt.Equals, workload.Running)
+}
+
+// Guards against a successor that takes the resources of runs of an ended job
+// for free.
+func TestEndedJobKeepsTheRunsThatAreStopping(t *testing.T) {
+	for name, tt := range map[string]struct {
+		placed bool
+		steps  int
+	}{
+		"a run is still there": {true, 2},
+		"nothing runs":         {false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			j := sample("j")
+			p := workload.NewProgress(j)
+			if tt.placed {
+				p.Place(workload.TaskID{Job: "j"}, 1, "host", "minion@1")
+			}
+			p.State = workload.Cancelled
+			s := ledger.NewState()
+			r, err := ledger.EncodeProgress(p)
+			c.Assert(err, qt.IsNil)
+			jobRecord, err := ledger.EncodeJob(j)
+			c.Assert(err, qt.IsNil)
+			c.Assert(s.Apply(ledger.Page{Records: []ledger.Stored{stored(0, jobRecord), stored(1, r)}, Next: 2}), qt.IsNil)
+			e, _ := s.Job("j")
+			c.Check(e.Progress.Steps, qt.HasLen, tt.steps)
+		})
+	}
+}
+
+func TestStateKeepsItsOrder(t *testing.T) {
+	c := qt.New(t)
+	j := sample("j")
+	jobRecord, err := ledger.EncodeJob(j)
+	c.Assert(err, qt.IsNil)
+	cancelRecord, err := ledger.EncodeCancellation("j", time.Now())
+	c.Assert(err, qt.IsNil)
+	done := workload.NewProgress(j)
+	done.State = workload.Done
+	doneRecord, err := ledger.EncodeProgress(done)
+	c.Assert(err, qt.IsNil)
+	for name, tt := range map[string]struct {
+		records []ledger.Record
+		want    workload.State
+	}{
+		"submitted":                              {[]ledger.Record{jobRecord}, workload.Pending},
+		"submitted twice":                        {[]ledger.Record{jobRecord, jobRecord}, workload.Pending},
+		"cancelled":                              {[]ledger.Record{jobRecord, cancelRecord}, workload.Cancelled},
+		"cancelled, then done":                   {[]ledger.Record{jobRecord, cancelRecord, doneRecord}, workload.Cancelled},
+		"done, then cancelled":                   {[]ledger.Record{jobRecord, doneRecord, cancelRecord}, workload.Done},
+		"cancelled before it is known":           {[]ledger.Record{cancelRecord, jobRecord}, workload.Cancelled},
+		"submitted again after it was cancelled": {[]ledger.Record{jobRecord, cancelRecord, jobRecord}, workload.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := ledger.NewState()
+			for i, r := range tt.records {
+				c.Assert(s.Apply(ledger.Page{Records: []ledger.Stored{stored(int64(i), r)}, Next: int64(i + 1)}), qt.IsNil)
+			}
+			e, ok := s.Job("j")
+			c.Assert(ok, qt.IsTrue)
+			c.Check(e.State(), qt.Equals, tt.want)
+			pending := 0
+			if tt.want == workload.Pending {
+				pending = 1
+			}
+			c.Check(s.Pending("q"), qt.Equals, pending)
+		})
+	}
+}
+
+// Guards against a state that goes back when the store answers with an older
+// one, and against dropped keys that stay.
+func TestReplaceNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	s := ledger.NewState()
+	first := record2(c, "first")
+	c.Assert(s.Apply(ledger.Page{Records: []ledger.Stored{stored(4, first)}, Next: 5}), qt.IsNil)
+	current, err := s.Replace(ledger.Page{Next: 3})
+	c.Assert(err, qt.IsNil)
+	c.Check(current, qt.IsFalse)
+	_, ok := s.Job("first")
+	c.Check(ok, qt.IsTrue)
+	current, err = s.Replace(ledger.Page{Records: []ledger.Stored{stored(7, record2(c, "second"))}, Next: 8})
+	c.Assert(err, qt.IsNil)
+	c.Check(current, qt.IsTrue)
+	_, ok = s.Job("first")
+	c.Check(ok, qt.IsFalse)
+	_, ok = s.Job("second")
+	c.Check(ok, qt.IsTrue)
+	c.Check(s.Next(), qt.Equals, int64(8))
+}
+
+func record2(c *qt.C, id workload.ID) ledger.Record {
+	r, err := ledger.EncodeJob(sample(id))
+	return record(c, r, err)
+}
+
+func TestUnreadableRecordsArePassedOver(t *testing.T) {
+	c := qt.New(t)
+	s := ledger.NewState()
+	err := s.Apply(ledger.Page{Records: []ledger.Stored{
+		stored(0, ledger.Record{Key: "job/x", Value: []byte("{")}),
+		stored(1, ledger.Record{Key: "strange", Value: []byte("x")}),
+		stored(2, ledger.Record{Key: "member/m", Value: []byte("[]")}),
+		stored(3, record2(c, "good")),
+	}, Next: 4})
+	c.Check(err, qt.ErrorMatches, `(?s).*decode job x.*decode member m.*`)
+	_, ok := s.Job("good")
+	c.Check(ok, qt.IsTrue)
+	_, ok = s.Job("x")
+	c.Check(ok, qt.IsFalse)
+}
+
+// Guards against a reader that stops when the history it reads is dropped, or
+// that denies what was stored before a refresh.
+func TestReaderFollowsTheStore(t *testing.T) {
+	c := qt.New(t)
+	store := fleetstore.New()
+	s := ledger.NewState()
+	reader := ledger.NewReader(store, topic, s, 20*time.Millisecond, log.NewNopLogger())
+	g := group.New(context.Background())
+	g.Go("reader", reader.Run)
+	ctx := context.Background()
+	put := func(id workload.ID) {
+		c.Assert(store.Append(ctx, topic, []ledger.Record{record2(c, id)}), qt.IsNil)
+	}
+	known := func(id workload.ID) bool { _, ok := s.Job(id); return ok }
+	put("a")
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	c.Check(known("a"), qt.IsTrue)
+	store.SetFaults(fleetstore.Faults{Down: true})
+	c.Check(reader.Refresh(ctx), qt.Not(qt.IsNil))
+	asOf := reader.AsOf()
+	store.SetFaults(fleetstore.Faults{})
+	put("b")
+	store.Forget(topic)
+	put("c")
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	c.Check(known("b") && known("c"), qt.IsTrue)
+	c.Check(reader.AsOf().After(asOf), qt.IsTrue)
+	g.Stop()
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Check(errors.Is(reader.Refresh(ctx), context.Canceled), qt.IsFalse)
+}
--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -77,13 +77,11 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := r.read(ctx, r.wait); err != nil {
-			if group.Pause(ctx, retryPause) != nil {
-				return nil
-			}
+		if r.read(ctx, r.wait) != nil { // It has logged why.
+			_ = group.Pause(ctx, retryPause)
 		}
 	}
-	return nil
+	return ctx.Err()
 }
 
 // Refresh folds all that was stored before the call. Calls that come together
--- a/internal/run/hosted/agent.go
+++ b/internal/run/hosted/agent.go
@@ -76,8 +76,8 @@
 		}
 		announced := time.Now()
 		for time.Since(announced) < announceAgain || time.Since(agent.LastContact()) < announceAgain {
-			if group.Pause(ctx, announceCheck) != nil {
-				return nil
+			if err := group.Pause(ctx, announceCheck); err != nil {
+				return err
 			}
 		}
 	}
--- a/internal/run/hosted/hosted.go
+++ b/internal/run/hosted/hosted.go
@@ -94,8 +94,8 @@
 		if try == 1 {
 			_ = level.Warn(logger).Log("event", "not announced", "member", m.Name, "reason", err)
 		}
-		if group.Pause(ctx, announcePause) != nil {
-			return nil
+		if err := group.Pause(ctx, announcePause); err != nil {
+			return err
 		}
 	}
 }
--- /dev/null
+++ b/internal/standin/fleethost/minion.go
@@ -0,0 +1,301 @@
+// Package fleethost is a replacement of minions in memory. It runs tasks under
+// leases, checks fencing tokens as a minion does, and notes what must never
+// happen. Tests use it.
+package fleethost
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+)
+
+// Faults are what a minion does wrong.
+type Faults struct {
+	Silent     bool // Silent minions answer nothing.
+	LoseStarts int  // LoseStarts is how many of the next starts are done without an answer.
+	FailAll    bool // FailAll ends every run as failed.
+	Stall      bool // Stall keeps runs from making progress.
+}
+
+var errSilent = errors.New("no answer")
+
+// Work tells a fleet of minions how long the tasks of a step run and what each
+// needs.
+type Work struct {
+	Duration time.Duration
+	Need     workload.Resources
+}
+
+// Fleet holds what the minions of a test share.
+type Fleet struct {
+	work     map[string]Work // work is by JOB.STEP.
+	stopTime time.Duration
+
+	mu       sync.Mutex
+	active   map[workload.TaskID]int
+	finished map[workload.TaskID]bool
+	starts   map[workload.TaskID]int
+	findings []string // findings are promises that were broken.
+}
+
+// NewFleet returns a fleet whose runs take stopTime to stop.
+func NewFleet(stopTime time.Duration) *Fleet {
+	return &Fleet{
+		work: make(map[string]Work), stopTime: stopTime, active: make(map[workload.TaskID]int),
+		finished: make(map[workload.TaskID]bool), starts: make(map[workload.TaskID]int),
+	}
+}
+
+// SetWork says what the tasks of a step are like.
+func (f *Fleet) SetWork(job workload.ID, step int, w Work) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.work[fmt.Sprintf("%s.%d", job, step)] = w
+}
+
+// Findings returns the promises that were broken.
+func (f *Fleet) Findings() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.findings)
+}
+
+// Starts returns how often a task was started.
+func (f *Fleet) Starts(t workload.TaskID) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.starts[t]
+}
+
+func (f *Fleet) begin(t workload.TaskID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active[t]++
+	f.starts[t]++
+	if f.active[t] > 1 {
+		f.findings = append(f.findings, fmt.Sprintf("%s runs twice", t))
+	}
+	if f.finished[t] {
+		f.findings = append(f.findings, fmt.Sprintf("%s runs again after it has finished", t))
+	}
+}
+
+func (f *Fleet) end(t workload.TaskID, outcome host.Outcome) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.active[t]--
+	f.finished[t] = f.finished[t] || outcome == host.Completed
+}
+
+func (f *Fleet) workOf(t workload.TaskID) Work {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.work[fmt.Sprintf("%s.%d", t.Job, t.Step)]
+}
+
+func (f *Fleet) find(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.findings = append(f.findings, fmt.Sprintf(format, args...))
+}
+
+type runKey struct {
+	task   workload.TaskID
+	number int
+}
+
+type activeRun struct {
+	work     Work
+	began    time.Time
+	stopping time.Time // stopping is when the run will have stopped; zero while it runs.
+}
+
+// Minion implements host.Client. It is safe for concurrent use.
+type Minion struct {
+	fleet  *Fleet
+	report host.Minion
+
+	mu     sync.Mutex
+	faults Faults
+	token  int64
+	lease  time.Duration
+	runs   map[runKey]*activeRun
+	dead   map[runKey]bool // dead runs were stopped or have ended.
+	ends   []host.End
+	count  int64
+}
+
+var _ host.Client = (*Minion)(nil)
+
+// NewMinion returns a minion of the fleet.
+func NewMinion(f *Fleet, report host.Minion) *Minion {
+	report.Born = time.Now().Round(time.Millisecond)
+	return &Minion{fleet: f, report: report, runs: make(map[runKey]*activeRun), dead: make(map[runKey]bool)}
+}
+
+// SetFaults replaces the faults.
+func (m *Minion) SetFaults(f Faults) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = f
+}
+
+// Restart ends everything and begins a new incarnation under the same id.
+func (m *Minion) Restart() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for key := range m.runs {
+		m.fleet.end(key.task, host.Lapsed)
+	}
+	m.runs, m.dead, m.ends, m.count, m.token, m.lease = make(map[runKey]*activeRun), make(map[runKey]bool), nil, 0, 0, 0
+	m.report.Born = time.Now().Round(time.Millisecond)
+}
+
+// Drain makes the minion report that it is about to leave.
+func (m *Minion) Drain(remaining time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.report.Draining, m.report.Remaining = true, remaining
+}
+
+func (m *Minion) clock() time.Duration { return time.Since(m.report.Born) }
+
+// settle ends the runs whose time has come.
+func (m *Minion) settle() {
+	lapsed := m.lease > 0 && m.clock() > m.lease
+	for key, r := range m.runs {
+		switch {
+		case lapsed:
+			m.end(key, host.Lapsed)
+		case !r.stopping.IsZero() && time.Now().After(r.stopping):
+			m.end(key, host.Stopped)
+		case !r.stopping.IsZero() || m.faults.Stall:
+		case time.Since(r.began) > r.work.Duration && m.faults.FailAll:
+			m.end(key, host.Crashed)
+		case time.Since(r.began) > r.work.Duration:
+			m.end(key, host.Completed)
+		}
+	}
+}
+
+func (m *Minion) end(key runKey, outcome host.Outcome) {
+	delete(m.runs, key)
+	m.dead[key] = true
+	m.count++
+	checkpoint := ""
+	if outcome == host.Stopped {
+		checkpoint = fmt.Sprintf("saved-%d", key.number)
+	}
+	m.ends = append(m.ends, host.End{Sequence: m.count, Task: key.task, Number: key.number, Outcome: outcome, Checkpoint: checkpoint})
+	m.fleet.end(key.task, outcome)
+}
+
+func (m *Minion) used() workload.Resources {
+	var sum workload.Resources
+	for _, r := range m.runs {
+		sum = sum.Add(r.work.Need)
+	}
+	return sum
+}
+
+// Hold implements host.Client.
+func (m *Minion) Hold(ctx context.Context, r host.HoldRequest) (host.Listing, error) {
+	deadline := time.Now().Add(r.Wait)
+	for {
+		l, changed, err := m.hold(r)
+		if err != nil || changed || time.Now().After(deadline) {
+			return l, err
+		}
+		select {
+		case <-ctx.Done():
+			return host.Listing{}, ctx.Err()
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+func (m *Minion) hold(r host.HoldRequest) (host.Listing, bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settle() // Leases end whether the minion answers or not.
+	if m.faults.Silent {
+		return host.Listing{}, false, errSilent
+	}
+	if r.Token < m.token {
+		return host.Listing{}, false, host.ErrFenced
+	}
+	m.token = r.Token
+	m.lease = max(m.lease, r.Until)
+	m.ends = slices.DeleteFunc(m.ends, func(e host.End) bool { return e.Sequence <= r.Acknowledged })
+	l := host.Listing{Clock: m.clock(), Minion: m.report, Ends: slices.Clone(m.ends)}
+	for key, run := range m.runs {
+		if run.stopping.IsZero() {
+			percent := int(100 * time.Since(run.began) / max(1, run.work.Duration))
+			if m.faults.Stall {
+				percent = 0
+			}
+			l.Running = append(l.Running, host.Run{Task: key.task, Number: key.number, Percent: percent})
+		}
+	}
+	return l, len(l.Ends) > 0 || m.report.Draining, nil
+}
+
+// Start implements host.Client.
+func (m *Minion) Start(_ context.Context, r host.StartRequest) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	key := runKey{r.Task, r.Number}
+	switch {
+	case m.faults.Silent:
+		return errSilent
+	case r.Token < m.token:
+		return host.ErrFenced
+	case r.Incarnation != m.report.Incarnation():
+		return host.ErrIncarnation
+	case m.dead[key]:
+		return host.ErrOld
+	case m.clock() > r.Until:
+		return host.ErrLate
+	case m.runs[key] != nil:
+		return nil
+	}
+	m.settle()
+	m.token = r.Token
+	m.lease = max(m.lease, r.Until)
+	work := m.fleet.workOf(r.Task)
+	if !m.report.Capacity.Sub(m.used()).Fits(work.Need) {
+		m.fleet.find("%s does not fit on %s", r.Task, m.report.ID)
+	}
+	m.runs[key] = &activeRun{work: work, began: time.Now()}
+	m.fleet.begin(r.Task)
+	if m.faults.LoseStarts > 0 {
+		m.faults.LoseStarts--
+		return errSilent
+	}
+	return nil
+}
+
+// Stop implements host.Client.
+func (m *Minion) Stop(_ context.Context, r host.StopRequest) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.faults.Silent:
+		return errSilent
+	case r.Token < m.token:
+		return host.ErrFenced
+	}
+	m.token = r.Token
+	key := runKey{r.Task, r.Number}
+	m.dead[key] = true
+	if run := m.runs[key]; run != nil && run.stopping.IsZero() {
+		run.stopping = time.Now().Add(m.fleet.stopTime)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/fleetstore/store.go
@@ -0,0 +1,233 @@
+// Package fleetstore is a replacement of the platform's store in memory, with
+// faults that can be switched on. Tests use it.
+package fleetstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"wasabihoist/internal/record/ledger"
+)
+
+// Faults are what the store does wrong.
+type Faults struct {
+	Down       bool // Down refuses all calls.
+	LoseAppend int  // LoseAppend is how many of the next appends are done without an answer.
+	DropAppend int  // DropAppend is how many of the next appends are neither done nor answered.
+}
+
+// errLost stands for an answer that did not arrive.
+var errLost = errors.New("no answer")
+
+type topic struct {
+	records []ledger.Stored
+	first   int64 // first is the offset of the first record that is kept.
+	next    int64
+	newest  map[string]ledger.Stored
+	fences  map[string]ledger.Fence
+	holder  string
+	until   time.Time
+	term    int64
+}
+
+// Store implements ledger.Store. It is safe for concurrent use.
+type Store struct {
+	mu      sync.Mutex
+	faults  Faults
+	topics  map[ledger.Topic]*topic
+	changed chan struct{} // changed is closed at the next append and then replaced.
+}
+
+var _ ledger.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{topics: make(map[ledger.Topic]*topic), changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Forget drops the history of a topic; the newest record of each key stays.
+func (s *Store) Forget(name ledger.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.records, t.first = nil, t.next
+}
+
+func (s *Store) topic(name ledger.Topic) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: make(map[string]ledger.Stored), fences: make(map[string]ledger.Fence)}
+		s.topics[name] = t
+	}
+	return t
+}
+
+func (s *Store) refuse() error {
+	if s.faults.Down {
+		return fmt.Errorf("down: %w", ledger.ErrNotDone)
+	}
+	return nil
+}
+
+// Append implements ledger.Store.
+func (s *Store) Append(_ context.Context, name ledger.Topic, records []ledger.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.append(name, records)
+}
+
+func (s *Store) append(name ledger.Topic, records []ledger.Record) error {
+	if err := s.refuse(); err != nil {
+		return err
+	}
+	if s.faults.DropAppend > 0 {
+		s.faults.DropAppend--
+		return errLost
+	}
+	t := s.topic(name)
+	for _, r := range records {
+		stored := ledger.Stored{Record: r, Offset: t.next}
+		t.records = append(t.records, stored)
+		t.next++
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+		} else {
+			t.newest[r.Key] = stored
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.faults.LoseAppend > 0 {
+		s.faults.LoseAppend--
+		return errLost
+	}
+	return nil
+}
+
+// AppendFenced implements ledger.Store.
+func (s *Store) AppendFenced(_ context.Context, name ledger.Topic, f ledger.Fence, records []ledger.Record) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return err
+	}
+	fences := s.topic(name).fences
+	last := fences[f.Writer]
+	switch {
+	case f.Epoch < last.Epoch:
+		return ledger.ErrFenced
+	case len(records) == 0:
+		if f.Epoch > last.Epoch {
+			fences[f.Writer] = ledger.Fence{Writer: f.Writer, Epoch: f.Epoch}
+		}
+		return nil
+	case f.Epoch == last.Epoch && f.Sequence == last.Sequence:
+		return nil // a repeat
+	case f.Epoch == last.Epoch && f.Sequence != last.Sequence+1:
+		return &ledger.SequenceError{Expected: last.Sequence + 1}
+	}
+	dropped := s.faults.DropAppend
+	err := s.append(name, records)
+	if s.faults.DropAppend == dropped {
+		fences[f.Writer] = f
+	}
+	return err
+}
+
+// Read implements ledger.Store.
+func (s *Store) Read(ctx context.Context, name ledger.Topic, from int64, wait time.Duration) (ledger.Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for waited := false; ; {
+		s.mu.Lock()
+		err := s.refuse()
+		t := s.topic(name)
+		page := ledger.Page{Next: from}
+		if err == nil && from < t.first {
+			err = ledger.ErrExpired
+		}
+		if err == nil && from < t.next {
+			page.Records = append(page.Records, t.records[from-t.first:]...)
+			page.Next = t.next
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if err != nil || len(page.Records) > 0 || waited {
+			return page, err
+		}
+		select {
+		case <-ctx.Done():
+			return ledger.Page{}, ctx.Err()
+		case <-timer.C:
+			waited = true
+		case <-changed:
+		}
+	}
+}
+
+// Newest implements ledger.Store.
+func (s *Store) Newest(_ context.Context, name ledger.Topic) (ledger.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return ledger.Page{}, err
+	}
+	t := s.topic(name)
+	page := ledger.Page{Next: t.next}
+	for _, r := range t.newest {
+		page.Records = append(page.Records, r)
+	}
+	return page, nil
+}
+
+// Lead implements ledger.Store.
+func (s *Store) Lead(_ context.Context, name ledger.Topic, candidate string, _ int64, timeToLive time.Duration) (ledger.Leadership, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return ledger.Leadership{}, err
+	}
+	t := s.topic(name)
+	if t.holder != candidate && time.Now().After(t.until) {
+		t.holder = candidate
+		t.term++
+	}
+	if t.holder == candidate {
+		t.until = time.Now().Add(timeToLive)
+	}
+	return ledger.Leadership{Holds: t.holder == candidate, Generation: t.term}, nil
+}
+
+// Resign implements ledger.Store.
+func (s *Store) Resign(_ context.Context, name ledger.Topic, candidate string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return err
+	}
+	if t := s.topic(name); t.holder == candidate {
+		t.until = time.Time{}
+	}
+	return nil
+}
+
+// Depose takes the leadership of a topic from its holder, as the store may do
+// at any time, and gives it to another candidate.
+func (s *Store) Depose(name ledger.Topic, successor string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.holder = successor
+	t.term++
+	t.until = time.Now().Add(time.Hour)
+}
--- a/internal/tenancy/catalogue/current.go
+++ b/internal/tenancy/catalogue/current.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 
@@ -51,21 +52,18 @@
 	return c.next
 }
 
-// Apply implements ledger.Fold. Only the newest record of the page is read.
+// Apply implements ledger.Fold.
 func (c *Current) Apply(page ledger.Page) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.next = max(c.next, page.Next)
-	var newest []byte
+	var errs []error
 	for _, r := range page.Records {
 		if r.Key == c.key && len(r.Value) > 0 {
-			newest = r.Value
+			errs = append(errs, c.adopt(r.Value))
 		}
 	}
-	if newest == nil {
-		return nil
-	}
-	return c.adopt(newest)
+	return errors.Join(errs...)
 }
 
 // Replace implements ledger.Fold.
