Let runs end by themselves that end as soon as a stop would

Cause: urgent work stopped runs that were 87 to 94 percent done; a stop takes up to 0.9 s, about as long as they had left, and threw all of their work away.

Change: a run whose progress says that it ends within the time of a stop and 0.3 s counts as room that comes free, and is not stopped.

--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -16,6 +16,9 @@
 	// stallTime is how long a run may make no progress before it is stopped. A
 	// run reports a hundred steps; the longest take about a tenth of a second.
 	stallTime = 3 * time.Second
+	// endMargin is how much longer than a stop a run may take to end and still
+	// be left to end by itself.
+	endMargin = 300 * time.Millisecond
 	// leaveMargin is how long before a minion may leave what can be saved there
 	// is stopped.
 	leaveMargin = time.Second
@@ -198,7 +201,7 @@
 		free, soon := h.minion.Capacity, h.minion.Capacity
 		for _, r := range h.runs {
 			free = free.Sub(r.need)
-			if !r.attempt.stopping && !r.attempt.over {
+			if !r.attempt.stopping && !r.attempt.over && !t.endsSoon(r, at) {
 				soon = soon.Sub(r.need)
 			}
 		}
@@ -220,7 +223,7 @@
 	at := now()
 	units := make([]allocation.Unit, 0, len(t.attempts))
 	for _, a := range t.attempts {
-		if a.stopping || a.over {
+		if a.stopping || a.over || t.endsSoon(a.runs[0], at) {
 			continue
 		}
 		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Parts: make(map[string]workload.Resources)}
@@ -234,6 +237,13 @@
 	return units
 }
 
+// endsSoon reports whether a run is about to end by itself, no later than if it
+// were stopped now.
+func (t *term) endsSoon(r *run, at time.Duration) bool {
+	left, known := r.timeLeft(at)
+	return known && left < t.settings().TaskStopTime+endMargin
+}
+
 // loss returns the work in core seconds that a stop of a run throws away. A
 // stop saves what makes checkpoints, so only the restart is lost.
 func (t *term) loss(r *run, at time.Duration) float64 {
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -45,20 +45,22 @@
 // run is a run of a task that holds resources of a host until it has certainly
 // ended.
 type run struct {
-	task       workload.TaskID
-	number     int
-	attempt    *attempt
-	host       *hostState
-	minion     string // minion is the incarnation.
-	need       workload.Resources
-	phase      phase
-	answered   time.Duration // answered is when the minion last answered an order on the run.
-	startedAt  time.Duration
-	percent    int
-	movedAt    time.Duration // movedAt is when the percentage last rose.
-	checkpoint string
-	savedAt    time.Duration // savedAt is when the checkpoint last changed.
-	stopSent   bool          // stopSent is set once a stop is on its way.
+	task         workload.TaskID
+	number       int
+	attempt      *attempt
+	host         *hostState
+	minion       string // minion is the incarnation.
+	need         workload.Resources
+	phase        phase
+	answered     time.Duration // answered is when the minion last answered an order on the run.
+	startedAt    time.Duration
+	percent      int
+	firstPercent int           // firstPercent is the share that was done when the run was first listed; a checkpoint may have held some.
+	movedAt      time.Duration // movedAt is when the percentage last rose.
+	checkpoint   string
+	savedAt      time.Duration // savedAt is when the checkpoint last changed.
+	listed       bool          // listed is set once the minion has listed the run.
+	stopSent     bool          // stopSent is set once a stop is on its way.
 }
 
 // attempt is the runs that start and end together: those of a gang, or one.
@@ -101,6 +103,9 @@
 // note takes what the minion lists of a run.
 func (r *run) note(l host.Run) {
 	at := now()
+	if !r.listed {
+		r.listed, r.firstPercent, r.startedAt = true, l.Percent, at
+	}
 	if l.Percent != r.percent {
 		r.percent, r.movedAt = l.Percent, at
 	}
@@ -109,6 +114,19 @@
 	}
 }
 
+// leastPercent is how far a run must have come before its speed is known.
+const leastPercent = 10
+
+// timeLeft estimates from its progress when a run ends. It reports false while
+// too little of it is done.
+func (r *run) timeLeft(at time.Duration) (time.Duration, bool) {
+	if r.phase != running || r.percent-r.firstPercent < leastPercent {
+		return 0, false
+	}
+	perPercent := (r.movedAt - r.startedAt) / time.Duration(r.percent-r.firstPercent)
+	return time.Duration(100-r.percent)*perPercent - (at - r.movedAt), true
+}
+
 func (t *term) started(r *run) {
 	r.phase = running
 	r.startedAt = now()
