Serve first what can wait least, and keep hosts free for gangs

Change: jobs are ordered by their latest start, late ones by when they are worth nothing; hosts are kept free for the first two gangs that do not fit.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/workload"
@@ -53,6 +54,7 @@
 	ID    int
 	Rank  Rank
 	Loss  float64                       // Loss is the work in core seconds that a stop throws away.
+	Left  time.Duration                 // Left is when the unit ends, as far as can be told.
 	Parts map[string]workload.Resources // Parts holds what the unit uses on each host.
 }
 
@@ -118,6 +120,7 @@
 	units     []Unit
 	parts     [][]part // parts holds what each unit uses on the hosts that are known.
 	isStopped []bool   // isStopped holds for each unit whether it has to make room.
+	reserved  int      // reserved counts the gangs that hosts are kept free for.
 	plan      Plan
 }
 
@@ -171,8 +174,11 @@
 			return
 		}
 	}
-	if d.Rank <= Urgent {
+	switch {
+	case d.Rank <= Urgent:
 		p.makeRoom(d)
+	case d.Gang:
+		p.reserve(d)
 	}
 }
 
--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -83,7 +83,16 @@
 		},
 		"a local gang waits while a rack could hold it": {
 			hosts:   []allocation.Host{offer("h1", "r1", 4, 4), offer("h2", "r2", 4, 4)},
+			units:   []allocation.Unit{unit(1, ordinary, 1, map[string]int{"h1": 4})},
 			demands: []allocation.Demand{local(gangOf(0, ordinary, 2, 4))},
+			waiting: []int{0}, // A rack is kept free for it.
+		},
+		"hosts are kept free for a gang": {
+			hosts:   []allocation.Host{offer("h1", "r1", 2, 2), offer("h2", "r2", 6, 6), offer("h3", "r3", 1, 1)},
+			units:   []allocation.Unit{unit(1, ordinary, 1, map[string]int{"h1": 6}), unit(2, ordinary, 1, map[string]int{"h2": 2}), unit(3, ordinary, 1, map[string]int{"h3": 7})},
+			demands: []allocation.Demand{gangOf(0, ordinary, 2, 8), want(1, ordinary, 2, 1)},
+			placed:  map[int][]string{1: {"h3"}},
+			waiting: []int{0},
 		},
 		"a local gang that may be far is spread": {
 			hosts:   []allocation.Host{offer("h1", "r1", 4, 4), offer("h2", "r2", 4, 4)},
--- /dev/null
+++ b/internal/fleet/allocation/reserve.go
@@ -0,0 +1,98 @@
+package allocation
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"wasabihoist/internal/fleet/workload"
+)
+
+// reservations is how many gangs that may not stop others have hosts kept free
+// for them at a time. The hosts stand partly idle meanwhile.
+const reservations = 2
+
+// reserve keeps hosts free for a gang that does not fit, so that smaller work
+// does not take its room for ever. It takes the hosts that are free first.
+func (p *planner) reserve(d Demand) {
+	if p.reserved >= reservations {
+		return
+	}
+	var best []*room
+	bestTime := time.Duration(-1)
+	for _, rooms := range p.sites(d) {
+		chosen, at := p.earliest(d, rooms)
+		if chosen != nil && (best == nil || at < bestTime) {
+			best, bestTime = chosen, at
+		}
+	}
+	if best == nil && d.Local {
+		best, _ = p.earliest(d, p.rooms)
+	}
+	if best == nil {
+		return
+	}
+	p.reserved++
+	p.setAside(d, best)
+}
+
+// slot is a host that a reservation may use.
+type slot struct {
+	r     *room
+	at    time.Duration // at is when there is room for the tasks so far and one more.
+	tasks int
+}
+
+// earliest returns hosts for all tasks of a gang and when they are free. It
+// returns nil when the hosts are too few even when they are empty.
+func (p *planner) earliest(d Demand, rooms []*room) ([]*room, time.Duration) {
+	var slots []*slot
+	for _, r := range rooms {
+		if usable(d, r) {
+			slots = append(slots, &slot{r, p.freeAt(r, d.Need), 0})
+		}
+	}
+	var chosen []*room
+	var last time.Duration
+	for range d.Tasks {
+		best := slices.MinFunc(append(slots, &slot{at: never}), func(a, b *slot) int { return cmp.Compare(a.at, b.at) })
+		if best.at == never {
+			return nil, 0
+		}
+		chosen = append(chosen, best.r)
+		last = max(last, best.at)
+		best.tasks++
+		best.at = never
+		if d.SpreadLimit == 0 || d.Present[best.r.Name]+best.tasks < d.SpreadLimit {
+			best.at = p.freeAt(best.r, times(d.Need, best.tasks+1))
+		}
+	}
+	return chosen, last
+}
+
+// never is the time at which a host has room that it never has.
+const never = time.Duration(1<<63 - 1)
+
+// freeAt returns when a host has room for a need, if nothing else starts there.
+func (p *planner) freeAt(r *room, need workload.Resources) time.Duration {
+	left := r.Soon
+	if left.Fits(need) {
+		return 0
+	}
+	units := slices.Clone(r.units)
+	slices.SortFunc(units, func(a, b int) int { return cmp.Compare(p.units[a].Left, p.units[b].Left) })
+	for _, i := range units {
+		if p.isStopped[i] {
+			continue
+		}
+		left = left.Add(p.usedOn(i, r))
+		if left.Fits(need) {
+			return p.units[i].Left
+		}
+	}
+	return never
+}
+
+func times(need workload.Resources, n int) workload.Resources {
+	return workload.Resources{MilliCores: need.MilliCores * n, MemoryMB: need.MemoryMB * n, Accelerators: need.Accelerators * n}
+}
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -74,23 +74,17 @@
 	return steps, demands
 }
 
-// ordered returns the jobs by when they are due; those that are already late
-// come last.
+// ordered returns the jobs by how soon they have to start: first those that can
+// wait least.
 func (t *term) ordered() []*jobState {
 	list := make([]*jobState, 0, len(t.jobs))
+	at := time.Now()
 	for _, j := range t.jobs {
+		j.latest = latestStart(j.job, t.remaining(j), at)
 		list = append(list, j)
 	}
-	at := time.Now()
-	late := func(j *jobState) bool { return at.After(j.job.Due()) }
 	slices.SortFunc(list, func(a, b *jobState) int {
-		if late(a) != late(b) {
-			if late(a) {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(a.job.Due().Compare(b.job.Due()), cmp.Compare(a.order, b.order))
+		return cmp.Or(a.latest.Compare(b.latest), cmp.Compare(a.order, b.order))
 	})
 	return list
 }
@@ -253,6 +247,7 @@
 		for _, r := range a.runs {
 			u.Parts[r.host.name] = u.Parts[r.host.name].Add(r.need)
 			u.Loss += t.loss(r, at)
+			u.Left = max(u.Left, r.expectedLeft(at))
 		}
 		units = append(units, u)
 	}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -127,6 +127,15 @@
 	return time.Duration(100-r.percent)*perPercent - (at - r.movedAt), true
 }
 
+// expectedLeft returns when a run ends, from its progress if that is known and
+// otherwise from the estimate that came with the job.
+func (r *run) expectedLeft(at time.Duration) time.Duration {
+	if left, known := r.timeLeft(at); known {
+		return max(0, left)
+	}
+	return max(0, r.attempt.job.job.Steps[r.task.Step].Estimate-(at-r.startedAt))
+}
+
 func (t *term) started(r *run) {
 	r.phase = running
 	r.startedAt = now()
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -63,6 +63,7 @@
 	cancelled bool
 	runs      int                            // runs counts the runs that hold resources somewhere.
 	avoid     map[int]collection.Set[string] // avoid holds for each step the hosts on which a run of it failed.
+	latest    time.Time                      // latest is when the job has to start next, as of the last plan.
 	retryAt   time.Duration                  // retryAt is when the job may be placed again after a failed start.
 }
 
--- /dev/null
+++ b/internal/fleet/coordinator/urgency_internal_test.go
@@ -0,0 +1,35 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/workload"
+)
+
+func TestLatestStart(t *testing.T) {
+	submitted := time.Unix(1000, 0)
+	job := workload.Job{
+		Submitted: submitted, Stretch: 2, Objective: time.Second,
+		Steps: []workload.Step{{Count: 1, Estimate: 2 * time.Second}},
+	} // due after 5 s, worth nothing after 15 s
+	for name, tt := range map[string]struct {
+		at, need time.Duration
+		want     time.Duration
+	}{
+		"in time":             {0, 2 * time.Second, 3 * time.Second},
+		"just in time":        {3 * time.Second, 2 * time.Second, 3 * time.Second},
+		"late":                {4 * time.Second, 2 * time.Second, 13 * time.Second},
+		"little is left":      {4 * time.Second, time.Second, 4 * time.Second},
+		"worth nothing":       {14 * time.Second, 2 * time.Second, 15*time.Second + hopelessDelay},
+		"too long to be late": {0, 20 * time.Second, 15*time.Second + hopelessDelay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			got := latestStart(job, tt.need, submitted.Add(tt.at))
+			c.Check(got.Sub(submitted), qt.Equals, tt.want)
+		})
+	}
+}
