Leave room for urgent work that is likely to come

After the loss of the coordinator urgent jobs waited 2 to 4 s for the next one.

Change: ordinary jobs that can still wait 3 s leave half of the recent peak of urgent work free; a silent coordinator is replaced after 1.5 s instead of 2 s.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -72,6 +72,7 @@
 	SpreadLimit int            // SpreadLimit bounds the tasks on one host; 0 is no bound.
 	Present     map[string]int // Present counts the step's tasks that are on a host already.
 	Avoid       collection.Set[string]
+	Keep        int  // Keep is how many accelerators of the service the demand leaves free.
 	Careful     bool // Careful demands do not go to doubtful hosts.
 	Far         bool // Far allows places away from the data or across racks.
 }
@@ -158,7 +159,7 @@
 
 // serve places a demand, or sets aside what it waits for.
 func (p *planner) serve(d Demand) {
-	if chosen := p.choose(d, (*room).now); len(chosen) > 0 {
+	if chosen := p.leaveFree(d, p.choose(d, (*room).now)); len(chosen) > 0 {
 		p.place(d, chosen)
 		d.Tasks -= len(chosen)
 		d.Present = withPresent(d.Present, chosen)
@@ -166,6 +167,9 @@
 			return
 		}
 	}
+	if d.Keep > 0 {
+		return // It can wait, and takes nothing from others meanwhile.
+	}
 	if chosen := p.choose(d, (*room).soon); len(chosen) > 0 {
 		p.setAside(d, chosen)
 		d.Tasks -= len(chosen)
@@ -182,6 +186,28 @@
 	}
 }
 
+// leaveFree cuts a choice so that it leaves free what the demand keeps; a gang
+// is not started then.
+func (p *planner) leaveFree(d Demand, chosen []*room) []*room {
+	if d.Keep == 0 || d.Need.Accelerators == 0 {
+		return chosen
+	}
+	spare := -d.Keep
+	for _, r := range p.rooms {
+		if r.Open && r.Service == d.Service {
+			spare += max(0, r.now().Accelerators)
+		}
+	}
+	most := max(0, spare/d.Need.Accelerators)
+	if most >= len(chosen) {
+		return chosen
+	}
+	if d.Gang {
+		return nil
+	}
+	return chosen[:most]
+}
+
 func withPresent(present map[string]int, chosen []*room) map[string]int {
 	sum := make(map[string]int, len(present)+len(chosen))
 	for name, n := range present {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -26,12 +26,12 @@
 const (
 	// campaignInterval is the time between claims of the leadership. Three
 	// claims may be lost before it passes to another process.
-	campaignInterval = 500 * time.Millisecond
+	campaignInterval = 300 * time.Millisecond
 	// leadershipTime is how long the store keeps the leadership of a process
 	// that has become silent.
-	leadershipTime = 2 * time.Second
-	// campaignTimeout bounds one claim.
-	campaignTimeout = time.Second
+	leadershipTime = 1500 * time.Millisecond
+	// campaignTimeout bounds one claim. A store that is slow answers within 0.3 s.
+	campaignTimeout = 600 * time.Millisecond
 	// resignTimeout bounds giving the leadership up at a stop.
 	resignTimeout = 500 * time.Millisecond
 )
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -53,6 +53,7 @@
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
 	guaranteed := t.withinGuarantee()
 	at := now()
+	keep := t.headroom.keep(t.urgentAccelerators(), at)
 	var steps []waitingStep
 	var demands []allocation.Demand
 	for _, j := range t.ordered() {
@@ -66,6 +67,9 @@
 			}
 			d := t.demand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
 			d.ID = len(steps)
+			if d.Rank >= allocation.Ordinary && time.Until(j.latest) > headroomSlack {
+				d.Keep = keep
+			}
 			steps = append(steps, waitingStep{j, s, indices})
 			demands = append(demands, d)
 		}
@@ -74,6 +78,17 @@
 	return steps, demands
 }
 
+// urgentAccelerators returns what the urgent jobs that have not ended need.
+func (t *term) urgentAccelerators() int {
+	sum := 0
+	for _, j := range t.jobs {
+		if j.job.Priority == 0 && !j.progress.State.Ended() {
+			sum += j.job.Accelerators()
+		}
+	}
+	return sum
+}
+
 // ordered returns the jobs by how soon they have to start: first those that can
 // wait least.
 func (t *term) ordered() []*jobState {
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -47,6 +47,7 @@
 	nextID   int
 	writer   writer
 	members  time.Duration // members is when the members were last read.
+	headroom headroom
 	replan   bool          // replan is set when something has changed that a plan depends on.
 	planAt   time.Duration // planAt is when the next plan may be made.
 	dirty    collection.Set[workload.ID]
