Choose what to stop by its loss, and bound it beyond a guarantee

Cause: tasks of priority 2 in the middle of their run were stopped before gangs of priority 1 that had just been saved or started.

Change: units are chosen by the work that their stop throws away; for urgent work beyond a guarantee at most three times the work gained is thrown away.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -72,9 +72,10 @@
 	SpreadLimit int            // SpreadLimit bounds the tasks on one host; 0 is no bound.
 	Present     map[string]int // Present counts the step's tasks that are on a host already.
 	Avoid       collection.Set[string]
-	Keep        int  // Keep is how many accelerators of the service the demand leaves free.
-	Careful     bool // Careful demands do not go to doubtful hosts.
-	Far         bool // Far allows places away from the data or across racks.
+	LossLimit   float64 // LossLimit is the most work in core seconds that may be thrown away for the demand; 0 is no bound.
+	Keep        int     // Keep is how many accelerators of the service the demand leaves free.
+	Careful     bool    // Careful demands do not go to doubtful hosts.
+	Far         bool    // Far allows places away from the data or across racks.
 }
 
 // Placement gives tasks of a demand to hosts. Hosts has one name for each task,
@@ -106,7 +107,7 @@
 	Host
 	index int
 	busy  bool  // busy is set once a task was given to the host during this plan, or if it had some before.
-	units []int // units holds the indices of the units on the host, the least urgent first and of these the cheapest.
+	units []int // units holds the indices of the units on the host, the ones with the least loss first.
 }
 
 // now is what a task can be started on without touching what is set aside.
@@ -151,7 +152,7 @@
 	}
 	for _, r := range p.rooms {
 		slices.SortFunc(r.units, func(a, b int) int {
-			return cmp.Or(cmp.Compare(units[b].Rank, units[a].Rank), cmp.Compare(units[a].Loss, units[b].Loss), cmp.Compare(a, b))
+			return cmp.Or(cmp.Compare(units[a].Loss, units[b].Loss), cmp.Compare(units[b].Rank, units[a].Rank), cmp.Compare(a, b))
 		})
 	}
 	return p
--- a/internal/fleet/allocation/makeroom.go
+++ b/internal/fleet/allocation/makeroom.go
@@ -36,7 +36,7 @@
 	if best == nil && d.Gang && d.Local {
 		best = p.clear(d, p.rooms)
 	}
-	if best == nil {
+	if best == nil || d.LossLimit > 0 && best.loss > d.LossLimit {
 		return
 	}
 	for _, i := range best.stopped {
@@ -147,8 +147,8 @@
 }
 
 // cheapest returns the units on a host whose stop makes room for one more task.
-// It takes the least urgent ones first and keeps those that turn out not to be
-// needed, the dearest first.
+// It takes the ones with the least loss and keeps those that turn out not to
+// be needed, the dearest first.
 func (p *planner) cheapest(d Demand, r *room, c *clearing) (stops []int, loss float64, ok bool) {
 	left := c.left[r.index]
 	if left.Fits(d.Need) {
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -19,6 +19,10 @@
 	// endMargin is how much longer than a stop a run may take to end and still
 	// be left to end by itself.
 	endMargin = 300 * time.Millisecond
+	// lossRatio bounds the work that is thrown away for urgent work beyond a
+	// guarantee, in parts of that work. Thrown away work costs the users about a
+	// fifth of what urgent work in time is worth to them.
+	lossRatio = 3
 	// leaveMargin is how long before a minion may leave what can be saved there
 	// is stopped.
 	leaveMargin = time.Second
@@ -67,6 +71,9 @@
 			}
 			d := t.demand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
 			d.ID = len(steps)
+			if d.Rank == allocation.Urgent {
+				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * j.job.Steps[s].Estimate.Seconds()
+			}
 			if d.Rank >= allocation.Ordinary && time.Until(j.latest) > headroomSlack {
 				d.Keep = keep
 			}
