Let late jobs use the room that is kept for urgent work

Cause: wide gangs that were late kept leaving headroom, never found their hosts free and got none reserved: eleven of them waited until after the traffic.

Change: only jobs that can still be done in time leave headroom.

--- a/internal/fleet/coordinator/headroom.go
+++ b/internal/fleet/coordinator/headroom.go
@@ -12,8 +12,8 @@
 	// peakHalfLife is how fast the memory of a peak fades. A burst of urgent
 	// work is often followed by another within this time.
 	peakHalfLife = 8 * time.Second
-	// headroomSlack is how long a job must still be able to wait to leave the
-	// headroom alone.
+	// headroomSlack is how long a job must still be able to wait, and be done in
+	// time, to leave the headroom alone.
 	headroomSlack = 3 * time.Second
 )
 
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -74,7 +74,7 @@
 			if d.Rank == allocation.Urgent {
 				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * j.job.Steps[s].Estimate.Seconds()
 			}
-			if d.Rank >= allocation.Ordinary && time.Until(j.latest) > headroomSlack {
+			if d.Rank >= allocation.Ordinary && time.Until(j.job.Due())-t.remaining(j) > headroomSlack {
 				d.Keep = keep
 			}
 			steps = append(steps, waitingStep{j, s, indices})
