--- a/internal/run/embedded/leases_test.go
+++ b/internal/run/embedded/leases_test.go
@@ -12,6 +12,7 @@
 	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/run/deployment"
 	"wasabihoist/internal/run/embedded"
+	"wasabihoist/internal/standin/workerhost"
 )
 
 // traceTime is the layout of the times in a trace of starts.
@@ -62,6 +63,40 @@
 	c.Assert(cluster.Stop(), qt.IsNil)
 }
 
+// Shows that a start that is given up leaves held members behind that never
+// ran: they count as starts of their workers, but not as runs of the gang.
+func TestStartThatIsGivenUpRunsNoMember(t *testing.T) {
+	t.Parallel()
+	const members = 40
+	c := qt.New(t)
+	d := deployment.Magnolia()
+	d.Sites[0].Workers = 60
+	cluster := startCluster(c, d)
+	for _, w := range cluster.Workers[:4] {
+		w.Host.SetFaults(workerhost.Faults{HoldStarts: true})
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*callLimit)
+	defer cancel()
+	client := cluster.Caller(cluster.Entries[1], "corner-catalog")
+	status, err := client.Submit(ctx, restapi.Job{
+		ID: "wide", Kind: "catalog-render", Members: members, Accelerators: 1, Adjacency: "data-centre",
+		Cores: 64, MemoryMB: 100, RunTime: 1,
+	})
+	for err == nil && status.State != "ended" {
+		status, err = client.Job(ctx, "wide", time.Second)
+	}
+	c.Assert(err, qt.IsNil)
+	c.Check(status.Outcome, qt.Equals, "done", qt.Commentf("%+v", status))
+	released, trace := releasedTasks(cluster)
+	c.Check(released, qt.Equals, members, qt.Commentf("starts: %s", trace))
+	starts := strings.Count(trace, "started")
+	c.Check(starts > members, qt.IsTrue, qt.Commentf("%d starts: %s", starts, trace))
+	for _, w := range cluster.Workers[:4] {
+		w.Host.SetFaults(workerhost.Faults{})
+	}
+	c.Assert(cluster.Stop(), qt.IsNil)
+}
+
 // releasedTasks counts the tasks that ran: a member that was started held and
 // given up before its release never ran. The trace lists every start.
 func releasedTasks(cluster *embedded.Cluster) (int, string) {
