Replay the loads that the placement rules answer

Tests for the bounded loss, the choice by loss, headroom after a burst, doubtful hosts and runs that end soon.

--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -138,6 +138,48 @@
 			demands: []allocation.Demand{gangOf(0, allocation.Urgent, 1, 2)},
 			stops:   []int{1, 2}, waiting: []int{0},
 		},
+		"beyond a guarantee the loss is bounded": {
+			hosts: []allocation.Host{offer("h1", "r1", 0, 0)},
+			units: []allocation.Unit{unit(1, ordinary, 50, map[string]int{"h1": 8})},
+			demands: []allocation.Demand{func() allocation.Demand {
+				d := gangOf(0, allocation.Urgent, 1, 8)
+				d.LossLimit = 49
+				return d
+			}()},
+		},
+		"the loss decides before the rank": {
+			hosts:   []allocation.Host{offer("h1", "r1", 0, 0)},
+			units:   []allocation.Unit{unit(1, ordinary+1, 50, map[string]int{"h1": 4}), unit(2, ordinary, 1, map[string]int{"h1": 4})},
+			demands: []allocation.Demand{gangOf(0, allocation.Guaranteed, 1, 4)},
+			stops:   []int{2}, waiting: []int{0},
+		},
+		"ordinary work leaves headroom": {
+			hosts: []allocation.Host{offer("h1", "r1", 8, 8)},
+			demands: []allocation.Demand{func() allocation.Demand {
+				d := want(0, ordinary, 8, 1)
+				d.Keep = 5
+				return d
+			}(), gangOf(1, allocation.Urgent, 1, 5)},
+			placed: map[int][]string{0: {"h1", "h1", "h1"}, 1: {"h1"}},
+		},
+		"a gang that would use the headroom waits": {
+			hosts: []allocation.Host{offer("h1", "r1", 8, 8)},
+			demands: []allocation.Demand{func() allocation.Demand {
+				d := gangOf(0, ordinary, 2, 2)
+				d.Keep = 5
+				return d
+			}(), want(1, ordinary, 1, 8)},
+			placed: map[int][]string{1: {"h1"}},
+		},
+		"a doubtful host takes one task, and none of a careful demand": {
+			hosts: []allocation.Host{func() allocation.Host { h := offer("h1", "r1", 8, 8); h.Doubtful = true; return h }()},
+			demands: []allocation.Demand{func() allocation.Demand {
+				d := want(0, ordinary, 1, 1)
+				d.Careful = true
+				return d
+			}(), want(1, ordinary, 3, 1), want(2, ordinary, 3, 1)},
+			placed: map[int][]string{1: {"h1"}},
+		},
 		"a guarantee takes back what is lent to urgent work": {
 			hosts:   []allocation.Host{offer("h1", "r1", 0, 0)},
 			units:   []allocation.Unit{unit(1, allocation.Urgent, 1, map[string]int{"h1": 8})},
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -189,6 +189,22 @@
 	f.c.Assert(time.Since(begin) < 2*time.Second, qt.IsTrue, qt.Commentf("took %s", time.Since(begin)))
 }
 
+// Guards against work that is thrown away although it ends as soon as a stop
+// would: a day of the users' bench stopped runs that were 94 percent done.
+func TestRunThatEndsSoonIsNotStopped(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1")
+	defer f.lead("one")()
+	const duration = 3 * time.Second
+	f.submit(workload.Job{ID: "borrowed", Priority: 2, Organisation: "other", Steps: []workload.Step{step(1, 8)}}, duration)
+	f.until("it runs", func() bool { return f.starts("borrowed", 1) == 1 })
+	time.Sleep(duration - 200*time.Millisecond)
+	f.submit(workload.Job{ID: "owned", Priority: 0, Organisation: "owner", Steps: []workload.Step{gang(1, 8)}}, short)
+	f.await("owned", workload.Done)
+	f.await("borrowed", workload.Done)
+	f.c.Assert(f.starts("borrowed", 1), qt.Equals, 1)
+}
+
 // Guards against a job that fails for ever, and against one that is failed
 // because of a host that fails everything.
 func TestFailuresAreCounted(t *testing.T) {
