--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -76,6 +76,7 @@
 	Label       string
 	Rack        string // Rack holds the data of the step; empty when there is none.
 	SpreadLimit int    // SpreadLimit bounds the tasks of the step on one minion; 0 is no bound.
+	Lasting     bool   // Lasting tasks run until the job is cancelled.
 	Fills       bool   // Fills tasks use only processor time that is left over.
 }
 
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -10,6 +11,7 @@
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/tenancy/catalogue"
 )
 
 // submit accepts a job by making it durable. The same submission may come
@@ -23,6 +25,9 @@
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	q := a.queue
+	if reason := unsupported(q, submission); reason != "" {
+		return Answer{Outcome: Refused, Reason: reason}
+	}
 	job := workload.Job{
 		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps,
 		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
@@ -37,6 +42,27 @@
 	return g.record(ctx, c, record, Answer{Outcome: Accepted})
 }
 
+// unsupported returns why this version cannot run a submission. Such a job is
+// refused at once, because running it in another way would break what its
+// caller relies on.
+func unsupported(q catalogue.Queue, s Submission) string {
+	if q.Advised {
+		return "queues whose hosts another service chooses are not supported"
+	}
+	if s.Repetitions > 0 {
+		return "jobs that run at set times are not supported"
+	}
+	for i, step := range s.Steps {
+		if step.Lasting {
+			return fmt.Sprintf("step %d: tasks that run until they are cancelled are not supported", i)
+		}
+		if step.Fills {
+			return fmt.Sprintf("step %d: tasks that use what others leave over are not supported", i)
+		}
+	}
+	return ""
+}
+
 func (g *Gateway) cancel(ctx context.Context, c Call, a admission) Answer {
 	e, denial := g.find(ctx, a)
 	if denial != nil {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -91,8 +91,9 @@
 
 // Submission is what a client submits.
 type Submission struct {
-	Spec  string
-	Steps []workload.Step
+	Spec        string
+	Steps       []workload.Step
+	Repetitions int // Repetitions is how often the steps run at set times; 0 for once and at once.
 }
 
 // Peer is another entry.
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -63,7 +63,11 @@
 			if string(body) == "bad" {
 				return gateway.Submission{}, errors.New("cannot be read")
 			}
-			return gateway.Submission{Steps: []workload.Step{{Count: 1}}}, nil
+			s := gateway.Submission{Steps: []workload.Step{{Count: 1, Lasting: string(body) == "lasting", Fills: string(body) == "fills"}}}
+			if string(body) == "timed" {
+				s.Repetitions = 3
+			}
+			return s, nil
 		},
 		Peers: func() []gateway.Peer { return []gateway.Peer{f.peer} },
 	}, f.store, state, jobs, plans, current, log.NewNopLogger())
@@ -98,6 +102,10 @@
 	}{
 		{gateway.Status, "/q/" + id, "key1", "", gateway.UnknownJob, 0},
 		{gateway.Submit, "/q/" + id, "key1", "bad", gateway.Invalid, 0},
+		{gateway.Submit, "/q/" + id, "key1", "lasting", gateway.Refused, 0},
+		{gateway.Submit, "/q/" + id, "key1", "fills", gateway.Refused, 0},
+		{gateway.Submit, "/q/" + id, "key1", "timed", gateway.Refused, 0},
+		{gateway.Status, "/q/" + id, "key1", "", gateway.UnknownJob, 0},
 		{gateway.Submit, "/q/" + id, "key1", "", gateway.Accepted, 0},
 		{gateway.Submit, "/q/" + id, "key1", "", gateway.Accepted, 0},
 		{gateway.Status, "/q/" + id, "key1", "", gateway.Known, workload.Pending},
--- a/internal/tenancy/catalogue/catalogue.go
+++ b/internal/tenancy/catalogue/catalogue.go
@@ -15,6 +15,7 @@
 	Host       string // Host is the virtual host that callers name.
 	PathPrefix string
 	Service    string
+	Advised    bool // Advised queues leave the choice of hosts to another service.
 	Public     bool // Public queues take calls without a key.
 	Priority   int
 	Attempts   int
