Print the story of a job from the logs of all processes

Change: wasabihoist trace JOB FILE... prints the lines about a job in order, with changes of the coordinator, losses of the store and silent hosts around them, and names the gaps. Agents name the job in their lines. The choice of hosts is split into smaller functions for the linter.

--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -24,6 +24,7 @@
 		agentEntry(),
 		hostedEntryEntry(),
 		hostedAgentEntry(),
+		traceEntry(),
 		standinEntry(),
 		submitEntry(),
 		statusEntry(),
--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -240,6 +240,9 @@
 
 // usable reports whether a task of the demand may run on a host at all.
 func usable(d Demand, r *room) bool {
-	return r.Open && r.Service == d.Service && !d.Avoid.Has(r.Name) && !(r.Doubtful && (d.Careful || r.busy)) &&
+	if r.Doubtful && (d.Careful || r.busy) {
+		return false
+	}
+	return r.Open && r.Service == d.Service && !d.Avoid.Has(r.Name) &&
 		(d.Label == "" || r.Labels.Has(d.Label)) && r.Capacity.Fits(d.Need)
 }
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -88,16 +88,23 @@
 	return chosen == d.Tasks || !d.Gang && chosen > 0
 }
 
+// candidate is a host that may take tasks of a demand.
+type candidate struct {
+	r     *room
+	left  workload.Resources
+	here  int // here counts the step's tasks on the host.
+	given int // given counts those that are given to it now.
+}
+
+// takes reports whether the host may take one more task.
+func (c *candidate) takes(d Demand) bool {
+	return c.left.Fits(d.Need) && (d.SpreadLimit == 0 || c.here < d.SpreadLimit) && (!c.r.Doubtful || c.given == 0)
+}
+
 // fill gives tasks to hosts one by one, each to the host where the fewest
 // accelerators and cores are left over, so that whole hosts stay free. For a
 // gang it returns all or none.
 func fill(d Demand, rooms []*room, available func(*room) workload.Resources) []*room {
-	type candidate struct {
-		r     *room
-		left  workload.Resources
-		here  int // here counts the step's tasks on the host.
-		given int // given counts those that are given to it now.
-	}
 	candidates := make([]candidate, 0, len(rooms))
 	reach := 0
 	for _, r := range rooms {
@@ -111,30 +118,34 @@
 	}
 	chosen := make([]*room, 0, d.Tasks)
 	for range d.Tasks {
-		best := -1
-		for i, c := range candidates {
-			if !c.left.Fits(d.Need) || d.SpreadLimit > 0 && c.here >= d.SpreadLimit || c.r.Doubtful && c.given > 0 {
-				continue
-			}
-			if best < 0 || tighter(c.left, candidates[best].left) {
-				best = i
-			}
-		}
-		if best < 0 {
-			if d.Gang {
-				return nil
-			}
+		best := tightest(d, candidates)
+		if best == nil {
 			break
 		}
-		c := &candidates[best]
-		c.left = c.left.Sub(d.Need)
-		c.here++
-		c.given++
-		chosen = append(chosen, c.r)
+		best.left = best.left.Sub(d.Need)
+		best.here++
+		best.given++
+		chosen = append(chosen, best.r)
+	}
+	if d.Gang && len(chosen) < d.Tasks {
+		return nil
 	}
 	return chosen
 }
 
+// tightest returns the candidate with the least left over that takes one more
+// task, nil when none does.
+func tightest(d Demand, candidates []candidate) *candidate {
+	var best *candidate
+	for i := range candidates {
+		c := &candidates[i]
+		if c.takes(d) && (best == nil || tighter(c.left, best.left)) {
+			best = c
+		}
+	}
+	return best
+}
+
 func tighter(a, b workload.Resources) bool {
 	if a.Accelerators != b.Accelerators {
 		return a.Accelerators < b.Accelerators
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -168,13 +168,13 @@
 	draining := a.report.Draining && a.report.Incarnation() == r.Incarnation
 	a.mu.Unlock()
 	if draining {
-		_ = level.Info(a.logger).Log("event", "start refused", "task", r.Task, "run", r.Number, "reason", host.ErrDraining)
+		_ = level.Info(a.logger).Log("event", "start refused", "job", r.Task.Job, "task", r.Task, "run", r.Number, "reason", host.ErrDraining)
 		return host.ErrDraining
 	}
 	begin := time.Now()
 	err := a.minion.Start(ctx, r)
 	a.count("start", begin, err)
-	_ = level.Info(a.logger).Log("event", "start", "task", r.Task, "run", r.Number, "token", r.Token, "outcome", outcome(err))
+	_ = level.Info(a.logger).Log("event", "start", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "outcome", outcome(err))
 	return err
 }
 
@@ -184,7 +184,7 @@
 	begin := time.Now()
 	err := a.minion.Stop(ctx, r)
 	a.count("stop", begin, err)
-	_ = level.Info(a.logger).Log("event", "stop", "task", r.Task, "run", r.Number, "token", r.Token, "outcome", outcome(err))
+	_ = level.Info(a.logger).Log("event", "stop", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "outcome", outcome(err))
 	return err
 }
 
