--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -32,6 +32,9 @@
 	leadershipTime = 1500 * time.Millisecond
 	// campaignTimeout bounds one claim. A store that is slow answers within 0.3 s.
 	campaignTimeout = 600 * time.Millisecond
+	// forgetTime is how long a silent host that holds nothing is kept. A host
+	// that was restarted is back much sooner.
+	forgetTime = time.Minute
 	// resignTimeout bounds giving the leadership up at a stop.
 	resignTimeout = 500 * time.Millisecond
 )
@@ -46,6 +49,7 @@
 	FarFactor       float64       // FarFactor is how many times longer a task takes away from its data.
 	CheckpointEvery time.Duration // CheckpointEvery is the work between two checkpoints.
 	RestoreTime     time.Duration // RestoreTime is what a start from a checkpoint takes.
+	ForgetTime      time.Duration // ForgetTime is how long a silent host that holds nothing is kept; 0 means a minute.
 	LeadershipTime  time.Duration // LeadershipTime is at least what the store supports.
 }
 
@@ -93,6 +97,9 @@
 		options.Name = former.Name
 	}
 	options.LeadershipTime = max(options.LeadershipTime, leadershipTime)
+	if options.ForgetTime == 0 {
+		options.ForgetTime = forgetTime
+	}
 	c.options.Store(&options)
 }
 
--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/standin/fleethost"
 	"wasabihoist/internal/standin/fleetstore"
 )
@@ -205,6 +206,20 @@
 	f.c.Assert(f.starts("borrowed", 1), qt.Equals, 1)
 }
 
+// Guards against hosts that were replaced and are called for ever.
+func TestSilentHostIsForgotten(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r2")
+	f.forgetTime = 1500 * time.Millisecond
+	f.list[0].SetFaults(fleethost.Faults{Silent: true})
+	defer f.lead("one")()
+	members := func() int { return len(f.state.Members(ledger.AgentRole)) }
+	f.until("both are known", func() bool { return members() == 2 })
+	f.until("one is forgotten", func() bool { return members() == 1 })
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, short)
+	f.await("job", workload.Done)
+}
+
 // Guards against a job that fails for ever, and against one that is failed
 // because of a host that fails everything.
 func TestFailuresAreCounted(t *testing.T) {
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -22,6 +22,10 @@
 	// settleWait bounds how long the next renewal waits until the ends in the
 	// last listing are durable, because the minion lists them again at once.
 	settleWait = 400 * time.Millisecond
+	// farPause follows a failed renewal of a host that has been silent for
+	// farSilence.
+	farPause   = time.Second
+	farSilence = 10 * time.Second
 	// silentTime is how long a minion may be silent before it gets no new work.
 	silentTime = 1500 * time.Millisecond
 	// slowClock is by how much the clock of a minion may be slow.
@@ -44,7 +48,8 @@
 	address netip.AddrPort
 	started time.Time // started tells the lives of the agent apart.
 	client  host.Client
-	session *group.Group // session runs the renewals; nil when the host is known from tasks only.
+	session *group.Group  // session runs the renewals; nil when the host is known from tasks only.
+	found   time.Duration // found is when the session began.
 
 	minion       host.Minion // minion is the newest report; its ID is empty before the first.
 	silent       bool        // silent is set while calls fail.
@@ -77,6 +82,7 @@
 		return
 	}
 	t.members = at
+	t.forgetHosts(at)
 	for name, m := range t.state.Members(ledger.AgentRole) {
 		h := t.host(name)
 		if h.address == m.Address && h.started.Equal(m.Started) {
@@ -87,11 +93,30 @@
 		}
 		_ = level.Info(t.logger).Log("event", "agent found", "host", name, "address", m.Address, "data-centre", m.DataCentre)
 		h.address, h.started, h.client = m.Address, m.Started, t.dial(m.Address)
+		h.found = at
 		h.session = group.New(t.group.Context())
 		t.startSession(h, h.client, h.session)
 	}
 }
 
+// forgetHosts drops hosts that have not answered for long and hold nothing, with
+// their member records. An agent that lives announces itself again.
+func (t *term) forgetHosts(at time.Duration) {
+	var records []ledger.Record
+	for name, h := range t.hosts {
+		if len(h.runs) > 0 || at-max(h.contact, h.found, t.begun) < t.settings().ForgetTime {
+			continue
+		}
+		if h.session != nil {
+			h.session.Stop()
+		}
+		_ = level.Info(t.logger).Log("event", "host forgotten", "host", name, "last-contact", ago(max(h.contact, h.found)))
+		delete(t.hosts, name)
+		records = append(records, ledger.Dropped(ledger.MemberKind, name))
+	}
+	t.drop(records)
+}
+
 func (t *term) startSession(h *hostState, client host.Client, session *group.Group) {
 	session.Go("renewals", func(ctx context.Context) error {
 		return t.renew(ctx, h, client)
@@ -142,6 +167,8 @@
 
 func (t *term) pauseRenewals(ctx context.Context, h *hostState, failed, unsettled bool) {
 	switch {
+	case failed && now()-max(h.contact, h.found) > farSilence:
+		_ = group.Pause(ctx, farPause)
 	case failed:
 		_ = group.Pause(ctx, holdPause)
 	case unsettled:
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -138,14 +138,20 @@
 		t.finished.Remove(t.ended[0].id)
 		t.ended = t.ended[1:]
 	}
+	t.drop(records)
+}
+
+// drop removes records that nobody needs any more. What is not removed is found
+// again by the next term.
+func (t *term) drop(records []ledger.Record) {
 	if len(records) == 0 {
 		return
 	}
-	t.group.Go("drop ended jobs", func(ctx context.Context) error {
+	t.group.Go("drop records", func(ctx context.Context) error {
 		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		defer cancel()
 		if err := t.store.Append(callCtx, t.topic, records); err != nil {
-			_ = level.Warn(t.logger).Log("event", "records of ended jobs not dropped", "records", len(records), "reason", err)
+			_ = level.Warn(t.logger).Log("event", "records not dropped", "records", len(records), "reason", err)
 		}
 		return nil
 	})
