Let the time without progress grow with the length of a run

Cause: a run that stayed at the same percentage for 3 s was taken to stand still. Jobs of hours take minutes for one percent; all of them would have been stopped again and again.

Change: the limit is a fifth of the estimate, at least 3 s.

Measured: TestStallLimitGrowsWithTheRun; the limit of runs up to 15 s, as on the users' sites, is unchanged.

--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -13,9 +13,12 @@
 )
 
 const (
-	// stallTime is how long a run may make no progress before it is stopped. A
-	// run reports a hundred steps; the longest take about a tenth of a second.
+	// stallTime is how long every run may make no progress.
 	stallTime = 3 * time.Second
+	// stallSteps is how many times longer than estimated one percent of a run may
+	// take. Slow hosts take up to eight times as long, and estimates are off by
+	// more than a half.
+	stallSteps = 20
 	// endMargin is how much longer than a stop a run may take to end and still
 	// be left to end by itself.
 	endMargin = 300 * time.Millisecond
@@ -355,6 +358,11 @@
 	return text
 }
 
+// stallLimit returns how long a run of a step may stay at the same percentage.
+func stallLimit(estimate time.Duration) time.Duration {
+	return max(stallTime, stallSteps*estimate/100)
+}
+
 // checkProgress stops runs that stand still and saves what runs on minions that
 // are about to leave.
 func (t *term) checkProgress() {
@@ -367,7 +375,8 @@
 			if r.phase != running {
 				continue
 			}
-			if at-r.movedAt > stallTime && r.host.contact > r.movedAt+stallTime && r.percent < 100 {
+			limit := stallLimit(a.job.job.Steps[a.step].Estimate)
+			if r.host.contact > r.movedAt+limit && r.percent < 100 {
 				r.host.health.failed(a.job.job.ID, false, at-r.startedAt, at)
 				t.stop(a, "it makes no progress")
 				break
--- a/internal/fleet/coordinator/urgency_internal_test.go
+++ b/internal/fleet/coordinator/urgency_internal_test.go
@@ -9,6 +9,19 @@
 	"wasabihoist/internal/fleet/workload"
 )
 
+// Guards against long runs that are taken to stand still between two percent.
+func TestStallLimitGrowsWithTheRun(t *testing.T) {
+	for name, tt := range map[string]struct{ estimate, want time.Duration }{
+		"no estimate": {0, stallTime},
+		"short":       {10 * time.Second, stallTime},
+		"an hour":     {time.Hour, 12 * time.Minute},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(stallLimit(tt.estimate), qt.Equals, tt.want)
+		})
+	}
+}
+
 func TestLatestStart(t *testing.T) {
 	submitted := time.Unix(1000, 0)
 	job := workload.Job{
