Wait for runs that a former term is having stopped

Cause (found by reading): a minion lists a run that is being stopped neither as running nor as ended. A successor took such a run for one that never began and gave its room out up to a second early. A gang of which two members failed in one run could count two attempts when the coordinator changed between their ends.

Change: an adopted run that is not listed is given up only after the time that a stop takes; the failures of a gang are counted once for a run number, which is kept in the ledger.

Measured: TestSuccessorWaitsForRunsThatAreStopping failed first (two tasks started without room); tests of the life of tasks.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -81,6 +81,21 @@
 	f.await("next", workload.Done)
 }
 
+// Guards against a successor that takes a run for gone that the former
+// coordinator is having stopped: it is not listed, and holds its resources.
+func TestSuccessorWaitsForRunsThatAreStopping(t *testing.T) {
+	t.Parallel()
+	f := newSlowFixture(t, time.Second, "r1")
+	stop := f.lead("one")
+	f.submit(workload.Job{ID: "borrowed", Priority: 2, Organisation: "other", Steps: []workload.Step{step(1, 8)}}, time.Minute)
+	f.until("it runs", func() bool { return f.starts("borrowed", 1) == 1 })
+	f.submit(workload.Job{ID: "owned", Priority: 0, Organisation: "owner", Steps: []workload.Step{gang(2, 4)}}, short)
+	time.Sleep(300 * time.Millisecond) // the stop was sent
+	stop()
+	defer f.lead("two")()
+	f.await("owned", workload.Done)
+}
+
 // Guards against a second run while a start without an answer may have been
 // carried out.
 func TestStartWithoutAnswerIsNotDoubled(t *testing.T) {
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -43,15 +43,21 @@
 	reader  *ledger.Reader
 	group   *group.Group
 
+	stopTime   time.Duration // stopTime is how long minions take to stop a run.
 	forgetTime time.Duration // forgetTime is that of the coordinators; 0 for the default.
 }
 
 // newFixture starts a fleet with one minion for each rack named.
 func newFixture(t *testing.T, racks ...string) *fixture {
+	return newSlowFixture(t, stopTime, racks...)
+}
+
+// newSlowFixture does so with minions that take a while to stop a run.
+func newSlowFixture(t *testing.T, stopTime time.Duration, racks ...string) *fixture {
 	c := qt.New(t)
 	f := &fixture{
 		c: c, store: fleetstore.New(), fleet: fleethost.NewFleet(stopTime), minions: make(map[netip.AddrPort]*fleethost.Minion),
-		state: ledger.NewState(), group: group.New(context.Background()),
+		state: ledger.NewState(), group: group.New(context.Background()), stopTime: stopTime,
 	}
 	f.append(operators, ledger.Record{Key: "config", Value: []byte("1")})
 	for i, rack := range racks {
@@ -92,7 +98,7 @@
 	plans := ledger.NewReader(f.store, operators, current, 0, log.NewNopLogger())
 	g.Go("plans", plans.Run)
 	options := coordinator.Options{
-		Name: name, LongestLease: lease, GangTime: time.Second, TaskStopTime: stopTime, StatusTime: time.Minute, FarFactor: 3, ForgetTime: f.forgetTime,
+		Name: name, LongestLease: lease, GangTime: time.Second, TaskStopTime: f.stopTime, StatusTime: time.Minute, FarFactor: 3, ForgetTime: f.forgetTime,
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current,
 		func(a netip.AddrPort) host.Client { return f.minions[a] }, metrics.For(f.c.Name()+name), log.NewNopLogger())
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -365,16 +365,27 @@
 		listed[runKey{e.Task, e.Number}] = true
 	}
 	for _, r := range runsOf(h) {
-		settled := r.phase == adopted || r.answered != 0 && r.answered < sent
-		if r.attempt.stopping { // A run that is being stopped is not listed until it has ended.
-			settled = r.answered != 0 && r.answered+t.settings().TaskStopTime+stopMargin < sent
-		}
-		if settled && !listed[runKey{r.task, r.number}] {
+		if t.settled(r, sent) && !listed[runKey{r.task, r.number}] {
 			t.lose(r, "the minion does not list it")
 		}
 	}
 }
 
+// settled reports whether a run that a listing asked for at sent does not name
+// has certainly ended or never began. A run that is being stopped is not listed
+// until it has ended; an adopted one may have been stopped by a former term.
+func (t *term) settled(r *run, sent time.Duration) bool {
+	stopped := t.settings().TaskStopTime + stopMargin
+	switch {
+	case r.phase == adopted:
+		return t.begun+stopped < sent
+	case r.attempt.stopping:
+		return r.answered != 0 && r.answered+stopped < sent
+	default:
+		return r.answered != 0 && r.answered < sent
+	}
+}
+
 // acknowledge lets the minion forget ends as soon as they are durable.
 func (t *term) acknowledge(h *hostState) {
 	seen, incarnation := h.seen, h.minion.Incarnation()
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -241,11 +241,7 @@
 	}
 	j.avoid[a.step].Add(h.name)
 	t.release(r)
-	if a.over { // Another member of the gang has failed before.
-		j.progress.Release(e.Task, e.Checkpoint)
-	} else {
-		j.progress.Fail(j.job, e.Task, e.Checkpoint)
-	}
+	j.progress.Fail(j.job, e.Task, e.Number, e.Checkpoint)
 	a.over = true
 	t.stop(a, "a member has failed")
 	if j.progress.State.Ended() {
--- a/internal/fleet/workload/progress.go
+++ b/internal/fleet/workload/progress.go
@@ -52,8 +52,9 @@
 
 // StepProgress is the durable state of one step.
 type StepProgress struct {
-	Failures int // Failures counts the runs of a gang that ended as failed.
-	Tasks    []Task
+	Failures  int // Failures counts the runs of a gang that ended as failed.
+	FailedRun int // FailedRun is the last run of a gang that was counted; several members may fail in one run.
+	Tasks     []Task
 }
 
 // Progress is the durable state of a job. Only the coordinator writes it.
@@ -76,7 +77,7 @@
 func (p *Progress) Clone() *Progress {
 	c := &Progress{Job: p.Job, State: p.State, Steps: make([]StepProgress, len(p.Steps))}
 	for i, s := range p.Steps {
-		c.Steps[i] = StepProgress{Failures: s.Failures, Tasks: slices.Clone(s.Tasks)}
+		c.Steps[i] = StepProgress{Failures: s.Failures, FailedRun: s.FailedRun, Tasks: slices.Clone(s.Tasks)}
 	}
 	return c
 }
@@ -172,11 +173,16 @@
 
 // Fail counts a failed run. The job fails when the task, or the gang, has used
 // all its attempts.
-func (p *Progress) Fail(j Job, t TaskID, checkpoint string) {
+func (p *Progress) Fail(j Job, t TaskID, run int, checkpoint string) {
 	p.Release(t, checkpoint)
-	failures := &p.Steps[t.Step].Tasks[t.Index].Failures
+	step := &p.Steps[t.Step]
+	failures := &step.Tasks[t.Index].Failures
 	if j.Steps[t.Step].Gang {
-		failures = &p.Steps[t.Step].Failures
+		if run <= step.FailedRun {
+			return
+		}
+		step.FailedRun = run
+		failures = &step.Failures
 	}
 	*failures++
 	if *failures >= j.Attempts {
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -122,8 +122,9 @@
 }
 
 type stepProgressRecord struct {
-	Failures int          `json:"failures,omitempty"`
-	Tasks    []taskRecord `json:"tasks"`
+	Failures  int          `json:"failures,omitempty"`
+	FailedRun int          `json:"failed-run,omitempty"`
+	Tasks     []taskRecord `json:"tasks"`
 }
 
 type taskRecord struct {
@@ -140,7 +141,7 @@
 	r := progressRecord{State: p.State.String()}
 	if !p.State.Ended() || p.Held() {
 		for _, s := range p.Steps {
-			step := stepProgressRecord{Failures: s.Failures}
+			step := stepProgressRecord{Failures: s.Failures, FailedRun: s.FailedRun}
 			for _, t := range s.Tasks {
 				step.Tasks = append(step.Tasks, taskRecord(t))
 			}
@@ -165,7 +166,7 @@
 		return nil, fmt.Errorf("decode progress of %s: unknown state %q", id, r.State)
 	}
 	for _, s := range r.Steps {
-		step := workload.StepProgress{Failures: s.Failures}
+		step := workload.StepProgress{Failures: s.Failures, FailedRun: s.FailedRun}
 		for _, t := range s.Tasks {
 			step.Tasks = append(step.Tasks, workload.Task(t))
 		}
