Wait for the retry budget after lost replies instead of answering unknown

Cause: TestDrainUnderFullLoad failed once with "the retry budget is used up" 3 s after its start. A stall of the whole process makes the replies to many idempotent requests late or lost at the same moment; each one needs a retry, the budget (10 % of requests plus 3/s, burst 30) is used up at once, and the rest was answered as unknown although the deadline was 7 s away.

Change: after a lost reply, an idempotent request waits for the budget until its deadline, as it already does when no agent takes work. The budget itself is unchanged. Queues that are full are still refused at once.

Test: TestLostRepliesWaitForTheBudget failed before ("unknown" for 1 and for 3 lost replies), passes now.

--- a/internal/traffic/routing/run.go
+++ b/internal/traffic/routing/run.go
@@ -92,15 +92,16 @@
 
 // retry waits with jitter, if another attempt is allowed. The first few
 // attempts after proved refusals are not counted in the budget, because a
-// refusal costs the agent next to nothing. While agents are unavailable, the
-// request waits for the budget; when queues are full, it is refused at once.
+// refusal costs the agent next to nothing. While agents are unavailable, and
+// after a lost reply to an idempotent request, the request waits for the budget
+// until its deadline; when queues are full, it is refused at once.
 func (r *run) retry(ctx context.Context) bool {
 	if !r.uncertain && r.attempts <= r.client.options.FreeMoves {
 		r.pause(ctx)
 		return true
 	}
 	for !r.client.budget.Take(time.Now()) {
-		if r.uncertain || !r.unavailable || ctx.Err() != nil || !time.Now().Before(r.request.Deadline) {
+		if (!r.uncertain && !r.unavailable) || ctx.Err() != nil || !time.Now().Before(r.request.Deadline) {
 			r.client.Counters.Denied.Add(1)
 			return false
 		}
--- /dev/null
+++ b/internal/traffic/routing/run_test.go
@@ -0,0 +1,67 @@
+package routing
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/cluster/wire"
+	"wasabihoist/internal/record/journal"
+	"wasabihoist/internal/traffic/request"
+)
+
+// lossyAgent forgets the first requests, as one that was starved of processor
+// time, and executes later ones.
+type lossyAgent struct {
+	fullAgent
+	lost atomic.Int64 // lost is how many requests are still forgotten.
+}
+
+func (a *lossyAgent) Run(_ context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
+	if a.lost.Add(-1) >= 0 {
+		panic(http.ErrAbortHandler)
+	}
+	return &wire.RunReply{Identity: r.GetIdentity(), Outcome: int32(request.Done), Checksum: emptyChecksum}, nil
+}
+
+// Guards against an idempotent request that is answered as unknown long before
+// its deadline, because many replies were lost at once and used up the budget.
+func TestLostRepliesWaitForTheBudget(t *testing.T) {
+	tests := map[string]struct {
+		lost     int64
+		deadline time.Duration
+		want     request.Outcome
+	}{
+		"budget refills in time":     {lost: 1, deadline: 20 * time.Second, want: request.Done},
+		"several replies lost":       {lost: 3, deadline: 20 * time.Second, want: request.Done},
+		"deadline before the refill": {lost: 1, deadline: 100 * time.Millisecond, want: request.Unknown},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			agent := &lossyAgent{}
+			agent.lost.Store(tt.lost)
+			server := httptest.NewServer(wire.NewAgentServer(agent))
+			t.Cleanup(server.Close)
+			target := testAgent("agent", "region-0", "dc-0", Alive)
+			target.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+			options := DefaultOptions()
+			options.Region, options.RetryBurst, options.RetryShare, options.RetryPerSecond = "region-0", 1, 0, 2
+			client := New(options, func() []Agent { return []Agent{target} }, journal.New(), nil, nil)
+			defer client.Close()
+			for client.budget.Take(time.Now()) {
+			}
+			q := tally("photo")
+			q.Idempotent, q.Deadline = true, time.Now().Add(tt.deadline)
+			answer := client.Run(t.Context(), q)
+			c.Assert(answer.Outcome, qt.Equals, tt.want, qt.Commentf("%s", answer.Reason))
+			c.Assert(client.Counters.Retries.Value() <= tt.lost, qt.IsTrue)
+		})
+	}
+}
