Answer unknown when only the question about a request was not sent

Cause: when an agent does not answer a question about a request that was sent to it, the error of the exchange wrapped the error of the question. If that was "request was not sent" (connection refused, dial timeout), the attempt counted as proved not run, and the caller got a not-run answer for a request that had run.

Change: the exchange passes on the text of the question's error, not its kind.

Test: TestUnreachableAfterTheRequestWasSent got "not-run" for the idempotent request before and gets "unknown" now.

--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -113,8 +113,9 @@
 			}
 			return request.Answer{}, fmt.Errorf("ask %s: %w: it does not know the request", a.Name, errLost)
 		case err != nil:
-			// The error is that of the question; the request itself was sent.
-			return request.Answer{}, fmt.Errorf("ask %s: %w: %w: %w", a.Name, errLost, errSilent, err)
+			// The kind of the question's error is not passed on: it may say that
+			// the question was not sent, but the request itself was.
+			return request.Answer{}, fmt.Errorf("ask %s: %w: %w: %s", a.Name, errLost, errSilent, err.Error())
 		}
 	}
 }
--- a/internal/traffic/routing/run_test.go
+++ b/internal/traffic/routing/run_test.go
@@ -65,3 +65,41 @@
 		})
 	}
 }
+
+// hangingAgent takes the first request and then no more connections.
+type hangingAgent struct {
+	fullAgent
+	taken func()
+}
+
+func (a *hangingAgent) Run(ctx context.Context, _ *wire.RunRequest) (*wire.RunReply, error) {
+	a.taken()
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// Guards against a false not-run answer: the request was sent, and only the
+// question about it was not.
+func TestUnreachableAfterTheRequestWasSent(t *testing.T) {
+	tests := map[string]bool{"idempotent": true, "non-idempotent": false}
+	for name, idempotent := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			agent := &hangingAgent{}
+			server := httptest.NewServer(wire.NewAgentServer(agent))
+			t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+			agent.taken = func() { _ = server.Listener.Close() }
+			target := testAgent("agent", "region-0", "dc-0", Alive)
+			target.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+			options := DefaultOptions()
+			options.Region, options.AskAfter = "region-0", 50*time.Millisecond
+			current := func(context.Context) error { return nil }
+			client := New(options, func() []Agent { return []Agent{target} }, journal.New(), current, nil)
+			defer client.Close()
+			q := tally("photo")
+			q.Idempotent, q.Deadline = idempotent, time.Now().Add(time.Second)
+			answer := client.Run(t.Context(), q)
+			c.Assert(answer.Outcome, qt.Equals, request.Unknown, qt.Commentf("%s", answer.Reason))
+		})
+	}
+}
