Send a lost request to another agent when its own refuses it

An agent that is draining answers the question ("not found") and refuses the request, so the entry stayed with it until the deadline and answered unknown, while another agent was idle.

Change: after a refusal the request goes to another agent. Claims keep it from running twice, as before.

Test: TestLostRequestMovesFromADrainingAgent got "unknown" before, "done" now.

--- a/internal/traffic/routing/run.go
+++ b/internal/traffic/routing/run.go
@@ -224,9 +224,10 @@
 // resolve finds out what became of a non-idempotent request whose reply was
 // lost. It asks the agent and reads the journal until the deadline. When
 // neither knows the request, it is sent again, to the same agent or, when that
-// is silent, to another one: the identity and the claim make sure that it does
-// not run twice.
+// is silent or has refused it, to another one: the identity and the claim make
+// sure that it does not run twice.
 func (r *run) resolve(ctx context.Context, a Agent, lost error) request.Answer {
+	refused := false
 	for ctx.Err() == nil {
 		if answer, ok := r.recorded(); ok {
 			return answer
@@ -238,12 +239,13 @@
 		}
 		lost = nil
 		if (err != nil || !found) && r.unclaimed() && r.client.budget.Take(time.Now()) {
-			if err != nil {
+			if err != nil || refused {
 				a = r.another(a)
 			}
 			r.client.Counters.Retries.Add(1)
 			answer, err = r.client.exchanger.run(ctx, a, r.request, r.client.exchanger.fresh)
 			found, lost = true, err
+			refused = err != nil || answer.Outcome == request.NotRun
 		}
 		if err == nil && found && answer.Outcome != request.Pending && answer.Outcome != request.NotRun {
 			return answer
--- a/internal/traffic/routing/run_test.go
+++ b/internal/traffic/routing/run_test.go
@@ -103,3 +103,47 @@
 		})
 	}
 }
+
+// drainingAgent drops the first request that any agent of its deployment gets,
+// takes no work from then on, and knows no request.
+type drainingAgent struct {
+	fullAgent
+	first    *atomic.Bool // first is set by the first request of the deployment.
+	draining atomic.Bool
+}
+
+func (a *drainingAgent) Run(_ context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
+	reply := &wire.RunReply{Identity: r.GetIdentity(), Outcome: int32(request.Done), Checksum: emptyChecksum}
+	switch {
+	case a.first.CompareAndSwap(false, true):
+		a.draining.Store(true)
+		panic(http.ErrAbortHandler)
+	case a.draining.Load():
+		reply.Outcome, reply.Retryable, reply.Leaving = int32(request.NotRun), true, true
+	}
+	return reply, nil
+}
+
+// Guards against a non-idempotent request that is sent to a draining agent
+// again and again until its deadline, after that agent has lost it.
+func TestLostRequestMovesFromADrainingAgent(t *testing.T) {
+	c := qt.New(t)
+	var first atomic.Bool
+	var targets []Agent
+	for _, name := range []string{"agent-0", "agent-1"} {
+		server := httptest.NewServer(wire.NewAgentServer(&drainingAgent{first: &first}))
+		t.Cleanup(server.Close)
+		target := testAgent(name, "region-0", "dc-0", Alive)
+		target.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+		targets = append(targets, target)
+	}
+	options := DefaultOptions()
+	options.Region = "region-0"
+	current := func(context.Context) error { return nil }
+	client := New(options, func() []Agent { return targets }, journal.New(), current, nil)
+	defer client.Close()
+	q := tally("pay")
+	q.Deadline = time.Now().Add(5 * time.Second)
+	answer := client.Run(t.Context(), q)
+	c.Assert(answer.Outcome, qt.Equals, request.Done, qt.Commentf("%s", answer.Reason))
+}
