Log for which job a run is stopped, and what that throws away

Change: a plan names the demand that each stopped unit makes room for; the stop line has for-job, for-rank and loss-core-seconds.

Test: the property test of the planner checks that each stop is for a demand that is more urgent; it did not compile before.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -9,6 +9,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -26,6 +27,17 @@
 	Ordinary               // Ordinary work and all after it has the priorities from 1.
 )
 
+// String names the rank in logs.
+func (r Rank) String() string {
+	switch r {
+	case Guaranteed:
+		return "guaranteed"
+	case Urgent:
+		return "urgent"
+	}
+	return fmt.Sprintf("ordinary-%d", int(r-Urgent))
+}
+
 // RankOf returns the rank of a priority.
 func RankOf(priority int, guaranteed bool) Rank {
 	if priority == 0 && guaranteed {
@@ -89,6 +101,7 @@
 type Plan struct {
 	Placements []Placement
 	Stops      []int               // Stops lists units that have to make room.
+	StoppedFor map[int]int         // StoppedFor holds the demand that each of them makes room for.
 	Waiting    collection.Set[int] // Waiting holds demands that something is set aside for.
 }
 
@@ -129,7 +142,7 @@
 func newPlanner(hosts []Host, units []Unit) *planner {
 	p := &planner{
 		racks: make(map[string][]*room), units: units, parts: make([][]part, len(units)),
-		isStopped: make([]bool, len(units)), plan: Plan{Waiting: collection.NewSet[int]()},
+		isStopped: make([]bool, len(units)), plan: Plan{StoppedFor: make(map[int]int), Waiting: collection.NewSet[int]()},
 	}
 	byName := make(map[string]*room, len(hosts))
 	for i, h := range hosts {
--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -264,6 +264,10 @@
 			if units[id].Rank <= allocation.Guaranteed {
 				t.Fatalf("unit %d within a guarantee was stopped", id)
 			}
+			by, known := plan.StoppedFor[id]
+			if !known || demands[by].Rank >= units[id].Rank {
+				t.Fatalf("unit %d was stopped for demand %d (known: %v), which is not more urgent", id, by, known)
+			}
 		}
 	})
 }
--- a/internal/fleet/allocation/makeroom.go
+++ b/internal/fleet/allocation/makeroom.go
@@ -42,6 +42,7 @@
 	for _, i := range best.stopped {
 		p.isStopped[i] = true
 		p.plan.Stops = append(p.plan.Stops, p.units[i].ID)
+		p.plan.StoppedFor[p.units[i].ID] = d.ID
 		for _, q := range p.parts[i] {
 			p.rooms[q.room].Soon = p.rooms[q.room].Soon.Add(q.used)
 		}
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -54,9 +54,9 @@
 			continue
 		}
 		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Parts: make(map[string]workload.Resources)}
+		u.Loss = t.attemptLoss(a)
 		for _, r := range a.runs {
 			u.Parts[r.host.name] = u.Parts[r.host.name].Add(r.need)
-			u.Loss += t.loss(r, at)
 			u.Left = max(u.Left, r.expectedLeft(at))
 		}
 		units = append(units, u)
@@ -72,6 +72,16 @@
 	return known && left < t.settings().TaskStopTime+endMargin
 }
 
+// attemptLoss returns the work in core seconds that a stop of an attempt throws
+// away.
+func (t *term) attemptLoss(a *attempt) float64 {
+	at, sum := now(), 0.0
+	for _, r := range a.runs {
+		sum += t.loss(r, at)
+	}
+	return sum
+}
+
 // loss returns the work in core seconds that a stop of a run throws away. A
 // stop saves what makes checkpoints, so only the restart is lost.
 func (t *term) loss(r *run, at time.Duration) float64 {
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -26,7 +26,8 @@
 	plan := allocation.Decide(t.hostModel(), t.units(), demands)
 	t.figures.planTime.Record(now() - begin)
 	for _, id := range plan.Stops {
-		t.stop(t.attempts[id], "it makes room for more urgent work")
+		a, w := t.attempts[id], steps[plan.StoppedFor[id]]
+		t.stop(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", demands[plan.StoppedFor[id]].Rank, "loss-core-seconds", t.attemptLoss(a))
 	}
 	for _, p := range plan.Placements {
 		t.propose(steps[p.Demand], p.Hosts)
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -237,14 +237,15 @@
 }
 
 // stop stops all runs of an attempt.
-func (t *term) stop(a *attempt, reason string) {
+func (t *term) stop(a *attempt, reason string, inputs ...any) {
 	if a.stopping {
 		return
 	}
 	a.stopping = true
 	t.figures.stops.Add(1)
 	for _, r := range slices.Clone(a.runs) {
-		_ = level.Info(t.logger).Log("event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason)
+		line := []any{"event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason}
+		_ = level.Info(t.logger).Log(append(line, inputs...)...)
 		t.sendStop(r)
 	}
 }
