Weigh whether a stop makes the stopped job late

Cause: what has to make room was chosen by the work thrown away alone, so a young run of an urgent job, which is late once it starts again, was cheaper to stop than older ordinary work with time to spare.

The rank in the stop line is that of the job that gets the room; it was looked up in the wrong order.

Test: TestLateness.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -15,8 +15,30 @@
 	// guarantee, in parts of that work. Thrown away work costs the users about a
 	// fifth of what urgent work in time is worth to them.
 	lossRatio = 3
+	// ordinaryLossRatio is the same for work of the first ordinary priority, and
+	// lowLossRatio for all after it: a job of theirs is worth a third as much,
+	// and a ninth, of an urgent one of the same size.
+	ordinaryLossRatio = 1
+	lowLossRatio      = 1.0 / 3
 )
 
+// lateness returns what it costs, in core seconds of work thrown away, that a
+// stop makes a job late. left is the time until its work is done if it goes on,
+// again the time if it starts anew.
+func lateness(j workload.Job, rank allocation.Rank, at time.Time, left, again time.Duration) float64 {
+	due := j.Due()
+	if at.Add(left).After(due) || !at.Add(again).After(due) {
+		return 0
+	}
+	switch {
+	case rank <= allocation.Urgent:
+		return lossRatio * j.Work()
+	case rank == allocation.Ordinary:
+		return ordinaryLossRatio * j.Work()
+	}
+	return lowLossRatio * j.Work()
+}
+
 // demands returns the steps whose tasks wait and may start, in the order in
 // which they are served.
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
@@ -35,14 +57,14 @@
 				continue
 			}
 			d := t.demand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
-			d.ID = len(steps)
+			d.ID = len(steps) // The demands are sorted below, the steps are not.
 			if d.Rank == allocation.Urgent {
 				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * j.job.Steps[s].Estimate.Seconds()
 			}
 			if d.Rank >= allocation.Ordinary && time.Until(j.job.Due())-t.remaining(j) > headroomSlack {
 				d.Keep = keep
 			}
-			steps = append(steps, waitingStep{j, s, indices})
+			steps = append(steps, waitingStep{j, d.Rank, s, indices})
 			demands = append(demands, d)
 		}
 	}
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -54,11 +54,11 @@
 			continue
 		}
 		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Parts: make(map[string]workload.Resources)}
-		u.Loss = t.attemptLoss(a)
 		for _, r := range a.runs {
 			u.Parts[r.host.name] = u.Parts[r.host.name].Add(r.need)
 			u.Left = max(u.Left, r.expectedLeft(at))
 		}
+		u.Loss = t.attemptLoss(a) + lateness(a.job.job, u.Rank, time.Now(), u.Left, t.settings().TaskStopTime+t.remaining(a.job))
 		units = append(units, u)
 	}
 	slices.SortFunc(units, func(a, b allocation.Unit) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -12,6 +12,7 @@
 // waitingStep is the waiting tasks of a step of a job.
 type waitingStep struct {
 	job     *jobState
+	rank    allocation.Rank
 	step    int
 	indices []int
 }
@@ -27,7 +28,7 @@
 	t.figures.planTime.Record(now() - begin)
 	for _, id := range plan.Stops {
 		a, w := t.attempts[id], steps[plan.StoppedFor[id]]
-		t.stop(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", demands[plan.StoppedFor[id]].Rank, "loss-core-seconds", t.attemptLoss(a))
+		t.stop(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", w.rank, "loss-core-seconds", t.attemptLoss(a))
 	}
 	for _, p := range plan.Placements {
 		t.propose(steps[p.Demand], p.Hosts)
--- a/internal/fleet/coordinator/urgency_internal_test.go
+++ b/internal/fleet/coordinator/urgency_internal_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wasabihoist/internal/fleet/allocation"
 	"wasabihoist/internal/fleet/workload"
 )
 
@@ -46,3 +47,28 @@
 		})
 	}
 }
+
+// Guards against urgent work that is stopped for other urgent work although
+// ordinary work could make room in time.
+func TestLateness(t *testing.T) {
+	submitted := time.Unix(1000, 0)
+	job := workload.Job{
+		Submitted: submitted, Stretch: 2, Objective: time.Second,
+		Steps: []workload.Step{{Count: 1, Need: workload.Resources{MilliCores: 3000}, Estimate: 2 * time.Second}},
+	} // due after 5 s, of 6 core seconds
+	for name, tt := range map[string]struct {
+		rank            allocation.Rank
+		at, left, again time.Duration
+		want            float64
+	}{
+		"in time all the same": {allocation.Urgent, time.Second, time.Second, 2 * time.Second, 0},
+		"late all the same":    {allocation.Urgent, 4 * time.Second, 2 * time.Second, 3 * time.Second, 0},
+		"urgent":               {allocation.Urgent, 4 * time.Second, time.Second, 2 * time.Second, 18},
+		"ordinary":             {allocation.Ordinary, 4 * time.Second, time.Second, 2 * time.Second, 6},
+		"low":                  {allocation.Ordinary + 1, 4 * time.Second, time.Second, 2 * time.Second, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(lateness(job, tt.rank, submitted.Add(tt.at), tt.left, tt.again), qt.Equals, tt.want)
+		})
+	}
+}
