Keep the leadership where it is, and remove leaders that are gone

Cause: every entry was a candidate all the time. A leader whose process was gone was waited for until its time had run out. Urgent jobs can wait for about 1.5 s.

Change: an entry that does not lead asks the store who does, and claims the leadership only when nobody does. It removes a leader that has certainly ended: a later life of the process has announced itself, or its host refuses connections. Fences and terms are as before, so a wrong guess costs one change.

Tests: TestStartingEntryDoesNotTakeTheLeadership and TestSuccession fail on the code before; the stand-in of the store now gives the leadership to each new candidate, as the platform may.

--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -17,6 +19,9 @@
 	idleTimeout     = 15 * time.Second
 	idlePerHost     = 16
 	keepAliveProbes = 5 * time.Second
+	// refusedTimeout bounds a question whether anything listens. A host that is
+	// up refuses within a round trip.
+	refusedTimeout = 200 * time.Millisecond
 )
 
 // Traffic counts bytes by whether they cross the region link.
@@ -65,6 +70,19 @@
 // Shared returns the round tripper that reuses connections.
 func (t *Transport) Shared() http.RoundTripper { return t.shared }
 
+// Refused reports whether the host of an address answers that nothing listens
+// there. Silence proves nothing.
+func Refused(ctx context.Context, address netip.AddrPort) bool {
+	ctx, cancel := context.WithTimeout(ctx, refusedTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close() // Nothing was sent.
+	return false
+}
+
 // CloseIdle gives up the connections that are not in use.
 func (t *Transport) CloseIdle() { t.idle.CloseIdleConnections() }
 
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -56,6 +56,9 @@
 // Dial returns a client of the agent at an address.
 type Dial func(address netip.AddrPort) host.Client
 
+// Refuses reports whether a host answers that nothing listens at an address.
+type Refuses func(ctx context.Context, address netip.AddrPort) bool
+
 // Coordinator campaigns for the leadership and leads the terms that it wins.
 type Coordinator struct {
 	options   atomic.Pointer[Options]
@@ -66,6 +69,7 @@
 	reader    *ledger.Reader
 	catalogue *catalogue.Current
 	dial      Dial
+	refuses   Refuses
 	logger    log.Logger
 
 	generation int64 // generation is the last one that the store has answered.
@@ -80,11 +84,11 @@
 
 // New returns a coordinator that leads nothing yet.
 func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
-	current *catalogue.Current, dial Dial, registry *metrics.Registry, logger log.Logger,
+	current *catalogue.Current, dial Dial, refuses Refuses, registry *metrics.Registry, logger log.Logger,
 ) *Coordinator {
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
-		catalogue: current, dial: dial, logger: logger, figures: newFigures(registry),
+		catalogue: current, dial: dial, refuses: refuses, logger: logger, figures: newFigures(registry),
 	}
 	c.Apply(options)
 	return c
@@ -137,6 +141,9 @@
 	start := now()
 	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
+	if c.term == nil && !c.vacant(callCtx) {
+		return
+	}
 	leadership, err := c.store.Lead(callCtx, c.topic, c.settings().Name, c.generation, c.settings().LeadershipTime)
 	if err != nil {
 		_ = level.Debug(c.logger).Log("event", "claim failed", "reason", err)
@@ -146,6 +153,7 @@
 	switch {
 	case !leadership.Holds:
 		c.endTerm("another process leads")
+		c.withdraw(callCtx)
 	case c.term == nil:
 		c.beginTerm(ctx, leadership.Generation, start)
 	default:
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -43,8 +44,9 @@
 	reader  *ledger.Reader
 	group   *group.Group
 
-	stopTime   time.Duration // stopTime is how long minions take to stop a run.
-	forgetTime time.Duration // forgetTime is that of the coordinators; 0 for the default.
+	refusing   atomic.Pointer[netip.AddrPort] // refusing is the address at which nothing listens.
+	stopTime   time.Duration                  // stopTime is how long minions take to stop a run.
+	forgetTime time.Duration                  // forgetTime is that of the coordinators; 0 for the default.
 }
 
 // newFixture starts a fleet with one minion for each rack named.
@@ -101,7 +103,7 @@
 		Name: name, LongestLease: lease, GangTime: time.Second, TaskStopTime: f.stopTime, StatusTime: time.Minute, FarFactor: 3, ForgetTime: f.forgetTime,
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current,
-		func(a netip.AddrPort) host.Client { return f.minions[a] }, metrics.For(f.c.Name()+name), log.NewNopLogger())
+		func(a netip.AddrPort) host.Client { return f.minions[a] }, f.refuses, metrics.For(f.c.Name()+name), log.NewNopLogger())
 	g.Go("coordinator", coord.Run)
 	return func() {
 		g.Stop()
@@ -109,6 +111,21 @@
 	}
 }
 
+// refuses stands for a dial of the address of an entry.
+func (f *fixture) refuses(_ context.Context, a netip.AddrPort) bool {
+	refusing := f.refusing.Load()
+	return refusing != nil && *refusing == a
+}
+
+// enter makes an entry known and returns the name of its process as candidate.
+func (f *fixture) enter(name string, address string, started time.Time) string {
+	m := ledger.Member{Name: name, Role: ledger.EntryRole, Address: netip.MustParseAddrPort(address), Started: started}
+	record, err := ledger.EncodeMember(m)
+	f.c.Assert(err, qt.IsNil)
+	f.append(topic, record)
+	return coordinator.CandidateName(m)
+}
+
 // submit accepts a job and tells the minions what its tasks are like.
 func (f *fixture) submit(j workload.Job, duration time.Duration) workload.Job {
 	j.Queue, j.Service, j.Submitted = "q", "app", time.Now()
--- a/internal/record/ledger/store.go
+++ b/internal/record/ledger/store.go
@@ -75,9 +75,13 @@
 	// Newest returns the newest record of each key. Next of the page is an
 	// offset from which reading finds all changes made meanwhile.
 	Newest(ctx context.Context, topic Topic) (Page, error)
-	// Lead makes a candidate the holder of the topic's leadership when nobody
-	// else holds it, and keeps it for the time to live.
+	// Lead enters a candidate, which may move the leadership to it or to another
+	// candidate, and keeps the leadership of its holder for the time to live.
 	Lead(ctx context.Context, topic Topic, candidate string, generation int64, timeToLive time.Duration) (Leadership, error)
-	// Resign gives the leadership up.
+	// Leader returns the candidate that holds the topic's leadership; empty when
+	// nobody does.
+	Leader(ctx context.Context, topic Topic) (string, error)
+	// Resign takes a candidate, which may be another process that is gone, out of
+	// the candidates, and the leadership from it.
 	Resign(ctx context.Context, topic Topic, candidate string) error
 }
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -68,7 +68,7 @@
 // RunEntry runs an entry until ctx ends, and then lets open calls finish.
 func RunEntry(ctx context.Context, o EntryOptions, store ledger.Store, logger log.Logger) error {
 	limitMemory(o.MemoryMB)
-	started := time.Now()
+	started := time.Now().Truncate(time.Millisecond) // as exact as in the ledger
 	state := ledger.NewState()
 	current := catalogue.NewCurrent(o.ConfigurationKey, o.DecodeConfiguration, logger)
 	jobs := ledger.NewReader(store, o.Topic, state, 0, logger)
@@ -91,8 +91,8 @@
 		return err
 	}
 	_ = level.Info(logger).Log("event", "started", "role", "entry", "callers", o.Callers, "internal", o.Internal)
-	o.Tuning.Coordinator.Name = self.Name + "/" + started.UTC().Format(time.RFC3339Nano)
-	c := coordinator.New(o.Tuning.Coordinator, store, o.Topic, state, jobs, current, dialAgents, registry, logger)
+	o.Tuning.Coordinator.Name = coordinator.CandidateName(self)
+	c := coordinator.New(o.Tuning.Coordinator, store, o.Topic, state, jobs, current, dialAgents, transport.Refused, registry, logger)
 	services := group.New(context.WithoutCancel(ctx))
 	services.Go(jobs.String(), jobs.Run)
 	services.Go(plans.String(), plans.Run)
--- a/internal/standin/fleetstore/store.go
+++ b/internal/standin/fleetstore/store.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/record/ledger"
 )
 
@@ -17,6 +18,9 @@
 	Down       bool // Down refuses all calls.
 	LoseAppend int  // LoseAppend is how many of the next appends are done without an answer.
 	DropAppend int  // DropAppend is how many of the next appends are neither done nor answered.
+	// DropHistory drops each record as soon as it is stored, but for the newest
+	// of each key, and wakes no reader.
+	DropHistory bool
 }
 
 // errLost stands for an answer that did not arrive.
@@ -31,6 +35,8 @@
 	holder  string
 	until   time.Time
 	term    int64
+
+	candidates collection.Set[string]
 }
 
 // Store implements ledger.Store. It is safe for concurrent use.
@@ -66,7 +72,7 @@
 func (s *Store) topic(name ledger.Topic) *topic {
 	t := s.topics[name]
 	if t == nil {
-		t = &topic{newest: make(map[string]ledger.Stored), fences: make(map[string]ledger.Fence)}
+		t = &topic{newest: make(map[string]ledger.Stored), fences: make(map[string]ledger.Fence), candidates: collection.NewSet[string]()}
 		s.topics[name] = t
 	}
 	return t
@@ -105,8 +111,12 @@
 			t.newest[r.Key] = stored
 		}
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	if s.faults.DropHistory {
+		t.records, t.first = nil, t.next
+	} else {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
 	if s.faults.LoseAppend > 0 {
 		s.faults.LoseAppend--
 		return errLost
@@ -198,10 +208,12 @@
 		return ledger.Leadership{}, err
 	}
 	t := s.topic(name)
-	if t.holder != candidate && time.Now().After(t.until) {
+	// A new candidate takes the leadership over, as the platform may decide.
+	if !t.candidates.Has(candidate) || t.holder != candidate && time.Now().After(t.until) {
 		t.holder = candidate
 		t.term++
 	}
+	t.candidates.Add(candidate)
 	if t.holder == candidate {
 		t.until = time.Now().Add(timeToLive)
 	}
@@ -215,12 +227,28 @@
 	if err := s.refuse(); err != nil {
 		return err
 	}
-	if t := s.topic(name); t.holder == candidate {
+	t := s.topic(name)
+	t.candidates.Remove(candidate)
+	if t.holder == candidate {
 		t.until = time.Time{}
 	}
 	return nil
 }
 
+// Leader implements ledger.Store.
+func (s *Store) Leader(_ context.Context, name ledger.Topic) (string, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.refuse(); err != nil {
+		return "", err
+	}
+	t := s.topic(name)
+	if time.Now().After(t.until) {
+		return "", nil
+	}
+	return t.holder, nil
+}
+
 // Depose takes the leadership of a topic from its holder, as the store may do
 // at any time, and gives it to another candidate.
 func (s *Store) Depose(name ledger.Topic, successor string) {
