Poll often while the store drops records before they are read

Cause: while the history of a topic is dropped, the store does not wake a long poll for a record that is dropped at once.

Change: long polls last 0.5 s, and 0.1 s in the 10 s after records were dropped unread.

Test: TestReaderMissesNoWakeUpForLong took 2 s for each record before.

--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -14,8 +14,14 @@
 
 const (
 	// readWait bounds a long poll, so that a connection that has become silent
-	// is noticed.
-	readWait = 2 * time.Second
+	// is noticed. A poll is not woken by a record that the store drops at once.
+	readWait = 500 * time.Millisecond
+	// shortWait bounds long polls while the store drops records. An urgent job
+	// can wait for about a second.
+	shortWait = 100 * time.Millisecond
+	// expiryMemory is how long after a loss of records the polls stay short; a
+	// store that drops its history does it for several seconds.
+	expiryMemory = 10 * time.Second
 	// readSlack is what a read may take beside its wait.
 	readSlack = time.Second
 	// retryPause keeps a process from flooding a store that fails.
@@ -41,6 +47,7 @@
 	mu      sync.Mutex
 	loaded  bool          // loaded is set once the newest records of all keys were folded.
 	asOf    time.Time     // asOf is the start of the latest call that brought the fold up to date.
+	expired time.Time     // expired is when records were last dropped before they were read.
 	failing bool          // failing is set while reads fail; a change is logged.
 	flight  *refreshCall  // flight is the refresh in progress.
 	ready   chan struct{} // ready is closed when loaded is set.
@@ -77,13 +84,23 @@
 // Run reads until ctx ends.
 func (r *Reader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if r.read(ctx, r.wait) != nil { // It has logged why.
+		if r.read(ctx, r.pollWait()) != nil { // It has logged why.
 			_ = group.Pause(ctx, retryPause)
 		}
 	}
 	return ctx.Err()
 }
 
+// pollWait returns how long the next long poll may last.
+func (r *Reader) pollWait() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if time.Since(r.expired) < expiryMemory {
+		return min(r.wait, shortWait)
+	}
+	return r.wait
+}
+
 // Refresh folds all that was stored before the call. Calls that come together
 // share one read.
 func (r *Reader) Refresh(ctx context.Context) error {
@@ -136,6 +153,9 @@
 	page, err := r.store.Read(callCtx, r.topic, r.fold.Next(), wait)
 	switch {
 	case errors.Is(err, ErrExpired):
+		r.mu.Lock()
+		r.expired = time.Now()
+		r.mu.Unlock()
 		_ = level.Info(r.logger).Log("event", "records expired", "next", r.fold.Next(), "outcome", "load the newest of each key")
 		return r.load(callCtx, start)
 	case err != nil:
--- /dev/null
+++ b/internal/record/ledger/reader_test.go
@@ -0,0 +1,48 @@
+package ledger_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/standin/fleetstore"
+)
+
+// Guards against records that are folded only when a long poll ends, because
+// the store drops its history so fast that it does not wake the poll: urgent
+// jobs waited for up to 2 s.
+func TestReaderMissesNoWakeUpForLong(t *testing.T) {
+	c := qt.New(t)
+	const topic ledger.Topic = "fleet"
+	store := fleetstore.New()
+	reader, state := newReader(store, topic)
+	g := group.New(context.Background())
+	g.Go("reader", reader.Run)
+	defer func() {
+		g.Stop()
+		c.Check(g.Wait(), qt.IsNil)
+	}()
+	<-reader.Loaded()
+	store.SetFaults(fleetstore.Faults{DropHistory: true})
+	// The first lost wake-up costs a whole poll, the next ones a short one.
+	for i, limit := range []time.Duration{800 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond} {
+		record, err := ledger.EncodeMember(ledger.Member{Name: string(rune('a' + i)), Role: ledger.EntryRole})
+		c.Assert(err, qt.IsNil)
+		c.Assert(store.Append(context.Background(), topic, []ledger.Record{record}), qt.IsNil)
+		start := time.Now()
+		for len(state.Members(ledger.EntryRole)) <= i && time.Since(start) < 5*time.Second {
+			time.Sleep(5 * time.Millisecond)
+		}
+		c.Check(time.Since(start) < limit, qt.IsTrue, qt.Commentf("record %d after %s", i, time.Since(start)))
+	}
+}
+
+func newReader(store ledger.Store, topic ledger.Topic) (*ledger.Reader, *ledger.State) {
+	state := ledger.NewState()
+	return ledger.NewReader(store, topic, state, 0, log.NewNopLogger()), state
+}
