Do not give up a run that the next life of its minion may have started

A minion starts anew under its id. Until the next heartbeat the coordinator does not know, and a start that it sends is carried out by the new life, because calls name the id only. The first listing of the new life showed that run, but the coordinator gave up all runs of the former life, also this one, and placed the task again 1 ms later, while the run was being stopped as not expected.

Change: only runs that the former life has listed are gone with it. Any other is taken for a run of the new life, and given up once that has settled an order on it and does not list it.

The stand-in of a minion compared whole incarnations, which hid the fault; it compares the id now, as minions do.

--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -139,6 +139,20 @@
 	f.c.Assert(f.starts("job", 2), qt.Equals, 4)
 }
 
+// Guards against a task that is started again while it runs: a start that was
+// sent to one life of a minion is carried out by the next one.
+func TestStartCarriedOutByTheNextLife(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1")
+	defer f.lead("one")()
+	f.submit(workload.Job{ID: "first", Steps: []workload.Step{step(1, 1)}}, short)
+	f.await("first", workload.Done)
+	f.list[0].Restart() // The coordinator learns of it with the next listing.
+	f.submit(workload.Job{ID: "second", Steps: []workload.Step{step(4, 1)}}, 2*time.Second)
+	f.await("second", workload.Done)
+	f.c.Assert(f.starts("second", 4), qt.Equals, 4)
+}
+
 // Guards against a coordinator that goes on deciding after another one has
 // taken over, and against decisions that are lost when an append has no answer.
 func TestStoreFaultsNeitherDoubleNorLoseWork(t *testing.T) {
--- a/internal/fleet/coordinator/listings.go
+++ b/internal/fleet/coordinator/listings.go
@@ -59,7 +59,7 @@
 }
 
 // recognise finds out which incarnation a listing is of. When it is a new one,
-// nothing of the former one runs. It reports false while the incarnation has
+// nothing that the former one has listed runs. It reports false while the incarnation has
 // not reported what it offers.
 func (t *term) recognise(h *hostState, l host.Listing) bool {
 	h.gone = false
@@ -83,7 +83,7 @@
 		clear(h.strays)
 		for _, r := range runsOf(h) {
 			if r.minion != h.minion.Incarnation() {
-				t.lose(r, "the minion was started anew")
+				t.endOfIncarnation(r)
 			}
 		}
 	}
@@ -98,12 +98,25 @@
 		return
 	}
 	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() {
+		if r.minion == h.minion.Incarnation() && r.listed {
 			t.lose(r, "the minion was started anew")
 		}
 	}
 }
 
+// endOfIncarnation gives a run up that the former incarnation of its minion has
+// listed. The start of any other run may have been carried out by the present
+// one, because minions do not tell their lives apart in the calls they get: it
+// is taken for a run of that one, and given up once that has settled an order
+// on it and does not list it.
+func (t *term) endOfIncarnation(r *run) {
+	if r.listed {
+		t.lose(r, "the minion was started anew")
+		return
+	}
+	r.minion = r.host.minion.Incarnation()
+}
+
 // takeRunning notes the progress of runs, and stops those that nobody expects.
 func (t *term) takeRunning(h *hostState, running []host.Run) {
 	clear(h.strays)
--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,6 +41,7 @@
 	mu       sync.Mutex
 	active   map[workload.TaskID]int
 	finished map[workload.TaskID]bool
+	known    map[workload.TaskID]bool // known holds finished tasks whose end was not lost with the minion.
 	starts   map[workload.TaskID]int
 	findings []string // findings are promises that were broken.
 }
@@ -48,7 +50,7 @@
 func NewFleet(stopTime time.Duration) *Fleet {
 	return &Fleet{
 		work: make(map[string]Work), stopTime: stopTime, active: make(map[workload.TaskID]int),
-		finished: make(map[workload.TaskID]bool), starts: make(map[workload.TaskID]int),
+		finished: make(map[workload.TaskID]bool), known: make(map[workload.TaskID]bool), starts: make(map[workload.TaskID]int),
 	}
 }
 
@@ -73,6 +75,13 @@
 	return f.starts[t]
 }
 
+// Finished reports whether a task has ended as completed.
+func (f *Fleet) Finished(t workload.TaskID) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.finished[t]
+}
+
 func (f *Fleet) begin(t workload.TaskID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -81,7 +90,7 @@
 	if f.active[t] > 1 {
 		f.findings = append(f.findings, fmt.Sprintf("%s runs twice", t))
 	}
-	if f.finished[t] {
+	if f.known[t] {
 		f.findings = append(f.findings, fmt.Sprintf("%s runs again after it has finished", t))
 	}
 }
@@ -90,7 +99,17 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.active[t]--
-	f.finished[t] = f.finished[t] || outcome == host.Completed
+	if outcome == host.Completed {
+		f.finished[t], f.known[t] = true, true
+	}
+}
+
+// forget notes that an end was lost before anybody took note of it. The task
+// may run again.
+func (f *Fleet) forget(t workload.TaskID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.known, t)
 }
 
 func (f *Fleet) workOf(t workload.TaskID) Work {
@@ -153,6 +172,9 @@
 	for key := range m.runs {
 		m.fleet.end(key.task, host.Lapsed)
 	}
+	for _, e := range m.ends {
+		m.fleet.forget(e.Task)
+	}
 	m.runs, m.dead, m.ends, m.count, m.token, m.lease = make(map[runKey]*activeRun), make(map[runKey]bool), nil, 0, 0, 0
 	m.report.Born = time.Now().Round(time.Millisecond)
 }
@@ -164,8 +186,23 @@
 	m.report.Draining, m.report.Remaining = true, remaining
 }
 
+// Report returns what the minion says of itself.
+func (m *Minion) Report() host.Minion {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.report
+}
+
 func (m *Minion) clock() time.Duration { return time.Since(m.report.Born) }
 
+// Settle ends the runs whose time has come. Without it they end when the minion
+// is called next.
+func (m *Minion) Settle() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.settle()
+}
+
 // settle ends the runs whose time has come.
 func (m *Minion) settle() {
 	lapsed := m.lease > 0 && m.clock() > m.lease
@@ -256,7 +293,7 @@
 		return errSilent
 	case r.Token < m.token:
 		return host.ErrFenced
-	case r.Incarnation != m.report.Incarnation():
+	case idOf(r.Incarnation) != m.report.ID:
 		return host.ErrIncarnation
 	case m.dead[key]:
 		return host.ErrOld
@@ -281,6 +318,13 @@
 	return nil
 }
 
+// idOf returns the id of the minion that an incarnation is of. Minions do not
+// tell their lives apart in the calls they get.
+func idOf(incarnation string) string {
+	id, _, _ := strings.Cut(incarnation, "@")
+	return id
+}
+
 // Stop implements host.Client.
 func (m *Minion) Stop(_ context.Context, r host.StopRequest) error {
 	m.mu.Lock()
