Wait for the answer to a stop before a stopping run is given up

A run that is being stopped is not listed, so it counts as ended once its order was answered and the time of a stop has passed. The answer meant was that of the stop, but the same field held that of the start, given seconds before: a listing that came between the stop and its answer gave the run up at once, and its room went to the next task 4 ms after the stop was sent.

Change: the answers to start and stop are kept apart.

Test: TestStoppingRunIsSettledByItsStop (two of six cases failed before).

--- a/internal/fleet/coordinator/listings.go
+++ b/internal/fleet/coordinator/listings.go
@@ -181,7 +181,7 @@
 	case r.phase == adopted:
 		return t.begun+stopped < sent
 	case r.attempt.stopping:
-		return r.answered != 0 && r.answered+stopped < sent
+		return r.stopAnswered != 0 && r.stopAnswered+stopped < sent
 	default:
 		return r.answered != 0 && r.answered < sent
 	}
--- a/internal/fleet/coordinator/orders.go
+++ b/internal/fleet/coordinator/orders.go
@@ -52,7 +52,7 @@
 		answered := err == nil || errors.Is(err, host.ErrOld) || errors.Is(err, host.ErrIncarnation)
 		held, ok := ask(ctx, t, func() bool {
 			if answered {
-				r.answered = now()
+				r.stopAnswered = now()
 			}
 			return r.host.runs[runKey{r.task, r.number}] == r
 		})
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -37,7 +37,8 @@
 	minion       string // minion is the incarnation.
 	need         workload.Resources
 	phase        phase
-	answered     time.Duration // answered is when the minion last answered an order on the run.
+	answered     time.Duration // answered is when the minion answered the start.
+	stopAnswered time.Duration // stopAnswered is when it answered a stop.
 	startedAt    time.Duration
 	percent      int
 	firstPercent int           // firstPercent is the share that was done when the run was first listed; a checkpoint may have held some.
--- a/internal/fleet/coordinator/term_internal_test.go
+++ b/internal/fleet/coordinator/term_internal_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/workload"
 )
 
 // Guards against a term that never ends because an order waits for an answer
@@ -34,3 +35,28 @@
 	}
 	c.Assert(g.Wait(), qt.IsNil)
 }
+
+// Guards against a run that is given up while it is being stopped, because its
+// start was answered long ago: its room was given away before it was free.
+func TestStoppingRunIsSettledByItsStop(t *testing.T) {
+	const sent = 10 * time.Second
+	for name, tt := range map[string]struct {
+		stopping          bool
+		answered, stopped time.Duration
+		settled           bool
+	}{
+		"started":             {answered: 9 * time.Second, settled: true},
+		"start not answered":  {},
+		"stop not answered":   {stopping: true, answered: time.Second},
+		"stop answered":       {stopping: true, answered: time.Second, stopped: 8 * time.Second, settled: true},
+		"stop just answered":  {stopping: true, answered: time.Second, stopped: 9900 * time.Millisecond},
+		"neither is answered": {stopping: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &Coordinator{}
+			c.Apply(Options{TaskStopTime: 200 * time.Millisecond})
+			r := &run{task: workload.TaskID{}, phase: running, attempt: &attempt{stopping: tt.stopping}, answered: tt.answered, stopAnswered: tt.stopped}
+			qt.New(t).Check((&term{Coordinator: c}).settled(r, sent), qt.Equals, tt.settled)
+		})
+	}
+}
