Add a soak of real processes under random faults

`wasabihoist soak` starts entries and agents as processes on the loopback interface against stand-ins of store and minions, and plays a seeded schedule: signals, links that are delayed, reset, silent or cut one way, a store that is down, loses answers or forgets, minions that are silent, reborn or stalled, new configurations, withdrawn keys. It checks what clients and minions see. docs/soak.md says what it checks and what it cannot see.

The stand-ins get the platform's protocol over HTTP: platform/ serves a store and a minion with the wire types that its clients use, and tests play both ends against each other.

Seeds that failed are kept in testdata/soak/seeds.txt.

Tests: TestOracle (each check can fail), TestSchedule, TestLinkStates, the scenario soak.txtar with one seed of 6 s.

--- a/cmd/pages_test.go
+++ b/cmd/pages_test.go
@@ -12,18 +12,24 @@
 // demonstrated is the reason why the scenarios leave the demonstration out.
 const demonstrated = "internal/run/demo tests both deployments with a longer time to start, because other tests run beside it"
 
+// longSoak is the reason why a scenario plays one short soak only.
+const longSoak = "each seed takes half a minute"
+
 // notScripted are commands of the pages that a scenario cannot run, with the
 // reason.
 var notScripted = map[string]string{
 	"go test ./...": "it would run itself",
 	".ci/run":       "it would run itself",
 	"wasabihoist bench placement --seed 1 --output json": "it takes minutes under the race detector",
-	"go run . demo":                            demonstrated,
-	"go run . demo --deployment folha-viva":    demonstrated,
-	"./wasabihoist demo":                       demonstrated,
-	"wasabihoist demo":                         demonstrated,
-	"wasabihoist demo --deployment folha-viva": demonstrated,
-	"go build -o wasabihoist .":                "the scenario builds into its own directory",
+	"go run . demo":                                    demonstrated,
+	"go run . demo --deployment folha-viva":            demonstrated,
+	"./wasabihoist demo":                               demonstrated,
+	"wasabihoist demo":                                 demonstrated,
+	"wasabihoist demo --deployment folha-viva":         demonstrated,
+	"wasabihoist soak --seed 100 --seeds 50":           longSoak,
+	"wasabihoist soak --seed 113 --only 5":             longSoak,
+	"wasabihoist soak --cases testdata/soak/seeds.txt": longSoak,
+	"go build -o wasabihoist .":                        "the scenario builds into its own directory",
 	"export WASABIHOIST_OPERATOR=127.0.0.1:17801 WASABIHOIST_OPERATOR_TOKEN=example-operator-token": "the scenario sets its own address",
 }
 
--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -20,6 +20,7 @@
 func commands() []command {
 	return []command{
 		demoEntry(),
+		soakEntry(),
 		entryEntry(),
 		agentEntry(),
 		hostedEntryEntry(),
--- /dev/null
+++ b/internal/run/soak/deployment.go
@@ -0,0 +1,259 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/webserver"
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/standin/fleethost"
+	"wasabihoist/internal/standin/fleetstore"
+	"wasabihoist/internal/tenancy/catalogue"
+	"wasabihoist/platform"
+)
+
+// The bounds in the settings of the processes, as the users' deployments have
+// them.
+const (
+	contactTime   = 3 * time.Second
+	configTime    = 2500 * time.Millisecond
+	revokeTime    = 5 * time.Second
+	stopGrace     = 6 * time.Second
+	longestLease  = 10 * time.Second
+	taskStopTime  = 200 * time.Millisecond
+	gangTime      = 3 * time.Second
+	statusTime    = 2 * time.Minute
+	shortestTTL   = time.Second
+	killTime      = 5 * time.Second // killTime is how long the kernel may take to end a process.
+	restartPause  = 300 * time.Millisecond
+	startTime     = 10 * time.Second // startTime bounds the time until an entry is ready.
+	readyInterval = 50 * time.Millisecond
+	// settleInterval is how exactly minions end runs and leases.
+	settleInterval = 5 * time.Millisecond
+)
+
+const (
+	service      = "app"
+	urgentHost   = "urgent.example"
+	ordinaryHost = "ordinary.example"
+	prefix       = "/jobs/"
+	callersKey   = "callers-key"
+	// withdrawnKey is the first part of the keys that are withdrawn; each
+	// configuration that withdraws one brings the next.
+	withdrawnKey = "withdrawn-key"
+)
+
+// capacity of each minion.
+var capacity = workload.Resources{MilliCores: 64_000, MemoryMB: 256_000, Accelerators: 8}
+
+// deployment is the processes with what stands for the platform.
+type deployment struct {
+	store   *fleetstore.Store
+	fleet   *fleethost.Fleet
+	minions []*fleethost.Minion
+	entries []*process
+	all     []*process // all processes; the entries come first.
+	links   []*proxy   // links to the store, in the order of all.
+	oracle  *oracle
+
+	mu      sync.Mutex
+	version int64 // version of the newest configuration.
+}
+
+// ports hands out free ports of the loopback interface. Another program may
+// take one before it is used; the start of a process then fails.
+type ports struct{ held []net.Listener }
+
+// take returns the first of so many ports in a row.
+func (p *ports) take(count uint16) (uint16, error) {
+	const tries = 50
+	for range tries {
+		first, err := p.listen(0)
+		if err != nil {
+			return 0, err
+		}
+		port := netip.MustParseAddrPort(first.Addr().String()).Port()
+		if p.rest(port, count) {
+			return port, nil
+		}
+	}
+	return 0, fmt.Errorf("no %d free ports in a row", count)
+}
+
+func (p *ports) rest(first, count uint16) bool {
+	for i := uint16(1); i < count; i++ {
+		if _, err := p.listen(first + i); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *ports) listen(port uint16) (net.Listener, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+	if err != nil {
+		return nil, fmt.Errorf("find a free port: %w", err)
+	}
+	p.held = append(p.held, l)
+	return l, nil
+}
+
+// release lets the processes listen.
+func (p *ports) release() {
+	for _, l := range p.held {
+		_ = l.Close()
+	}
+}
+
+// newDeployment prepares what stands for the platform and the settings of the
+// processes. The deployment can be stopped also after an error.
+func newDeployment(g *group.Group, o Options) (*deployment, error) {
+	d := &deployment{store: fleetstore.New(), fleet: fleethost.NewFleet(taskStopTime)}
+	d.oracle = newOracle(d.fleet)
+	if err := d.publish(nil); err != nil {
+		return d, err
+	}
+	storeAddress, err := serve(g, "store", platform.StoreHandler(d.store))
+	if err != nil {
+		return d, err
+	}
+	var free ports
+	defer free.release()
+	for i := range o.Entries + o.Agents {
+		role, name := "hosted-entry", fmt.Sprintf("front-%d", i+1)
+		if i >= o.Entries {
+			role, name = "hosted-agent", fmt.Sprintf("side-%d", i+1-o.Entries)
+		}
+		link, err := newProxy(g, storeAddress)
+		if err != nil {
+			return d, err
+		}
+		p := &process{binary: o.Binary, role: role, folder: o.Folder, group: g, finding: d.oracle.find}
+		p.settings = commonSettings(name, link.address())
+		if err := d.assign(g, p, &free, i-o.Entries); err != nil {
+			return d, err
+		}
+		d.all, d.links = append(d.all, p), append(d.links, link)
+	}
+	d.entries = d.all[:o.Entries]
+	for _, m := range d.minions {
+		g.Every("runs of a minion", settleInterval, func(context.Context) error { m.Settle(); return nil })
+	}
+	return d, nil
+}
+
+// start starts the processes and waits until the entries are ready.
+func (d *deployment) start(ctx context.Context) error {
+	for _, p := range d.all {
+		if err := p.start(); err != nil {
+			return err
+		}
+	}
+	return d.awaitReady(ctx)
+}
+
+func commonSettings(name string, store netip.AddrPort) platform.Settings {
+	return platform.Settings{
+		Node: name, DataCentre: "one", Region: "one", Regions: map[string]string{"one": "one"}, IP: netip.MustParseAddr("127.0.0.1"), Store: store,
+		ContactTime: contactTime, ConfigTime: configTime, RevokeTime: revokeTime, StopGrace: stopGrace, LongestLease: longestLease,
+		TaskStopTime: taskStopTime, GangTime: gangTime, StatusTime: statusTime, FarFactor: 1, ShortestTimeLive: shortestTTL,
+	}
+}
+
+// assign gives a process its ports, and an agent its minion.
+func (d *deployment) assign(g *group.Group, p *process, free *ports, minion int) error {
+	const perProcess = 8 // four for the calls of processes, and one each for the rest
+	first, err := free.take(perProcess)
+	if err != nil {
+		return err
+	}
+	at := func(offset uint16) netip.AddrPort { return netip.AddrPortFrom(p.settings.IP, first+offset) }
+	p.settings.Internal, p.metrics = at(2), first+4
+	if minion < 0 {
+		p.settings.Callers, p.settings.Ready = at(5), at(6)
+		return nil
+	}
+	rack := fmt.Sprintf("r%d", minion/2)
+	m := fleethost.NewMinion(d.fleet, host.Minion{ID: fmt.Sprintf("m-%d", minion), Service: service, DataCentre: "one", Rack: rack, Labels: []string{"a", rack}, Capacity: capacity})
+	d.minions = append(d.minions, m)
+	p.settings.Minion, err = serve(g, "minion", platform.MinionHandler(m))
+	if err != nil {
+		return err
+	}
+	p.settings.Service, p.settings.Control = service, at(5)
+	g.Go("heartbeats", func(ctx context.Context) error { return platform.SendHeartbeats(ctx, p.settings.Control, m) })
+	return nil
+}
+
+func serve(g *group.Group, name string, handler http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen for %s: %w", name, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: contactTime}
+	g.Go(name, func(ctx context.Context) error { return webserver.Serve(ctx, server, l) })
+	return netip.MustParseAddrPort(l.Addr().String()), nil
+}
+
+// publish writes the next configuration. It holds the keys named beside that
+// of the callers.
+func (d *deployment) publish(keys []string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.version++
+	value, err := platform.EncodeConfiguration(&catalogue.Catalogue{
+		Version: d.version,
+		Queues: []catalogue.Queue{
+			{Name: "urgent", Host: urgentHost, PathPrefix: prefix, Service: service, Attempts: 3, Stretch: 1.5, Objective: time.Second},
+			{Name: "ordinary", Host: ordinaryHost, PathPrefix: prefix, Service: service, Priority: 2, Attempts: 3, Stretch: 3, Objective: 3 * time.Second},
+		},
+		Organisations: []catalogue.Organisation{
+			{Name: "callers", Keys: []string{callersKey}, Guaranteed: capacity.Accelerators},
+			{Name: "leaving", Keys: keys},
+		},
+	})
+	if err != nil {
+		return err
+	}
+	record := ledger.Record{Key: platform.ConfigurationKey, Value: value}
+	return d.store.Append(context.Background(), platform.OperatorTopic, []ledger.Record{record})
+}
+
+// awaitReady waits until all entries are ready.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTime)
+	defer cancel()
+	for _, p := range d.entries {
+		for !platform.Ready(ctx, p.settings.Ready) {
+			if err := group.Pause(ctx, readyInterval); err != nil {
+				return fmt.Errorf("%s is not ready after %s: %w", p, startTime, err)
+			}
+		}
+	}
+	return nil
+}
+
+// stop ends all processes as the platform does. Each must be gone in time.
+func (d *deployment) stop() {
+	ending := group.New(context.Background())
+	for _, p := range d.all {
+		ending.Go(p.String(), func(context.Context) error {
+			p.end(syscall.SIGTERM, stopGrace)
+			return nil
+		})
+	}
+	_ = ending.Wait() // The functions return no errors.
+}
+
+// errFindings is returned when a promise was broken.
+var errFindings = errors.New("promises were broken")
--- /dev/null
+++ b/internal/run/soak/load.go
@@ -0,0 +1,171 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/platform"
+)
+
+const (
+	clients       = 6
+	submitPause   = 1500 * time.Millisecond // submitPause is the mean time between two jobs of a client.
+	callTimeout   = 3 * time.Second
+	tries         = 4
+	retryPause    = 200 * time.Millisecond
+	pollPause     = 250 * time.Millisecond
+	cancelShare   = 0.1
+	urgentShare   = 0.4
+	settleTime    = 40 * time.Second // settleTime is what accepted work may take after the last fault.
+	shortestTask  = 100 * time.Millisecond
+	longestTask   = 1500 * time.Millisecond
+	mostTasks     = 4
+	keyCheckPause = 200 * time.Millisecond
+)
+
+// client is one caller with a connection that it keeps using until the process
+// at its other end is gone.
+type client struct {
+	number     int
+	deployment *deployment
+	oracle     *oracle
+	group      *group.Group
+	random     *rand.Rand
+	http       *http.Client
+	entry      int
+	jobs       int
+}
+
+func newClient(number int, seed uint64, d *deployment, o *oracle, g *group.Group) *client {
+	return &client{
+		number: number, deployment: d, oracle: o, group: g, random: rand.New(rand.NewPCG(seed, uint64(number))),
+		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, entry: number,
+	}
+}
+
+// run hands jobs in until ctx ends.
+func (c *client) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.submit(ctx)
+		_ = group.Pause(ctx, time.Duration(c.random.ExpFloat64()*float64(submitPause)))
+	}
+	return nil
+}
+
+// draw returns a job with its work at the minions.
+func (c *client) draw() (workload.Job, platform.Caller) {
+	c.jobs++
+	j := workload.Job{ID: workload.ID(fmt.Sprintf("%04x%012x", c.number, c.jobs))}
+	for s := range 1 + c.random.IntN(2) {
+		took := shortestTask + time.Duration(c.random.Int64N(int64(longestTask-shortestTask)))
+		step := workload.Step{
+			Count: 1 + c.random.IntN(mostTasks), Estimate: took, Checkpoints: c.random.IntN(2) == 0,
+			Need: workload.Resources{MilliCores: 4000, MemoryMB: 8000, Accelerators: 1 + c.random.IntN(4)},
+		}
+		if s > 0 {
+			step.DependsOn = []int{s - 1}
+		}
+		c.deployment.setWork(j.ID, s, took, step.Need)
+		j.Steps = append(j.Steps, step)
+	}
+	caller := platform.Caller{Queue: ordinaryHost, Prefix: prefix, Key: callersKey, Client: c.http}
+	if c.random.Float64() < urgentShare {
+		caller.Queue = urgentHost
+	}
+	return j, caller
+}
+
+// submit hands one job in, at another entry after each try without an answer,
+// and follows it.
+func (c *client) submit(ctx context.Context) {
+	j, caller := c.draw()
+	cancels := c.random.Float64() < cancelShare
+	for range tries {
+		entry := c.deployment.entries[c.entry%len(c.deployment.entries)]
+		status, err := caller.Submit(ctx, entry.settings.Callers, j.ID, j.Steps)
+		accepted := err == nil && status == platform.StatusAccepted
+		refused := err == nil && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests)
+		c.oracle.submitted(j, accepted, refused)
+		if accepted {
+			at := time.Now()
+			c.group.Go("follow "+string(j.ID), func(ctx context.Context) error {
+				c.follow(ctx, caller, j, at, cancels)
+				return nil
+			})
+			return
+		}
+		c.entry++
+		if group.Pause(ctx, retryPause) != nil {
+			return
+		}
+	}
+}
+
+// follow asks for the state of a job, at one entry after the other, until it
+// has ended.
+func (c *client) follow(ctx context.Context, caller platform.Caller, j workload.Job, accepted time.Time, cancels bool) {
+	for asked := c.number; ; asked++ {
+		if group.Pause(ctx, pollPause) != nil {
+			return
+		}
+		entry := c.deployment.entries[asked%len(c.deployment.entries)].settings.Callers
+		if cancels {
+			cancels = !c.cancel(ctx, caller, j)
+		}
+		start := time.Now()
+		state, status, err := caller.State(ctx, entry, j.ID)
+		switch {
+		case err != nil:
+		case status == platform.StatusUnknown:
+			c.oracle.unknown(j.ID, start.Sub(accepted))
+		case status == platform.StatusAccepted:
+			c.oracle.shown(j.ID, state)
+			if final(state) {
+				return
+			}
+		}
+	}
+}
+
+// cancel cancels a job and reports whether that was acknowledged.
+func (c *client) cancel(ctx context.Context, caller platform.Caller, j workload.Job) bool {
+	c.oracle.cancel(j.ID) // The call may be carried out whatever its answer is.
+	entry := c.deployment.entries[c.number%len(c.deployment.entries)].settings.Callers
+	status, err := caller.Cancel(ctx, entry, j.ID)
+	if err != nil || status != http.StatusOK {
+		return false
+	}
+	c.group.Go("cancelled "+string(j.ID), func(ctx context.Context) error {
+		if group.Pause(ctx, obeyTime) == nil {
+			c.oracle.cancelSettled(j.ID)
+		}
+		return nil
+	})
+	return true
+}
+
+// watchKey checks that a key is refused once the time for its withdrawal has
+// passed. A call is sent to every entry, in touch with the store or not.
+func watchKey(ctx context.Context, d *deployment, o *oracle, key string, withdrawn time.Time) {
+	caller := platform.Caller{Queue: ordinaryHost, Prefix: prefix, Key: key, Client: &http.Client{Timeout: callTimeout}}
+	if group.Pause(ctx, time.Until(withdrawn.Add(revokeTime))) != nil {
+		return
+	}
+	const rounds = 5
+	for range rounds {
+		for _, p := range d.entries {
+			_, status, err := caller.State(ctx, p.settings.Callers, "0123456789abcdef")
+			if err == nil && (status == platform.StatusAccepted || status == platform.StatusUnknown) {
+				o.find("%s serves a key %s after its withdrawal", p, time.Since(withdrawn).Round(time.Millisecond))
+			}
+		}
+		if group.Pause(ctx, keyCheckPause) != nil {
+			return
+		}
+	}
+}
