Fit the time for starts to the wait of gangs; drop unused settings

Cause: three settings of the coordinator were read and never used. One of them matters: a start was tried for 1.5 s whatever the members of a gang wait for each other, so a deployment with a wait of 2 s would see members end alone.

Change: starts take at most half of that wait. Factor for far places and time between checkpoints are no longer passed on.

Test: TestStartLimitFitsTheWaitOfGangs.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -127,7 +127,7 @@
 		FreshTime: s.RevokeTime / 2, StopGrace: s.StopGrace, // Half of the time leaves the other half to a call in progress.
 		Coordinator: coordinator.Options{
 			LongestLease: s.LongestLease, GangTime: s.GangTime, TaskStopTime: s.TaskStopTime, StatusTime: s.StatusTime,
-			FarFactor: s.FarFactor, CheckpointEvery: s.CheckpointEvery, RestoreTime: s.RestoreTime, LeadershipTime: s.ShortestTimeLive,
+			RestoreTime: s.RestoreTime, LeadershipTime: s.ShortestTimeLive,
 		},
 	}
 }
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -41,16 +41,14 @@
 
 // Options are the settings of a coordinator.
 type Options struct {
-	Name            string        // Name of the process; it is different in each of its lives.
-	LongestLease    time.Duration // LongestLease bounds the lease of a task.
-	GangTime        time.Duration // GangTime is how long a member of a gang waits for the others.
-	TaskStopTime    time.Duration // TaskStopTime bounds how long a task takes to stop.
-	StatusTime      time.Duration // StatusTime is how long the state of an ended job is kept.
-	FarFactor       float64       // FarFactor is how many times longer a task takes away from its data.
-	CheckpointEvery time.Duration // CheckpointEvery is the work between two checkpoints.
-	RestoreTime     time.Duration // RestoreTime is what a start from a checkpoint takes.
-	ForgetTime      time.Duration // ForgetTime is how long a silent host that holds nothing is kept; 0 means a minute.
-	LeadershipTime  time.Duration // LeadershipTime is at least what the store supports.
+	Name           string        // Name of the process; it is different in each of its lives.
+	LongestLease   time.Duration // LongestLease bounds the lease of a task.
+	GangTime       time.Duration // GangTime is how long a member of a gang waits for the others.
+	TaskStopTime   time.Duration // TaskStopTime bounds how long a task takes to stop.
+	StatusTime     time.Duration // StatusTime is how long the state of an ended job is kept.
+	RestoreTime    time.Duration // RestoreTime is what a start from a checkpoint takes.
+	ForgetTime     time.Duration // ForgetTime is how long a silent host that holds nothing is kept; 0 means a minute.
+	LeadershipTime time.Duration // LeadershipTime is at least what the store supports.
 }
 
 // Dial returns a client of the agent at an address.
--- a/internal/fleet/coordinator/orders.go
+++ b/internal/fleet/coordinator/orders.go
@@ -17,9 +17,11 @@
 	orderPause = 100 * time.Millisecond
 	// startWindow is how long after it was sent a start may be carried out.
 	startWindow = 2 * time.Second
-	// startTime is how long a start is tried before the attempt is given up. It
-	// leaves time within what the members of a gang wait for each other.
+	// startTime is how long a start is tried before the attempt is given up.
 	startTime = 1500 * time.Millisecond
+	// gangStartShare is the part of the time for which the members of a gang wait
+	// for each other that starts may take. The rest is for the stops.
+	gangStartShare = 0.5
 	// retryDelay keeps a job whose start failed from being placed at once again.
 	retryDelay = 300 * time.Millisecond
 )
@@ -84,6 +86,15 @@
 	}
 }
 
+// startLimit returns how long a start is tried. gangTime is 0 where members of
+// a gang wait for each other for ever.
+func startLimit(gangTime time.Duration) time.Duration {
+	if gangTime == 0 {
+		return startTime
+	}
+	return min(startTime, time.Duration(gangStartShare*float64(gangTime)))
+}
+
 // startRun repeats a start until it is answered or has taken too long.
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
@@ -97,7 +108,7 @@
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
-		again, ok := ask(ctx, t, func() bool { return t.takeStart(r, err, now()-begin > startTime) })
+		again, ok := ask(ctx, t, func() bool { return t.takeStart(r, err, now()-begin > startLimit(t.settings().GangTime)) })
 		if !ok || !again {
 			return nil
 		}
--- a/internal/fleet/coordinator/term_internal_test.go
+++ b/internal/fleet/coordinator/term_internal_test.go
@@ -60,3 +60,18 @@
 		})
 	}
 }
+
+// Guards against members of a gang that give up waiting while the start of
+// another one is still tried.
+func TestStartLimitFitsTheWaitOfGangs(t *testing.T) {
+	for name, tt := range map[string]struct{ gang, want time.Duration }{
+		"no limit":   {0, startTime},
+		"as usual":   {3 * time.Second, startTime},
+		"short wait": {time.Second, 500 * time.Millisecond},
+		"long wait":  {time.Minute, startTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(startLimit(tt.gang), qt.Equals, tt.want)
+		})
+	}
+}
