Expect a gang to end with its last member

What ends by itself as fast as by a stop counts as free soon, but that was judged for each run by itself. A gang member that has done its work waits for the others, and a run whose progress stands still near its end goes on; a job within a guarantee waited 3.9 s for such room.

Change: an attempt ends soon when its last member does, and not when it should have ended long ago.

Test: TestEndsSoon; the former rule says yes for the gang with a member at 60 % and for the run that stands still. docs/incidents has the trace.

--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -20,6 +20,10 @@
 // has certainly ended.
 func (t *term) hostModel() []allocation.Host {
 	at := now()
+	ending := make(map[*attempt]bool, len(t.attempts))
+	for _, a := range t.attempts {
+		ending[a] = a.stopping || a.over || t.endsSoon(a, at)
+	}
 	hosts := make([]allocation.Host, 0, len(t.hosts))
 	for _, h := range t.hosts {
 		if h.minion.ID == "" {
@@ -28,7 +32,7 @@
 		free, soon := h.minion.Capacity, h.minion.Capacity
 		for _, r := range h.runs {
 			free = free.Sub(r.need)
-			if !r.attempt.stopping && !r.attempt.over && !t.endsSoon(r, at) {
+			if !ending[r.attempt] {
 				soon = soon.Sub(r.need)
 			}
 		}
@@ -50,7 +54,7 @@
 	at := now()
 	units := make([]allocation.Unit, 0, len(t.attempts))
 	for _, a := range t.attempts {
-		if a.stopping || a.over || t.endsSoon(a.runs[0], at) {
+		if a.stopping || a.over || t.endsSoon(a, at) {
 			continue
 		}
 		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Parts: make(map[string]workload.Resources)}
@@ -65,11 +69,20 @@
 	return units
 }
 
-// endsSoon reports whether a run is about to end by itself, no later than if it
-// were stopped now.
-func (t *term) endsSoon(r *run, at time.Duration) bool {
-	left, known := r.timeLeft(at)
-	return known && left < t.settings().TaskStopTime+endMargin
+// endsSoon reports whether an attempt is about to end by itself, no later than if
+// it were stopped now. The members of a gang end together. What should have
+// ended long ago is not as it was estimated.
+func (t *term) endsSoon(a *attempt, at time.Duration) bool {
+	soon := t.settings().TaskStopTime + endMargin
+	last := -soon
+	for _, r := range a.runs {
+		left, known := r.timeLeft(at)
+		if !known {
+			return false
+		}
+		last = max(last, left)
+	}
+	return len(a.runs) > 0 && -soon < last && last < soon
 }
 
 // attemptLoss returns the work in core seconds that a stop of an attempt throws
--- a/internal/fleet/coordinator/term_internal_test.go
+++ b/internal/fleet/coordinator/term_internal_test.go
@@ -75,3 +75,32 @@
 		})
 	}
 }
+
+// Guards against a guarantee that waits for a gang that is taken to end soon:
+// one of its members has done its work and waits for the others, or its
+// progress is no longer what the estimate was made from.
+func TestEndsSoon(t *testing.T) {
+	const at = 20 * time.Second
+	at100 := &run{phase: running, percent: 100, startedAt: 10 * time.Second, movedAt: 20 * time.Second}
+	at60 := &run{phase: running, percent: 60, startedAt: 10 * time.Second, movedAt: 19900 * time.Millisecond}
+	at99 := &run{phase: running, percent: 99, startedAt: 10 * time.Second, movedAt: 20 * time.Second}
+	stuck := &run{phase: running, percent: 99, startedAt: 0, movedAt: 10 * time.Second}
+	fresh := &run{phase: running, percent: 2, startedAt: 19 * time.Second, movedAt: 20 * time.Second}
+	for name, tt := range map[string]struct {
+		runs []*run
+		want bool
+	}{
+		"nearly done":                   {runs: []*run{at99}, want: true},
+		"half done":                     {runs: []*run{at60}},
+		"too early to tell":             {runs: []*run{fresh}},
+		"all members nearly done":       {runs: []*run{at100, at99}, want: true},
+		"a member waits for the others": {runs: []*run{at100, at60}},
+		"should have ended long ago":    {runs: []*run{stuck}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := &Coordinator{}
+			c.Apply(Options{TaskStopTime: 200 * time.Millisecond})
+			qt.New(t).Check((&term{Coordinator: c}).endsSoon(&attempt{runs: tt.runs}, at), qt.Equals, tt.want)
+		})
+	}
+}
