Let a silent leader lose the leadership after 1 s

Cause: a leader that is cut off, frozen or gone with its host is replaced when the store has heard nothing of it for 1.5 s. Urgent jobs can wait for about 1.5 s, so those that came in that time were late.

Change: 1 s, the least that the platform allows, with claims every 0.25 s.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -26,10 +26,10 @@
 const (
 	// campaignInterval is the time between claims of the leadership. Three
 	// claims may be lost before it passes to another process.
-	campaignInterval = 300 * time.Millisecond
+	campaignInterval = 250 * time.Millisecond
 	// leadershipTime is how long the store keeps the leadership of a process
 	// that has become silent.
-	leadershipTime = 1500 * time.Millisecond
+	leadershipTime = time.Second
 	// campaignTimeout bounds one claim. A store that is slow answers within 0.3 s.
 	campaignTimeout = 600 * time.Millisecond
 	// forgetTime is how long a silent host that holds nothing is kept. A host
