--- a/internal/run/soak/process.go
+++ b/internal/run/soak/process.go
@@ -31,7 +31,7 @@
 	replacing sync.Mutex // replacing is held while the process is replaced.
 
 	mu      sync.Mutex
-	command *exec.Cmd     // command is nil while the process does not run.
+	command *exec.Cmd     // command is the latest life of the process; nil before the first.
 	ended   chan struct{} // ended is closed when the command has ended.
 	wanted  bool          // wanted is false while the process may end.
 	lives   int
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -62,6 +62,9 @@
 	if stopErr := platformGroup.Wait(); err == nil {
 		err = stopErr
 	}
+	if err == nil {
+		err = ctx.Err() // A run that was broken off proves nothing.
+	}
 	if err != nil {
 		return err
 	}
