Put the worth of lateness beside urgency; simplify the soak's parameters

Read as a newcomer: lateness stood among the demands although its test is with urgency; the soak passed its oracle beside the deployment that holds it, kept a method of the deployment in another file, and named ports by bare numbers.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -15,30 +15,8 @@
 	// guarantee, in parts of that work. Thrown away work costs the users about a
 	// fifth of what urgent work in time is worth to them.
 	lossRatio = 3
-	// ordinaryLossRatio is the same for work of the first ordinary priority, and
-	// lowLossRatio for all after it: a job of theirs is worth a third as much,
-	// and a ninth, of an urgent one of the same size.
-	ordinaryLossRatio = 1
-	lowLossRatio      = 1.0 / 3
 )
 
-// lateness returns what it costs, in core seconds of work thrown away, that a
-// stop makes a job late. left is the time until its work is done if it goes on,
-// again the time if it starts anew.
-func lateness(j workload.Job, rank allocation.Rank, at time.Time, left, again time.Duration) float64 {
-	due := j.Due()
-	if at.Add(left).After(due) || !at.Add(again).After(due) {
-		return 0
-	}
-	switch {
-	case rank <= allocation.Urgent:
-		return lossRatio * j.Work()
-	case rank == allocation.Ordinary:
-		return ordinaryLossRatio * j.Work()
-	}
-	return lowLossRatio * j.Work()
-}
-
 // demands returns the steps whose tasks wait and may start, in the order in
 // which they are served.
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
--- a/internal/fleet/coordinator/listings.go
+++ b/internal/fleet/coordinator/listings.go
@@ -59,8 +59,8 @@
 }
 
 // recognise finds out which incarnation a listing is of. When it is a new one,
-// nothing that the former one has listed runs. It reports false while the incarnation has
-// not reported what it offers.
+// nothing that the former one has listed runs. It reports false while the
+// incarnation has not reported what it offers.
 func (t *term) recognise(h *hostState, l host.Listing) bool {
 	h.gone = false
 	known := h.minion.ID != "" && h.minion.Born.Equal(l.Minion.Born)
--- a/internal/fleet/coordinator/urgency.go
+++ b/internal/fleet/coordinator/urgency.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"wasabihoist/internal/fleet/allocation"
 	"wasabihoist/internal/fleet/workload"
 )
 
@@ -27,3 +28,28 @@
 
 // hopelessDelay puts jobs that are worth nothing behind all that are.
 const hopelessDelay = time.Hour
+
+const (
+	// ordinaryLossRatio is what lossRatio is for work of the first ordinary
+	// priority, and lowLossRatio for all after it: a job of theirs is worth a
+	// third as much, and a ninth, of an urgent one of the same size.
+	ordinaryLossRatio = 1
+	lowLossRatio      = 1.0 / 3
+)
+
+// lateness returns what it costs, in core seconds of work thrown away, that a
+// stop makes a job late. left is the time until its work is done if it goes on,
+// again the time if it starts anew.
+func lateness(j workload.Job, rank allocation.Rank, at time.Time, left, again time.Duration) float64 {
+	due := j.Due()
+	if at.Add(left).After(due) || !at.Add(again).After(due) {
+		return 0
+	}
+	switch {
+	case rank <= allocation.Urgent:
+		return lossRatio * j.Work()
+	case rank == allocation.Ordinary:
+		return ordinaryLossRatio * j.Work()
+	}
+	return lowLossRatio * j.Work()
+}
--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -49,8 +49,7 @@
 	ordinaryHost = "ordinary.example"
 	prefix       = "/jobs/"
 	callersKey   = "callers-key"
-	// withdrawnKey is the first part of the keys that are withdrawn; each
-	// configuration that withdraws one brings the next.
+	// withdrawnKey is the first part of the keys that are withdrawn.
 	withdrawnKey = "withdrawn-key"
 )
 
@@ -170,15 +169,21 @@
 
 // assign gives a process its ports, and an agent its minion.
 func (d *deployment) assign(g *group.Group, p *process, free *ports, minion int) error {
-	const perProcess = 8 // four for the calls of processes, and one each for the rest
+	const (
+		perProcess = 7
+		internal   = 2 // the only port that is used of the range in the settings
+		metrics    = 4
+		callers    = 5 // callers of an entry or heartbeats of a minion
+		ready      = 6
+	)
 	first, err := free.take(perProcess)
 	if err != nil {
 		return err
 	}
 	at := func(offset uint16) netip.AddrPort { return netip.AddrPortFrom(p.settings.IP, first+offset) }
-	p.settings.Internal, p.metrics = at(2), first+4
+	p.settings.Internal, p.metrics = at(internal), first+metrics
 	if minion < 0 {
-		p.settings.Callers, p.settings.Ready = at(5), at(6)
+		p.settings.Callers, p.settings.Ready = at(callers), at(ready)
 		return nil
 	}
 	rack := fmt.Sprintf("r%d", minion/2)
@@ -188,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	p.settings.Service, p.settings.Control = service, at(5)
+	p.settings.Service, p.settings.Control = service, at(callers)
 	g.Go("heartbeats", func(ctx context.Context) error { return platform.SendHeartbeats(ctx, p.settings.Control, m) })
 	return nil
 }
@@ -241,6 +246,11 @@
 	return nil
 }
 
+// setWork tells the minions what the tasks of a step are like.
+func (d *deployment) setWork(job workload.ID, step int, took time.Duration, need workload.Resources) {
+	d.fleet.SetWork(job, step, fleethost.Work{Duration: took, Need: need})
+}
+
 // stop ends all processes as the platform does. Each must be gone in time.
 func (d *deployment) stop() {
 	ending := group.New(context.Background())
--- a/internal/run/soak/load.go
+++ b/internal/run/soak/load.go
@@ -41,9 +41,9 @@
 	jobs       int
 }
 
-func newClient(number int, seed uint64, d *deployment, o *oracle, g *group.Group) *client {
+func newClient(number int, seed uint64, d *deployment, g *group.Group) *client {
 	return &client{
-		number: number, deployment: d, oracle: o, group: g, random: rand.New(rand.NewPCG(seed, uint64(number))),
+		number: number, deployment: d, oracle: d.oracle, group: g, random: rand.New(rand.NewPCG(seed, uint64(number))),
 		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, entry: number,
 	}
 }
@@ -151,7 +151,7 @@
 
 // watchKey checks that a key is refused once the time for its withdrawal has
 // passed. A call is sent to every entry, in touch with the store or not.
-func watchKey(ctx context.Context, d *deployment, o *oracle, key string, withdrawn time.Time) {
+func watchKey(ctx context.Context, d *deployment, key string, withdrawn time.Time) {
 	caller := platform.Caller{Queue: ordinaryHost, Prefix: prefix, Key: key, Client: &http.Client{Timeout: callTimeout}}
 	if group.Pause(ctx, time.Until(withdrawn.Add(revokeTime))) != nil {
 		return
@@ -161,7 +161,7 @@
 		for _, p := range d.entries {
 			_, status, err := caller.State(ctx, p.settings.Callers, "0123456789abcdef")
 			if err == nil && (status == platform.StatusAccepted || status == platform.StatusUnknown) {
-				o.find("%s serves a key %s after its withdrawal", p, time.Since(withdrawn).Round(time.Millisecond))
+				d.oracle.find("%s serves a key %s after its withdrawal", p, time.Since(withdrawn).Round(time.Millisecond))
 			}
 		}
 		if group.Pause(ctx, keyCheckPause) != nil {
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -11,12 +11,13 @@
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
-	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/standin/fleethost"
 	"wasabihoist/internal/standin/fleetstore"
 	"wasabihoist/platform"
 )
 
+const folderMode = 0o700
+
 // Options of a run.
 type Options struct {
 	Binary  string // Binary is the program under test.
@@ -37,14 +38,10 @@
 	}
 }
 
-func (d *deployment) setWork(job workload.ID, step int, took time.Duration, need workload.Resources) {
-	d.fleet.SetWork(job, step, fleethost.Work{Duration: took, Need: need})
-}
-
 // Run plays one seed. It returns an error when a promise was broken; the logs
 // stay in the folder then.
 func Run(ctx context.Context, o Options) error {
-	if err := os.MkdirAll(o.Folder, 0o700); err != nil {
+	if err := os.MkdirAll(o.Folder, folderMode); err != nil {
 		return fmt.Errorf("make folder: %w", err)
 	}
 	faults := Draw(o.Seed, o.Length)
@@ -55,7 +52,7 @@
 		err = d.start(ctx)
 	}
 	if err == nil {
-		err = play(ctx, o, d, d.oracle, faults)
+		err = play(ctx, o, d, faults)
 	}
 	d.stop()
 	platformGroup.Stop()
@@ -88,11 +85,11 @@
 }
 
 // play runs the load and the faults, and then waits for the accepted work.
-func play(ctx context.Context, o Options, d *deployment, watch *oracle, faults []Fault) error {
+func play(ctx context.Context, o Options, d *deployment, faults []Fault) error {
 	followers, load := group.New(ctx), group.New(ctx)
 	start := time.Now()
 	for i := range clients {
-		load.Go("client", newClient(i, o.Seed, d, watch, followers).run)
+		load.Go("client", newClient(i, o.Seed, d, followers).run)
 	}
 	injected := group.New(ctx)
 	for i, f := range faults {
@@ -104,7 +101,7 @@
 			if err := group.Pause(ctx, time.Until(start.Add(f.At))); err != nil {
 				return err
 			}
-			return d.inject(ctx, f, watch)
+			return d.inject(ctx, f)
 		})
 	}
 	if err := injected.Wait(); err != nil {
@@ -114,7 +111,7 @@
 	load.Stop()
 	err := load.Wait()
 	d.settle()
-	for deadline := time.Now().Add(settleTime); len(watch.waiting()) > 0 && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(settleTime); len(d.oracle.waiting()) > 0 && time.Now().Before(deadline); {
 		if pauseErr := group.Pause(ctx, pollPause); pauseErr != nil {
 			break
 		}
@@ -127,7 +124,7 @@
 }
 
 // inject carries out one fault and undoes it.
-func (d *deployment) inject(ctx context.Context, f Fault, watch *oracle) error {
+func (d *deployment) inject(ctx context.Context, f Fault) error {
 	p, link := d.all[f.Target%len(d.all)], d.links[f.Target%len(d.links)]
 	minion := d.minions[f.Target%len(d.minions)]
 	during := func(begin, end func()) error {
@@ -177,7 +174,7 @@
 	case Publish:
 		_ = d.publishUntil(ctx, nil)
 	default:
-		d.withdraw(ctx, fmt.Sprintf("%s-%d", withdrawnKey, f.At), watch)
+		d.withdraw(ctx, fmt.Sprintf("%s-%d", withdrawnKey, f.At))
 	}
 	return nil
 }
@@ -194,11 +191,11 @@
 }
 
 // withdraw adds a key, withdraws it and checks that it is refused then.
-func (d *deployment) withdraw(ctx context.Context, key string, watch *oracle) {
+func (d *deployment) withdraw(ctx context.Context, key string) {
 	d.publishUntil(ctx, []string{key})
 	_ = group.Pause(ctx, configTime)
 	withdrawn := d.publishUntil(ctx, nil)
-	watchKey(ctx, d, watch, key, withdrawn)
+	watchKey(ctx, d, key, withdrawn)
 }
 
 // settle ends whatever is left of the faults.
