Renew leases over a connection to one life of the minion

A renewal that acknowledges ends of the former life makes the next one forget its own ends with these numbers, which nobody has seen.

A connection ends with the process at its other end. The agent now keeps one connection for renewals, asks on it first which life answers, and passes a renewal on only if it names that life; any other one gets the listing without acknowledgements. Starts and stops are settled by the coordinator as before.

The stand-in kept connections, and renewals that were waiting, across a new start of a minion, which no process does. They now end with the life.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"wasabihoist/internal/fleet/workload"
@@ -28,7 +29,15 @@
 
 // Incarnation names one life of the minion.
 func (m Minion) Incarnation() string {
-	return m.ID + "@" + strconv.FormatInt(m.Born.UnixMilli(), 36)
+	return m.ID + "@" + m.life()
+}
+
+func (m Minion) life() string { return strconv.FormatInt(m.Born.UnixMilli(), 36) }
+
+// IsLife reports whether an incarnation names the life that was born at a time.
+func IsLife(incarnation string, born time.Time) bool {
+	_, life, named := strings.Cut(incarnation, "@")
+	return named && life == (Minion{Born: born}).life()
 }
 
 // Run is a task that a minion runs.
@@ -119,6 +128,9 @@
 	ErrIncarnation = errors.New("another incarnation of the minion answered")
 	ErrDraining    = errors.New("the minion is leaving")
 	ErrInvalid     = errors.New("the minion could not read the call")
+	// ErrDisconnected is returned by a client of one connection when that is gone
+	// or in use.
+	ErrDisconnected = errors.New("the connection is gone or in use")
 )
 
 // Client calls one minion. Any other error than those above leaves open
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -19,11 +19,12 @@
 // Agent adds what a minion reports of itself to the listings of the minion. It
 // implements host.Client and is safe for concurrent use.
 type Agent struct {
-	minion host.Client
-	logger log.Logger
-	calls  map[string]metrics.Counter    // calls counts by the kind of call.
-	fails  map[string]metrics.Counter    // fails counts calls without success by their kind.
-	times  map[string]*metrics.Histogram // times holds how long calls took at the minion.
+	minion   host.Client // minion takes starts and stops.
+	sessions *sessions   // sessions takes renewals.
+	logger   log.Logger
+	calls    map[string]metrics.Counter    // calls counts by the kind of call.
+	fails    map[string]metrics.Counter    // fails counts calls without success by their kind.
+	times    map[string]*metrics.Histogram // times holds how long calls took at the minion.
 
 	mu          sync.Mutex
 	report      host.Minion // report is the newest one; its ID is empty before the first.
@@ -37,9 +38,9 @@
 var _ host.Client = (*Agent)(nil)
 
 // New returns the agent of a minion.
-func New(minion host.Client, r *metrics.Registry, logger log.Logger) *Agent {
+func New(minion host.Client, connect Connect, r *metrics.Registry, logger log.Logger) *Agent {
 	a := &Agent{
-		minion: minion, logger: logger, changed: make(chan struct{}),
+		minion: minion, sessions: &sessions{connect: connect, logger: logger}, logger: logger, changed: make(chan struct{}),
 		calls: make(map[string]metrics.Counter), fails: make(map[string]metrics.Counter), times: make(map[string]*metrics.Histogram),
 	}
 	for _, call := range []string{"hold", "start", "stop"} {
@@ -131,7 +132,7 @@
 		}
 		return nil
 	})
-	listing, err := a.minion.Hold(waitCtx, r)
+	listing, err := a.sessions.Hold(waitCtx, r)
 	interrupted := waitCtx.Err() != nil && ctx.Err() == nil
 	g.Stop()
 	if waitErr := g.Wait(); waitErr != nil {
@@ -139,7 +140,7 @@
 	}
 	if err != nil && interrupted {
 		r.Wait = 0
-		listing, err = a.minion.Hold(ctx, r)
+		listing, err = a.sessions.Hold(ctx, r)
 	}
 	a.count("hold", begin, err)
 	if err != nil {
--- /dev/null
+++ b/internal/role/hostagent/agent_test.go
@@ -0,0 +1,123 @@
+package hostagent_test
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/role/hostagent"
+	"wasabihoist/internal/run/metrics"
+	"wasabihoist/internal/standin/fleethost"
+	"wasabihoist/platform"
+)
+
+const token = 5
+
+var task = workload.TaskID{Job: "0123456789abcdef"}
+
+// fixture is an agent with a stand-in of its minion behind HTTP.
+type fixture struct {
+	fleet  *fleethost.Fleet
+	minion *fleethost.Minion
+	agent  *hostagent.Agent
+}
+
+func newFixture(c *qt.C) *fixture {
+	f := &fixture{fleet: fleethost.NewFleet(time.Millisecond)}
+	f.minion = fleethost.NewMinion(f.fleet, host.Minion{ID: "m-1", Service: "app", Capacity: workload.Resources{MilliCores: 1000}})
+	f.fleet.SetWork(task.Job, 0, fleethost.Work{Duration: time.Millisecond})
+	s := httptest.NewUnstartedServer(nil)
+	s.Config = platform.MinionServer(f.minion)
+	s.Start()
+	c.Cleanup(s.Close)
+	address := netip.MustParseAddrPort(s.Listener.Addr().String())
+	connect := func() hostagent.Connection { return platform.NewMinionConnection(address) }
+	f.agent = hostagent.New(platform.NewMinionClient(address), connect, metrics.For(c.Name()), log.NewNopLogger())
+	return f
+}
+
+// finish runs the task to its end.
+func (f *fixture) finish(c *qt.C, number int) {
+	r := host.StartRequest{Incarnation: f.minion.Report().Incarnation(), Token: token, Task: task, Number: number, Until: time.Minute}
+	err := f.agent.Start(context.Background(), r)
+	if err != nil { // The idle connection ended with the former life.
+		err = f.agent.Start(context.Background(), r)
+	}
+	c.Assert(err, qt.IsNil)
+	time.Sleep(5 * time.Millisecond)
+}
+
+func (f *fixture) hold(incarnation string, acknowledged int64, wait time.Duration) (host.Listing, error) {
+	return f.agent.Hold(context.Background(), host.HoldRequest{
+		Incarnation: incarnation, Token: token, Until: time.Minute, Acknowledged: acknowledged, Wait: wait,
+	})
+}
+
+// Guards against a minion that is started anew under its id and forgets ends,
+// because a renewal that acknowledges ends of its former life reaches it.
+func TestAcknowledgementsStayWithTheirLife(t *testing.T) {
+	tests := map[string]struct{ waiting bool }{
+		"renewal after the new start":    {false},
+		"renewal waits during new start": {true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			f := newFixture(c)
+			former := f.minion.Report().Incarnation()
+			f.finish(c, 1)
+			l, err := f.hold(former, 0, 0)
+			c.Assert(err, qt.IsNil)
+			c.Assert(l.Ends, qt.HasLen, 1)
+			if tt.waiting {
+				time.AfterFunc(20*time.Millisecond, f.minion.Restart)
+				_, err = f.hold(former, 1, time.Second)
+				c.Check(err, qt.IsNotNil)
+			} else {
+				_, err = f.hold(former, 1, 0)
+				c.Assert(err, qt.IsNil)
+				f.minion.Restart()
+			}
+			f.finish(c, 2)
+			for range 2 { // The first call may find the connection gone.
+				if l, err = f.hold(former, 1, 0); err == nil {
+					break
+				}
+			}
+			c.Assert(err, qt.IsNil)
+			c.Check(host.IsLife(former, l.Minion.Born), qt.IsFalse)
+			c.Check(l.Ends, qt.HasLen, 1)
+			l, err = f.hold(f.minion.Report().Incarnation(), 0, 0)
+			c.Assert(err, qt.IsNil)
+			c.Check(l.Ends, qt.HasLen, 1)
+		})
+	}
+}
+
+// Guards against renewals that disturb each other while two coordinators call.
+func TestRenewalsSideBySide(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c)
+	incarnation := f.minion.Report().Incarnation()
+	const wait = 300 * time.Millisecond
+	waiting := make(chan error, 1)
+	time.AfterFunc(0, func() {
+		_, err := f.hold(incarnation, 0, wait)
+		waiting <- err
+	})
+	time.Sleep(wait / 3)
+	begin := time.Now()
+	_, err := f.hold(incarnation, 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Check(time.Since(begin) < wait/3, qt.IsTrue)
+	c.Check(<-waiting, qt.IsNil)
+	_, err = f.hold(incarnation, 0, 0)
+	c.Check(err, qt.IsNil)
+}
--- a/internal/run/hosted/agent.go
+++ b/internal/run/hosted/agent.go
@@ -38,10 +38,10 @@
 }
 
 // RunAgent runs an agent until ctx ends.
-func RunAgent(ctx context.Context, o AgentOptions, store ledger.Store, minion host.Client, logger log.Logger) error {
+func RunAgent(ctx context.Context, o AgentOptions, store ledger.Store, minion host.Client, connect hostagent.Connect, logger log.Logger) error {
 	limitMemory(o.MemoryMB)
 	registry := metrics.For(o.Node)
-	agent := hostagent.New(minion, registry, logger)
+	agent := hostagent.New(minion, connect, registry, logger)
 	open, err := listen([]Endpoint{
 		{"heartbeats", o.Control, o.ControlHandler(agent)},
 		{"metrics", o.Metrics, registry.Handler()},
--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -120,7 +120,7 @@
 	if err := d.publish(nil); err != nil {
 		return d, err
 	}
-	storeAddress, err := serve(g, "store", platform.StoreHandler(d.store))
+	storeAddress, err := serve(g, "store", &http.Server{Handler: platform.StoreHandler(d.store), ReadHeaderTimeout: contactTime})
 	if err != nil {
 		return d, err
 	}
@@ -189,7 +189,7 @@
 	rack := fmt.Sprintf("r%d", minion/2)
 	m := fleethost.NewMinion(d.fleet, host.Minion{ID: fmt.Sprintf("m-%d", minion), Service: service, DataCentre: "one", Rack: rack, Labels: []string{"a", rack}, Capacity: capacity})
 	d.minions = append(d.minions, m)
-	p.settings.Minion, err = serve(g, "minion", platform.MinionHandler(m))
+	p.settings.Minion, err = serve(g, "minion", platform.MinionServer(m))
 	if err != nil {
 		return err
 	}
@@ -198,12 +198,11 @@
 	return nil
 }
 
-func serve(g *group.Group, name string, handler http.Handler) (netip.AddrPort, error) {
+func serve(g *group.Group, name string, server *http.Server) (netip.AddrPort, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("listen for %s: %w", name, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: contactTime}
 	g.Go(name, func(ctx context.Context) error { return webserver.Serve(ctx, server, l) })
 	return netip.MustParseAddrPort(l.Addr().String()), nil
 }
--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -152,6 +152,41 @@
 
 var _ host.Client = (*Minion)(nil)
 
+// life is a client of one life of a minion, as a connection is that ends with
+// the minion's process.
+type life struct {
+	*Minion
+	born time.Time
+}
+
+// Life returns a client of the life that was born at a time.
+func (m *Minion) Life(born time.Time) host.Client { return life{m, born} }
+
+// Hold implements host.Client.
+func (l life) Hold(ctx context.Context, r host.HoldRequest) (host.Listing, error) {
+	return l.holdUntil(ctx, l.born, r)
+}
+
+// Start implements host.Client.
+func (l life) Start(_ context.Context, r host.StartRequest) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.born.Equal(l.report.Born) {
+		return errSilent
+	}
+	return l.start(r)
+}
+
+// Stop implements host.Client.
+func (l life) Stop(_ context.Context, r host.StopRequest) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.born.Equal(l.report.Born) {
+		return errSilent
+	}
+	return l.stop(r)
+}
+
 // NewMinion returns a minion of the fleet.
 func NewMinion(f *Fleet, report host.Minion) *Minion {
 	report.Born = time.Now().Round(time.Millisecond)
@@ -241,11 +276,15 @@
 	return sum
 }
 
-// Hold implements host.Client.
+// Hold implements host.Client. A call ends with the life that it has reached.
 func (m *Minion) Hold(ctx context.Context, r host.HoldRequest) (host.Listing, error) {
+	return m.holdUntil(ctx, m.Report().Born, r)
+}
+
+func (m *Minion) holdUntil(ctx context.Context, born time.Time, r host.HoldRequest) (host.Listing, error) {
 	deadline := time.Now().Add(r.Wait)
 	for {
-		l, changed, err := m.hold(r)
+		l, changed, err := m.hold(born, r)
 		if err != nil || changed || time.Now().After(deadline) {
 			return l, err
 		}
@@ -257,11 +296,11 @@
 	}
 }
 
-func (m *Minion) hold(r host.HoldRequest) (host.Listing, bool, error) {
+func (m *Minion) hold(born time.Time, r host.HoldRequest) (host.Listing, bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.settle() // Leases end whether the minion answers or not.
-	if m.faults.Silent {
+	if m.faults.Silent || !born.Equal(m.report.Born) {
 		return host.Listing{}, false, errSilent
 	}
 	if r.Token < m.token {
@@ -287,6 +326,10 @@
 func (m *Minion) Start(_ context.Context, r host.StartRequest) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.start(r)
+}
+
+func (m *Minion) start(r host.StartRequest) error {
 	key := runKey{r.Task, r.Number}
 	switch {
 	case m.faults.Silent:
@@ -329,6 +372,10 @@
 func (m *Minion) Stop(_ context.Context, r host.StopRequest) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.stop(r)
+}
+
+func (m *Minion) stop(r host.StopRequest) error {
 	switch {
 	case m.faults.Silent:
 		return errSilent
