Keep room free for urgent tasks that wait for work to end

An urgent demand now keeps hosts free whose work ends within 3 s by itself. The bound of the loss holds for each task of a step and not for their sum, so that cheap stops are made although others are too dear.

Tests: three cases of TestDecide failed before. The units of the other cases now end after a minute; they had no time left, which no case meant.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -84,7 +84,7 @@
 	SpreadLimit int            // SpreadLimit bounds the tasks on one host; 0 is no bound.
 	Present     map[string]int // Present counts the step's tasks that are on a host already.
 	Avoid       collection.Set[string]
-	LossLimit   float64 // LossLimit is the most work in core seconds that may be thrown away for the demand; 0 is no bound.
+	LossLimit   float64 // LossLimit is the most work in core seconds that may be thrown away for all tasks of the demand; 0 is no bound.
 	Keep        int     // Keep is how many accelerators of the service the demand leaves free.
 	Careful     bool    // Careful demands do not go to doubtful hosts.
 	Far         bool    // Far allows places away from the data or across racks.
@@ -194,7 +194,8 @@
 	}
 	switch {
 	case d.Rank <= Urgent:
-		p.makeRoom(d)
+		d.Tasks -= p.makeRoom(d)
+		p.awaitEnds(d)
 	case d.Gang:
 		p.reserve(d)
 	}
--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
@@ -45,13 +46,17 @@
 func far(d allocation.Demand) allocation.Demand { d.Far = true; return d }
 
 func unit(id int, rank allocation.Rank, loss float64, parts map[string]int) allocation.Unit {
-	u := allocation.Unit{ID: id, Rank: rank, Loss: loss, Parts: make(map[string]workload.Resources)}
+	u := allocation.Unit{ID: id, Rank: rank, Loss: loss, Left: time.Minute, Parts: make(map[string]workload.Resources)}
 	for name, n := range parts {
 		u.Parts[name] = accelerators(n)
 	}
 	return u
 }
 
+func ending(u allocation.Unit, left time.Duration) allocation.Unit { u.Left = left; return u }
+
+func limited(d allocation.Demand, loss float64) allocation.Demand { d.LossLimit = loss; return d }
+
 func TestDecide(t *testing.T) {
 	const ordinary = allocation.Ordinary
 	for name, tt := range map[string]struct {
@@ -72,6 +77,39 @@
 			demands: []allocation.Demand{want(0, ordinary, 5, 1)},
 			placed:  map[int][]string{0: {"h1", "h1"}},
 		},
+		"less urgent work leaves the room that urgent tasks are about to get": {
+			hosts: []allocation.Host{offer("h1", "r1", 4, 4)},
+			units: []allocation.Unit{ending(unit(7, allocation.Urgent, 1, map[string]int{"h1": 4}), time.Second)},
+			demands: []allocation.Demand{
+				want(0, allocation.Urgent, 1, 8), want(1, ordinary, 1, 2),
+			},
+			waiting: []int{0},
+		},
+		"less urgent work starts where urgent tasks would wait long": {
+			hosts: []allocation.Host{offer("h1", "r1", 4, 4)},
+			units: []allocation.Unit{ending(unit(7, allocation.Urgent, 1, map[string]int{"h1": 4}), time.Minute)},
+			demands: []allocation.Demand{
+				want(0, allocation.Urgent, 1, 8), want(1, ordinary, 1, 2),
+			},
+			placed: map[int][]string{1: {"h1"}},
+		},
+		"urgent tasks keep the room of work that is too dear to stop": {
+			hosts: []allocation.Host{offer("h1", "r1", 4, 4)},
+			units: []allocation.Unit{ending(unit(7, ordinary, 100, map[string]int{"h1": 4}), time.Second)},
+			demands: []allocation.Demand{
+				limited(want(0, allocation.Urgent, 1, 8), 50), want(1, ordinary, 1, 2),
+			},
+			waiting: []int{0},
+		},
+		"room is made for the urgent tasks for which that is cheap": {
+			hosts: []allocation.Host{offer("h1", "r1", 0, 0), offer("h2", "r1", 0, 0)},
+			units: []allocation.Unit{
+				unit(7, ordinary, 100, map[string]int{"h1": 8}), unit(8, ordinary, 10, map[string]int{"h2": 8}),
+			},
+			demands: []allocation.Demand{limited(want(0, allocation.Urgent, 2, 8), 80)},
+			stops:   []int{8},
+			waiting: []int{0},
+		},
 		"a gang starts whole or not at all": {
 			hosts:   []allocation.Host{offer("h1", "r1", 4, 4)},
 			demands: []allocation.Demand{gangOf(0, ordinary, 2, 4)},
--- a/internal/fleet/allocation/makeroom.go
+++ b/internal/fleet/allocation/makeroom.go
@@ -24,8 +24,8 @@
 }
 
 // makeRoom stops units of a lower rank so that a demand fits, at the least
-// loss. It does nothing when that is impossible.
-func (p *planner) makeRoom(d Demand) {
+// loss, and returns for how many tasks. It does nothing when that is impossible.
+func (p *planner) makeRoom(d Demand) int {
 	var best *clearing
 	for _, rooms := range p.sites(d) {
 		c := p.clear(d, rooms)
@@ -37,7 +37,7 @@
 		best = p.clear(d, p.rooms)
 	}
 	if best == nil || d.LossLimit > 0 && best.loss > d.LossLimit {
-		return
+		return 0
 	}
 	for _, i := range best.stopped {
 		p.isStopped[i] = true
@@ -48,6 +48,7 @@
 		}
 	}
 	p.setAside(d, best.chosen)
+	return len(best.chosen)
 }
 
 // sites returns the sets of hosts that are tried for a demand.
@@ -130,7 +131,7 @@
 			bestRoom, bestStops, bestLoss = r, stops, loss
 		}
 	}
-	if bestRoom == nil {
+	if bestRoom == nil || !d.Gang && d.LossLimit > 0 && bestLoss > d.LossLimit/float64(d.Tasks) {
 		return false
 	}
 	for _, i := range bestStops {
--- a/internal/fleet/allocation/reserve.go
+++ b/internal/fleet/allocation/reserve.go
@@ -21,13 +21,13 @@
 	var best []*room
 	bestTime := time.Duration(-1)
 	for _, rooms := range p.sites(d) {
-		chosen, at := p.earliest(d, rooms)
+		chosen, at := p.earliest(d, rooms, never)
 		if chosen != nil && (best == nil || at < bestTime) {
 			best, bestTime = chosen, at
 		}
 	}
 	if best == nil && d.Local {
-		best, _ = p.earliest(d, p.rooms)
+		best, _ = p.earliest(d, p.rooms, never)
 	}
 	if best == nil {
 		return
@@ -36,6 +36,22 @@
 	p.setAside(d, best)
 }
 
+// awaitTime is how soon work has to end by itself for urgent tasks to have its
+// room kept free. Less urgent work that is started there meanwhile would be
+// stopped again.
+const awaitTime = 3 * time.Second
+
+// awaitEnds keeps hosts free for the tasks of an urgent demand for which nothing
+// may be stopped, if work there ends soon.
+func (p *planner) awaitEnds(d Demand) {
+	for _, rooms := range p.sites(d) {
+		if chosen, _ := p.earliest(d, rooms, awaitTime); len(chosen) > 0 {
+			p.setAside(d, chosen)
+			return
+		}
+	}
+}
+
 // slot is a host that a reservation may use.
 type slot struct {
 	r     *room
@@ -43,9 +59,10 @@
 	tasks int
 }
 
-// earliest returns hosts for all tasks of a gang and when they are free. It
-// returns nil when the hosts are too few even when they are empty.
-func (p *planner) earliest(d Demand, rooms []*room) ([]*room, time.Duration) {
+// earliest returns the hosts that have room for tasks first, and when the last of
+// them has. It returns as many as have room within a time; for a gang all or
+// none.
+func (p *planner) earliest(d Demand, rooms []*room, within time.Duration) ([]*room, time.Duration) {
 	var slots []*slot
 	for _, r := range rooms {
 		if usable(d, r) {
@@ -56,8 +73,8 @@
 	var last time.Duration
 	for range d.Tasks {
 		best := slices.MinFunc(append(slots, &slot{at: never}), func(a, b *slot) int { return cmp.Compare(a.at, b.at) })
-		if best.at == never {
-			return nil, 0
+		if best.at == never || best.at > within {
+			break
 		}
 		chosen = append(chosen, best.r)
 		last = max(last, best.at)
@@ -67,6 +84,9 @@
 			best.at = p.freeAt(best.r, times(d.Need, best.tasks+1))
 		}
 	}
+	if d.Gang && len(chosen) < d.Tasks {
+		return nil, 0
+	}
 	return chosen, last
 }
 
