Run jobs at set times

Jobs with repetitions were refused. A job now has a schedule: its steps run once for each set time, never before it, and occurrences may overlap. Progress holds the steps of all occurrences; steps that nobody has touched or that have finished take one number in the record. Planning looks at the occurrences whose time has come, each with its own due time. Jobs with more than 10,000 tasks are refused as invalid, because their progress would not fit into a record.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -25,11 +25,12 @@
 	keep := t.headroom.keep(t.urgentAccelerators(), at)
 	var steps []waitingStep
 	var demands []allocation.Demand
-	for _, j := range t.ordered() {
-		if j.progress.State.Ended() || at < j.retryAt {
+	for _, o := range t.ordered() {
+		j := o.job
+		if at < j.retryAt {
 			continue
 		}
-		for s := range j.job.Steps {
+		for s := o.first(); s < o.first()+len(j.job.Steps); s++ {
 			indices := t.waitingTasks(j, s)
 			if len(indices) == 0 {
 				continue
@@ -37,9 +38,9 @@
 			d := t.demand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
 			d.ID = len(steps) // The demands are sorted below, the steps are not.
 			if d.Rank == allocation.Urgent {
-				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * j.job.Steps[s].Estimate.Seconds()
+				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * j.job.Step(s).Estimate.Seconds()
 			}
-			if d.Rank >= allocation.Ordinary && time.Until(j.job.Due())-t.remaining(j) > headroomSlack {
+			if d.Rank >= allocation.Ordinary && t.slack(j, o.number) > headroomSlack {
 				d.Keep = keep
 			}
 			steps = append(steps, waitingStep{j, d.Rank, s, indices})
@@ -54,24 +55,25 @@
 func (t *term) urgentAccelerators() int {
 	sum := 0
 	for _, j := range t.jobs {
-		if j.job.Priority == 0 && !j.progress.State.Ended() {
-			sum += j.job.Accelerators()
+		if j.job.Priority == 0 {
+			sum += j.accelerators(time.Now())
 		}
 	}
 	return sum
 }
 
-// ordered returns the jobs by how soon they have to start: first those that can
-// wait least.
-func (t *term) ordered() []*jobState {
-	list := make([]*jobState, 0, len(t.jobs))
+// ordered returns the occurrences in progress by how soon they have to start:
+// first those that can wait least.
+func (t *term) ordered() []occurrence {
+	list := make([]occurrence, 0, len(t.jobs))
 	at := time.Now()
 	for _, j := range t.jobs {
-		j.latest = latestStart(j.job, t.remaining(j), at)
-		list = append(list, j)
+		for _, number := range j.begun(at) {
+			list = append(list, occurrence{j, number, latestStart(j.job, number, t.remaining(j, number), at)})
+		}
 	}
-	slices.SortFunc(list, func(a, b *jobState) int {
-		return cmp.Or(a.latest.Compare(b.latest), cmp.Compare(a.order, b.order))
+	slices.SortFunc(list, func(a, b occurrence) int {
+		return cmp.Or(a.latest.Compare(b.latest), cmp.Compare(a.job.order, b.job.order), cmp.Compare(a.number, b.number))
 	})
 	return list
 }
@@ -86,7 +88,7 @@
 	}
 	var urgent []*jobState
 	for _, j := range t.jobs {
-		if j.job.Priority == 0 && !j.progress.State.Ended() {
+		if j.job.Priority == 0 && j.accelerators(time.Now()) > 0 {
 			urgent = append(urgent, j)
 		}
 	}
@@ -94,7 +96,7 @@
 	used := make(map[string]int)
 	for _, j := range urgent {
 		organisation, _ := plans.Organisation(j.job.Organisation)
-		need := j.job.Accelerators()
+		need := j.accelerators(time.Now())
 		if used[organisation.Name]+need <= organisation.Guaranteed {
 			covered.Add(j.job.ID)
 			used[organisation.Name] += need
@@ -116,14 +118,14 @@
 			indices = append(indices, i)
 		}
 	}
-	if j.job.Steps[step].Gang && len(indices) < len(tasks) {
+	if j.job.Step(step).Gang && len(indices) < len(tasks) {
 		return nil
 	}
 	return indices
 }
 
 func (t *term) demand(j *jobState, step, tasks int, rank allocation.Rank) allocation.Demand {
-	s := j.job.Steps[step]
+	s := j.job.Step(step)
 	service := j.job.Service
 	if plans := t.catalogue.Get(); plans != nil {
 		if q, ok := plans.Queue(j.job.Queue); ok {
@@ -136,7 +138,7 @@
 			present[task.Host]++
 		}
 	}
-	slack := time.Until(j.job.Due()) - t.remaining(j)
+	slack := t.slack(j, j.job.Occurrence(step))
 	return allocation.Demand{
 		Rank: rank, Service: service, Need: s.Need, Tasks: tasks, Gang: s.Gang, Local: s.Local, Rack: s.Rack,
 		Label: s.Label, SpreadLimit: s.SpreadLimit, Present: present, Avoid: t.avoided(j, step), Careful: t.fewDoubtful() && careful(j, step), Far: slack < 0,
@@ -176,16 +178,21 @@
 	return avoid
 }
 
-// remaining returns the estimated time of the longest chain of steps that have
-// not finished.
-func (t *term) remaining(j *jobState) time.Duration {
+// slack returns how long an occurrence can still wait and be done in time.
+func (t *term) slack(j *jobState, number int) time.Duration {
+	return time.Until(j.job.Due(number)) - t.remaining(j, number)
+}
+
+// remaining returns the estimated time of the longest chain of steps of an
+// occurrence that have not finished.
+func (t *term) remaining(j *jobState, number int) time.Duration {
 	ends := make([]time.Duration, len(j.job.Steps))
 	var longest time.Duration
 	for i, s := range j.job.Steps {
 		for _, d := range s.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
-		if !j.progress.StepFinished(i) {
+		if !j.progress.StepFinished(number*len(j.job.Steps) + i) {
 			ends[i] += s.Estimate
 		}
 		longest = max(longest, ends[i])
--- a/internal/fleet/coordinator/listings.go
+++ b/internal/fleet/coordinator/listings.go
@@ -140,8 +140,8 @@
 // takeStray stops a run that this term has not given out or has given up.
 func (t *term) takeStray(h *hostState, key runKey) {
 	need := workload.Resources{}
-	if j := t.jobs[key.task.Job]; j != nil && key.task.Step < len(j.job.Steps) {
-		need = j.job.Steps[key.task.Step].Need
+	if j := t.jobs[key.task.Job]; j != nil && j.job.StepOf(key.task) < j.job.StepCount() {
+		need = j.job.Step(j.job.StepOf(key.task)).Need
 	}
 	h.strays[key] = need
 	_ = level.Warn(t.logger).Log("event", "run not expected", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "outcome", "stopped")
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -62,7 +62,8 @@
 			u.Parts[r.host.name] = u.Parts[r.host.name].Add(r.need)
 			u.Left = max(u.Left, r.expectedLeft(at))
 		}
-		u.Loss = t.attemptLoss(a) + lateness(a.job.job, u.Rank, time.Now(), u.Left, t.settings().TaskStopTime+t.remaining(a.job))
+		number := a.job.job.Occurrence(a.step)
+		u.Loss = t.attemptLoss(a) + lateness(a.job.job, number, u.Rank, time.Now(), u.Left, t.settings().TaskStopTime+t.remaining(a.job, number))
 		units = append(units, u)
 	}
 	slices.SortFunc(units, func(a, b allocation.Unit) int { return cmp.Compare(a.ID, b.ID) })
@@ -99,7 +100,7 @@
 // stop saves what makes checkpoints, so only the restart is lost.
 func (t *term) loss(r *run, at time.Duration) float64 {
 	lost := at - r.startedAt
-	if r.attempt.job.job.Steps[r.task.Step].Checkpoints {
+	if r.attempt.definition().Checkpoints {
 		lost = min(lost, t.settings().RestoreTime)
 	}
 	return r.need.Cores() * lost.Seconds()
--- a/internal/fleet/coordinator/orders.go
+++ b/internal/fleet/coordinator/orders.go
@@ -124,7 +124,7 @@
 	return host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		Until:      r.host.clockNow() + startWindow,
-		Checkpoint: j.progress.Steps[r.task.Step].Tasks[r.task.Index].Checkpoint,
+		Checkpoint: r.progress().Checkpoint,
 	}
 }
 
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -6,7 +6,6 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/fleet/allocation"
-	"wasabihoist/internal/fleet/workload"
 )
 
 // waitingStep is the waiting tasks of a step of a job.
@@ -39,7 +38,7 @@
 // durable.
 func (t *term) propose(w waitingStep, hosts []string) {
 	j := w.job
-	step := j.job.Steps[w.step]
+	step := j.job.Step(w.step)
 	indices := w.indices[:len(hosts)]
 	if step.Gang {
 		a := t.newAttempt(j, w.step)
@@ -54,18 +53,19 @@
 
 func (t *term) proposeRuns(a *attempt, indices []int, hosts []string) {
 	j := a.job
-	number := j.progress.NextRun(a.step, indices)
-	if j.job.Steps[a.step].Gang {
+	run := j.progress.NextRun(a.step, indices)
+	if j.job.Step(a.step).Gang {
 		t.shareCheckpoint(j, a.step)
 	}
 	for i, index := range indices {
 		h := t.hosts[hosts[i]]
-		id := workload.TaskID{Job: j.job.ID, Step: a.step, Index: index}
-		j.progress.Place(id, number, h.name, h.minion.Incarnation())
-		t.addRun(a, id, number, h, h.minion.Incarnation())
+		id := j.job.TaskID(a.step, index)
+		j.progress.Place(id, run, h.name, h.minion.Incarnation())
+		t.addRun(a, id, run, h, h.minion.Incarnation())
 	}
-	_ = level.Info(t.logger).Log("event", "placed", "job", j.job.ID, "step", a.step, "tasks", len(indices), "run", number, "first-task", indices[0],
-		"hosts", join(hosts), "age", time.Since(j.job.Submitted).Round(time.Millisecond), "slack", (time.Until(j.job.Due()) - t.remaining(j)).Round(time.Millisecond))
+	number := j.job.Occurrence(a.step)
+	_ = level.Info(t.logger).Log("event", "placed", "job", j.job.ID, "occurrence", number, "step", a.step%len(j.job.Steps), "tasks", len(indices), "run", run, "first-task", indices[0],
+		"hosts", join(hosts), "age", time.Since(j.job.Submitted).Round(time.Millisecond), "slack", t.slack(j, number).Round(time.Millisecond))
 	t.figures.placements.Add(1)
 	t.figures.waitTime.Record(time.Since(j.job.Submitted))
 	t.settle(j)
--- a/internal/fleet/coordinator/progress.go
+++ b/internal/fleet/coordinator/progress.go
@@ -33,14 +33,14 @@
 			if r.phase != running {
 				continue
 			}
-			limit := stallLimit(a.job.job.Steps[a.step].Estimate)
+			limit := stallLimit(a.definition().Estimate)
 			if r.host.contact > r.movedAt+limit && r.percent < 100 {
 				r.host.health.failed(a.job.job.ID, false, at-r.startedAt, at)
 				t.stop(a, "it makes no progress")
 				break
 			}
 			leaving := r.host.minion.Draining && r.host.minion.Remaining-(at-r.host.contact) < leaveMargin
-			if leaving && a.job.job.Steps[a.step].Checkpoints {
+			if leaving && a.definition().Checkpoints {
 				t.stop(a, "the minion leaves")
 				break
 			}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -60,6 +60,14 @@
 	began    time.Duration
 }
 
+// definition returns the step that the attempt runs.
+func (a *attempt) definition() workload.Step { return a.job.job.Step(a.step) }
+
+// progress returns what is known of the task of a run.
+func (r *run) progress() workload.Task {
+	return r.attempt.job.progress.Steps[r.attempt.step].Tasks[r.task.Index]
+}
+
 func (t *term) newAttempt(j *jobState, step int) *attempt {
 	t.nextID++
 	a := &attempt{id: t.nextID, job: j, step: step, began: now()}
@@ -68,7 +76,7 @@
 }
 
 func (t *term) addRun(a *attempt, id workload.TaskID, number int, h *hostState, minion string) *run {
-	r := &run{task: id, number: number, attempt: a, host: h, minion: minion, need: a.job.job.Steps[a.step].Need}
+	r := &run{task: id, number: number, attempt: a, host: h, minion: minion, need: a.definition().Need}
 	r.startedAt = now()
 	r.movedAt = r.startedAt
 	a.runs = append(a.runs, r)
@@ -119,7 +127,7 @@
 	if left, known := r.timeLeft(at); known {
 		return max(0, left)
 	}
-	return max(0, r.attempt.job.job.Steps[r.task.Step].Estimate-(at-r.startedAt))
+	return max(0, r.attempt.definition().Estimate-(at-r.startedAt))
 }
 
 func (t *term) started(r *run) {
@@ -142,7 +150,7 @@
 // current reports whether the run is the one that the progress of its task
 // names.
 func (r *run) current() bool {
-	task := r.attempt.job.progress.Steps[r.task.Step].Tasks[r.task.Index]
+	task := r.progress()
 	return task.Phase == workload.Placed && task.Run == r.number
 }
 
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -64,7 +64,6 @@
 	cancelled bool
 	runs      int                            // runs counts the runs that hold resources somewhere.
 	avoid     map[int]collection.Set[string] // avoid holds for each step the hosts on which a run of it failed.
-	latest    time.Time                      // latest is when the job has to start next, as of the last plan.
 	retryAt   time.Duration                  // retryAt is when the job may be placed again after a failed start.
 }
 
@@ -221,13 +220,13 @@
 			if task.Phase != workload.Placed {
 				continue
 			}
-			gang := j.job.Steps[s].Gang
+			gang := j.job.Step(s).Gang
 			a := gangs[task.Run]
 			if a == nil || !gang {
 				a = t.newAttempt(j, s)
 				gangs[task.Run] = a
 			}
-			id := workload.TaskID{Job: j.job.ID, Step: s, Index: i}
+			id := j.job.TaskID(s, i)
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
 			r.phase = adopted
 			r.host.lapse = max(r.host.lapse, t.begun+confirmTime+lapseTime(t.settings().LongestLease))
--- a/internal/fleet/coordinator/urgency.go
+++ b/internal/fleet/coordinator/urgency.go
@@ -11,15 +11,16 @@
 // more; in between it is worth less. The users' rules set it.
 const lateFactor = 3
 
-// latestStart returns when a job that still needs a time has to go on, so that
-// it is done when it is due; if that is too late, so that it is worth something
-// at all. A job that is worth nothing any more comes after all others.
-func latestStart(j workload.Job, need time.Duration, at time.Time) time.Time {
-	due := j.Due()
+// latestStart returns when an occurrence that still needs a time has to go on, so
+// that it is done when it is due; if that is too late, so that it is worth
+// something at all. What is worth nothing any more comes after all others.
+func latestStart(j workload.Job, occurrence int, need time.Duration, at time.Time) time.Time {
+	due := j.Due(occurrence)
 	if start := due.Add(-need); !start.Before(at) {
 		return start
 	}
-	limit := j.Submitted.Add(lateFactor * due.Sub(j.Submitted))
+	begin := j.Begin(occurrence)
+	limit := begin.Add(lateFactor * due.Sub(begin))
 	if start := limit.Add(-need); !start.Before(at) {
 		return start
 	}
@@ -38,10 +39,10 @@
 )
 
 // lateness returns what it costs, in core seconds of work thrown away, that a
-// stop makes a job late. left is the time until its work is done if it goes on,
+// stop makes an occurrence late. left is the time until its work is done if it goes on,
 // again the time if it starts anew.
-func lateness(j workload.Job, rank allocation.Rank, at time.Time, left, again time.Duration) float64 {
-	due := j.Due()
+func lateness(j workload.Job, occurrence int, rank allocation.Rank, at time.Time, left, again time.Duration) float64 {
+	due := j.Due(occurrence)
 	if at.Add(left).After(due) || !at.Add(again).After(due) {
 		return 0
 	}
--- a/internal/fleet/coordinator/urgency_internal_test.go
+++ b/internal/fleet/coordinator/urgency_internal_test.go
@@ -42,7 +42,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			got := latestStart(job, tt.need, submitted.Add(tt.at))
+			got := latestStart(job, 0, tt.need, submitted.Add(tt.at))
 			c.Check(got.Sub(submitted), qt.Equals, tt.want)
 		})
 	}
@@ -68,7 +68,7 @@
 		"low":                  {allocation.Ordinary + 1, 4 * time.Second, time.Second, 2 * time.Second, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
-			qt.New(t).Check(lateness(job, tt.rank, submitted.Add(tt.at), tt.left, tt.again), qt.Equals, tt.want)
+			qt.New(t).Check(lateness(job, 0, tt.rank, submitted.Add(tt.at), tt.left, tt.again), qt.Equals, tt.want)
 		})
 	}
 }
--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -87,7 +87,8 @@
 	Organisation string
 	Service      string
 	Spec         string // Spec is passed to the tasks as it is.
-	Steps        []Step
+	Steps        []Step // Steps are those of one occurrence.
+	Schedule     Schedule
 	Submitted    time.Time
 
 	Priority  int           // Priority 0 is the most urgent; it may preempt others.
@@ -110,12 +111,7 @@
 	return longest
 }
 
-// Due returns when the job should be done.
-func (j Job) Due() time.Time {
-	return j.Submitted.Add(time.Duration(j.Stretch*float64(j.Chain())) + j.Objective)
-}
-
-// Accelerators returns the accelerators of all tasks of the job.
+// Accelerators returns the accelerators of all tasks of one occurrence.
 func (j Job) Accelerators() int {
 	sum := 0
 	for _, s := range j.Steps {
@@ -124,7 +120,7 @@
 	return sum
 }
 
-// Work returns the estimated work of the job in core seconds.
+// Work returns the estimated work of one occurrence in core seconds.
 func (j Job) Work() float64 {
 	sum := 0.0
 	for _, s := range j.Steps {
@@ -138,6 +134,12 @@
 	if len(j.Steps) == 0 {
 		return fmt.Errorf("job has no steps")
 	}
+	if j.Schedule.Repetitions < 0 || j.Schedule.Interval < 0 {
+		return fmt.Errorf("schedule: %d repetitions every %s", j.Schedule.Repetitions, j.Schedule.Interval)
+	}
+	if tasks := j.tasks(); tasks > MaxTasks {
+		return fmt.Errorf("job has %d tasks, at most %d are possible", tasks, MaxTasks)
+	}
 	for i, s := range j.Steps {
 		if s.Count < 1 {
 			return fmt.Errorf("step %d: count %d is below 1", i, s.Count)
@@ -154,6 +156,19 @@
 	return nil
 }
 
+// MaxTasks bounds the tasks of all occurrences of a job, so that its progress
+// fits into one record of the ledger.
+const MaxTasks = 10_000
+
+// tasks counts the tasks of all occurrences, up to one more than MaxTasks.
+func (j Job) tasks() int {
+	sum := 0
+	for _, s := range j.Steps {
+		sum += min(s.Count, MaxTasks+1)
+	}
+	return min(sum, MaxTasks+1) * min(j.Occurrences(), MaxTasks+1)
+}
+
 // TaskID names a task of a job.
 type TaskID struct {
 	Job        ID
--- a/internal/fleet/workload/progress.go
+++ b/internal/fleet/workload/progress.go
@@ -61,21 +61,22 @@
 type Progress struct {
 	Job   ID
 	State State
-	Steps []StepProgress // Steps and their Tasks have the lengths that the job gives them.
+	Steps []StepProgress // Steps of all occurrences; they and their Tasks have the lengths that the job gives them.
+	Cycle int            // Cycle is the number of steps of one occurrence.
 }
 
 // NewProgress returns the state of a job of which nothing has run.
 func NewProgress(j Job) *Progress {
-	p := &Progress{Job: j.ID, Steps: make([]StepProgress, len(j.Steps))}
-	for i, s := range j.Steps {
-		p.Steps[i].Tasks = make([]Task, s.Count)
+	p := &Progress{Job: j.ID, Steps: make([]StepProgress, j.StepCount()), Cycle: len(j.Steps)}
+	for i := range p.Steps {
+		p.Steps[i].Tasks = make([]Task, j.Step(i).Count)
 	}
 	return p
 }
 
 // Clone returns a copy that shares nothing with p.
 func (p *Progress) Clone() *Progress {
-	c := &Progress{Job: p.Job, State: p.State, Steps: make([]StepProgress, len(p.Steps))}
+	c := &Progress{Job: p.Job, State: p.State, Steps: make([]StepProgress, len(p.Steps)), Cycle: p.Cycle}
 	for i, s := range p.Steps {
 		c.Steps[i] = StepProgress{Failures: s.Failures, FailedRun: s.FailedRun, Tasks: slices.Clone(s.Tasks)}
 	}
@@ -84,11 +85,11 @@
 
 // Matches reports whether the progress has the shape of the job.
 func (p *Progress) Matches(j Job) bool {
-	if len(p.Steps) != len(j.Steps) {
+	if len(p.Steps) != j.StepCount() || p.Cycle != len(j.Steps) {
 		return false
 	}
-	for i, s := range j.Steps {
-		if len(p.Steps[i].Tasks) != s.Count {
+	for i, s := range p.Steps {
+		if len(s.Tasks) != j.Step(i).Count {
 			return false
 		}
 	}
@@ -119,7 +120,7 @@
 
 // Ready reports whether all steps that a step depends on have finished.
 func (p *Progress) Ready(j Job, step int) bool {
-	for _, d := range j.Steps[step].DependsOn {
+	for _, d := range j.DependsOn(step) {
 		if !p.StepFinished(d) {
 			return false
 		}
@@ -127,9 +128,13 @@
 	return true
 }
 
+func (p *Progress) step(t TaskID) *StepProgress { return &p.Steps[t.Occurrence*p.Cycle+t.Step] }
+
+func (p *Progress) task(t TaskID) *Task { return &p.step(t).Tasks[t.Index] }
+
 // Place gives a task to a minion and returns the number of the run.
 func (p *Progress) Place(t TaskID, run int, host, minion string) {
-	task := &p.Steps[t.Step].Tasks[t.Index]
+	task := p.task(t)
 	task.Phase, task.Run, task.Host, task.Minion = Placed, run, host, minion
 	if p.State == Pending {
 		p.State = Running
@@ -147,7 +152,7 @@
 
 // Release returns a placed task to the queue, keeping a newer checkpoint.
 func (p *Progress) Release(t TaskID, checkpoint string) {
-	task := &p.Steps[t.Step].Tasks[t.Index]
+	task := p.task(t)
 	task.Phase, task.Host, task.Minion = Waiting, "", ""
 	if checkpoint != "" {
 		task.Checkpoint = checkpoint
@@ -156,9 +161,9 @@
 
 // Finish records that a task, or with a gang its whole step, has ended well.
 func (p *Progress) Finish(j Job, t TaskID) {
-	tasks := p.Steps[t.Step].Tasks[t.Index : t.Index+1]
+	tasks := p.step(t).Tasks[t.Index : t.Index+1]
 	if j.Steps[t.Step].Gang {
-		tasks = p.Steps[t.Step].Tasks
+		tasks = p.step(t).Tasks
 	}
 	for i := range tasks {
 		tasks[i].Phase, tasks[i].Host, tasks[i].Minion = Finished, "", ""
@@ -175,7 +180,7 @@
 // all its attempts.
 func (p *Progress) Fail(j Job, t TaskID, run int, checkpoint string) {
 	p.Release(t, checkpoint)
-	step := &p.Steps[t.Step]
+	step := p.step(t)
 	failures := &step.Tasks[t.Index].Failures
 	if j.Steps[t.Step].Gang {
 		if run <= step.FailedRun {
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -58,6 +58,9 @@
 	Stretch      float64      `json:"stretch"`
 	Objective    int64        `json:"objective-ms"`
 	Steps        []stepRecord `json:"steps"`
+	Repetitions  int          `json:"repetitions,omitempty"`
+	First        int64        `json:"first-ms,omitempty"`
+	Interval     int64        `json:"interval-ms,omitempty"`
 }
 
 type stepRecord struct {
@@ -83,6 +86,9 @@
 		Submitted: j.Submitted.UnixMilli(), Priority: j.Priority, Attempts: j.Attempts,
 		Stretch: j.Stretch, Objective: j.Objective.Milliseconds(),
 	}
+	if j.Scheduled() {
+		r.Repetitions, r.First, r.Interval = j.Schedule.Repetitions, j.Schedule.First.UnixMilli(), j.Schedule.Interval.Milliseconds()
+	}
 	for _, s := range j.Steps {
 		r.Steps = append(r.Steps, stepRecord{
 			Count: s.Count, MilliCores: s.Need.MilliCores, MemoryMB: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
@@ -103,6 +109,9 @@
 		Submitted: time.UnixMilli(r.Submitted), Priority: r.Priority, Attempts: r.Attempts,
 		Stretch: r.Stretch, Objective: time.Duration(r.Objective) * time.Millisecond,
 	}
+	if r.Repetitions > 0 {
+		j.Schedule = workload.Schedule{Repetitions: r.Repetitions, First: time.UnixMilli(r.First), Interval: time.Duration(r.Interval) * time.Millisecond}
+	}
 	for _, s := range r.Steps {
 		j.Steps = append(j.Steps, workload.Step{
 			Count: s.Count, Need: workload.Resources{MilliCores: s.MilliCores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators},
@@ -119,12 +128,46 @@
 type progressRecord struct {
 	State string               `json:"state"`
 	Steps []stepProgressRecord `json:"steps,omitempty"` // Steps are left out once the job has ended and nothing of it runs.
+	Cycle int                  `json:"cycle,omitempty"`
 }
 
 type stepProgressRecord struct {
 	Failures  int          `json:"failures,omitempty"`
 	FailedRun int          `json:"failed-run,omitempty"`
-	Tasks     []taskRecord `json:"tasks"`
+	Tasks     []taskRecord `json:"tasks,omitempty"`
+	Waiting   int          `json:"waiting,omitempty"`  // Waiting is the number of tasks when none was ever placed.
+	Finished  int          `json:"finished,omitempty"` // Finished is the number of tasks when all have finished.
+}
+
+func encodeStep(s workload.StepProgress) stepProgressRecord {
+	r := stepProgressRecord{Failures: s.Failures, FailedRun: s.FailedRun}
+	untouched, finished := true, true
+	for _, t := range s.Tasks {
+		untouched = untouched && t == workload.Task{}
+		finished = finished && t.Phase == workload.Finished
+	}
+	switch {
+	case untouched:
+		r.Waiting = len(s.Tasks)
+	case finished:
+		r.Finished = len(s.Tasks)
+	default:
+		for _, t := range s.Tasks {
+			r.Tasks = append(r.Tasks, taskRecord(t))
+		}
+	}
+	return r
+}
+
+func (r stepProgressRecord) step() workload.StepProgress {
+	s := workload.StepProgress{Failures: r.Failures, FailedRun: r.FailedRun, Tasks: make([]workload.Task, r.Waiting+r.Finished)}
+	for i := range r.Finished {
+		s.Tasks[i].Phase = workload.Finished
+	}
+	for _, t := range r.Tasks {
+		s.Tasks = append(s.Tasks, workload.Task(t))
+	}
+	return s
 }
 
 type taskRecord struct {
@@ -140,12 +183,9 @@
 func EncodeProgress(p *workload.Progress) (Record, error) {
 	r := progressRecord{State: p.State.String()}
 	if !p.State.Ended() || p.Held() {
+		r.Cycle = p.Cycle
 		for _, s := range p.Steps {
-			step := stepProgressRecord{Failures: s.Failures, FailedRun: s.FailedRun}
-			for _, t := range s.Tasks {
-				step.Tasks = append(step.Tasks, taskRecord(t))
-			}
-			r.Steps = append(r.Steps, step)
+			r.Steps = append(r.Steps, encodeStep(s))
 		}
 	}
 	return encode(ProgressKind.Key(string(p.Job)), r)
@@ -156,7 +196,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, fmt.Errorf("decode progress of %s: %w", id, err)
 	}
-	p := &workload.Progress{Job: workload.ID(id), State: -1}
+	p := &workload.Progress{Job: workload.ID(id), State: -1, Cycle: r.Cycle}
 	for s := workload.Pending; s <= workload.Cancelled; s++ {
 		if s.String() == r.State {
 			p.State = s
@@ -166,11 +206,10 @@
 		return nil, fmt.Errorf("decode progress of %s: unknown state %q", id, r.State)
 	}
 	for _, s := range r.Steps {
-		step := workload.StepProgress{Failures: s.Failures, FailedRun: s.FailedRun}
-		for _, t := range s.Tasks {
-			step.Tasks = append(step.Tasks, workload.Task(t))
-		}
-		p.Steps = append(p.Steps, step)
+		p.Steps = append(p.Steps, s.step())
+	}
+	if p.Cycle == 0 { // Records of versions without schedules lack it.
+		p.Cycle = len(p.Steps)
 	}
 	return p, nil
 }
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -40,8 +40,10 @@
 func TestJobsAndProgressSurviveTheirRecords(t *testing.T) {
 	c := qt.New(t)
 	j := sample("j")
+	j.Schedule = workload.Schedule{Repetitions: 2, First: time.UnixMilli(5000), Interval: time.Minute}
 	p := workload.NewProgress(j)
 	p.Place(workload.TaskID{Job: "j", Index: 1}, 3, "host", "minion@1")
+	p.Finish(j, workload.TaskID{Job: "j", Occurrence: 1, Step: 1})
 	s := ledger.NewState()
 	jobRecord, err := ledger.EncodeJob(j)
 	c.Assert(err, qt.IsNil)
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -29,7 +29,7 @@
 		return Answer{Outcome: Refused, Reason: reason}
 	}
 	job := workload.Job{
-		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps,
+		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps, Schedule: submission.Schedule,
 		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
 	}
 	if err := job.Validate(); err != nil {
@@ -49,9 +49,6 @@
 	if q.Advised {
 		return "queues whose hosts another service chooses are not supported"
 	}
-	if s.Repetitions > 0 {
-		return "jobs that run at set times are not supported"
-	}
 	for i, step := range s.Steps {
 		if step.Lasting {
 			return fmt.Sprintf("step %d: tasks that run until they are cancelled are not supported", i)
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -92,9 +92,9 @@
 
 // Submission is what a client submits.
 type Submission struct {
-	Spec        string
-	Steps       []workload.Step
-	Repetitions int // Repetitions is how often the steps run at set times; 0 for once and at once.
+	Spec     string
+	Steps    []workload.Step
+	Schedule workload.Schedule
 }
 
 // Peer is another entry.
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	operators ledger.Topic  = "operators"
 	fresh     time.Duration = 300 * time.Millisecond
 	id                      = "00112233445566aa"
+	timedID                 = "00112233445566bb"
 )
 
 // peer is another entry that answers with what the test says.
@@ -65,7 +66,7 @@
 			}
 			s := gateway.Submission{Steps: []workload.Step{{Count: 1, Lasting: string(body) == "lasting", Fills: string(body) == "fills"}}}
 			if string(body) == "timed" {
-				s.Repetitions = 3
+				s.Schedule = workload.Schedule{Repetitions: 3}
 			}
 			return s, nil
 		},
@@ -104,7 +105,7 @@
 		{gateway.Submit, "/q/" + id, "key1", "bad", gateway.Invalid, 0},
 		{gateway.Submit, "/q/" + id, "key1", "lasting", gateway.Refused, 0},
 		{gateway.Submit, "/q/" + id, "key1", "fills", gateway.Refused, 0},
-		{gateway.Submit, "/q/" + id, "key1", "timed", gateway.Refused, 0},
+		{gateway.Submit, "/q/" + timedID, "key1", "timed", gateway.Accepted, 0},
 		{gateway.Status, "/q/" + id, "key1", "", gateway.UnknownJob, 0},
 		{gateway.Submit, "/q/" + id, "key1", "", gateway.Accepted, 0},
 		{gateway.Submit, "/q/" + id, "key1", "", gateway.Accepted, 0},
