Run tasks that last, fill what others leave, or need advice

These kinds of work were refused at once.

- Lasting tasks are started again however they end, until their job is cancelled.
A step may bound how many of its tasks are away because of the system; the planner counts every task that is not at work and stops no more than that for urgent work.
- Tasks that fill take no cores of a host.
Beside tasks that serve users, their pace follows the worst latency: halved while it is high, raised step by step while it is low.
A successor tells the pace again.
- Steps of queues with a placement adviser go to hosts for which the adviser has given a ticket.
One question is on its way at a time, refusals are remembered and a ticket that a minion does not take is dropped.

Minions list the load of a run and take the order to change its pace, agents pass both on. The stand-in of minions knows lasting, disturbing and ticketed work.

Tests: lasting_test.go (started again; not taken away together, which fails without the bound; giving way, also at a successor; advice), the rule of the pace, five cases of TestDecide, and the forms on the wire.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -123,13 +123,17 @@
 }
 
 func tuning(s platform.Settings) hosted.Tuning {
-	return hosted.Tuning{
+	t := hosted.Tuning{
 		FreshTime: s.RevokeTime / 2, StopGrace: s.StopGrace, // Half of the time leaves the other half to a call in progress.
 		Coordinator: coordinator.Options{
 			LongestLease: s.LongestLease, GangTime: s.GangTime, TaskStopTime: s.TaskStopTime, StatusTime: s.StatusTime,
 			RestoreTime: s.RestoreTime, LeadershipTime: s.ShortestTimeLive,
 		},
 	}
+	if s.Adviser.IsValid() {
+		t.Coordinator.Adviser = platform.NewAdviser(s.Adviser)
+	}
+	return t
 }
 
 func passTunings(ctx context.Context, changes <-chan platform.Settings, tunings chan<- hosted.Tuning) error {
--- a/internal/cluster/hostlink/client.go
+++ b/internal/cluster/hostlink/client.go
@@ -59,7 +59,7 @@
 	defer cancel()
 	reply, err := c.agent.Start(ctx, &wire.StartRunRequest{
 		Incarnation: r.Incarnation, Token: r.Token, Task: r.Task.String(), Number: int64(r.Number),
-		Spec: r.Spec, UntilMillis: r.Until.Milliseconds(), Checkpoint: r.Checkpoint,
+		Spec: r.Spec, UntilMillis: r.Until.Milliseconds(), Checkpoint: r.Checkpoint, Ticket: r.Ticket,
 	})
 	return c.orderError("start", reply, err)
 }
@@ -74,6 +74,16 @@
 	return c.orderError("stop", reply, err)
 }
 
+// Pace implements host.Client.
+func (c *Client) Pace(ctx context.Context, r host.PaceRequest) error {
+	ctx, cancel := context.WithTimeout(ctx, callSlack)
+	defer cancel()
+	reply, err := c.agent.Pace(ctx, &wire.PaceRunRequest{
+		Incarnation: r.Incarnation, Token: r.Token, Task: r.Task.String(), Number: int64(r.Number), Percent: int64(r.Percent),
+	})
+	return c.orderError("pace", reply, err)
+}
+
 func (c *Client) orderError(call string, reply *wire.OrderReply, err error) error {
 	if err != nil {
 		c.idle()
@@ -97,7 +107,7 @@
 			return host.Listing{}, fmt.Errorf("hold: running: %w", err)
 		}
 		listing.Running = append(listing.Running, host.Run{
-			Task: task, Number: int(r.GetNumber()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent()),
+			Task: task, Number: int(r.GetNumber()), Checkpoint: r.GetCheckpoint(), Percent: int(r.GetPercent()), Load: int(r.GetLoad()),
 		})
 	}
 	for _, e := range reply.GetEnds() {
--- a/internal/cluster/hostlink/server.go
+++ b/internal/cluster/hostlink/server.go
@@ -33,7 +33,7 @@
 	reply := &wire.HoldReply{ClockMillis: listing.Clock.Milliseconds(), Gone: listing.Gone, Refusal: refusal, Minion: toReport(listing.Minion)}
 	for _, run := range listing.Running {
 		reply.Running = append(reply.Running, &wire.RunEntry{
-			Task: run.Task.String(), Number: int64(run.Number), Checkpoint: run.Checkpoint, Percent: int64(run.Percent),
+			Task: run.Task.String(), Number: int64(run.Number), Checkpoint: run.Checkpoint, Percent: int64(run.Percent), Load: int64(run.Load),
 		})
 	}
 	for _, e := range listing.Ends {
@@ -52,7 +52,7 @@
 	}
 	return orderReply(s.minion.Start(ctx, host.StartRequest{
 		Incarnation: r.GetIncarnation(), Token: r.GetToken(), Task: task, Number: int(r.GetNumber()), Spec: r.GetSpec(),
-		Until: time.Duration(r.GetUntilMillis()) * time.Millisecond, Checkpoint: r.GetCheckpoint(),
+		Until: time.Duration(r.GetUntilMillis()) * time.Millisecond, Checkpoint: r.GetCheckpoint(), Ticket: r.GetTicket(),
 	}))
 }
 
@@ -67,6 +67,17 @@
 	}))
 }
 
+// Pace implements wire.TaskAgent.
+func (s *server) Pace(ctx context.Context, r *wire.PaceRunRequest) (*wire.OrderReply, error) {
+	task, err := workload.ParseTaskID(r.GetTask())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("task", err.Error())
+	}
+	return orderReply(s.minion.Pace(ctx, host.PaceRequest{
+		Incarnation: r.GetIncarnation(), Token: r.GetToken(), Task: task, Number: int(r.GetNumber()), Percent: int(r.GetPercent()),
+	}))
+}
+
 func orderReply(err error) (*wire.OrderReply, error) {
 	refusal, err := toRefusal(err)
 	if err != nil {
@@ -84,6 +95,7 @@
 	wire.OrderRefusal_ORDER_REFUSAL_INCARNATION: host.ErrIncarnation,
 	wire.OrderRefusal_ORDER_REFUSAL_DRAINING:    host.ErrDraining,
 	wire.OrderRefusal_ORDER_REFUSAL_INVALID:     host.ErrInvalid,
+	wire.OrderRefusal_ORDER_REFUSAL_TICKET:      host.ErrTicket,
 }
 
 // toRefusal separates a call that had no effect from one whose effect is open.
--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -67,6 +67,8 @@
 	Rank  Rank
 	Loss  float64                       // Loss is the work in core seconds that a stop throws away.
 	Left  time.Duration                 // Left is when the unit ends, as far as can be told.
+	Set   int                           // Set names the units that share a bound of stops; 0 when there is none.
+	Spare int                           // Spare is how many units of the set may be stopped now.
 	Parts map[string]workload.Resources // Parts holds what the unit uses on each host.
 }
 
@@ -88,6 +90,9 @@
 	Keep        int     // Keep is how many accelerators of the service the demand leaves free.
 	Careful     bool    // Careful demands do not go to doubtful hosts.
 	Far         bool    // Far allows places away from the data or across racks.
+	Fills       bool    // Fills demands use cores that others leave idle; they go where most are.
+
+	Only collection.Option[collection.Set[string]] // Only holds the hosts that may be used; none allows all.
 }
 
 // Placement gives tasks of a demand to hosts. Hosts has one name for each task,
@@ -133,16 +138,17 @@
 	racks     map[string][]*room
 	names     []string // names of the racks in order.
 	units     []Unit
-	parts     [][]part // parts holds what each unit uses on the hosts that are known.
-	isStopped []bool   // isStopped holds for each unit whether it has to make room.
-	reserved  int      // reserved counts the gangs that hosts are kept free for.
+	parts     [][]part    // parts holds what each unit uses on the hosts that are known.
+	isStopped []bool      // isStopped holds for each unit whether it has to make room.
+	stopped   map[int]int // stopped counts the units of each set that have to.
+	reserved  int         // reserved counts the gangs that hosts are kept free for.
 	plan      Plan
 }
 
 func newPlanner(hosts []Host, units []Unit) *planner {
 	p := &planner{
 		racks: make(map[string][]*room), units: units, parts: make([][]part, len(units)),
-		isStopped: make([]bool, len(units)), plan: Plan{StoppedFor: make(map[int]int), Waiting: collection.NewSet[int]()},
+		isStopped: make([]bool, len(units)), stopped: make(map[int]int), plan: Plan{StoppedFor: make(map[int]int), Waiting: collection.NewSet[int]()},
 	}
 	byName := make(map[string]*room, len(hosts))
 	for i, h := range hosts {
@@ -257,6 +263,9 @@
 	if r.Doubtful && (d.Careful || r.busy) {
 		return false
 	}
+	if only, bound := d.Only.Get(); bound && !only.Has(r.Name) {
+		return false
+	}
 	return r.Open && r.Service == d.Service && !d.Avoid.Has(r.Name) &&
 		(d.Label == "" || r.Labels.Has(d.Label)) && r.Capacity.Fits(d.Need)
 }
--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -55,6 +55,18 @@
 
 func ending(u allocation.Unit, left time.Duration) allocation.Unit { u.Left = left; return u }
 
+func only(d allocation.Demand, hosts ...string) allocation.Demand {
+	d.Only = collection.Some(collection.NewSet(hosts...))
+	return d
+}
+
+func filling(id, tasks int) allocation.Demand {
+	return allocation.Demand{ID: id, Rank: allocation.Ordinary, Service: "app", Need: workload.Resources{MemoryMB: 1}, Tasks: tasks, Fills: true}
+}
+
+// ofSet puts a unit into a set that spares some of its units.
+func ofSet(u allocation.Unit, spare int) allocation.Unit { u.Set, u.Spare = 1, spare; return u }
+
 func limited(d allocation.Demand, loss float64) allocation.Demand { d.LossLimit = loss; return d }
 
 func TestDecide(t *testing.T) {
@@ -110,6 +122,33 @@
 			stops:   []int{8},
 			waiting: []int{0},
 		},
+		"some hosts only": {
+			hosts:   []allocation.Host{offer("h1", "r1", 1, 1), offer("h2", "r1", 8, 8)},
+			demands: []allocation.Demand{only(want(0, ordinary, 2, 1), "h2")},
+			placed:  map[int][]string{0: {"h2", "h2"}},
+		},
+		"no host is allowed": {
+			hosts:   []allocation.Host{offer("h1", "r1", 8, 8)},
+			demands: []allocation.Demand{only(want(0, ordinary, 2, 1))},
+		},
+		"what fills goes where most cores are idle": {
+			hosts:   []allocation.Host{offer("h1", "r1", 2, 2), offer("h2", "r1", 8, 8), offer("h3", "r1", 6, 6)},
+			demands: []allocation.Demand{filling(0, 3)},
+			placed:  map[int][]string{0: {"h2", "h3", "h1"}},
+		},
+		"a set spares one of its units": {
+			hosts: []allocation.Host{offer("h1", "r1", 0, 0), offer("h2", "r1", 0, 0)},
+			units: []allocation.Unit{
+				ofSet(unit(1, ordinary, 1, map[string]int{"h1": 8}), 1), ofSet(unit(2, ordinary, 2, map[string]int{"h2": 8}), 1),
+			},
+			demands: []allocation.Demand{want(0, allocation.Guaranteed, 2, 8)},
+			stops:   []int{1}, waiting: []int{0},
+		},
+		"a set spares none of its units": {
+			hosts:   []allocation.Host{offer("h1", "r1", 0, 0)},
+			units:   []allocation.Unit{ofSet(unit(1, ordinary, 1, map[string]int{"h1": 8}), 0)},
+			demands: []allocation.Demand{gangOf(0, allocation.Guaranteed, 1, 8)},
+		},
 		"a gang starts whole or not at all": {
 			hosts:   []allocation.Host{offer("h1", "r1", 4, 4)},
 			demands: []allocation.Demand{gangOf(0, ordinary, 2, 4)},
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -139,13 +139,25 @@
 	var best *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if c.takes(d) && (best == nil || tighter(c.left, best.left)) {
+		if c.takes(d) && (best == nil || c.better(best, d)) {
 			best = c
 		}
 	}
 	return best
 }
 
+// better reports whether a candidate is to be taken before another one.
+func (c *candidate) better(o *candidate, d Demand) bool {
+	switch {
+	case !d.Fills:
+		return tighter(c.left, o.left)
+	case c.here != o.here:
+		return c.here < o.here
+	default:
+		return c.left.MilliCores > o.left.MilliCores
+	}
+}
+
 func tighter(a, b workload.Resources) bool {
 	if a.Accelerators != b.Accelerators {
 		return a.Accelerators < b.Accelerators
--- a/internal/fleet/allocation/makeroom.go
+++ b/internal/fleet/allocation/makeroom.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"wasabihoist/internal/fleet/workload"
@@ -19,6 +20,7 @@
 	tasks   []int                // tasks counts the demand's tasks on each host.
 	stopped []int                // stopped holds indices of units.
 	isGone  []bool               // isGone holds for each unit whether it is stopped, here or before.
+	sets    map[int]int          // sets counts the units of each set that are stopped, here or before.
 	loss    float64
 	chosen  []*room
 }
@@ -41,6 +43,7 @@
 	}
 	for _, i := range best.stopped {
 		p.isStopped[i] = true
+		p.stopped[p.units[i].Set]++
 		p.plan.Stops = append(p.plan.Stops, p.units[i].ID)
 		p.plan.StoppedFor[p.units[i].ID] = d.ID
 		for _, q := range p.parts[i] {
@@ -75,6 +78,7 @@
 	}
 	c := &clearing{
 		left: make([]workload.Resources, len(p.rooms)), tasks: make([]int, len(p.rooms)), isGone: slices.Clone(p.isStopped),
+		sets: maps.Clone(p.stopped),
 	}
 	for i, r := range p.rooms {
 		c.left[i] = r.Soon
@@ -95,13 +99,29 @@
 func (p *planner) reclaimable(r *room, rank Rank) workload.Resources {
 	sum := r.Soon
 	for _, i := range r.units {
-		if rank.mayStop(p.units[i].Rank) && !p.isStopped[i] {
+		if rank.mayStop(p.units[i].Rank) && !p.isStopped[i] && p.spares(i, p.stopped[p.units[i].Set]) {
 			sum = sum.Add(p.usedOn(i, r))
 		}
 	}
 	return sum
 }
 
+// spares reports whether one more unit of a set may be stopped after others.
+func (p *planner) spares(unit, stopped int) bool {
+	u := p.units[unit]
+	return u.Set == 0 || stopped < u.Spare
+}
+
+func countSet(units []Unit, list []int, set int) int {
+	count := 0
+	for _, i := range list {
+		if units[i].Set == set {
+			count++
+		}
+	}
+	return count
+}
+
 // usedOn returns what a unit uses on a host.
 func (p *planner) usedOn(unit int, r *room) workload.Resources {
 	for _, q := range p.parts[unit] {
@@ -136,6 +156,7 @@
 	}
 	for _, i := range bestStops {
 		c.isGone[i] = true
+		c.sets[p.units[i].Set]++
 		c.stopped = append(c.stopped, i)
 		for _, q := range p.parts[i] {
 			c.left[q.room] = c.left[q.room].Add(q.used)
@@ -157,7 +178,7 @@
 		return nil, 0, true
 	}
 	for _, i := range r.units {
-		if !d.Rank.mayStop(p.units[i].Rank) || c.isGone[i] {
+		if !d.Rank.mayStop(p.units[i].Rank) || c.isGone[i] || !p.spares(i, c.sets[p.units[i].Set]+countSet(p.units, stops, p.units[i].Set)) {
 			continue
 		}
 		left = left.Add(p.usedOn(i, r))
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -49,6 +49,7 @@
 	RestoreTime    time.Duration // RestoreTime is what a start from a checkpoint takes.
 	ForgetTime     time.Duration // ForgetTime is how long a silent host that holds nothing is kept; 0 means a minute.
 	LeadershipTime time.Duration // LeadershipTime is at least what the store supports.
+	Adviser        Adviser       // Adviser names the hosts for the jobs of some queues; nil when there is none.
 }
 
 // Dial returns a client of the agent at an address.
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -38,7 +38,7 @@
 			d := t.demand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
 			d.ID = len(steps) // The demands are sorted below, the steps are not.
 			if d.Rank == allocation.Urgent {
-				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * j.job.Step(s).Estimate.Seconds()
+				d.LossLimit = lossRatio * float64(d.Tasks) * d.Need.Cores() * worthTime(j.job.Step(s)).Seconds()
 			}
 			if d.Rank >= allocation.Ordinary && t.slack(j, o.number) > headroomSlack {
 				d.Keep = keep
@@ -69,7 +69,11 @@
 	at := time.Now()
 	for _, j := range t.jobs {
 		for _, number := range j.begun(at) {
-			list = append(list, occurrence{j, number, latestStart(j.job, number, t.remaining(j, number), at)})
+			latest := at
+			if !j.job.Lasts() {
+				latest = latestStart(j.job, number, t.remaining(j, number), at)
+			}
+			list = append(list, occurrence{j, number, latest})
 		}
 	}
 	slices.SortFunc(list, func(a, b occurrence) int {
@@ -140,7 +144,7 @@
 	}
 	slack := t.slack(j, j.job.Occurrence(step))
 	return allocation.Demand{
-		Rank: rank, Service: service, Need: s.Need, Tasks: tasks, Gang: s.Gang, Local: s.Local, Rack: s.Rack,
+		Rank: rank, Service: service, Need: s.Room(), Fills: s.Fills, Only: t.permitted(j, step, service, tasks, rank), Tasks: tasks, Gang: s.Gang, Local: s.Local, Rack: s.Rack,
 		Label: s.Label, SpreadLimit: s.SpreadLimit, Present: present, Avoid: t.avoided(j, step), Careful: t.fewDoubtful() && careful(j, step), Far: slack < 0,
 	}
 }
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -48,6 +48,7 @@
 	runs         map[runKey]*run
 	strays       map[runKey]workload.Resources // strays are runs that the term did not expect.
 	health       health
+	pacing       pacing
 	wake         chan struct{} // wake has room for one signal that ends are durable.
 }
 
--- /dev/null
+++ b/internal/fleet/coordinator/lasting_test.go
@@ -0,0 +1,153 @@
+package coordinator_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/coordinator"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/standin/fleethost"
+)
+
+func lasting(count, accelerators int) workload.Step {
+	s := step(count, accelerators)
+	s.Lasting = true
+	return s
+}
+
+// submitWork accepts a job whose first step the minions run as given.
+func (f *fixture) submitWork(j workload.Job, w fleethost.Work) workload.Job {
+	j = f.submit(j, w.Duration)
+	w.Need = j.Steps[0].Room()
+	f.fleet.SetWork(j.ID, 0, w)
+	return j
+}
+
+// running returns what a minion lists of the runs of a job.
+func (f *fixture) running(m int, job workload.ID) (list []listed) {
+	l, err := f.list[m].Look()
+	f.c.Assert(err, qt.IsNil)
+	for _, r := range l.Running {
+		if r.Task.Job == job {
+			list = append(list, listed{r.Task.Index, r.Percent, r.Load})
+		}
+	}
+	return list
+}
+
+type listed struct{ index, percent, load int }
+
+func (f *fixture) atWork(job workload.ID) int {
+	count := 0
+	for m := range f.list {
+		for _, r := range f.running(m, job) {
+			if r.percent == 100 {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// Guards against lasting tasks that stay away after they have failed, are taken
+// for done, or run on after their job was cancelled.
+func TestLastingTasksAreStartedAgain(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r2")
+	defer f.lead("one")()
+	j := f.submitWork(workload.Job{ID: "lasting", Attempts: 1, Steps: []workload.Step{lasting(2, 8)}}, fleethost.Work{Duration: short, Lasting: true})
+	f.until("both are at work", func() bool { return f.atWork(j.ID) == 2 })
+	f.list[0].Restart()
+	f.until("both are at work again", func() bool { return f.atWork(j.ID) == 2 && f.starts(j.ID, 2) == 3 })
+	f.list[1].End(j.TaskID(0, f.running(1, j.ID)[0].index))
+	f.until("they are at work once more", func() bool { return f.atWork(j.ID) == 2 && f.starts(j.ID, 2) == 4 })
+	f.c.Check(f.stateOf(j.ID), qt.Equals, workload.Running)
+	f.cancel(j.ID)
+	f.await(j.ID, workload.Cancelled)
+	f.until("nothing runs", func() bool { return len(f.running(0, j.ID))+len(f.running(1, j.ID)) == 0 })
+}
+
+// Guards against more tasks of a step that are taken away for urgent work than
+// may be away at a time.
+func TestLastingTasksAreNotTakenAwayTogether(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r2", "r3")
+	defer f.lead("one")()
+	s := lasting(3, 8)
+	s.MayMiss = 1
+	j := f.submitWork(workload.Job{ID: "lasting", Priority: 2, Organisation: "other", Steps: []workload.Step{s}}, fleethost.Work{Duration: short, Lasting: true})
+	f.until("all are at work", func() bool { return f.atWork(j.ID) == 3 })
+	f.submit(workload.Job{ID: "urgent", Organisation: "owner", Steps: []workload.Step{step(3, 8)}}, 300*time.Millisecond)
+	least := 3
+	f.until("the urgent job is done", func() bool {
+		least = min(least, f.atWork(j.ID))
+		return f.stateOf("urgent") == workload.Done
+	})
+	f.c.Check(least, qt.Equals, 2)
+	f.until("all are at work again", func() bool { return f.atWork(j.ID) == 3 })
+}
+
+// Guards against tasks that use what is left over and disturb those that serve
+// users, and against a pace that a successor does not know.
+func TestTasksThatFillGiveWay(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1")
+	stop := f.lead("one")
+	serving := lasting(1, 1)
+	serving.Target = 100 * time.Millisecond
+	j := f.submitWork(workload.Job{ID: "serving", Steps: []workload.Step{serving}}, fleethost.Work{Duration: short, Lasting: true, Latency: 40 * time.Millisecond})
+	f.until("it serves", func() bool { return f.atWork(j.ID) == 1 })
+	filling := workload.Step{Count: 2, Need: workload.Resources{MilliCores: 40_000, MemoryMB: 10}, Fills: true}
+	f.submitWork(workload.Job{ID: "filling", Priority: 2, Steps: []workload.Step{filling}}, fleethost.Work{Duration: time.Minute, Disturbs: 50 * time.Millisecond})
+	f.until("both fill", func() bool { return len(f.running(0, "filling")) == 2 })
+	latency := func() int { return f.running(0, j.ID)[0].load }
+	f.until("the target is kept", func() bool { return latency() < 100 })
+	stop()
+	defer f.lead("two")()
+	f.list[0].Quicken()
+	f.until("the successor keeps it too", func() bool { return latency() < 100 })
+	f.c.Check(len(f.running(0, "filling")), qt.Equals, 2)
+}
+
+// adviser permits a step on some minions.
+type adviser struct {
+	permitted []string
+	validity  time.Duration
+	calls     chan int // calls has the number of minions of each call.
+}
+
+// Advise implements coordinator.Adviser.
+func (a *adviser) Advise(_ context.Context, step workload.StepID, minions []string) (coordinator.Advice, error) {
+	a.calls <- len(minions)
+	answer := coordinator.Advice{Tickets: make(map[string]string), Validity: a.validity}
+	for _, id := range minions {
+		for _, permitted := range a.permitted {
+			if id == permitted {
+				answer.Tickets[id] = fleethost.Ticket(id, step)
+			}
+		}
+	}
+	return answer, nil
+}
+
+// Guards against starts where the adviser does not permit them, or without a
+// valid ticket, and against questions without need.
+func TestAdvice(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r1", "r2")
+	a := &adviser{permitted: []string{"m-1"}, validity: time.Second, calls: make(chan int, 100)}
+	f.adviser = a
+	defer f.lead("one")()
+	work := fleethost.Work{Duration: short, Ticketed: true}
+	first := f.submitWork(workload.Job{ID: "advised-1", Queue: advised, Steps: []workload.Step{step(2, 4)}}, work)
+	f.await(first.ID, workload.Done)
+	f.c.Check(len(a.calls), qt.Equals, 1)
+	blocker := f.submit(workload.Job{ID: "blocker", Priority: 0, Organisation: "owner", Steps: []workload.Step{step(3, 8)}}, 1500*time.Millisecond)
+	f.until("the hosts are taken", func() bool { return f.starts(blocker.ID, 3) == 3 })
+	second := f.submitWork(workload.Job{ID: "advised-2", Queue: advised, Priority: 2, Steps: []workload.Step{step(3, 4)}}, work)
+	f.await(second.ID, workload.Done)
+	f.c.Check(f.starts(second.ID, 3), qt.Equals, 3)
+}
--- a/internal/fleet/coordinator/listings.go
+++ b/internal/fleet/coordinator/listings.go
@@ -39,6 +39,7 @@
 		}
 	}
 	t.takeRunning(h, l.Running)
+	t.pace(h)
 	t.findMissing(h, l, sent)
 	if h.seen > h.acknowledged {
 		t.acknowledge(h)
@@ -141,7 +142,7 @@
 func (t *term) takeStray(h *hostState, key runKey) {
 	need := workload.Resources{}
 	if j := t.jobs[key.task.Job]; j != nil && j.job.StepOf(key.task) < j.job.StepCount() {
-		need = j.job.Step(j.job.StepOf(key.task)).Need
+		need = j.job.Step(j.job.StepOf(key.task)).Room()
 	}
 	h.strays[key] = need
 	_ = level.Warn(t.logger).Log("event", "run not expected", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "outcome", "stopped")
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -29,16 +29,12 @@
 		if h.minion.ID == "" {
 			continue
 		}
-		free, soon := h.minion.Capacity, h.minion.Capacity
+		free, soon := h.free(), h.minion.Capacity
 		for _, r := range h.runs {
-			free = free.Sub(r.need)
 			if !ending[r.attempt] {
 				soon = soon.Sub(r.need)
 			}
 		}
-		for _, need := range h.strays {
-			free = free.Sub(need)
-		}
 		hosts = append(hosts, allocation.Host{
 			Name: h.name, Rack: h.minion.Rack, Service: h.minion.Service, Labels: collection.NewSet(h.minion.Labels...),
 			Open: h.open(at), Doubtful: h.health.doubtful(), Capacity: h.minion.Capacity, Free: free, Soon: soon,
@@ -48,11 +44,24 @@
 	return hosts
 }
 
+// free returns what no run holds on a host.
+func (h *hostState) free() workload.Resources {
+	free := h.minion.Capacity
+	for _, r := range h.runs {
+		free = free.Sub(r.need)
+	}
+	for _, need := range h.strays {
+		free = free.Sub(need)
+	}
+	return free
+}
+
 // units returns what could be stopped.
 func (t *term) units() []allocation.Unit {
 	guaranteed := t.withinGuarantee()
 	at := now()
 	units := make([]allocation.Unit, 0, len(t.attempts))
+	sets := t.lastingSets()
 	for _, a := range t.attempts {
 		if a.stopping || a.over || t.endsSoon(a, at) {
 			continue
@@ -63,6 +72,9 @@
 			u.Left = max(u.Left, r.expectedLeft(at))
 		}
 		number := a.job.job.Occurrence(a.step)
+		if s := sets[stepKey{a.job, a.step}]; s != nil {
+			u.Set, u.Spare = s.id, s.spare
+		}
 		u.Loss = t.attemptLoss(a) + lateness(a.job.job, number, u.Rank, time.Now(), u.Left, t.settings().TaskStopTime+t.remaining(a.job, number))
 		units = append(units, u)
 	}
@@ -74,6 +86,9 @@
 // it were stopped now. The members of a gang end together. What should have
 // ended long ago is not as it was estimated.
 func (t *term) endsSoon(a *attempt, at time.Duration) bool {
+	if a.definition().Lasting {
+		return false
+	}
 	soon := t.settings().TaskStopTime + endMargin
 	last := -soon
 	for _, r := range a.runs {
@@ -100,6 +115,9 @@
 // stop saves what makes checkpoints, so only the restart is lost.
 func (t *term) loss(r *run, at time.Duration) float64 {
 	lost := at - r.startedAt
+	if r.attempt.definition().Lasting {
+		lost = min(lost, lastingRestart)
+	}
 	if r.attempt.definition().Checkpoints {
 		lost = min(lost, t.settings().RestoreTime)
 	}
--- a/internal/fleet/coordinator/orders.go
+++ b/internal/fleet/coordinator/orders.go
@@ -124,7 +124,7 @@
 	return host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		Until:      r.host.clockNow() + startWindow,
-		Checkpoint: r.progress().Checkpoint,
+		Checkpoint: r.progress().Checkpoint, Ticket: r.ticket,
 	}
 }
 
@@ -138,6 +138,8 @@
 		r.host.listed = false
 	case errors.Is(err, host.ErrUnhealthy):
 		r.host.health.refused(now())
+	case errors.Is(err, host.ErrTicket):
+		t.dropTicket(r)
 	default:
 		r.attempt.job.retryAt = now() + retryDelay
 	}
@@ -163,7 +165,7 @@
 		r.answered = now()
 		return false
 	case errors.Is(err, host.ErrNoRoom), errors.Is(err, host.ErrUnhealthy), errors.Is(err, host.ErrDraining),
-		errors.Is(err, host.ErrIncarnation), errors.Is(err, host.ErrInvalid):
+		errors.Is(err, host.ErrIncarnation), errors.Is(err, host.ErrInvalid), errors.Is(err, host.ErrTicket):
 		t.takeRefusal(r, err)
 		t.lose(r, err.Error())
 		return false
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -19,6 +19,7 @@
 // plan decides what to start and what to stop, and begins both.
 func (t *term) plan() {
 	steps, demands := t.demands()
+	t.askAdvice()
 	if len(demands) == 0 {
 		return
 	}
@@ -61,7 +62,7 @@
 		h := t.hosts[hosts[i]]
 		id := j.job.TaskID(a.step, index)
 		j.progress.Place(id, run, h.name, h.minion.Incarnation())
-		t.addRun(a, id, run, h, h.minion.Incarnation())
+		t.addRun(a, id, run, h, h.minion.Incarnation()).ticket = t.ticket(j, a.step, h)
 	}
 	number := j.job.Occurrence(a.step)
 	_ = level.Info(t.logger).Log("event", "placed", "job", j.job.ID, "occurrence", number, "step", a.step%len(j.job.Steps), "tasks", len(indices), "run", run, "first-task", indices[0],
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -108,8 +108,11 @@
 func (t *term) prepareHold(ctx context.Context, h *hostState) (host.HoldRequest, bool) {
 	return ask(ctx, t, func() host.HoldRequest {
 		r := host.HoldRequest{Token: t.token, Acknowledged: h.acknowledged, Wait: holdWait}
-		if !h.listed || h.gone {
+		switch {
+		case !h.listed || h.gone:
 			r.Wait = 0
+		case h.shared():
+			r.Wait = paceWait
 		}
 		if h.listed {
 			r.Incarnation = h.minion.Incarnation()
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -47,6 +47,10 @@
 	savedAt      time.Duration // savedAt is when the checkpoint last changed.
 	listed       bool          // listed is set once the minion has listed the run.
 	stopSent     bool          // stopSent is set once a stop is on its way.
+	load         int           // load is what the minion last listed; see host.Run.
+	paced        int           // paced is the percentage at which the run works.
+	pacing       bool          // pacing is set while such an order is on its way.
+	ticket       string        // ticket permits the start; empty when none is needed.
 }
 
 // attempt is the runs that start and end together: those of a gang, or one.
@@ -76,8 +80,8 @@
 }
 
 func (t *term) addRun(a *attempt, id workload.TaskID, number int, h *hostState, minion string) *run {
-	r := &run{task: id, number: number, attempt: a, host: h, minion: minion, need: a.definition().Need}
-	r.startedAt = now()
+	r := &run{task: id, number: number, attempt: a, host: h, minion: minion, need: a.definition().Room()}
+	r.startedAt, r.paced = now(), fullPace
 	r.movedAt = r.startedAt
 	a.runs = append(a.runs, r)
 	h.runs[runKey{id, number}] = r
@@ -97,6 +101,7 @@
 // note takes what the minion lists of a run.
 func (r *run) note(l host.Run) {
 	at := now()
+	r.load = l.Load
 	if !r.listed {
 		r.listed, r.firstPercent, r.startedAt = true, l.Percent, at
 	}
@@ -124,6 +129,9 @@
 // expectedLeft returns when a run ends, from its progress if that is known and
 // otherwise from the estimate that came with the job.
 func (r *run) expectedLeft(at time.Duration) time.Duration {
+	if r.attempt.definition().Lasting {
+		return lastingTime
+	}
 	if left, known := r.timeLeft(at); known {
 		return max(0, left)
 	}
@@ -193,6 +201,10 @@
 		t.requeue(r, e.Checkpoint)
 		return
 	}
+	if a.definition().Lasting {
+		t.takeLastingEnd(h, r, e)
+		return
+	}
 	switch e.Outcome {
 	case host.Completed:
 		h.health.succeeded()
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -48,6 +48,7 @@
 	writer   writer
 	members  time.Duration // members is when the members were last read.
 	headroom headroom
+	advising advising
 	replan   bool          // replan is set when something has changed that a plan depends on.
 	planAt   time.Duration // planAt is when the next plan may be made.
 	dirty    collection.Set[workload.ID]
@@ -65,6 +66,7 @@
 	runs      int                            // runs counts the runs that hold resources somewhere.
 	avoid     map[int]collection.Set[string] // avoid holds for each step the hosts on which a run of it failed.
 	retryAt   time.Duration                  // retryAt is when the job may be placed again after a failed start.
+	advice    map[int]*advice                // advice holds for each step what the adviser has said.
 }
 
 // endedJob is a job whose records are dropped after a while.
@@ -228,7 +230,7 @@
 			}
 			id := j.job.TaskID(s, i)
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
-			r.phase = adopted
+			r.phase, r.paced = adopted, unknownPace
 			r.host.lapse = max(r.host.lapse, t.begun+confirmTime+lapseTime(t.settings().LongestLease))
 		}
 	}
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -45,7 +45,10 @@
 	Task       workload.TaskID
 	Number     int
 	Checkpoint string
-	Percent    int // Percent of the work that is done.
+	Percent    int // Percent of the work that is done; 100 while a lasting task is at work.
+	// Load of the last half second is the tail latency in milliseconds of a task
+	// that serves users, and the thousandths of a core in use of any other.
+	Load int
 }
 
 // Outcome is how a run ended.
@@ -108,6 +111,16 @@
 	Spec        string
 	Until       time.Duration // Until is the last moment on the minion's clock at which the run may start.
 	Checkpoint  string
+	Ticket      string // Ticket is the permission of the queue's placement adviser; empty when it has none.
+}
+
+// PaceRequest sets the share of its speed at which a run works.
+type PaceRequest struct {
+	Incarnation string
+	Token       int64
+	Task        workload.TaskID
+	Number      int
+	Percent     int
 }
 
 // StopRequest stops a run and makes a later start of it impossible.
@@ -128,6 +141,7 @@
 	ErrIncarnation = errors.New("another incarnation of the minion answered")
 	ErrDraining    = errors.New("the minion is leaving")
 	ErrInvalid     = errors.New("the minion could not read the call")
+	ErrTicket      = errors.New("the ticket for the start is not valid")
 	// ErrDisconnected is returned by a client of one connection when that is gone
 	// or in use.
 	ErrDisconnected = errors.New("the connection is gone or in use")
@@ -139,4 +153,5 @@
 	Hold(ctx context.Context, r HoldRequest) (Listing, error)
 	Start(ctx context.Context, r StartRequest) error
 	Stop(ctx context.Context, r StopRequest) error
+	Pace(ctx context.Context, r PaceRequest) error
 }
--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -76,8 +77,21 @@
 	Label       string
 	Rack        string // Rack holds the data of the step; empty when there is none.
 	SpreadLimit int    // SpreadLimit bounds the tasks of the step on one minion; 0 is no bound.
-	Lasting     bool   // Lasting tasks run until the job is cancelled.
-	Fills       bool   // Fills tasks use only processor time that is left over.
+
+	Lasting bool          // Lasting tasks run until the job is cancelled, and are started again however they end.
+	MayMiss int           // MayMiss bounds the lasting tasks of the step that may be away at a time because of the system; 0 is no bound.
+	Target  time.Duration // Target bounds the tail latency of lasting tasks that serve users; 0 when they serve none.
+	Fills   bool          // Fills tasks use only processor time that is left over.
+	Image   string        // Image names what the tasks run; those of one image behave alike.
+}
+
+// Room returns what a task takes of the capacity of its host.
+func (s Step) Room() Resources {
+	r := s.Need
+	if s.Fills {
+		r.MilliCores = 0
+	}
+	return r
 }
 
 // Job is an accepted submission. It never changes.
@@ -144,7 +158,7 @@
 		if s.Count < 1 {
 			return fmt.Errorf("step %d: count %d is below 1", i, s.Count)
 		}
-		if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 || s.SpreadLimit < 0 {
+		if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 || s.SpreadLimit < 0 || s.MayMiss < 0 || s.Target < 0 {
 			return fmt.Errorf("step %d: a size is negative", i)
 		}
 		for _, d := range s.DependsOn {
@@ -169,6 +183,21 @@
 	return min(sum, MaxTasks+1) * min(j.Occurrences(), MaxTasks+1)
 }
 
+// Lasts reports whether the job has tasks that run until it is cancelled.
+func (j Job) Lasts() bool {
+	return slices.ContainsFunc(j.Steps, func(s Step) bool { return s.Lasting })
+}
+
+// StepID names a step of an occurrence.
+type StepID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+}
+
+// String formats the identity as JOB.OCCURRENCE.STEP.
+func (s StepID) String() string { return fmt.Sprintf("%s.%d.%d", s.Job, s.Occurrence, s.Step) }
+
 // TaskID names a task of a job.
 type TaskID struct {
 	Job        ID
--- a/internal/fleet/workload/schedule.go
+++ b/internal/fleet/workload/schedule.go
@@ -59,6 +59,11 @@
 	return TaskID{Job: j.ID, Occurrence: j.Occurrence(step), Step: step % len(j.Steps), Index: index}
 }
 
+// StepID names a step.
+func (j Job) StepID(step int) StepID {
+	return StepID{Job: j.ID, Occurrence: j.Occurrence(step), Step: step % len(j.Steps)}
+}
+
 // StepOf returns the step of a task. It is beyond StepCount when the job has no
 // such step.
 func (j Job) StepOf(t TaskID) int {
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -76,7 +76,11 @@
 	Label        string `json:"label,omitempty"`
 	Rack         string `json:"rack,omitempty"`
 	SpreadLimit  int    `json:"spread-limit,omitempty"`
+	Lasting      bool   `json:"lasting,omitempty"`
+	MayMiss      int    `json:"may-miss,omitempty"`
+	Target       int64  `json:"target-ms,omitempty"`
 	Fills        bool   `json:"fills,omitempty"`
+	Image        string `json:"image,omitempty"`
 }
 
 // EncodeJob returns the record of a submission.
@@ -93,7 +97,8 @@
 		r.Steps = append(r.Steps, stepRecord{
 			Count: s.Count, MilliCores: s.Need.MilliCores, MemoryMB: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
 			Estimate: s.Estimate.Milliseconds(), DependsOn: s.DependsOn, Checkpoints: s.Checkpoints, Gang: s.Gang,
-			Local: s.Local, Label: s.Label, Rack: s.Rack, SpreadLimit: s.SpreadLimit, Fills: s.Fills,
+			Local: s.Local, Label: s.Label, Rack: s.Rack, SpreadLimit: s.SpreadLimit,
+			Lasting: s.Lasting, MayMiss: s.MayMiss, Target: s.Target.Milliseconds(), Fills: s.Fills, Image: s.Image,
 		})
 	}
 	return encode(JobKind.Key(string(j.ID)), r)
@@ -116,7 +121,8 @@
 		j.Steps = append(j.Steps, workload.Step{
 			Count: s.Count, Need: workload.Resources{MilliCores: s.MilliCores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators},
 			Estimate: time.Duration(s.Estimate) * time.Millisecond, DependsOn: s.DependsOn, Checkpoints: s.Checkpoints, Gang: s.Gang,
-			Local: s.Local, Label: s.Label, Rack: s.Rack, SpreadLimit: s.SpreadLimit, Fills: s.Fills,
+			Local: s.Local, Label: s.Label, Rack: s.Rack, SpreadLimit: s.SpreadLimit,
+			Lasting: s.Lasting, MayMiss: s.MayMiss, Target: time.Duration(s.Target) * time.Millisecond, Fills: s.Fills, Image: s.Image,
 		})
 	}
 	if err := j.Validate(); err != nil {
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -11,7 +10,6 @@
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
-	"wasabihoist/internal/tenancy/catalogue"
 )
 
 // submit accepts a job by making it durable. The same submission may come
@@ -25,8 +23,8 @@
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	q := a.queue
-	if reason := unsupported(q, submission); reason != "" {
-		return Answer{Outcome: Refused, Reason: reason}
+	if q.Advised && !g.options.Advised {
+		return Answer{Outcome: Refused, Reason: "the queue needs a placement adviser, and the settings name none"}
 	}
 	job := workload.Job{
 		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps, Schedule: submission.Schedule,
@@ -42,24 +40,6 @@
 	return g.record(ctx, c, record, Answer{Outcome: Accepted})
 }
 
-// unsupported returns why this version cannot run a submission. Such a job is
-// refused at once, because running it in another way would break what its
-// caller relies on.
-func unsupported(q catalogue.Queue, s Submission) string {
-	if q.Advised {
-		return "queues whose hosts another service chooses are not supported"
-	}
-	for i, step := range s.Steps {
-		if step.Lasting {
-			return fmt.Sprintf("step %d: tasks that run until they are cancelled are not supported", i)
-		}
-		if step.Fills {
-			return fmt.Sprintf("step %d: tasks that use what others leave over are not supported", i)
-		}
-	}
-	return ""
-}
-
 func (g *Gateway) cancel(ctx context.Context, c Call, a admission) Answer {
 	e, denial := g.find(ctx, a)
 	if denial != nil {
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -106,6 +106,7 @@
 type Options struct {
 	Topic     ledger.Topic
 	FreshTime time.Duration // FreshTime is how old the confirmation of the configuration may be.
+	Advised   bool          // Advised says that there is a placement adviser for the queues that need one.
 	Decode    func(body []byte) (Submission, error)
 	Registry  *metrics.Registry
 	// Peers returns the other entries in the order in which they are asked.
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -43,7 +43,7 @@
 		minion: minion, sessions: &sessions{connect: connect, logger: logger}, logger: logger, changed: make(chan struct{}),
 		calls: make(map[string]metrics.Counter), fails: make(map[string]metrics.Counter), times: make(map[string]*metrics.Histogram),
 	}
-	for _, call := range []string{"hold", "start", "stop"} {
+	for _, call := range []string{"hold", "start", "stop", "pace"} {
 		a.calls[call] = r.Counter("agent-"+call+"-calls", "calls", "Calls to "+call+" that were passed on to the minion.")
 		a.fails[call] = r.Counter("agent-"+call+"-failures", "calls", "Calls to "+call+" that the minion refused or did not answer.")
 		a.times[call] = r.Histogram("agent-"+call+"-time", "Time of a call to "+call+" at the minion; hold waits for changes.")
@@ -189,6 +189,16 @@
 	return err
 }
 
+// Pace implements host.Client.
+func (a *Agent) Pace(ctx context.Context, r host.PaceRequest) error {
+	a.contact(r.Token)
+	begin := time.Now()
+	err := a.minion.Pace(ctx, r)
+	a.count("pace", begin, err)
+	_ = level.Info(a.logger).Log("event", "pace", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "percent", r.Percent, "outcome", outcome(err))
+	return err
+}
+
 func outcome(err error) any {
 	if err == nil {
 		return "done"
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -79,7 +79,7 @@
 	links := transport.New(nil, nil)
 	registry := metrics.For(o.Node)
 	g := gateway.New(gateway.Options{
-		Topic: o.Topic, FreshTime: o.Tuning.FreshTime, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, links),
+		Topic: o.Topic, FreshTime: o.Tuning.FreshTime, Advised: o.Tuning.Coordinator.Adviser != nil, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, links),
 	}, store, state, jobs, plans, current, logger)
 	open, err := listen([]Endpoint{
 		{"calls of entries", o.Internal, entrylink.Handler(g)},
