Elect a coordinator and accept jobs while the store is slow

Asking who leads, claiming, and leaving had 0.6 s together; each entry claimed and left at once, so the generation went from 13 to 41; the fence of a term waited behind other appends for longer than its 0.6 s. Once that was mended the fence was refused with 503, because the queue of appends was full: entries repeated each append after 0.7 s, at other entries too, so one submission caused up to six.

Every call of a campaign has its own time now. Entries claim a vacant leadership one after the other, the latest to start first. A term is opened beside further claims. A gateway learns how long appends take, gives a try four times as long, ends it as soon as the ledger shows the record, and asks other entries late while it can read the store itself.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -30,8 +30,12 @@
 	// leadershipTime is how long the store keeps the leadership of a process
 	// that has become silent.
 	leadershipTime = time.Second
-	// campaignTimeout bounds one claim. A store that is slow answers within 0.3 s.
+	// campaignTimeout bounds one call of a campaign. A store that is slow answers
+	// within 0.3 s.
 	campaignTimeout = 600 * time.Millisecond
+	// openTimeout bounds the begin of a term. The store refuses appends that would
+	// wait for more than 2 s.
+	openTimeout = 3 * time.Second
 	// forgetTime is how long a silent host that holds nothing is kept. A host
 	// that was restarted is back much sooner.
 	forgetTime = time.Minute
@@ -71,7 +75,10 @@
 	refuses   Refuses
 	logger    log.Logger
 
-	generation int64 // generation is the last one that the store has answered.
+	generation int64         // generation is the last one that the store has answered.
+	confirmed  time.Duration // confirmed is when the claim was sent that the store last confirmed.
+	vacancy    vacancy
+	opening    *opening // opening is a term that is being begun; nil when there is none.
 	term       *runningTerm
 }
 
@@ -120,9 +127,12 @@
 	}
 	for ctx.Err() == nil {
 		c.campaign(ctx)
-		_ = group.Pause(ctx, campaignInterval)
+		if c.opening == nil { // It has waited for the opening already.
+			_ = group.Pause(ctx, campaignInterval)
+		}
 	}
-	held := c.term != nil
+	held := c.term != nil || c.opening != nil
+	c.stopOpening()
 	c.endTerm("the process stops")
 	resignCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
 	defer cancel()
@@ -137,44 +147,88 @@
 	if c.term != nil && c.term.group.Context().Err() != nil {
 		c.endTerm("the term has failed")
 	}
+	if c.term == nil && c.opening == nil && !c.vacant(ctx) {
+		return
+	}
 	start := now()
 	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
 	defer cancel()
-	if c.term == nil && !c.vacant(callCtx) {
-		return
-	}
 	leadership, err := c.store.Lead(callCtx, c.topic, c.settings().Name, c.generation, c.settings().LeadershipTime)
 	if err != nil {
 		_ = level.Debug(c.logger).Log("event", "claim failed", "reason", err)
 		return
 	}
-	c.generation = leadership.Generation
+	c.generation, c.vacancy.since = leadership.Generation, 0
 	switch {
 	case !leadership.Holds:
+		c.stopOpening()
 		c.endTerm("another process leads")
-		c.withdraw(callCtx)
-	case c.term == nil:
-		c.beginTerm(ctx, leadership.Generation, start)
-	default:
+		c.withdraw(ctx)
+	case c.term != nil:
 		c.term.confirm(start)
+	default:
+		c.confirmed = start
+		c.beginTerm(ctx, leadership.Generation)
 	}
 }
 
-// beginTerm fences the former terms and then reads all that they have written.
-func (c *Coordinator) beginTerm(ctx context.Context, token int64, confirmed time.Duration) {
-	callCtx, cancel := context.WithTimeout(ctx, campaignTimeout)
+// opening is the begin of a term beside the claims that keep the leadership.
+type opening struct {
+	token int64
+	group *group.Group
+	ready chan bool // ready has whether the term may begin.
+}
+
+// beginTerm fences the former terms and reads all that they have written. While
+// the store is slow that goes on beside further claims.
+func (c *Coordinator) beginTerm(ctx context.Context, token int64) {
+	if c.opening == nil {
+		o := &opening{token, group.New(ctx), make(chan bool, 1)}
+		c.opening = o
+		o.group.Go("opening", func(ctx context.Context) error {
+			o.ready <- c.open(ctx, o.token)
+			return nil
+		})
+	}
+	timer := time.NewTimer(campaignInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case ready := <-c.opening.ready:
+		token := c.opening.token
+		c.stopOpening()
+		if ready {
+			c.startTerm(ctx, token)
+		}
+	}
+}
+
+// open makes the term known to the store and brings the fold up to date.
+func (c *Coordinator) open(ctx context.Context, token int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	fence := ledger.Fence{Writer: writerName, Epoch: token}
-	if err := c.store.AppendFenced(callCtx, c.topic, fence, nil); err != nil {
-		_ = level.Warn(c.logger).Log("event", "term not begun", "token", token, "reason", err)
-		return
+	err := c.store.AppendFenced(ctx, c.topic, ledger.Fence{Writer: writerName, Epoch: token}, nil)
+	if err == nil {
+		err = c.reader.Refresh(ctx)
 	}
-	if err := c.reader.Refresh(callCtx); err != nil {
+	if err != nil {
 		_ = level.Warn(c.logger).Log("event", "term not begun", "token", token, "reason", err)
+	}
+	return err == nil
+}
+
+func (c *Coordinator) stopOpening() {
+	if c.opening == nil {
 		return
 	}
+	c.opening.group.Stop()
+	_ = c.opening.group.Wait() // It returns no error.
+	c.opening = nil
+}
+
+func (c *Coordinator) startTerm(ctx context.Context, token int64) {
 	g := group.New(ctx)
-	t := newTerm(c, token, confirmed, g)
+	t := newTerm(c, token, c.confirmed, g)
 	c.term = &runningTerm{t, g}
 	c.figures.terms.Add(1)
 	_ = level.Info(c.logger).Log("event", "term begun", "token", token, "jobs", len(t.jobs), "offset", c.state.Next())
--- a/internal/fleet/coordinator/succession_test.go
+++ b/internal/fleet/coordinator/succession_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/standin/fleetstore"
 )
 
 // longLeadership is how long a holder keeps the leadership that does not renew
@@ -32,6 +33,22 @@
 	f.await("second", workload.Done)
 }
 
+// Guards against a fleet without a coordinator for as long as the store is slow.
+// On a day of the users' bench whose entries were stopped one after the other
+// nothing was placed for eight seconds.
+func TestSuccessionWhileTheStoreIsSlow(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1")
+	stop := f.lead("one")
+	f.submit(workload.Job{ID: "first", Steps: []workload.Step{step(1, 1)}}, short)
+	f.await("first", workload.Done)
+	defer f.lead("two")()
+	f.store.SetFaults(fleetstore.Faults{Delay: 350 * time.Millisecond})
+	stop()
+	f.submit(workload.Job{ID: "second", Steps: []workload.Step{step(1, 1)}}, short)
+	f.await("second", workload.Done)
+}
+
 // Guards against a process that is waited for although it has certainly ended,
 // and against one that is replaced although it only does not answer.
 func TestSuccession(t *testing.T) {
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -37,7 +37,11 @@
 	if err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
-	return g.record(ctx, c, record, Answer{Outcome: Accepted})
+	stored := func() bool {
+		e, ok := g.state.Job(a.job)
+		return ok && e.Job.Organisation == a.organisation
+	}
+	return g.record(ctx, c, record, stored, Answer{Outcome: Accepted})
 }
 
 func (g *Gateway) cancel(ctx context.Context, c Call, a admission) Answer {
@@ -55,19 +59,35 @@
 	if err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
-	return g.record(ctx, c, record, Answer{Outcome: Known, State: workload.Cancelled})
+	stored := func() bool {
+		e, ok := g.state.Job(a.job)
+		return ok && e.Cancelled
+	}
+	return g.record(ctx, c, record, stored, Answer{Outcome: Known, State: workload.Cancelled})
 }
 
-// localShare is the share of the waiting time in which an entry tries to reach
-// the store itself, before it asks other entries.
-const localShare = 0.5
+const (
+	// localShare is the share of the waiting time in which an entry that has no
+	// word from the store tries to reach it, before it asks other entries.
+	localShare = 0.5
+	// reachedShare is that share while the store can be read. Its answers are late
+	// then for all entries.
+	reachedShare = 0.75
+	// reachedTime is how old the last word from the store may be.
+	reachedTime = 1500 * time.Millisecond
+)
 
 // record makes a record durable and returns done. When the store cannot be
-// reached from here, another entry is asked.
-func (g *Gateway) record(ctx context.Context, c Call, record ledger.Record, done Answer) Answer {
+// reached from here, another entry is asked. stored reports whether the record
+// is in the ledger.
+func (g *Gateway) record(ctx context.Context, c Call, record ledger.Record, stored func() bool, done Answer) Answer {
 	share := 1.0
-	if !c.Forwarded {
+	switch {
+	case c.Forwarded:
+	case time.Since(g.jobs.AsOf()) > reachedTime:
 		share = localShare
+	default:
+		share = reachedShare
 	}
 	localCtx := ctx
 	if deadline, ok := ctx.Deadline(); ok {
@@ -75,7 +95,7 @@
 		localCtx, cancel = context.WithTimeout(ctx, time.Duration(share*float64(time.Until(deadline))))
 		defer cancel()
 	}
-	undecided, err := g.append(localCtx, record)
+	undecided, err := g.append(localCtx, record, stored)
 	if err == nil {
 		return done
 	}
@@ -89,12 +109,9 @@
 
 // append tries until the record is durable or ctx ends. It reports whether a
 // try may have been done all the same.
-func (g *Gateway) append(ctx context.Context, record ledger.Record) (undecided bool, err error) {
+func (g *Gateway) append(ctx context.Context, record ledger.Record, stored func() bool) (undecided bool, err error) {
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		err = g.store.Append(callCtx, g.options.Topic, []ledger.Record{record})
-		cancel()
-		if err == nil {
+		if err = g.appendOnce(ctx, record, stored); err == nil {
 			return false, nil
 		}
 		undecided = undecided || !errors.Is(err, ledger.ErrNotDone)
@@ -103,3 +120,29 @@
 		}
 	}
 }
+
+// appendOnce makes one try. It ends as soon as the ledger shows the record,
+// although the answer may be late or lost.
+func (g *Gateway) appendOnce(ctx context.Context, record ledger.Record, stored func() bool) error {
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, g.appends.timeout())
+	defer cancel()
+	watch := group.New(ctx)
+	seen := false
+	watch.Every("ledger", storedInterval, func(context.Context) error {
+		if seen = stored(); seen {
+			cancel()
+		}
+		return nil
+	})
+	err := g.store.Append(ctx, g.options.Topic, []ledger.Record{record})
+	watch.Stop()
+	if waitErr := watch.Wait(); waitErr != nil {
+		return waitErr
+	}
+	if seen {
+		return nil
+	}
+	g.appends.note(time.Since(begin), err == nil || errors.Is(err, ledger.ErrNotDone))
+	return err
+}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -22,8 +22,9 @@
 	answerMargin = 200 * time.Millisecond
 	// refreshTimeout bounds a read that a denial waits for.
 	refreshTimeout = 500 * time.Millisecond
-	// appendTimeout bounds one try of an append.
-	appendTimeout = 700 * time.Millisecond
+	// storedInterval is how often the ledger is looked at while an append has no
+	// answer.
+	storedInterval = 50 * time.Millisecond
 	// appendPause is the time between two tries.
 	appendPause = 50 * time.Millisecond
 	// retryAfter is when a client that was refused during a disturbance should
@@ -126,6 +127,7 @@
 	freshTime atomic.Int64 // freshTime is the limit in force of Options.FreshTime.
 	doubted   atomic.Int64 // doubted is when a call last came that the configuration in force denied, in Unix nanoseconds.
 	shown     atomic.Int64 // shown is the newest version of the configuration whose effect a client has seen here.
+	appends   patience     // appends is how long appends take.
 	figures   figures
 }
 
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -153,6 +155,35 @@
 	}
 }
 
+// Guards against appends that are repeated although the store is only slow, or
+// although the ledger shows the record: each repetition makes a slow store
+// slower. On a day of the users' bench the store refused the coordinator for
+// that reason.
+func TestSlowAppendsAreNotRepeated(t *testing.T) {
+	for name, tt := range map[string]struct {
+		first []fleetstore.Faults // first are the faults during one submission each, before those that count.
+		then  fleetstore.Faults
+	}{
+		"slow answers": {
+			first: slices.Repeat([]fleetstore.Faults{{AppendDelay: 500 * time.Millisecond}}, 3),
+			then:  fleetstore.Faults{AppendDelay: 900 * time.Millisecond},
+		},
+		"lost answer": {then: fleetstore.Faults{LoseAnswer: 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			for i, faults := range append(tt.first, tt.then) {
+				f.store.SetFaults(faults)
+				before := f.store.Appends()
+				call := gateway.Call{Method: gateway.Submit, Host: "h", Path: fmt.Sprintf("/q/%016d", i), Key: "key1", Wait: 5 * time.Second}
+				f.c.Check(f.gateway.Serve(context.Background(), call).Outcome, qt.Equals, gateway.Accepted)
+				f.c.Check(f.store.Appends()-before, qt.Equals, 1)
+			}
+		})
+	}
+}
+
 // Guards against work for a key that was taken away while an entry cannot read
 // the configuration, and against entries that report themselves ready then.
 func TestKeysAreNotServedWithoutWordFromTheStore(t *testing.T) {
--- a/internal/standin/fleetstore/store.go
+++ b/internal/standin/fleetstore/store.go
@@ -21,6 +21,9 @@
 	// DropHistory drops each record as soon as it is stored, but for the newest
 	// of each key, and wakes no reader.
 	DropHistory bool
+	Delay       time.Duration // Delay is how long every answer takes.
+	AppendDelay time.Duration // AppendDelay is how long the answers to appends without a fence take.
+	LoseAnswer  int           // LoseAnswer is how many of the next appends are done and never answered.
 }
 
 // errLost stands for an answer that did not arrive.
@@ -45,6 +48,7 @@
 	faults  Faults
 	topics  map[ledger.Topic]*topic
 	changed chan struct{} // changed is closed at the next append and then replaced.
+	appends int
 }
 
 var _ ledger.Store = (*Store)(nil)
@@ -85,11 +89,55 @@
 	return nil
 }
 
+// deliver holds an answer back for as long as the faults say. What was asked for
+// is done by then.
+func (s *Store) deliver(ctx context.Context, err error) error {
+	s.mu.Lock()
+	delay := s.faults.Delay
+	s.mu.Unlock()
+	if waitErr := wait(ctx, delay); waitErr != nil {
+		return waitErr
+	}
+	return err
+}
+
+// forever is longer than anybody waits for an answer.
+const forever = time.Hour
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Append implements ledger.Store.
-func (s *Store) Append(_ context.Context, name ledger.Topic, records []ledger.Record) error {
+func (s *Store) Append(ctx context.Context, name ledger.Topic, records []ledger.Record) error {
+	s.mu.Lock()
+	err := s.append(name, records)
+	s.appends++
+	delay := s.faults.AppendDelay
+	if s.faults.LoseAnswer > 0 {
+		s.faults.LoseAnswer--
+		delay = forever
+	}
+	s.mu.Unlock()
+	if waitErr := wait(ctx, delay); waitErr != nil {
+		return waitErr
+	}
+	return s.deliver(ctx, err)
+}
+
+// Appends returns how many appends without a fence the store has received.
+func (s *Store) Appends() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.append(name, records)
+	return s.appends
 }
 
 func (s *Store) append(name ledger.Topic, records []ledger.Record) error {
@@ -125,7 +173,11 @@
 }
 
 // AppendFenced implements ledger.Store.
-func (s *Store) AppendFenced(_ context.Context, name ledger.Topic, f ledger.Fence, records []ledger.Record) error {
+func (s *Store) AppendFenced(ctx context.Context, name ledger.Topic, f ledger.Fence, records []ledger.Record) error {
+	return s.deliver(ctx, s.appendFenced(name, f, records))
+}
+
+func (s *Store) appendFenced(name ledger.Topic, f ledger.Fence, records []ledger.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(); err != nil {
@@ -173,7 +225,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		if err != nil || len(page.Records) > 0 || waited {
-			return page, err
+			return page, s.deliver(ctx, err)
 		}
 		select {
 		case <-ctx.Done():
@@ -186,7 +238,12 @@
 }
 
 // Newest implements ledger.Store.
-func (s *Store) Newest(_ context.Context, name ledger.Topic) (ledger.Page, error) {
+func (s *Store) Newest(ctx context.Context, name ledger.Topic) (ledger.Page, error) {
+	answer, err := s.readNewest(name)
+	return answer, s.deliver(ctx, err)
+}
+
+func (s *Store) readNewest(name ledger.Topic) (ledger.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(); err != nil {
@@ -201,7 +258,12 @@
 }
 
 // Lead implements ledger.Store.
-func (s *Store) Lead(_ context.Context, name ledger.Topic, candidate string, _ int64, timeToLive time.Duration) (ledger.Leadership, error) {
+func (s *Store) Lead(ctx context.Context, name ledger.Topic, candidate string, _ int64, timeToLive time.Duration) (ledger.Leadership, error) {
+	answer, err := s.lead(name, candidate, timeToLive)
+	return answer, s.deliver(ctx, err)
+}
+
+func (s *Store) lead(name ledger.Topic, candidate string, timeToLive time.Duration) (ledger.Leadership, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(); err != nil {
@@ -221,7 +283,11 @@
 }
 
 // Resign implements ledger.Store.
-func (s *Store) Resign(_ context.Context, name ledger.Topic, candidate string) error {
+func (s *Store) Resign(ctx context.Context, name ledger.Topic, candidate string) error {
+	return s.deliver(ctx, s.resign(name, candidate))
+}
+
+func (s *Store) resign(name ledger.Topic, candidate string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(); err != nil {
@@ -236,7 +302,12 @@
 }
 
 // Leader implements ledger.Store.
-func (s *Store) Leader(_ context.Context, name ledger.Topic) (string, error) {
+func (s *Store) Leader(ctx context.Context, name ledger.Topic) (string, error) {
+	answer, err := s.leader(name)
+	return answer, s.deliver(ctx, err)
+}
+
+func (s *Store) leader(name ledger.Topic) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(); err != nil {
