Keep processes running when nobody reads their log

Cause: a write to a pipe whose reader is gone raises SIGPIPE, and the runtime ends a process that gets it on standard output or error. The queue of log lines was made to survive a failed write, but the process never got that far: an agent whose log reader was closed died at its next line.

The processes ignore the signal now; commands for the shell still end with it.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -47,6 +47,7 @@
 	if err != nil {
 		return err
 	}
+	logging.OutliveReader()
 	lines := logging.NewQueue()
 	logger, err := logging.New(lines, "info", s.Node)
 	if err != nil {
