Bound the appends of decisions, and tell the end of a job in the log

A batch held up to 256 progress records of any size. Those of wide jobs take about 25 KB, so a term that took up many of them could append more than the 2 MiB that the store accepts in a call; it would refuse the append for ever, and no decision would be durable any more. Batches end at 1 MiB now, a record that the store cannot take is logged and left out, and jobs with more than 1,500 tasks in an occurrence or 1,000 repetitions are invalid. Found by reading; the sites send at most a few hundred tasks.

The story of a job ended with its last run, also when the result waited for the store. The coordinator logs the end of a job once that is durable. A host that was silent is looked at without a wait, so that a minion that was started anew is recognised a second earlier.

--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -17,6 +17,7 @@
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/logging"
 	"wasabihoist/internal/run/metrics"
 	"wasabihoist/internal/standin/fleethost"
 	"wasabihoist/internal/standin/fleetstore"
@@ -47,6 +48,7 @@
 	reader  *ledger.Reader
 	group   *group.Group
 
+	lines      lines                          // lines is the logs of all coordinators.
 	refusing   atomic.Pointer[netip.AddrPort] // refusing is the address at which nothing listens.
 	adviser    coordinator.Adviser            // adviser of the advised queue.
 	stopTime   time.Duration                  // stopTime is how long minions take to stop a run.
@@ -97,6 +99,8 @@
 			Organisations: []catalogue.Organisation{{Name: "owner", Guaranteed: 8}},
 		}, nil
 	}, log.NewNopLogger())
+	logger, err := logging.New(&f.lines, "info", name)
+	f.c.Assert(err, qt.IsNil)
 	g := group.New(f.group.Context())
 	state := ledger.NewState()
 	reader := ledger.NewReader(f.store, topic, state, 0, log.NewNopLogger())
@@ -107,7 +111,7 @@
 		Name: name, LongestLease: lease, GangTime: time.Second, TaskStopTime: f.stopTime, StatusTime: time.Minute, ForgetTime: f.forgetTime, Adviser: f.adviser,
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current,
-		func(a netip.AddrPort) host.Client { return f.minions[a] }, f.refuses, metrics.For(f.c.Name()+name), log.NewNopLogger())
+		func(a netip.AddrPort) host.Client { return f.minions[a] }, f.refuses, metrics.For(f.c.Name()+name), logger)
 	g.Go("coordinator", coord.Run)
 	return func() {
 		g.Stop()
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -109,7 +109,7 @@
 	return ask(ctx, t, func() host.HoldRequest {
 		r := host.HoldRequest{Token: t.token, Acknowledged: h.acknowledged, Wait: holdWait}
 		switch {
-		case !h.listed || h.gone:
+		case !h.listed || h.gone || h.silent:
 			r.Wait = 0
 		case h.shared():
 			r.Wait = paceWait
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -266,6 +266,7 @@
 	if j.runs > 0 || !j.progress.State.Ended() || t.dirty.Has(j.job.ID) || t.jobs[j.job.ID] != j {
 		return
 	}
+	_ = level.Info(t.logger).Log("event", "job ended", "job", j.job.ID, "state", j.progress.State, "age", time.Since(j.job.Submitted).Round(time.Millisecond))
 	delete(t.jobs, j.job.ID)
 	t.finished.Add(j.job.ID)
 	t.ended = append(t.ended, endedJob{j.job.ID, now() + t.settings().StatusTime + dropMargin})
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// batchRecords bounds the records of one append.
+	// batchRecords and batchBytes bound one append. The store takes 2 MiB.
 	batchRecords = 256
+	batchBytes   = 1 << 20
 	// appendTimeout bounds one try of an append.
 	appendTimeout = 1500 * time.Millisecond
 	// appendPause is the time between two tries.
@@ -78,20 +79,26 @@
 }
 
 func (t *term) encodeDirty() (records []ledger.Record, written []workload.ID) {
+	size := 0
 	for _, id := range t.dirty.Sorted() {
 		if len(records) == batchRecords {
 			break
 		}
-		t.dirty.Remove(id)
 		j := t.jobs[id]
 		if j == nil {
+			t.dirty.Remove(id)
 			continue
 		}
 		record, err := ledger.EncodeProgress(j.progress)
+		if err == nil && len(records) > 0 && size+len(record.Value) > batchBytes {
+			break
+		}
+		t.dirty.Remove(id)
 		if err != nil {
 			_ = level.Error(t.logger).Log("event", "progress not written", "job", id, "reason", err)
 			continue
 		}
+		size += len(record.Value)
 		records = append(records, record)
 		written = append(written, id)
 	}
--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -151,36 +151,52 @@
 	if j.Schedule.Repetitions < 0 || j.Schedule.Interval < 0 {
 		return fmt.Errorf("schedule: %d repetitions every %s", j.Schedule.Repetitions, j.Schedule.Interval)
 	}
-	if tasks := j.tasks(); tasks > MaxTasks {
-		return fmt.Errorf("job has %d tasks, at most %d are possible", tasks, MaxTasks)
+	if j.tasks() > MaxTasks {
+		return fmt.Errorf("job has more than %d tasks", MaxTasks)
+	}
+	if j.Schedule.Repetitions > MaxTimes {
+		return fmt.Errorf("job has %d repetitions, at most %d are possible", j.Schedule.Repetitions, MaxTimes)
 	}
 	for i, s := range j.Steps {
-		if s.Count < 1 {
-			return fmt.Errorf("step %d: count %d is below 1", i, s.Count)
-		}
-		if s.Need.MilliCores < 0 || s.Need.MemoryMB < 0 || s.Need.Accelerators < 0 || s.Estimate < 0 || s.SpreadLimit < 0 || s.MayMiss < 0 || s.Target < 0 {
-			return fmt.Errorf("step %d: a size is negative", i)
+		if err := s.validate(i); err != nil {
+			return fmt.Errorf("step %d: %w", i, err)
 		}
-		for _, d := range s.DependsOn {
-			if d < 0 || d >= i {
-				return fmt.Errorf("step %d: depends on step %d, which is not an earlier one", i, d)
-			}
+	}
+	return nil
+}
+
+// validate returns what makes a step impossible to run, given its place.
+func (s Step) validate(place int) error {
+	if s.Count < 1 {
+		return fmt.Errorf("count %d is below 1", s.Count)
+	}
+	least := min(s.Need.MilliCores, s.Need.MemoryMB, s.Need.Accelerators, s.SpreadLimit, s.MayMiss)
+	if least < 0 || s.Estimate < 0 || s.Target < 0 {
+		return fmt.Errorf("a size is negative")
+	}
+	for _, d := range s.DependsOn {
+		if d < 0 || d >= place {
+			return fmt.Errorf("depends on step %d, which is not an earlier one", d)
 		}
 	}
 	return nil
 }
 
-// MaxTasks bounds the tasks of all occurrences of a job, so that its progress
-// fits into one record of the ledger.
-const MaxTasks = 10_000
+// MaxTasks and MaxTimes bound the tasks of an occurrence and the occurrences of a
+// job, so that its progress fits into one record of the ledger. A task that was
+// placed takes about 130 bytes there, an occurrence without one about 30.
+const (
+	MaxTasks = 1500
+	MaxTimes = 1000
+)
 
-// tasks counts the tasks of all occurrences, up to one more than MaxTasks.
+// tasks counts the tasks of an occurrence, up to one more than MaxTasks.
 func (j Job) tasks() int {
 	sum := 0
 	for _, s := range j.Steps {
-		sum += min(s.Count, MaxTasks+1)
+		sum = min(sum+min(s.Count, MaxTasks+1), MaxTasks+1)
 	}
-	return min(sum, MaxTasks+1) * min(j.Occurrences(), MaxTasks+1)
+	return sum
 }
 
 // Lasts reports whether the job has tasks that run until it is cancelled.
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -252,8 +252,15 @@
 // Dropped returns the record that removes what a key held.
 func Dropped(kind Kind, name string) Record { return Record{Key: kind.Key(name)} }
 
+// MaxRecord bounds the value of a record in bytes. The store refuses an append
+// with a longer one as a whole.
+const MaxRecord = 250 << 10
+
 func encode(key string, value any) (Record, error) {
 	data, err := json.Marshal(value)
+	if err == nil && len(data) > MaxRecord {
+		err = fmt.Errorf("%d bytes, at most %d are possible", len(data), MaxRecord)
+	}
 	if err != nil {
 		return Record{}, fmt.Errorf("encode %s: %w", key, err)
 	}
--- a/internal/run/story/story.go
+++ b/internal/run/story/story.go
@@ -41,6 +41,7 @@
 var contextEvents = []string{
 	`event="term begun"`, `event="term ended"`, `event="store lost"`, `event="store regained"`, `event="append failed"`, `event="append done"`,
 	`event="host silent"`, `event="host answers"`, `event="minion gone"`, `event="leases lapsed"`, `event=started`, `event=stopping`,
+	`event="leader removed"`, `event="term not begun"`,
 	`event="log lines dropped"`,
 }
 
