--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -155,9 +155,14 @@
 	defer cancel()
 	leadership, err := c.store.Lead(callCtx, c.topic, c.settings().Name, c.generation, c.settings().LeadershipTime)
 	if err != nil {
-		_ = level.Debug(c.logger).Log("event", "claim failed", "reason", err)
+		if c.term == nil {
+			_ = level.Info(c.logger).Log("event", "claim unanswered", "took", ago(start), "reason", err)
+		}
 		return
 	}
+	if c.term == nil && c.opening == nil || !leadership.Holds {
+		_ = level.Info(c.logger).Log("event", "claim answered", "holds", leadership.Holds, "generation", leadership.Generation, "former", c.generation, "took", ago(start), "rank", c.rank())
+	}
 	c.generation, c.vacancy.since = leadership.Generation, 0
 	switch {
 	case !leadership.Holds:
--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -63,7 +63,7 @@
 	minions []*fleethost.Minion
 	entries []*process
 	all     []*process // all processes; the entries come first.
-	links   []*proxy   // links to the store, in the order of all.
+	links   []*proxy   // links between processes, store and minions, both ways.
 	oracle  *oracle
 
 	mu      sync.Mutex
@@ -131,16 +131,16 @@
 		if i >= o.Entries {
 			role, name = "hosted-agent", fmt.Sprintf("side-%d", i+1-o.Entries)
 		}
-		link, err := newProxy(g, storeAddress)
+		link, err := d.link(g, storeAddress)
 		if err != nil {
 			return d, err
 		}
 		p := &process{binary: o.Binary, role: role, folder: o.Folder, group: g, finding: d.oracle.find}
-		p.settings = commonSettings(name, link.address())
+		p.settings = commonSettings(name, link)
 		if err := d.assign(g, p, &free, i-o.Entries); err != nil {
 			return d, err
 		}
-		d.all, d.links = append(d.all, p), append(d.links, link)
+		d.all = append(d.all, p)
 	}
 	d.entries = d.all[:o.Entries]
 	for _, m := range d.minions {
@@ -189,15 +189,32 @@
 	rack := fmt.Sprintf("r%d", minion/2)
 	m := fleethost.NewMinion(d.fleet, host.Minion{ID: fmt.Sprintf("m-%d", minion), Service: service, DataCentre: "one", Rack: rack, Labels: []string{"a", rack}, Capacity: capacity})
 	d.minions = append(d.minions, m)
-	p.settings.Minion, err = serve(g, "minion", platform.MinionServer(m))
+	minionAddress, err := serve(g, "minion", platform.MinionServer(m))
 	if err != nil {
 		return err
 	}
 	p.settings.Service, p.settings.Control = service, at(callers)
-	g.Go("heartbeats", func(ctx context.Context) error { return platform.SendHeartbeats(ctx, p.settings.Control, m) })
+	if p.settings.Minion, err = d.link(g, minionAddress); err != nil {
+		return err
+	}
+	control, err := d.link(g, p.settings.Control)
+	if err != nil {
+		return err
+	}
+	g.Go("heartbeats", func(ctx context.Context) error { return platform.SendHeartbeats(ctx, control, m) })
 	return nil
 }
 
+// link returns the address of a new link to a target.
+func (d *deployment) link(g *group.Group, target netip.AddrPort) (netip.AddrPort, error) {
+	p, err := newProxy(g, target)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	d.links = append(d.links, p)
+	return p.address(), nil
+}
+
 func serve(g *group.Group, name string, server *http.Server) (netip.AddrPort, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/run/soak/schedule.go
+++ b/internal/run/soak/schedule.go
@@ -15,7 +15,7 @@
 type Kind int
 
 // The kinds of faults. Those of links act on the connections between a process
-// and the store.
+// and the store, or between an agent and its minion in one direction of calls.
 const (
 	Kill         Kind = iota // Kill ends a process with SIGKILL; it is started again.
 	Terminate                // Terminate ends a process with SIGTERM; it is started again.
--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -177,32 +177,27 @@
 
 // Start implements host.Client.
 func (l life) Start(_ context.Context, r host.StartRequest) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.born.Equal(l.report.Born) {
-		return errSilent
-	}
-	return l.start(r)
+	return l.order(func() error { return l.start(r) })
+}
+
+// Stop implements host.Client.
+func (l life) Stop(_ context.Context, r host.StopRequest) error {
+	return l.order(func() error { return l.stop(r) })
 }
 
 // Pace implements host.Client.
 func (l life) Pace(_ context.Context, r host.PaceRequest) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.born.Equal(l.report.Born) {
-		return errSilent
-	}
-	return l.setPace(r)
+	return l.order(func() error { return l.setPace(r) })
 }
 
-// Stop implements host.Client.
-func (l life) Stop(_ context.Context, r host.StopRequest) error {
+// order carries an order out unless the life has ended.
+func (l life) order(carry func() error) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.born.Equal(l.report.Born) {
 		return errSilent
 	}
-	return l.stop(r)
+	return carry()
 }
 
 // NewMinion returns a minion of the fleet.
