--- a/internal/fleet/coordinator/coordinator_test.go
+++ b/internal/fleet/coordinator/coordinator_test.go
@@ -279,3 +279,23 @@
 	}
 	f.await("job", workload.Done)
 }
+
+// Guards against a run that stands still for ever because it was given out by a
+// former coordinator.
+func TestSuccessorStopsRunsThatStandStill(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r1")
+	stop := f.lead("one")
+	f.submit(workload.Job{ID: "stuck", Steps: []workload.Step{step(1, 8)}}, short)
+	for _, m := range f.list {
+		m.SetFaults(fleethost.Faults{Stall: true})
+	}
+	f.until("it runs", func() bool { return f.starts("stuck", 1) == 1 })
+	stop()
+	defer f.lead("two")()
+	f.until("it is started again", func() bool { return f.starts("stuck", 1) > 1 })
+	for _, m := range f.list {
+		m.SetFaults(fleethost.Faults{})
+	}
+	f.await("stuck", workload.Done)
+}
--- a/internal/fleet/coordinator/pacing.go
+++ b/internal/fleet/coordinator/pacing.go
@@ -29,7 +29,8 @@
 	leastPace = 10
 	// fullPace is the pace at which runs start.
 	fullPace = 100
-	// unknownPace is that of runs which a former term has given out.
+	// unknownPace is that of runs which a former term has given out and may have
+	// slowed down.
 	unknownPace = -1
 )
 
@@ -116,7 +117,7 @@
 		t.do(func() {
 			r.pacing = false
 			if err == nil {
-				r.paced = percent
+				r.paced, r.movedAt = percent, now()
 			}
 		})
 		return nil
--- a/internal/fleet/coordinator/pacing_internal_test.go
+++ b/internal/fleet/coordinator/pacing_internal_test.go
@@ -36,3 +36,26 @@
 		})
 	}
 }
+
+// Guards against runs that are taken for stuck because they were slowed down.
+func TestStalls(t *testing.T) {
+	const limit = 3 * time.Second
+	for name, tt := range map[string]struct {
+		percent, paced int
+		still          time.Duration // still is how long the percentage has been the same.
+		want           bool
+	}{
+		"stuck":                     {40, fullPace, 4 * time.Second, true},
+		"moving":                    {40, fullPace, time.Second, false},
+		"done, waits for its gang":  {100, fullPace, time.Minute, false},
+		"slowed down":               {40, 10, time.Minute, false},
+		"stopped for others":        {40, 0, time.Minute, false},
+		"of a former term, unknown": {40, unknownPace, time.Minute, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			at := time.Hour
+			r := &run{percent: tt.percent, paced: tt.paced, movedAt: at - tt.still, host: &hostState{contact: at}}
+			qt.New(t).Check(r.stalls(limit), qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/fleet/coordinator/progress.go
+++ b/internal/fleet/coordinator/progress.go
@@ -21,6 +21,12 @@
 	return max(stallTime, stallSteps*estimate/100)
 }
 
+// stalls reports whether a run has made no progress for a time, as of the last
+// listing. One that was slowed down says nothing of its host.
+func (r *run) stalls(limit time.Duration) bool {
+	return r.paced == fullPace && r.percent < 100 && r.host.contact > r.movedAt+limit
+}
+
 // checkProgress stops runs that stand still and saves what runs on minions that
 // are about to leave.
 func (t *term) checkProgress() {
@@ -33,8 +39,7 @@
 			if r.phase != running {
 				continue
 			}
-			limit := stallLimit(a.definition().Estimate)
-			if r.host.contact > r.movedAt+limit && r.percent < 100 {
+			if r.stalls(stallLimit(a.definition().Estimate)) {
 				r.host.health.failed(a.job.job.ID, false, at-r.startedAt, at)
 				t.stop(a, "it makes no progress")
 				break
--- a/internal/fleet/coordinator/succession.go
+++ b/internal/fleet/coordinator/succession.go
@@ -24,6 +24,7 @@
 type vacancy struct {
 	since time.Duration // since is when that was seen first; 0 while somebody leads.
 	took  time.Duration // took is how long the store last needed to say who leads.
+	last  string        // last is the candidate that was last seen to lead.
 }
 
 // vacant reports whether this process should claim the leadership. A process
@@ -36,6 +37,9 @@
 	defer cancel()
 	holder, err := c.store.Leader(ctx, c.topic)
 	c.vacancy.took = now() - begin
+	if holder != "" {
+		c.vacancy.last = holder
+	}
 	switch {
 	case err != nil:
 		_ = level.Debug(c.logger).Log("event", "leader not known", "reason", err)
@@ -73,7 +77,7 @@
 
 // rank returns how many entries claim a vacant leadership before this process.
 // The latest to start is first: it is known to live, and where entries are
-// stopped in turn it has had its turn.
+// stopped in turn it has had its turn. The process that led last does not count.
 func (c *Coordinator) rank() int {
 	own, started, _ := strings.Cut(c.settings().Name, lifeSeparator)
 	at, err := time.Parse(time.RFC3339Nano, started)
@@ -82,6 +86,9 @@
 	}
 	rank := 0
 	for name, m := range c.state.Members(ledger.EntryRole) {
+		if CandidateName(m) == c.vacancy.last {
+			continue
+		}
 		if m.Started.After(at) || m.Started.Equal(at) && name < own {
 			rank++
 		}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -230,7 +230,10 @@
 			}
 			id := j.job.TaskID(s, i)
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
-			r.phase, r.paced = adopted, unknownPace
+			r.phase = adopted
+			if a.definition().Fills {
+				r.paced = unknownPace
+			}
 			r.host.lapse = max(r.host.lapse, t.begun+confirmTime+lapseTime(t.settings().LongestLease))
 		}
 	}
--- a/internal/role/hostagent/session.go
+++ b/internal/role/hostagent/session.go
@@ -46,12 +46,8 @@
 	s.mu.Lock()
 	current := s.current
 	s.mu.Unlock()
-	if current != nil && host.IsLife(r.Incarnation, current.born) {
-		l, err := current.Hold(ctx, r)
-		if err == nil || errors.Is(err, host.ErrFenced) {
-			return l, err
-		}
-		s.drop(current)
+	if current != nil {
+		l, err := s.ask(ctx, current, r)
 		if !errors.Is(err, host.ErrDisconnected) {
 			return l, err
 		}
@@ -60,9 +56,18 @@
 	if err != nil || current == nil || !host.IsLife(r.Incarnation, current.born) {
 		return l, err
 	}
-	l, err = current.Hold(ctx, r)
+	return s.ask(ctx, current, r)
+}
+
+// ask passes a renewal on over a session, without what is meant for another
+// life. A session on which that fails is given up.
+func (s *sessions) ask(ctx context.Context, on *session, r host.HoldRequest) (host.Listing, error) {
+	if !host.IsLife(r.Incarnation, on.born) {
+		r = host.HoldRequest{Token: r.Token}
+	}
+	l, err := on.Hold(ctx, r)
 	if err != nil && !errors.Is(err, host.ErrFenced) {
-		s.drop(current)
+		s.drop(on)
 	}
 	return l, err
 }
