--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	logging.OutliveReader()
+	logging.IgnoreBrokenPipe()
 	lines := logging.NewQueue()
 	logger, err := logging.New(lines, "info", s.Node)
 	if err != nil {
--- a/cmd/role.go
+++ b/cmd/role.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	logging.OutliveReader()
+	logging.IgnoreBrokenPipe()
 	logger, err := logging.New(env.stderr, s.LogLevel, s.Name)
 	if err != nil {
 		return fmt.Errorf("start logging: %w", err)
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -36,9 +36,9 @@
 	// campaignTimeout bounds one call of a campaign. A store that is slow answers
 	// within 0.3 s.
 	campaignTimeout = 600 * time.Millisecond
-	// openTimeout bounds the begin of a term. The store refuses appends that would
-	// wait for more than 2 s.
-	openTimeout = 3 * time.Second
+	// takeoverTimeout bounds the begin of a term. The store refuses appends that
+	// would wait for more than 2 s.
+	takeoverTimeout = 3 * time.Second
 	// forgetTime is how long a silent host that holds nothing is kept. A host
 	// that was restarted is back much sooner.
 	forgetTime = time.Minute
@@ -81,7 +81,7 @@
 	generation int64         // generation is the last one that the store has answered.
 	confirmed  time.Duration // confirmed is when the claim was sent that the store last confirmed.
 	vacancy    vacancy
-	opening    *opening // opening is a term that is being begun; nil when there is none.
+	takeover   *takeover // takeover is a term that is being begun; nil when there is none.
 	term       *runningTerm
 }
 
@@ -130,12 +130,12 @@
 	}
 	for ctx.Err() == nil {
 		c.campaign(ctx)
-		if c.opening == nil { // It has waited for the opening already.
+		if c.takeover == nil { // It has waited for the takeover already.
 			_ = group.Pause(ctx, c.interval())
 		}
 	}
-	held := c.term != nil || c.opening != nil
-	c.stopOpening()
+	held := c.term != nil || c.takeover != nil
+	c.stopTakeover()
 	c.endTerm("the process stops")
 	resignCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), resignTimeout)
 	defer cancel()
@@ -158,7 +158,7 @@
 	if c.term != nil && c.term.group.Context().Err() != nil {
 		c.endTerm("the term has failed")
 	}
-	if c.term == nil && c.opening == nil && !c.vacant(ctx) {
+	if c.term == nil && c.takeover == nil && !c.vacant(ctx) {
 		return
 	}
 	start := now()
@@ -171,13 +171,13 @@
 		}
 		return
 	}
-	if c.term == nil && c.opening == nil || !leadership.Holds {
+	if c.term == nil && c.takeover == nil || !leadership.Holds {
 		_ = level.Info(c.logger).Log("event", "claim answered", "holds", leadership.Holds, "generation", leadership.Generation, "former", c.generation, "took", ago(start), "rank", c.rank())
 	}
 	c.generation, c.vacancy.since = leadership.Generation, 0
 	switch {
 	case !leadership.Holds:
-		c.stopOpening()
+		c.stopTakeover()
 		c.endTerm("another process leads")
 		c.withdraw(ctx)
 	case c.term != nil:
@@ -188,8 +188,8 @@
 	}
 }
 
-// opening is the begin of a term beside the claims that keep the leadership.
-type opening struct {
+// takeover is the begin of a term beside the claims that keep the leadership.
+type takeover struct {
 	token int64
 	group *group.Group
 	ready chan bool // ready has whether the term may begin.
@@ -198,11 +198,11 @@
 // beginTerm fences the former terms and reads all that they have written. While
 // the store is slow that goes on beside further claims.
 func (c *Coordinator) beginTerm(ctx context.Context, token int64) {
-	if c.opening == nil {
-		o := &opening{token, group.New(ctx), make(chan bool, 1)}
-		c.opening = o
-		o.group.Go("opening", func(ctx context.Context) error {
-			o.ready <- c.open(ctx, o.token)
+	if c.takeover == nil {
+		o := &takeover{token, group.New(ctx), make(chan bool, 1)}
+		c.takeover = o
+		o.group.Go("takeover", func(ctx context.Context) error {
+			o.ready <- c.takeOver(ctx, o.token)
 			return nil
 		})
 	}
@@ -210,18 +210,18 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case ready := <-c.opening.ready:
-		token := c.opening.token
-		c.stopOpening()
+	case ready := <-c.takeover.ready:
+		token := c.takeover.token
+		c.stopTakeover()
 		if ready {
 			c.startTerm(ctx, token)
 		}
 	}
 }
 
-// open makes the term known to the store and brings the fold up to date.
-func (c *Coordinator) open(ctx context.Context, token int64) bool {
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+// takeOver makes the term known to the store and brings the fold up to date.
+func (c *Coordinator) takeOver(ctx context.Context, token int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, takeoverTimeout)
 	defer cancel()
 	err := c.store.AppendFenced(ctx, c.topic, ledger.Fence{Writer: writerName, Epoch: token}, nil)
 	if err == nil {
@@ -233,13 +233,13 @@
 	return err == nil
 }
 
-func (c *Coordinator) stopOpening() {
-	if c.opening == nil {
+func (c *Coordinator) stopTakeover() {
+	if c.takeover == nil {
 		return
 	}
-	c.opening.group.Stop()
-	_ = c.opening.group.Wait() // It returns no error.
-	c.opening = nil
+	c.takeover.group.Stop()
+	_ = c.takeover.group.Wait() // It returns no error.
+	c.takeover = nil
 }
 
 func (c *Coordinator) startTerm(ctx context.Context, token int64) {
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -144,8 +144,10 @@
 	}
 	slack := t.slack(j, j.job.Occurrence(step))
 	return allocation.Demand{
-		Rank: rank, Service: service, Need: s.Room(), Fills: s.Fills, Only: t.permitted(j, step, service, tasks, rank), Tasks: tasks, Gang: s.Gang, Local: s.Local, Rack: s.Rack,
-		Label: s.Label, SpreadLimit: s.SpreadLimit, Present: present, Avoid: t.avoided(j, step), Careful: t.fewDoubtful() && careful(j, step), Far: slack < 0,
+		Rank: rank, Service: service, Need: s.Room(), Tasks: tasks, Gang: s.Gang, Local: s.Local, Rack: s.Rack,
+		Label: s.Label, SpreadLimit: s.SpreadLimit, Present: present, Fills: s.Fills, Far: slack < 0,
+		Avoid: t.avoided(j, step), Careful: t.fewDoubtful() && careful(j, step),
+		Only: t.permitted(j, step, service, tasks, rank),
 	}
 }
 
--- a/internal/fleet/coordinator/lasting_test.go
+++ b/internal/fleet/coordinator/lasting_test.go
@@ -92,7 +92,7 @@
 
 // Guards against tasks that use what is left over and disturb those that serve
 // users, and against a pace that a successor does not know.
-func TestTasksThatFillGiveWay(t *testing.T) {
+func TestFillingTasksYield(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, "r1")
 	stop := f.lead("one")
--- a/internal/fleet/coordinator/pacing.go
+++ b/internal/fleet/coordinator/pacing.go
@@ -102,10 +102,10 @@
 
 // follow tells the minion the pace of a run that fills.
 func (r *run) follow(t *term, percent int) {
-	if !r.attempt.definition().Fills || r.phase != running || r.pacing || r.paced == percent {
+	if !r.attempt.definition().Fills || r.phase != running || r.paceSent || r.paced == percent {
 		return
 	}
-	r.pacing = true
+	r.paceSent = true
 	t.order(r, func(ctx context.Context, r *run, client host.Client) error {
 		err := client.Pace(ctx, host.PaceRequest{Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Percent: percent})
 		if errors.Is(err, host.ErrFenced) {
@@ -115,7 +115,7 @@
 			_ = level.Debug(t.logger).Log("event", "pace unanswered", "job", r.task.Job, "task", r.task, "run", r.number, "reason", err)
 		}
 		t.do(func() {
-			r.pacing = false
+			r.paceSent = false
 			if err == nil {
 				r.paced, r.movedAt = percent, now()
 			}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -49,7 +49,7 @@
 	stopSent     bool          // stopSent is set once a stop is on its way.
 	load         int           // load is what the minion last listed; see host.Run.
 	paced        int           // paced is the percentage at which the run works.
-	pacing       bool          // pacing is set while such an order is on its way.
+	paceSent     bool          // paceSent is set while an order to change that is on its way.
 	ticket       string        // ticket permits the start; empty when none is needed.
 }
 
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -125,7 +125,7 @@
 // although the answer may be late or lost.
 func (g *Gateway) appendOnce(ctx context.Context, record ledger.Record, stored func() bool) error {
 	begin := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, g.appends.timeout())
+	ctx, cancel := context.WithTimeout(ctx, g.appends.current())
 	defer cancel()
 	watch := group.New(ctx)
 	seen := false
@@ -143,6 +143,6 @@
 	if seen {
 		return nil
 	}
-	g.appends.note(time.Since(begin), err == nil || errors.Is(err, ledger.ErrNotDone))
+	g.appends.observe(time.Since(begin), err == nil || errors.Is(err, ledger.ErrNotDone))
 	return err
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -124,10 +124,10 @@
 	current   *catalogue.Current
 	logger    log.Logger
 	leaving   atomic.Bool
-	freshTime atomic.Int64 // freshTime is the limit in force of Options.FreshTime.
-	doubted   atomic.Int64 // doubted is when a call last came that the configuration in force denied, in Unix nanoseconds.
-	shown     atomic.Int64 // shown is the newest version of the configuration whose effect a client has seen here.
-	appends   patience     // appends is how long appends take.
+	freshTime atomic.Int64    // freshTime is the limit in force of Options.FreshTime.
+	doubted   atomic.Int64    // doubted is when a call last came that the configuration in force denied, in Unix nanoseconds.
+	shown     atomic.Int64    // shown is the newest version of the configuration whose effect a client has seen here.
+	appends   adaptiveTimeout // appends bounds the tries of appends.
 	figures   figures
 }
 
--- a/internal/role/gateway/patience_internal_test.go
+++ b/internal/role/gateway/timeout_internal_test.go
@@ -9,8 +9,8 @@
 )
 
 // Guards against tries that are given up while the store is only slow, and
-// against patience that stays after it is fast again.
-func TestPatience(t *testing.T) {
+// against a timeout that stays long after it is fast again.
+func TestAdaptiveTimeout(t *testing.T) {
 	for name, tt := range map[string]struct {
 		took     []time.Duration
 		answered bool
@@ -26,11 +26,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			var p patience
+			var timeout adaptiveTimeout
 			for _, d := range tt.took {
-				p.note(d, tt.answered)
+				timeout.observe(d, tt.answered)
 			}
-			c.Check(p.timeout() >= tt.least && p.timeout() <= tt.most, qt.IsTrue, qt.Commentf("%s", p.timeout()))
+			c.Check(timeout.current() >= tt.least && timeout.current() <= tt.most, qt.IsTrue, qt.Commentf("%s", timeout.current()))
 		})
 	}
 }
