Let the test of advice begin when all hosts are known

The first plan was made when two of the three hosts had been listed, so the third one was asked about on its own.

--- a/internal/fleet/coordinator/lasting_test.go
+++ b/internal/fleet/coordinator/lasting_test.go
@@ -141,6 +141,8 @@
 	a := &adviser{permitted: []string{"m-1"}, validity: time.Second, calls: make(chan int, 100)}
 	f.adviser = a
 	defer f.lead("one")()
+	f.submit(workload.Job{ID: "everywhere", Steps: []workload.Step{step(3, 8)}}, short)
+	f.await("everywhere", workload.Done) // All hosts are known by now.
 	work := fleethost.Work{Duration: short, Ticketed: true}
 	first := f.submitWork(workload.Job{ID: "advised-1", Queue: advised, Steps: []workload.Step{step(2, 4)}}, work)
 	f.await(first.ID, workload.Done)
