--- a/internal/fleet/coordinator/story_test.go
+++ b/internal/fleet/coordinator/story_test.go
@@ -91,7 +91,7 @@
 			t.Parallel()
 			f := newFixture(t, "r1")
 			defer f.lead("one")()
-			j := f.submit(workload.Job{ID: "job", Priority: 2, Organisation: "other", Steps: []workload.Step{step(1, 8)}}, 500*time.Millisecond)
+			j := f.submit(workload.Job{ID: "job", Priority: 2, Organisation: "other", Steps: []workload.Step{step(1, 8)}}, 3*time.Second)
 			f.until("it runs", func() bool { return f.starts(j.ID, 1) == 1 })
 			time.Sleep(50 * time.Millisecond)
 			tt.disturb(f, j)
