--- a/internal/fleet/coordinator/lasting_test.go
+++ b/internal/fleet/coordinator/lasting_test.go
@@ -28,9 +28,7 @@
 
 // running returns what a minion lists of the runs of a job.
 func (f *fixture) running(m int, job workload.ID) (list []listed) {
-	l, err := f.list[m].Look()
-	f.c.Assert(err, qt.IsNil)
-	for _, r := range l.Running {
+	for _, r := range f.list[m].Look().Running {
 		if r.Task.Job == job {
 			list = append(list, listed{r.Task.Index, r.Percent, r.Load})
 		}
--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -244,12 +244,11 @@
 func (m *Minion) clock() time.Duration { return time.Since(m.report.Born) }
 
 // Look returns what a listing would say, without a call.
-func (m *Minion) Look() (host.Listing, error) {
+func (m *Minion) Look() host.Listing {
 	m.mu.Lock()
-	token := m.token
-	m.mu.Unlock()
-	l, _, err := m.hold(m.Report().Born, host.HoldRequest{Token: token})
-	return l, err
+	defer m.mu.Unlock()
+	m.settle()
+	return m.listing()
 }
 
 // End ends the run of a task as failed.
@@ -351,6 +350,12 @@
 	m.token = r.Token
 	m.lease = max(m.lease, r.Until)
 	m.ends = slices.DeleteFunc(m.ends, func(e host.End) bool { return e.Sequence <= r.Acknowledged })
+	l := m.listing()
+	return l, len(l.Ends) > 0 || m.report.Draining, nil
+}
+
+// listing returns what runs and what has ended.
+func (m *Minion) listing() host.Listing {
 	l := host.Listing{Clock: m.clock(), Minion: m.report, Ends: slices.Clone(m.ends)}
 	for key, run := range m.runs {
 		if run.stopping.IsZero() {
@@ -361,7 +366,7 @@
 			l.Running = append(l.Running, host.Run{Task: key.task, Number: key.number, Percent: min(percent, 100), Load: m.load(run)})
 		}
 	}
-	return l, len(l.Ends) > 0 || m.report.Draining, nil
+	return l
 }
 
 // Start implements host.Client.
