--- a/cmd/hosted_test.go
+++ b/cmd/hosted_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -30,24 +31,35 @@
 	ended   chan error
 }
 
+// freeAddress returns an address that no other test is given. Its port lies below
+// the range from which the system takes ports of outgoing connections.
+func freeAddress(c *qt.C) netip.AddrPort {
+	const lowest, count, attempts = 20_000, 10_000, 1000
+	for range attempts {
+		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))
+		if _, given := givenAddresses.LoadOrStore(address, true); given {
+			continue
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			c.Assert(l.Close(), qt.IsNil)
+			return netip.MustParseAddrPort(address)
+		}
+	}
+	c.Fatalf("no free address in %d tries", attempts)
+	return netip.AddrPort{}
+}
+
 func startRealAgent(c *qt.C) *realAgent {
 	folder := c.TempDir()
 	program := filepath.Join(folder, "wasabihoist")
 	self, err := os.Executable()
 	c.Assert(err, qt.IsNil)
 	c.Assert(os.Symlink(self, program), qt.IsNil) // The test's program is the product when it has its name.
-	port := func() netip.AddrPort {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		c.Assert(err, qt.IsNil)
-		defer func() { _ = l.Close() }()
-		return netip.MustParseAddrPort(l.Addr().String())
-	}
-	nobody := port()
-	a := &realAgent{control: port(), ended: make(chan error, 1)}
-	internal := port()
+	nobody := freeAddress(c)
+	a := &realAgent{control: freeAddress(c), ended: make(chan error, 1)}
 	settings := platform.Settings{
 		Node: "side-1", DataCentre: "one", Regions: map[string]string{"one": "one"}, IP: nobody.Addr(), Store: nobody, Minion: nobody, Control: a.control,
-		Internal: netip.AddrPortFrom(internal.Addr(), internal.Port()+10), Service: "app", ContactTime: time.Second, ConfigTime: time.Second, RevokeTime: time.Second,
+		Internal: freeAddress(c), Service: "app", ContactTime: time.Second, ConfigTime: time.Second, RevokeTime: time.Second,
 		StopGrace: time.Second, LongestLease: time.Second, TaskStopTime: time.Second, GangTime: time.Second, StatusTime: time.Second, ShortestTimeLive: time.Second,
 	}
 	path := filepath.Join(folder, "settings.toml")
@@ -55,7 +67,7 @@
 	reader, writer, err := os.Pipe()
 	c.Assert(err, qt.IsNil)
 	a.output = reader
-	a.command = exec.Command(program, "hosted-agent", "--metrics-port", fmt.Sprint(port().Port()))
+	a.command = exec.Command(program, "hosted-agent", "--metrics-port", fmt.Sprint(freeAddress(c).Port()))
 	a.command.Env = append(os.Environ(), platform.SettingsEnvironment(path))
 	a.command.Stdout, a.command.Stderr = writer, os.Stderr
 	c.Assert(a.command.Start(), qt.IsNil)
