Log each try of a start that is not confirmed

When a task ran twice, the coordinator's log had no line at level info for the try that was not answered, and "run lost" did not tell whether any try was open. The refusal could be seen only by reading the agent's log beside it.

Each try that is refused or not answered gets a line with its number, the number of open tries (those that were not refused), the time it took and the reason. "run lost" names the incarnation, the tries and whether the run had been reported. Two counters follow the same events. No decision changes.

--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -7,26 +7,30 @@
 
 // metricSet holds the metrics of a coordinator.
 type metricSet struct {
-	terms      metrics.Counter
-	placements metrics.Counter
-	stops      metrics.Counter
-	lost       metrics.Counter
-	ends       map[host.Outcome]metrics.Counter
-	planTime   *metrics.Histogram
-	appendTime *metrics.Histogram
-	waitTime   *metrics.Histogram
+	terms            metrics.Counter
+	placements       metrics.Counter
+	stops            metrics.Counter
+	lost             metrics.Counter
+	startsUnanswered metrics.Counter
+	startsRefused    metrics.Counter
+	ends             map[host.Outcome]metrics.Counter
+	planTime         *metrics.Histogram
+	appendTime       *metrics.Histogram
+	waitTime         *metrics.Histogram
 }
 
 func newMetricSet(r *metrics.Registry) metricSet {
 	m := metricSet{
-		terms:      r.Counter("coordinator-terms", "terms", "Terms that this process has begun to lead."),
-		placements: r.Counter("coordinator-placements", "attempts", "Gangs and single tasks that were given to hosts."),
-		stops:      r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
-		lost:       r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
-		ends:       make(map[host.Outcome]metrics.Counter),
-		planTime:   r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
-		appendTime: r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
-		waitTime:   r.Histogram("coordinator-wait-time", "Time from the submission of a job to the placement of a task."),
+		terms:            r.Counter("coordinator-terms", "terms", "Terms that this process has begun to lead."),
+		placements:       r.Counter("coordinator-placements", "attempts", "Gangs and single tasks that were given to hosts."),
+		stops:            r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
+		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
+		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
+		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
+		ends:             make(map[host.Outcome]metrics.Counter),
+		planTime:         r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
+		appendTime:       r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
+		waitTime:         r.Histogram("coordinator-wait-time", "Time from the submission of a job to the placement of a task."),
 	}
 	for o := host.Completed; o <= host.GangTimedOut; o++ {
 		m.ends[o] = r.Counter("coordinator-ends-"+o.String(), "runs", "Runs that ended as "+o.String()+".")
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -103,23 +103,23 @@
 // startRun retries a start until it is answered or has taken too long.
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
-	j := r.attempt.job
 	for {
 		request, ok := callLoop(ctx, t, func() host.StartRequest { return t.startRequest(r) })
 		if !ok {
 			return nil
 		}
+		sent := now()
 		err := client.Start(ctx, request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
 		retry, ok := callLoop(ctx, t, func() bool {
+			t.recordStartReply(r, err, sent)
 			return t.handleStartReply(r, err, now()-begin > startRetryLimit(t.settings().GangStartTimeout))
 		})
 		if !ok || !retry {
 			return nil
 		}
-		_ = level.Debug(t.logger).Log("event", "start request failed", "job", j.job.ID, "task", r.task, "run", r.number, "reason", err)
 		if err := group.Pause(ctx, callRetryDelay); err != nil {
 			return err
 		}
@@ -128,6 +128,8 @@
 
 func (t *term) startRequest(r *run) host.StartRequest {
 	j := r.attempt.job
+	r.tries.sent++
+	r.tries.open++
 	return host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
@@ -135,6 +137,35 @@
 	}
 }
 
+// refusals are the replies to a start which prove that this try had no effect.
+// They prove nothing about other tries.
+var refusals = []error{
+	host.ErrStartTooLate, host.ErrNoCapacity, host.ErrUnhealthy, host.ErrDraining, host.ErrOtherIncarnation, host.ErrMalformed, host.ErrInvalidTicket,
+}
+
+func isRefusal(err error) bool {
+	return slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
+}
+
+// recordStartReply counts and logs the reply to a try that was sent at a time.
+func (t *term) recordStartReply(r *run, err error, sent time.Duration) {
+	event := "start not answered"
+	switch {
+	case err == nil:
+		return // The agent logs it.
+	case errors.Is(err, host.ErrRunEnded):
+		event = "start refused"
+	case isRefusal(err):
+		r.tries.open--
+		t.metrics.startsRefused.Add(1)
+		event = "start refused"
+	default:
+		t.metrics.startsUnanswered.Add(1)
+	}
+	_ = level.Info(t.logger).Log("event", event, "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "minion", r.minion,
+		"try", r.tries.sent, "open-tries", r.tries.open, "took", ago(sent), "reason", err)
+}
+
 // handleStartRefusal records what a refused start shows about the host, so that
 // the next plan does not choose it again.
 func (t *term) handleStartRefusal(r *run, err error) {
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -27,6 +27,12 @@
 	running               // running runs have been reported or their start was confirmed.
 )
 
+// startTries counts the tries of the start of a run.
+type startTries struct {
+	sent int
+	open int // open counts the tries that were not refused, so that they may have been, or may still be, carried out.
+}
+
 // run is one execution of a task. It holds resources of a host until it has
 // certainly ended.
 type run struct {
@@ -37,6 +43,7 @@
 	minion           string // minion is the incarnation of the minion.
 	need             workload.Resources
 	phase            phase
+	tries            startTries
 	startAnswered    time.Duration // startAnswered is when the minion answered the start.
 	stopAnswered     time.Duration // stopAnswered is when the minion answered a stop.
 	startedAt        time.Duration // startedAt is when the run was placed or adopted, its start sent or answered, or the run first reported, whichever was last.
@@ -181,7 +188,8 @@
 // loseRun gives up a run that has certainly ended without an outcome. The other
 // members of its gang are stopped.
 func (t *term) loseRun(r *run, reason string) {
-	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason)
+	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason,
+		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", ago(r.host.lastContact))
 	t.metrics.lost.Add(1)
 	a := r.attempt
 	t.requeueRun(r, "")
