Show in a test that a task runs twice after a refused retry

The test lets a minion carry out the first try of a start without an answer, refuses the next try and withholds status reports. A try that comes too late is repeated already.

--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -48,6 +48,7 @@
 	reader     *ledger.Reader
 	group      *group.Group
 
+	hooks               atomic.Pointer[hooks]          // hooks may disturb the calls to all minions; nil passes them on.
 	logs                logBuffer                      // logs collects the logs of all coordinators.
 	refusedAddress      atomic.Pointer[netip.AddrPort] // refusedAddress is the address at which connections are refused.
 	adviser             coordinator.Adviser            // adviser of the advised queue.
@@ -112,7 +113,7 @@
 		Name: name, MaxLease: lease, GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser,
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current,
-		func(a netip.AddrPort) host.Client { return f.minions[a] }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
+		func(a netip.AddrPort) host.Client { return link{f.minions[a], &f.hooks} }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
 	g.Go("coordinator", coord.Run)
 	return func() {
 		g.Stop()
