Don't take a refused retry for the outcome of all tries of a start

Cause: a start without an answer is sent again. When the next try was refused (the minion drains, is unhealthy, has no room, another one answers, the call or its ticket is invalid), handleStartReply took the refusal as proof that the run does not exist and gave the task out again, although the first try had been carried out. Class: the outcome of one try is taken for the outcome of all tries.

Change: a run counts its tries, and a refusal takes back only its own. While a try is open, a refusal stops the attempt; the task is given out again once the end of the run is proved.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -128,8 +128,7 @@
 
 func (t *term) startRequest(r *run) host.StartRequest {
 	j := r.attempt.job
-	r.tries.sent++
-	r.tries.open++
+	r.tries.send()
 	return host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
@@ -137,16 +136,6 @@
 	}
 }
 
-// refusals are the replies to a start which prove that this try had no effect.
-// They prove nothing about other tries.
-var refusals = []error{
-	host.ErrStartTooLate, host.ErrNoCapacity, host.ErrUnhealthy, host.ErrDraining, host.ErrOtherIncarnation, host.ErrMalformed, host.ErrInvalidTicket,
-}
-
-func isRefusal(err error) bool {
-	return slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
-}
-
 // recordStartReply counts and logs the reply to a try that was sent at a time.
 func (t *term) recordStartReply(r *run, err error, sent time.Duration) {
 	event := "start not answered"
@@ -156,7 +145,7 @@
 	case errors.Is(err, host.ErrRunEnded):
 		event = "start refused"
 	case isRefusal(err):
-		r.tries.open--
+		r.tries.refuse()
 		t.metrics.startsRefused.Add(1)
 		event = "start refused"
 	default:
@@ -202,10 +191,13 @@
 	case errors.Is(err, host.ErrRunEnded):
 		r.startAnswered = now()
 		return false
-	case errors.Is(err, host.ErrNoCapacity), errors.Is(err, host.ErrUnhealthy), errors.Is(err, host.ErrDraining),
-		errors.Is(err, host.ErrOtherIncarnation), errors.Is(err, host.ErrMalformed), errors.Is(err, host.ErrInvalidTicket):
+	case isRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
 		t.handleStartRefusal(r, err)
-		t.loseRun(r, err.Error())
+		if r.tries.mayHaveStarted() {
+			t.stopAttempt(r.attempt, "a start was refused after a try that was not answered")
+		} else {
+			t.loseRun(r, err.Error())
+		}
 		return false
 	case timedOut:
 		r.attempt.job.retryAt = now() + placementRetryDelay
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -27,12 +27,6 @@
 	running               // running runs have been reported or their start was confirmed.
 )
 
-// startTries counts the tries of the start of a run.
-type startTries struct {
-	sent int
-	open int // open counts the tries that were not refused, so that they may have been, or may still be, carried out.
-}
-
 // run is one execution of a task. It holds resources of a host until it has
 // certainly ended.
 type run struct {
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -10,12 +10,6 @@
 	"wasabihoist/internal/fleet/workload"
 )
 
-const (
-	// stopMargin is added to TaskStopTimeout before a run that was stopped
-	// counts as ended.
-	stopMargin = 200 * time.Millisecond
-)
-
 // handleStatusReport handles a status report that was requested at sent. It
 // reports whether it contains ended runs that are not yet durable.
 func (t *term) handleStatusReport(h *hostState, report host.StatusReport, sent time.Duration) bool {
@@ -176,22 +170,6 @@
 	}
 }
 
-// provenEnded reports whether a run that is missing from a status report
-// requested at sent has certainly ended or never started. A run that is being
-// stopped is not reported until it has ended; an adopted one may have been
-// stopped by a former term.
-func (t *term) provenEnded(r *run, sent time.Duration) bool {
-	stopTimeout := t.settings().TaskStopTimeout + stopMargin
-	switch {
-	case r.phase == adopted:
-		return t.begunAt+stopTimeout < sent
-	case r.attempt.stopping:
-		return r.stopAnswered != 0 && r.stopAnswered+stopTimeout < sent
-	default:
-		return r.startAnswered != 0 && r.startAnswered < sent
-	}
-}
-
 // acknowledgeEndedRuns lets the minion discard ended runs as soon as they are
 // durable.
 func (t *term) acknowledgeEndedRuns(h *hostState) {
--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -69,7 +69,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			f := newFixture(t, "r1", "r1")
-			var mute atomic.Pointer[fleethost.Minion] // mute has run 1. Its status reports are lost, so that only refusals tell of the run.
+			var mute atomic.Pointer[fleethost.Minion] // mute has run 1. Only the refusals of its start reach the coordinator.
 			f.hooks.Store(&hooks{
 				start: func(m *fleethost.Minion, r host.StartRequest) error {
 					switch {
@@ -82,6 +82,12 @@
 					f.c.Check(m.Start(context.Background(), r), qt.IsNil)
 					return errNoReply
 				},
+				stop: func(m *fleethost.Minion, r host.StopRequest) error {
+					if mute.Load() == m {
+						return errNoReply
+					}
+					return m.Stop(context.Background(), r)
+				},
 				renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
 					if mute.Load() == m {
 						return host.StatusReport{}, errNoReply
