Find the start time of an incarnation after the last separator

An incarnation is written as ID@START. IncarnationStartedAt cut it at the first separator, the minion client at the last one. For a minion whose id contains an "@", no session matched the incarnation that the coordinator named, so its leases were never renewed and its runs ended with them.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -35,10 +35,25 @@
 
 func (m Minion) incarnationSuffix() string { return strconv.FormatInt(m.StartedAt.UnixMilli(), 36) }
 
+// IncarnationID returns the minion id of an incarnation.
+func IncarnationID(incarnation string) string {
+	id, _ := cutIncarnation(incarnation)
+	return id
+}
+
+// cutIncarnation splits ID@START at the last separator, because an id may
+// contain others. The start is empty if there is none.
+func cutIncarnation(incarnation string) (id, start string) {
+	if i := strings.LastIndexByte(incarnation, '@'); i >= 0 {
+		return incarnation[:i], incarnation[i+1:]
+	}
+	return incarnation, ""
+}
+
 // IncarnationStartedAt reports whether an incarnation started at the given time.
 func IncarnationStartedAt(incarnation string, start time.Time) bool {
-	_, suffix, found := strings.Cut(incarnation, "@")
-	return found && suffix == (Minion{StartedAt: start}).incarnationSuffix()
+	_, suffix := cutIncarnation(incarnation)
+	return suffix != "" && suffix == (Minion{StartedAt: start}).incarnationSuffix()
 }
 
 // Run is a task that a minion runs.
