Keep runs whose start may still reach the next incarnation of the minion

A task could run twice when a minion ended between the tries of a start.

A start names the minion by its id only. When the minion was gone, every run was given up, although a try without an answer could still be carried out by the next incarnation. Likewise a stop that the former incarnation had answered, and a run that it had reported, were proof enough for the next one. Only runs without a report were kept, in one of the three places (reassignOrLose).

Evidence: TestTaskRunsTwiceAfterStartReachesNextIncarnation holds one try back and delivers it to the next incarnation.

Change: a try is open until it has a reply or its deadline has passed. While one is open, a run on a minion that is gone or restarted is stopped, and given up only when the present incarnation has answered the stop and does not report the run, or when no try can arrive any more. Replies count only for the incarnation that was addressed.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -48,21 +48,20 @@
 
 // stopRun retries a stop until it is answered or the run has ended.
 func (t *term) stopRun(ctx context.Context, r *run, client host.Client) error {
-	request := host.StopRequest{Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number}
 	for {
+		request, ok := callLoop(ctx, t, func() host.StopRequest {
+			return host.StopRequest{Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number}
+		})
+		if !ok {
+			return nil
+		}
 		sent := now()
 		err := client.Stop(ctx, request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
-		answered := err == nil || errors.Is(err, host.ErrRunEnded) || errors.Is(err, host.ErrOtherIncarnation)
-		present, ok := callLoop(ctx, t, func() bool {
-			if answered {
-				r.stopAnswered = now()
-			}
-			return r.host.runs[runKey{r.task, r.number}] == r
-		})
-		if !ok || answered || !present {
+		settled, ok := callLoop(ctx, t, func() bool { return t.handleStopReply(r, request, err) })
+		if !ok || settled {
 			return nil
 		}
 		_ = level.Debug(t.logger).Log("event", "stop request failed", "job", r.task.Job, "task", r.task, "run", r.number, "took", now()-sent, "reason", err)
@@ -72,6 +71,18 @@
 	}
 }
 
+// handleStopReply handles the reply to a stop and reports whether no further try
+// is needed. A reply of a former incarnation proves nothing about the present
+// one.
+func (t *term) handleStopReply(r *run, request host.StopRequest, err error) bool {
+	answered := err == nil || errors.Is(err, host.ErrRunEnded) || errors.Is(err, host.ErrOtherIncarnation)
+	if answered && request.Incarnation == r.minion {
+		r.stopAnswered = now()
+		return true
+	}
+	return r.host.runs[runKey{r.task, r.number}] != r
+}
+
 // startAttempt sends the starts of an attempt whose placement is durable. If the
 // attempt has been stopped meanwhile, its tasks are requeued instead.
 func (t *term) startAttempt(a *attempt) {
@@ -100,6 +111,10 @@
 	return min(startTimeout, time.Duration(gangStartShare*float64(gangTimeout)))
 }
 
+// errFormerIncarnation replaces a reply to a start that may be that of a former
+// incarnation of the minion.
+var errFormerIncarnation = errors.New("the minion was restarted before the reply")
+
 // startRun retries a start until it is answered or has taken too long.
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
@@ -115,6 +130,9 @@
 		}
 		retry, ok := callLoop(ctx, t, func() bool {
 			t.recordStartReply(r, err, sent)
+			if request.Incarnation != r.minion && (err == nil || errors.Is(err, host.ErrRunEnded)) {
+				err = errFormerIncarnation
+			}
 			return t.handleStartReply(r, err, now()-begin > startRetryLimit(t.settings().GangStartTimeout))
 		})
 		if !ok || !retry {
@@ -128,7 +146,7 @@
 
 func (t *term) startRequest(r *run) host.StartRequest {
 	j := r.attempt.job
-	r.tries.send()
+	r.tries.send(now())
 	return host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
@@ -141,11 +159,10 @@
 	event := "start not answered"
 	switch {
 	case err == nil:
+		r.tries.settle()
 		return // The agent logs it.
-	case errors.Is(err, host.ErrRunEnded):
-		event = "start refused"
-	case isRefusal(err):
-		r.tries.refuse()
+	case errors.Is(err, host.ErrRunEnded), isRefusal(err):
+		r.tries.settle()
 		t.metrics.startsRefused.Add(1)
 		event = "start refused"
 	default:
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -44,13 +44,13 @@
 }
 
 // handleMinionGone handles a status report that shows that no minion is running
-// on a host. All of its runs have ended.
+// on a host. All runs that it had have ended.
 func (t *term) handleMinionGone(h *hostState) {
 	if !h.gone {
 		h.gone = true
 		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
 	}
-	t.loseAllRuns(h, "the minion is gone")
+	t.loseGoneRuns(h)
 	clear(h.unexpected)
 	h.incarnationKnown = false
 }
@@ -95,25 +95,12 @@
 		return
 	}
 	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() && r.reported {
+		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayArrive(now()) {
 			t.loseRun(r, "the minion has been restarted")
 		}
 	}
 }
 
-// reassignOrLose handles a run whose minion has been restarted. A run that the
-// former incarnation has reported is given up. The start of any other run may
-// have been carried out by the present incarnation, because a minion checks only
-// the minion id in a start. Such a run is attributed to the present incarnation,
-// and is given up once that has answered a call for it and does not report it.
-func (t *term) reassignOrLose(r *run) {
-	if r.reported {
-		t.loseRun(r, "the minion has been restarted")
-		return
-	}
-	r.minion = r.host.minion.Incarnation()
-}
-
 // handleRunning updates the runs that a minion reports, and stops unexpected
 // ones.
 func (t *term) handleRunning(h *hostState, running []host.Run) {
@@ -125,6 +112,9 @@
 			t.stopUnexpected(h, key)
 			continue
 		}
+		if r.phase == adopted {
+			r.tries.open = 0 // The minion refuses starts of former terms now.
+		}
 		if r.phase == adopted || r.phase == starting {
 			t.markRunning(r)
 		}
--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -105,3 +106,122 @@
 		})
 	}
 }
+
+// heldStart keeps a try of a start that is neither answered nor carried out
+// until it is delivered.
+type heldStart struct {
+	mu      sync.Mutex
+	minion  *fleethost.Minion
+	request host.StartRequest
+}
+
+// hold keeps a try unless one is kept already, and reports whether it did.
+func (h *heldStart) hold(m *fleethost.Minion, r host.StartRequest) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.minion != nil {
+		return false
+	}
+	h.minion, h.request = m, r
+	return true
+}
+
+// on returns the minion of the kept try, nil if there is none.
+func (h *heldStart) on() *fleethost.Minion {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.minion
+}
+
+// renewShortly passes a renewal on, without a long wait during which the hooks
+// could not act.
+func renewShortly(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+	r.Wait = min(r.Wait, shortDuration)
+	return m.RenewLease(context.Background(), r)
+}
+
+// deliver lets the minion carry the try out, whichever incarnation it is now.
+func (h *heldStart) deliver() { _ = h.minion.Start(context.Background(), h.request) }
+
+// Guards against a second run of a task when a start that was not answered is
+// carried out by the next incarnation of the minion under the same id.
+func TestTaskRunsTwiceAfterStartReachesNextIncarnation(t *testing.T) {
+	background := context.Background()
+	for name, disturb := range map[string]func(f *fixture, held *heldStart){
+		"minion is gone in between": func(f *fixture, held *heldStart) {
+			f.hooks.Store(&hooks{
+				start: func(m *fleethost.Minion, r host.StartRequest) error {
+					if r.Number == 1 && (held.hold(m, r) || held.on() == m) {
+						return errNoReply
+					}
+					return m.Start(background, r)
+				},
+				renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+					if held.on() == m {
+						return host.StatusReport{Gone: true}, nil
+					}
+					return renewShortly(m, r)
+				},
+			})
+			f.waitFor("a start is held", func() bool { return held.on() != nil })
+			time.Sleep(500 * time.Millisecond) // The coordinator sees that the minion is gone.
+			held.on().Restart()
+		},
+		"former incarnation answered the stop": func(f *fixture, held *heldStart) {
+			var stopped atomic.Bool
+			f.hooks.Store(&hooks{
+				start: func(m *fleethost.Minion, r host.StartRequest) error {
+					switch {
+					case r.Number > 1 || held.on() != nil && held.on() != m:
+						return m.Start(background, r)
+					case held.hold(m, r):
+						return errNoReply
+					}
+					return host.ErrUnhealthy
+				},
+				stop: func(m *fleethost.Minion, r host.StopRequest) error {
+					err := m.Stop(background, r)
+					stopped.Store(true)
+					return err
+				},
+				renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+					if held.on() == m {
+						return host.StatusReport{}, errNoReply
+					}
+					return renewShortly(m, r)
+				},
+			})
+			f.waitFor("the stop is answered", stopped.Load)
+			held.on().Restart()
+			f.hooks.Store(&hooks{renew: renewShortly})
+			time.Sleep(500 * time.Millisecond) // The next incarnation reports.
+		},
+		"former incarnation reported the run": func(f *fixture, held *heldStart) {
+			f.hooks.Store(&hooks{
+				start: func(m *fleethost.Minion, r host.StartRequest) error {
+					if r.Number == 1 && held.hold(m, r) {
+						return errNoReply
+					}
+					return m.Start(background, r)
+				},
+				renew: renewShortly,
+			})
+			f.waitFor("the next try is carried out", func() bool { return f.starts("job", 1) == 1 })
+			time.Sleep(200 * time.Millisecond) // The minion reports the run.
+			held.on().Restart()
+			time.Sleep(500 * time.Millisecond) // The next incarnation reports.
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "r1", "r1")
+			var held heldStart
+			defer f.startCoordinator("one")()
+			f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 3*time.Second)
+			disturb(f, &held)
+			held.deliver()
+			f.hooks.Store(nil)
+			f.awaitState("job", workload.Done)
+		})
+	}
+}
