Wait for stops of the former term from the first contact with a minion

A successor could give out a task, and the resources of its run, while a stop of the former coordinator was in progress: TWICE, or a start over the capacity of the minion.

Cause: a run that is being stopped is not listed. For runs of a former term the successor waited for the time of a stop from the begin of its term. A minion carries out calls of the former term until it has seen the token of the new one, which may be long after that begin if the host can't be reached.

Change: the time counts from the first reply of the present incarnation in this term.

--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -53,12 +53,12 @@
 // provenEnded reports whether a run that is missing from a status report
 // requested at sent has certainly ended or never started. A run that is being
 // stopped is not reported until it has ended; an adopted one may have been
-// stopped by a former term.
+// stopped by a former term until the minion knew the token of this one.
 func (t *term) provenEnded(r *run, sent time.Duration) bool {
 	stopTimeout := t.settings().TaskStopTimeout + stopMargin
 	switch {
 	case r.phase == adopted:
-		return t.begunAt+stopTimeout < sent
+		return r.host.fencedAt != 0 && r.host.fencedAt+stopTimeout < sent
 	case r.attempt.stopping:
 		return r.stopAnswered != 0 && r.stopAnswered+stopTimeout < sent
 	default:
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -27,6 +27,9 @@
 		return false
 	}
 	h.minionClock = report.Clock
+	if h.fencedAt == 0 {
+		h.fencedAt = h.lastContact
+	}
 	for _, e := range report.EndedRuns {
 		if e.Sequence > h.handledSequence {
 			h.handledSequence = e.Sequence
@@ -75,7 +78,7 @@
 		t.needsPlan = t.needsPlan || !sameIncarnation || !h.incarnationKnown
 	}
 	if !sameIncarnation {
-		h.handledSequence, h.acknowledgedSequence = 0, 0
+		h.handledSequence, h.acknowledgedSequence, h.fencedAt = 0, 0, 0
 		h.health = health{}
 		clear(h.unexpected)
 		for _, r := range runsOf(h) {
--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -225,3 +225,38 @@
 		})
 	}
 }
+
+// Guards against resources that are allocated twice, and tasks that run twice,
+// when a stop of the former coordinator is carried out shortly before the first
+// contact of its successor with the minion.
+func TestSuccessorWaitsForStopThatIsCarriedOutLate(t *testing.T) {
+	t.Parallel()
+	const stopTime = 700 * time.Millisecond
+	background := context.Background()
+	f := newSlowFixture(t, stopTime, "r1", "r1")
+	stop := f.startCoordinator("one")
+	f.submit(workload.Job{ID: "job", Priority: 2, Organisation: "other", Steps: []workload.Step{step(1, 8)}}, time.Minute)
+	f.waitFor("it runs", func() bool { return f.starts("job", 1) == 1 })
+	var minion *fleethost.Minion
+	for _, m := range f.minionList {
+		if len(m.Look().Running) > 0 {
+			minion = m
+		}
+	}
+	time.Sleep(1200 * time.Millisecond) // The successor is to know that the host has room on the other minion.
+	stop()
+	f.hooks.Store(&hooks{renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+		if m == minion {
+			return host.StatusReport{}, errNoReply
+		}
+		return m.RenewLease(background, r)
+	}})
+	defer f.startCoordinator("two")()
+	f.waitFor("the successor leads", func() bool { return strings.Contains(f.logs.String(), `event="term begun" token=2`) })
+	time.Sleep(stopTime + 400*time.Millisecond) // longer than stops take, from the begin of the term
+	f.c.Assert(minion.Stop(background, host.StopRequest{Token: 1, Task: workload.TaskID{Job: "job"}, Number: 1}), qt.IsNil)
+	f.hooks.Store(nil)
+	f.waitFor("it runs again", func() bool { return f.starts("job", 1) == 2 })
+	f.cancel("job")
+	f.awaitState("job", workload.Cancelled)
+}
