Count the lease of a start from its last try

A retried start may be carried out later than its first try, and holds a lease until its own deadline. The coordinator counted that lease from the first try only, so it could consider the leases of a silent host lapsed while a later try could still begin the run. Callers could have seen TWICE.

Class: what holds for the first try was taken to hold for all tries.

Change: each try prolongs the expected end of the leases on its host. TestLaterTryOfStartProlongsLease failed for both tries that it makes on the former code, and passes now.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -95,7 +95,6 @@
 	for _, r := range a.runs {
 		r.phase = starting
 		r.startedAt = now()
-		r.host.leaseExpiry = max(r.host.leaseExpiry, r.startedAt+maxLeaseDuration(startValidity))
 	}
 	for _, r := range slices.Clone(a.runs) {
 		t.callMinion(r, t.startRun)
@@ -147,6 +146,7 @@
 func (t *term) startRequest(r *run) host.StartRequest {
 	j := r.attempt.job
 	r.tries.send(now())
+	r.host.leaseExpiry = max(r.host.leaseExpiry, r.tries.openUntil) // A start grants a lease until its deadline.
 	return host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
--- a/internal/fleet/coordinator/term_internal_test.go
+++ b/internal/fleet/coordinator/term_internal_test.go
@@ -108,3 +108,20 @@
 		})
 	}
 }
+
+// Guards against leases that are considered lapsed while a later try of a start
+// may still be carried out.
+func TestLaterTryOfStartProlongsLease(t *testing.T) {
+	c := qt.New(t)
+	job := workload.Job{ID: "job", Steps: []workload.Step{{Count: 1}}}
+	h := &hostState{name: "host", runs: make(map[runKey]*run), lastContact: now()}
+	term := &term{Coordinator: &Coordinator{}}
+	a := &attempt{job: &jobState{job: job, progress: workload.NewProgress(job)}}
+	r := term.addRun(a, job.TaskID(0, 0), 1, h, "minion@start")
+	for range 2 {
+		h.leaseExpiry = now() // as if all earlier leases ended now
+		request := term.startRequest(r)
+		c.Check(request.StartDeadline <= h.minionClockNow()+startValidity, qt.IsTrue)
+		c.Check(h.leaseExpiry > now()+startValidity, qt.IsTrue)
+	}
+}
