Don't send a start again after its run was stopped or given up

Between two tries of a start the coordinator pauses. If the run was given up in that pause, because its minion was gone or its host's leases had expired, the next try was sent all the same and could begin the run while its task was already placed elsewhere: TWICE. Class: what settles the run was not applied to the tries that were still to come.

Change: the loop of the term builds a try only while the run is held and not being stopped.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -80,7 +80,7 @@
 		r.stopAnswered = now()
 		return true
 	}
-	return r.host.runs[runKey{r.task, r.number}] != r
+	return !r.held()
 }
 
 // startAttempt sends the starts of an attempt whose placement is durable. If the
@@ -118,12 +118,17 @@
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
 	for {
-		request, ok := callLoop(ctx, t, func() host.StartRequest { return t.startRequest(r) })
-		if !ok {
+		request, ok := callLoop(ctx, t, func() *host.StartRequest {
+			if r.attempt.stopping || !r.held() {
+				return nil
+			}
+			return t.startRequest(r)
+		})
+		if !ok || request == nil {
 			return nil
 		}
 		sent := now()
-		err := client.Start(ctx, request)
+		err := client.Start(ctx, *request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
@@ -143,11 +148,11 @@
 	}
 }
 
-func (t *term) startRequest(r *run) host.StartRequest {
+func (t *term) startRequest(r *run) *host.StartRequest {
 	j := r.attempt.job
 	r.tries.send(now())
 	r.host.leaseExpiry = max(r.host.leaseExpiry, r.tries.openUntil) // A start grants a lease until its deadline.
-	return host.StartRequest{
+	return &host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
 		Checkpoint:    r.progress().Checkpoint, Ticket: r.ticket,
@@ -192,7 +197,7 @@
 // handleStartReply handles the reply to a start and reports whether to send it
 // again.
 func (t *term) handleStartReply(r *run, err error, timedOut bool) bool {
-	if r.host.runs[runKey{r.task, r.number}] != r || r.attempt.stopping {
+	if !r.held() || r.attempt.stopping {
 		if err == nil {
 			r.startAnswered = now()
 		}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -54,6 +54,10 @@
 	ticket           string        // ticket permits the start; empty when none is needed.
 }
 
+// held reports whether the run still holds resources, so that it was not given
+// up.
+func (r *run) held() bool { return r.host.runs[runKey{r.task, r.number}] == r }
+
 // attempt holds the runs that start and end together: the members of a gang, or
 // a single run.
 type attempt struct {
--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -260,3 +260,37 @@
 	f.cancel("job")
 	f.awaitState("job", workload.Cancelled)
 }
+
+// Guards against a start that is sent again after its run was stopped or given
+// up.
+func TestStartIsNotSentAgainAfterItsRunIsStopped(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r1")
+	var chosen atomic.Pointer[fleethost.Minion]
+	var tries atomic.Int64
+	f.hooks.Store(&hooks{
+		start: func(m *fleethost.Minion, r host.StartRequest) error {
+			if r.Number > 1 {
+				return m.Start(context.Background(), r)
+			}
+			chosen.Store(m)
+			tries.Add(1)
+			return errNoReply
+		},
+		renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+			if chosen.Load() == m {
+				return host.StatusReport{Gone: true}, nil
+			}
+			r.Wait = min(r.Wait, 5*time.Millisecond) // The coordinator sees that the minion is gone before the next try.
+			return m.RenewLease(context.Background(), r)
+		},
+	})
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, shortDuration)
+	f.waitFor("it is stopped", func() bool { return strings.Contains(f.logs.String(), `event=stop job=job`) })
+	time.Sleep(10 * time.Millisecond) // A try may be under way. Tries are 100 ms apart.
+	former := tries.Load()
+	time.Sleep(500 * time.Millisecond)
+	f.c.Check(tries.Load(), qt.Equals, former)
+	f.awaitState("job", workload.Done)
+}
