Log what the agent knows at a start and what becomes of it

Cause: a start without an answer may be carried out. The agent's lines named the outcome of a try, but not the incarnation that was meant and the one that answers, whether the minion was asked at all, how long it took and whether the caller still waited.

Change: lines start, stop and pace have minion, known-minion, known-age, draining, asked, outcome (done, refused, unanswered), reason, took, caller; start also unanswered-before. New lines run reported (first time that the minion reports a run as running or ended, with the unanswered starts before it), minion silent, minion answers, no minion listens, calls resumed. New figures agent-CALL-unanswered, agent-starts-refused-draining, agent-starts-carried-out-unanswered. No decision changes.

Result: TestLogsShowTheStateOfStarts failed in all of its cases before; it and TestLogsTellASilentMinionFromALostCoordinator pass 10 of 10 times with the race detector.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -150,6 +151,16 @@
 	ErrDisconnected = errors.New("the connection is gone or in use")
 )
 
+var refusals = []error{
+	ErrFenced, ErrRunEnded, ErrStartTooLate, ErrNoCapacity, ErrUnhealthy, ErrOtherIncarnation, ErrDraining, ErrMalformed, ErrInvalidTicket, ErrDisconnected,
+}
+
+// IsRefusal reports whether an error means that a call definitely had no effect. It
+// tells nothing about other tries of the same call.
+func IsRefusal(err error) bool {
+	return slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
+}
+
 // Client calls one minion. After an error other than those above, the call may or
 // may not have had an effect.
 type Client interface {
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -19,12 +19,16 @@
 // Agent forwards calls to a minion and adds the minion's last heartbeat to its
 // status reports. It implements host.Client and is safe for concurrent use.
 type Agent struct {
-	minion    host.Client     // minion receives starts, stops and throttles.
-	sessions  *sessionManager // sessions receives lease renewals.
-	logger    log.Logger
-	calls     map[string]metrics.Counter    // calls counts calls by their name in the minion's API.
-	failures  map[string]metrics.Counter    // failures counts failed calls, keyed as calls.
-	durations map[string]*metrics.Histogram // durations holds the time of calls at the minion, keyed as calls.
+	minion        host.Client     // minion receives starts, stops and throttles.
+	sessions      *sessionManager // sessions receives lease renewals.
+	logger        log.Logger
+	calls         map[string]metrics.Counter    // calls counts calls by their name in the minion's API.
+	failures      map[string]metrics.Counter    // failures counts failed calls, keyed as calls.
+	unanswered    map[string]metrics.Counter    // unanswered counts calls without an answer, keyed as calls.
+	durations     map[string]*metrics.Histogram // durations holds the time of calls at the minion, keyed as calls.
+	drainRefusals metrics.Counter               // drainRefusals counts starts that were refused without a call because the minion drains.
+	runs          *runWatch
+	contact       *contactLog
 
 	mu           sync.Mutex
 	lastState    host.Minion // lastState is from the newest heartbeat, or draining after a deregistration; its ID is empty before the first heartbeat.
@@ -37,6 +41,10 @@
 
 var _ host.Client = (*Agent)(nil)
 
+// longSilence is a time without a call of a coordinator that is logged. A
+// coordinator calls about once a second.
+const longSilence = 1500 * time.Millisecond
+
 // New returns the agent of a minion. Starts, stops and throttles use minion, and
 // lease renewals use a connection from connect for each incarnation. The metrics
 // of forwarded calls are registered in r. They use the names of the minion's API:
@@ -44,11 +52,15 @@
 func New(minion host.Client, connect Connect, r *metrics.Registry, logger log.Logger) *Agent {
 	a := &Agent{
 		minion: minion, sessions: &sessionManager{connect: connect, logger: logger}, logger: logger, stateChanged: make(chan struct{}),
-		calls: make(map[string]metrics.Counter), failures: make(map[string]metrics.Counter), durations: make(map[string]*metrics.Histogram),
+		calls: make(map[string]metrics.Counter), failures: make(map[string]metrics.Counter), unanswered: make(map[string]metrics.Counter),
+		durations:     make(map[string]*metrics.Histogram),
+		drainRefusals: r.Counter("agent-starts-refused-draining", "calls", "Calls to start that were refused without a call of the minion because it drains."),
+		runs:          newRunWatch(r, logger), contact: &contactLog{logger: logger},
 	}
 	for _, call := range []string{"hold", "start", "stop", "pace"} {
 		a.calls[call] = r.Counter("agent-"+call+"-calls", "calls", "Calls to "+call+" that were passed on to the minion.")
 		a.failures[call] = r.Counter("agent-"+call+"-failures", "calls", "Calls to "+call+" that the minion refused or did not answer.")
+		a.unanswered[call] = r.Counter("agent-"+call+"-unanswered", "calls", "Calls to "+call+" that the minion did not answer.")
 		a.durations[call] = r.Histogram("agent-"+call+"-time", "Time of a call to "+call+" at the minion; hold waits for changes.")
 	}
 	return a
@@ -59,6 +71,9 @@
 	a.calls[call].Add(1)
 	if err != nil {
 		a.failures[call].Add(1)
+		if !host.IsRefusal(err) {
+			a.unanswered[call].Add(1)
+		}
 	}
 	a.durations[call].Record(time.Since(begin))
 }
@@ -117,7 +132,11 @@
 func (a *Agent) recordContact(token int64) <-chan struct{} {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lastContact = time.Now()
+	at := time.Now()
+	if gap := at.Sub(a.lastContact); !a.lastContact.IsZero() && gap > longSilence {
+		_ = level.Info(a.logger).Log("event", "calls resumed", "token", token, "former", a.token, "last-call", gap.Round(time.Millisecond))
+	}
+	a.lastContact = at
 	if token > a.token {
 		_ = level.Info(a.logger).Log("event", "call with a higher fencing token", "token", token, "former", a.token)
 		a.token = token
@@ -153,10 +172,14 @@
 		status, err = a.sessions.RenewLease(ctx, r)
 	}
 	a.recordCall("hold", begin, err)
+	if ctx.Err() == nil {
+		a.contact.observe(status, err)
+	}
 	if err != nil {
 		return host.StatusReport{}, err
 	}
 	a.addLastState(&status)
+	a.runs.observe(status)
 	return status, nil
 }
 
@@ -172,48 +195,60 @@
 	status.Minion.Remaining = max(0, a.lastState.Remaining-time.Since(a.lastStateAt))
 }
 
+// knownState is the state of the minion in its newest heartbeat.
+type knownState struct {
+	minion host.Minion
+	age    time.Duration // age is the time since the heartbeat; 0 before the first.
+}
+
+func (a *Agent) knownState() knownState {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.lastState.ID == "" {
+		return knownState{}
+	}
+	return knownState{a.lastState, time.Since(a.lastStateAt)}
+}
+
 // Start implements host.Client. If the minion drains, it returns host.ErrDraining
-// without a call.
+// without a call. That tells nothing about former starts of the run.
 func (a *Agent) Start(ctx context.Context, r host.StartRequest) error {
 	a.recordContact(r.Token)
-	a.mu.Lock()
-	draining := a.lastState.Draining && a.lastState.Incarnation() == r.Incarnation
-	a.mu.Unlock()
-	if draining {
-		_ = level.Info(a.logger).Log("event", "start refused", "job", r.Task.Job, "task", r.Task, "run", r.Number, "reason", host.ErrDraining)
+	known := a.knownState()
+	c := runCall{"start", runKey{r.Task, r.Number}, r.Token, r.Incarnation}
+	unanswered := a.runs.unanswered(c.key)
+	if known.minion.Draining && known.minion.Incarnation() == r.Incarnation {
+		a.drainRefusals.Add(1)
+		a.logCall(ctx, c, known, false, 0, host.ErrDraining, "unanswered-before", unanswered)
 		return host.ErrDraining
 	}
 	begin := time.Now()
+	a.runs.startSent(c.key)
 	err := a.minion.Start(ctx, r)
+	a.runs.startReturned(c.key, err)
 	a.recordCall("start", begin, err)
-	_ = level.Info(a.logger).Log("event", "start", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "outcome", logOutcome(err))
+	a.logCall(ctx, c, known, true, time.Since(begin), err, "unanswered-before", unanswered)
 	return err
 }
 
 // Stop implements host.Client.
 func (a *Agent) Stop(ctx context.Context, r host.StopRequest) error {
 	a.recordContact(r.Token)
+	known := a.knownState()
 	begin := time.Now()
 	err := a.minion.Stop(ctx, r)
 	a.recordCall("stop", begin, err)
-	_ = level.Info(a.logger).Log("event", "stop", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "outcome", logOutcome(err))
+	a.logCall(ctx, runCall{"stop", runKey{r.Task, r.Number}, r.Token, r.Incarnation}, known, true, time.Since(begin), err)
 	return err
 }
 
 // Throttle implements host.Client.
 func (a *Agent) Throttle(ctx context.Context, r host.ThrottleRequest) error {
 	a.recordContact(r.Token)
+	known := a.knownState()
 	begin := time.Now()
 	err := a.minion.Throttle(ctx, r)
 	a.recordCall("pace", begin, err)
-	_ = level.Info(a.logger).Log("event", "pace", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "percent", r.SpeedPercent, "outcome", logOutcome(err))
-	return err
-}
-
-// logOutcome returns the value of the log key outcome: the error, or "done".
-func logOutcome(err error) any {
-	if err == nil {
-		return "done"
-	}
+	a.logCall(ctx, runCall{"pace", runKey{r.Task, r.Number}, r.Token, r.Incarnation}, known, true, time.Since(begin), err, "percent", r.SpeedPercent)
 	return err
 }
