Keep room in the log for rare events

Cause: all lines of level info drew on one limit (300 a second, 1,500 at once), and all warnings on the room in the queue. A burst of one event, such as placements or status calls, could displace the one line that tells how a run ended, and the count of dropped lines did not say of which events.

Evidence: TestBurstOfOneEventLeavesRoomForOthers failed for each of six kinds of bursts, also for warnings; in TestVolumeIsBounded one kind of warning had no limit over time.

Change: each of 60 events has a share of 5 lines a second and 10 at once that no other event can use. Beyond it, routine events (call, placed, job received, advice, pace, speed changed) leave room for other lines, and these for warnings and errors. The total is 300 a second and 3,100 at once, now with warnings. The report names the process and counts by event; the figure log-lines-dropped has the total. The last lines of a process report what was dropped.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -17,6 +17,7 @@
 	"wasabihoist/internal/role/hostagent"
 	"wasabihoist/internal/run/hosted"
 	"wasabihoist/internal/run/logging"
+	"wasabihoist/internal/run/metrics"
 	"wasabihoist/platform"
 )
 
@@ -48,11 +49,14 @@
 		return err
 	}
 	logging.IgnoreBrokenPipe()
-	lines := logging.NewQueue()
+	lines := logging.NewQueue(s.Node)
 	logger, err := logging.New(lines, "info", s.Node)
 	if err != nil {
 		return fmt.Errorf("start logging: %w", err)
 	}
+	metrics.For(s.Node).Func(metrics.Description{
+		Name: "log-lines-dropped", Kind: metrics.CounterKind, Unit: "lines", Meaning: "Log lines that were dropped because there was no room or no reader.",
+	}, func() float64 { return float64(lines.Dropped()) })
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
 	defer signal.Stop(hangup)
--- a/internal/run/logging/queue.go
+++ b/internal/run/logging/queue.go
@@ -5,52 +5,117 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"wasabihoist/internal/base/collection"
 )
 
 // Bounds of a queue of lines.
 const (
 	// QueueLines is how many lines wait at most for a reader that is slow.
 	QueueLines = 4096
-	// reservedLines are kept for warnings and errors when the queue is nearly
-	// full.
-	reservedLines = QueueLines / 4
-	// linesPerSecond bounds the lines of level info and below over time.
+	// linesPerSecond bounds the lines over time.
 	linesPerSecond = 300
 	// burstLines is how many of them may come at once.
-	burstLines = 1500
+	burstLines = routineBurst + decisionReserve
 	// reportInterval is the time between two reports of dropped lines.
 	reportInterval = time.Second
 )
 
+// A line is admitted while more than a number of lines may still come. The number
+// depends on its kind, so that each kind leaves room for the kinds below it.
+const (
+	// routineBurst is how many lines of routineEvents may come at once.
+	routineBurst = 1500
+	// decisionReserve is the room that routine lines leave.
+	decisionReserve = warningReserve + 500
+	// warningReserve is the room that other lines below level warn leave.
+	warningReserve = shareReserve + 500
+	// shareReserve is the room that all lines leave that are beyond the share of
+	// their event.
+	shareReserve = maxEvents * shareBurst
+)
+
+// The share of an event is room that no other event can use.
+const (
+	// maxEvents is how many events have a share; the others have one together.
+	maxEvents = 60
+	// shareBurst is how many lines of an event may come at once within its share.
+	shareBurst = 10
+	// shareLinesPerSecond bounds the share over time. All shares together stay
+	// within linesPerSecond.
+	shareLinesPerSecond = linesPerSecond / maxEvents
+	// otherEvents names the events that have no share of their own.
+	otherEvents = "others"
+	// unread names the lines that a reader did not take.
+	unread = "unread"
+)
+
+// routineEvents repeat with the load. Their lines end no belief of the process and
+// are dropped first.
+var routineEvents = collection.NewSet("call", "placed", "job received", "advice", "pace", "speed changed")
+
+// bucket is a token bucket that holds burst tokens at most.
+type bucket struct {
+	tokens, burst, perSecond float64
+	filledAt                 time.Time // filledAt is when tokens was last filled.
+}
+
+func (b *bucket) fill(at time.Time) {
+	b.tokens = min(b.burst, b.tokens+at.Sub(b.filledAt).Seconds()*b.perSecond)
+	b.filledAt = at
+}
+
+// share bounds the lines of an event that are admitted in any case.
+type share struct {
+	bucket
+	dropped int // dropped counts lines since the last report.
+}
+
 // Queue is a writer that never blocks. Lines wait in a bounded queue for a
-// reader; what finds no room is dropped and counted. It is safe for concurrent
-// use. Each call of Write is one line.
+// reader; what finds no room is dropped and counted by its event. Each event has a
+// share of the room, so that frequent events do not displace rare ones. It is safe
+// for concurrent use. Each call of Write is one line.
 type Queue struct {
-	now  func() time.Time
-	wake chan struct{} // wake has room for one signal that there are lines.
+	process string        // process is named in reports of dropped lines.
+	wake    chan struct{} // wake has room for one signal that there are lines.
+
+	mu      sync.Mutex
+	lines   [][]byte
+	all     bucket            // all bounds the lines of all events. It has at least as many tokens as all shares together.
+	shares  map[string]*share // shares is keyed by event; it has maxEvents+2 elements at most.
+	dropped int64             // dropped counts lines since the start.
+	pending bool              // pending is set while dropped lines are not yet reported.
+	report  time.Time         // report is when dropped lines were last reported.
+}
 
-	mu       sync.Mutex
-	lines    [][]byte
-	dropped  int       // dropped counts lines since the last report.
-	tokens   float64   // tokens is how many lines of level info may still come.
-	filledAt time.Time // filledAt is when tokens was last filled.
-	report   time.Time // report is when dropped lines were last reported.
+// NewQueue returns an empty queue for the lines of a process.
+func NewQueue(process string) *Queue {
+	return &Queue{
+		process: process, wake: make(chan struct{}, 1), shares: make(map[string]*share),
+		all: bucket{burstLines, burstLines, linesPerSecond, time.Now()},
+	}
 }
 
-// NewQueue returns an empty queue.
-func NewQueue() *Queue {
-	return &Queue{now: time.Now, wake: make(chan struct{}, 1), tokens: burstLines, filledAt: time.Now()}
+// Dropped returns how many lines were dropped since the start.
+func (q *Queue) Dropped() int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.dropped
 }
 
 // Write takes a line. It never fails.
 func (q *Queue) Write(line []byte) (int, error) {
 	q.mu.Lock()
-	if q.admit(line) {
+	event := Value(line, "event")
+	s := q.share(event)
+	if q.admit(s, event, line) {
 		q.lines = append(q.lines, bytes.Clone(line))
 	} else {
-		q.dropped++
+		q.drop(s, 1)
 	}
 	q.mu.Unlock()
 	select {
@@ -60,56 +125,134 @@
 	return len(line), nil
 }
 
-func (q *Queue) admit(line []byte) bool {
-	if len(q.lines) >= QueueLines {
-		return false
+// Value returns the value of the first key of a name in a line, without quotes.
+func Value(line []byte, key string) []byte {
+	_, rest, found := bytes.Cut(line, []byte(" "+key+"="))
+	if !found {
+		return nil
+	}
+	if quoted, ok := bytes.CutPrefix(rest, []byte{'"'}); ok {
+		value, _, _ := bytes.Cut(quoted, []byte{'"'})
+		return value
 	}
-	if bytes.Contains(line, []byte(" level=warn")) || bytes.Contains(line, []byte(" level=error")) {
+	end := bytes.IndexAny(rest, " \n")
+	if end < 0 {
+		return rest
+	}
+	return rest[:end]
+}
+
+// share returns the share of an event.
+func (q *Queue) share(event []byte) *share {
+	if s := q.shares[string(event)]; s != nil {
+		return s
+	}
+	name := string(event)
+	if len(q.shares) >= maxEvents-1 {
+		name = otherEvents
+	}
+	return q.namedShare(name)
+}
+
+func (q *Queue) namedShare(name string) *share {
+	s := q.shares[name]
+	if s == nil {
+		s = &share{bucket: bucket{shareBurst, shareBurst, shareLinesPerSecond, time.Now()}}
+		q.shares[name] = s
+	}
+	return s
+}
+
+// admit reports whether there is room for a line, and takes it.
+func (q *Queue) admit(s *share, event, line []byte) bool {
+	at := time.Now()
+	q.all.fill(at)
+	s.fill(at)
+	space := QueueLines - len(q.lines)
+	if s.tokens >= 1 && space > 0 {
+		s.tokens--
+		q.all.tokens--
 		return true
 	}
-	at := q.now()
-	q.tokens = min(burstLines, q.tokens+at.Sub(q.filledAt).Seconds()*linesPerSecond)
-	q.filledAt = at
-	if q.tokens < 1 || len(q.lines) >= QueueLines-reservedLines {
+	reserve := 0.0
+	level := Value(line, "level")
+	switch {
+	case bytes.Equal(level, []byte("warn")), bytes.Equal(level, []byte("error")):
+		reserve = shareReserve
+	case routineEvents.Has(string(event)):
+		reserve = decisionReserve
+	default:
+		reserve = warningReserve
+	}
+	if min(q.all.tokens, float64(space)) < reserve+1 {
 		return false
 	}
-	q.tokens--
+	q.all.tokens--
 	return true
 }
 
+// drop counts lines that were dropped. The caller holds mu.
+func (q *Queue) drop(s *share, count int) {
+	s.dropped += count
+	q.dropped += int64(count)
+	q.pending = true
+}
+
 // Run passes the lines on until ctx ends. A reader that has gone ends the lines,
 // not the process.
 func (q *Queue) Run(ctx context.Context, w io.Writer) error {
 	for {
 		select {
 		case <-ctx.Done():
-			_, _ = w.Write(q.take())
+			_, _ = w.Write(q.take(true))
 			return nil
 		case <-q.wake:
 		}
-		if _, err := w.Write(q.take()); err != nil {
-			q.discard()
+		batch := q.take(false)
+		if _, err := w.Write(batch); err != nil {
+			q.countUnread(bytes.Count(batch, []byte{'\n'}))
 		}
 	}
 }
 
-// take returns all lines that wait, with a line on those that were dropped.
-func (q *Queue) take() []byte {
+// take returns all lines that wait, with a report on those that were dropped if
+// one is due or the queue ends.
+func (q *Queue) take(last bool) []byte {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	batch := bytes.Join(q.lines, nil)
 	q.lines = q.lines[:0]
-	at := q.now()
-	if q.dropped > 0 && at.Sub(q.report) >= reportInterval {
-		batch = fmt.Appendf(batch, "time=%s level=warn event=\"log lines dropped\" count=%d\n", at.UTC().Format(time.RFC3339Nano), q.dropped)
-		q.dropped, q.report = 0, at
+	at := time.Now()
+	if q.pending && (last || at.Sub(q.report) >= reportInterval) {
+		batch = q.appendReport(batch, at)
+		q.pending, q.report = false, at
 	}
 	return batch
 }
 
-func (q *Queue) discard() {
+// appendReport appends a line on the dropped lines and counts from zero again.
+func (q *Queue) appendReport(batch []byte, at time.Time) []byte {
+	count := 0
+	var events []string
+	for name, s := range q.shares {
+		if s.dropped == 0 {
+			continue
+		}
+		if name == "" {
+			name = "none"
+		}
+		events = append(events, fmt.Sprintf("%s:%d", name, s.dropped))
+		count += s.dropped
+		s.dropped = 0
+	}
+	slices.Sort(events)
+	return fmt.Appendf(batch, "time=%s process=%s level=warn event=\"log lines dropped\" count=%d events=%q\n",
+		at.UTC().Format(time.RFC3339Nano), q.process, count, strings.Join(events, ","))
+}
+
+// countUnread counts lines that the reader did not take.
+func (q *Queue) countUnread(count int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.dropped += len(q.lines)
-	q.lines = q.lines[:0]
+	q.drop(q.namedShare(unread), count)
 }
--- a/internal/run/logging/queue_test.go
+++ b/internal/run/logging/queue_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -40,7 +41,7 @@
 // without bound, and against errors that are lost among ordinary lines.
 func TestQueueNeverBlocksAndKeepsErrors(t *testing.T) {
 	c := qt.New(t)
-	q := logging.NewQueue()
+	q := logging.NewQueue("p")
 	reader := &stuckReader{letGo: make(chan struct{})}
 	g := group.New(context.Background())
 	g.Go("log", func(ctx context.Context) error { return q.Run(ctx, reader) })
@@ -69,7 +70,7 @@
 // Guards against a process that ends because its log has no reader any more.
 func TestQueueOutlivesItsReader(t *testing.T) {
 	c := qt.New(t)
-	q := logging.NewQueue()
+	q := logging.NewQueue("p")
 	g := group.New(context.Background())
 	g.Go("log", func(ctx context.Context) error { return q.Run(ctx, brokenReader{}) })
 	for range 10 {
@@ -79,3 +80,126 @@
 	g.Stop()
 	c.Assert(g.Wait(), qt.IsNil)
 }
+
+// passedOn returns the lines of a queue that no reader has taken.
+func passedOn(c *qt.C, q *logging.Queue) string {
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	var b strings.Builder
+	c.Assert(q.Run(ended, &b), qt.IsNil)
+	return b.String()
+}
+
+// writeLines writes numbered lines of one event.
+func writeLines(q *logging.Queue, level, event string, count int) {
+	for i := range count {
+		fmt.Fprintf(q, "time=2026-01-06T12:00:00Z process=p level=%s event=%s n=%d job=aa\n", level, event, i)
+	}
+}
+
+// Guards against a log that shows no end of a run because placements of the same
+// instant have used up its limit.
+func TestBurstOfOneEventLeavesRoomForOthers(t *testing.T) {
+	const burst = 20_000
+	others := []string{
+		`"run ended"`, `"run lost"`, `"run given up"`, `"start try"`, `"start refused"`, "stop", `"term begun"`, `"term ended"`,
+		`"host answers"`, `"minion found"`, `"job ended"`, "started", "stopping",
+	}
+	for name, tt := range map[string]struct{ level, event string }{
+		"placements":       {"info", "placed"},
+		"calls":            {"info", "call"},
+		"ends of runs":     {"info", `"some run ended"`},
+		"warnings":         {"warn", `"unexpected run"`},
+		"without a name":   {"info", ""},
+		"a name in quotes": {"info", `"a text with event=stop in it"`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				q := logging.NewQueue("p")
+				writeLines(q, tt.level, tt.event, burst)
+				for _, event := range others {
+					writeLines(q, "info", event, 5)
+				}
+				text := passedOn(c, q)
+				for _, event := range others {
+					c.Check(strings.Count(text, "level=info event="+event+" "), qt.Equals, 5, qt.Commentf("%s", event))
+				}
+			})
+		})
+	}
+}
+
+// Guards against ends of runs that are dropped because clients call often.
+func TestDecisionsGoBeforeRoutineLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := logging.NewQueue("p")
+		const (
+			seconds = 15
+			ends    = 100 // in each second
+		)
+		var text strings.Builder
+		for range seconds {
+			writeLines(q, "info", "call", 2000)
+			writeLines(q, "info", `"run ended"`, ends)
+			text.WriteString(passedOn(c, q))
+			time.Sleep(time.Second)
+		}
+		c.Check(strings.Count(text.String(), `event="run ended"`), qt.Equals, seconds*ends)
+		c.Check(strings.Count(text.String(), "event=call ") > 1000, qt.IsTrue)
+	})
+}
+
+// Guards against a log that grows with the number of different events or with
+// warnings.
+func TestVolumeIsBounded(t *testing.T) {
+	const (
+		seconds = 10
+		// allowed are 3,100 lines at once, 300 a second and a report a second.
+		allowed = 3100 + seconds*(300+1)
+	)
+	for name, tt := range map[string]struct {
+		level  string
+		events int
+	}{
+		"one event":                     {"info", 1},
+		"one kind of warning":           {"warn", 1},
+		"many events":                   {"info", 200},
+		"many kinds of errors":          {"error", 200},
+		"more events than have a share": {"info", 5000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				q := logging.NewQueue("p")
+				lines := 0
+				for range seconds {
+					for i := range 5000 {
+						writeLines(q, tt.level, fmt.Sprintf("event-%d", i%tt.events), 1)
+					}
+					lines += strings.Count(passedOn(c, q), "\n")
+					time.Sleep(time.Second)
+				}
+				c.Check(lines <= allowed, qt.IsTrue, qt.Commentf("%d lines, want at most %d", lines, allowed))
+			})
+		})
+	}
+}
+
+// Guards against a count of dropped lines that does not tell what is missing.
+func TestDroppedLinesAreCountedByEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := logging.NewQueue("front-1")
+		const burst = 10_000
+		writeLines(q, "info", "placed", burst)
+		writeLines(q, "info", `"run ended"`, burst)
+		text := passedOn(c, q)
+		placed, ended := strings.Count(text, "event=placed "), strings.Count(text, `event="run ended" `)
+		want := fmt.Sprintf("process=front-1 level=warn event=\"log lines dropped\" count=%d events=\"placed:%d,run ended:%d\"\n", 2*burst-placed-ended, burst-placed, burst-ended)
+		c.Check(text[strings.LastIndex(text, "process="):], qt.Equals, want)
+		c.Check(q.Dropped(), qt.Equals, int64(2*burst-placed-ended))
+		c.Check(passedOn(c, q), qt.Equals, "")
+	})
+}
