Write the log in pieces that are taken as a whole

Cause: the queue passed everything that waited to its reader in one write.

Change: lines are written in pieces of whole lines of at most 4,096 bytes, which a pipe takes as a whole.

--- a/internal/run/logging/queue.go
+++ b/internal/run/logging/queue.go
@@ -21,6 +21,9 @@
 	linesPerSecond = 300
 	// burstLines is how many of them may come at once.
 	burstLines = routineBurst + decisionReserve
+	// maxWriteBytes bounds a write to the reader. A pipe takes up to this many bytes
+	// as a whole (PIPE_BUF), and collectors of logs may cut longer writes.
+	maxWriteBytes = 4096
 	// reportInterval is the time between two reports of dropped lines.
 	reportInterval = time.Second
 )
@@ -204,17 +207,38 @@
 	for {
 		select {
 		case <-ctx.Done():
-			_, _ = w.Write(q.take(true))
+			_, _ = writeLines(w, q.take(true))
 			return nil
 		case <-q.wake:
 		}
-		batch := q.take(false)
-		if _, err := w.Write(batch); err != nil {
-			q.countUnread(bytes.Count(batch, []byte{'\n'}))
+		if unread, err := writeLines(w, q.take(false)); err != nil {
+			q.countUnread(unread)
 		}
 	}
 }
 
+// writeLines writes lines in pieces of whole lines, of maxWriteBytes at most unless
+// a line is longer. It returns how many lines were not written.
+func writeLines(w io.Writer, lines []byte) (int, error) {
+	for len(lines) > 0 {
+		size := len(lines)
+		if size > maxWriteBytes {
+			size = 1 + bytes.LastIndexByte(lines[:maxWriteBytes], '\n')
+			if size == 0 {
+				size = len(lines)
+				if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+					size = end + 1
+				}
+			}
+		}
+		if _, err := w.Write(lines[:size]); err != nil {
+			return bytes.Count(lines, []byte{'\n'}), fmt.Errorf("write log: %w", err)
+		}
+		lines = lines[size:]
+	}
+	return 0, nil
+}
+
 // take returns all lines that wait, with a report on those that were dropped if
 // one is due or the queue ends.
 func (q *Queue) take(last bool) []byte {
--- a/internal/run/logging/queue_test.go
+++ b/internal/run/logging/queue_test.go
@@ -203,3 +203,49 @@
 		c.Check(passedOn(c, q), qt.Equals, "")
 	})
 }
+
+// sizeRecorder records the sizes of writes, and whether each ends with a line.
+type sizeRecorder struct {
+	c     *qt.C
+	sizes []int
+	lines int
+}
+
+func (r *sizeRecorder) Write(p []byte) (int, error) {
+	r.c.Check(bytes.HasSuffix(p, []byte{'\n'}), qt.IsTrue)
+	r.sizes = append(r.sizes, len(p))
+	r.lines += bytes.Count(p, []byte{'\n'})
+	return len(p), nil
+}
+
+// Guards against lines that are cut or lost because many were written at once and
+// the reader takes only a part of a long write.
+func TestWritesAreWholeLinesOfBoundedSize(t *testing.T) {
+	const pipeBuf = 4096 // bytes that a pipe takes as a whole
+	for name, tt := range map[string]struct {
+		lineBytes, lines, most int
+	}{
+		"many short lines":  {100, 1000, pipeBuf},
+		"an odd size":       {333, 1000, pipeBuf},
+		"the size of write": {pipeBuf, 10, pipeBuf},
+		"longer lines":      {3 * pipeBuf, 10, 3 * pipeBuf},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			q := logging.NewQueue("p")
+			for range tt.lines {
+				line := "time=2026-01-06T12:00:00Z process=p level=info event=placed text="
+				_, err := q.Write([]byte(line + strings.Repeat("x", tt.lineBytes-len(line)-1) + "\n"))
+				c.Assert(err, qt.IsNil)
+			}
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+			r := &sizeRecorder{c: c}
+			c.Assert(q.Run(ended, r), qt.IsNil)
+			c.Check(r.lines, qt.Equals, tt.lines)
+			for _, size := range r.sizes {
+				c.Check(size <= tt.most, qt.IsTrue, qt.Commentf("%d bytes", size))
+			}
+		})
+	}
+}
