Log resumed calls only after more than one lost renewal

Cause: the line "calls resumed" of the agent came after 1.5 s without a call, but a renewal that the minion does not answer takes up to 2.2 s and the next one follows after 0.15 s, so the line came for one slow call of a coordinator that was there all the time.

Change: the line comes after 2.5 s. took is rounded to microseconds.

--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -41,9 +41,9 @@
 
 var _ host.Client = (*Agent)(nil)
 
-// longSilence is a time without a call of a coordinator that is logged. A
-// coordinator calls about once a second.
-const longSilence = 1500 * time.Millisecond
+// longSilence is a time without a call of a coordinator that is logged. A renewal
+// that is not answered takes up to 2.2 s, and the next one follows after 0.15 s.
+const longSilence = 2500 * time.Millisecond
 
 // New returns the agent of a minion. Starts, stops and throttles use minion, and
 // lease renewals use a connection from connect for each incarnation. The metrics
--- a/internal/role/hostagent/runs.go
+++ b/internal/role/hostagent/runs.go
@@ -170,7 +170,7 @@
 	if ctx.Err() != nil {
 		caller = "gone"
 	}
-	_ = level.Info(a.logger).Log(append(fields, "took", took, "caller", caller)...)
+	_ = level.Info(a.logger).Log(append(fields, "took", took.Round(time.Microsecond), "caller", caller)...)
 }
 
 // outcomeName returns the value of the log key outcome of a call.
