Trace one task with the hosts that it used

Cause: wasabihoist trace shows a job with the losses of all hosts. For a job of 66 tasks on 81 hosts that is too much to see why one task ran twice; the lines of agents about their minions were left out, and so were changes of the coordinator before the first and after the last line of the job. With two coordinators, the end of the former's term is such a line.

Change: trace takes the name of a task and leaves out the other tasks. Lines on hosts are shown for hosts that the job or task used, now with those of agents (minion silent, minion answers, calls resumed, ...); losses of any host only for a job that was never placed.

--- a/cmd/trace.go
+++ b/cmd/trace.go
@@ -11,7 +11,7 @@
 
 type traceCommand struct {
 	Arguments struct {
-		Job   string   `positional-arg-name:"JOB" required:"yes" description:"Identity of the job"`
+		Job   string   `positional-arg-name:"JOB" required:"yes" description:"Identity of the job, or of a task as JOB.OCCURRENCE.STEP.INDEX"`
 		Files []string `positional-arg-name:"FILE" required:"1" description:"Log files; - is the standard input"`
 	} `positional-args:"yes"`
 }
@@ -19,9 +19,9 @@
 func traceEntry() command {
 	return command{
 		name:     "trace",
-		short:    "Print what happened to a job, from the logs of all processes",
-		long:     "Reads the logs of any processes and prints the lines about one job in the order of their times. Lines marked with ~ are about no job and say what happened around it, such as a change of the coordinator or a loss of the store. Silences of more than a second are pointed out.\n\nExit codes: 0 success, 1 when no line is about the job or a log cannot be read, 2 for wrong usage.",
-		examples: []string{"wasabihoist trace 5c0e7a21d94b36f8 entry.log agent.log"},
+		short:    "Print what happened to a job or task, from the logs of all processes",
+		long:     "Reads the logs of any processes and prints the lines about one job or task in the order of their times. Lines marked with ~ are about no job and say what happened around it, such as a change of the coordinator, a loss of the store, or a silent minion on a host that was used. Silences of more than a second are pointed out.\n\nExit codes: 0 success, 1 when no line is about it or a log cannot be read, 2 for wrong usage.",
+		examples: []string{"wasabihoist trace 5c0e7a21d94b36f8 entry.log agent.log", "wasabihoist trace 5c0e7a21d94b36f8.0.0.3 entry.log agent.log"},
 		runner:   &traceCommand{},
 	}
 }
--- a/internal/run/story/story_test.go
+++ b/internal/run/story/story_test.go
@@ -48,3 +48,38 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(found, qt.IsFalse)
 }
+
+func TestStoryOfATask(t *testing.T) {
+	c := qt.New(t)
+	const logs = `time=2026-01-06T12:00:00Z process=front-1 level=info event="job received" job=aa
+time=2026-01-06T12:00:00.1Z process=front-1 level=info event=placed job=aa occurrence=0 step=0 tasks=1 run=1 first-task=3 hosts=side-3@10.0.0.3
+time=2026-01-06T12:00:00.1Z process=front-1 level=info event=placed job=aa occurrence=0 step=0 tasks=1 run=1 first-task=4 hosts=side-4@10.0.0.4
+time=2026-01-06T12:00:00.1Z process=front-1 level=info event=placed job=aa occurrence=0 step=1 tasks=1 run=1 first-task=3 hosts=side-5@10.0.0.5
+time=2026-01-06T12:00:00.2Z process=side-3 level=info event=start job=aa task=aa.0.0.3 run=1
+time=2026-01-06T12:00:00.2Z process=side-4 level=info event=start job=aa task=aa.0.0.4 run=1
+time=2026-01-06T12:00:00.3Z process=side-4 level=warn event="minion silent" last-answer=1s
+time=2026-01-06T12:00:00.3Z process=side-3 level=warn event="minion silent" last-answer=1s
+time=2026-01-06T12:00:00.4Z process=front-1 level=warn event="host silent" host=side-3@10.0.0.3
+time=2026-01-06T12:00:00.4Z process=front-1 level=warn event="host silent" host=side-5@10.0.0.5
+time=2026-01-06T12:00:00.5Z process=side-5 level=info event=started role=agent
+time=2026-01-06T12:00:00.5Z process=front-2 level=info event=started role=entry
+time=2026-01-06T12:00:00.6Z process=front-1 level=info event="run ended" job=aa task=aa.0.0.4 run=1
+time=2026-01-06T12:00:00.7Z process=front-1 level=info event=stop job=bb task=bb.0.0.1 run=1 for-job=aa for-rank=guaranteed
+`
+	for name, want := range map[string][]string{
+		"aa.0.0.3": {"job received", "first-task=3", "task=aa.0.0.3", "process=side-3 level=warn", "host=side-3", "role=entry", "for-job=aa"},
+		"aa.0.0.4": {"job received", "first-task=4", "task=aa.0.0.4", "process=side-4 level=warn", "role=entry", "run ended", "for-job=aa"},
+	} {
+		s := story.New(name)
+		c.Assert(s.Read(strings.NewReader(logs)), qt.IsNil)
+		var out strings.Builder
+		found, err := s.Write(&out)
+		c.Assert(err, qt.IsNil)
+		c.Assert(found, qt.IsTrue)
+		lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+		c.Assert(lines, qt.HasLen, len(want), qt.Commentf("%s", out.String()))
+		for i, part := range want {
+			c.Check(lines[i], qt.Contains, part)
+		}
+	}
+}
