Log only runs whose start is in doubt

Cause: the line "run reported" of the agent came for each run and each end.

Change: the line comes once for a run that the minion reports although no start was answered, the last start was meant for another incarnation, or the agent knows of none; it names the incarnation that the start was meant for. The figure agent-starts-carried-out-unanswered counts no run of which a later start was answered.

--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -223,7 +223,7 @@
 		return host.ErrDraining
 	}
 	begin := time.Now()
-	a.runs.startSent(c.key)
+	a.runs.startSent(c.key, r.Incarnation)
 	err := a.minion.Start(ctx, r)
 	a.runs.startReturned(c.key, err)
 	a.recordCall("start", begin, err)
--- a/internal/role/hostagent/agent_test.go
+++ b/internal/role/hostagent/agent_test.go
@@ -195,7 +195,6 @@
 			},
 			[]string{
 				`event=start run=1 token=5 minion=m-1@\w+ known-minion=m-1@\w+ known-age=\S+ draining=false unanswered-before=0 asked=true outcome=done took=\S+ caller=waits`,
-				`event="run reported" run=1 minion=m-1@\w+ state=running unanswered-starts=0`,
 			},
 		},
 		"not answered and carried out, refused because the minion drains": {
@@ -223,7 +222,7 @@
 			[]string{
 				`event=start run=1 token=5 minion=m-1@\w+ known-minion=m-1@\w+ known-age=\S+ draining=false unanswered-before=0 asked=true outcome=unanswered reason=".*" took=\S+ caller=waits`,
 				`event=start run=1 token=5 minion=m-1@\w+ known-minion=m-1@\w+ known-age=\S+ draining=true unanswered-before=1 asked=false outcome=refused reason="the minion is leaving" took=0s caller=waits`,
-				`event="run reported" run=1 minion=m-1@\w+ state=running unanswered-starts=1`,
+				`event="run reported" run=1 minion=(?P<was>m-1@\w+) started-for=(?P<is>m-1@\w+) unanswered-starts=1 state=running`,
 			},
 		},
 		"refused by the minion": {
@@ -256,10 +255,10 @@
 			},
 			[]string{
 				`event=start run=1 token=5 minion=m-1@(?P<former>\w+) known-minion=m-1@\w+ .* outcome=done .*`,
-				`event="run reported" run=1 minion=@(?P<next>\w+) state=running unanswered-starts=0`,
+				`event="run reported" run=1 minion=@(?P<next>\w+) started-for=m-1@\w+ unanswered-starts=0 state=running`,
 			},
 		},
-		"ended": {
+		"answered and ended": {
 			func(c *qt.C, f *fixture) {
 				c.Assert(f.start(context.Background(), 1), qt.IsNil)
 				f.report(c)
@@ -267,10 +266,76 @@
 				f.report(c)
 				f.report(c)
 			},
+			[]string{`event=start run=1 .* outcome=done .*`},
+		},
+		"ended before it was reported, without an answer": {
+			func(c *qt.C, f *fixture) {
+				f.minion.SetFaults(fleethost.Faults{LoseStarts: 1})
+				c.Assert(f.start(context.Background(), 1), qt.IsNotNil)
+				f.minion.End(task)
+				f.report(c)
+				f.report(c)
+			},
+			[]string{
+				`event=start run=1 .* outcome=unanswered .*`,
+				`event="run reported" run=1 minion=m-1@\w+ started-for=m-1@\w+ unanswered-starts=1 state=ended outcome=crashed sequence=1`,
+			},
+		},
+		"started by an earlier process of the agent": {
+			func(c *qt.C, f *fixture) {
+				r := host.StartRequest{Incarnation: f.minion.Report().Incarnation(), Token: token, Task: task, Number: 1, StartDeadline: time.Minute}
+				c.Assert(f.minion.Start(context.Background(), r), qt.IsNil)
+				f.report(c)
+				f.report(c)
+			},
+			[]string{`event="run reported" run=1 minion=m-1@\w+ started-for= unanswered-starts=0 state=running`},
+		},
+		"not answered again after it was reported": {
+			func(c *qt.C, f *fixture) {
+				f.minion.SetFaults(fleethost.Faults{LoseStarts: 1})
+				c.Assert(f.start(context.Background(), 1), qt.IsNotNil)
+				f.report(c)
+				f.minion.SetFaults(fleethost.Faults{Silent: true})
+				for range 2 {
+					c.Assert(f.start(context.Background(), 1), qt.IsNotNil)
+				}
+			},
+			[]string{
+				`event=start run=1 .* unanswered-before=0 asked=true outcome=unanswered .*`,
+				`event="run reported" run=1 .* unanswered-starts=1 state=running`,
+				`event=start run=1 .* unanswered-before=1 asked=true outcome=unanswered .*`,
+				`event=start run=1 .* unanswered-before=2 asked=true outcome=unanswered .*`,
+			},
+		},
+		"not answered, then answered": {
+			func(c *qt.C, f *fixture) {
+				carriedOut := f.registry.Counter("agent-starts-carried-out-unanswered", "", "")
+				former := carriedOut.Value()
+				f.minion.SetFaults(fleethost.Faults{LoseStarts: 1})
+				c.Assert(f.start(context.Background(), 1), qt.IsNotNil)
+				c.Assert(f.start(context.Background(), 1), qt.IsNil)
+				f.report(c)
+				c.Check(carriedOut.Value(), qt.Equals, former)
+			},
+			[]string{
+				`event=start run=1 .* unanswered-before=0 asked=true outcome=unanswered .*`,
+				`event=start run=1 .* unanswered-before=1 asked=true outcome=done .*`,
+			},
+		},
+		"refused, then answered": {
+			func(c *qt.C, f *fixture) {
+				state := f.minion.Report()
+				state.Draining = true
+				f.agent.Heartbeat(state, 2)
+				c.Assert(f.start(context.Background(), 1), qt.ErrorIs, host.ErrDraining)
+				state.Draining = false
+				f.agent.Heartbeat(state, 3)
+				c.Assert(f.start(context.Background(), 1), qt.IsNil)
+				f.report(c)
+			},
 			[]string{
-				`event=start run=1 .* outcome=done .*`,
-				`event="run reported" run=1 minion=m-1@\w+ state=running unanswered-starts=0`,
-				`event="run reported" run=1 minion=m-1@\w+ state=ended unanswered-starts=0 outcome=crashed sequence=1`,
+				`event=start run=1 .* asked=false outcome=refused .*`,
+				`event=start run=1 .* unanswered-before=0 asked=true outcome=done .*`,
 			},
 		},
 	} {
@@ -294,6 +359,7 @@
 			if former, found := incarnations["former"]; found {
 				c.Check(incarnations["next"], qt.Not(qt.Equals), former)
 			}
+			c.Check(incarnations["is"], qt.Equals, incarnations["was"])
 		})
 	}
 }
--- a/internal/role/hostagent/runs.go
+++ b/internal/role/hostagent/runs.go
@@ -1,8 +1,6 @@
 package hostagent
 
 import (
-	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -15,12 +13,12 @@
 )
 
 const (
-	// maxOpenStarts bounds the starts that are remembered until they are answered
-	// or their run is reported.
-	maxOpenStarts = 256
-	// openStartRetention is after which time a start may be forgotten. Minions
-	// carry out no start that is older than a few seconds.
-	openStartRetention = time.Minute
+	// maxStartRecords bounds the runs whose starts are remembered until the minion
+	// reports the end of the run.
+	maxStartRecords = 256
+	// startRecordRetention is after which time a start may be forgotten. Minions
+	// carry out no start that is older than a few seconds, and report the run soon.
+	startRecordRetention = time.Minute
 )
 
 // runKey identifies a run of a task.
@@ -29,30 +27,34 @@
 	number int
 }
 
-// openStart counts the starts of a run that were not answered.
-type openStart struct {
+// startRecord is what is known about the starts of a run.
+type startRecord struct {
+	minion     string // minion is the incarnation for which the last one was meant.
 	inFlight   int
 	unanswered int
+	confirmed  bool      // confirmed is set once a start was answered as carried out.
+	logged     bool      // logged is set once the run was logged.
 	sent       time.Time // sent is when the last one was sent.
 }
 
-// runWatch logs when the minion first reports a run or its end, and whether its
-// starts were answered. It decides nothing. It is safe for concurrent use.
+// runWatch logs runs that the minion reports although none of their starts was
+// answered, the last one was meant for another incarnation, or none is known. It
+// decides nothing. It is safe for concurrent use.
 type runWatch struct {
 	logger     log.Logger
-	carriedOut metrics.Counter // carriedOut counts the runs that were reported although a start was not answered.
+	carriedOut metrics.Counter // carriedOut counts the runs that were reported although no start was answered.
 
-	mu        sync.Mutex
-	starts    map[runKey]openStart // starts holds runs that the minion has not reported.
-	startedAt time.Time            // startedAt is the start time of the incarnation that sent the newest report.
-	running   map[runKey]bool      // running holds the runs in the newest report.
-	lastEnd   int64                // lastEnd is the highest sequence number of an ended run of the incarnation.
+	mu       sync.Mutex
+	starts   map[runKey]startRecord // starts holds runs whose end was not reported.
+	minion   host.Minion            // minion is the one of the newest report.
+	reported map[runKey]bool        // reported holds runs of the incarnation that were reported and whose end was not.
+	lastEnd  int64                  // lastEnd is the highest sequence number of an ended run of the incarnation.
 }
 
 func newRunWatch(r *metrics.Registry, logger log.Logger) *runWatch {
 	return &runWatch{
-		logger: logger, starts: make(map[runKey]openStart),
-		carriedOut: r.Counter("agent-starts-carried-out-unanswered", "runs", "Runs that the minion reported although a start of them was not answered."),
+		logger: logger, starts: make(map[runKey]startRecord), reported: make(map[runKey]bool),
+		carriedOut: r.Counter("agent-starts-carried-out-unanswered", "runs", "Runs that the minion reported although no start of them was answered."),
 	}
 }
 
@@ -64,20 +66,22 @@
 }
 
 // startSent records that a start is sent to the minion.
-func (w *runWatch) startSent(key runKey) {
+func (w *runWatch) startSent(key runKey, incarnation string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	at := time.Now()
-	if len(w.starts) >= maxOpenStarts {
+	if len(w.starts) >= maxStartRecords {
 		for k, s := range w.starts {
-			if at.Sub(s.sent) > openStartRetention {
+			if at.Sub(s.sent) > startRecordRetention {
 				delete(w.starts, k)
 			}
 		}
 	}
 	s, known := w.starts[key]
-	if known || len(w.starts) < maxOpenStarts {
-		w.starts[key] = openStart{s.inFlight + 1, s.unanswered, at}
+	if known || len(w.starts) < maxStartRecords {
+		s.minion, s.sent = incarnation, at
+		s.inFlight++
+		w.starts[key] = s
 	}
 }
 
@@ -85,159 +89,75 @@
 func (w *runWatch) startReturned(key runKey, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	answered := err == nil || host.IsRefusal(err)
 	s, known := w.starts[key]
 	if !known {
-		// The run was reported while the start was in flight.
-		if !answered && w.running[key] {
-			w.carriedOut.Add(1)
-		}
 		return
 	}
 	s.inFlight--
-	if !answered {
+	s.confirmed = s.confirmed || err == nil
+	if err != nil && !host.IsRefusal(err) {
 		s.unanswered++
+		if w.reported[key] && !s.confirmed && !s.logged {
+			s.logged = true
+			w.logReported(key, s, "running")
+		}
 	}
-	if s.inFlight == 0 && s.unanswered == 0 {
+	w.starts[key] = s
+	if s.inFlight == 0 && s.unanswered == 0 && !s.confirmed {
 		delete(w.starts, key)
-		return
 	}
-	w.starts[key] = s
 }
 
-// observe logs what is new in a status report. It ignores reports of a former
-// incarnation.
+// observe logs what a status report shows of runs that are not known to have been
+// started on its incarnation. It ignores reports of a former incarnation.
 func (w *runWatch) observe(status host.StatusReport) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	startedAt := status.Minion.StartedAt
-	if status.Gone || startedAt.Before(w.startedAt) {
+	if status.Gone || status.Minion.StartedAt.Before(w.minion.StartedAt) {
 		return
 	}
-	if !startedAt.Equal(w.startedAt) {
-		w.startedAt, w.running, w.lastEnd = startedAt, nil, 0
+	if !status.Minion.StartedAt.Equal(w.minion.StartedAt) {
+		w.lastEnd = 0
+		clear(w.reported)
 	}
-	running := make(map[runKey]bool, len(status.Running))
+	w.minion = status.Minion
 	for _, r := range status.Running {
-		key := runKey{r.Task, r.Number}
-		running[key] = true
-		if !w.running[key] {
-			w.logReported(key, status.Minion, "running")
-		}
+		w.report(runKey{r.Task, r.Number}, "running")
 	}
 	for _, e := range status.EndedRuns {
 		if e.Sequence > w.lastEnd {
 			w.lastEnd = e.Sequence
-			w.logReported(runKey{e.Task, e.Number}, status.Minion, "ended", "outcome", e.Outcome, "sequence", e.Sequence)
+			key := runKey{e.Task, e.Number}
+			w.report(key, "ended", "outcome", e.Outcome, "sequence", e.Sequence)
+			delete(w.reported, key)
+			delete(w.starts, key)
 		}
 	}
-	w.running = running
-}
-
-// logReported logs that a run is in a report for the first time in a state. The
-// caller holds mu.
-func (w *runWatch) logReported(key runKey, minion host.Minion, state string, details ...any) {
-	unanswered := w.starts[key].unanswered
-	if unanswered > 0 {
-		w.carriedOut.Add(1)
-	}
-	delete(w.starts, key)
-	fields := []any{"event", "run reported", "job", key.task.Job, "task", key.task, "run", key.number, "minion", minion.Incarnation(),
-		"state", state, "unanswered-starts", unanswered}
-	_ = level.Info(w.logger).Log(append(fields, details...)...)
-}
-
-// runCall is a call about one run.
-type runCall struct {
-	name        string // name is the name of the call in the minion's API.
-	key         runKey
-	token       int64
-	incarnation string // incarnation is the one for which the call is meant.
-}
-
-// logCall logs the outcome of a call about one run that began at begin. known is
-// the state of the minion on which the agent has decided. asked is false if the
-// minion was not called. A caller that has gone does not receive the outcome.
-func (a *Agent) logCall(ctx context.Context, c runCall, known knownState, asked bool, took time.Duration, err error, details ...any) {
-	fields := append([]any{"event", c.name, "job", c.key.task.Job, "task", c.key.task, "run", c.key.number, "token", c.token,
-		"minion", c.incarnation, "known-minion", known.minion.Incarnation(), "known-age", known.age.Round(time.Millisecond),
-		"draining", known.minion.Draining}, details...)
-	fields = append(fields, "asked", asked, "outcome", outcomeName(err))
-	if err != nil {
-		fields = append(fields, "reason", err)
-	}
-	caller := "waits"
-	if ctx.Err() != nil {
-		caller = "gone"
-	}
-	_ = level.Info(a.logger).Log(append(fields, "took", took.Round(time.Microsecond), "caller", caller)...)
 }
 
-// outcomeName returns the value of the log key outcome of a call.
-func outcomeName(err error) string {
-	switch {
-	case err == nil:
-		return "done"
-	case host.IsRefusal(err):
-		return "refused"
-	default:
-		return "unanswered"
-	}
-}
-
-// contact is whether the minion answers.
-type contact int
-
-const (
-	neverAnswered contact = iota
-	answers
-	silent
-	gone
-)
-
-// contactLog logs when the minion stops and begins to answer. It is safe for
-// concurrent use.
-type contactLog struct {
-	logger log.Logger
-
-	mu         sync.Mutex
-	state      contact
-	lastAnswer time.Time // lastAnswer is zero before the first answer.
-}
-
-// observe records the outcome of a renewal whose caller still waits.
-func (l *contactLog) observe(status host.StatusReport, err error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	next := answers
-	switch {
-	case err != nil && !errors.Is(err, host.ErrFenced):
-		next = silent
-	case status.Gone:
-		next = gone
+// report handles a run in a status report. The caller holds mu.
+func (w *runWatch) report(key runKey, state string, details ...any) {
+	if w.reported[key] {
+		return
 	}
-	at := time.Now()
-	if next != l.state {
-		l.log(next, at, err)
+	w.reported[key] = true
+	s, known := w.starts[key]
+	if known && (s.confirmed || s.unanswered == 0) && host.IncarnationStartedAt(s.minion, w.minion.StartedAt) {
+		return
 	}
-	l.state = next
-	if next == answers {
-		l.lastAnswer = at
+	if known {
+		s.logged = true
+		w.starts[key] = s
 	}
+	w.logReported(key, s, state, details...)
 }
 
-// log writes a line on a change of the state. The caller holds mu.
-func (l *contactLog) log(next contact, at time.Time, err error) {
-	last := time.Duration(0)
-	if !l.lastAnswer.IsZero() {
-		last = at.Sub(l.lastAnswer).Round(time.Millisecond)
-	}
-	switch next {
-	case silent:
-		_ = level.Warn(l.logger).Log("event", "minion silent", "last-answer", last, "reason", err)
-	case gone:
-		_ = level.Warn(l.logger).Log("event", "no minion listens", "last-answer", last)
-	default:
-		_ = level.Info(l.logger).Log("event", "minion answers", "last-answer", last)
+// logReported logs a run that is in a status report. The caller holds mu.
+func (w *runWatch) logReported(key runKey, s startRecord, state string, details ...any) {
+	if s.unanswered > 0 && !s.confirmed {
+		w.carriedOut.Add(1)
 	}
+	fields := []any{"event", "run reported", "job", key.task.Job, "task", key.task, "run", key.number, "minion", w.minion.Incarnation(),
+		"started-for", s.minion, "unanswered-starts", s.unanswered, "state", state}
+	_ = level.Info(w.logger).Log(append(fields, details...)...)
 }
--- a/internal/run/story/twice_test.go
+++ b/internal/run/story/twice_test.go
@@ -25,9 +25,8 @@
 time=2026-01-06T12:00:04.408Z process=side-1 level=info event=start job=aa task=aa.0.0.3 run=1 token=7 minion=m-1@mjyy0 known-minion=m-1@mjyy0 known-age=310ms draining=false unanswered-before=0 asked=true outcome=unanswered reason="start: context deadline exceeded" took=600ms caller=waits
 time=2026-01-06T12:00:04.450Z process=side-1 level=info event="minion state changed" minion=m-1@mjyy0 draining=true remaining=10s sequence=9
 time=2026-01-06T12:00:04.512Z process=side-1 level=info event=start job=aa task=aa.0.0.3 run=1 token=7 minion=m-1@mjyy0 known-minion=m-1@mjyy0 known-age=62ms draining=true unanswered-before=1 asked=false outcome=refused reason="the minion is leaving" took=0s caller=waits
-time=2026-01-06T12:00:06.099Z process=side-1 level=info event="run reported" job=aa task=aa.0.0.3 run=1 minion=m-1@mjyy0 state=running unanswered-starts=1
+time=2026-01-06T12:00:06.099Z process=side-1 level=info event="run reported" job=aa task=aa.0.0.3 run=1 minion=m-1@mjyy0 started-for=m-1@mjyy0 unanswered-starts=1 state=running
 time=2026-01-06T12:00:04.893Z process=side-2 level=info event=start job=aa task=aa.0.0.3 run=2 token=7 minion=m-2@mjyy0 known-minion=m-2@mjyy0 known-age=100ms draining=false unanswered-before=0 asked=true outcome=done took=9ms caller=waits
-time=2026-01-06T12:00:04.895Z process=side-2 level=info event="run reported" job=aa task=aa.0.0.3 run=2 minion=m-2@mjyy0 state=running unanswered-starts=0
 `,
 	"unanswered start, refusal of the next try was taken as proof, minion left in silence": `
 time=2026-05-26T01:26:49.99Z process=front-1 level=info event="term begun" token=7 jobs=0 offset=81
@@ -45,8 +44,6 @@
 time=2026-05-26T01:26:53.752853607Z process=side-1 level=warn event="minion silent" last-answer=1.17s reason="hold: Post \"http://10.3.0.9:8409/v1/hold\": context deadline exceeded"
 time=2026-05-26T01:26:55.605095091Z process=side-1 level=warn event="no minion listens" last-answer=3.022s
 time=2026-05-26T01:26:53.893085995Z process=side-2 level=info event=start job=aa task=aa.0.0.3 run=2 token=7 minion=m-2@mplyfrp8 known-minion=m-2@mplyfrp8 known-age=601ms draining=false unanswered-before=0 asked=true outcome=done took=380µs caller=waits
-time=2026-05-26T01:26:54.893201391Z process=side-2 level=info event="run reported" job=aa task=aa.0.0.3 run=2 minion=m-2@mplyfrp8 state=running unanswered-starts=0
-time=2026-05-26T01:26:56.122546193Z process=side-2 level=info event="run reported" job=aa task=aa.0.0.3 run=2 minion=m-2@mplyfrp8 state=ended unanswered-starts=0 outcome=completed sequence=9
 `,
 	"leases were taken to have lapsed and the minion ran on": `
 time=2026-01-06T12:00:01.000Z process=front-1 level=info event="term begun" token=7 jobs=3 offset=90
@@ -58,7 +55,6 @@
 time=2026-01-06T12:00:09.300Z process=front-1 level=info token=7 event="host answers" host=side-1@10.0.0.1
 time=2026-01-06T12:00:09.300Z process=front-1 level=warn token=7 event="unexpected run" job=aa task=aa.0.0.3 run=1 host=side-1@10.0.0.1 outcome=stopped
 time=2026-01-06T12:00:03.808Z process=side-1 level=info event=start job=aa task=aa.0.0.3 run=1 token=7 minion=m-1@mjyy0 known-minion=m-1@mjyy0 known-age=310ms draining=false unanswered-before=0 asked=true outcome=done took=9ms caller=waits
-time=2026-01-06T12:00:03.809Z process=side-1 level=info event="run reported" job=aa task=aa.0.0.3 run=1 minion=m-1@mjyy0 state=running unanswered-starts=0
 time=2026-01-06T12:00:09.299Z process=side-1 level=info event="calls resumed" token=7 former=7 last-call=5.489s
 time=2026-01-06T12:00:08.893Z process=side-2 level=info event=start job=aa task=aa.0.0.3 run=2 token=7 minion=m-2@mjyy0 known-minion=m-2@mjyy0 known-age=100ms draining=false unanswered-before=0 asked=true outcome=done took=9ms caller=waits
 `,
@@ -85,7 +81,7 @@
 time=2026-01-06T12:00:04.099Z process=side-1 level=warn event="no minion listens" last-answer=90ms
 time=2026-01-06T12:00:04.350Z process=side-1 level=info event=start job=aa task=aa.0.0.3 run=1 token=7 minion=m-1@mjyy0 known-minion=m-1@mjyy0 known-age=700ms draining=false unanswered-before=0 asked=true outcome=unanswered reason="start: context deadline exceeded" took=550ms caller=waits
 time=2026-01-06T12:00:04.499Z process=side-1 level=info event="minion answers" last-answer=490ms
-time=2026-01-06T12:00:04.499Z process=side-1 level=info event="run reported" job=aa task=aa.0.0.3 run=1 minion=m-1@mjz10 state=running unanswered-starts=1
+time=2026-01-06T12:00:04.499Z process=side-1 level=info event="run reported" job=aa task=aa.0.0.3 run=1 minion=m-1@mjz10 started-for=m-1@mjyy0 unanswered-starts=1 state=running
 time=2026-01-06T12:00:04.193Z process=side-2 level=info event=start job=aa task=aa.0.0.3 run=2 token=7 minion=m-2@mjyy0 known-minion=m-2@mjyy0 known-age=100ms draining=false unanswered-before=0 asked=true outcome=done took=9ms caller=waits
 `,
 }
@@ -99,7 +95,7 @@
 		event=start .* run=1 .* unanswered-before=[1-9]\d* .* outcome=refused
 		event="run lost" .* run=1 .* open-tries=[1-9]
 		event=placed .* run=2
-		event="run reported" .* run=1 minion=(?P<was>\S+) state=running unanswered-starts=[1-9]
+		event="run reported" .* run=1 minion=(?P<was>\S+) .* unanswered-starts=[1-9] state=running
 	`,
 	"unanswered start, refusal of the next try was taken as proof, minion left in silence": `
 		event=start .* run=1 .* minion=(?P<was>\S+) .* outcome=unanswered
@@ -125,7 +121,7 @@
 	"next incarnation of the minion carried out a late start": `
 		event="run lost" .* run=1 .* minion=(?P<was>\S+) reported=false .* open-tries=[1-9]
 		event=placed .* run=2
-		event="run reported" .* run=1 minion=(?P<is>\S+) state=running
+		event="run reported" .* run=1 minion=(?P<is>\S+) started-for=(?P<was>\S+) .* state=running
 		event="minion found" .* former=(?P<was>\S+)
 	`,
 }
