Report dropped log lines without waiting for the next line

Cause: a report of dropped lines is due once a second, but was only written along with a later line. The lines of one burst that were dropped after the first report stayed uncounted while the process was silent.

Evidence: two bursts of 5,000 lines: 285 and 1,196 of 8,500 dropped lines were reported 1.1 s later, in two runs of TestDroppedLinesAreReportedInSilence.

Change: the queue writes a pending report after a second by itself. Lines that a broken reader did not take cause no report of their own.

--- a/internal/run/logging/queue.go
+++ b/internal/run/logging/queue.go
@@ -119,6 +119,7 @@
 		q.lines = append(q.lines, bytes.Clone(line))
 	} else {
 		q.drop(s, 1)
+		q.pending = true
 	}
 	q.mu.Unlock()
 	select {
@@ -198,22 +199,29 @@
 func (q *Queue) drop(s *share, count int) {
 	s.dropped += count
 	q.dropped += int64(count)
-	q.pending = true
 }
 
 // Run passes the lines on until ctx ends. A reader that has gone ends the lines,
 // not the process.
 func (q *Queue) Run(ctx context.Context, w io.Writer) error {
+	var reportDue <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			_, _ = writeLines(w, q.take(true))
+			batch, _ := q.take(true)
+			_, _ = writeLines(w, batch)
 			return nil
 		case <-q.wake:
+		case <-reportDue:
 		}
-		if unread, err := writeLines(w, q.take(false)); err != nil {
+		batch, pending := q.take(false)
+		if unread, err := writeLines(w, batch); err != nil {
 			q.countUnread(unread)
 		}
+		reportDue = nil
+		if pending {
+			reportDue = time.After(reportInterval)
+		}
 	}
 }
 
@@ -240,8 +248,8 @@
 }
 
 // take returns all lines that wait, with a report on those that were dropped if
-// one is due or the queue ends.
-func (q *Queue) take(last bool) []byte {
+// one is due or the queue ends. It reports whether the report is still pending.
+func (q *Queue) take(last bool) ([]byte, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	batch := bytes.Join(q.lines, nil)
@@ -251,7 +259,7 @@
 		batch = q.appendReport(batch, at)
 		q.pending, q.report = false, at
 	}
-	return batch
+	return batch, q.pending
 }
 
 // appendReport appends a line on the dropped lines and counts from zero again.
@@ -274,7 +282,8 @@
 		at.UTC().Format(time.RFC3339Nano), q.process, count, strings.Join(events, ","))
 }
 
-// countUnread counts lines that the reader did not take.
+// countUnread counts lines that the reader did not take. They are reported with the
+// next lines that are dropped, because a report now would not be read either.
 func (q *Queue) countUnread(count int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/internal/run/logging/queue_test.go
+++ b/internal/run/logging/queue_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -204,6 +205,37 @@
 	})
 }
 
+// Guards against a report of dropped lines that waits until the process writes the
+// next line.
+func TestDroppedLinesAreReportedInSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		q := logging.NewQueue("p")
+		reader := &stuckReader{letGo: make(chan struct{})}
+		close(reader.letGo)
+		g := group.New(context.Background())
+		g.Go("log", func(ctx context.Context) error { return q.Run(ctx, reader) })
+		const burst = 5000
+		for range 2 {
+			writeLines(q, "info", "placed", burst)
+			synctest.Wait()
+		}
+		time.Sleep(1100 * time.Millisecond)
+		dropped := 0
+		for line := range strings.Lines(reader.String()) {
+			if _, count, found := strings.Cut(line, `event="log lines dropped" count=`); found {
+				count, _, _ = strings.Cut(count, " ")
+				n, err := strconv.Atoi(count)
+				c.Assert(err, qt.IsNil)
+				dropped += n
+			}
+		}
+		c.Check(dropped, qt.Equals, 2*burst-strings.Count(reader.String(), "event=placed "))
+		g.Stop()
+		c.Assert(g.Wait(), qt.IsNil)
+	})
+}
+
 // sizeRecorder records the sizes of writes, and whether each ends with a line.
 type sizeRecorder struct {
 	c     *qt.C
