Use one list of refusals, and name the incarnation where a run ends

The agent's log and the coordinator each had a list of the replies that prove that a call had no effect; host.IsRefusal is the one now. "run ended" and "unexpected run" name the incarnation, without which a start that the next incarnation carried out can't be told from others in the coordinator's log. A host that never answered in a term no longer shows the time since boot as the age of its last contact.

--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -114,6 +114,14 @@
 // lines.
 func ago(at time.Duration) time.Duration { return (now() - at).Round(time.Millisecond) }
 
+// contactAge returns how long ago the host last answered, for log lines.
+func (h *hostState) contactAge() any {
+	if h.lastContact == 0 {
+		return "never"
+	}
+	return ago(h.lastContact)
+}
+
 // expireLeases gives up the runs on hosts whose leases have certainly expired.
 func (t *term) expireLeases() {
 	at := now()
@@ -121,7 +129,7 @@
 		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
 			continue
 		}
-		_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", ago(h.lastContact), "runs", len(h.runs))
+		_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", h.contactAge(), "runs", len(h.runs))
 		t.loseAllRuns(h, "the lease has expired")
 	}
 }
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -166,7 +166,7 @@
 	case err == nil:
 		r.tries.settle()
 		return // The agent logs it.
-	case errors.Is(err, host.ErrRunEnded), isRefusal(err):
+	case host.IsRefusal(err):
 		r.tries.settle()
 		t.metrics.startsRefused.Add(1)
 		event = "start refused"
@@ -213,7 +213,7 @@
 	case errors.Is(err, host.ErrRunEnded):
 		r.startAnswered = now()
 		return false
-	case isRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
+	case host.IsRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
 		t.handleStartRefusal(r, err)
 		if r.tries.mayHaveStarted() {
 			t.stopAttempt(r.attempt, "a start was refused after a try that was not answered")
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -1,8 +1,6 @@
 package coordinator
 
 import (
-	"errors"
-	"slices"
 	"time"
 
 	"wasabihoist/internal/fleet/host"
@@ -41,15 +39,6 @@
 // next incarnation of the minion, because a start names only the minion's id.
 func (s *startTries) mayArrive(at time.Duration) bool { return s.open > 0 && at <= s.openUntil }
 
-// refusals are the replies to a start that prove that the try had no effect.
-var refusals = []error{
-	host.ErrStartTooLate, host.ErrNoCapacity, host.ErrUnhealthy, host.ErrDraining, host.ErrOtherIncarnation, host.ErrMalformed, host.ErrInvalidTicket,
-}
-
-func isRefusal(err error) bool {
-	return slices.ContainsFunc(refusals, func(refusal error) bool { return errors.Is(err, refusal) })
-}
-
 // provenEnded reports whether a run that is missing from a status report
 // requested at sent has certainly ended or never started. A run that is being
 // stopped is not reported until it has ended; an adopted one may have been
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -142,6 +142,6 @@
 	}
 	if !h.silent {
 		h.silent = true
-		_ = level.Warn(t.logger).Log("event", "host silent", "host", h.name, "last-contact", ago(h.lastContact), "runs", len(h.runs), "reason", err)
+		_ = level.Warn(t.logger).Log("event", "host silent", "host", h.name, "last-contact", h.contactAge(), "runs", len(h.runs), "reason", err)
 	}
 }
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -187,7 +187,7 @@
 // members of its gang are stopped.
 func (t *term) loseRun(r *run, reason string) {
 	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason,
-		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", ago(r.host.lastContact))
+		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", r.host.contactAge())
 	t.metrics.lost.Add(1)
 	a := r.attempt
 	t.requeueRun(r, "")
@@ -198,7 +198,7 @@
 func (t *term) handleEndedRun(h *hostState, e host.EndedRun) {
 	r := h.runs[runKey{e.Task, e.Number}]
 	t.metrics.ends[e.Outcome].Add(1)
-	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name,
+	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name, "minion", h.minion.Incarnation(),
 		"outcome", e.Outcome, "end", e.Sequence, "expected", r != nil, "percent", percentOf(r))
 	if r == nil {
 		return
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -135,7 +135,7 @@
 		need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
 	}
 	h.unexpected[key] = need
-	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "outcome", "stopped")
+	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
 	request := host.StopRequest{Incarnation: h.minion.Incarnation(), Token: t.token, Task: key.task, Number: key.number}
 	client := h.client
 	t.group.Go("stop unexpected run", func(ctx context.Context) error {
