Refuse late starts for a former incarnation at the agent

A start names the minion by its id only. One that was held up on its way to the agent, and arrived after the minion had been restarted under its id, was passed on, and the next incarnation carried it out: its deadline refers to the clock of the former one, which starts anew. If the coordinator had given the run up by then, its task ran twice.

Change: the agent knows from its session which incarnation answers, and refuses a start for an earlier one without a call. What is left is a start that arrives before the agent has made its session to the next incarnation; the coordinator keeps such a run while its start may arrive.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -31,10 +31,11 @@
 // Incarnation identifies one run of the minion process, as ID@START with the start
 // in Unix milliseconds in base 36.
 func (m Minion) Incarnation() string {
-	return m.ID + "@" + m.incarnationSuffix()
+	return m.ID + "@" + strconv.FormatInt(m.StartedAt.UnixMilli(), incarnationBase)
 }
 
-func (m Minion) incarnationSuffix() string { return strconv.FormatInt(m.StartedAt.UnixMilli(), 36) }
+// incarnationBase is the base in which an incarnation is written.
+const incarnationBase = 36
 
 // IncarnationID returns the minion id of an incarnation.
 func IncarnationID(incarnation string) string {
@@ -51,10 +52,18 @@
 	return incarnation, ""
 }
 
+// IncarnationStart returns when an incarnation started. It reports false if the
+// text names no start.
+func IncarnationStart(incarnation string) (time.Time, bool) {
+	_, start := cutIncarnation(incarnation)
+	millis, err := strconv.ParseInt(start, incarnationBase, 64)
+	return time.UnixMilli(millis), err == nil
+}
+
 // IncarnationStartedAt reports whether an incarnation started at the given time.
 func IncarnationStartedAt(incarnation string, start time.Time) bool {
-	_, suffix := cutIncarnation(incarnation)
-	return suffix != "" && suffix == (Minion{StartedAt: start}).incarnationSuffix()
+	at, known := IncarnationStart(incarnation)
+	return known && at.UnixMilli() == start.UnixMilli()
 }
 
 // Run is a task that a minion runs.
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -210,17 +210,25 @@
 	return knownState{a.lastState, time.Since(a.lastStateAt)}
 }
 
-// Start implements host.Client. If the minion drains, it returns host.ErrDraining
-// without a call. That tells nothing about former starts of the run.
+// Start implements host.Client. It refuses a start without a call if the minion
+// drains, or if the start was under way while the minion was restarted: the minion
+// checks only its id. A refusal tells nothing about former starts of the run.
 func (a *Agent) Start(ctx context.Context, r host.StartRequest) error {
 	a.recordContact(r.Token)
 	known := a.knownState()
 	c := runCall{"start", runKey{r.Task, r.Number}, r.Token, r.Incarnation}
 	unanswered := a.runs.unanswered(c.key)
-	if known.minion.Draining && known.minion.Incarnation() == r.Incarnation {
+	var refusal error
+	switch {
+	case a.sessions.isFormer(r.Incarnation):
+		refusal = host.ErrOtherIncarnation
+	case known.minion.Draining && known.minion.Incarnation() == r.Incarnation:
 		a.drainRefusals.Add(1)
-		a.logCall(ctx, c, known, false, 0, host.ErrDraining, "unanswered-before", unanswered)
-		return host.ErrDraining
+		refusal = host.ErrDraining
+	}
+	if refusal != nil {
+		a.logCall(ctx, c, known, false, 0, refusal, "unanswered-before", unanswered)
+		return refusal
 	}
 	begin := time.Now()
 	a.runs.startSent(c.key, r.Incarnation)
--- a/internal/role/hostagent/agent_test.go
+++ b/internal/role/hostagent/agent_test.go
@@ -143,6 +143,31 @@
 	}
 }
 
+// Guards against a late start for a former incarnation of the minion that the next
+// one carries out, because it has the same id.
+func TestLateStartDoesNotReachNextIncarnation(t *testing.T) {
+	c := qt.New(t)
+	f := newFixture(c)
+	former := f.minion.Report().Incarnation()
+	_, err := f.renew(former, 0, 0)
+	c.Assert(err, qt.IsNil)
+	f.minion.Restart()
+	for range 2 { // The first call may find that the connection is closed.
+		if _, err = f.renew(former, 0, 0); err == nil {
+			break
+		}
+	}
+	c.Assert(err, qt.IsNil)
+	start := host.StartRequest{Incarnation: former, Token: token, Task: task, Number: 1, StartDeadline: time.Minute}
+	for range 2 { // As above.
+		c.Check(f.agent.Start(context.Background(), start), qt.ErrorIs, host.ErrOtherIncarnation)
+	}
+	c.Check(f.fleet.Starts(task), qt.Equals, 0)
+	start.Incarnation = f.minion.Report().Incarnation()
+	c.Check(f.agent.Start(context.Background(), start), qt.IsNil)
+	c.Check(f.fleet.Starts(task), qt.Equals, 1)
+}
+
 // Guards against renewals of two coordinators that block or break each other.
 func TestConcurrentRenewals(t *testing.T) {
 	c := qt.New(t)
--- a/internal/role/hostagent/session.go
+++ b/internal/role/hostagent/session.go
@@ -62,6 +62,15 @@
 	return s.renew(ctx, current, r)
 }
 
+// isFormer reports whether an incarnation started before the one to which the
+// current session was made.
+func (s *sessionManager) isFormer(incarnation string) bool {
+	start, known := host.IncarnationStart(incarnation)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return known && s.current != nil && start.Before(s.current.startedAt)
+}
+
 // renew forwards a renewal over a session. If the renewal is meant for another
 // incarnation, only its fencing token is sent. The session is closed after any
 // error but host.ErrFenced.
