Decide in one place what proves that a run has ended

Cause: the proofs stood in five functions, each with conditions of its own.

Change: a run that a status report does not list is given up if its start was settled when the report was requested, and, if it may be stopping, once it has been missing for as long as a stop takes. Evidence counts from the request of a report.

--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -44,7 +44,6 @@
 	gone                 bool        // gone is set while no minion answers at its address.
 	lastContact          time.Duration
 	minionClock          time.Duration // minionClock is the minion's clock at lastContact or before.
-	fencedAt             time.Duration // fencedAt is when the present incarnation first replied to this term, after which it refuses calls of former terms; 0 before.
 	leaseExpiry          time.Duration // leaseExpiry is when every lease that this or a former term granted has certainly expired.
 	acknowledgedSequence int64         // acknowledgedSequence is the sequence number of the last ended run whose outcome is durable in the ledger.
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -35,34 +35,78 @@
 // mayHaveStarted reports whether the run may exist although no reply confirms it.
 func (s *startTries) mayHaveStarted() bool { return s.open > 0 }
 
-// mayArrive reports whether a try may still be carried out. That may be by the
-// next incarnation of the minion, because a start names only the minion's id.
+// mayArrive reports whether a try could still be carried out at a time. That may
+// be by the next incarnation of the minion, because a start names only the
+// minion's id.
 func (s *startTries) mayArrive(at time.Duration) bool { return s.open > 0 && at <= s.openUntil }
 
-// provenEnded reports whether a run that is missing from a status report
-// requested at sent has certainly ended or never started. A run that is being
-// stopped is not reported until it has ended; an adopted one may have been
-// stopped by a former term until the minion knew the token of this one.
-func (t *term) provenEnded(r *run, sent time.Duration) bool {
-	stopTimeout := t.settings().TaskStopTimeout + stopMargin
+// startSettled reports whether the run can't be started any more after a status
+// report requested at sent, if that does not list it: the minion knows the run
+// and refuses to start it again, or no try can arrive any more. Starts of former
+// terms are refused once the minion has seen the token of this one.
+func (r *run) startSettled(sent time.Duration) bool {
+	answered := func(at time.Duration) bool { return at != 0 && at < sent }
 	switch {
-	case r.phase == adopted:
-		return r.host.fencedAt != 0 && r.host.fencedAt+stopTimeout < sent
-	case r.attempt.stopping:
-		return r.stopAnswered != 0 && r.stopAnswered+stopTimeout < sent
+	case r.phase == adopted, r.reported, answered(r.startAnswered), answered(r.stopAnswered):
+		return true
 	default:
-		return r.startAnswered != 0 && r.startAnswered < sent
+		return r.tries.sent > 0 && r.startAnswered == 0 && !r.tries.mayArrive(sent)
+	}
+}
+
+// provenEnded reports whether a run that is missing from a status report requested
+// at sent has certainly ended or never started. A run that is being stopped, by
+// this term or by a former one before the minion knew the token of this one, is
+// missing until it has ended.
+func (t *term) provenEnded(r *run, sent time.Duration) bool {
+	if !r.startSettled(sent) {
+		return false
+	}
+	if r.phase != adopted && !r.attempt.stopping {
+		return true
+	}
+	ended := func(since time.Duration) bool { return since != 0 && since+t.stopTimeout() < sent }
+	return ended(r.stopAnswered) || ended(r.missingSince)
+}
+
+// stopTimeout returns how long a run may be missing from status reports before it
+// has ended.
+func (t *term) stopTimeout() time.Duration { return t.settings().TaskStopTimeout + stopMargin }
+
+// loseMissingRuns gives up the runs that are missing from a status report requested
+// at sent and have certainly ended or never started.
+func (t *term) loseMissingRuns(h *hostState, report host.StatusReport, sent time.Duration) {
+	listed := listedRuns(report)
+	for _, r := range runsOf(h) {
+		switch {
+		case listed[runKey{r.task, r.number}] || !r.startSettled(sent):
+			r.missingSince = 0
+		case t.provenEnded(r, sent):
+			t.loseRun(r, "the minion does not report it")
+		case r.missingSince == 0:
+			r.missingSince = now()
+		}
+	}
+}
+
+func listedRuns(report host.StatusReport) map[runKey]bool {
+	listed := make(map[runKey]bool, len(report.Running)+len(report.EndedRuns))
+	for _, r := range report.Running {
+		listed[runKey{r.Task, r.Number}] = true
+	}
+	for _, e := range report.EndedRuns {
+		listed[runKey{e.Task, e.Number}] = true
 	}
+	return listed
 }
 
-// loseGoneRuns gives up the runs on a host without a minion. A run whose start
-// may still arrive at the next incarnation is stopped instead. It is given up
-// once that incarnation has answered the stop or the start can't arrive any
-// more.
-func (t *term) loseGoneRuns(h *hostState) {
+// loseGoneRuns gives up the runs on a host that had no minion when a status report
+// was requested at sent. A run whose start may still arrive at the next
+// incarnation is stopped instead.
+func (t *term) loseGoneRuns(h *hostState, sent time.Duration) {
 	const reason = "the minion is gone"
 	for _, r := range runsOf(h) {
-		if r.tries.mayArrive(now()) {
+		if r.tries.mayArrive(sent) {
 			t.stopAttempt(r.attempt, reason)
 		} else {
 			t.loseRun(r, reason)
@@ -70,29 +114,53 @@
 	}
 }
 
-// reassignOrLose handles a run of a former incarnation of the minion. The run is
-// given up if that incarnation has reported it. Its start may have been, or may
-// still be, carried out by the present incarnation otherwise, and also if
-// another try may still arrive. Then only a reply of the present incarnation
-// proves that the run does not exist.
-func (t *term) reassignOrLose(r *run) {
-	mayArrive := r.tries.mayArrive(now())
-	if host.IncarnationID(r.minion) != r.host.minion.ID || r.reported && !mayArrive {
-		t.loseRun(r, "the minion has been restarted")
-		return
+// loseFormerRuns handles the runs of former incarnations of the minion after a
+// status report of the present one. A run is given up if a former incarnation has
+// reported it. The start of any other run, or another try of it, may have been,
+// or may still be, carried out by the present incarnation under the same id.
+// Such a run counts as one of the present incarnation.
+func (t *term) loseFormerRuns(h *hostState, report host.StatusReport, sent time.Duration) {
+	listed := listedRuns(report)
+	for _, r := range runsOf(h) {
+		if r.minion == h.minion.Incarnation() {
+			continue
+		}
+		mayArrive := r.tries.mayArrive(sent)
+		if host.IncarnationID(r.minion) != h.minion.ID || r.reported && !mayArrive && !listed[runKey{r.task, r.number}] {
+			t.loseRun(r, "the minion has been restarted")
+			continue
+		}
+		t.reassignRun(r, mayArrive)
 	}
+}
+
+// reassignRun attributes a run to the present incarnation of its minion. What the
+// former one has answered proves nothing about a try that may still arrive.
+func (t *term) reassignRun(r *run, mayArrive bool) {
 	r.minion = r.host.minion.Incarnation()
-	if !mayArrive {
-		return
+	r.reported, r.missingSince = false, 0
+	if mayArrive {
+		r.startAnswered = 0
 	}
-	r.reported, r.startAnswered = false, 0
 	if r.stopAnswered != 0 {
 		r.stopAnswered, r.stopSent = 0, false
 	}
-	switch {
-	case r.attempt.stopping:
+	if r.attempt.stopping {
 		t.sendStop(r)
-	case r.phase == running: // No further try follows.
-		t.stopAttempt(r.attempt, "the minion has been restarted")
+	}
+}
+
+// loseRunsBefore gives up the reported runs of an incarnation that started before
+// the one that answers, whose report was requested at sent and tells no more of
+// the minion than its start.
+func (t *term) loseRunsBefore(h *hostState, report host.StatusReport, sent time.Duration) {
+	if h.minion.ID == "" || !h.minion.StartedAt.Before(report.Minion.StartedAt) {
+		return
+	}
+	listed := listedRuns(report)
+	for _, r := range runsOf(h) {
+		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayArrive(sent) && !listed[runKey{r.task, r.number}] {
+			t.loseRun(r, "the minion has been restarted")
+		}
 	}
 }
--- /dev/null
+++ b/internal/fleet/coordinator/proof_test.go
@@ -0,0 +1,192 @@
+package coordinator_test
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/host"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/standin/fleethost"
+)
+
+const (
+	// startOpen is longer than the deadline of a start, with all margins.
+	startOpen = 2500 * time.Millisecond
+	// slowStop is a stop time in which another run can begin.
+	slowStop = 900 * time.Millisecond
+	// longLease is the longest lease on the platform.
+	longLease = 10 * time.Second
+)
+
+// newLeaseFixture starts a fleet whose leases are as long as on the platform.
+func newLeaseFixture(t *testing.T, racks ...string) *fixture {
+	f := newSlowFixture(t, slowStop, racks...)
+	f.maxLease = longLease
+	return f
+}
+
+// Guards against a second run of a task when the next incarnation of the minion
+// carries out an earlier try of the start of a run that the former one has
+// reported, and answers only after the deadline of that try.
+func TestTaskRunsTwiceAfterLateFirstReportOfNextIncarnation(t *testing.T) {
+	t.Parallel()
+	f := newLeaseFixture(t, "r1", "r1")
+	var held heldStart
+	var mute atomic.Bool
+	f.hooks.Store(&hooks{
+		start: func(m *fleethost.Minion, r host.StartRequest) error {
+			if r.Number == 1 && held.hold(m, r) {
+				return errNoReply
+			}
+			return m.Start(context.Background(), r)
+		},
+		renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+			if mute.Load() && held.on() == m {
+				return host.StatusReport{}, errNoReply
+			}
+			return renewShortly(m, r)
+		},
+	})
+	time.Sleep(3 * time.Second) // The clock of the minion is ahead of that of its next incarnation.
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 6*time.Second)
+	f.waitFor("the second try is carried out", func() bool { return f.starts("job", 1) == 1 })
+	time.Sleep(200 * time.Millisecond) // The minion reports the run.
+	mute.Store(true)
+	held.on().Restart()
+	held.deliver() // within the deadline
+	f.c.Assert(held.on().Look().Running, qt.HasLen, 1)
+	time.Sleep(startOpen)
+	mute.Store(false)
+	f.awaitState("job", workload.Done)
+}
+
+// Guards against a second run of a task when the report that no minion runs is
+// older than the end of the time in which a start may arrive.
+func TestTaskRunsTwiceAfterDelayedReportThatMinionIsGone(t *testing.T) {
+	t.Parallel()
+	f := newLeaseFixture(t, "r1", "r1")
+	var held heldStart
+	var heldAt, reborn atomic.Int64
+	begin := time.Now()
+	f.hooks.Store(&hooks{
+		start: func(m *fleethost.Minion, r host.StartRequest) error {
+			if r.Number == 1 && held.hold(m, r) {
+				heldAt.Store(int64(time.Since(begin)))
+				return errNoReply
+			}
+			if held.on() == m {
+				return errNoReply
+			}
+			return m.Start(context.Background(), r)
+		},
+		stop: func(m *fleethost.Minion, r host.StopRequest) error {
+			if held.on() == m {
+				return errNoReply
+			}
+			return m.Stop(context.Background(), r)
+		},
+		renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+			if held.on() != m || reborn.Load() > 0 {
+				return renewShortly(m, r)
+			}
+			// The reply takes less than hostlink allows.
+			if age := time.Since(begin) - time.Duration(heldAt.Load()); age > 1400*time.Millisecond {
+				time.Sleep(startOpen - age)
+			}
+			return host.StatusReport{Gone: true}, nil
+		},
+	})
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 5*time.Second)
+	f.waitFor("a start is held", func() bool { return held.on() != nil })
+	time.Sleep(time.Until(begin.Add(time.Duration(heldAt.Load()) + 1900*time.Millisecond)))
+	held.on().Restart()
+	held.deliver()
+	reborn.Store(1)
+	f.c.Assert(held.on().Look().Running, qt.HasLen, 1)
+	time.Sleep(time.Second)
+	f.hooks.Store(nil)
+	f.awaitState("job", workload.Done)
+}
+
+// Guards against a run that is never released: the last try of its start was
+// answered as ended, and the minion restarted while an earlier try was open.
+func TestRunIsReleasedAfterEndedReplyAndRestart(t *testing.T) {
+	t.Parallel()
+	f := newLeaseFixture(t, "r1")
+	var mute atomic.Bool
+	var ended atomic.Bool
+	f.hooks.Store(&hooks{
+		start: func(m *fleethost.Minion, r host.StartRequest) error {
+			if r.Number > 1 {
+				return m.Start(context.Background(), r)
+			}
+			if mute.CompareAndSwap(false, true) {
+				time.Sleep(2 * shortDuration) // A renewal may be under way.
+				f.c.Check(m.Start(context.Background(), r), qt.IsNil)
+				time.Sleep(2 * shortDuration)
+				return errNoReply
+			}
+			m.Settle()
+			err := m.Start(context.Background(), r)
+			f.c.Check(err, qt.ErrorIs, host.ErrRunEnded)
+			ended.Store(true)
+			return err
+		},
+		renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+			if mute.Load() {
+				return host.StatusReport{}, errNoReply
+			}
+			return renewShortly(m, r)
+		},
+	})
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, shortDuration)
+	f.waitFor("a later try is answered", ended.Load)
+	time.Sleep(100 * time.Millisecond)
+	f.minionList[0].Restart() // The end is lost.
+	f.hooks.Store(nil)
+	f.awaitState("job", workload.Done)
+}
+
+// Guards against a second run of a task when a start of the former coordinator
+// is carried out by the next incarnation, which has seen no fencing token.
+func TestTaskRunsTwiceAfterFormerStartReachesNextIncarnation(t *testing.T) {
+	t.Parallel()
+	f := newLeaseFixture(t, "r1", "r1")
+	var held heldStart
+	var mute atomic.Bool
+	f.hooks.Store(&hooks{
+		start: func(m *fleethost.Minion, r host.StartRequest) error {
+			if r.Number == 1 && held.hold(m, r) {
+				return errNoReply
+			}
+			return m.Start(context.Background(), r)
+		},
+		renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+			if mute.Load() && held.on() == m {
+				return host.StatusReport{}, errNoReply
+			}
+			return renewShortly(m, r)
+		},
+	})
+	stop := f.startCoordinator("one")
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 4*time.Second)
+	f.waitFor("the second try is carried out", func() bool { return f.starts("job", 1) == 1 })
+	stop()
+	defer f.startCoordinator("two")()
+	f.waitFor("the successor leads", func() bool { return strings.Contains(f.logs.String(), `event="term begun" token=2`) })
+	time.Sleep(300 * time.Millisecond) // The minion reports the run to the successor.
+	mute.Store(true)
+	held.on().Restart()
+	held.deliver()
+	f.c.Assert(held.on().Look().Running, qt.HasLen, 1)
+	mute.Store(false)
+	f.awaitState("job", workload.Done)
+}
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -40,13 +40,14 @@
 	tries            startTries
 	startAnswered    time.Duration // startAnswered is when the minion answered the start.
 	stopAnswered     time.Duration // stopAnswered is when the minion answered a stop.
+	missingSince     time.Duration // missingSince is when the run was first missing from a status report after its start was settled; 0 while it is reported.
 	startedAt        time.Duration // startedAt is when the run was placed or adopted, its start sent or answered, or the run first reported, whichever was last.
 	percent          int
 	firstPercent     int           // firstPercent is the percentage when the run was first reported; a run from a checkpoint may start above 0.
 	progressedAt     time.Duration // progressedAt is when the percentage or the speed last changed.
 	checkpoint       string
 	checkpointedAt   time.Duration // checkpointedAt is when the checkpoint last changed.
-	reported         bool          // reported is set once the minion has reported the run.
+	reported         bool          // reported is set once the incarnation in minion has reported the run.
 	stopSent         bool          // stopSent is set once a stop was sent.
 	load             int           // load is what the minion last reported: a latency in milliseconds if the task serves users; see host.Run.
 	speedPercent     int           // speedPercent is the percentage of full speed at which the run works.
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -20,16 +20,13 @@
 	}
 	h.lastContact = now()
 	if report.Gone {
-		t.handleMinionGone(h)
+		t.handleMinionGone(h, sent)
 		return false
 	}
-	if !t.recogniseIncarnation(h, report) {
+	if !t.recogniseIncarnation(h, report, sent) {
 		return false
 	}
 	h.minionClock = report.Clock
-	if h.fencedAt == 0 {
-		h.fencedAt = h.lastContact
-	}
 	for _, e := range report.EndedRuns {
 		if e.Sequence > h.handledSequence {
 			h.handledSequence = e.Sequence
@@ -46,27 +43,28 @@
 	return false
 }
 
-// handleMinionGone handles a status report that shows that no minion is running
-// on a host. All runs that it had have ended.
-func (t *term) handleMinionGone(h *hostState) {
+// handleMinionGone handles a status report, requested at sent, that shows that no
+// minion is running on a host. All runs that it had have ended.
+func (t *term) handleMinionGone(h *hostState, sent time.Duration) {
 	if !h.gone {
 		h.gone = true
 		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
 	}
-	t.loseGoneRuns(h)
+	t.loseGoneRuns(h, sent)
 	clear(h.unexpected)
 	h.incarnationKnown = false
 }
 
-// recogniseIncarnation finds out which incarnation has sent a status report. If
-// it is a new one, nothing that the former one has reported is running. It
-// reports false while the incarnation has not reported its capacity.
-func (t *term) recogniseIncarnation(h *hostState, report host.StatusReport) bool {
+// recogniseIncarnation finds out which incarnation has sent a status report that
+// was requested at sent. If it is a new one, nothing that the former one has
+// reported is running. It reports false while the incarnation has not reported
+// its capacity.
+func (t *term) recogniseIncarnation(h *hostState, report host.StatusReport, sent time.Duration) bool {
 	h.gone = false
 	sameIncarnation := h.minion.ID != "" && h.minion.StartedAt.Equal(report.Minion.StartedAt)
 	if report.Minion.ID == "" && !sameIncarnation {
 		h.incarnationKnown = false
-		t.loseRunsBefore(h, report.Minion.StartedAt)
+		t.loseRunsBefore(h, report, sent)
 		return false
 	}
 	if report.Minion.ID != "" {
@@ -78,32 +76,15 @@
 		t.needsPlan = t.needsPlan || !sameIncarnation || !h.incarnationKnown
 	}
 	if !sameIncarnation {
-		h.handledSequence, h.acknowledgedSequence, h.fencedAt = 0, 0, 0
+		h.handledSequence, h.acknowledgedSequence = 0, 0
 		h.health = health{}
 		clear(h.unexpected)
-		for _, r := range runsOf(h) {
-			if r.minion != h.minion.Incarnation() {
-				t.reassignOrLose(r)
-			}
-		}
+		t.loseFormerRuns(h, report, sent)
 	}
 	h.incarnationKnown = true
 	return true
 }
 
-// loseRunsBefore gives up the reported runs of an incarnation that started
-// before the one that answers.
-func (t *term) loseRunsBefore(h *hostState, startedAt time.Time) {
-	if h.minion.ID == "" || !h.minion.StartedAt.Before(startedAt) {
-		return
-	}
-	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayArrive(now()) {
-			t.loseRun(r, "the minion has been restarted")
-		}
-	}
-}
-
 // handleRunning updates the runs that a minion reports, and stops unexpected
 // ones.
 func (t *term) handleRunning(h *hostState, running []host.Run) {
@@ -115,9 +96,6 @@
 			t.stopUnexpected(h, key)
 			continue
 		}
-		if r.phase == adopted {
-			r.tries.open = 0 // The minion refuses starts of former terms now.
-		}
 		if r.phase == adopted || r.phase == starting {
 			t.markRunning(r)
 		}
@@ -146,23 +124,6 @@
 	})
 }
 
-// loseMissingRuns gives up the runs that are missing from a status report
-// although the minion answered a call for them before the report was requested.
-func (t *term) loseMissingRuns(h *hostState, report host.StatusReport, sent time.Duration) {
-	reported := make(map[runKey]bool, len(report.Running)+len(report.EndedRuns))
-	for _, r := range report.Running {
-		reported[runKey{r.Task, r.Number}] = true
-	}
-	for _, e := range report.EndedRuns {
-		reported[runKey{e.Task, e.Number}] = true
-	}
-	for _, r := range runsOf(h) {
-		if t.provenEnded(r, sent) && !reported[runKey{r.task, r.number}] {
-			t.loseRun(r, "the minion does not report it")
-		}
-	}
-}
-
 // acknowledgeEndedRuns lets the minion discard ended runs as soon as they are
 // durable.
 func (t *term) acknowledgeEndedRuns(h *hostState) {
