Keep a run that is reported, whatever became of later tries of its start

A run whose start was carried out without an answer was stopped, and its work thrown away, although status reports showed it: the retries of its start went on and were refused or not answered. Callers' jobs became later than they had to.

Change: once the minion reports the run, the outcome of other tries is ignored.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -204,6 +204,8 @@
 		return false
 	}
 	switch {
+	case r.reported:
+		return false // It runs, whatever became of this try.
 	case err == nil:
 		r.startAnswered = now()
 		if r.phase == starting {
--- a/internal/fleet/coordinator/proof_test.go
+++ b/internal/fleet/coordinator/proof_test.go
@@ -190,3 +190,31 @@
 	mute.Store(false)
 	f.awaitState("job", workload.Done)
 }
+
+// Guards against a run that is stopped although the minion reports it, because
+// the tries of its start were not answered.
+func TestReportedRunIsKeptAfterUnansweredStart(t *testing.T) {
+	for name, later := range map[string]error{"not answered": errNoReply, "refused": host.ErrDraining} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "r1", "r1")
+			var tries atomic.Int64
+			f.hooks.Store(&hooks{start: func(m *fleethost.Minion, r host.StartRequest) error {
+				if r.Number > 1 {
+					return m.Start(context.Background(), r)
+				}
+				if tries.Add(1) > 1 {
+					return later
+				}
+				f.c.Check(m.Start(context.Background(), r), qt.IsNil)
+				time.Sleep(300 * time.Millisecond) // The minion reports the run before the next try.
+				return errNoReply
+			}, renew: renewShortly})
+			defer f.startCoordinator("one")()
+			f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 2*time.Second)
+			f.awaitState("job", workload.Done)
+			f.c.Check(f.starts("job", 1), qt.Equals, 1)
+			f.c.Check(strings.Contains(f.logs.String(), "event=stop job=job"), qt.IsFalse)
+		})
+	}
+}
