Give a host a rest when it does not answer a start

A job waited for good on a host whose minion reports its state but answers no start and no stop: when its run was given up, the task was placed on the same host again.

Change: a start that is given up without an answer starts the same cooldown as a refused one, at the last try and when the run is released, so that the next placement tries other hosts first.

--- a/internal/fleet/coordinator/health.go
+++ b/internal/fleet/coordinator/health.go
@@ -67,7 +67,8 @@
 	h.quarantinedUntil = max(h.quarantinedUntil, at+h.lastQuarantine)
 }
 
-// recordRefusal starts a cooldown after the host has refused a start.
+// recordRefusal starts a cooldown after the host has refused a start or not
+// answered it.
 func (h *health) recordRefusal(at time.Duration) {
 	h.quarantinedUntil = max(h.quarantinedUntil, at+failureCooldown)
 }
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -224,6 +224,7 @@
 		}
 		return false
 	case timedOut:
+		r.host.health.recordRefusal(now())
 		r.attempt.job.retryAt = now() + placementRetryDelay
 		t.stopAttempt(r.attempt, "a start was not answered")
 		return false
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -82,6 +82,9 @@
 		case listed[runKey{r.task, r.number}] || !r.startSettled(sent):
 			r.missingSince = 0
 		case t.provenEnded(r, sent):
+			if r.tries.open > 0 && !r.reported {
+				h.health.recordRefusal(now()) // Its minion answers no starts.
+			}
 			t.loseRun(r, "the minion does not report it")
 		case r.missingSince == 0:
 			r.missingSince = now()
--- a/internal/fleet/coordinator/proof_test.go
+++ b/internal/fleet/coordinator/proof_test.go
@@ -218,3 +218,33 @@
 		})
 	}
 }
+
+// Guards against a run that is never released because its stop is not carried
+// out, although the minion has reported after the deadline of its start that it
+// has no such run.
+func TestRunIsReleasedAfterItsDeadlineWithoutStopReply(t *testing.T) {
+	for name, reply := range map[string]error{"not answered": errNoReply, "refused": host.ErrUnhealthy} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "r1", "r1")
+			var chosen atomic.Pointer[fleethost.Minion]
+			f.hooks.Store(&hooks{
+				start: func(m *fleethost.Minion, r host.StartRequest) error {
+					if r.Number == 1 && chosen.CompareAndSwap(nil, m) || chosen.Load() == m {
+						return errNoReply
+					}
+					return m.Start(context.Background(), r)
+				},
+				stop: func(m *fleethost.Minion, r host.StopRequest) error {
+					if chosen.Load() == m {
+						return reply
+					}
+					return m.Stop(context.Background(), r)
+				},
+			})
+			defer f.startCoordinator("one")()
+			f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, shortDuration)
+			f.awaitState("job", workload.Done)
+		})
+	}
+}
