Hold the resources of an unexpected run until it has ended

A run that the coordinator has given up or never started is stopped when it is reported. A run that is being stopped is not listed, so its resources counted as free at the next report, up to a stop time too early: LIMIT, a start over the capacity of the minion. Class: one report is taken for the outcome.

Change: its resources are free when the run is listed as ended, or has been missing for as long as a stop takes.

--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -49,17 +49,23 @@
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
 	incarnationKnown     bool          // incarnationKnown is set while the incarnation in minion is the one that answers, as far as this term knows.
 	runs                 map[runKey]*run
-	unexpected           map[runKey]workload.Resources // unexpected holds the resources of reported runs that the term did not expect.
+	unexpected           map[runKey]*unexpectedRun // unexpected holds the reported runs that the term did not expect until they have ended.
 	health               health
 	throttle             throttle
 	endedRunsDurable     chan struct{} // endedRunsDurable signals that further ended runs are durable; it has capacity 1.
 }
 
+// unexpectedRun is a run that this term has not started or has given up.
+type unexpectedRun struct {
+	need         workload.Resources
+	missingSince time.Duration // missingSince is when the run was first missing from a status report; 0 while it is listed.
+}
+
 // host returns the host with a name, which it adds if it is unknown.
 func (t *term) host(name string) *hostState {
 	h := t.hosts[name]
 	if h == nil {
-		h = &hostState{name: name, runs: make(map[runKey]*run), unexpected: make(map[runKey]workload.Resources), endedRunsDurable: make(chan struct{}, 1)}
+		h = &hostState{name: name, runs: make(map[runKey]*run), unexpected: make(map[runKey]*unexpectedRun), endedRunsDurable: make(chan struct{}, 1)}
 		t.hosts[name] = h
 	}
 	return h
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -51,8 +51,8 @@
 	for _, r := range h.runs {
 		free = free.Sub(r.need)
 	}
-	for _, need := range h.unexpected {
-		free = free.Sub(need)
+	for _, u := range h.unexpected {
+		free = free.Sub(u.need)
 	}
 	return free
 }
--- a/internal/fleet/coordinator/proof_test.go
+++ b/internal/fleet/coordinator/proof_test.go
@@ -248,3 +248,28 @@
 		})
 	}
 }
+
+// Guards against resources that are allocated twice while a run that the term
+// doesn't know is being stopped and is not reported.
+func TestUnexpectedRunHoldsResourcesUntilItHasEnded(t *testing.T) {
+	t.Parallel()
+	f := newSlowFixture(t, slowStop, "r1")
+	f.hooks.Store(&hooks{renew: renewShortly})
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "small", Steps: []workload.Step{step(1, 1)}}, shortDuration)
+	f.awaitState("small", workload.Done)
+	first, second := step(1, 1), step(1, 8)
+	second.DependsOn = []int{0}
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{first, second}}, 3*time.Second)
+	f.waitFor("the first step runs", func() bool { return f.starts("job", 1) == 1 })
+	f.fleet.SetWork("job", 1, fleethost.Work{Duration: time.Minute, Need: workload.Resources{Accelerators: 7}})
+	m := f.minionList[0]
+	f.c.Assert(m.Start(context.Background(), host.StartRequest{
+		Incarnation: m.Report().Incarnation(), Token: 1, Task: workload.TaskID{Job: "job", Step: 1}, Number: 9, StartDeadline: time.Minute,
+	}), qt.IsNil)
+	f.waitFor("it is reported", func() bool { return strings.Contains(f.logs.String(), `event="unexpected run"`) })
+	f.submit(workload.Job{ID: "next", Steps: []workload.Step{step(1, 7)}}, shortDuration)
+	f.awaitState("next", workload.Done)
+	f.cancel("job")
+	f.awaitState("job", workload.Cancelled)
+}
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -34,6 +34,7 @@
 		}
 	}
 	t.handleRunning(h, report.Running)
+	t.releaseUnexpected(h, report, sent)
 	t.throttleHost(h)
 	t.loseMissingRuns(h, report, sent)
 	if h.handledSequence > h.acknowledgedSequence {
@@ -88,7 +89,6 @@
 // handleRunning updates the runs that a minion reports, and stops unexpected
 // ones.
 func (t *term) handleRunning(h *hostState, running []host.Run) {
-	clear(h.unexpected)
 	for _, reported := range running {
 		key := runKey{reported.Task, reported.Number}
 		r := h.runs[key]
@@ -106,13 +106,34 @@
 	}
 }
 
+// releaseUnexpected frees the resources of unexpected runs that have ended by a
+// status report requested at sent. They are being stopped, so a run is not listed
+// until it has ended.
+func (t *term) releaseUnexpected(h *hostState, report host.StatusReport, sent time.Duration) {
+	for _, e := range report.EndedRuns {
+		delete(h.unexpected, runKey{e.Task, e.Number})
+	}
+	listed := listedRuns(report)
+	for key, u := range h.unexpected {
+		switch {
+		case listed[key]:
+			u.missingSince = 0
+		case u.missingSince == 0:
+			u.missingSince = now()
+		case u.missingSince+t.stopTimeout() < sent:
+			delete(h.unexpected, key)
+			t.needsPlan = true
+		}
+	}
+}
+
 // stopUnexpected stops a run that this term has not started or has given up.
 func (t *term) stopUnexpected(h *hostState, key runKey) {
 	need := workload.Resources{}
 	if j := t.jobs[key.task.Job]; j != nil && j.job.StepOf(key.task) < j.job.StepCount() {
 		need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
 	}
-	h.unexpected[key] = need
+	h.unexpected[key] = &unexpectedRun{need: need}
 	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
 	request := host.StopRequest{Incarnation: h.minion.Incarnation(), Token: t.token, Task: key.task, Number: key.number}
 	client := h.client
