Set the speed of a run again after a call without a reply

A best-effort task could stay at half of its speed for good. A call that set the speed and was not answered counted as a call without effect; when the former speed was due again, nothing was sent. Class: a try without a reply is taken for one without effect.

Change: after such a call the speed is unknown, and the next report sets it.

--- a/internal/fleet/coordinator/proof_test.go
+++ b/internal/fleet/coordinator/proof_test.go
@@ -273,3 +273,30 @@
 	f.cancel("job")
 	f.awaitState("job", workload.Cancelled)
 }
+
+// Guards against a best-effort task that stays slow because a call that was not
+// answered counts as a call without effect.
+func TestBestEffortTaskRegainsSpeedAfterUnansweredThrottle(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1")
+	defer f.startCoordinator("one")()
+	serving := longRunning(1, 1)
+	serving.LatencyTarget = 100 * time.Millisecond
+	j := f.submitWork(workload.Job{ID: "serving", Steps: []workload.Step{serving}}, fleethost.Work{Duration: shortDuration, Lasting: true, Latency: 90 * time.Millisecond})
+	f.waitFor("it serves", func() bool { return f.servingTasks(j.ID) == 1 })
+	var speed atomic.Int64 // speed is that of the only best-effort task; 0 before the first call.
+	f.hooks.Store(&hooks{throttle: func(m *fleethost.Minion, r host.ThrottleRequest) error {
+		f.c.Check(m.Throttle(context.Background(), r), qt.IsNil)
+		if speed.Swap(int64(r.SpeedPercent)) > 0 {
+			return nil
+		}
+		f.cancel(j.ID)
+		time.Sleep(600 * time.Millisecond) // A call to a minion takes as long.
+		return errNoReply
+	}})
+	bestEffort := workload.Step{Count: 1, Need: workload.Resources{MilliCores: 40_000, MemoryMB: 10}, BestEffort: true}
+	f.submitWork(workload.Job{ID: "filling", Priority: 2, Steps: []workload.Step{bestEffort}}, fleethost.Work{Duration: time.Minute})
+	f.waitFor("it is slowed down", func() bool { return speed.Load() == 50 })
+	f.awaitState(j.ID, workload.Cancelled)
+	f.waitFor("it works at full speed", func() bool { return speed.Load() == 100 })
+}
--- a/internal/fleet/coordinator/throttling.go
+++ b/internal/fleet/coordinator/throttling.go
@@ -32,8 +32,8 @@
 	minSpeed = 10
 	// fullSpeed is the speed percentage at which runs start.
 	fullSpeed = 100
-	// unknownSpeed marks runs of a former term, which may have slowed them
-	// down.
+	// unknownSpeed marks runs that a former term, or a call without a reply, may
+	// have slowed down.
 	unknownSpeed = -1
 )
 
@@ -123,8 +123,11 @@
 		}
 		t.post(func() {
 			r.throttleInFlight = false
-			if err == nil {
+			switch {
+			case err == nil:
 				r.speedPercent, r.progressedAt = percent, now()
+			case !host.IsRefusal(err):
+				r.speedPercent = unknownSpeed
 			}
 		})
 		return nil
