Don't take a full status report for proof that a run has ended

A minion lists 500 ended runs at a time. A run that had ended as done behind them was neither listed as running nor as ended, so the coordinator gave it up and started its task again after its end: TWICE once that end is acknowledged. Class: one report is taken for the outcome.

Change: a full report proves nothing about runs that it does not list. TestFullStatusReportIsNoProofThatRunEnded failed on the former code.

--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -74,8 +74,12 @@
 func (t *term) stopTimeout() time.Duration { return t.settings().TaskStopTimeout + stopMargin }
 
 // loseMissingRuns gives up the runs that are missing from a status report requested
-// at sent and have certainly ended or never started.
+// at sent and have certainly ended or never started. A full report may leave out
+// ended runs, so it proves nothing.
 func (t *term) loseMissingRuns(h *hostState, report host.StatusReport, sent time.Duration) {
+	if len(report.EndedRuns) >= host.MaxEndedRuns {
+		return
+	}
 	listed := listedRuns(report)
 	for _, r := range runsOf(h) {
 		switch {
--- a/internal/fleet/coordinator/term_internal_test.go
+++ b/internal/fleet/coordinator/term_internal_test.go
@@ -6,9 +6,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/run/metrics"
 )
 
 // Guards against a term that never ends because a call waits for a reply from a
@@ -125,3 +129,25 @@
 		c.Check(h.leaseExpiry > now()+startValidity, qt.IsTrue)
 	}
 }
+
+// Guards against a run that counts as ended because its end did not fit in the
+// status report.
+func TestFullStatusReportIsNoProofThatRunEnded(t *testing.T) {
+	for name, tt := range map[string]struct {
+		ended int
+		held  bool
+	}{"full": {host.MaxEndedRuns, true}, "not full": {host.MaxEndedRuns - 1, false}} {
+		t.Run(name, func(t *testing.T) {
+			job := workload.Job{ID: "job", Steps: []workload.Step{{Count: 1}}}
+			h := &hostState{name: "host", runs: make(map[runKey]*run)}
+			c := &Coordinator{logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name()))}
+			c.Apply(Options{})
+			term := &term{Coordinator: c, logger: c.logger, jobs: make(map[workload.ID]*jobState), attempts: make(map[int]*attempt), dirty: collection.NewSet[workload.ID]()}
+			j := &jobState{job: job, progress: workload.NewProgress(job)}
+			r := term.addRun(term.newAttempt(j, 0), job.TaskID(0, 0), 1, h, "minion@start")
+			r.phase, r.reported = running, true
+			term.loseMissingRuns(h, host.StatusReport{EndedRuns: make([]host.EndedRun, tt.ended)}, now())
+			qt.New(t).Check(r.held(), qt.Equals, tt.held)
+		})
+	}
+}
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -111,6 +111,10 @@
 	Checkpoint string
 }
 
+// MaxEndedRuns is how many ended runs a status report lists at most. The others
+// follow when these are acknowledged.
+const MaxEndedRuns = 500
+
 // StatusReport is a snapshot of the running runs of a minion and the ended runs that
 // are not yet acknowledged.
 type StatusReport struct {
