Don't end the coordinator on a task name with a large number

Callers would see: the entry that leads ends, the next one takes over, reads the same list and ends too, as long as a minion's list has the odd entry.

Cause: a row of a minion's running list may come from another writer.

Evidence: in a scratch copy, a minion with such a row in its report, whose job has three steps, ended the process of the coordinator: "index out of range [-1]" in workload.Job.Step, called by stopUnexpected.

StepOf checks all numbers of the name against the job, and ParseTaskID accepts only numbers that a job can have, in the form that String writes.

--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -234,17 +234,21 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// maxTaskNumber limits the numbers in the name of a task. It is above those of all
+// valid jobs.
+const maxTaskNumber = 1_000_000
+
 // ParseTaskID parses the format of TaskID.String.
 func ParseTaskID(s string) (TaskID, error) {
 	parts := strings.Split(s, ".")
 	if len(parts) != 4 {
-		return TaskID{}, fmt.Errorf("task name %q: want four parts", s)
+		return TaskID{}, fmt.Errorf("task name %.80q: want four parts", s)
 	}
 	var numbers [3]int
 	for i := range numbers {
 		n, err := strconv.Atoi(parts[i+1])
-		if err != nil || n < 0 {
-			return TaskID{}, fmt.Errorf("task name %q: part %d is not a number", s, i+1)
+		if err != nil || n < 0 || n > maxTaskNumber || strconv.Itoa(n) != parts[i+1] {
+			return TaskID{}, fmt.Errorf("task name %.80q: part %d is not a number up to %d", s, i+1, maxTaskNumber)
 		}
 		numbers[i] = n
 	}
--- a/internal/fleet/workload/schedule.go
+++ b/internal/fleet/workload/schedule.go
@@ -65,10 +65,10 @@
 	return StepID{Job: j.ID, Occurrence: j.Occurrence(step), Step: step % len(j.Steps)}
 }
 
-// StepOf returns the step number of a task, at least StepCount when the job has no
-// such step.
+// StepOf returns the step number of a task, StepCount when the job has no such step.
+// The numbers of the task may come from another writer.
 func (j Job) StepOf(t TaskID) int {
-	if t.Step >= len(j.Steps) {
+	if t.Step < 0 || t.Step >= len(j.Steps) || t.Occurrence < 0 || t.Occurrence >= j.Occurrences() {
 		return j.StepCount()
 	}
 	return t.Occurrence*len(j.Steps) + t.Step
