Reject jobs whose sizes or times overflow

Callers would see: entries that end one after the other for lack of memory, jobs that begin too early, count as late at once, or are stopped every 3 s because they "make no progress".

Cause: the numbers of a body were converted without bounds. A float that doesn't fit into an int64 becomes another value on arm64 than on amd64. On arm64 an estimate of 1e308 ms became the longest duration, and 20 times that wraps around. Intervals, due times and sums of resources wrapped too.

Evidence, on arm64, before: TestJobsWithOddSizesAreRejected failed in 11 of 17 cases, TestDueTimesDoNotOverflow in 6 of 7, TestOddJobBodies in 7 of 22, and TestOddDeadlines and TestOddConfigurations failed. All pass now. FuzzJob and FuzzConfiguration found nothing in a minute each.

Conversions take the nearest possible value, so that all processors agree. Validate bounds resources, times, dependencies, and steps and tasks of all occurrences: 5,000 steps and 100,000 tasks. An estimate is rough, so one above 30 days is lowered, also when a stored job is read: a job accepted before is not lost by the bound.

--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -5,6 +5,7 @@
 package workload
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strconv"
@@ -116,7 +117,7 @@
 }
 
 // CriticalPath returns the estimated duration of the longest chain of dependent
-// steps.
+// steps. It does not overflow for a job that Validate accepts.
 func (j Job) CriticalPath() time.Duration {
 	ends := make([]time.Duration, len(j.Steps))
 	var longest time.Duration
@@ -152,16 +153,18 @@
 // the step.
 func (j Job) Validate() error {
 	if len(j.Steps) == 0 {
-		return fmt.Errorf("job has no steps")
+		return errors.New("job has no steps")
 	}
-	if j.Schedule.Repetitions < 0 || j.Schedule.Interval < 0 {
-		return fmt.Errorf("schedule: %d repetitions every %s", j.Schedule.Repetitions, j.Schedule.Interval)
+	if err := j.Schedule.validate(); err != nil {
+		return err
 	}
-	if j.taskCount() > MaxTasks {
+	tasks := j.taskCount()
+	if tasks > MaxTasks {
 		return fmt.Errorf("job has more than %d tasks", MaxTasks)
 	}
-	if j.Schedule.Repetitions > MaxOccurrences {
-		return fmt.Errorf("job has %d repetitions, at most %d are possible", j.Schedule.Repetitions, MaxOccurrences)
+	if j.StepCount() > MaxSteps || j.Occurrences()*tasks > MaxScheduledTasks {
+		return fmt.Errorf("all occurrences have %d steps and %d tasks, at most %d and %d are possible",
+			j.StepCount(), j.Occurrences()*tasks, MaxSteps, MaxScheduledTasks)
 	}
 	for i, s := range j.Steps {
 		if err := s.validate(i); err != nil {
@@ -176,9 +179,17 @@
 	if s.Count < 1 {
 		return fmt.Errorf("count %d is below 1", s.Count)
 	}
-	smallest := min(s.Need.MilliCores, s.Need.MemoryMB, s.Need.Accelerators, s.SpreadLimit, s.MaxUnavailable)
-	if smallest < 0 || s.Estimate < 0 || s.LatencyTarget < 0 {
-		return fmt.Errorf("a size is negative")
+	if err := s.Need.Validate(); err != nil {
+		return err
+	}
+	if min(s.SpreadLimit, s.MaxUnavailable) < 0 || min(s.Estimate, s.LatencyTarget) < 0 {
+		return errors.New("a size is negative")
+	}
+	if max(s.Estimate, s.LatencyTarget) > MaxEstimate {
+		return fmt.Errorf("a time is above %s", MaxEstimate)
+	}
+	if len(s.DependsOn) > index {
+		return fmt.Errorf("depends on %d steps, but only %d are earlier ones", len(s.DependsOn), index)
 	}
 	for _, d := range s.DependsOn {
 		if d < 0 || d >= index {
@@ -188,14 +199,32 @@
 	return nil
 }
 
-// MaxTasks and MaxOccurrences limit the tasks of an occurrence and the occurrences
-// of a job, so that its progress fits into one record of the ledger. A placed task
-// takes about 130 bytes there, an occurrence without placed tasks about 30.
+// Limits of a job, so that its progress fits into one record of the ledger and into
+// the memory of an entry. A placed task takes about 130 bytes in the record, a step
+// without placed tasks about 30.
 const (
-	MaxTasks       = 1500
-	MaxOccurrences = 1000
+	MaxTasks          = 1500    // MaxTasks limits the tasks of an occurrence.
+	MaxOccurrences    = 1000    // MaxOccurrences limits the occurrences.
+	MaxSteps          = 5000    // MaxSteps limits the steps of all occurrences.
+	MaxScheduledTasks = 100_000 // MaxScheduledTasks limits the tasks of all occurrences.
 )
 
+// MaxEstimate limits the times of a step, so that sums over the steps of a job and
+// small multiples of them do not overflow.
+const MaxEstimate = 30 * 24 * time.Hour
+
+// maxResource limits each field of Resources, so that sums over a fleet do not
+// overflow.
+const maxResource = 1_000_000_000
+
+// Validate returns an error if a field is negative or too large.
+func (r Resources) Validate() error {
+	if min(r.MilliCores, r.MemoryMB, r.Accelerators) < 0 || max(r.MilliCores, r.MemoryMB, r.Accelerators) > maxResource {
+		return fmt.Errorf("resources are %+v, want each between 0 and %d", r, maxResource)
+	}
+	return nil
+}
+
 // taskCount returns the number of tasks of an occurrence, capped at MaxTasks+1 so
 // that large counts do not overflow.
 func (j Job) taskCount() int {
--- a/internal/fleet/workload/schedule.go
+++ b/internal/fleet/workload/schedule.go
@@ -1,6 +1,9 @@
 package workload
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Schedule repeats the steps of a job at fixed times. The zero value runs them
 // once, immediately.
@@ -10,6 +13,29 @@
 	Interval    time.Duration // Interval is the time between the starts of occurrences, which may overlap.
 }
 
+// maxScheduleSpan limits the time from the first occurrence to the last.
+const maxScheduleSpan = 100 * 365 * 24 * time.Hour
+
+// lastStart is the latest time at which the first occurrence may start.
+var lastStart = time.Date(9999, time.December, 31, 0, 0, 0, 0, time.UTC)
+
+// validate returns an error for a schedule that exceeds a limit.
+func (s Schedule) validate() error {
+	if s.Repetitions < 0 || s.Interval < 0 {
+		return fmt.Errorf("schedule: %d repetitions every %s", s.Repetitions, s.Interval)
+	}
+	if s.Repetitions > MaxOccurrences {
+		return fmt.Errorf("job has %d repetitions, at most %d are possible", s.Repetitions, MaxOccurrences)
+	}
+	if s.Interval > maxScheduleSpan/time.Duration(max(1, s.Repetitions)) {
+		return fmt.Errorf("schedule: %d repetitions every %s take too long", s.Repetitions, s.Interval)
+	}
+	if s.Repetitions > 0 && (s.First.Before(time.Unix(0, 0)) && !s.First.IsZero() || s.First.After(lastStart)) {
+		return fmt.Errorf("schedule: the first occurrence starts in the year %d", s.First.UTC().Year())
+	}
+	return nil
+}
+
 // Scheduled reports whether the steps run at fixed times.
 func (j Job) Scheduled() bool { return j.Schedule.Repetitions > 0 }
 
@@ -32,7 +58,24 @@
 	if begin.Before(j.Submitted) {
 		begin = j.Submitted
 	}
-	return begin.Add(time.Duration(j.Stretch*float64(j.CriticalPath())) + j.Objective)
+	return begin.Add(j.allowance())
+}
+
+// maxAllowance limits the time between the start and the target completion time, so
+// that small multiples of it do not overflow.
+const maxAllowance = 30 * 365 * 24 * time.Hour
+
+// allowance returns Stretch * CriticalPath + Objective, between 0 and maxAllowance.
+func (j Job) allowance() time.Duration {
+	sum := j.Stretch*float64(j.CriticalPath()) + float64(j.Objective)
+	switch {
+	case sum >= float64(maxAllowance):
+		return maxAllowance
+	case sum > 0:
+		return time.Duration(sum)
+	default: // also not a number
+		return 0
+	}
 }
 
 // StepCount returns the number of steps of all occurrences. Step numbers are
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"strings"
 	"time"
@@ -113,17 +114,17 @@
 	j := workload.Job{
 		ID: workload.ID(id), Queue: r.Queue, Organisation: r.Organisation, Service: r.Service, Spec: r.Spec,
 		Submitted: time.UnixMilli(r.Submitted), Priority: r.Priority, Attempts: r.Attempts,
-		Stretch: r.Stretch, Objective: time.Duration(r.Objective) * time.Millisecond,
+		Stretch: r.Stretch, Objective: fromMillis(r.Objective),
 	}
 	if r.Repetitions > 0 {
-		j.Schedule = workload.Schedule{Repetitions: r.Repetitions, First: time.UnixMilli(r.First), Interval: time.Duration(r.Interval) * time.Millisecond}
+		j.Schedule = workload.Schedule{Repetitions: r.Repetitions, First: time.UnixMilli(r.First), Interval: fromMillis(r.Interval)}
 	}
 	for _, s := range r.Steps {
 		j.Steps = append(j.Steps, workload.Step{
 			Count: s.Count, Need: workload.Resources{MilliCores: s.MilliCores, MemoryMB: s.MemoryMB, Accelerators: s.Accelerators},
-			Estimate: time.Duration(s.Estimate) * time.Millisecond, DependsOn: s.DependsOn, Checkpoints: s.Checkpoints, Gang: s.Gang,
+			Estimate: min(fromMillis(s.Estimate), workload.MaxEstimate), DependsOn: s.DependsOn, Checkpoints: s.Checkpoints, Gang: s.Gang,
 			RackLocal: s.RackLocal, Label: s.Label, DataRack: s.Rack, SpreadLimit: s.SpreadLimit,
-			LongRunning: s.LongRunning, MaxUnavailable: s.MaxUnavailable, LatencyTarget: time.Duration(s.LatencyTarget) * time.Millisecond, BestEffort: s.BestEffort, Image: s.Image,
+			LongRunning: s.LongRunning, MaxUnavailable: s.MaxUnavailable, LatencyTarget: fromMillis(s.LatencyTarget), BestEffort: s.BestEffort, Image: s.Image,
 		})
 	}
 	if err := j.Validate(); err != nil {
@@ -132,6 +133,13 @@
 	return j, nil
 }
 
+// fromMillis converts milliseconds to a duration. Values out of range become the
+// nearest possible one.
+func fromMillis(ms int64) time.Duration {
+	const most = math.MaxInt64 / int64(time.Millisecond)
+	return time.Duration(min(max(ms, -most), most)) * time.Millisecond
+}
+
 type progressRecord struct {
 	State              string               `json:"state"`
 	Steps              []stepProgressRecord `json:"steps,omitempty"` // Steps is omitted once the job has ended and no task is placed.
