Skip odd records of the ledger that would end a process

Callers would see: every entry ends when it reads the topic, and again after each restart, because the newest record of a key is kept for ever. An odd progress record could also make the next coordinator start a job anew although its tasks run.

Cause: the numbers of waiting and finished tasks in a progress record were summed and allocated as they were. A negative or very large one panics in the goroutine of the reader; one that is merely large takes the memory. Progress of other steps than those of the job replaced the good progress, and unknown phases or run numbers near the largest integer were folded. Members without a valid address, or with port 0, were called.

Records are checked before anything is allocated for them. A record of a kind that is not known is ignored.

TestReaderFoldsRecordsWithoutWakeUp announced members without an address. These are not valid any more, so its members now have one; the test is otherwise the same.

--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"net/netip"
@@ -107,6 +108,9 @@
 
 // decodeJob returns the job of a record, or an error if it is not valid.
 func decodeJob(id string, value []byte) (workload.Job, error) {
+	if id == "" {
+		return workload.Job{}, errors.New("decode job: the key has no ID")
+	}
 	var r jobRecord
 	if err := json.Unmarshal(value, &r); err != nil {
 		return workload.Job{}, fmt.Errorf("decode job %s: %w", id, err)
@@ -176,8 +180,25 @@
 	return r
 }
 
+// validate returns an error for a record that no coordinator has written.
+func (r stepProgressRecord) validate() error {
+	if min(r.Waiting, r.Finished) < 0 || max(r.Waiting, r.Finished) > workload.MaxTasks {
+		return fmt.Errorf("%d waiting and %d finished tasks", r.Waiting, r.Finished)
+	}
+	if min(r.Failures, r.FailedRun) < 0 || max(r.Failures, r.FailedRun) > maxRun {
+		return fmt.Errorf("%d failures, the last in run %d", r.Failures, r.FailedRun)
+	}
+	for i, t := range r.Tasks {
+		if err := t.validate(); err != nil {
+			return fmt.Errorf("task %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// decode returns the progress of a valid record.
 func (r stepProgressRecord) decode() workload.StepProgress {
-	s := workload.StepProgress{Failures: r.Failures, FailedRun: r.FailedRun, Tasks: make([]workload.Task, r.Waiting+r.Finished)}
+	s := workload.StepProgress{Failures: r.Failures, FailedRun: r.FailedRun, Tasks: make([]workload.Task, r.Waiting+r.Finished, r.Waiting+r.Finished+len(r.Tasks))}
 	for i := range r.Finished {
 		s.Tasks[i].Phase = workload.Finished
 	}
@@ -196,6 +217,23 @@
 	Checkpoint string         `json:"checkpoint,omitempty"`
 }
 
+// maxRun limits the numbers of runs and failures, so that they can be increased.
+const maxRun = math.MaxInt32
+
+// validate returns an error for a record that no coordinator has written.
+func (r taskRecord) validate() error {
+	if r.Phase < workload.Waiting || r.Phase > workload.Finished {
+		return fmt.Errorf("unknown phase %d", r.Phase)
+	}
+	if min(r.Run, r.Failures) < 0 || max(r.Run, r.Failures) > maxRun {
+		return fmt.Errorf("run %d with %d failures", r.Run, r.Failures)
+	}
+	if r.Phase == workload.Placed && (r.Host == "" || r.Run == 0) {
+		return fmt.Errorf("run %d is placed on host %q", r.Run, r.Host)
+	}
+	return nil
+}
+
 // EncodeProgress returns the progress record of a job.
 func EncodeProgress(p *workload.Progress) (Record, error) {
 	r := progressRecord{State: p.State.String()}
@@ -220,9 +258,19 @@
 		}
 	}
 	if p.State < 0 {
-		return nil, fmt.Errorf("decode progress of %s: unknown state %q", id, r.State)
+		return nil, fmt.Errorf("decode progress of %s: unknown state %.40q", id, r.State)
 	}
-	for _, s := range r.Steps {
+	if len(r.Steps) > workload.MaxSteps {
+		return nil, fmt.Errorf("decode progress of %s: %d steps, at most %d are possible", id, len(r.Steps), workload.MaxSteps)
+	}
+	tasks := 0
+	for i, s := range r.Steps {
+		if err := s.validate(); err != nil {
+			return nil, fmt.Errorf("decode progress of %s: step %d: %w", id, i, err)
+		}
+		if tasks += s.Waiting + s.Finished + len(s.Tasks); tasks > workload.MaxScheduledTasks {
+			return nil, fmt.Errorf("decode progress of %s: more than %d tasks", id, workload.MaxScheduledTasks)
+		}
 		p.Steps = append(p.Steps, s.decode())
 	}
 	if p.StepsPerOccurrence == 0 { // Records from versions without schedules lack the field.
@@ -257,6 +305,14 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return Member{}, fmt.Errorf("decode member %s: %w", name, err)
 	}
+	switch {
+	case name == "":
+		return Member{}, errors.New("decode member: the key has no name")
+	case r.Role != EntryRole && r.Role != AgentRole:
+		return Member{}, fmt.Errorf("decode member %s: unknown role %.40q", name, r.Role)
+	case !r.Address.IsValid() || r.Address.Addr().IsUnspecified() || r.Address.Port() == 0:
+		return Member{}, fmt.Errorf("decode member %s: %q is not the address of a process", name, r.Address)
+	}
 	return Member{Name: name, Role: r.Role, DataCentre: r.DataCentre, Address: r.Address, Started: time.UnixMilli(r.Started)}, nil
 }
 
--- a/internal/record/ledger/reader_test.go
+++ b/internal/record/ledger/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 	store.SetFaults(fleetstore.Faults{DropHistory: true})
 	// The first record waits for the end of a full poll, later ones of a short poll.
 	for i, limit := range []time.Duration{800 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond} {
-		record, err := ledger.EncodeMember(ledger.Member{Name: string(rune('a' + i)), Role: ledger.EntryRole})
+		record, err := ledger.EncodeMember(ledger.Member{Name: string(rune('a' + i)), Role: ledger.EntryRole, Address: netip.MustParseAddrPort("10.0.0.1:7000")})
 		c.Assert(err, qt.IsNil)
 		c.Assert(store.Append(context.Background(), topic, []ledger.Record{record}), qt.IsNil)
 		start := time.Now()
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 
 	"wasabihoist/internal/base/collection"
@@ -121,10 +122,14 @@
 	if deleted {
 		delete(s.offsets, r.Key)
 	}
-	if kind == MemberKind {
+	switch kind {
+	case MemberKind:
 		return s.applyMember(name, r.Value, deleted)
+	case JobKind, ProgressKind, CancellationKind:
+		return s.applyJob(kind, workload.ID(name), r, deleted)
+	default: // a kind of another writer
+		return nil
 	}
-	return s.applyJob(kind, workload.ID(name), r, deleted)
 }
 
 func (s *State) applyMember(name string, value []byte, deleted bool) error {
@@ -159,7 +164,7 @@
 	case kind == ProgressKind && !deleted:
 		var p *workload.Progress
 		if p, err = decodeProgress(string(id), r.Value); err == nil {
-			e.Progress = p
+			err = e.setProgress(p)
 		}
 	case kind == CancellationKind && !deleted:
 		e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
@@ -169,6 +174,17 @@
 	return err
 }
 
+// setProgress replaces the progress, unless it is that of other steps. The coordinator
+// would start such a job anew, although tasks of it may run.
+func (e *JobEntry) setProgress(p *workload.Progress) error {
+	withoutSteps := p.State.Ended() && len(p.Steps) == 0
+	if e.Accepted && !withoutSteps && !p.Matches(e.Job) {
+		return fmt.Errorf("decode progress of %s: it has other steps or tasks than the job", p.Job)
+	}
+	e.Progress = p
+	return nil
+}
+
 // updatePending adds an entry to the pending jobs of its queue or removes it.
 func (s *State) updatePending(id workload.ID, e *JobEntry) {
 	if !e.Accepted {
