Keep the heartbeats of a minion beside those of another writer

Callers would see: a good minion that gets no work from the next coordinator on, for the rest of its life, or work that is given to a minion that drains.

Cause: an agent kept the newest heartbeat only, by the start time in it. A heartbeat of another writer with a later start time replaced that of the minion, whose own ones then counted as stale for ever. Status reports got no id and capacity any more, and a start was no longer refused although the minion had reported that it drains. The address in a heartbeat is not read, so an entry that is odd in its port only is such a heartbeat.

Evidence before: TestOddHeartbeatDoesNotHideTheMinion failed in 7 of 9 cases, and TestOddHeartbeatDoesNotEndTheDraining failed. Both pass now.

The agent keeps the newest heartbeat of each of up to 8 incarnations, and takes the one whose start time the minion itself reports in its answers to renewals.

--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -27,10 +27,8 @@
 	durations map[string]*metrics.Histogram // durations holds the time of calls at the minion, keyed as calls.
 
 	mu           sync.Mutex
-	lastState    host.Minion // lastState is from the newest heartbeat, or draining after a deregistration; its ID is empty before the first heartbeat.
-	sequence     int64       // sequence is the sequence number of the newest heartbeat of the incarnation.
-	lastStateAt  time.Time
-	stateChanged chan struct{} // stateChanged is closed and replaced when lastState has another incarnation, draining state or capacity.
+	states       minionStates
+	stateChanged chan struct{} // stateChanged is closed and replaced when states has a new incarnation, or another draining state or capacity of one.
 	lastContact  time.Time     // lastContact is the time of the last call of a coordinator; zero before the first.
 	token        int64         // token is the highest fencing token of a call. It is only logged; the minion checks tokens.
 }
@@ -63,20 +61,16 @@
 	a.durations[call].Record(time.Since(begin))
 }
 
-// Heartbeat receives the state of the minion. It ignores heartbeats of a former
-// incarnation, and those of the same incarnation with a lower sequence number
-// than the newest.
+// Heartbeat receives the state of an incarnation of the minion. It ignores
+// heartbeats with a lower sequence number than the newest one of the incarnation.
 func (a *Agent) Heartbeat(m host.Minion, sequence int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	sameIncarnation := a.lastState.ID == m.ID && a.lastState.StartedAt.Equal(m.StartedAt)
-	if m.StartedAt.Before(a.lastState.StartedAt) || (sameIncarnation && sequence < a.sequence) {
-		_ = level.Info(a.logger).Log("event", "stale heartbeat ignored", "minion", m.Incarnation(), "sequence", sequence,
-			"newest", a.lastState.Incarnation(), "newest-sequence", a.sequence)
+	changed, newest := a.states.update(m, sequence, time.Now())
+	if sequence < newest {
+		_ = level.Info(a.logger).Log("event", "stale heartbeat ignored", "minion", m.Incarnation(), "sequence", sequence, "newest-sequence", newest)
 		return
 	}
-	changed := !sameIncarnation || a.lastState.Draining != m.Draining || a.lastState.Capacity != m.Capacity
-	a.lastState, a.sequence, a.lastStateAt = m, sequence, time.Now()
 	if !changed {
 		return
 	}
@@ -85,17 +79,15 @@
 	a.notifyChange()
 }
 
-// Deregister marks the minion as draining with no time left. It ignores the id of
-// another minion.
+// Deregister marks the minion with an id as draining with no time left. It ignores
+// an unknown id.
 func (a *Agent) Deregister(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_ = level.Info(a.logger).Log("event", "minion deregistered", "minion", id)
-	if a.lastState.ID != id {
-		return
+	if a.states.deregister(id) {
+		a.notifyChange()
 	}
-	a.lastState.Draining, a.lastState.Remaining = true, 0
-	a.notifyChange()
 }
 
 // notifyChange ends the waits of renewals. The caller holds mu.
@@ -165,11 +157,13 @@
 func (a *Agent) addLastState(status *host.StatusReport) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if status.Gone || !status.Minion.StartedAt.Equal(a.lastState.StartedAt) {
+	if status.Gone {
 		return
 	}
-	status.Minion = a.lastState
-	status.Minion.Remaining = max(0, a.lastState.Remaining-time.Since(a.lastStateAt))
+	if last := a.states.startedAt(status.Minion.StartedAt); last != nil {
+		status.Minion = last.minion
+		status.Minion.Remaining = max(0, last.minion.Remaining-time.Since(last.at))
+	}
 }
 
 // Start implements host.Client. If the minion drains, it returns host.ErrDraining
@@ -177,7 +171,7 @@
 func (a *Agent) Start(ctx context.Context, r host.StartRequest) error {
 	a.recordContact(r.Token)
 	a.mu.Lock()
-	draining := a.lastState.Draining && a.lastState.Incarnation() == r.Incarnation
+	draining := a.states.draining(r.Incarnation)
 	a.mu.Unlock()
 	if draining {
 		_ = level.Info(a.logger).Log("event", "start refused", "job", r.Task.Job, "task", r.Task, "run", r.Number, "reason", host.ErrDraining)
