Bound the log lines about odd records

Another writer that repeats odd records made each process log a line for each page, with the error of each record in it.

--- a/internal/record/ledger/odd_test.go
+++ b/internal/record/ledger/odd_test.go
@@ -1,9 +1,11 @@
 package ledger_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -189,6 +191,22 @@
 	c.Check(s.All(), qt.HasLen, 1)
 }
 
+// Guards against odd records that fill the log, one by one or by their size.
+func TestOddRecordsDoNotFloodTheLog(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := fleetstore.New()
+	var lines bytes.Buffer
+	reader := ledger.NewReader(store, topic, ledger.NewState(), 0, log.NewLogfmtLogger(&lines))
+	large := ledger.Record{Key: "member/odd", Value: []byte(`{"role":"agent","address":"` + strings.Repeat("x", 1000) + `"}`)}
+	for range 20 {
+		c.Assert(store.Append(ctx, topic, slices.Repeat([]ledger.Record{large}, 30)), qt.IsNil)
+		c.Assert(reader.Refresh(ctx), qt.IsNil)
+	}
+	c.Check(strings.Count(lines.String(), "unreadable records skipped"), qt.Equals, 1)
+	c.Check(lines.Len() < 2000, qt.IsTrue, qt.Commentf("%d bytes", lines.Len()))
+}
+
 // Guards against records of other writers that end the process or make it
 // allocate without limit.
 func FuzzRecords(f *testing.F) {
--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/limitedlog"
 )
 
 const (
@@ -46,6 +48,7 @@
 	fold   Fold
 	wait   time.Duration
 	logger log.Logger
+	odd    *limitedlog.Logger // odd logs records that can't be read.
 
 	mu           sync.Mutex
 	loaded       bool          // loaded is set once the newest records of all keys are folded.
@@ -68,7 +71,8 @@
 	if wait == 0 {
 		wait = longPollWait
 	}
-	return &Reader{store: store, topic: topic, fold: fold, wait: wait, logger: log.With(logger, "topic", topic), loadedSignal: make(chan struct{})}
+	logger = log.With(logger, "topic", topic)
+	return &Reader{store: store, topic: topic, fold: fold, wait: wait, logger: logger, odd: limitedlog.New(logger), loadedSignal: make(chan struct{})}
 }
 
 // String returns the name used in logs.
@@ -165,12 +169,20 @@
 		return r.handleReadFailure(ctx, err)
 	}
 	if err := r.fold.Apply(page); err != nil {
-		_ = level.Warn(r.logger).Log("event", "unreadable records skipped", "reason", err)
+		r.logSkipped(err)
 	}
 	r.handleReadSuccess(start)
 	return nil
 }
 
+// maxReasonBytes bounds the errors of skipped records in a log line. They may quote
+// the records.
+const maxReasonBytes = 1000
+
+func (r *Reader) logSkipped(err error) {
+	r.odd.Warn("event", "unreadable records skipped", "reason", fmt.Sprintf("%.*s", maxReasonBytes, err.Error()))
+}
+
 // load reads the newest record of each key and replaces the folded state by them.
 func (r *Reader) load(ctx context.Context, start time.Time) error {
 	page, err := r.store.Newest(ctx, r.topic)
@@ -179,7 +191,7 @@
 	}
 	applied, err := r.fold.Replace(page)
 	if err != nil {
-		_ = level.Warn(r.logger).Log("event", "unreadable records skipped", "reason", err)
+		r.logSkipped(err)
 	}
 	if !applied {
 		return r.handleReadFailure(ctx, errors.New("the store returned an older state"))
