Read the good rows of a status report beside odd ones

Callers would see: a host that counts as silent as long as its minion's lists have one odd row. Its leases expire, its work is lost and starts again elsewhere, and it gets no new work.

Cause: one row that could not be read made the whole report fail, each time. Numbers were converted without bounds: a percentage of 1e308, a clock or a start time out of range. An end with a number such as 2^52 acknowledged all later ends.

What a row that can't be read means: - An optional value, such as the checkpoint, the percentage or the load, is left out. - A running row without a readable task and run may be any run. The agent completes the report with the runs that it knows from earlier reports and answered starts, so that no run counts as ended because it is missing. A run is dropped 30 s after the minion has answered a stop for it. An agent that has not yet seen a complete report of the incarnation fails the report, as before. - An end with a readable number is reported, so that it is handled before it is acknowledged. If its task or outcome can't be read, it counts as an expired lease: the run has ended, nothing shows that it completed or failed, and the task is started again with a higher number. A task that was done runs again then. - An end without a number is left out. Its run counts as lost once a report without unreadable running rows lacks it. As it can't be acknowledged, the minion answers renewals at once, so the agent answers after 250 ms then. - A number of an end above 1,000 and one for each millisecond of the minion's clock is from another writer. - A report whose clock or start time is out of range fails as a whole.

--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -109,6 +109,16 @@
 	Running   []Run
 	EndedRuns []EndedRun
 	Gone      bool // Gone is set when it is certain that no minion runs at the address.
+
+	Unreadable Unreadable // Unreadable describes the rows that the lists lack or hold only in part.
+}
+
+// Unreadable describes the rows of a status report that can't be read, because
+// another writer has left them. The zero value means that there are none.
+type Unreadable struct {
+	Runs int   // Runs is the number of running runs that are not known by name. A run that the report lacks may be one of them.
+	Ends int   // Ends is the number of ended runs without a sequence number, which can't be acknowledged.
+	Err  error // Err is about the first unreadable row, also if only an optional value of it is missing.
 }
 
 // RenewLeaseRequest renews the lease of all runs on a minion and asks for its status.
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/limitedlog"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/run/metrics"
 )
@@ -22,12 +24,14 @@
 	minion    host.Client     // minion receives starts, stops and throttles.
 	sessions  *sessionManager // sessions receives lease renewals.
 	logger    log.Logger
+	odd       *limitedlog.Logger            // odd logs rows that can't be read.
 	calls     map[string]metrics.Counter    // calls counts calls by their name in the minion's API.
 	failures  map[string]metrics.Counter    // failures counts failed calls, keyed as calls.
 	durations map[string]*metrics.Histogram // durations holds the time of calls at the minion, keyed as calls.
 
 	mu           sync.Mutex
 	states       minionStates
+	runs         knownRuns
 	stateChanged chan struct{} // stateChanged is closed and replaced when states has a new incarnation, or another draining state or capacity of one.
 	lastContact  time.Time     // lastContact is the time of the last call of a coordinator; zero before the first.
 	token        int64         // token is the highest fencing token of a call. It is only logged; the minion checks tokens.
@@ -41,7 +45,7 @@
 // hold is a lease renewal, and pace is a throttle.
 func New(minion host.Client, connect Connect, r *metrics.Registry, logger log.Logger) *Agent {
 	a := &Agent{
-		minion: minion, sessions: &sessionManager{connect: connect, logger: logger}, logger: logger, stateChanged: make(chan struct{}),
+		minion: minion, sessions: &sessionManager{connect: connect, logger: logger}, logger: logger, odd: limitedlog.New(logger), stateChanged: make(chan struct{}),
 		calls: make(map[string]metrics.Counter), failures: make(map[string]metrics.Counter), durations: make(map[string]*metrics.Histogram),
 	}
 	for _, call := range []string{"hold", "start", "stop", "pace"} {
@@ -148,10 +152,54 @@
 	if err != nil {
 		return host.StatusReport{}, err
 	}
+	if err := a.completeReport(&status, begin); err != nil {
+		return host.StatusReport{}, err
+	}
+	if status.Unreadable.Ends > 0 && !hasNewEnds(status, r.AcknowledgedSequence) {
+		a.delayReply(ctx, changed, begin.Add(min(r.Wait, unreadableEndDelay)))
+	}
 	a.addLastState(&status)
 	return status, nil
 }
 
+// unreadableEndDelay is how long the reply to a renewal takes at least while the
+// minion reports an end that can't be acknowledged, because such a minion does not
+// wait.
+const unreadableEndDelay = 250 * time.Millisecond
+
+// hasNewEnds reports whether a status report has an ended run above a sequence
+// number.
+func hasNewEnds(status host.StatusReport, acknowledged int64) bool {
+	return slices.ContainsFunc(status.EndedRuns, func(e host.EndedRun) bool { return e.Sequence > acknowledged })
+}
+
+// delayReply waits until a time, until the state of the minion changes or until ctx
+// ends.
+func (a *Agent) delayReply(ctx context.Context, changed <-chan struct{}, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+// completeReport adds the known runs to a status report with unreadable rows, which
+// was requested at begin. Without them, the coordinator would take the lack of a run
+// for its end. It fails if the agent does not know the runs of the incarnation.
+func (a *Agent) completeReport(status *host.StatusReport, begin time.Time) error {
+	if status.Gone {
+		return nil
+	}
+	if status.Unreadable != (host.Unreadable{}) {
+		a.odd.Warn("event", "unreadable rows in the status report", "runs", status.Unreadable.Runs, "ends", status.Unreadable.Ends, "reason", status.Unreadable.Err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.runs.update(status, begin, time.Now())
+}
+
 // addLastState adds the state of the last heartbeat to a status report of the same
 // incarnation. The status report of another incarnation keeps only its start time.
 func (a *Agent) addLastState(status *host.StatusReport) {
@@ -180,6 +228,11 @@
 	begin := time.Now()
 	err := a.minion.Start(ctx, r)
 	a.recordCall("start", begin, err)
+	if err == nil {
+		a.mu.Lock()
+		a.runs.start(host.Run{Task: r.Task, Number: r.Number, Checkpoint: r.Checkpoint}, time.Now())
+		a.mu.Unlock()
+	}
 	_ = level.Info(a.logger).Log("event", "start", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "outcome", logOutcome(err))
 	return err
 }
@@ -190,6 +243,11 @@
 	begin := time.Now()
 	err := a.minion.Stop(ctx, r)
 	a.recordCall("stop", begin, err)
+	if err == nil {
+		a.mu.Lock()
+		a.runs.stop(runKey{r.Task, r.Number}, time.Now())
+		a.mu.Unlock()
+	}
 	_ = level.Info(a.logger).Log("event", "stop", "job", r.Task.Job, "task", r.Task, "run", r.Number, "token", r.Token, "outcome", logOutcome(err))
 	return err
 }
--- a/internal/role/hostagent/odd_test.go
+++ b/internal/role/hostagent/odd_test.go
@@ -34,13 +34,10 @@
 	return report, nil
 }
 
-func (m *scriptedMinion) Start(context.Context, host.StartRequest) error { return nil }
-
-func (m *scriptedMinion) Stop(context.Context, host.StopRequest) error { return nil }
-
+func (m *scriptedMinion) Start(context.Context, host.StartRequest) error       { return nil }
+func (m *scriptedMinion) Stop(context.Context, host.StopRequest) error         { return nil }
 func (m *scriptedMinion) Throttle(context.Context, host.ThrottleRequest) error { return nil }
-
-func (m *scriptedMinion) Close() {}
+func (m *scriptedMinion) Close()                                               {}
 
 func newScriptedAgent(c *qt.C) (*hostagent.Agent, *scriptedMinion) {
 	m := &scriptedMinion{report: host.StatusReport{Minion: host.Minion{StartedAt: born}}}
@@ -109,3 +106,93 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(status.Minion.Remaining, qt.Equals, time.Duration(0))
 }
+
+// Guards against a running run whose row can't be read and that counts as ended,
+// so that its task is started a second time.
+func TestUnreadableRowIsNoProofThatARunEnded(t *testing.T) {
+	run := func(index int) host.Run {
+		return host.Run{Task: workload.TaskID{Job: task.Job, Index: index}, Number: 1, Checkpoint: "cp"}
+	}
+	ended := func(index int) host.EndedRun {
+		return host.EndedRun{Sequence: int64(index), Task: run(index).Task, Number: 1}
+	}
+	runs := func(list ...host.Run) host.StatusReport { return host.StatusReport{Running: list} }
+	unreadable := host.Unreadable{Runs: 1, Err: errors.New("row 0")}
+	odd := func(report host.StatusReport) host.StatusReport {
+		report.Unreadable = unreadable
+		return report
+	}
+	withEnds := func(report host.StatusReport, ends ...host.EndedRun) host.StatusReport {
+		report.EndedRuns = ends
+		return report
+	}
+	for name, tt := range map[string]struct {
+		reports []host.StatusReport
+		start   int // start is the index of a task that is started after the first report; 0 for none.
+		born    time.Time
+		want    []int // want has the tasks that the last report must list; nil if it must fail.
+	}{
+		"known before":                   {reports: []host.StatusReport{runs(run(1), run(2)), odd(runs(run(1)))}, want: []int{1, 2}},
+		"known before, then all odd":     {reports: []host.StatusReport{runs(run(1), run(2)), odd(runs()), odd(runs())}, want: []int{1, 2}},
+		"ended meanwhile":                {reports: []host.StatusReport{runs(run(1), run(2)), withEnds(odd(runs(run(1))), ended(2))}, want: []int{1}},
+		"ended and forgotten":            {reports: []host.StatusReport{runs(run(1), run(2)), withEnds(runs(run(1)), ended(2)), odd(runs())}, want: []int{1}},
+		"ended in an odd report":         {reports: []host.StatusReport{runs(run(1), run(2)), withEnds(odd(runs(run(1))), ended(2)), odd(runs(run(1)))}, want: []int{1}},
+		"first seen in an odd report":    {reports: []host.StatusReport{runs(run(1)), odd(runs(run(1), run(2))), odd(runs(run(1)))}, want: []int{1, 2}},
+		"started meanwhile":              {reports: []host.StatusReport{runs(run(1)), odd(runs(run(1)))}, start: 3, want: []int{1, 3}},
+		"started and listed":             {reports: []host.StatusReport{runs(run(1)), odd(runs(run(1), run(3)))}, start: 3, want: []int{1, 3}},
+		"nothing known":                  {reports: []host.StatusReport{odd(runs(run(1)))}},
+		"nothing known of another":       {reports: []host.StatusReport{runs(run(1), run(2)), odd(runs(run(1)))}, born: born.Add(time.Minute)},
+		"readable again":                 {reports: []host.StatusReport{runs(run(1), run(2)), odd(runs(run(1))), runs(run(1))}, want: []int{1}},
+		"only an optional value is lost": {reports: []host.StatusReport{runs(run(1), run(2)), {Running: []host.Run{run(1)}, Unreadable: host.Unreadable{Err: unreadable.Err}}}, want: []int{1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			agent, minion := newScriptedAgent(c)
+			var status host.StatusReport
+			var err error
+			for i, report := range tt.reports {
+				report.Minion.StartedAt = born
+				if i > 0 && !tt.born.IsZero() {
+					report.Minion.StartedAt = tt.born
+				}
+				minion.report = report
+				status, err = agent.RenewLease(context.Background(), host.RenewLeaseRequest{Token: token})
+				if i == 0 && tt.start > 0 {
+					c.Assert(agent.Start(context.Background(), host.StartRequest{Token: token, Task: run(tt.start).Task, Number: 1, Checkpoint: "cp"}), qt.IsNil)
+				}
+			}
+			if tt.want == nil {
+				c.Check(err, qt.ErrorMatches, `1 running runs can't be read: row 0`)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			listed := make(map[int]host.Run)
+			for _, r := range status.Running {
+				listed[r.Task.Index] = r
+			}
+			c.Check(status.Running, qt.HasLen, len(tt.want))
+			for _, index := range tt.want {
+				c.Check(listed[index], qt.Equals, run(index))
+			}
+		})
+	}
+}
+
+// Guards against a minion that answers at once because of an end that can't be
+// acknowledged, so that it is asked again without a pause.
+func TestEndWithoutNumberDoesNotSpinRenewals(t *testing.T) {
+	c := qt.New(t)
+	agent, minion := newScriptedAgent(c)
+	minion.report.Unreadable = host.Unreadable{Ends: 1, Err: errors.New("row 0")}
+	begin := time.Now()
+	for range 3 {
+		_, err := agent.RenewLease(context.Background(), host.RenewLeaseRequest{Token: token, Wait: 100 * time.Millisecond})
+		c.Assert(err, qt.IsNil)
+	}
+	c.Check(time.Since(begin) >= 250*time.Millisecond, qt.IsTrue, qt.Commentf("%s", time.Since(begin)))
+	minion.report.EndedRuns = []host.EndedRun{{Sequence: 5}}
+	begin = time.Now()
+	_, err := agent.RenewLease(context.Background(), host.RenewLeaseRequest{Token: token, Wait: time.Minute, AcknowledgedSequence: 4})
+	c.Assert(err, qt.IsNil)
+	c.Check(time.Since(begin) < 5*time.Second, qt.IsTrue)
+}
