Check what agents report before the coordinator uses it

Callers would see, with an agent of another version: a coordinator that ends, or a start that counts as confirmed although it was refused.

Cause: an outcome that this version doesn't know has no counter, and adding to it dereferences nil in the loop of the term. A refusal that it doesn't know was taken for no refusal: the map of refusals has no error for it, and nil means success. Times were multiplied without bounds.

After an unknown refusal the effect of the call is open. An unknown outcome counts as an expired lease, as in the reports of minions. Reports with an impossible clock or capacity fail.

--- a/internal/cluster/hostlink/client.go
+++ b/internal/cluster/hostlink/client.go
@@ -96,18 +96,21 @@
 }
 
 func fromReply(reply *wire.HoldReply) (host.StatusReport, error) {
-	listing := host.StatusReport{
-		Clock: time.Duration(reply.GetClockMillis()) * time.Millisecond,
-		Gone:  reply.GetGone(),
+	if clock := reply.GetClockMillis(); clock < 0 || clock > maxMillis {
+		return host.StatusReport{}, fmt.Errorf("hold: the clock is %d ms", clock)
+	}
+	listing := host.StatusReport{Clock: fromMillis(reply.GetClockMillis()), Gone: reply.GetGone(), Minion: fromReport(reply.GetMinion())}
+	if err := listing.Minion.Capacity.Validate(); err != nil {
+		return host.StatusReport{}, fmt.Errorf("hold: capacity: %w", err)
 	}
-	listing.Minion = fromReport(reply.GetMinion())
 	for _, r := range reply.GetRunning() {
 		task, err := workload.ParseTaskID(r.GetTask())
 		if err != nil {
 			return host.StatusReport{}, fmt.Errorf("hold: running: %w", err)
 		}
 		listing.Running = append(listing.Running, host.Run{
-			Task: task, Number: int(r.GetNumber()), Checkpoint: r.GetCheckpoint(), ProgressPercent: int(r.GetPercent()), Load: int(r.GetLoad()),
+			Task: task, Number: int(r.GetNumber()), Checkpoint: r.GetCheckpoint(),
+			ProgressPercent: int(min(max(r.GetPercent(), 0), 100)), Load: int(max(r.GetLoad(), 0)),
 		})
 	}
 	for _, e := range reply.GetEnds() {
@@ -117,12 +120,30 @@
 		}
 		listing.EndedRuns = append(listing.EndedRuns, host.EndedRun{
 			Sequence: e.GetSequence(), Task: task, Number: int(e.GetNumber()),
-			Outcome: host.Outcome(e.GetOutcome()), Checkpoint: e.GetCheckpoint(),
+			Outcome: fromOutcome(e.GetOutcome()), Checkpoint: e.GetCheckpoint(),
 		})
 	}
 	return listing, nil
 }
 
+// fromOutcome converts an outcome. One of a later version counts as an expired lease:
+// the run has ended, and nothing shows that it has completed or failed.
+func fromOutcome(outcome int64) host.Outcome {
+	if outcome < int64(host.Completed) || outcome > int64(host.GangTimedOut) {
+		return host.LeaseExpired
+	}
+	return host.Outcome(outcome)
+}
+
+// maxMillis bounds times, so that small multiples of them and sums do not overflow.
+const maxMillis = int64(100 * 365 * 24 * time.Hour / time.Millisecond)
+
+// fromMillis converts milliseconds between 0 and maxMillis. Values out of range
+// become the nearest one.
+func fromMillis(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxMillis)) * time.Millisecond
+}
+
 func fromReport(m *wire.MinionReport) host.Minion {
 	return host.Minion{
 		ID: m.GetId(), StartedAt: time.UnixMilli(m.GetBornMillis()), Service: m.GetService(), DataCentre: m.GetDataCentre(),
@@ -130,6 +151,6 @@
 		Capacity: workload.Resources{
 			MilliCores: int(m.GetMilliCores()), MemoryMB: int(m.GetMemoryMb()), Accelerators: int(m.GetAccelerators()),
 		},
-		Remaining: time.Duration(m.GetRemainingMillis()) * time.Millisecond,
+		Remaining: fromMillis(m.GetRemainingMillis()),
 	}
 }
--- a/internal/cluster/hostlink/server.go
+++ b/internal/cluster/hostlink/server.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -23,8 +23,8 @@
 // Hold implements wire.TaskAgent.
 func (s *server) Hold(ctx context.Context, r *wire.HoldRequest) (*wire.HoldReply, error) {
 	listing, err := s.minion.RenewLease(ctx, host.RenewLeaseRequest{
-		Incarnation: r.GetIncarnation(), Token: r.GetToken(), LeaseUntil: time.Duration(r.GetUntilMillis()) * time.Millisecond,
-		AcknowledgedSequence: r.GetAcknowledged(), Wait: time.Duration(r.GetWaitMillis()) * time.Millisecond,
+		Incarnation: r.GetIncarnation(), Token: r.GetToken(), LeaseUntil: fromMillis(r.GetUntilMillis()),
+		AcknowledgedSequence: r.GetAcknowledged(), Wait: fromMillis(r.GetWaitMillis()),
 	})
 	refusal, err := toRefusal(err)
 	if err != nil {
@@ -52,7 +52,7 @@
 	}
 	return orderReply(s.minion.Start(ctx, host.StartRequest{
 		Incarnation: r.GetIncarnation(), Token: r.GetToken(), Task: task, Number: int(r.GetNumber()), Spec: r.GetSpec(),
-		StartDeadline: time.Duration(r.GetUntilMillis()) * time.Millisecond, Checkpoint: r.GetCheckpoint(), Ticket: r.GetTicket(),
+		StartDeadline: fromMillis(r.GetUntilMillis()), Checkpoint: r.GetCheckpoint(), Ticket: r.GetTicket(),
 	}))
 }
 
@@ -111,7 +111,17 @@
 	return 0, twirp.NewError(twirp.Unavailable, err.Error())
 }
 
-func fromRefusal(r wire.OrderRefusal) error { return refusals[r] }
+// fromRefusal returns the error for a refusal. After a refusal of a later version
+// the effect of the call is open.
+func fromRefusal(r wire.OrderRefusal) error {
+	if r == wire.OrderRefusal_ORDER_REFUSAL_NONE {
+		return nil
+	}
+	if err, known := refusals[r]; known {
+		return err
+	}
+	return fmt.Errorf("unknown refusal %d", r)
+}
 
 func toReport(m host.Minion) *wire.MinionReport {
 	return &wire.MinionReport{
