--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -111,11 +111,11 @@
 		s := p.settings
 		tunings := make(chan hosted.ReloadableOptions)
 		g := group.New(ctx)
-		g.Go("settings", func(ctx context.Context) error { return passTunings(ctx, p.changes, tunings) })
+		g.Go("settings", func(ctx context.Context) error { return passTunings(ctx, p.changes, tunings, p.logger) })
 		defer g.Stop()
 		return hosted.RunEntry(ctx, hosted.EntryOptions{
 			Node: s.Node, DataCentre: s.DataCentre, Regions: s.Regions, Callers: s.Callers, Ready: s.Ready, Internal: s.Internal,
-			Metrics: p.metrics, MemoryMB: s.MemoryMB, Reloadable: tuning(s), Reloads: tunings,
+			Metrics: p.metrics, MemoryMB: s.MemoryMB, Reloadable: tuning(s, p.logger), Reloads: tunings,
 			Topic: platform.FleetTopic, OperatorTopic: platform.OperatorTopic, ConfigurationKey: platform.ConfigurationKey,
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeJob: platform.DecodeJob,
 			CallerHandler: platform.CallerHandler, ReadyHandler: platform.ReadyHandler,
@@ -123,7 +123,7 @@
 	})
 }
 
-func tuning(s platform.Settings) hosted.ReloadableOptions {
+func tuning(s platform.Settings, logger log.Logger) hosted.ReloadableOptions {
 	t := hosted.ReloadableOptions{
 		MaxConfigAge: s.KeyRevocationTimeout / 2, StopGrace: s.StopGrace, // Half of the time leaves the other half to a call in progress.
 		Coordinator: coordinator.Options{
@@ -132,12 +132,12 @@
 		},
 	}
 	if s.Adviser.IsValid() {
-		t.Coordinator.Adviser = platform.NewAdviser(s.Adviser)
+		t.Coordinator.Adviser = platform.NewAdviser(s.Adviser, logger)
 	}
 	return t
 }
 
-func passTunings(ctx context.Context, changes <-chan platform.Settings, tunings chan<- hosted.ReloadableOptions) error {
+func passTunings(ctx context.Context, changes <-chan platform.Settings, tunings chan<- hosted.ReloadableOptions, logger log.Logger) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -146,7 +146,7 @@
 			select {
 			case <-ctx.Done():
 				return nil
-			case tunings <- tuning(s):
+			case tunings <- tuning(s, logger):
 			}
 		}
 	}
