Read the whole backlog of a topic before a refresh returns

Callers would see: a coordinator that starts a term without the last decisions of the former one, and so starts tasks that run already; or an entry that answers from an old state and takes it for a fresh one.

Cause: a read returns at most 1 MB. A refresh ended after the first page, whatever more the store had, and moved the time up to which all records are folded to its start. The store says in each page where the topic ends; that was not read.

Evidence before: TestRefreshReadsAllPages got 1 of 5 members with a store that returns one record in each page. It gets all now.

A reader goes on until it has the end of the first page. It counts as failing while the store returns nothing although it has more.

--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -145,34 +146,48 @@
 	return call.err
 }
 
-// readAndFold reads the next page and folds it. It loads the newest record of each key
-// when nothing is loaded or the next records have expired.
+// readAndFold reads the next page and folds it. If the store had more records when it
+// answered, it reads them too. It loads the newest record of each key when nothing is
+// loaded or the next records have expired.
 func (r *Reader) readAndFold(ctx context.Context, wait time.Duration) error {
 	r.mu.Lock()
 	loaded := r.loaded
 	r.mu.Unlock()
 	start := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
-	defer cancel()
 	if !loaded {
-		return r.load(callCtx, start)
-	}
-	page, err := r.store.Read(callCtx, r.topic, r.fold.Next(), wait)
-	switch {
-	case errors.Is(err, ErrExpired):
-		r.mu.Lock()
-		r.expiredAt = time.Now()
-		r.mu.Unlock()
-		_ = level.Info(r.logger).Log("event", "records expired", "next", r.fold.Next(), "outcome", "reload the newest record of each key")
-		return r.load(callCtx, start)
-	case err != nil:
-		return r.handleReadFailure(ctx, err)
-	}
-	if err := r.fold.Apply(page); err != nil {
-		r.logSkipped(err)
+		return r.load(ctx, wait, start)
+	}
+	for end := int64(0); ; wait = 0 {
+		from := r.fold.Next()
+		page, err := r.readPage(ctx, from, wait)
+		switch {
+		case errors.Is(err, ErrExpired):
+			r.mu.Lock()
+			r.expiredAt = time.Now()
+			r.mu.Unlock()
+			_ = level.Info(r.logger).Log("event", "records expired", "next", from, "outcome", "reload the newest record of each key")
+			return r.load(ctx, wait, start)
+		case err != nil:
+			return r.handleReadFailure(ctx, err)
+		}
+		if err := r.fold.Apply(page); err != nil {
+			r.logSkipped(err)
+		}
+		end = cmp.Or(end, page.End)
+		if page.Next >= end {
+			r.handleReadSuccess(start)
+			return nil
+		}
+		if page.Next <= from {
+			return r.handleReadFailure(ctx, fmt.Errorf("the store returned no records from %d on, and has those up to %d", from, end))
+		}
 	}
-	r.handleReadSuccess(start)
-	return nil
+}
+
+func (r *Reader) readPage(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	defer cancel()
+	return r.store.Read(ctx, r.topic, from, wait)
 }
 
 // maxReasonBytes bounds the errors of skipped records in a log line. They may quote
@@ -183,9 +198,12 @@
 	r.odd.Warn("event", "unreadable records skipped", "reason", fmt.Sprintf("%.*s", maxReasonBytes, err.Error()))
 }
 
-// load reads the newest record of each key and replaces the folded state by them.
-func (r *Reader) load(ctx context.Context, start time.Time) error {
-	page, err := r.store.Newest(ctx, r.topic)
+// load reads the newest record of each key and replaces the folded state by them. It
+// may take as long as a read with the given wait.
+func (r *Reader) load(ctx context.Context, wait time.Duration, start time.Time) error {
+	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	defer cancel()
+	page, err := r.store.Newest(callCtx, r.topic)
 	if err != nil {
 		return r.handleReadFailure(ctx, err)
 	}
--- a/internal/record/ledger/reader_test.go
+++ b/internal/record/ledger/reader_test.go
@@ -46,3 +46,43 @@
 	state := ledger.NewState()
 	return ledger.NewReader(store, topic, state, 0, log.NewNopLogger()), state
 }
+
+// pagedStore returns one record in each page.
+type pagedStore struct {
+	*fleetstore.Store
+	stalled bool // stalled makes pages empty.
+}
+
+func (s *pagedStore) Read(ctx context.Context, topic ledger.Topic, from int64, wait time.Duration) (ledger.Page, error) {
+	page, err := s.Store.Read(ctx, topic, from, wait)
+	page.End = page.Next
+	switch {
+	case s.stalled:
+		page.Records, page.Next = nil, from
+	case len(page.Records) > 1:
+		page.Records, page.Next = page.Records[:1], page.Records[0].Offset+1
+	}
+	return page, err
+}
+
+// Guards against a refresh that returns after the first page of a long backlog. A
+// coordinator then starts a term without the last decisions of the former one.
+func TestRefreshReadsAllPages(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := &pagedStore{Store: fleetstore.New()}
+	reader, state := newReader(store, topic)
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	const members = 5
+	for i := range members {
+		c.Assert(store.Append(ctx, topic, []ledger.Record{memberRecord(c, string(rune('a'+i)))}), qt.IsNil)
+	}
+	asOf := reader.AsOf()
+	store.stalled = true
+	c.Check(reader.Refresh(ctx), qt.ErrorMatches, `the store returned no records from 0 on, and has those up to 5`)
+	c.Check(reader.AsOf(), qt.Equals, asOf)
+	store.stalled = false
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	c.Check(state.Members(ledger.AgentRole), qt.HasLen, members)
+	c.Check(reader.AsOf().After(asOf), qt.IsTrue)
+}
--- a/internal/record/ledger/store.go
+++ b/internal/record/ledger/store.go
@@ -30,6 +30,7 @@
 type Page struct {
 	Records []StoredRecord
 	Next    int64 // Next is the offset after the last record that the page covers.
+	End     int64 // End is the offset after the last record that the store has; 0 if it is not known.
 }
 
 // Fence identifies an append so that the store can reject replaced coordinators and
