--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -80,7 +80,7 @@
 		r.stopAnswered = now()
 		return true
 	}
-	return r.host.runs[runKey{r.task, r.number}] != r
+	return !r.held()
 }
 
 // startAttempt sends the starts of an attempt whose placement is durable. If the
@@ -95,7 +95,6 @@
 	for _, r := range a.runs {
 		r.phase = starting
 		r.startedAt = now()
-		r.host.leaseExpiry = max(r.host.leaseExpiry, r.startedAt+maxLeaseDuration(startValidity))
 	}
 	for _, r := range slices.Clone(a.runs) {
 		t.callMinion(r, t.startRun)
@@ -119,12 +118,17 @@
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
 	for {
-		request, ok := callLoop(ctx, t, func() host.StartRequest { return t.startRequest(r) })
-		if !ok {
+		request, ok := callLoop(ctx, t, func() *host.StartRequest {
+			if r.attempt.stopping || !r.held() {
+				return nil
+			}
+			return t.startRequest(r)
+		})
+		if !ok || request == nil {
 			return nil
 		}
 		sent := now()
-		err := client.Start(ctx, request)
+		err := client.Start(ctx, *request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
@@ -144,10 +148,11 @@
 	}
 }
 
-func (t *term) startRequest(r *run) host.StartRequest {
+func (t *term) startRequest(r *run) *host.StartRequest {
 	j := r.attempt.job
 	r.tries.send(now())
-	return host.StartRequest{
+	r.host.leaseExpiry = max(r.host.leaseExpiry, r.tries.openUntil) // A start grants a lease until its deadline.
+	return &host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
 		Checkpoint:    r.progress().Checkpoint, Ticket: r.ticket,
@@ -161,7 +166,7 @@
 	case err == nil:
 		r.tries.settle()
 		return // The agent logs it.
-	case errors.Is(err, host.ErrRunEnded), isRefusal(err):
+	case host.IsRefusal(err):
 		r.tries.settle()
 		t.metrics.startsRefused.Add(1)
 		event = "start refused"
@@ -192,7 +197,7 @@
 // handleStartReply handles the reply to a start and reports whether to send it
 // again.
 func (t *term) handleStartReply(r *run, err error, timedOut bool) bool {
-	if r.host.runs[runKey{r.task, r.number}] != r || r.attempt.stopping {
+	if !r.held() || r.attempt.stopping {
 		if err == nil {
 			r.startAnswered = now()
 		}
@@ -208,7 +213,7 @@
 	case errors.Is(err, host.ErrRunEnded):
 		r.startAnswered = now()
 		return false
-	case isRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
+	case host.IsRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
 		t.handleStartRefusal(r, err)
 		if r.tries.mayHaveStarted() {
 			t.stopAttempt(r.attempt, "a start was refused after a try that was not answered")
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -27,6 +27,9 @@
 		return false
 	}
 	h.minionClock = report.Clock
+	if h.fencedAt == 0 {
+		h.fencedAt = h.lastContact
+	}
 	for _, e := range report.EndedRuns {
 		if e.Sequence > h.handledSequence {
 			h.handledSequence = e.Sequence
@@ -75,7 +78,7 @@
 		t.needsPlan = t.needsPlan || !sameIncarnation || !h.incarnationKnown
 	}
 	if !sameIncarnation {
-		h.handledSequence, h.acknowledgedSequence = 0, 0
+		h.handledSequence, h.acknowledgedSequence, h.fencedAt = 0, 0, 0
 		h.health = health{}
 		clear(h.unexpected)
 		for _, r := range runsOf(h) {
@@ -132,7 +135,7 @@
 		need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
 	}
 	h.unexpected[key] = need
-	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "outcome", "stopped")
+	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
 	request := host.StopRequest{Incarnation: h.minion.Incarnation(), Token: t.token, Task: key.task, Number: key.number}
 	client := h.client
 	t.group.Go("stop unexpected run", func(ctx context.Context) error {
--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -225,3 +225,72 @@
 		})
 	}
 }
+
+// Guards against resources that are allocated twice, and tasks that run twice,
+// when a stop of the former coordinator is carried out shortly before the first
+// contact of its successor with the minion.
+func TestSuccessorWaitsForStopThatIsCarriedOutLate(t *testing.T) {
+	t.Parallel()
+	const stopTime = 700 * time.Millisecond
+	background := context.Background()
+	f := newSlowFixture(t, stopTime, "r1", "r1")
+	stop := f.startCoordinator("one")
+	f.submit(workload.Job{ID: "job", Priority: 2, Organisation: "other", Steps: []workload.Step{step(1, 8)}}, time.Minute)
+	f.waitFor("it runs", func() bool { return f.starts("job", 1) == 1 })
+	var minion *fleethost.Minion
+	for _, m := range f.minionList {
+		if len(m.Look().Running) > 0 {
+			minion = m
+		}
+	}
+	time.Sleep(1200 * time.Millisecond) // The successor is to know that the host has room on the other minion.
+	stop()
+	f.hooks.Store(&hooks{renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+		if m == minion {
+			return host.StatusReport{}, errNoReply
+		}
+		return m.RenewLease(background, r)
+	}})
+	defer f.startCoordinator("two")()
+	f.waitFor("the successor leads", func() bool { return strings.Contains(f.logs.String(), `event="term begun" token=2`) })
+	time.Sleep(stopTime + 400*time.Millisecond) // longer than stops take, from the begin of the term
+	f.c.Assert(minion.Stop(background, host.StopRequest{Token: 1, Task: workload.TaskID{Job: "job"}, Number: 1}), qt.IsNil)
+	f.hooks.Store(nil)
+	f.waitFor("it runs again", func() bool { return f.starts("job", 1) == 2 })
+	f.cancel("job")
+	f.awaitState("job", workload.Cancelled)
+}
+
+// Guards against a start that is sent again after its run was stopped or given
+// up.
+func TestStartIsNotSentAgainAfterItsRunIsStopped(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r1")
+	var chosen atomic.Pointer[fleethost.Minion]
+	var tries atomic.Int64
+	f.hooks.Store(&hooks{
+		start: func(m *fleethost.Minion, r host.StartRequest) error {
+			if r.Number > 1 {
+				return m.Start(context.Background(), r)
+			}
+			chosen.Store(m)
+			tries.Add(1)
+			return errNoReply
+		},
+		renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+			if chosen.Load() == m {
+				return host.StatusReport{Gone: true}, nil
+			}
+			r.Wait = min(r.Wait, 5*time.Millisecond) // The coordinator sees that the minion is gone before the next try.
+			return m.RenewLease(context.Background(), r)
+		},
+	})
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, shortDuration)
+	f.waitFor("it is stopped", func() bool { return strings.Contains(f.logs.String(), `event=stop job=job`) })
+	time.Sleep(10 * time.Millisecond) // A try may be under way. Tries are 100 ms apart.
+	former := tries.Load()
+	time.Sleep(500 * time.Millisecond)
+	f.c.Check(tries.Load(), qt.Equals, former)
+	f.awaitState("job", workload.Done)
+}
--- a/internal/role/hostagent/known_runs.go
+++ b/internal/role/hostagent/known_runs.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"wasabihoist/internal/fleet/host"
-	"wasabihoist/internal/fleet/workload"
 )
 
 // stoppedRetention is how long a run counts as running after the minion has
@@ -13,11 +12,6 @@
 // minion takes to stop a task.
 const stoppedRetention = 30 * time.Second
 
-type runKey struct {
-	task   workload.TaskID
-	number int
-}
-
 // knownRun is a run that has started and whose end was not reported.
 type knownRun struct {
 	host.Run
--- a/internal/role/hostagent/states.go
+++ b/internal/role/hostagent/states.go
@@ -71,9 +71,16 @@
 	return nil
 }
 
-// draining reports whether an incarnation drains.
-func (s minionStates) draining(incarnation string) bool {
-	return slices.ContainsFunc(s, func(known *minionState) bool {
-		return known.minion.Draining && known.minion.Incarnation() == incarnation
-	})
+// find returns the state of an incarnation or, if there is none, the one with the
+// latest heartbeat; nil before the first.
+func (s minionStates) find(incarnation string) *minionState {
+	for _, known := range s {
+		if known.minion.Incarnation() == incarnation {
+			return known
+		}
+	}
+	if len(s) == 0 {
+		return nil
+	}
+	return slices.MaxFunc(s, func(a, b *minionState) int { return a.at.Compare(b.at) })
 }
