Skip cancellations that can't be read

Any record under the key of a cancellation cancelled the job, whatever it held, for good.

Evidence before: TestOddRecordIsSkippedAndGoodOnesHold failed in its 6 new cases, from bytes that are no JSON to one without a time. It passes now.

--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -288,6 +288,18 @@
 	return encode(CancellationKind.Key(string(id)), cancellationRecord{At: at.UnixMilli()})
 }
 
+// checkCancellation returns an error for a record that no entry has written.
+func checkCancellation(id string, value []byte) error {
+	var r cancellationRecord
+	if err := json.Unmarshal(value, &r); err != nil {
+		return fmt.Errorf("decode cancellation of %s: %w", id, err)
+	}
+	if r.At <= 0 {
+		return fmt.Errorf("decode cancellation of %s: it has no time", id)
+	}
+	return nil
+}
+
 type memberRecord struct {
 	Role       Role           `json:"role"`
 	DataCentre string         `json:"data-centre"`
--- a/internal/record/ledger/odd_test.go
+++ b/internal/record/ledger/odd_test.go
@@ -70,6 +70,12 @@
 		"progress/good failures":       progressText(`[{"failures":-9223372036854775808,"tasks":[{"run":1},{}]},{"waiting":1}]`),
 		"progress/good failed run":     progressText(`[{"failed-run":9223372036854775807,"tasks":[{"run":1},{}]},{"waiting":1}]`),
 		"progress/good state":          `{"state":"strange"}`,
+		"cancellation/good nested":     nested(),
+		"cancellation/good null":       `null`,
+		"cancellation/good bytes":      "\xff\x00",
+		"cancellation/good empty":      `{}`,
+		"cancellation/good number":     `{"at-ms":1e308}`,
+		"cancellation/good text":       `{"at-ms":"now"}`,
 		"member/odd nested":            nested(),
 		"member/odd port":              `{"role":"agent","address":"10.0.0.1:70000"}`,
 		"member/odd port 0":            `{"role":"agent","address":"10.0.0.1:0"}`,
@@ -87,7 +93,7 @@
 	records := make(map[string]ledger.Record)
 	for key, text := range texts {
 		name := key
-		if kind, _, found := strings.Cut(key, "good "); found { // The progress of the job "good".
+		if kind, _, found := strings.Cut(key, "good "); found { // A record of the job "good".
 			key = kind + "good"
 		}
 		records[name] = ledger.Record{Key: key, Value: []byte(text)}
@@ -138,13 +144,14 @@
 			}
 			c.Assert(apply(0, good[0]), qt.IsNil)
 			c.Assert(apply(1, good[1]), qt.IsNil)
-			c.Check(apply(2, odd), qt.ErrorMatches, `(?s)decode (job|progress of|member).*`)
+			c.Check(apply(2, odd), qt.ErrorMatches, `(?s)decode (job|progress of|cancellation of|member).*`)
 			c.Check(s.Next(), qt.Equals, int64(3))
 			c.Assert(apply(3, good[2]), qt.IsNil)
 			e, ok := s.Job("good")
 			c.Assert(ok, qt.IsTrue)
 			c.Check(e.Job, qt.DeepEquals, job)
 			c.Check(e.Progress, qt.DeepEquals, progress)
+			c.Check(e.Cancelled, qt.IsFalse)
 			c.Check(s.All(), qt.HasLen, 1)
 			c.Check(s.Members(ledger.AgentRole), qt.HasLen, 1)
 			progress.Place(workload.TaskID{Job: "good", Step: 1}, 1, "host", "minion@1")
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -167,7 +167,9 @@
 			err = e.setProgress(p)
 		}
 	case kind == CancellationKind && !deleted:
-		e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
+		if err = checkCancellation(string(id), r.Value); err == nil {
+			e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
+		}
 	}
 	s.changed.Add(id)
 	s.updatePending(id, e)
