Refuse a call only if no attempt can have had an effect

What callers saw: a submission was answered with 503, by which the job never runs, and the job ran (REFUSED).

Cause: an entry that cannot confirm its configuration, or cannot reach the store, forwards the call to other entries. When the client's time ran out while another entry had the call, forward returned its fallback, a refusal, although the outcome of that attempt was unknown. An answer that arrived at that moment was dropped too, even an acceptance. The class: the outcome of some attempts is taken for the outcome of all. Whether an attempt was open was kept in three places: a flag of the append loop, the fallback of forward, and its error branch. The branch for the end of the time had none.

Change: attempts.go counts the attempts of a call, appends and forwards alike. An attempt is unproved from its start until its result proves that it had no effect. Serve passes every answer through conclude, which turns any refusal or denial into 504 while an attempt is unproved, so no path can leave it out. A forward whose connection was refused was not sent and proves that; only a refused dial counts, as an open connection may fail with ECONNREFUSED as well. An answer of another entry is used even if the time has just run out, and forwards that end with the time are logged. A cancellation whose ledger cannot be read is refused rather than unavailable, which is for queries; both are 503.

--- a/internal/cluster/entrylink/entrylink.go
+++ b/internal/cluster/entrylink/entrylink.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"wasabihoist/internal/cluster/transport"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/role/gateway"
@@ -23,8 +24,8 @@
 var _ gateway.Peer = (*Client)(nil)
 
 // NewClient returns a client of the entry at an address.
-func NewClient(address netip.AddrPort, transport http.RoundTripper) *Client {
-	return &Client{wire.NewEntryPeerProtobufClient("http://"+address.String(), &http.Client{Transport: transport})}
+func NewClient(address netip.AddrPort, roundTripper http.RoundTripper) *Client {
+	return &Client{wire.NewEntryPeerProtobufClient("http://"+address.String(), &http.Client{Transport: roundTripper})}
 }
 
 // Forward implements gateway.Peer.
@@ -34,6 +35,9 @@
 	reply, err := c.peer.Forward(ctx, &wire.ForwardRequest{
 		WaitMillis: min(call.Wait, forwardTimeout).Milliseconds(), Method: int64(call.Method), Host: call.Host, Path: call.Path, Key: call.Key, Body: call.Body,
 	})
+	if transport.ConnectionRefused(err) {
+		return gateway.Answer{}, fmt.Errorf("forward: %w: %w", gateway.ErrNotSent, err)
+	}
 	if err != nil {
 		return gateway.Answer{}, fmt.Errorf("forward: %w", err)
 	}
--- a/internal/cluster/transport/transport.go
+++ b/internal/cluster/transport/transport.go
@@ -77,12 +77,20 @@
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address.String())
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return ConnectionRefused(err)
 	}
 	_ = conn.Close() // Nothing was sent.
 	return false
 }
 
+// ConnectionRefused reports whether a call failed because its connection was refused.
+// Then nothing was sent. An open connection can also fail with ECONNREFUSED, if a
+// packet filter rejects its packets; that proves nothing about what was sent before.
+func ConnectionRefused(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial" && errors.Is(op.Err, syscall.ECONNREFUSED)
+}
+
 // CloseIdle gives up the connections that are not in use.
 func (t *Transport) CloseIdle() { t.idle.CloseIdleConnections() }
 
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -14,7 +14,7 @@
 
 // submit accepts a job by making it durable. Repeated submissions of a job, to any
 // entry, are idempotent because its record has the same key.
-func (g *Gateway) submit(ctx context.Context, c Call, a admission) Answer {
+func (g *Gateway) submit(ctx context.Context, c *activeCall, a admission) Answer {
 	if e, ok := g.state.Job(a.job); ok && e.Job.Organisation == a.organisation {
 		return Answer{Outcome: Accepted, Reason: "it was submitted before"}
 	}
@@ -45,11 +45,11 @@
 }
 
 // cancel records the cancellation of a job that has not ended.
-func (g *Gateway) cancel(ctx context.Context, c Call, a admission) Answer {
+func (g *Gateway) cancel(ctx context.Context, c *activeCall, a admission) Answer {
 	e, denial := g.findJob(ctx, a)
 	if denial != nil {
 		if denial.Outcome == Unavailable {
-			return g.forward(ctx, c, *denial)
+			return g.forward(ctx, c, Answer{Outcome: Refused, Reason: denial.Reason, RetryAfter: denial.RetryAfter})
 		}
 		return *denial
 	}
@@ -83,7 +83,7 @@
 // writeRecord makes a record durable and returns success. If the store is unreachable,
 // it forwards the call to other entries. stored reports whether the ledger shows the
 // record.
-func (g *Gateway) writeRecord(ctx context.Context, c Call, record ledger.Record, stored func() bool, success Answer) Answer {
+func (g *Gateway) writeRecord(ctx context.Context, c *activeCall, record ledger.Record, stored func() bool, success Answer) Answer {
 	share := 1.0
 	switch {
 	case c.Forwarded: // The call is not forwarded again, so retries may take the whole wait.
@@ -98,28 +98,21 @@
 		localCtx, cancel = context.WithTimeout(ctx, time.Duration(share*float64(time.Until(deadline))))
 		defer cancel()
 	}
-	undecided, err := g.appendWithRetries(localCtx, record, stored)
+	err := g.appendWithRetries(localCtx, c, record, stored)
 	if err == nil {
 		return success
 	}
-	fallback := Answer{Outcome: Refused, Reason: "the store cannot be reached", RetryAfter: retryAfter}
-	if undecided {
-		fallback.Outcome = Undecided
-	}
-	_ = level.Warn(g.logger).Log("event", "record not written", "key", record.Key, "undecided", undecided, "reason", err)
-	return g.forward(ctx, c, fallback)
+	_ = level.Warn(g.logger).Log("event", "record not written", "key", record.Key, "attempts", c.attempts.made, "unproved", c.attempts.unproved, "reason", err)
+	return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "the store cannot be reached", RetryAfter: retryAfter})
 }
 
-// appendWithRetries retries until the record is durable or ctx ends. With an error,
-// undecided reports whether an attempt may still have been applied.
-func (g *Gateway) appendWithRetries(ctx context.Context, record ledger.Record, stored func() bool) (undecided bool, err error) {
+// appendWithRetries retries until the record is durable or ctx ends. It returns the
+// error of the last attempt, which says nothing about the earlier ones.
+func (g *Gateway) appendWithRetries(ctx context.Context, c *activeCall, record ledger.Record, stored func() bool) error {
 	for {
-		if err = g.appendOnce(ctx, record, stored); err == nil {
-			return false, nil
-		}
-		undecided = undecided || !errors.Is(err, ledger.ErrNotDone)
-		if group.Pause(ctx, appendRetryInterval) != nil {
-			return undecided, err
+		_, err := c.attempts.run(func() (Answer, error) { return Answer{Outcome: Accepted}, g.appendOnce(ctx, record, stored) })
+		if err == nil || group.Pause(ctx, appendRetryInterval) != nil {
+			return err
 		}
 	}
 }
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync/atomic"
 	"time"
 
@@ -99,6 +100,8 @@
 
 // Peer forwards calls to another entry.
 type Peer interface {
+	// Forward returns the answer of the other entry. After an error that does not wrap
+	// ErrNotSent, the other entry may have applied the call.
 	Forward(ctx context.Context, c Call) (Answer, error)
 }
 
@@ -167,13 +170,14 @@
 	begin := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, max(c.Wait-responseMargin, responseMargin))
 	defer cancel()
-	answer := g.serve(ctx, c)
+	active := &activeCall{Call: c}
+	answer := active.conclude(g.serve(ctx, active))
 	if answer.Version == 0 {
 		answer.Version = g.configVersion()
 	}
 	g.metrics.record(c.Method, answer.Outcome, time.Since(begin))
 	_ = level.Info(g.logger).Log("event", "call", "method", c.Method, "job", jobIDFromPath(c.Path), "outcome", answer.Outcome, "state", answer.State,
-		"reason", answer.Reason, "took", time.Since(begin).Round(time.Microsecond), "forwarded", c.Forwarded,
+		"reason", answer.Reason, "took", time.Since(begin).Round(time.Microsecond), "forwarded", c.Forwarded, "attempts", active.attempts.made, "unproved", active.attempts.unproved,
 		"configuration", answer.Version, "configuration-age", ageOf(g.configReader.AsOf()), "ledger-age", ageOf(g.jobReader.AsOf()), "offset", g.state.Next())
 	return answer
 }
@@ -215,7 +219,7 @@
 	return path
 }
 
-func (g *Gateway) serve(ctx context.Context, c Call) Answer {
+func (g *Gateway) serve(ctx context.Context, c *activeCall) Answer {
 	arrivedAt := time.Now()
 	if !g.configFresh() && (g.refresh(ctx, g.configReader) != nil || !g.configFresh()) {
 		return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "the configuration cannot be confirmed", RetryAfter: retryAfter})
@@ -223,7 +227,7 @@
 	if g.currentConfig.Get() == nil {
 		return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "there is no configuration", RetryAfter: retryAfter})
 	}
-	admitted, denial := g.admit(c)
+	admitted, denial := g.admit(c.Call)
 	if denial != nil && g.configReader.AsOf().Before(arrivedAt) {
 		// The configuration in force may be outdated. Until it is confirmed, no later
 		// call is answered by it.
@@ -231,7 +235,7 @@
 		if g.refresh(ctx, g.configReader) != nil {
 			return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "a denial cannot be confirmed", RetryAfter: retryAfter})
 		}
-		admitted, denial = g.admit(c)
+		admitted, denial = g.admit(c.Call)
 	}
 	if denial != nil {
 		return *denial
@@ -312,7 +316,7 @@
 	return e, nil
 }
 
-func (g *Gateway) status(ctx context.Context, c Call, a admission) Answer {
+func (g *Gateway) status(ctx context.Context, c *activeCall, a admission) Answer {
 	e, denial := g.findJob(ctx, a)
 	switch {
 	case denial == nil:
@@ -324,41 +328,31 @@
 	}
 }
 
-// forward forwards a call to other entries in turn. It returns fallback if none has a
-// more definite answer.
-func (g *Gateway) forward(ctx context.Context, c Call, fallback Answer) Answer {
+// forward forwards a call to other entries in turn, until one has a definite answer.
+// It returns fallback if none has.
+func (g *Gateway) forward(ctx context.Context, c *activeCall, fallback Answer) Answer {
 	if c.Forwarded {
 		return fallback
 	}
+	forwarded := c.Call
 	for _, peer := range g.options.Peers() {
-		if deadline, ok := ctx.Deadline(); ok {
-			c.Wait = time.Until(deadline)
-		}
-		answer, err := peer.Forward(ctx, c)
 		if ctx.Err() != nil {
 			break
 		}
+		if deadline, ok := ctx.Deadline(); ok {
+			forwarded.Wait = time.Until(deadline)
+		}
+		answer, err := c.attempts.run(func() (Answer, error) { return peer.Forward(ctx, forwarded) })
 		if err != nil {
-			_ = level.Info(g.logger).Log("event", "forward failed", "method", c.Method, "job", jobIDFromPath(c.Path), "reason", err)
-			if c.Method == Submit || c.Method == Cancel {
-				fallback.Outcome = Undecided // The other entry may have applied the call.
-			}
+			_ = level.Info(g.logger).Log("event", "forward failed", "method", c.Method, "job", jobIDFromPath(c.Path), "sent", !errors.Is(err, ErrNotSent), "reason", err)
 			continue
 		}
 		raiseTo(&g.seenVersion, answer.Version)
 		switch answer.Outcome {
-		case Refused, Unavailable:
-			continue
-		case Undecided:
-			fallback.Outcome = Undecided
-			continue
-		case Accepted, Known, Counted:
+		case Refused, Unavailable, Undecided:
+		default:
 			return answer
 		}
-		if fallback.Outcome == Undecided { // An earlier attempt may still be applied.
-			return fallback
-		}
-		return answer
 	}
 	return fallback
 }
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -45,11 +45,19 @@
 	store   *fleetstore.Store
 	gateway *gateway.Gateway
 	peer    *peer
+	peers   []gateway.Peer // peers are the other entries; only peer unless a test replaces them.
 }
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{c: qt.New(t), store: fleetstore.New(), peer: &peer{err: errors.New("no peer")}}
+	f.peers = []gateway.Peer{f.peer}
 	f.configure("1")
+	f.start(f.store)
+	return f
+}
+
+// start starts the gateway with its view of the store.
+func (f *fixture) start(store ledger.Store) {
 	state := ledger.NewState()
 	current := catalogue.NewCurrent("config", func(value []byte) (*catalogue.Catalogue, error) {
 		return &catalogue.Catalogue{
@@ -58,8 +66,8 @@
 			Organisations: []catalogue.Organisation{{Name: "o", Keys: []string{"key" + string(value)}}, {Name: "p", Keys: []string{"other"}}},
 		}, nil
 	}, log.NewNopLogger())
-	jobReader := ledger.NewReader(f.store, topic, state, 20*time.Millisecond, log.NewNopLogger())
-	configReader := ledger.NewReader(f.store, operatorsTopic, current, 20*time.Millisecond, log.NewNopLogger())
+	jobReader := ledger.NewReader(store, topic, state, 20*time.Millisecond, log.NewNopLogger())
+	configReader := ledger.NewReader(store, operatorsTopic, current, 20*time.Millisecond, log.NewNopLogger())
 	f.gateway = gateway.New(gateway.Options{
 		Topic: topic, MaxConfigAge: maxConfigAge, Registry: metrics.For(f.c.Name()),
 		Decode: func(body []byte) (gateway.Submission, error) {
@@ -72,8 +80,8 @@
 			}
 			return s, nil
 		},
-		Peers: func() []gateway.Peer { return []gateway.Peer{f.peer} },
-	}, f.store, state, jobReader, configReader, current, log.NewNopLogger())
+		Peers: func() []gateway.Peer { return f.peers },
+	}, store, state, jobReader, configReader, current, log.NewNopLogger())
 	g := group.New(context.Background())
 	g.Go("jobs", jobReader.Run)
 	g.Go("plans", configReader.Run)
@@ -83,7 +91,6 @@
 	})
 	<-jobReader.Loaded()
 	<-configReader.Loaded()
-	return f
 }
 
 func (f *fixture) configure(version string) {
