Repeat a shared read whose reader has given up

What callers saw: a submission could be refused (503, the configuration cannot be confirmed) although the store answered in time. Found in review beside REFUSED: the outcome of the attempt of one caller is taken for the outcome of another's.

Cause: concurrent calls of Reader.Refresh share one read, which ends with the context of the call that began it. If that caller had little time left or hung up, all others got its error.

Evidence: a store that takes 100 ms, one caller with 1 s and eight with 100 ms that wait for the same former read: the patient one got "context deadline exceeded".

Change: a read that its caller has given up is marked, and those that share it begin another one in their own time. There is still one such read at a time.

--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -58,8 +58,9 @@
 
 // refreshCall is a refresh that concurrent callers share.
 type refreshCall struct {
-	done chan struct{}
-	err  error
+	done      chan struct{}
+	err       error
+	abandoned bool // abandoned is set when the caller that reads has given up. Then err says nothing about the store.
 }
 
 // NewReader returns a reader of a topic. wait limits its long polls; 0 is the
@@ -108,30 +109,46 @@
 // Refresh folds all records stored before the call. Concurrent calls share reads.
 func (r *Reader) Refresh(ctx context.Context) error {
 	r.mu.Lock()
-	call := r.inFlight
+	former := r.inFlight
 	r.mu.Unlock()
-	if call != nil { // That read may have started before this call: wait for the next one.
-		select {
-		case <-call.done:
-		case <-ctx.Done():
-			return ctx.Err()
+	if former != nil { // That read may have started before this call: wait for the next one.
+		if err := former.wait(ctx); err != nil {
+			return err
 		}
 	}
-	r.mu.Lock()
-	if r.inFlight != nil && r.inFlight != call {
-		call = r.inFlight
+	for {
+		r.mu.Lock()
+		call := r.inFlight
+		if call == nil || call == former {
+			call = &refreshCall{done: make(chan struct{})}
+			r.inFlight = call
+			r.mu.Unlock()
+			return r.refresh(ctx, call)
+		}
 		r.mu.Unlock()
-		select {
-		case <-call.done:
+		if err := call.wait(ctx); err != nil {
+			return err
+		}
+		if !call.abandoned {
 			return call.err
-		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
-	call = &refreshCall{done: make(chan struct{})}
-	r.inFlight = call
-	r.mu.Unlock()
+}
+
+// wait waits until the call is done. It returns an error only if ctx ends.
+func (c *refreshCall) wait(ctx context.Context) error {
+	select {
+	case <-c.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// refresh reads for all callers that share the call.
+func (r *Reader) refresh(ctx context.Context, call *refreshCall) error {
 	call.err = r.readAndFold(ctx, 0)
+	call.abandoned = call.err != nil && ctx.Err() != nil
 	r.mu.Lock()
 	if r.inFlight == call {
 		r.inFlight = nil
--- a/internal/record/ledger/reader_test.go
+++ b/internal/record/ledger/reader_test.go
@@ -41,6 +41,37 @@
 	}
 }
 
+// Guards against a read that fails for a caller because another caller, whose read it
+// shares, has given up.
+func TestRefreshOutlivesOtherCallers(t *testing.T) {
+	c := qt.New(t)
+	store := fleetstore.New()
+	reader, _ := newReader(store, "fleet")
+	c.Assert(reader.Refresh(context.Background()), qt.IsNil)
+	const readTime = 100 * time.Millisecond
+	store.SetFaults(fleetstore.Faults{Delay: readTime})
+	for range 5 {
+		g := group.New(context.Background())
+		refresh := func(limit time.Duration, patient bool) {
+			g.Go("refresh", func(ctx context.Context) error {
+				ctx, cancel := context.WithTimeout(ctx, limit)
+				defer cancel()
+				if err := reader.Refresh(ctx); err != nil && patient {
+					return err
+				}
+				return nil
+			})
+		}
+		refresh(10*readTime, true) // The others wait for the end of this read and share the next one.
+		time.Sleep(readTime / 4)
+		for range 8 {
+			refresh(readTime, false)
+		}
+		refresh(10*readTime, true)
+		c.Check(g.Wait(), qt.IsNil)
+	}
+}
+
 func newReader(store ledger.Store, topic ledger.Topic) (*ledger.Reader, *ledger.State) {
 	state := ledger.NewState()
 	return ledger.NewReader(store, topic, state, 0, log.NewNopLogger()), state
