Refuse starts at the agent once their incarnation is gone

Since runs were kept while a start could still reach the next incarnation, for 5.3 s after a change of the coordinator; when the host became silent meanwhile, only the leases decided.

Change: the agent, which finds out that no minion listens, refuses starts from then on until it has made a session to the next incarnation, and starts for incarnations before that. So a report that the minion is gone proves that its runs are gone and that no start of them can arrive, and they are given up at once again.

--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -20,7 +20,7 @@
 	}
 	h.lastContact = now()
 	if report.Gone {
-		t.handleMinionGone(h, sent)
+		t.handleMinionGone(h)
 		return false
 	}
 	if !t.recogniseIncarnation(h, report, sent) {
@@ -44,14 +44,14 @@
 	return false
 }
 
-// handleMinionGone handles a status report, requested at sent, that shows that no
-// minion is running on a host. All runs that it had have ended.
-func (t *term) handleMinionGone(h *hostState, sent time.Duration) {
+// handleMinionGone handles a status report that shows that no minion is running on
+// a host. All of its runs have ended, and the agent refuses further starts of them.
+func (t *term) handleMinionGone(h *hostState) {
 	if !h.gone {
 		h.gone = true
 		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
 	}
-	t.loseGoneRuns(h, sent)
+	t.loseAllRuns(h, "the minion is gone")
 	clear(h.unexpected)
 	h.incarnationKnown = false
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -236,7 +236,7 @@
 			id := j.job.TaskID(s, i)
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
 			r.phase = adopted
-			r.tries = startTries{open: 1, openUntil: t.begunAt + formerStartWindow}
+			r.tries = formerTries(t.begunAt)
 			if a.definition().BestEffort {
 				r.speedPercent = unknownSpeed
 			}
--- a/internal/fleet/host/host.go
+++ b/internal/fleet/host/host.go
@@ -204,7 +204,8 @@
 type Client interface {
 	// RenewLease renews the lease of all runs and returns the status of the minion.
 	RenewLease(ctx context.Context, r RenewLeaseRequest) (StatusReport, error)
-	// Start starts a run.
+	// Start starts a run. It is refused once a status report has shown that the
+	// incarnation for which it is meant is gone or has been replaced.
 	Start(ctx context.Context, r StartRequest) error
 	// Stop stops a run or prevents its start.
 	Stop(ctx context.Context, r StopRequest) error
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -256,8 +256,10 @@
 }
 
 // Start implements host.Client. It refuses a start without a call if the minion
-// drains, or if the start was under way while the minion was restarted: the minion
-// checks only its id. A refusal tells nothing about former starts of the run.
+// drains, or if the incarnation for which it is meant has ended: the next one would
+// carry it out, because a minion checks only its id. So no start is carried out
+// after a status report has shown the end of its incarnation. A refusal tells
+// nothing about former starts of the run.
 func (a *Agent) Start(ctx context.Context, r host.StartRequest) error {
 	a.recordContact(r.Token)
 	known := a.knownState(r.Incarnation)
--- a/internal/role/hostagent/session.go
+++ b/internal/role/hostagent/session.go
@@ -32,8 +32,10 @@
 	connect Connect
 	logger  log.Logger
 
-	mu      sync.Mutex
-	current *session // current is nil while there is no session.
+	mu        sync.Mutex
+	current   *session  // current is nil while there is no session.
+	lastStart time.Time // lastStart is when the incarnation of the last session started; zero before the first.
+	gone      bool      // gone is set while no minion listens, as far as the last attempt to open a session shows.
 }
 
 // session is a connection to one incarnation of the minion.
@@ -62,13 +64,14 @@
 	return s.renew(ctx, current, r)
 }
 
-// isFormer reports whether an incarnation started before the one to which the
-// current session was made.
+// isFormer reports whether an incarnation has certainly ended: a later one has
+// answered since, or no minion listens. A coordinator can only know an incarnation
+// that has answered.
 func (s *sessionManager) isFormer(incarnation string) bool {
 	start, known := host.IncarnationStart(incarnation)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return known && s.current != nil && start.Before(s.current.startedAt)
+	return s.gone || known && start.Before(s.lastStart)
 }
 
 // renew forwards a renewal over a session. If the renewal is meant for another
@@ -93,12 +96,15 @@
 	status, err := c.RenewLease(ctx, host.RenewLeaseRequest{Token: token})
 	if err != nil || status.Gone {
 		c.Close()
+		s.mu.Lock()
+		s.gone = s.gone || err == nil
+		s.mu.Unlock()
 		return nil, status, err
 	}
 	opened := &session{c, status.Minion.StartedAt}
 	s.mu.Lock()
 	former := s.current
-	s.current = opened
+	s.current, s.lastStart, s.gone = opened, opened.startedAt, false
 	s.mu.Unlock()
 	if former != nil {
 		former.Close()
