Don't keep a host silent for a lasting row that can't be read

Callers would see: after an odd row that stays in a minion's list, a host that gets no work any more once its agent or its minion has been restarted.

Cause: an agent completes a report with unreadable running rows from the runs that it knows. It counted these as known only after one complete report of the incarnation, which never came.

The parts of TestLastingUnreadableRowDoesNotKeepTheHostSilent pass now.

All runs are known at once if the incarnation is younger than the agent, because all its starts came through the agent. Otherwise, the reports fail until the longest lease has passed: as long as they fail, no lease is extended, so unknown runs have ended.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -174,7 +174,7 @@
 		s := p.settings
 		connect := func() hostagent.Connection { return platform.NewMinionConnection(s.Minion) }
 		return hosted.RunAgent(ctx, hosted.AgentOptions{
-			Node: s.Node, DataCentre: s.DataCentre, Internal: s.Internal, Control: s.Control, Metrics: p.metrics, MemoryMB: s.MemoryMB,
+			Node: s.Node, DataCentre: s.DataCentre, Internal: s.Internal, Control: s.Control, Metrics: p.metrics, MemoryMB: s.MemoryMB, MaxLease: s.MaxLease,
 			Topic:          platform.FleetTopic,
 			ControlHandler: func(a *hostagent.Agent) http.Handler { return platform.ControlHandler(a, p.logger) },
 		}, platform.NewStore(s.Store), platform.NewMinionClient(s.Minion), connect, p.logger)
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -57,6 +57,7 @@
 		calls: make(map[string]metrics.Counter), failures: make(map[string]metrics.Counter), unanswered: make(map[string]metrics.Counter),
 		durations:     make(map[string]*metrics.Histogram),
 		drainRefusals: r.Counter("agent-starts-refused-draining", "calls", "Calls to start that were refused without a call of the minion because it drains."),
+		knownRuns:     knownRuns{agentStarted: time.Now()},
 		runs:          newRunWatch(r, logger), contact: &contactLog{logger: logger},
 	}
 	for _, call := range []string{"hold", "start", "stop", "pace"} {
@@ -68,6 +69,10 @@
 	return a
 }
 
+// SetMaxLease sets the longest lease that a renewal grants. It must be called before
+// any other method.
+func (a *Agent) SetMaxLease(d time.Duration) { a.knownRuns.maxLease = d }
+
 // recordCall records the metrics of a forwarded call that began at begin.
 func (a *Agent) recordCall(call string, begin time.Time, err error) {
 	a.calls[call].Add(1)
--- a/internal/role/hostagent/known_runs.go
+++ b/internal/role/hostagent/known_runs.go
@@ -22,12 +22,22 @@
 // knownRuns holds the runs of the incarnation of the minion that answers, so that
 // status reports with unreadable rows can be completed.
 type knownRuns struct {
-	incarnation time.Time // incarnation is the start time of the incarnation.
-	complete    bool      // complete is set once a report without unreadable runs was received.
-	requestedAt time.Time // requestedAt is when the newest report was requested.
-	runs        map[runKey]*knownRun
+	agentStarted time.Time
+	maxLease     time.Duration // maxLease is the longest lease of a run; 0 if it is not known.
+
+	incarnation  time.Time // incarnation is the start time of the incarnation.
+	complete     bool      // complete is set while runs holds all runs whose start was answered.
+	unknownSince time.Time // unknownSince is when the first report with unreadable runs was received while complete was not set.
+	requestedAt  time.Time // requestedAt is when the newest report was requested.
+	runs         map[runKey]*knownRun
 }
 
+const (
+	// maxClockDrift is the fraction by which the clock of a minion may run slow.
+	maxClockDrift     = 0.02
+	leaseExpiryMargin = time.Second
+)
+
 func (k *knownRuns) start(r host.Run, at time.Time) {
 	if k.runs == nil {
 		k.runs = make(map[runKey]*knownRun)
@@ -46,7 +56,9 @@
 
 // update records a status report that was requested at a time. If runs in it can't
 // be read, it adds all known runs that the report neither lists nor lists as ended.
-// It then fails if the runs of the incarnation are not known.
+// It then fails while runs of the incarnation may be unknown, because an agent before
+// this one has started them. As long as it fails, no lease is extended, so such runs
+// have ended after maxLease.
 func (k *knownRuns) update(report *host.StatusReport, requestedAt, at time.Time) error {
 	unreadable := report.Unreadable.Runs > 0
 	if k.outdated(report.Minion.StartedAt, requestedAt) {
@@ -56,8 +68,8 @@
 		return nil
 	}
 	if !report.Minion.StartedAt.Equal(k.incarnation) {
-		k.incarnation, k.complete = report.Minion.StartedAt, false
-		k.keep(func(r *knownRun) bool { return r.startedAt.After(requestedAt) })
+		k.incarnation, k.complete, k.unknownSince = report.Minion.StartedAt, report.Minion.StartedAt.After(k.agentStarted), time.Time{}
+		k.keep(func(r *knownRun) bool { return r.startedAt.After(requestedAt) || r.startedAt.After(k.incarnation) })
 	}
 	k.requestedAt = requestedAt
 	listed := make(map[runKey]bool, len(report.Running))
@@ -75,7 +87,7 @@
 		k.keep(func(r *knownRun) bool { return listed[runKey{r.Task, r.Number}] || r.startedAt.After(requestedAt) })
 		return nil
 	}
-	if !k.complete {
+	if k.complete = k.complete || k.unknownEnded(at); !k.complete {
 		return fmt.Errorf("%d running runs can't be read: %w", report.Unreadable.Runs, report.Unreadable.Err)
 	}
 	k.keep(func(r *knownRun) bool { return r.stoppedAt.IsZero() || at.Sub(r.stoppedAt) < stoppedRetention })
@@ -87,6 +99,15 @@
 	return nil
 }
 
+// unknownEnded reports whether the leases of all unknown runs have expired.
+func (k *knownRuns) unknownEnded(at time.Time) bool {
+	if k.unknownSince.IsZero() {
+		k.unknownSince = at
+	}
+	expiry := k.maxLease + time.Duration(float64(k.maxLease)*maxClockDrift*2) + leaseExpiryMargin
+	return k.maxLease > 0 && at.Sub(k.unknownSince) > expiry
+}
+
 // outdated reports whether a report is from a former incarnation, or was requested
 // before the newest one of the incarnation.
 func (k *knownRuns) outdated(incarnation, requestedAt time.Time) bool {
--- a/internal/role/hostagent/odd_test.go
+++ b/internal/role/hostagent/odd_test.go
@@ -196,3 +196,37 @@
 	c.Assert(err, qt.IsNil)
 	c.Check(time.Since(begin) < 5*time.Second, qt.IsTrue)
 }
+
+// Guards against a host that stays silent as long as the minion's list has a row
+// that can't be read, although no run can be hidden by it.
+func TestLastingUnreadableRowDoesNotKeepTheHostSilent(t *testing.T) {
+	unreadable := host.Unreadable{Runs: 1, Err: errors.New("row 0")}
+	run := host.Run{Task: task, Number: 1}
+	renew := func(a *hostagent.Agent) (host.StatusReport, error) {
+		return a.RenewLease(context.Background(), host.RenewLeaseRequest{Token: token})
+	}
+	t.Run("incarnation is younger than the agent", func(t *testing.T) {
+		c := qt.New(t)
+		agent, minion := newScriptedAgent(c)
+		minion.report = host.StatusReport{Minion: host.Minion{StartedAt: time.Now().Add(time.Millisecond)}, Unreadable: unreadable}
+		time.Sleep(2 * time.Millisecond)
+		c.Assert(agent.Start(context.Background(), host.StartRequest{Token: token, Task: task, Number: 1}), qt.IsNil)
+		status, err := renew(agent)
+		c.Assert(err, qt.IsNil)
+		c.Check(status.Running, qt.DeepEquals, []host.Run{run}) // The first report must not forget the start.
+	})
+	t.Run("leases of unknown runs have expired", func(t *testing.T) {
+		c := qt.New(t)
+		agent, minion := newScriptedAgent(c)
+		const lease = 500 * time.Millisecond
+		agent.SetMaxLease(lease)
+		minion.report.Unreadable = unreadable
+		begin := time.Now()
+		_, err := renew(agent)
+		for ; err != nil && time.Since(begin) < 20*time.Second; _, err = renew(agent) {
+			time.Sleep(10 * time.Millisecond)
+		}
+		c.Assert(err, qt.IsNil)
+		c.Check(time.Since(begin) > lease, qt.IsTrue, qt.Commentf("after %s", time.Since(begin)))
+	})
+}
--- a/internal/run/hosted/agent.go
+++ b/internal/run/hosted/agent.go
@@ -32,6 +32,7 @@
 	Internal   netip.AddrPort // Internal is the address for the calls of the coordinator.
 	Control    netip.AddrPort // Control is the address for the heartbeats of the minion.
 	Metrics    netip.AddrPort // Metrics is the address that serves the metrics.
+	MaxLease   time.Duration  // MaxLease is the longest lease that a renewal grants.
 	MemoryMB   int            // MemoryMB is the memory limit of the process; 0 is no limit.
 	Topic      ledger.Topic   // Topic holds the records of the ledger.
 	// ControlHandler returns the handler of the heartbeats.
@@ -44,6 +45,7 @@
 	limitMemory(o.MemoryMB)
 	registry := metrics.For(o.Node)
 	agent := hostagent.New(minion, connect, registry, logger)
+	agent.SetMaxLease(o.MaxLease)
 	open, err := listen([]Endpoint{
 		{"heartbeats", o.Control, o.ControlHandler(agent)},
 		{"metrics", o.Metrics, registry.Handler()},
