Let the stand-in of the minions follow the platform's page, with mute and late orders

What the soak and the tests saw: a minion that answers every order that it carries out, that rejects only the very run that was stopped or has ended, whose lease is as long as it is asked for, and whose members of a gang run alone.

By the pages of the platform, a minion rejects any run that is not higher than one stopped or ended there, takes note of the highest token also with a refusal, prolongs the lease also with a start that it refuses as old, shortens a lease to the longest one, and knows gangs. A draining minion says how much time is left.

New faults act on calls over connections, which hang until the caller gives up: silent, mute (carried out without an answer), late (carried out later, by then subject to deadline, token, stops and end of the life) and unhealthy (refused with 503). A minion can leave and be replaced under another id.

A second run after a completed one is now judged from the whole history: an end counts unless it was lost with the minion, or the lease expired, before it was acknowledged. The second exception is new; the rule of the platform names it. Findings name both minions, both runs and the times.

--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -22,114 +22,16 @@
 	LoseStarts int  // LoseStarts is how many of the next starts are done without an answer.
 	FailAll    bool // FailAll ends every run as failed.
 	Stall      bool // Stall keeps runs from making progress.
-}
-
-var errSilent = errors.New("no answer")
-
-// Work tells a fleet of minions how long the tasks of a step run and what each
-// needs.
-type Work struct {
-	Duration time.Duration // Duration of a task; for a lasting one the time until it is at work.
-	Need     workload.Resources
-	Lasting  bool          // Lasting tasks do not end by themselves.
-	Latency  time.Duration // Latency is the tail latency of a task that serves users, without others beside it; 0 for any other.
-	Disturbs time.Duration // Disturbs is added to the latency of tasks on the same minion while the task works at full pace.
-	Ticketed bool          // Ticketed tasks start only with the ticket that Ticket returns.
-}
-
-// Ticket returns the ticket for the starts of a step on a minion.
-func Ticket(minion string, step workload.StepID) string { return minion + "/" + step.String() }
-
-// Fleet holds what the minions of a test share.
-type Fleet struct {
-	work     map[string]Work // work is by JOB.STEP.
-	stopTime time.Duration
-
-	mu       sync.Mutex
-	active   map[workload.TaskID]int
-	finished map[workload.TaskID]bool
-	known    map[workload.TaskID]bool // known holds finished tasks whose end was not lost with the minion.
-	starts   map[workload.TaskID]int
-	findings []string // findings are promises that were broken.
-}
-
-// NewFleet returns a fleet whose runs take stopTime to stop.
-func NewFleet(stopTime time.Duration) *Fleet {
-	return &Fleet{
-		work: make(map[string]Work), stopTime: stopTime, active: make(map[workload.TaskID]int),
-		finished: make(map[workload.TaskID]bool), known: make(map[workload.TaskID]bool), starts: make(map[workload.TaskID]int),
-	}
-}
-
-// SetWork says what the tasks of a step are like.
-func (f *Fleet) SetWork(job workload.ID, step int, w Work) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.work[fmt.Sprintf("%s.%d", job, step)] = w
-}
-
-// Findings returns the promises that were broken.
-func (f *Fleet) Findings() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.findings)
-}
 
-// Starts returns how often a task was started.
-func (f *Fleet) Starts(t workload.TaskID) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.starts[t]
+	// The following act on calls over connections only. Such a call hangs until
+	// its caller gives up.
+	Mute      float64 // Mute is the share of calls that are carried out without an answer.
+	Late      float64 // Late is the share of orders that are carried out without an answer, half of LateBy to LateBy later.
+	LateBy    time.Duration
+	Unhealthy float64 // Unhealthy is the share of starts that are refused with host.ErrUnhealthy.
 }
 
-// Finished reports whether a task has ended as completed.
-func (f *Fleet) Finished(t workload.TaskID) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.finished[t]
-}
-
-func (f *Fleet) begin(t workload.TaskID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.active[t]++
-	f.starts[t]++
-	if f.active[t] > 1 {
-		f.findings = append(f.findings, fmt.Sprintf("%s runs twice", t))
-	}
-	if f.known[t] {
-		f.findings = append(f.findings, fmt.Sprintf("%s runs again after it has finished", t))
-	}
-}
-
-func (f *Fleet) end(t workload.TaskID, outcome host.Outcome) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.active[t]--
-	if outcome == host.Completed {
-		f.finished[t], f.known[t] = true, true
-	}
-}
-
-// forget notes that an end was lost before anybody took note of it. The task
-// may run again.
-func (f *Fleet) forget(t workload.TaskID) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.known, t)
-}
-
-func (f *Fleet) workOf(t workload.TaskID) Work {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.work[fmt.Sprintf("%s.%d", t.Job, t.Step)]
-}
-
-func (f *Fleet) find(format string, args ...any) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.findings = append(f.findings, fmt.Sprintf(format, args...))
-}
+var errSilent = errors.New("no answer")
 
 type runKey struct {
 	task   workload.TaskID
@@ -137,12 +39,18 @@
 }
 
 type activeRun struct {
+	*start
 	work     Work
-	began    time.Time
 	pace     int       // pace is the percentage of its speed at which the run works.
 	stopping time.Time // stopping is when the run will have stopped; zero while it runs.
 }
 
+// endedRun is an end that was not acknowledged.
+type endedRun struct {
+	host.EndedRun
+	completion *completion // completion is nil unless the run has completed.
+}
+
 // Minion implements host.Client. It is safe for concurrent use.
 type Minion struct {
 	fleet  *Fleet
@@ -150,60 +58,23 @@
 
 	mu     sync.Mutex
 	faults Faults
+	gone   bool // gone is set from the end of an incarnation to the start of the next one.
+	leaves time.Time
 	token  int64
 	lease  time.Duration
 	runs   map[runKey]*activeRun
-	dead   map[runKey]bool // dead runs were stopped or have ended.
-	ends   []host.EndedRun
+	dead   map[workload.TaskID]int // dead holds the highest run that was stopped or has ended.
+	ends   []endedRun
 	count  int64
+	late   []lateOrder
 }
 
 var _ host.Client = (*Minion)(nil)
 
-// life is a client of one life of a minion, as a connection is that ends with
-// the minion's process.
-type life struct {
-	*Minion
-	born time.Time
-}
-
-// IncarnationClient returns a client of the incarnation that started at a time.
-func (m *Minion) IncarnationClient(born time.Time) host.Client { return life{m, born} }
-
-// RenewLease implements host.Client.
-func (l life) RenewLease(ctx context.Context, r host.RenewLeaseRequest) (host.StatusReport, error) {
-	return l.holdUntil(ctx, l.born, r)
-}
-
-// Start implements host.Client.
-func (l life) Start(_ context.Context, r host.StartRequest) error {
-	return l.order(func() error { return l.start(r) })
-}
-
-// Stop implements host.Client.
-func (l life) Stop(_ context.Context, r host.StopRequest) error {
-	return l.order(func() error { return l.stop(r) })
-}
-
-// Throttle implements host.Client.
-func (l life) Throttle(_ context.Context, r host.ThrottleRequest) error {
-	return l.order(func() error { return l.setPace(r) })
-}
-
-// order carries an order out unless the life has ended.
-func (l life) order(carry func() error) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.born.Equal(l.report.StartedAt) {
-		return errSilent
-	}
-	return carry()
-}
-
 // NewMinion returns a minion of the fleet.
 func NewMinion(f *Fleet, report host.Minion) *Minion {
 	report.StartedAt = time.Now().Round(time.Millisecond)
-	return &Minion{fleet: f, report: report, runs: make(map[runKey]*activeRun), dead: make(map[runKey]bool)}
+	return &Minion{fleet: f, report: report, runs: make(map[runKey]*activeRun), dead: make(map[workload.TaskID]int)}
 }
 
 // SetFaults replaces the faults.
@@ -217,28 +88,67 @@
 func (m *Minion) Restart() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for key := range m.runs {
-		m.fleet.end(key.task, host.LeaseExpired)
+	m.leave()
+	m.begin()
+}
+
+// Leave ends everything that runs, and the incarnation. Nothing is answered
+// until the next one begins.
+func (m *Minion) Leave() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leave()
+}
+
+// Replace begins a new incarnation after Leave, which describes itself so.
+func (m *Minion) Replace(report host.Minion) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.report = report
+	m.begin()
+}
+
+func (m *Minion) leave() {
+	for key, r := range m.runs {
+		m.fleet.end(key.task, r.start, host.LeaseExpired, r.work)
 	}
+	m.loseEnds()
+	m.runs, m.dead, m.ends, m.count, m.token, m.lease = make(map[runKey]*activeRun), make(map[workload.TaskID]int), nil, 0, 0, 0
+	m.late, m.gone = nil, true
+}
+
+func (m *Minion) begin() {
+	m.gone, m.report.Draining = false, false
+	m.report.StartedAt = time.Now().Round(time.Millisecond)
+}
+
+// loseEnds notes that the ends may be lost: their tasks may run again.
+func (m *Minion) loseEnds() {
 	for _, e := range m.ends {
-		m.fleet.forget(e.Task)
+		m.fleet.settleCompletions([]*completion{e.completion}, false)
 	}
-	m.runs, m.dead, m.ends, m.count, m.token, m.lease = make(map[runKey]*activeRun), make(map[runKey]bool), nil, 0, 0, 0
-	m.report.StartedAt = time.Now().Round(time.Millisecond)
 }
 
 // Drain makes the minion report that it is about to leave.
 func (m *Minion) Drain(remaining time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.report.Draining, m.report.Remaining = true, remaining
+	m.report.Draining, m.leaves = true, time.Now().Add(remaining)
 }
 
 // Report returns what the minion says of itself.
 func (m *Minion) Report() host.Minion {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.report
+	return m.describe()
+}
+
+func (m *Minion) describe() host.Minion {
+	r := m.report
+	if r.Draining {
+		r.Remaining = max(0, time.Until(m.leaves))
+	}
+	return r
 }
 
 func (m *Minion) clock() time.Duration { return time.Since(m.report.StartedAt) }
@@ -279,34 +189,61 @@
 	m.settle()
 }
 
-// settle ends the runs whose time has come.
+// settle carries out late orders and ends the runs whose time has come.
 func (m *Minion) settle() {
+	m.carryOutLate()
 	lapsed := m.lease > 0 && m.clock() > m.lease
+	if lapsed {
+		m.loseEnds()
+	}
 	for key, r := range m.runs {
 		switch {
 		case lapsed:
 			m.end(key, host.LeaseExpired)
 		case !r.stopping.IsZero() && time.Now().After(r.stopping):
 			m.end(key, host.Stopped)
-		case !r.stopping.IsZero() || m.faults.Stall || r.work.Lasting:
-		case time.Since(r.began) > r.work.Duration && m.faults.FailAll:
-			m.end(key, host.Crashed)
-		case time.Since(r.began) > r.work.Duration:
-			m.end(key, host.Completed)
+		case !r.stopping.IsZero():
+		case r.work.Gang > 0:
+			m.settleMember(key, r)
+		default:
+			m.settleWork(key, r, r.at)
 		}
 	}
 }
 
+// settleMember ends a member of a gang with the others.
+func (m *Minion) settleMember(key runKey, r *activeRun) {
+	began, outcome, ended := m.fleet.gangRun(key.task, key.number, r.at)
+	switch {
+	case ended:
+		m.end(key, outcome)
+	case !began.IsZero():
+		m.settleWork(key, r, began)
+	}
+}
+
+// settleWork ends a run that has worked for long enough since a time.
+func (m *Minion) settleWork(key runKey, r *activeRun, began time.Time) {
+	switch {
+	case m.faults.Stall || r.work.Lasting:
+	case time.Since(began) > r.work.Duration && m.faults.FailAll:
+		m.end(key, host.Crashed)
+	case time.Since(began) > r.work.Duration:
+		m.end(key, host.Completed)
+	}
+}
+
 func (m *Minion) end(key runKey, outcome host.Outcome) {
+	r := m.runs[key]
 	delete(m.runs, key)
-	m.dead[key] = true
+	m.dead[key.task] = max(m.dead[key.task], key.number)
 	m.count++
 	checkpoint := ""
 	if outcome == host.Stopped {
 		checkpoint = fmt.Sprintf("saved-%d", key.number)
 	}
-	m.ends = append(m.ends, host.EndedRun{Sequence: m.count, Task: key.task, Number: key.number, Outcome: outcome, Checkpoint: checkpoint})
-	m.fleet.end(key.task, outcome)
+	e := host.EndedRun{Sequence: m.count, Task: key.task, Number: key.number, Outcome: outcome, Checkpoint: checkpoint}
+	m.ends = append(m.ends, endedRun{e, m.fleet.end(key.task, r.start, outcome, r.work)})
 }
 
 func (m *Minion) used() workload.Resources {
@@ -317,15 +254,17 @@
 	return sum
 }
 
-// RenewLease implements host.Client. A call ends with the life that it has reached.
+// RenewLease implements host.Client. A call ends with the life that it has
+// reached. As through an agent, it also ends its wait while the minion drains.
 func (m *Minion) RenewLease(ctx context.Context, r host.RenewLeaseRequest) (host.StatusReport, error) {
-	return m.holdUntil(ctx, m.Report().StartedAt, r)
+	return m.holdUntil(ctx, m.Report().StartedAt, r, true)
 }
 
-func (m *Minion) holdUntil(ctx context.Context, born time.Time, r host.RenewLeaseRequest) (host.StatusReport, error) {
+func (m *Minion) holdUntil(ctx context.Context, born time.Time, r host.RenewLeaseRequest, untilDraining bool) (host.StatusReport, error) {
 	deadline := time.Now().Add(r.Wait)
 	for {
-		l, changed, err := m.hold(born, r)
+		l, err := m.hold(born, r)
+		changed := len(l.EndedRuns) > 0 || untilDraining && l.Minion.Draining
 		if err != nil || changed || time.Now().After(deadline) {
 			return l, err
 		}
@@ -337,29 +276,46 @@
 	}
 }
 
-func (m *Minion) hold(born time.Time, r host.RenewLeaseRequest) (host.StatusReport, bool, error) {
+func (m *Minion) hold(born time.Time, r host.RenewLeaseRequest) (host.StatusReport, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.settle() // Leases end whether the minion answers or not.
-	if m.faults.Silent || !born.Equal(m.report.StartedAt) {
-		return host.StatusReport{}, false, errSilent
+	if m.faults.Silent || m.gone || !born.Equal(m.report.StartedAt) {
+		return host.StatusReport{}, errSilent
 	}
 	if r.Token < m.token {
-		return host.StatusReport{}, false, host.ErrFenced
+		return host.StatusReport{}, host.ErrFenced
 	}
 	m.token = r.Token
-	m.lease = max(m.lease, r.LeaseUntil)
-	m.ends = slices.DeleteFunc(m.ends, func(e host.EndedRun) bool { return e.Sequence <= r.AcknowledgedSequence })
-	l := m.listing()
-	return l, len(l.EndedRuns) > 0 || m.report.Draining, nil
+	m.prolong(r.LeaseUntil)
+	m.ends = slices.DeleteFunc(m.ends, func(e endedRun) bool {
+		noted := e.Sequence <= r.AcknowledgedSequence
+		if noted {
+			m.fleet.settleCompletions([]*completion{e.completion}, true)
+		}
+		return noted
+	})
+	return m.listing(), nil
+}
+
+// prolong moves the end of the lease to a time on the minion's clock. A lease is
+// never shortened.
+func (m *Minion) prolong(until time.Duration) {
+	if most := m.fleet.bounds(); most > 0 {
+		until = min(until, m.clock()+most)
+	}
+	m.lease = max(m.lease, until)
 }
 
 // listing returns what runs and what has ended.
 func (m *Minion) listing() host.StatusReport {
-	l := host.StatusReport{Clock: m.clock(), Minion: m.report, EndedRuns: slices.Clone(m.ends)}
+	l := host.StatusReport{Clock: m.clock(), Minion: m.describe()}
+	for _, e := range m.ends {
+		l.EndedRuns = append(l.EndedRuns, e.EndedRun)
+	}
 	for key, run := range m.runs {
 		if run.stopping.IsZero() {
-			percent := int(100 * time.Since(run.began) / max(1, run.work.Duration))
+			percent := int(100 * time.Since(run.at) / max(1, run.work.Duration))
 			if m.faults.Stall {
 				percent = 0
 			}
@@ -373,37 +329,41 @@
 func (m *Minion) Start(_ context.Context, r host.StartRequest) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.start(r)
+	return m.start(r, false)
 }
 
-func (m *Minion) start(r host.StartRequest) error {
+// start begins a run. A late start is carried out some time after it was sent.
+func (m *Minion) start(r host.StartRequest, late bool) error {
+	m.settle()
 	key := runKey{r.Task, r.Number}
 	switch {
-	case m.faults.Silent:
+	case m.faults.Silent || m.gone:
 		return errSilent
-	case r.Token < m.token:
-		return host.ErrFenced
 	case idOf(r.Incarnation) != m.report.ID:
 		return host.ErrOtherIncarnation
-	case m.dead[key]:
+	case r.Token < m.token:
+		return host.ErrFenced
+	}
+	m.token = r.Token
+	work := m.fleet.workOf(r.Task)
+	step := workload.StepID{Job: r.Task.Job, Occurrence: r.Task.Occurrence, Step: r.Task.Step}
+	switch {
+	case m.dead[r.Task] >= r.Number:
+		m.prolong(r.StartDeadline)
 		return host.ErrRunEnded
 	case m.clock() > r.StartDeadline:
 		return host.ErrStartTooLate
 	case m.runs[key] != nil:
+		m.prolong(r.StartDeadline)
 		return nil
-	}
-	m.settle()
-	work := m.fleet.workOf(r.Task)
-	if step := (workload.StepID{Job: r.Task.Job, Occurrence: r.Task.Occurrence, Step: r.Task.Step}); work.Ticketed && r.Ticket != Ticket(m.report.ID, step) {
+	case work.Ticketed && r.Ticket != Ticket(m.report.ID, step):
 		return host.ErrInvalidTicket
 	}
-	m.token = r.Token
-	m.lease = max(m.lease, r.StartDeadline)
-	if !m.report.Capacity.Sub(m.used()).Fits(work.Need) {
-		m.fleet.find("%s does not fit on %s", r.Task, m.report.ID)
-	}
-	m.runs[key] = &activeRun{work: work, began: time.Now(), pace: fullPace}
-	m.fleet.begin(r.Task)
+	m.prolong(r.StartDeadline)
+	m.checkPlacement(r.Task, work)
+	s := &start{number: r.Number, minion: m.report.Incarnation(), at: time.Now(), late: late}
+	m.runs[key] = &activeRun{start: s, work: work, pace: fullPace}
+	m.fleet.begin(r.Task, s, work)
 	if m.faults.LoseStarts > 0 {
 		m.faults.LoseStarts--
 		return errSilent
@@ -411,6 +371,25 @@
 	return nil
 }
 
+// checkPlacement notes a task that must not start here.
+func (m *Minion) checkPlacement(t workload.TaskID, work Work) {
+	if !m.report.Capacity.Sub(m.used()).Fits(work.Need) {
+		m.fleet.find("%s does not fit on %s", t, m.report.ID)
+	}
+	if work.Label != "" && !slices.Contains(m.report.Labels, work.Label) {
+		m.fleet.find("%s started on %s, which lacks label %s", t, m.report.ID, work.Label)
+	}
+	same := 1
+	for key := range m.runs {
+		if key.task.Job == t.Job && key.task.Occurrence == t.Occurrence && key.task.Step == t.Step {
+			same++
+		}
+	}
+	if work.Spread > 0 && same > work.Spread {
+		m.fleet.find("%s started on %s as number %d of its step", t, m.report.ID, same)
+	}
+}
+
 // fullPace is the percentage at which a run works when it starts.
 const fullPace = 100
 
@@ -437,7 +416,7 @@
 
 func (m *Minion) setPace(r host.ThrottleRequest) error {
 	switch run := m.runs[runKey{r.Task, r.Number}]; {
-	case m.faults.Silent:
+	case m.faults.Silent || m.gone:
 		return errSilent
 	case r.Token < m.token:
 		return host.ErrFenced
@@ -462,16 +441,16 @@
 }
 
 func (m *Minion) stop(r host.StopRequest) error {
+	m.settle()
 	switch {
-	case m.faults.Silent:
+	case m.faults.Silent || m.gone:
 		return errSilent
 	case r.Token < m.token:
 		return host.ErrFenced
 	}
 	m.token = r.Token
-	key := runKey{r.Task, r.Number}
-	m.dead[key] = true
-	if run := m.runs[key]; run != nil && run.stopping.IsZero() {
+	m.dead[r.Task] = max(m.dead[r.Task], r.Number)
+	if run := m.runs[runKey{r.Task, r.Number}]; run != nil && run.stopping.IsZero() {
 		run.stopping = time.Now().Add(m.fleet.stopTime)
 	}
 	return nil
