Let the soak replace, mute and delay minions, hosts and calls between processes

The second draw adds minions that are mute, late or unhealthy, drained and replaced minions, hosts that leave for good while others come, hosts that lose power, and connections that go silent for good. All calls to a process go through a link: the stand-in of the store hands out member records with the addresses of the links, so no product code changes. A link refuses connections while its process or minion is down. Faults come in series and overlap; density and length are drawn from the seed. The load has gangs on different hosts, labels and data in a rack, and jobs that are not handed in again after a refusal. New check: nothing starts a second after its job was shown as done.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -20,7 +20,9 @@
 	Length  time.Duration `long:"length" value-name:"DURATION" default:"20s" description:"Length of the load of each seed"`
 	Entries int           `long:"entries" value-name:"N" default:"3" description:"Number of entries"`
 	Agents  int           `long:"agents" value-name:"N" default:"4" description:"Number of agents with a minion"`
-	Cases   string        `long:"cases" value-name:"FILE" description:"Plays the seeds in a file instead, one a line; what follows a seed is a remark"`
+	Clients int           `long:"clients" value-name:"N" default:"6" description:"Number of clients"`
+	Draw    int           `long:"draw" value-name:"N" default:"2" description:"Draw that turns a seed into a schedule and a load, 1 or 2"`
+	Cases   string        `long:"cases" value-name:"FILE" description:"Plays the seeds in a file instead, one a line with its draw, as in 113 v1; what follows is a remark"`
 	Only    []int         `long:"only" value-name:"N" description:"Plays only the fault with this number of the schedule; may be given more than once"`
 }
 
@@ -28,7 +30,7 @@
 	return command{
 		name:  "soak",
 		short: "Disturb real processes at random and check the promises",
-		long: `Starts this program in the roles of the users' platform as separate processes on the loopback interface, against stand-ins of store and minions, and plays a random schedule of faults: killed, stopped and paused processes, connections that are delayed, reset, silent or cut one way, a store that is down, loses answers or forgets, minions that are silent, reborn or stalled, new configurations and withdrawn keys. It checks what clients and minions see. The logs of a seed with findings are kept.
+		long: `Starts this program in the roles of the users' platform as separate processes on the loopback interface, against stand-ins of store and minions, and plays a random schedule of faults: killed, stopped and paused processes, connections that are delayed, reset, silent or cut one way, a store that is down, loses answers or forgets, minions that are silent, mute, late, unhealthy, reborn, stalled, drained or replaced, hosts that leave or lose their power, new configurations and withdrawn keys. It checks what clients and minions see. The logs of a seed with findings are kept.
 
 Exit codes: 0 without findings, 1 otherwise, 2 for wrong usage.`,
 		examples: []string{
@@ -43,24 +45,27 @@
 
 // Run implements runner.
 func (c *soakCommand) Run(ctx context.Context, env environment) error {
-	if c.Entries < 1 || c.Agents < 1 || c.Length <= 0 {
-		return usageError{fmt.Sprintf("%d entries, %d agents and a length of %s: all must be above 0", c.Entries, c.Agents, c.Length)}
+	if c.Entries < 1 || c.Agents < 1 || c.Clients < 1 || c.Length <= 0 {
+		return usageError{fmt.Sprintf("%d entries, %d agents, %d clients and a length of %s: all must be above 0", c.Entries, c.Agents, c.Clients, c.Length)}
+	}
+	if !knownDraw(c.Draw) {
+		return usageError{fmt.Sprintf("draw %d, want 1 or 2", c.Draw)}
 	}
 	binary, err := exec.LookPath(os.Args[0])
 	if err != nil {
 		return fmt.Errorf("find this program: %w", err)
 	}
-	seeds, err := c.seeds()
+	cases, err := c.cases()
 	if err != nil {
 		return err
 	}
 	var errs []error
-	for _, seed := range seeds {
+	for _, played := range cases {
 		if ctx.Err() != nil {
 			break
 		}
-		o := soak.Default(seed)
-		o.Binary, o.Length, o.Entries, o.Agents, o.Out = binary, c.Length, c.Entries, c.Agents, env.stdout
+		o := soak.Default(played.seed)
+		o.Binary, o.Length, o.Entries, o.Agents, o.Clients, o.Draw, o.Out = binary, c.Length, c.Entries, c.Agents, c.Clients, played.draw, env.stdout
 		if len(c.Only) > 0 {
 			o.Only = collection.NewSet(c.Only...)
 		}
@@ -69,14 +74,22 @@
 	return errors.Join(errs...)
 }
 
-// seeds returns the seeds to play.
-func (c *soakCommand) seeds() ([]uint64, error) {
-	var seeds []uint64
+// soakCase is a seed with the draw that it was found with.
+type soakCase struct {
+	seed uint64
+	draw int
+}
+
+func knownDraw(draw int) bool { return draw >= soak.FirstDraw && draw <= soak.LatestDraw }
+
+// cases returns the seeds to play.
+func (c *soakCommand) cases() ([]soakCase, error) {
+	var cases []soakCase
 	if c.Cases == "" {
 		for i := range c.Seeds {
-			seeds = append(seeds, c.Seed+i)
+			cases = append(cases, soakCase{c.Seed + i, c.Draw})
 		}
-		return seeds, nil
+		return cases, nil
 	}
 	data, err := os.ReadFile(c.Cases)
 	if err != nil {
@@ -93,7 +106,15 @@
 			findings = append(findings, fmt.Errorf("%s:%d: %q is not a seed", c.Cases, number+1, fields[0]))
 			continue
 		}
-		seeds = append(seeds, seed)
+		draw := 0
+		if len(fields) > 1 {
+			_, _ = fmt.Sscanf(fields[1], "v%d", &draw) // What cannot be read is no known draw.
+		}
+		if !knownDraw(draw) {
+			findings = append(findings, fmt.Errorf("%s:%d: seed %d lacks its draw, v1 or v2", c.Cases, number+1, seed))
+			continue
+		}
+		cases = append(cases, soakCase{seed, draw})
 	}
-	return seeds, errors.Join(findings...)
+	return cases, errors.Join(findings...)
 }
--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -8,13 +8,13 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/base/webserver"
-	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/standin/fleethost"
@@ -59,15 +59,19 @@
 // deployment is the processes with what stands for the platform.
 type deployment struct {
 	store   *fleetstore.Store
+	fronts  directory
 	fleet   *fleethost.Fleet
-	minions []*fleethost.Minion
 	entries []*process
-	all     []*process // all processes; the entries come first.
-	links   []*proxy   // links between processes, store and minions, both ways.
+	all     []*process // all processes; the entries come first and the spare agents last.
+	links   []*proxy   // links between processes, store and minions, both ways, and to the processes.
+	first   int        // first is the number of the links without those to the processes.
 	oracle  *oracle
+	hosts   int // hosts is the number of hosts that are up with a minion or soon will be.
 
-	mu      sync.Mutex
-	version int64 // version of the newest configuration.
+	mu       sync.Mutex
+	version  int64 // version of the newest configuration.
+	machines []*machine
+	spares   []*machine // spares are hosts that are off.
 }
 
 // The ports of the processes are below those that the kernel gives to outgoing
@@ -115,18 +119,20 @@
 // newDeployment prepares what stands for the platform and the settings of the
 // processes. The deployment can be stopped also after an error.
 func newDeployment(g *group.Group, o Options) (*deployment, error) {
-	d := &deployment{store: fleetstore.New(), fleet: fleethost.NewFleet(taskStopTime)}
+	d := &deployment{store: fleetstore.New(), fleet: fleethost.NewFleet(taskStopTime), hosts: o.Agents}
+	d.fleet.SetBounds(longestLease, gangTime)
+	d.fronts = directory{Store: d.store, fronts: make(map[string]string)}
 	d.oracle = newOracle(d.fleet)
 	if err := d.publish(nil); err != nil {
 		return d, err
 	}
-	storeAddress, err := serve(g, "store", &http.Server{Handler: platform.StoreHandler(d.store), ReadHeaderTimeout: contactTime})
+	storeAddress, err := serve(g, "store", &http.Server{Handler: platform.StoreHandler(d.fronts), ReadHeaderTimeout: contactTime})
 	if err != nil {
 		return d, err
 	}
 	var free ports
 	defer free.release()
-	for i := range o.Entries + o.Agents {
+	for i := range o.Entries + o.Agents + o.spares() {
 		role, name := "hosted-entry", fmt.Sprintf("front-%d", i+1)
 		if i >= o.Entries {
 			role, name = "hosted-agent", fmt.Sprintf("side-%d", i+1-o.Entries)
@@ -136,26 +142,38 @@
 			return d, err
 		}
 		p := &process{binary: o.Binary, role: role, folder: o.Folder, group: g, finding: d.oracle.find}
-		p.settings = commonSettings(name, link)
-		if err := d.assign(g, p, &free, i-o.Entries); err != nil {
+		p.settings = commonSettings(name, link.address())
+		if err := d.assign(g, p, &free, i-o.Entries, o.Agents); err != nil {
 			return d, err
 		}
 		d.all = append(d.all, p)
 	}
+	d.first = len(d.links)
+	for _, p := range d.all {
+		if p.front, err = d.link(g, p.settings.Internal); err != nil {
+			return d, err
+		}
+		d.fronts.announce(p.settings.Internal, p.front.address())
+	}
 	d.entries = d.all[:o.Entries]
-	for _, m := range d.minions {
-		g.Every("runs of a minion", settleInterval, func(context.Context) error { m.Settle(); return nil })
+	for _, m := range append(slices.Clone(d.machines), d.spares...) {
+		g.Every("runs of a minion", settleInterval, func(context.Context) error { m.minion.Settle(); return nil })
 	}
 	return d, nil
 }
 
 // start starts the processes and waits until the entries are ready.
 func (d *deployment) start(ctx context.Context) error {
-	for _, p := range d.all {
+	for _, p := range d.entries {
 		if err := p.start(); err != nil {
 			return err
 		}
 	}
+	for _, m := range d.machines {
+		if err := m.agent.start(); err != nil {
+			return err
+		}
+	}
 	return d.awaitReady(ctx)
 }
 
@@ -167,8 +185,9 @@
 	}
 }
 
-// assign gives a process its ports, and an agent its minion.
-func (d *deployment) assign(g *group.Group, p *process, free *ports, minion int) error {
+// assign gives a process its ports, and an agent its minion. The agents beyond a
+// number are spares.
+func (d *deployment) assign(g *group.Group, p *process, free *ports, number, agents int) error {
 	const (
 		perProcess = 7
 		internal   = 2 // the only port that is used of the range in the settings
@@ -182,37 +201,34 @@
 	}
 	at := func(offset uint16) netip.AddrPort { return netip.AddrPortFrom(p.settings.IP, first+offset) }
 	p.settings.Internal, p.metrics = at(internal), first+metrics
-	if minion < 0 {
+	if number < 0 {
 		p.settings.Callers, p.settings.Ready = at(callers), at(ready)
 		return nil
 	}
-	rack := fmt.Sprintf("r%d", minion/2)
-	m := fleethost.NewMinion(d.fleet, host.Minion{ID: fmt.Sprintf("m-%d", minion), Service: service, DataCentre: "one", Rack: rack, Labels: []string{"a", rack}, Capacity: capacity})
-	d.minions = append(d.minions, m)
-	minionAddress, err := serve(g, "minion", platform.MinionServer(m))
-	if err != nil {
-		return err
-	}
 	p.settings.Service, p.settings.Control = service, at(callers)
-	if p.settings.Minion, err = d.link(g, minionAddress); err != nil {
-		return err
-	}
-	control, err := d.link(g, p.settings.Control)
+	m, err := d.newMachine(g, p, number)
 	if err != nil {
 		return err
 	}
-	g.Go("heartbeats", func(ctx context.Context) error { return platform.SendHeartbeats(ctx, control, m) })
+	if number < agents {
+		d.machines = append(d.machines, m)
+		m.beat()
+		return nil
+	}
+	d.spares = append(d.spares, m)
+	m.minion.Leave()
+	m.service.down()
 	return nil
 }
 
-// link returns the address of a new link to a target.
-func (d *deployment) link(g *group.Group, target netip.AddrPort) (netip.AddrPort, error) {
+// link returns a new link to a target.
+func (d *deployment) link(g *group.Group, target netip.AddrPort) (*proxy, error) {
 	p, err := newProxy(g, target)
 	if err != nil {
-		return netip.AddrPort{}, err
+		return nil, err
 	}
 	d.links = append(d.links, p)
-	return p.address(), nil
+	return p, nil
 }
 
 func serve(g *group.Group, name string, server *http.Server) (netip.AddrPort, error) {
@@ -262,11 +278,6 @@
 	return nil
 }
 
-// setWork tells the minions what the tasks of a step are like.
-func (d *deployment) setWork(job workload.ID, step int, took time.Duration, need workload.Resources) {
-	d.fleet.SetWork(job, step, fleethost.Work{Duration: took, Need: need})
-}
-
 // stop ends all processes as the platform does. Each must be gone in time.
 func (d *deployment) stop() {
 	ending := group.New(context.Background())
--- a/internal/run/soak/load.go
+++ b/internal/run/soak/load.go
@@ -9,11 +9,11 @@
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/standin/fleethost"
 	"wasabihoist/platform"
 )
 
 const (
-	clients       = 6
 	submitPause   = 1500 * time.Millisecond // submitPause is the mean time between two jobs of a client.
 	callTimeout   = 3 * time.Second
 	tries         = 4
@@ -26,6 +26,19 @@
 	longestTask   = 1500 * time.Millisecond
 	mostTasks     = 4
 	keyCheckPause = 200 * time.Millisecond
+	// connections is above the number of calls that a client makes at a time, so
+	// that it closes none of its connections.
+	connections = 64
+)
+
+// The load of the second draw has these shares besides.
+const (
+	impatientShare = 0.3 // impatientShare is the part of the jobs that are not handed in again once they were refused.
+	gangShare      = 0.15
+	mostMembers    = 4
+	mostOfMember   = 2 // mostOfMember is the largest number of accelerators of a member of a gang.
+	labelShare     = 0.1
+	rackShare      = 0.15
 )
 
 // client is one caller with a connection that it keeps using until the process
@@ -36,16 +49,27 @@
 	oracle     *oracle
 	group      *group.Group
 	random     *rand.Rand
+	added      *rand.Rand // added draws what the first draw lacks; nil for the first draw.
 	http       *http.Client
 	entry      int
 	jobs       int
 }
 
-func newClient(number int, seed uint64, d *deployment, g *group.Group) *client {
-	return &client{
+func newClient(number, draw int, seed uint64, d *deployment, g *group.Group) *client {
+	c := &client{
 		number: number, deployment: d, oracle: d.oracle, group: g, random: rand.New(rand.NewPCG(seed, uint64(number))),
-		http: &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}, entry: number,
+		http: newHTTPClient(), entry: number,
+	}
+	if draw != FirstDraw {
+		c.added = rand.New(rand.NewPCG(seed+1, uint64(number)))
 	}
+	return c
+}
+
+// newHTTPClient returns a client that uses open connections until the other end
+// closes them.
+func newHTTPClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: connections}}
 }
 
 // run hands jobs in until ctx ends.
@@ -70,7 +94,12 @@
 		if s > 0 {
 			step.DependsOn = []int{s - 1}
 		}
-		c.deployment.setWork(j.ID, s, took, step.Need)
+		work := fleethost.Work{Duration: took}
+		if c.added != nil {
+			c.constrain(&step, &work)
+		}
+		work.Need = step.Need
+		c.deployment.fleet.SetWork(j.ID, s, work)
 		j.Steps = append(j.Steps, step)
 	}
 	caller := platform.Caller{Queue: ordinaryHost, Prefix: prefix, Key: callersKey, Client: c.http}
@@ -80,11 +109,30 @@
 	return j, caller
 }
 
+// constrain makes some steps gangs on different hosts, and binds some to a label
+// or near a rack.
+func (c *client) constrain(step *workload.Step, work *fleethost.Work) {
+	gang, label, rack := c.added.Float64() < gangShare, c.added.Float64() < labelShare, c.added.Float64() < rackShare
+	kind := machineKinds[c.added.IntN(len(machineKinds))]
+	members, each := 2+c.added.IntN(mostMembers-1), 1+c.added.IntN(mostOfMember)
+	if rack {
+		step.DataRack = rackOf(0)
+	}
+	switch {
+	case gang:
+		step.Gang, step.Count, step.SpreadLimit, step.Need.Accelerators = true, min(members, c.deployment.hosts), 1, each
+		work.Gang, work.Spread = step.Count, 1
+	case label:
+		step.Label, work.Label = kind, kind
+	}
+}
+
 // submit hands one job in, at another entry after each try without an answer,
-// and follows it.
+// and follows it. Some jobs are given up after a refusal.
 func (c *client) submit(ctx context.Context) {
 	j, caller := c.draw()
 	cancels := c.random.Float64() < cancelShare
+	impatient := c.added != nil && c.added.Float64() < impatientShare
 	for range tries {
 		entry := c.deployment.entries[c.entry%len(c.deployment.entries)]
 		status, err := caller.Submit(ctx, entry.settings.Callers, j.ID, j.Steps)
@@ -100,6 +148,9 @@
 			return
 		}
 		c.entry++
+		if refused && impatient {
+			return
+		}
 		if group.Pause(ctx, retryPause) != nil {
 			return
 		}
@@ -152,7 +203,7 @@
 // watchKey checks that a key is refused once the time for its withdrawal has
 // passed. A call is sent to every entry, in touch with the store or not.
 func watchKey(ctx context.Context, d *deployment, key string, withdrawn time.Time) {
-	caller := platform.Caller{Queue: ordinaryHost, Prefix: prefix, Key: key, Client: &http.Client{Timeout: callTimeout}}
+	caller := platform.Caller{Queue: ordinaryHost, Prefix: prefix, Key: key, Client: newHTTPClient()}
 	if group.Pause(ctx, time.Until(withdrawn.Add(revokeTime))) != nil {
 		return
 	}
--- a/internal/run/soak/oracle.go
+++ b/internal/run/soak/oracle.go
@@ -13,6 +13,9 @@
 type Minions interface {
 	// Starts returns how often a task was started.
 	Starts(t workload.TaskID) int
+	// LastStart returns when a task was last started by an order that was carried
+	// out when it arrived; zero if never.
+	LastStart(t workload.TaskID) time.Time
 	// Finished reports whether a task has ended as completed.
 	Finished(t workload.TaskID) bool
 }
@@ -21,11 +24,12 @@
 type submission struct {
 	job       workload.Job
 	accepted  bool
-	open      bool   // open submissions had a try without a definite answer.
-	state     string // state is the last one shown.
-	cancelled bool   // cancelled jobs had a cancellation that was acknowledged or may have been.
-	startsAt  int    // startsAt is the number of starts some time after the cancellation.
-	settled   bool   // settled is set once startsAt was taken.
+	open      bool      // open submissions had a try without a definite answer.
+	state     string    // state is the last one shown.
+	doneAt    time.Time // doneAt is when the job was first shown as done.
+	cancelled bool      // cancelled jobs had a cancellation that was acknowledged or may have been.
+	startsAt  int       // startsAt is the number of starts some time after the cancellation.
+	settled   bool      // settled is set once startsAt was taken.
 }
 
 // States that are final, as they are shown.
@@ -95,6 +99,9 @@
 	case state == shownCancelled && !s.cancelled:
 		o.note("job %s is cancelled, and nobody has cancelled it", id)
 	case state == shownDone:
+		if s.doneAt.IsZero() {
+			s.doneAt = time.Now()
+		}
 		for _, t := range tasks(s.job) {
 			if !o.minions.Finished(t) {
 				o.note("job %s is done, and task %s has not finished", id, t)
@@ -122,6 +129,18 @@
 	obeyTime    = 10 * time.Second
 )
 
+// startedLate is how long after a job was shown as done a start may still
+// arrive.
+const startedLate = time.Second
+
+func (o *oracle) checkStartsAfterDone(s *submission) {
+	for _, t := range tasks(s.job) {
+		if after := o.minions.LastStart(t).Sub(s.doneAt); after > startedLate {
+			o.note("job %s was shown as done, and task %s has started %s later", s.job.ID, t, after.Round(time.Millisecond))
+		}
+	}
+}
+
 func (o *oracle) cancel(id workload.ID) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -179,6 +198,9 @@
 	}
 	for id, s := range o.jobs {
 		o.checks++
+		if !s.doneAt.IsZero() {
+			o.checkStartsAfterDone(s)
+		}
 		starts := o.starts(s.job)
 		switch {
 		case !s.accepted && !s.open && starts > 0:
--- a/internal/run/soak/oracle_test.go
+++ b/internal/run/soak/oracle_test.go
@@ -11,12 +11,14 @@
 
 // history is a recorded history of the minions.
 type history struct {
-	starts   int
-	finished bool
+	starts    int
+	lastStart time.Time
+	finished  bool
 }
 
-func (h *history) Starts(workload.TaskID) int    { return h.starts }
-func (h *history) Finished(workload.TaskID) bool { return h.finished }
+func (h *history) Starts(workload.TaskID) int          { return h.starts }
+func (h *history) LastStart(workload.TaskID) time.Time { return h.lastStart }
+func (h *history) Finished(workload.TaskID) bool       { return h.finished }
 
 // Guards against checks that cannot fail, and against findings in a history
 // that is allowed.
@@ -52,6 +54,21 @@
 			},
 			finding: ".*was done and is running",
 		},
+		"starts again long after it was shown as done": {
+			play: func(o *oracle, h *history) {
+				o.submitted(job, true, false)
+				h.finished = true
+				o.shown(job.ID, "done")
+				h.lastStart = time.Now().Add(startedLate + time.Second)
+			},
+			finding: ".*was shown as done, and task .* has started 2s later",
+		},
+		"starts when it is shown as done": {play: func(o *oracle, h *history) {
+			o.submitted(job, true, false)
+			h.finished = true
+			o.shown(job.ID, "done")
+			h.lastStart = time.Now().Add(startedLate / 2)
+		}},
 		"failed without cause": {
 			play:    func(o *oracle, _ *history) { o.submitted(job, true, false); o.shown(job.ID, "failed") },
 			finding: ".*has failed without a failed run",
@@ -107,8 +124,8 @@
 	c := qt.New(t)
 	drawn := make(map[Kind]int)
 	for seed := range uint64(50) {
-		faults := Draw(seed, 20*time.Second)
-		c.Assert(Draw(seed, 20*time.Second), qt.DeepEquals, faults)
+		faults := Draw(LatestDraw, seed, 20*time.Second)
+		c.Assert(Draw(LatestDraw, seed, 20*time.Second), qt.DeepEquals, faults)
 		for i, f := range faults {
 			drawn[f.Kind]++
 			c.Assert(f.At < 20*time.Second, qt.IsTrue)
@@ -119,3 +136,14 @@
 		c.Check(drawn[k] > 0, qt.IsTrue, qt.Commentf("%s", k))
 	}
 }
+
+// Guards against changes of a draw: the seeds that have failed once would then
+// play something else.
+func TestFirstDrawStays(t *testing.T) {
+	c := qt.New(t)
+	faults := Draw(FirstDraw, 113, 20*time.Second)
+	c.Assert(faults, qt.HasLen, 30)
+	c.Check(faults[0].String(), qt.Equals, "   0.74s link-one-way         target 585 for 1.763s")
+	c.Check(faults[5].String(), qt.Equals, "   2.76s minion-reborn        target 967 for 0s")
+	c.Check(faults[29].String(), qt.Equals, "  19.45s link-silent          target 184 for 2.538s")
+}
--- a/internal/run/soak/process.go
+++ b/internal/run/soak/process.go
@@ -27,8 +27,10 @@
 	folder   string
 	group    *group.Group
 	finding  func(format string, args ...any)
+	front    *proxy // front carries the calls of all other processes.
 
 	replacing sync.Mutex // replacing is held while the process is replaced.
+	retired   bool       // retired processes are not started again.
 
 	mu      sync.Mutex
 	command *exec.Cmd     // command is the latest life of the process; nil before the first.
@@ -62,9 +64,13 @@
 	}
 	ended := make(chan struct{})
 	p.command, p.ended, p.wanted = c, ended, true
+	if err := p.front.up(); err != nil {
+		return err
+	}
 	p.group.Go("wait for "+p.String(), func(context.Context) error {
 		err := c.Wait()
 		_ = log.Close()
+		p.front.down()
 		p.mu.Lock()
 		if p.wanted && p.command == c {
 			p.finding("%s ended by itself: %v", p, err)
@@ -103,11 +109,30 @@
 func (p *process) replace(s syscall.Signal, limit time.Duration) error {
 	p.replacing.Lock()
 	defer p.replacing.Unlock()
+	if p.retired {
+		return nil
+	}
 	p.end(s, limit)
 	time.Sleep(restartPause)
 	return p.start()
 }
 
+// retire ends the process for good, or until revive.
+func (p *process) retire() {
+	p.replacing.Lock()
+	defer p.replacing.Unlock()
+	p.retired = true
+	p.end(syscall.SIGTERM, stopGrace)
+}
+
+// revive starts a process that was retired or never started.
+func (p *process) revive() error {
+	p.replacing.Lock()
+	defer p.replacing.Unlock()
+	p.retired = false
+	return p.start()
+}
+
 // end ends the process with a signal and waits for it. A process that is not
 // gone when it would be killed is a finding.
 func (p *process) end(s syscall.Signal, limit time.Duration) {
--- a/internal/run/soak/proxy.go
+++ b/internal/run/soak/proxy.go
@@ -12,34 +12,41 @@
 	"wasabihoist/internal/base/group"
 )
 
-// linkState is what a proxy does to its connections.
+// linkState is what a proxy does to its connections. Of several states at a
+// time the highest counts.
 type linkState int
 
 const (
 	linkSound linkState = iota
 	linkDelayed
-	linkReset
+	linkOneWay // linkOneWay loses what comes back from the target.
 	linkSilent
-	linkOneWay // linkOneWay loses what comes back from the store.
+	linkReset
+	linkStates
 )
 
 const (
 	// linkDelay is added to each piece of data of a slow link. It is about the
 	// longest time within which a claim of the leadership is answered.
 	linkDelay  = 250 * time.Millisecond
-	linkCheck  = 20 * time.Millisecond
 	pieceBytes = 32 << 10
+	// relistenTime bounds how long another program may hold the port of a link.
+	relistenTime     = 5 * time.Second
+	relistenInterval = 20 * time.Millisecond
 )
 
-// proxy forwards connections on the loopback interface.
+// proxy forwards connections on the loopback interface. While its target is
+// down, nothing listens at its address.
 type proxy struct {
-	listener net.Listener
-	target   netip.AddrPort
-	group    *group.Group
-
-	mu    sync.Mutex
-	state linkState
-	open  map[net.Conn]bool
+	at     netip.AddrPort
+	target netip.AddrPort
+	group  *group.Group
+
+	mu       sync.Mutex
+	listener net.Listener // listener is nil while the target is down.
+	active   [linkStates]int
+	open     map[net.Conn]bool
+	stale    map[net.Conn]bool // stale connections carry nothing more.
 }
 
 func newProxy(g *group.Group, target netip.AddrPort) (*proxy, error) {
@@ -47,39 +54,115 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for a link: %w", err)
 	}
-	p := &proxy{listener: l, target: target, group: g, open: make(map[net.Conn]bool)}
+	p := &proxy{
+		at: netip.MustParseAddrPort(l.Addr().String()), target: target, group: g, listener: l,
+		open: make(map[net.Conn]bool), stale: make(map[net.Conn]bool),
+	}
 	g.Go("link", func(ctx context.Context) error {
-		defer func() { _ = l.Close() }()
 		<-ctx.Done()
-		p.set(linkReset)
+		p.down()
 		return nil
 	})
-	g.Go("accept", p.accept)
+	g.Go("accept", func(ctx context.Context) error { return p.accept(ctx, l) })
 	return p, nil
 }
 
-func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+func (p *proxy) address() netip.AddrPort { return p.at }
 
-func (p *proxy) set(state linkState) {
+// begin adds a state, and end removes it again.
+func (p *proxy) begin(state linkState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state = state
+	p.active[state]++
 	if state == linkReset {
-		for c := range p.open {
-			_ = c.Close()
-		}
+		p.closeAll()
 	}
 }
 
+func (p *proxy) end(state linkState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active[state]--
+}
+
+// sound ends all states.
+func (p *proxy) sound() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active = [linkStates]int{}
+}
+
 func (p *proxy) current() linkState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.state
+	for state := linkStates - 1; state > linkSound; state-- {
+		if p.active[state] > 0 {
+			return state
+		}
+	}
+	return linkSound
+}
+
+// goStale makes the open connections silent for good. New ones work.
+func (p *proxy) goStale() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		p.stale[c] = true
+	}
+}
+
+func (p *proxy) isStale(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stale[c]
+}
+
+// down refuses connections and closes the open ones, as the host of a program
+// does that has ended. The host of a silent link can do neither.
+func (p *proxy) down() {
+	silent := p.current() == linkSilent && p.group.Context().Err() == nil
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if silent || p.listener == nil {
+		return
+	}
+	_ = p.listener.Close()
+	p.listener = nil
+	p.closeAll()
+}
+
+// up accepts connections again.
+func (p *proxy) up() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listener != nil || p.group.Context().Err() != nil {
+		return nil
+	}
+	var l net.Listener
+	var err error
+	for end := time.Now().Add(relistenTime); time.Now().Before(end); time.Sleep(relistenInterval) {
+		if l, err = net.Listen("tcp", p.at.String()); err == nil {
+			break
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("listen for a link again: %w", err)
+	}
+	p.listener = l
+	p.group.Go("accept", func(ctx context.Context) error { return p.accept(ctx, l) })
+	return nil
+}
+
+func (p *proxy) closeAll() {
+	for c := range p.open {
+		_ = c.Close()
+	}
 }
 
-func (p *proxy) accept(ctx context.Context) error {
+func (p *proxy) accept(ctx context.Context, l net.Listener) error {
 	for {
-		c, err := p.listener.Accept()
+		c, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -124,31 +207,35 @@
 	defer p.mu.Unlock()
 	for _, c := range conns {
 		delete(p.open, c)
+		delete(p.stale, c)
 		_ = c.Close()
 	}
 }
 
 // carry copies one direction until an end closes. Once a piece was lost on a
-// silent link, nothing follows it on the same connection.
+// silent link, nothing follows it on the same connection, nor does its end.
 func (p *proxy) carry(ctx context.Context, to, from net.Conn, answers bool) {
-	defer func() { _, _ = to.Close(), from.Close() }()
 	piece := make([]byte, pieceBytes)
 	lost := false
 	for {
 		n, err := from.Read(piece)
+		state := p.current()
+		lost = lost || state == linkSilent || state == linkOneWay && answers || p.isStale(from)
 		if err != nil {
-			return
+			break
 		}
-		state := p.current()
-		lost = lost || state == linkSilent || state == linkOneWay && answers
 		if lost {
 			continue
 		}
 		if state == linkDelayed && group.Pause(ctx, linkDelay) != nil {
-			return
+			break
 		}
 		if _, err := to.Write(piece[:n]); err != nil {
-			return
+			break
 		}
 	}
+	_ = from.Close()
+	if !lost || !answers || p.group.Context().Err() != nil {
+		_ = to.Close()
+	}
 }
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 
@@ -22,18 +23,29 @@
 type Options struct {
 	Binary  string // Binary is the program under test.
 	Seed    uint64
+	Draw    int           // Draw is FirstDraw to LatestDraw.
 	Length  time.Duration // Length of the load. The faults end with it.
 	Entries int
 	Agents  int
+	Clients int
 	Folder  string              // Folder gets the settings and logs; it is removed after a run without findings.
 	Only    collection.Set[int] // Only keeps the faults with these numbers; nil keeps all.
 	Out     io.Writer
 }
 
+// spares returns the number of hosts that are off at first.
+func (o Options) spares() int {
+	const perSpare = 2
+	if o.Draw == FirstDraw {
+		return 0
+	}
+	return (o.Agents + perSpare - 1) / perSpare
+}
+
 // Default returns the options for a seed.
 func Default(seed uint64) Options {
 	return Options{
-		Seed: seed, Length: 20 * time.Second, Entries: 3, Agents: 4, Out: io.Discard,
+		Seed: seed, Length: 20 * time.Second, Draw: LatestDraw, Entries: 3, Agents: 4, Clients: 6, Out: io.Discard,
 		Folder: filepath.Join(os.TempDir(), fmt.Sprintf("wasabihoist-soak-%d-%d", seed, os.Getpid())),
 	}
 }
@@ -44,8 +56,8 @@
 	if err := os.MkdirAll(o.Folder, folderMode); err != nil {
 		return fmt.Errorf("make folder: %w", err)
 	}
-	faults := Draw(o.Seed, o.Length)
-	_, _ = fmt.Fprintf(o.Out, "seed %d, %s, %d entries, %d agents, %d faults\n", o.Seed, o.Length, o.Entries, o.Agents, len(faults))
+	faults := Draw(o.Draw, o.Seed, o.Length)
+	_, _ = fmt.Fprintf(o.Out, "seed %d of draw %d, %s, %d entries, %d agents, %d faults\n", o.Seed, o.Draw, o.Length, o.Entries, o.Agents, len(faults))
 	platformGroup := group.New(ctx)
 	d, err := newDeployment(platformGroup, o)
 	if err == nil {
@@ -88,8 +100,8 @@
 func play(ctx context.Context, o Options, d *deployment, faults []Fault) error {
 	followers, load := group.New(ctx), group.New(ctx)
 	start := time.Now()
-	for i := range clients {
-		load.Go("client", newClient(i, o.Seed, d, followers).run)
+	for i := range o.Clients {
+		load.Go("client", newClient(i, o.Draw, o.Seed, d, followers).run)
 	}
 	injected := group.New(ctx)
 	for i, f := range faults {
@@ -101,7 +113,7 @@
 			if err := group.Pause(ctx, time.Until(start.Add(f.At))); err != nil {
 				return err
 			}
-			return d.inject(ctx, f)
+			return d.inject(ctx, o.Draw, f)
 		})
 	}
 	if err := injected.Wait(); err != nil {
@@ -123,60 +135,97 @@
 	return err
 }
 
-// inject carries out one fault and undoes it.
-func (d *deployment) inject(ctx context.Context, f Fault) error {
-	p, link := d.all[f.Target%len(d.all)], d.links[f.Target%len(d.links)]
-	minion := d.minions[f.Target%len(d.minions)]
-	during := func(begin, end func()) error {
-		begin()
-		defer end()
-		_ = group.Pause(ctx, f.For)
-		return nil
+// targets are what a fault may act on.
+func (d *deployment) targets(draw int, f Fault) (*process, *proxy, *machine) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	links := d.links
+	if draw == FirstDraw {
+		links = links[:d.first]
 	}
-	onLink := func(state linkState) error {
-		return during(func() { link.set(state) }, func() { link.set(linkSound) })
-	}
-	onStore := func(faults fleetstore.Faults) error {
-		return during(func() { d.store.SetFaults(faults) }, func() { d.store.SetFaults(fleetstore.Faults{}) })
-	}
-	onMinion := func(faults fleethost.Faults) error {
-		return during(func() { minion.SetFaults(faults) }, func() { minion.SetFaults(fleethost.Faults{}) })
+	m := d.machines[f.Target%len(d.machines)]
+	processes := slices.Clone(d.entries)
+	for _, other := range d.machines {
+		processes = append(processes, other.agent)
 	}
+	return processes[f.Target%len(processes)], links[f.Target%len(links)], m
+}
+
+// inject carries out one fault and undoes it.
+func (d *deployment) inject(ctx context.Context, draw int, f Fault) error {
+	p, link, machine := d.targets(draw, f)
 	switch f.Kind {
 	case Kill:
 		return p.replace(syscall.SIGKILL, killTime)
 	case Terminate:
 		return p.replace(syscall.SIGTERM, stopGrace)
 	case Pause:
-		return during(p.pause, func() { p.signal(syscall.SIGCONT) })
+		p.pause()
+		_ = group.Pause(ctx, f.For)
+		p.signal(syscall.SIGCONT)
 	case Hangup:
 		p.signal(syscall.SIGHUP)
-	case LinkDelayed:
-		return onLink(linkDelayed)
-	case LinkReset:
-		return onLink(linkReset)
-	case LinkSilent:
-		return onLink(linkSilent)
-	case LinkOneWay:
-		return onLink(linkOneWay)
+	case LinkDelayed, LinkReset, LinkSilent, LinkOneWay:
+		state := linkStateOf[f.Kind]
+		link.begin(state)
+		_ = group.Pause(ctx, f.For)
+		link.end(state)
+	case LinkStale:
+		link.goStale()
+	case MinionReborn:
+		machine.reborn()
+	case MinionSilent, MinionStalled, MinionMute, MinionLate, MinionUnhealthy:
+		machine.during(ctx, f.ofMinion(), f.For)
+	case MinionReplaced:
+		return machine.replaceMinion(ctx, f.For)
+	case HostReplaced:
+		return d.replaceHost(ctx, machine, f.For)
+	case HostCrash:
+		if p == machine.agent {
+			return machine.crash(ctx, f.For)
+		}
+		return p.crash(ctx, f.For, func() {})
+	default:
+		d.injectPlatform(ctx, f)
+	}
+	return nil
+}
+
+var linkStateOf = map[Kind]linkState{LinkDelayed: linkDelayed, LinkReset: linkReset, LinkSilent: linkSilent, LinkOneWay: linkOneWay}
+
+// ofMinion returns what a fault does to a minion.
+func (f Fault) ofMinion() fleethost.Faults {
+	switch f.Kind {
+	case MinionSilent:
+		return fleethost.Faults{Silent: true}
+	case MinionStalled:
+		return fleethost.Faults{Stall: true}
+	case MinionMute:
+		return fleethost.Faults{Mute: f.Share}
+	case MinionLate:
+		return fleethost.Faults{Late: f.Share, LateBy: longestLateness}
+	default:
+		return fleethost.Faults{Unhealthy: f.Share}
+	}
+}
+
+// injectPlatform carries out a fault of the store or a change of the
+// configuration.
+func (d *deployment) injectPlatform(ctx context.Context, f Fault) {
+	switch f.Kind {
 	case StoreDown:
-		return onStore(fleetstore.Faults{Down: true})
+		d.store.SetFaults(fleetstore.Faults{Down: true})
+		_ = group.Pause(ctx, f.For)
+		d.store.SetFaults(fleetstore.Faults{})
 	case StoreLoses:
 		d.store.SetFaults(fleetstore.Faults{LoseAppend: 1 + f.Target%5})
 	case StoreForgets:
 		d.store.Forget(platform.FleetTopic)
-	case MinionSilent:
-		return onMinion(fleethost.Faults{Silent: true})
-	case MinionReborn:
-		minion.Restart()
-	case MinionStalled:
-		return onMinion(fleethost.Faults{Stall: true})
 	case Publish:
 		_ = d.publishUntil(ctx, nil)
 	default:
 		d.withdraw(ctx, fmt.Sprintf("%s-%d", withdrawnKey, f.At))
 	}
-	return nil
 }
 
 // publishUntil publishes a configuration, also while the store is down for a
@@ -202,10 +251,7 @@
 func (d *deployment) settle() {
 	d.store.SetFaults(fleetstore.Faults{})
 	for _, l := range d.links {
-		l.set(linkSound)
-	}
-	for _, m := range d.minions {
-		m.SetFaults(fleethost.Faults{})
+		l.sound()
 	}
 	for _, p := range d.all {
 		p.signal(syscall.SIGCONT)
