--- a/internal/run/soak/machine.go
+++ b/internal/run/soak/machine.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	mostDrift = 0.02 // mostDrift is how slow the clock of a minion may run.
 	// sameIDShare is the part of the new minions that get the id of the former
 	// one.
 	sameIDShare    = 0.3
@@ -49,6 +50,7 @@
 	rack, kind := rackOf(number), machineKinds[number%len(machineKinds)]
 	report := host.Minion{ID: fmt.Sprintf("m-%d", number), Service: service, DataCentre: "one", Rack: rack, Labels: []string{kind, rack}, Capacity: capacity}
 	m := &machine{name: report.ID, agent: p, minion: fleethost.NewMinion(d.fleet, report), group: g, oracle: d.oracle}
+	m.minion.SetDrift(mostDrift * rand.Float64())
 	address, err := serve(g, "minion", platform.MinionServer(m.minion))
 	if err != nil {
 		return nil, err
--- a/internal/run/soak/schedule.go
+++ b/internal/run/soak/schedule.go
@@ -44,13 +44,14 @@
 	MinionReplaced  // MinionReplaced drains and leaves, and a new minion comes in its place.
 	HostReplaced    // HostReplaced leaves for good with its drained minion, and another host comes.
 	HostCrash       // HostCrash ends a process and the minion beside it, and its host is silent for a while.
+	EntryCutOff     // EntryCutOff entries reach neither the store nor get answers of other entries.
 	kinds
 )
 
 var kindNames = [kinds]string{
 	"kill", "terminate", "pause", "hangup", "link-delayed", "link-reset", "link-silent", "link-one-way", "store-down",
 	"store-loses-answers", "store-forgets", "minion-silent", "minion-reborn", "minion-stalled", "publish", "withdraw-key",
-	"link-stale", "minion-mute", "minion-late", "minion-unhealthy", "minion-replaced", "host-replaced", "host-crash",
+	"link-stale", "minion-mute", "minion-late", "minion-unhealthy", "minion-replaced", "host-replaced", "host-crash", "entry-cut-off",
 }
 
 // String returns the name of the kind.
@@ -136,6 +137,9 @@
 	longestGap      = time.Second
 	leastShare      = 0.3
 	longestLateness = 4 * time.Second
+	// cutOffTime is added to the time for which an entry is cut off. It passes
+	// calls on only when it has had no word from the store for a while.
+	cutOffTime = 2500 * time.Millisecond
 )
 
 // densities are the mean times between two faults, of which a seed draws one.
@@ -168,6 +172,9 @@
 				f.Kind = faults[n-1].Kind
 			}
 		}
+		if f.Kind == EntryCutOff {
+			f.For += cutOffTime
+		}
 		count, gap := 1, between(random, shortestGap, longestGap)
 		begins := random.Float64()
 		if begins < seriesShare+replaceShare {
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -185,12 +185,27 @@
 			return machine.crash(ctx, f.For)
 		}
 		return p.crash(ctx, f.For, func() {})
+	case EntryCutOff:
+		d.cutOff(ctx, f.Target%len(d.entries), f.For)
 	default:
 		d.injectPlatform(ctx, f)
 	}
 	return nil
 }
 
+// cutOff makes the store silent for an entry and loses what other entries answer.
+func (d *deployment) cutOff(ctx context.Context, number int, length time.Duration) {
+	d.links[number].begin(linkSilent) // The first links are those of the entries to the store.
+	defer d.links[number].end(linkSilent)
+	for i, other := range d.entries {
+		if i != number {
+			other.front.begin(linkOneWay)
+			defer other.front.end(linkOneWay)
+		}
+	}
+	_ = group.Pause(ctx, length)
+}
+
 var linkStateOf = map[Kind]linkState{LinkDelayed: linkDelayed, LinkReset: linkReset, LinkSilent: linkSilent, LinkOneWay: linkOneWay}
 
 // ofMinion returns what a fault does to a minion.
--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -62,6 +62,7 @@
 	leaves time.Time
 	token  int64
 	lease  time.Duration
+	drift  float64 // drift is the fraction by which the clock runs slow.
 	runs   map[runKey]*activeRun
 	dead   map[workload.TaskID]int // dead holds the highest run that was stopped or has ended.
 	ends   []endedRun
@@ -151,7 +152,13 @@
 	return r
 }
 
-func (m *Minion) clock() time.Duration { return time.Since(m.report.StartedAt) }
+func (m *Minion) clock() time.Duration {
+	return time.Duration(float64(time.Since(m.report.StartedAt)) * (1 - m.drift))
+}
+
+// SetDrift lets the clock of the minion run slow by a fraction. It is called
+// before the minion is used.
+func (m *Minion) SetDrift(drift float64) { m.drift = drift }
 
 // Look returns what a listing would say, without a call.
 func (m *Minion) Look() host.StatusReport {
