--- a/internal/run/soak/oracle_test.go
+++ b/internal/run/soak/oracle_test.go
@@ -139,11 +139,23 @@
 
 // Guards against changes of a draw: the seeds that have failed once would then
 // play something else.
-func TestFirstDrawStays(t *testing.T) {
-	c := qt.New(t)
-	faults := Draw(FirstDraw, 113, 20*time.Second)
-	c.Assert(faults, qt.HasLen, 30)
-	c.Check(faults[0].String(), qt.Equals, "   0.74s link-one-way         target 585 for 1.763s")
-	c.Check(faults[5].String(), qt.Equals, "   2.76s minion-reborn        target 967 for 0s")
-	c.Check(faults[29].String(), qt.Equals, "  19.45s link-silent          target 184 for 2.538s")
+func TestDrawsStay(t *testing.T) {
+	for name, tt := range map[string]struct {
+		draw   int
+		seed   uint64
+		count  int
+		faults map[int]string
+	}{
+		"first":  {FirstDraw, 113, 30, map[int]string{0: "   0.74s link-one-way         target 585 for 1.763s", 5: "   2.76s minion-reborn        target 967 for 0s", 29: "  19.45s link-silent          target 184 for 2.538s"}},
+		"second": {LatestDraw, 2000, 153, map[int]string{0: "   0.08s minion-silent        target 906 for 5.438s share 0.64", 5: "   0.77s link-stale           target 211 for 0s share 0.96", 152: "  19.89s store-forgets        target 605 for 0s share 0.78"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			faults := Draw(tt.draw, tt.seed, 20*time.Second)
+			c.Assert(faults, qt.HasLen, tt.count)
+			for i, text := range tt.faults {
+				c.Check(faults[i].String(), qt.Equals, text)
+			}
+		})
+	}
 }
