--- a/cmd/pages_test.go
+++ b/cmd/pages_test.go
@@ -12,7 +12,7 @@
 // demonstrated is the reason why the scenarios leave the demonstration out.
 const demonstrated = "internal/run/demo tests both deployments with a longer time to start, because other tests run beside it"
 
-// longSoak is the reason why a scenario plays one short soak only.
+// longSoak is the reason why a scenario plays short soaks only.
 const longSoak = "each seed takes half a minute"
 
 // notScripted are commands of the pages that a scenario cannot run, with the
@@ -27,7 +27,7 @@
 	"wasabihoist demo":                                 demonstrated,
 	"wasabihoist demo --deployment folha-viva":         demonstrated,
 	"wasabihoist soak --seed 100 --seeds 50":           longSoak,
-	"wasabihoist soak --seed 113 --only 5":             longSoak,
+	"wasabihoist soak --seed 113 --draw 1 --only 5":    longSoak,
 	"wasabihoist soak --cases testdata/soak/seeds.txt": longSoak,
 	"go build -o wasabihoist .":                        "the scenario builds into its own directory",
 	"export WASABIHOIST_OPERATOR=127.0.0.1:17801 WASABIHOIST_OPERATOR_TOKEN=example-operator-token": "the scenario sets its own address",
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -36,7 +36,7 @@
 		examples: []string{
 			"wasabihoist soak --seed 1 --length 6s --entries 2 --agents 3",
 			"wasabihoist soak --seed 100 --seeds 50",
-			"wasabihoist soak --seed 113 --only 5",
+			"wasabihoist soak --seed 113 --draw 1 --only 5",
 			"wasabihoist soak --cases testdata/soak/seeds.txt",
 		},
 		runner: &soakCommand{},
--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -79,6 +79,10 @@
 const (
 	firstPort = 20_000
 	lastPort  = 32_000
+	portsEach = 7 // portsEach is the number of ports of a process.
+	// internalOffset is the offset of the only port that is used of the range in
+	// the settings.
+	internalOffset = 2
 )
 
 // ports hands out free ports of the loopback interface. Another program may
@@ -114,6 +118,7 @@
 	for _, l := range p.held {
 		_ = l.Close()
 	}
+	p.held = nil
 }
 
 // newDeployment prepares what stands for the platform and the settings of the
@@ -189,18 +194,19 @@
 // number are spares.
 func (d *deployment) assign(g *group.Group, p *process, free *ports, number, agents int) error {
 	const (
-		perProcess = 7
-		internal   = 2 // the only port that is used of the range in the settings
-		metrics    = 4
-		callers    = 5 // callers of an entry or heartbeats of a minion
-		ready      = 6
+		metrics = 4
+		callers = 5 // callers of an entry or heartbeats of a minion
+		ready   = 6
 	)
-	first, err := free.take(perProcess)
+	if number >= agents {
+		free = &ports{} // They are held until the spare starts.
+	}
+	first, err := free.take(portsEach)
 	if err != nil {
 		return err
 	}
 	at := func(offset uint16) netip.AddrPort { return netip.AddrPortFrom(p.settings.IP, first+offset) }
-	p.settings.Internal, p.metrics = at(internal), first+metrics
+	p.settings.Internal, p.metrics = at(internalOffset), first+metrics
 	if number < 0 {
 		p.settings.Callers, p.settings.Ready = at(callers), at(ready)
 		return nil
@@ -210,6 +216,7 @@
 	if err != nil {
 		return err
 	}
+	m.ports = free
 	if number < agents {
 		d.machines = append(d.machines, m)
 		m.beat()
@@ -288,6 +295,9 @@
 		})
 	}
 	_ = ending.Wait() // The functions return no errors.
+	for _, m := range d.spares {
+		m.ports.release()
+	}
 }
 
 // errFindings is returned when a promise was broken.
--- a/internal/run/soak/machine.go
+++ b/internal/run/soak/machine.go
@@ -29,8 +29,8 @@
 	minion  *fleethost.Minion
 	service *proxy // service carries the calls of the agent to the minion.
 	control *proxy // control carries the heartbeats.
+	ports   *ports // ports of a host that is off are held.
 	group   *group.Group
-	oracle  *oracle
 
 	changing sync.Mutex // changing is held while the minion or its host is replaced.
 
@@ -49,7 +49,7 @@
 func (d *deployment) newMachine(g *group.Group, p *process, number int) (*machine, error) {
 	rack, kind := rackOf(number), machineKinds[number%len(machineKinds)]
 	report := host.Minion{ID: fmt.Sprintf("m-%d", number), Service: service, DataCentre: "one", Rack: rack, Labels: []string{kind, rack}, Capacity: capacity}
-	m := &machine{name: report.ID, agent: p, minion: fleethost.NewMinion(d.fleet, report), group: g, oracle: d.oracle}
+	m := &machine{name: report.ID, agent: p, minion: fleethost.NewMinion(d.fleet, report), group: g}
 	m.minion.SetDrift(mostDrift * rand.Float64())
 	address, err := serve(g, "minion", platform.MinionServer(m.minion))
 	if err != nil {
@@ -179,6 +179,7 @@
 		}
 	}
 	d.mu.Unlock()
+	spare.ports.release()
 	if err := spare.agent.revive(); err != nil {
 		return err
 	}
@@ -188,6 +189,8 @@
 	m.drain(ctx, remaining)
 	m.leave()
 	m.agent.retire()
+	m.ports = &ports{}
+	m.ports.hold(m.agent.settings.Internal.Port()-internalOffset, portsEach)
 	d.mu.Lock()
 	d.spares = append(d.spares, m)
 	d.mu.Unlock()
