--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -44,6 +44,7 @@
 	gone                 bool        // gone is set while no minion answers at its address.
 	lastContact          time.Duration
 	minionClock          time.Duration // minionClock is the minion's clock at lastContact or before.
+	fencedAt             time.Duration // fencedAt is when the present incarnation first replied to this term, after which it refuses calls of former terms; 0 before.
 	leaseExpiry          time.Duration // leaseExpiry is when every lease that this or a former term granted has certainly expired.
 	acknowledgedSequence int64         // acknowledgedSequence is the sequence number of the last ended run whose outcome is durable in the ledger.
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
@@ -113,6 +114,14 @@
 // lines.
 func ago(at time.Duration) time.Duration { return (now() - at).Round(time.Millisecond) }
 
+// contactAge returns how long ago the host last answered, for log lines.
+func (h *hostState) contactAge() any {
+	if h.lastContact == 0 {
+		return "never"
+	}
+	return ago(h.lastContact)
+}
+
 // expireLeases gives up the runs on hosts whose leases have certainly expired.
 func (t *term) expireLeases() {
 	at := now()
@@ -120,7 +129,7 @@
 		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
 			continue
 		}
-		_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", ago(h.lastContact), "runs", len(h.runs))
+		_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", h.contactAge(), "runs", len(h.runs))
 		t.loseAllRuns(h, "the lease has expired")
 	}
 }
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -48,21 +48,20 @@
 
 // stopRun retries a stop until it is answered or the run has ended.
 func (t *term) stopRun(ctx context.Context, r *run, client host.Client) error {
-	request := host.StopRequest{Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number}
 	for {
+		request, ok := callLoop(ctx, t, func() host.StopRequest {
+			return host.StopRequest{Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number}
+		})
+		if !ok {
+			return nil
+		}
 		sent := now()
 		err := client.Stop(ctx, request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
-		answered := err == nil || errors.Is(err, host.ErrRunEnded) || errors.Is(err, host.ErrOtherIncarnation)
-		present, ok := callLoop(ctx, t, func() bool {
-			if answered {
-				r.stopAnswered = now()
-			}
-			return r.host.runs[runKey{r.task, r.number}] == r
-		})
-		if !ok || answered || !present {
+		settled, ok := callLoop(ctx, t, func() bool { return t.handleStopReply(r, request, err) })
+		if !ok || settled {
 			return nil
 		}
 		_ = level.Debug(t.logger).Log("event", "stop request failed", "job", r.task.Job, "task", r.task, "run", r.number, "took", now()-sent, "reason", err)
@@ -72,6 +71,18 @@
 	}
 }
 
+// handleStopReply handles the reply to a stop and reports whether no further try
+// is needed. A reply of a former incarnation proves nothing about the present
+// one.
+func (t *term) handleStopReply(r *run, request host.StopRequest, err error) bool {
+	answered := err == nil || errors.Is(err, host.ErrRunEnded) || errors.Is(err, host.ErrOtherIncarnation)
+	if answered && request.Incarnation == r.minion {
+		r.stopAnswered = now()
+		return true
+	}
+	return !r.held()
+}
+
 // startAttempt sends the starts of an attempt whose placement is durable. If the
 // attempt has been stopped meanwhile, its tasks are requeued instead.
 func (t *term) startAttempt(a *attempt) {
@@ -84,7 +95,6 @@
 	for _, r := range a.runs {
 		r.phase = starting
 		r.startedAt = now()
-		r.host.leaseExpiry = max(r.host.leaseExpiry, r.startedAt+maxLeaseDuration(startValidity))
 	}
 	for _, r := range slices.Clone(a.runs) {
 		t.callMinion(r, t.startRun)
@@ -100,21 +110,33 @@
 	return min(startTimeout, time.Duration(gangStartShare*float64(gangTimeout)))
 }
 
+// errFormerIncarnation replaces a reply to a start that may be that of a former
+// incarnation of the minion.
+var errFormerIncarnation = errors.New("the minion was restarted before the reply")
+
 // startRun retries a start until it is answered or has taken too long.
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
 	for {
-		request, ok := callLoop(ctx, t, func() host.StartRequest { return t.startRequest(r) })
-		if !ok {
+		request, ok := callLoop(ctx, t, func() *host.StartRequest {
+			if r.attempt.stopping || !r.held() {
+				return nil
+			}
+			return t.startRequest(r)
+		})
+		if !ok || request == nil {
 			return nil
 		}
 		sent := now()
-		err := client.Start(ctx, request)
+		err := client.Start(ctx, *request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
 		}
 		retry, ok := callLoop(ctx, t, func() bool {
 			t.recordStartReply(r, err, sent)
+			if request.Incarnation != r.minion && (err == nil || errors.Is(err, host.ErrRunEnded)) {
+				err = errFormerIncarnation
+			}
 			return t.handleStartReply(r, err, now()-begin > startRetryLimit(t.settings().GangStartTimeout))
 		})
 		if !ok || !retry {
@@ -126,10 +148,11 @@
 	}
 }
 
-func (t *term) startRequest(r *run) host.StartRequest {
+func (t *term) startRequest(r *run) *host.StartRequest {
 	j := r.attempt.job
-	r.tries.send()
-	return host.StartRequest{
+	r.tries.send(now())
+	r.host.leaseExpiry = max(r.host.leaseExpiry, r.tries.openUntil) // A start grants a lease until its deadline.
+	return &host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
 		StartDeadline: r.host.minionClockNow() + startValidity,
 		Checkpoint:    r.progress().Checkpoint, Ticket: r.ticket,
@@ -141,11 +164,10 @@
 	event := "start not answered"
 	switch {
 	case err == nil:
+		r.tries.settle()
 		return // The agent logs it.
-	case errors.Is(err, host.ErrRunEnded):
-		event = "start refused"
-	case isRefusal(err):
-		r.tries.refuse()
+	case host.IsRefusal(err):
+		r.tries.settle()
 		t.metrics.startsRefused.Add(1)
 		event = "start refused"
 	default:
@@ -175,7 +197,7 @@
 // handleStartReply handles the reply to a start and reports whether to send it
 // again.
 func (t *term) handleStartReply(r *run, err error, timedOut bool) bool {
-	if r.host.runs[runKey{r.task, r.number}] != r || r.attempt.stopping {
+	if !r.held() || r.attempt.stopping {
 		if err == nil {
 			r.startAnswered = now()
 		}
@@ -191,7 +213,7 @@
 	case errors.Is(err, host.ErrRunEnded):
 		r.startAnswered = now()
 		return false
-	case isRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
+	case host.IsRefusal(err) && !errors.Is(err, host.ErrStartTooLate):
 		t.handleStartRefusal(r, err)
 		if r.tries.mayHaveStarted() {
 			t.stopAttempt(r.attempt, "a start was refused after a try that was not answered")
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -27,6 +27,9 @@
 		return false
 	}
 	h.minionClock = report.Clock
+	if h.fencedAt == 0 {
+		h.fencedAt = h.lastContact
+	}
 	for _, e := range report.EndedRuns {
 		if e.Sequence > h.handledSequence {
 			h.handledSequence = e.Sequence
@@ -44,13 +47,13 @@
 }
 
 // handleMinionGone handles a status report that shows that no minion is running
-// on a host. All of its runs have ended.
+// on a host. All runs that it had have ended.
 func (t *term) handleMinionGone(h *hostState) {
 	if !h.gone {
 		h.gone = true
 		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
 	}
-	t.loseAllRuns(h, "the minion is gone")
+	t.loseGoneRuns(h)
 	clear(h.unexpected)
 	h.incarnationKnown = false
 }
@@ -75,7 +78,7 @@
 		t.needsPlan = t.needsPlan || !sameIncarnation || !h.incarnationKnown
 	}
 	if !sameIncarnation {
-		h.handledSequence, h.acknowledgedSequence = 0, 0
+		h.handledSequence, h.acknowledgedSequence, h.fencedAt = 0, 0, 0
 		h.health = health{}
 		clear(h.unexpected)
 		for _, r := range runsOf(h) {
@@ -95,25 +98,12 @@
 		return
 	}
 	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() && r.reported {
+		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayArrive(now()) {
 			t.loseRun(r, "the minion has been restarted")
 		}
 	}
 }
 
-// reassignOrLose handles a run whose minion has been restarted. A run that the
-// former incarnation has reported is given up. The start of any other run may
-// have been carried out by the present incarnation, because a minion checks only
-// the minion id in a start. Such a run is attributed to the present incarnation,
-// and is given up once that has answered a call for it and does not report it.
-func (t *term) reassignOrLose(r *run) {
-	if r.reported {
-		t.loseRun(r, "the minion has been restarted")
-		return
-	}
-	r.minion = r.host.minion.Incarnation()
-}
-
 // handleRunning updates the runs that a minion reports, and stops unexpected
 // ones.
 func (t *term) handleRunning(h *hostState, running []host.Run) {
@@ -125,6 +115,9 @@
 			t.stopUnexpected(h, key)
 			continue
 		}
+		if r.phase == adopted {
+			r.tries.open = 0 // The minion refuses starts of former terms now.
+		}
 		if r.phase == adopted || r.phase == starting {
 			t.markRunning(r)
 		}
@@ -142,7 +135,7 @@
 		need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
 	}
 	h.unexpected[key] = need
-	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "outcome", "stopped")
+	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
 	request := host.StopRequest{Incarnation: h.minion.Incarnation(), Token: t.token, Task: key.task, Number: key.number}
 	client := h.client
 	t.group.Go("stop unexpected run", func(ctx context.Context) error {
