--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -204,6 +204,8 @@
 		return false
 	}
 	switch {
+	case r.reported:
+		return false // It runs, whatever became of this try.
 	case err == nil:
 		r.startAnswered = now()
 		if r.phase == starting {
@@ -222,6 +224,7 @@
 		}
 		return false
 	case timedOut:
+		r.host.health.recordRefusal(now())
 		r.attempt.job.retryAt = now() + placementRetryDelay
 		t.stopAttempt(r.attempt, "a start was not answered")
 		return false
