Give each soak ports of its own, and send no SIGHUP to a process that just began

A soak now holds the first port of each block of ports that it uses; this replaces the ports that were held for spare hosts.

The check stays as it is, and a test shows that an end on SIGHUP is still found.

--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -66,6 +65,7 @@
 	links   []*proxy   // links between processes, store and minions, both ways, and to the processes.
 	first   int        // first is the number of the links without those to the processes.
 	oracle  *oracle
+	ports   ports
 	hosts   int // hosts is the number of hosts that are up with a minion or soon will be.
 
 	mu       sync.Mutex
@@ -74,53 +74,6 @@
 	spares   []*machine // spares are hosts that are off.
 }
 
-// The ports of the processes are below those that the kernel gives to outgoing
-// connections, so that they stay free while a process is replaced.
-const (
-	firstPort = 20_000
-	lastPort  = 32_000
-	portsEach = 7 // portsEach is the number of ports of a process.
-	// internalOffset is the offset of the only port that is used of the range in
-	// the settings.
-	internalOffset = 2
-)
-
-// ports hands out free ports of the loopback interface. Another program may
-// take one before it is used; the start of a process then fails.
-type ports struct{ held []net.Listener }
-
-// take returns the first of so many ports in a row.
-func (p *ports) take(count uint16) (uint16, error) {
-	const tries = 50
-	for range tries {
-		port := firstPort + rand.N(lastPort-firstPort-count)
-		if p.hold(port, count) {
-			return port, nil
-		}
-	}
-	return 0, fmt.Errorf("no %d free ports in a row", count)
-}
-
-// hold reports whether all ports were free. It keeps them until the release.
-func (p *ports) hold(first, count uint16) bool {
-	for i := range count {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+i))
-		if err != nil {
-			return false
-		}
-		p.held = append(p.held, l)
-	}
-	return true
-}
-
-// release lets the processes listen.
-func (p *ports) release() {
-	for _, l := range p.held {
-		_ = l.Close()
-	}
-	p.held = nil
-}
-
 // newDeployment prepares what stands for the platform and the settings of the
 // processes. The deployment can be stopped also after an error.
 func newDeployment(g *group.Group, o Options) (*deployment, error) {
@@ -135,8 +88,6 @@
 	if err != nil {
 		return d, err
 	}
-	var free ports
-	defer free.release()
 	for i := range o.Entries + o.Agents + o.spares() {
 		role, name := "hosted-entry", fmt.Sprintf("front-%d", i+1)
 		if i >= o.Entries {
@@ -148,7 +99,7 @@
 		}
 		p := &process{binary: o.Binary, role: role, folder: o.Folder, group: g, finding: d.oracle.find}
 		p.settings = commonSettings(name, link.address())
-		if err := d.assign(g, p, &free, i-o.Entries, o.Agents); err != nil {
+		if err := d.assign(g, p, i-o.Entries, o.Agents); err != nil {
 			return d, err
 		}
 		d.all = append(d.all, p)
@@ -192,21 +143,19 @@
 
 // assign gives a process its ports, and an agent its minion. The agents beyond a
 // number are spares.
-func (d *deployment) assign(g *group.Group, p *process, free *ports, number, agents int) error {
+func (d *deployment) assign(g *group.Group, p *process, number, agents int) error {
 	const (
-		metrics = 4
-		callers = 5 // callers of an entry or heartbeats of a minion
-		ready   = 6
+		internal = 2 // the only port that is used of the range in the settings
+		metrics  = 4
+		callers  = 5 // callers of an entry or heartbeats of a minion
+		ready    = 6
 	)
-	if number >= agents {
-		free = &ports{} // They are held until the spare starts.
-	}
-	first, err := free.take(portsEach)
+	first, err := d.ports.take()
 	if err != nil {
 		return err
 	}
 	at := func(offset uint16) netip.AddrPort { return netip.AddrPortFrom(p.settings.IP, first+offset) }
-	p.settings.Internal, p.metrics = at(internalOffset), first+metrics
+	p.settings.Internal, p.metrics = at(internal), first+metrics
 	if number < 0 {
 		p.settings.Callers, p.settings.Ready = at(callers), at(ready)
 		return nil
@@ -216,7 +165,6 @@
 	if err != nil {
 		return err
 	}
-	m.ports = free
 	if number < agents {
 		d.machines = append(d.machines, m)
 		m.beat()
@@ -295,9 +243,7 @@
 		})
 	}
 	_ = ending.Wait() // The functions return no errors.
-	for _, m := range d.spares {
-		m.ports.release()
-	}
+	d.ports.release()
 }
 
 // errFindings is returned when a promise was broken.
--- a/internal/run/soak/machine.go
+++ b/internal/run/soak/machine.go
@@ -29,7 +29,6 @@
 	minion  *fleethost.Minion
 	service *proxy // service carries the calls of the agent to the minion.
 	control *proxy // control carries the heartbeats.
-	ports   *ports // ports of a host that is off are held.
 	group   *group.Group
 
 	changing sync.Mutex // changing is held while the minion or its host is replaced.
@@ -179,7 +178,6 @@
 		}
 	}
 	d.mu.Unlock()
-	spare.ports.release()
 	if err := spare.agent.revive(); err != nil {
 		return err
 	}
@@ -189,8 +187,6 @@
 	m.drain(ctx, remaining)
 	m.leave()
 	m.agent.retire()
-	m.ports = &ports{}
-	m.ports.hold(m.agent.settings.Internal.Port()-internalOffset, portsEach)
 	d.mu.Lock()
 	d.spares = append(d.spares, m)
 	d.mu.Unlock()
--- a/internal/run/soak/process.go
+++ b/internal/run/soak/process.go
@@ -17,6 +17,11 @@
 
 const logMode = 0o600
 
+// beginTime is how long after its start a process gets no SIGHUP. A program of Go
+// ends on it until its runtime has taken the signals over, and by the rules of
+// the platform an end within a second of a start is none by itself.
+const beginTime = time.Second
+
 // process is a program of the product that the soak has started. Only its own
 // id is signalled.
 type process struct {
@@ -37,6 +42,7 @@
 	ended   chan struct{} // ended is closed when the command has ended.
 	wanted  bool          // wanted is false while the process may end.
 	lives   int
+	started time.Time
 }
 
 func (p *process) String() string { return p.settings.Node }
@@ -55,6 +61,9 @@
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
+	if err := p.front.up(); err != nil {
+		return err
+	}
 	c := exec.Command(p.binary, p.role, "--metrics-port", fmt.Sprint(p.metrics))
 	c.Env = append(os.Environ(), platform.SettingsEnvironment(p.settingsPath()))
 	c.Stdout, c.Stderr = log, log
@@ -63,10 +72,7 @@
 		return fmt.Errorf("start %s: %w", p, err)
 	}
 	ended := make(chan struct{})
-	p.command, p.ended, p.wanted = c, ended, true
-	if err := p.front.up(); err != nil {
-		return err
-	}
+	p.command, p.ended, p.wanted, p.started = c, ended, true, time.Now()
 	p.group.Go("wait for "+p.String(), func(context.Context) error {
 		err := c.Wait()
 		_ = log.Close()
@@ -82,10 +88,27 @@
 	return nil
 }
 
+// hangup signals changed settings once the process has run for beginTime.
+func (p *process) hangup(ctx context.Context) {
+	p.mu.Lock()
+	left := time.Until(p.started.Add(beginTime))
+	p.mu.Unlock()
+	_ = group.Pause(ctx, left)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if time.Since(p.started) >= beginTime {
+		p.send(syscall.SIGHUP)
+	}
+}
+
 // signal sends a signal to the process if it runs.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.send(s)
+}
+
+func (p *process) send(s syscall.Signal) {
 	if p.command == nil {
 		return
 	}
--- a/internal/run/soak/process_test.go
+++ b/internal/run/soak/process_test.go
@@ -34,6 +34,7 @@
 		"is retired":              {wait, func(p *process) { p.retire() }, ""},
 		"ends by itself":          {"exit 3", func(p *process) { <-p.ended }, "side-1 ended by itself: exit status 3"},
 		"ends by itself, soundly": {"exit 0", func(p *process) { <-p.ended }, "side-1 ended by itself: <nil>"},
+		"ends on a hangup":        {wait, func(p *process) { p.hangup(context.Background()); <-p.ended }, "side-1 ended by itself: signal: hangup"},
 		"does not end":            {"trap '' TERM\n" + wait, func(p *process) { time.Sleep(200 * time.Millisecond); p.end(syscall.SIGTERM, 300*time.Millisecond) }, "side-1 has not ended 300ms after terminated"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -62,6 +63,34 @@
 	}
 }
 
+// Guards against a signal that reaches a process before it can take it.
+func TestHangupWaitsForTheProcess(t *testing.T) {
+	c := qt.New(t)
+	p := &process{started: time.Now()}
+	p.hangup(context.Background())
+	c.Check(time.Since(p.started) >= beginTime, qt.IsTrue)
+}
+
+// Guards against soaks that give the same ports to their processes.
+func TestSoaksShareNoPorts(t *testing.T) {
+	c := qt.New(t)
+	var one, other ports
+	defer one.release()
+	defer other.release()
+	taken := make(map[uint16]bool)
+	for range 40 {
+		for _, p := range []*ports{&one, &other} {
+			first, err := p.take()
+			c.Assert(err, qt.IsNil)
+			for i := range uint16(portsEach) {
+				c.Assert(taken[first+i], qt.IsFalse)
+				taken[first+i] = true
+			}
+		}
+	}
+	c.Check(len(one.claims) > 1, qt.IsTrue)
+}
+
 // Guards against a check of withdrawn keys that cannot fail, and against
 // findings about entries that refuse them.
 func TestWithdrawnKeysAreChecked(t *testing.T) {
--- a/internal/run/soak/soak.go
+++ b/internal/run/soak/soak.go
@@ -164,7 +164,7 @@
 		_ = group.Pause(ctx, f.For)
 		p.signal(syscall.SIGCONT)
 	case Hangup:
-		p.signal(syscall.SIGHUP)
+		p.hangup(ctx)
 	case LinkDelayed, LinkReset, LinkSilent, LinkOneWay:
 		state := linkStateOf[f.Kind]
 		link.begin(state)
