--- a/internal/fleet/coordinator/proof_test.go
+++ b/internal/fleet/coordinator/proof_test.go
@@ -248,3 +248,55 @@
 		})
 	}
 }
+
+// Guards against resources that are allocated twice while a run that the term
+// doesn't know is being stopped and is not reported.
+func TestUnexpectedRunHoldsResourcesUntilItHasEnded(t *testing.T) {
+	t.Parallel()
+	f := newSlowFixture(t, slowStop, "r1")
+	f.hooks.Store(&hooks{renew: renewShortly})
+	defer f.startCoordinator("one")()
+	f.submit(workload.Job{ID: "small", Steps: []workload.Step{step(1, 1)}}, shortDuration)
+	f.awaitState("small", workload.Done)
+	first, second := step(1, 1), step(1, 8)
+	second.DependsOn = []int{0}
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{first, second}}, 3*time.Second)
+	f.waitFor("the first step runs", func() bool { return f.starts("job", 1) == 1 })
+	f.fleet.SetWork("job", 1, fleethost.Work{Duration: time.Minute, Need: workload.Resources{Accelerators: 7}})
+	m := f.minionList[0]
+	f.c.Assert(m.Start(context.Background(), host.StartRequest{
+		Incarnation: m.Report().Incarnation(), Token: 1, Task: workload.TaskID{Job: "job", Step: 1}, Number: 9, StartDeadline: time.Minute,
+	}), qt.IsNil)
+	f.waitFor("it is reported", func() bool { return strings.Contains(f.logs.String(), `event="unexpected run"`) })
+	f.submit(workload.Job{ID: "next", Steps: []workload.Step{step(1, 7)}}, shortDuration)
+	f.awaitState("next", workload.Done)
+	f.cancel("job")
+	f.awaitState("job", workload.Cancelled)
+}
+
+// Guards against a best-effort task that stays slow because a call that was not
+// answered counts as a call without effect.
+func TestBestEffortTaskRegainsSpeedAfterUnansweredThrottle(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1")
+	defer f.startCoordinator("one")()
+	serving := longRunning(1, 1)
+	serving.LatencyTarget = 100 * time.Millisecond
+	j := f.submitWork(workload.Job{ID: "serving", Steps: []workload.Step{serving}}, fleethost.Work{Duration: shortDuration, Lasting: true, Latency: 90 * time.Millisecond})
+	f.waitFor("it serves", func() bool { return f.servingTasks(j.ID) == 1 })
+	var speed atomic.Int64 // speed is that of the only best-effort task; 0 before the first call.
+	f.hooks.Store(&hooks{throttle: func(m *fleethost.Minion, r host.ThrottleRequest) error {
+		f.c.Check(m.Throttle(context.Background(), r), qt.IsNil)
+		if speed.Swap(int64(r.SpeedPercent)) > 0 {
+			return nil
+		}
+		f.cancel(j.ID)
+		time.Sleep(600 * time.Millisecond) // A call to a minion takes as long.
+		return errNoReply
+	}})
+	bestEffort := workload.Step{Count: 1, Need: workload.Resources{MilliCores: 40_000, MemoryMB: 10}, BestEffort: true}
+	f.submitWork(workload.Job{ID: "filling", Priority: 2, Steps: []workload.Step{bestEffort}}, fleethost.Work{Duration: time.Minute})
+	f.waitFor("it is slowed down", func() bool { return speed.Load() == 50 })
+	f.awaitState(j.ID, workload.Cancelled)
+	f.waitFor("it works at full speed", func() bool { return speed.Load() == 100 })
+}
--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -1,8 +1,10 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -10,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/limitedlog"
 )
 
 const (
@@ -46,6 +49,7 @@
 	fold   Fold
 	wait   time.Duration
 	logger log.Logger
+	odd    *limitedlog.Logger // odd logs records that can't be read.
 
 	mu           sync.Mutex
 	loaded       bool          // loaded is set once the newest records of all keys are folded.
@@ -58,8 +62,9 @@
 
 // refreshCall is a refresh that concurrent callers share.
 type refreshCall struct {
-	done chan struct{}
-	err  error
+	done      chan struct{}
+	err       error
+	abandoned bool // abandoned is set when the caller that reads has given up. Then err says nothing about the store.
 }
 
 // NewReader returns a reader of a topic. wait limits its long polls; 0 is the
@@ -68,7 +73,8 @@
 	if wait == 0 {
 		wait = longPollWait
 	}
-	return &Reader{store: store, topic: topic, fold: fold, wait: wait, logger: log.With(logger, "topic", topic), loadedSignal: make(chan struct{})}
+	logger = log.With(logger, "topic", topic)
+	return &Reader{store: store, topic: topic, fold: fold, wait: wait, logger: logger, odd: limitedlog.New(logger), loadedSignal: make(chan struct{})}
 }
 
 // String returns the name used in logs.
@@ -108,30 +114,46 @@
 // Refresh folds all records stored before the call. Concurrent calls share reads.
 func (r *Reader) Refresh(ctx context.Context) error {
 	r.mu.Lock()
-	call := r.inFlight
+	former := r.inFlight
 	r.mu.Unlock()
-	if call != nil { // That read may have started before this call: wait for the next one.
-		select {
-		case <-call.done:
-		case <-ctx.Done():
-			return ctx.Err()
+	if former != nil { // That read may have started before this call: wait for the next one.
+		if err := former.wait(ctx); err != nil {
+			return err
 		}
 	}
-	r.mu.Lock()
-	if r.inFlight != nil && r.inFlight != call {
-		call = r.inFlight
+	for {
+		r.mu.Lock()
+		call := r.inFlight
+		if call == nil || call == former {
+			call = &refreshCall{done: make(chan struct{})}
+			r.inFlight = call
+			r.mu.Unlock()
+			return r.refresh(ctx, call)
+		}
 		r.mu.Unlock()
-		select {
-		case <-call.done:
+		if err := call.wait(ctx); err != nil {
+			return err
+		}
+		if !call.abandoned {
 			return call.err
-		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
-	call = &refreshCall{done: make(chan struct{})}
-	r.inFlight = call
-	r.mu.Unlock()
+}
+
+// wait waits until the call is done. It returns an error only if ctx ends.
+func (c *refreshCall) wait(ctx context.Context) error {
+	select {
+	case <-c.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// refresh reads for all callers that share the call.
+func (r *Reader) refresh(ctx context.Context, call *refreshCall) error {
 	call.err = r.readAndFold(ctx, 0)
+	call.abandoned = call.err != nil && ctx.Err() != nil
 	r.mu.Lock()
 	if r.inFlight == call {
 		r.inFlight = nil
@@ -141,45 +163,70 @@
 	return call.err
 }
 
-// readAndFold reads the next page and folds it. It loads the newest record of each key
-// when nothing is loaded or the next records have expired.
+// readAndFold reads the next page and folds it. If the store had more records when it
+// answered, it reads them too. It loads the newest record of each key when nothing is
+// loaded or the next records have expired.
 func (r *Reader) readAndFold(ctx context.Context, wait time.Duration) error {
 	r.mu.Lock()
 	loaded := r.loaded
 	r.mu.Unlock()
 	start := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
-	defer cancel()
 	if !loaded {
-		return r.load(callCtx, start)
-	}
-	page, err := r.store.Read(callCtx, r.topic, r.fold.Next(), wait)
-	switch {
-	case errors.Is(err, ErrExpired):
-		r.mu.Lock()
-		r.expiredAt = time.Now()
-		r.mu.Unlock()
-		_ = level.Info(r.logger).Log("event", "records expired", "next", r.fold.Next(), "outcome", "reload the newest record of each key")
-		return r.load(callCtx, start)
-	case err != nil:
-		return r.handleReadFailure(ctx, err)
+		return r.load(ctx, wait, start)
 	}
-	if err := r.fold.Apply(page); err != nil {
-		_ = level.Warn(r.logger).Log("event", "unreadable records skipped", "reason", err)
+	for end := int64(0); ; wait = 0 {
+		from := r.fold.Next()
+		page, err := r.readPage(ctx, from, wait)
+		switch {
+		case errors.Is(err, ErrExpired):
+			r.mu.Lock()
+			r.expiredAt = time.Now()
+			r.mu.Unlock()
+			_ = level.Info(r.logger).Log("event", "records expired", "next", from, "outcome", "reload the newest record of each key")
+			return r.load(ctx, wait, start)
+		case err != nil:
+			return r.handleReadFailure(ctx, err)
+		}
+		if err := r.fold.Apply(page); err != nil {
+			r.logSkipped(err)
+		}
+		end = cmp.Or(end, page.End)
+		if page.Next >= end {
+			r.handleReadSuccess(start)
+			return nil
+		}
+		if page.Next <= from {
+			return r.handleReadFailure(ctx, fmt.Errorf("the store returned no records from %d on, and has those up to %d", from, end))
+		}
 	}
-	r.handleReadSuccess(start)
-	return nil
 }
 
-// load reads the newest record of each key and replaces the folded state by them.
-func (r *Reader) load(ctx context.Context, start time.Time) error {
-	page, err := r.store.Newest(ctx, r.topic)
+func (r *Reader) readPage(ctx context.Context, from int64, wait time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	defer cancel()
+	return r.store.Read(ctx, r.topic, from, wait)
+}
+
+// maxReasonBytes bounds the errors of skipped records in a log line. They may quote
+// the records.
+const maxReasonBytes = 1000
+
+func (r *Reader) logSkipped(err error) {
+	r.odd.Warn("event", "unreadable records skipped", "reason", fmt.Sprintf("%.*s", maxReasonBytes, err.Error()))
+}
+
+// load reads the newest record of each key and replaces the folded state by them. It
+// may take as long as a read with the given wait.
+func (r *Reader) load(ctx context.Context, wait time.Duration, start time.Time) error {
+	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	defer cancel()
+	page, err := r.store.Newest(callCtx, r.topic)
 	if err != nil {
 		return r.handleReadFailure(ctx, err)
 	}
 	applied, err := r.fold.Replace(page)
 	if err != nil {
-		_ = level.Warn(r.logger).Log("event", "unreadable records skipped", "reason", err)
+		r.logSkipped(err)
 	}
 	if !applied {
 		return r.handleReadFailure(ctx, errors.New("the store returned an older state"))
--- a/internal/record/ledger/reader_test.go
+++ b/internal/record/ledger/reader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -30,7 +31,7 @@
 	store.SetFaults(fleetstore.Faults{DropHistory: true})
 	// The first record waits for the end of a full poll, later ones of a short poll.
 	for i, limit := range []time.Duration{800 * time.Millisecond, 300 * time.Millisecond, 300 * time.Millisecond} {
-		record, err := ledger.EncodeMember(ledger.Member{Name: string(rune('a' + i)), Role: ledger.EntryRole})
+		record, err := ledger.EncodeMember(ledger.Member{Name: string(rune('a' + i)), Role: ledger.EntryRole, Address: netip.MustParseAddrPort("10.0.0.1:7000")})
 		c.Assert(err, qt.IsNil)
 		c.Assert(store.Append(context.Background(), topic, []ledger.Record{record}), qt.IsNil)
 		start := time.Now()
@@ -41,7 +42,78 @@
 	}
 }
 
+// Guards against a read that fails for a caller because another caller, whose read it
+// shares, has given up.
+func TestRefreshOutlivesOtherCallers(t *testing.T) {
+	c := qt.New(t)
+	store := fleetstore.New()
+	reader, _ := newReader(store, "fleet")
+	c.Assert(reader.Refresh(context.Background()), qt.IsNil)
+	const readTime = 100 * time.Millisecond
+	store.SetFaults(fleetstore.Faults{Delay: readTime})
+	for range 5 {
+		g := group.New(context.Background())
+		refresh := func(limit time.Duration, patient bool) {
+			g.Go("refresh", func(ctx context.Context) error {
+				ctx, cancel := context.WithTimeout(ctx, limit)
+				defer cancel()
+				if err := reader.Refresh(ctx); err != nil && patient {
+					return err
+				}
+				return nil
+			})
+		}
+		refresh(10*readTime, true) // The others wait for the end of this read and share the next one.
+		time.Sleep(readTime / 4)
+		for range 8 {
+			refresh(readTime, false)
+		}
+		refresh(10*readTime, true)
+		c.Check(g.Wait(), qt.IsNil)
+	}
+}
+
 func newReader(store ledger.Store, topic ledger.Topic) (*ledger.Reader, *ledger.State) {
 	state := ledger.NewState()
 	return ledger.NewReader(store, topic, state, 0, log.NewNopLogger()), state
 }
+
+// pagedStore returns one record in each page.
+type pagedStore struct {
+	*fleetstore.Store
+	stalled bool // stalled makes pages empty.
+}
+
+func (s *pagedStore) Read(ctx context.Context, topic ledger.Topic, from int64, wait time.Duration) (ledger.Page, error) {
+	page, err := s.Store.Read(ctx, topic, from, wait)
+	page.End = page.Next
+	switch {
+	case s.stalled:
+		page.Records, page.Next = nil, from
+	case len(page.Records) > 1:
+		page.Records, page.Next = page.Records[:1], page.Records[0].Offset+1
+	}
+	return page, err
+}
+
+// Guards against a refresh that returns after the first page of a long backlog. A
+// coordinator then starts a term without the last decisions of the former one.
+func TestRefreshReadsAllPages(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := &pagedStore{Store: fleetstore.New()}
+	reader, state := newReader(store, topic)
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	const members = 5
+	for i := range members {
+		c.Assert(store.Append(ctx, topic, []ledger.Record{memberRecord(c, string(rune('a'+i)))}), qt.IsNil)
+	}
+	asOf := reader.AsOf()
+	store.stalled = true
+	c.Check(reader.Refresh(ctx), qt.ErrorMatches, `the store returned no records from 0 on, and has those up to 5`)
+	c.Check(reader.AsOf(), qt.Equals, asOf)
+	store.stalled = false
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	c.Check(state.Members(ledger.AgentRole), qt.HasLen, members)
+	c.Check(reader.AsOf().After(asOf), qt.IsTrue)
+}
--- a/internal/role/hostagent/agent.go
+++ b/internal/role/hostagent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/limitedlog"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/run/metrics"
 )
@@ -22,6 +24,7 @@
 	minion        host.Client     // minion receives starts, stops and throttles.
 	sessions      *sessionManager // sessions receives lease renewals.
 	logger        log.Logger
+	odd           *limitedlog.Logger            // odd logs rows that can't be read.
 	calls         map[string]metrics.Counter    // calls counts calls by their name in the minion's API.
 	failures      map[string]metrics.Counter    // failures counts failed calls, keyed as calls.
 	unanswered    map[string]metrics.Counter    // unanswered counts calls without an answer, keyed as calls.
@@ -31,10 +34,9 @@
 	contact       *contactLog
 
 	mu           sync.Mutex
-	lastState    host.Minion // lastState is from the newest heartbeat, or draining after a deregistration; its ID is empty before the first heartbeat.
-	sequence     int64       // sequence is the sequence number of the newest heartbeat of the incarnation.
-	lastStateAt  time.Time
-	stateChanged chan struct{} // stateChanged is closed and replaced when lastState has another incarnation, draining state or capacity.
+	states       minionStates
+	knownRuns    knownRuns
+	stateChanged chan struct{} // stateChanged is closed and replaced when states has a new incarnation, or another draining state or capacity of one.
 	lastContact  time.Time     // lastContact is the time of the last call of a coordinator; zero before the first.
 	token        int64         // token is the highest fencing token of a call. It is only logged; the minion checks tokens.
 }
@@ -51,7 +53,7 @@
 // hold is a lease renewal, and pace is a throttle.
 func New(minion host.Client, connect Connect, r *metrics.Registry, logger log.Logger) *Agent {
 	a := &Agent{
-		minion: minion, sessions: &sessionManager{connect: connect, logger: logger}, logger: logger, stateChanged: make(chan struct{}),
+		minion: minion, sessions: &sessionManager{connect: connect, logger: logger}, logger: logger, odd: limitedlog.New(logger), stateChanged: make(chan struct{}),
 		calls: make(map[string]metrics.Counter), failures: make(map[string]metrics.Counter), unanswered: make(map[string]metrics.Counter),
 		durations:     make(map[string]*metrics.Histogram),
 		drainRefusals: r.Counter("agent-starts-refused-draining", "calls", "Calls to start that were refused without a call of the minion because it drains."),
@@ -78,20 +80,16 @@
 	a.durations[call].Record(time.Since(begin))
 }
 
-// Heartbeat receives the state of the minion. It ignores heartbeats of a former
-// incarnation, and those of the same incarnation with a lower sequence number
-// than the newest.
+// Heartbeat receives the state of an incarnation of the minion. It ignores
+// heartbeats with a lower sequence number than the newest one of the incarnation.
 func (a *Agent) Heartbeat(m host.Minion, sequence int64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	sameIncarnation := a.lastState.ID == m.ID && a.lastState.StartedAt.Equal(m.StartedAt)
-	if m.StartedAt.Before(a.lastState.StartedAt) || (sameIncarnation && sequence < a.sequence) {
-		_ = level.Info(a.logger).Log("event", "stale heartbeat ignored", "minion", m.Incarnation(), "sequence", sequence,
-			"newest", a.lastState.Incarnation(), "newest-sequence", a.sequence)
+	changed, newest := a.states.update(m, sequence, time.Now())
+	if sequence < newest {
+		_ = level.Info(a.logger).Log("event", "stale heartbeat ignored", "minion", m.Incarnation(), "sequence", sequence, "newest-sequence", newest)
 		return
 	}
-	changed := !sameIncarnation || a.lastState.Draining != m.Draining || a.lastState.Capacity != m.Capacity
-	a.lastState, a.sequence, a.lastStateAt = m, sequence, time.Now()
 	if !changed {
 		return
 	}
@@ -100,17 +98,15 @@
 	a.notifyChange()
 }
 
-// Deregister marks the minion as draining with no time left. It ignores the id of
-// another minion.
+// Deregister marks the minion with an id as draining with no time left. It ignores
+// an unknown id.
 func (a *Agent) Deregister(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	_ = level.Info(a.logger).Log("event", "minion deregistered", "minion", id)
-	if a.lastState.ID != id {
-		return
+	if a.states.deregister(id) {
+		a.notifyChange()
 	}
-	a.lastState.Draining, a.lastState.Remaining = true, 0
-	a.notifyChange()
 }
 
 // notifyChange ends the waits of renewals. The caller holds mu.
@@ -178,21 +174,67 @@
 	if err != nil {
 		return host.StatusReport{}, err
 	}
+	if err := a.completeReport(&status, begin); err != nil {
+		return host.StatusReport{}, err
+	}
+	if status.Unreadable.Ends > 0 && !hasNewEnds(status, r.AcknowledgedSequence) {
+		a.delayReply(ctx, changed, begin.Add(min(r.Wait, unreadableEndDelay)))
+	}
 	a.addLastState(&status)
 	a.runs.observe(status)
 	return status, nil
 }
 
+// unreadableEndDelay is how long the reply to a renewal takes at least while the
+// minion reports an end that can't be acknowledged, because such a minion does not
+// wait.
+const unreadableEndDelay = 250 * time.Millisecond
+
+// hasNewEnds reports whether a status report has an ended run above a sequence
+// number.
+func hasNewEnds(status host.StatusReport, acknowledged int64) bool {
+	return slices.ContainsFunc(status.EndedRuns, func(e host.EndedRun) bool { return e.Sequence > acknowledged })
+}
+
+// delayReply waits until a time, until the state of the minion changes or until ctx
+// ends.
+func (a *Agent) delayReply(ctx context.Context, changed <-chan struct{}, until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+// completeReport adds the known runs to a status report with unreadable rows, which
+// was requested at begin. Without them, the coordinator would take the lack of a run
+// for its end. It fails if the agent does not know the runs of the incarnation.
+func (a *Agent) completeReport(status *host.StatusReport, begin time.Time) error {
+	if status.Gone {
+		return nil
+	}
+	if status.Unreadable != (host.Unreadable{}) {
+		a.odd.Warn("event", "unreadable rows in the status report", "runs", status.Unreadable.Runs, "ends", status.Unreadable.Ends, "reason", status.Unreadable.Err)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.knownRuns.update(status, begin, time.Now())
+}
+
 // addLastState adds the state of the last heartbeat to a status report of the same
 // incarnation. The status report of another incarnation keeps only its start time.
 func (a *Agent) addLastState(status *host.StatusReport) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if status.Gone || !status.Minion.StartedAt.Equal(a.lastState.StartedAt) {
+	if status.Gone {
 		return
 	}
-	status.Minion = a.lastState
-	status.Minion.Remaining = max(0, a.lastState.Remaining-time.Since(a.lastStateAt))
+	if last := a.states.startedAt(status.Minion.StartedAt); last != nil {
+		status.Minion = last.minion
+		status.Minion.Remaining = max(0, last.minion.Remaining-time.Since(last.at))
+	}
 }
 
 // knownState is the state of the minion in its newest heartbeat.
@@ -201,13 +243,16 @@
 	age    time.Duration // age is the time since the heartbeat; 0 before the first.
 }
 
-func (a *Agent) knownState() knownState {
+// knownState returns the state of an incarnation or, if that has sent no heartbeat,
+// of the one that has sent the latest.
+func (a *Agent) knownState(incarnation string) knownState {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.lastState.ID == "" {
+	known := a.states.find(incarnation)
+	if known == nil {
 		return knownState{}
 	}
-	return knownState{a.lastState, time.Since(a.lastStateAt)}
+	return knownState{known.minion, time.Since(known.at)}
 }
 
 // Start implements host.Client. It refuses a start without a call if the minion
@@ -215,7 +260,7 @@
 // checks only its id. A refusal tells nothing about former starts of the run.
 func (a *Agent) Start(ctx context.Context, r host.StartRequest) error {
 	a.recordContact(r.Token)
-	known := a.knownState()
+	known := a.knownState(r.Incarnation)
 	c := runCall{"start", runKey{r.Task, r.Number}, r.Token, r.Incarnation}
 	unanswered := a.runs.unanswered(c.key)
 	var refusal error
@@ -235,6 +280,11 @@
 	err := a.minion.Start(ctx, r)
 	a.runs.startReturned(c.key, err)
 	a.recordCall("start", begin, err)
+	if err == nil {
+		a.mu.Lock()
+		a.knownRuns.start(host.Run{Task: r.Task, Number: r.Number, Checkpoint: r.Checkpoint}, time.Now())
+		a.mu.Unlock()
+	}
 	a.logCall(ctx, c, known, true, time.Since(begin), err, "unanswered-before", unanswered)
 	return err
 }
@@ -242,10 +292,15 @@
 // Stop implements host.Client.
 func (a *Agent) Stop(ctx context.Context, r host.StopRequest) error {
 	a.recordContact(r.Token)
-	known := a.knownState()
+	known := a.knownState(r.Incarnation)
 	begin := time.Now()
 	err := a.minion.Stop(ctx, r)
 	a.recordCall("stop", begin, err)
+	if err == nil {
+		a.mu.Lock()
+		a.knownRuns.stop(runKey{r.Task, r.Number}, time.Now())
+		a.mu.Unlock()
+	}
 	a.logCall(ctx, runCall{"stop", runKey{r.Task, r.Number}, r.Token, r.Incarnation}, known, true, time.Since(begin), err)
 	return err
 }
@@ -253,7 +308,7 @@
 // Throttle implements host.Client.
 func (a *Agent) Throttle(ctx context.Context, r host.ThrottleRequest) error {
 	a.recordContact(r.Token)
-	known := a.knownState()
+	known := a.knownState(r.Incarnation)
 	begin := time.Now()
 	err := a.minion.Throttle(ctx, r)
 	a.recordCall("pace", begin, err)
