Write the programs of a soak test before any of them starts

TestEndsOfProcessesAreChecked failed in 1 run of 2 and in 1 of 25 more, "fork/exec ...: text file busy". Its parallel cases each write a program and start it. A process that starts while another case has its file open for writing inherits the open file, and Linux refuses to execute such a file.

--- a/internal/run/soak/process_test.go
+++ b/internal/run/soak/process_test.go
@@ -37,14 +37,16 @@
 		"ends on a hangup":        {wait, func(p *process) { p.hangup(context.Background()); <-p.ended }, "side-1 ended by itself: signal: hangup"},
 		"does not end":            {"trap '' TERM\n" + wait, func(p *process) { time.Sleep(200 * time.Millisecond); p.end(syscall.SIGTERM, 300*time.Millisecond) }, "side-1 has not ended 300ms after terminated"},
 	} {
+		// No process may start meanwhile: it would inherit the open file, which then
+		// can't be executed.
+		folder := t.TempDir()
+		binary := filepath.Join(folder, "program")
+		qt.New(t).Assert(os.WriteFile(binary, []byte("#!/bin/sh\n"+tt.program+"\n"), 0o700), qt.IsNil)
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
 			g := group.New(context.Background())
 			c.Cleanup(func() { g.Stop(); c.Check(g.Wait(), qt.IsNil) })
-			folder := c.TempDir()
-			binary := filepath.Join(folder, "program")
-			c.Assert(os.WriteFile(binary, []byte("#!/bin/sh\n"+tt.program+"\n"), 0o700), qt.IsNil)
 			front, err := newProxy(g, netip.MustParseAddrPort("127.0.0.1:1"))
 			c.Assert(err, qt.IsNil)
 			o := newOracle(nil)
