Install the hooks of a test before its job is submitted

TestTaskRunsTwiceAfterStartReachesNextIncarnation failed in 1 run of 16 under load, "a start is held" not within 20 s: the start of the run could pass before the hooks were in place, and the test then waited for a start that never came.

--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -219,8 +219,8 @@
 // carried out by the next incarnation of the minion under the same id.
 func TestTaskRunsTwiceAfterStartReachesNextIncarnation(t *testing.T) {
 	background := context.Background()
-	for name, disturb := range map[string]func(f *fixture, held *heldStart) host.Client{
-		"minion is gone in between": func(f *fixture, held *heldStart) host.Client {
+	for name, disturb := range map[string]func(f *fixture, held *heldStart, submit func()) host.Client{
+		"minion is gone in between": func(f *fixture, held *heldStart, submit func()) host.Client {
 			agents := f.agents()
 			f.hooks.Store(&hooks{
 				start: func(m *fleethost.Minion, r host.StartRequest) error {
@@ -240,11 +240,12 @@
 					return agents[m].RenewLease(background, r)
 				},
 			})
+			submit()
 			f.waitFor("a start is held", func() bool { return held.on() != nil })
 			agents[held.on()].restart()
 			return agents[held.on()]
 		},
-		"former incarnation answered the stop": func(f *fixture, held *heldStart) host.Client {
+		"former incarnation answered the stop": func(f *fixture, held *heldStart, submit func()) host.Client {
 			var stopped atomic.Bool
 			f.hooks.Store(&hooks{
 				start: func(m *fleethost.Minion, r host.StartRequest) error {
@@ -268,13 +269,14 @@
 					return renewShortly(m, r)
 				},
 			})
+			submit()
 			f.waitFor("the stop is answered", stopped.Load)
 			held.on().Restart()
 			f.hooks.Store(&hooks{renew: renewShortly})
 			time.Sleep(500 * time.Millisecond) // The next incarnation reports.
 			return held.on()
 		},
-		"former incarnation reported the run": func(f *fixture, held *heldStart) host.Client {
+		"former incarnation reported the run": func(f *fixture, held *heldStart, submit func()) host.Client {
 			f.hooks.Store(&hooks{
 				start: func(m *fleethost.Minion, r host.StartRequest) error {
 					if r.Number == 1 && held.hold(m, r) {
@@ -284,6 +286,7 @@
 				},
 				renew: renewShortly,
 			})
+			submit()
 			f.waitFor("the next try is carried out", func() bool { return f.starts("job", 1) == 1 })
 			time.Sleep(200 * time.Millisecond) // The minion reports the run.
 			held.on().Restart()
@@ -296,8 +299,9 @@
 			f := newFixture(t, "r1", "r1")
 			var held heldStart
 			defer f.startCoordinator("one")()
-			f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 3*time.Second)
-			held.deliver(f.c, disturb(f, &held))
+			held.deliver(f.c, disturb(f, &held, func() {
+				f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 3*time.Second)
+			}))
 			f.hooks.Store(&hooks{renew: renewShortly})
 			f.awaitState("job", workload.Done)
 		})
