Don't take the refusal of one submission for the outcome of a request

What callers saw: "not-run" for a request that ran.

Cause: an agent that is looked up by identity while it refuses a submission answers "not-run". The entry took that answer for the outcome of the identity, in three places: - of its own call, while its message was still on its way to the agent (callWithLookups, pollAnswer); - of the whole request, in GET /v1/requests/{id} and in the repeat of a submission that the plan refuses, while another entry was moving the request to the next agent (Client.Lookup); - as proof that the agent does not have the request, while the entry whose submission was refused goes on to the next agent (prover).

Now only the reply to a submission proves that this submission did not run. A refusal in the reply to a lookup counts as pending; the rule is in exchanger.lookupReply. An agent that gives a claim back, and for which nobody waits, answers that it does not know the request, so that proofs during an outage of the log still succeed.

Evidence: the tests failed before, each time, without load: - TestRefusalOfAnotherSubmission, both subtests: got "not-run", want "unknown"; the message that arrived late was run; - TestRefusalWhileAnotherEntryMovesTheRequest: got "not-run", want "unknown"; - TestStatusOfARequestThatMovesToAnotherAgent, both subtests: the status is "not-run" ("the minion is not available"), and the request ran on the second agent.

--- a/internal/role/agent/admission.go
+++ b/internal/role/agent/admission.go
@@ -52,9 +52,10 @@
 }
 
 // Lookup implements wire.Agent. It waits up to MaxLookupWait for a request that
-// has no answer yet. Until this process has read the log, it returns
-// twirp.Unavailable instead of not found or NotRun, because an earlier process
-// of this agent may have run the request.
+// has no answer yet. NotRun is the refusal of a submission that it has waited
+// for. Until this process has read the log, it returns twirp.Unavailable instead
+// of not found or NotRun, because an earlier process of this agent may have run
+// the request.
 func (s service) Lookup(ctx context.Context, r *wire.LookupRequest) (*wire.RunReply, error) {
 	id, err := identityFromWire(r.GetIdentity())
 	if err != nil {
@@ -96,8 +97,8 @@
 
 // findAnswer returns the known answer of an identity that is not in pending. A
 // claim of another agent takes precedence over an open record of this one. A
-// claim that is being abandoned proves that the request did not run here. The
-// caller holds the mutex.
+// claim that is being abandoned is not known any more, because its request did
+// not run here. The caller holds the mutex.
 func (s *Server) findAnswer(id request.Identity) (request.Answer, bool) {
 	answer, found := s.storedAnswer(id)
 	record := s.openRecords[id]
@@ -107,10 +108,7 @@
 	if state, claimed := s.journal.Request(id); claimed && state.Writer != s.writer.Name() {
 		return answer, true
 	}
-	if record.abandons {
-		return s.answer(id, request.NotRun, "the claim is being given back"), true
-	}
-	return request.Answer{Identity: id, Outcome: request.Pending}, true
+	return request.Answer{Identity: id, Outcome: request.Pending}, !record.abandons
 }
 
 // admit joins the pending request of the identity, accepts a new request, or
--- a/internal/role/agent/proof_test.go
+++ b/internal/role/agent/proof_test.go
@@ -7,6 +7,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/role/agent"
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/traffic/request"
 	"wasabihoist/internal/traffic/routing"
@@ -87,3 +89,30 @@
 		})
 	}
 }
+
+// Guards against a status of NotRun for a request that one agent has refused and
+// another one runs.
+func TestStatusOfARequestThatMovesToAnotherAgent(t *testing.T) {
+	for kind, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+		t.Run(kind, func(t *testing.T) {
+			parallel(t)
+			c := qt.New(t)
+			cl := newCluster(t, 2, func(o *agent.Options) { o.Slots = 1 })
+			n, e := cl.nodes[0], cl.startEntryClient("entry")
+			e.agents[1].DataCentre = "acari"
+			blocker, q := cl.request("blocker", true, time.Second), cl.request("tally", idempotent, 0)
+			var answer, status request.Answer
+			g := group.New(context.Background())
+			g.Go("blocker", func(context.Context) error { cl.run(n, blocker, testTimeout); return nil })
+			cl.awaitTrue("the slot is taken", func() bool { return n.minion.Executions(blocker.Identity) == 1 })
+			g.Go("submit", func(context.Context) error { answer = submit(e.Client, q, testTimeout); return nil })
+			cl.awaitTrue("the request waits", func() bool { waiting, _ := n.agent.Load(); return waiting == 1 })
+			g.Go("status", func(context.Context) error { status, _ = e.Lookup(context.Background(), q.Identity); return nil })
+			time.Sleep(100 * time.Millisecond) // the lookup waits at the agent
+			n.minion.Leave()
+			c.Assert(g.Wait(), qt.IsNil)
+			assertDone(c, q, answer)
+			c.Assert(status.Outcome, qt.Not(qt.Equals), request.NotRun, qt.Commentf("%s", status.Reason))
+		})
+	}
+}
--- a/internal/traffic/routing/exchange.go
+++ b/internal/traffic/routing/exchange.go
@@ -157,13 +157,16 @@
 }
 
 // lookup asks an agent for the answer of a request on a new connection, and
-// reports whether the agent knows the request.
+// reports whether the agent knows the request. The outcome is never NotRun.
 func (x *exchanger) lookup(ctx context.Context, a Agent, id request.Identity) (request.Answer, bool, error) {
 	answer, reply, err := x.lookupReply(ctx, a, id)
 	return answer, reply.GetFound(), err
 }
 
-// lookupReply is lookup with the whole reply of the agent.
+// lookupReply is lookup with the whole reply of the agent. A refusal counts as
+// Pending: it holds for one submission of the identity, and another one may be on
+// its way to this agent or be sent to the next one. Only the reply to a submission
+// proves that the submission did not run.
 func (x *exchanger) lookupReply(ctx context.Context, a Agent, id request.Identity) (request.Answer, *wire.RunReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, x.options.LookupTimeout)
 	defer cancel()
@@ -171,6 +174,9 @@
 	var connected atomic.Bool
 	reply, err := wire.NewAgentProtobufClient("http://"+a.Address.String(), x.fresh).Lookup(withConnectionTrace(ctx, &connected), message)
 	answer, err := x.checkReply(a, id, reply, err, &connected)
+	if answer.Outcome == request.NotRun {
+		answer = request.Answer{Identity: id, Outcome: request.Pending, Reason: answer.Reason}
+	}
 	return answer, reply, err
 }
 
--- a/internal/traffic/routing/proof.go
+++ b/internal/traffic/routing/proof.go
@@ -114,11 +114,11 @@
 // knows the request or does not reply. Otherwise it returns the digest of the
 // agents that target knows.
 func (p *prover) checkNotKnown(ctx context.Context, target Agent, id request.Identity) (uint64, error) {
-	answer, reply, err := p.exchanger.lookupReply(ctx, target, id)
+	_, reply, err := p.exchanger.lookupReply(ctx, target, id)
 	if err != nil {
 		return 0, err
 	}
-	if reply.GetFound() && answer.Outcome != request.NotRun {
+	if reply.GetFound() {
 		return 0, fmt.Errorf("%s: %w", target.Name, errRequestKnown)
 	}
 	return reply.GetKnownAgents(), nil
--- a/internal/traffic/routing/proof_test.go
+++ b/internal/traffic/routing/proof_test.go
@@ -185,3 +185,26 @@
 		})
 	}
 }
+
+// movingAgent refuses all requests, and has just refused another submission of
+// each identity, which its entry may send to another agent.
+type movingAgent struct{ refusingAgent }
+
+func (a *movingAgent) Lookup(_ context.Context, r *wire.LookupRequest) (*wire.RunReply, error) {
+	return &wire.RunReply{Identity: r.GetIdentity(), Outcome: int32(request.NotRun), Retryable: true, Found: true, Checksum: emptyChecksum}, nil
+}
+
+// Guards against a NotRun answer for a request that another entry is moving from
+// an agent that refuses it to one that runs it.
+func TestRefusalWhileAnotherEntryMovesTheRequest(t *testing.T) {
+	c := qt.New(t)
+	s := httptest.NewServer(wire.NewAgentServer(&movingAgent{}))
+	t.Cleanup(s.Close)
+	target := testAgent("agent", "region-0", "dc-0", Alive)
+	target.Address = netip.MustParseAddrPort(s.Listener.Addr().String())
+	barrier := func(context.Context) error { return nil }
+	client := New(noRetryOptions(), func() []Agent { return []Agent{target} }, journal.New(), barrier, nil)
+	defer client.Close()
+	answer := client.Run(t.Context(), testRequest("tally"))
+	c.Assert(answer.Outcome, qt.Equals, request.Unknown, qt.Commentf("%s", answer.Reason))
+}
--- a/internal/traffic/routing/run_test.go
+++ b/internal/traffic/routing/run_test.go
@@ -148,3 +148,54 @@
 	answer := client.Run(t.Context(), q)
 	c.Assert(answer.Outcome, qt.Equals, request.Done, qt.Commentf("%s", answer.Reason))
 }
+
+// lateAgent gets its first request only when late is closed, and then runs it. It
+// refuses other requests, and has refused another submission of the first one.
+type lateAgent struct {
+	refusingAgent
+	calls atomic.Int64
+	late  chan struct{}
+	runs  atomic.Int64
+}
+
+func (a *lateAgent) Run(ctx context.Context, r *wire.RunRequest) (*wire.RunReply, error) {
+	if a.calls.Add(1) > 1 {
+		return a.refusingAgent.Run(ctx, r)
+	}
+	<-a.late
+	a.runs.Add(1)
+	return &wire.RunReply{Identity: r.GetIdentity(), Outcome: int32(request.Done), Checksum: emptyChecksum}, nil
+}
+
+func (a *lateAgent) Lookup(_ context.Context, r *wire.LookupRequest) (*wire.RunReply, error) {
+	return &wire.RunReply{Identity: r.GetIdentity(), Outcome: int32(request.NotRun), Found: true, Checksum: emptyChecksum}, nil
+}
+
+// Guards against a NotRun answer for a request that is still on its way to an
+// agent, because the agent has refused another submission of the same identity.
+func TestRefusalOfAnotherSubmission(t *testing.T) {
+	for name, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			agent := &lateAgent{late: make(chan struct{})}
+			server := httptest.NewServer(wire.NewAgentServer(agent))
+			t.Cleanup(server.Close)
+			target := testAgent("agent", "region-0", "dc-0", Alive)
+			target.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
+			options := Default()
+			options.Region, options.LookupDelay = "region-0", 50*time.Millisecond
+			barrier := func(context.Context) error { return nil }
+			client := New(options, func() []Agent { return []Agent{target} }, journal.New(), barrier, nil)
+			defer client.Close()
+			q := testRequest("pay")
+			q.Idempotent, q.Deadline = idempotent, time.Now().Add(time.Second)
+			answer := client.Run(t.Context(), q)
+			close(agent.late)
+			for end := time.Now().Add(5 * time.Second); agent.runs.Load() == 0 && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+			c.Assert(agent.runs.Load(), qt.Equals, int64(1))
+			c.Assert(answer.Outcome, qt.Equals, request.Unknown, qt.Commentf("%s", answer.Reason))
+		})
+	}
+}
