Report a request that waits for the record of an abandoned claim

What callers saw: "not-run" for a request that ran afterwards.

Cause: an agent that has given a claim back admits a repeat of the request only once the record is folded. Until then the repeat was in no queue, and a lookup found only the abandoned claim, which proved that the first submission had not run. An entry that refused another submission meanwhile took this as proof for all submissions; the waiting one then ran.

Change: the agent counts the submissions that wait for an open record, and answers a lookup of their identity as pending, also between the fold of the record and their admission.

Evidence: TestRefusalWhileARepeatWaitsForTheAbandonedClaim, which holds the exchanges of the agent with the log, failed before, without load: "serido/tally: the plan has closed", got 1 run, want 0. It passes now, 20 of 20 under the race detector at load 20. All tests of internal/role/agent pass under the race detector, once.

--- a/internal/role/agent/admission.go
+++ b/internal/role/agent/admission.go
@@ -98,17 +98,18 @@
 // findAnswer returns the known answer of an identity that is not in pending. A
 // claim of another agent takes precedence over an open record of this one. A
 // claim that is being abandoned is not known any more, because its request did
-// not run here. The caller holds the mutex.
+// not run here, unless a repeat of the request waits for its record. The caller
+// holds the mutex.
 func (s *Server) findAnswer(id request.Identity) (request.Answer, bool) {
 	answer, found := s.storedAnswer(id)
-	record := s.openRecords[id]
-	if record == nil || (found && answer.Outcome != request.Pending) {
+	record, repeated := s.openRecords[id], s.recordWaiters[id] > 0
+	if (record == nil && !repeated) || (found && answer.Outcome != request.Pending) {
 		return answer, found
 	}
 	if state, claimed := s.journal.Request(id); claimed && state.Writer != s.writer.Name() {
 		return answer, true
 	}
-	return request.Answer{Identity: id, Outcome: request.Pending}, !record.abandons
+	return request.Answer{Identity: id, Outcome: request.Pending}, repeated || !record.abandons
 }
 
 // admit joins the pending request of the identity, accepts a new request, or
@@ -117,24 +118,31 @@
 func (s *Server) admit(ctx context.Context, q request.Request) (*pendingRequest, request.Answer) {
 	ctx, cancel := context.WithDeadline(ctx, q.Deadline)
 	defer cancel()
-	for {
-		p, answer, recordDone := s.tryAdmit(q)
+	for waited := false; ; waited = true {
+		p, answer, recordDone := s.tryAdmit(q, waited)
 		if recordDone == nil {
 			return p, answer
 		}
 		select {
 		case <-recordDone:
 		case <-ctx.Done():
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.removeRecordWaiter(q.Identity)
 			return nil, s.answer(q.Identity, request.Unknown, "the record of an earlier run is not settled")
 		}
 	}
 }
 
 // tryAdmit is one attempt of admit. It returns a channel to wait for if a
-// record of an earlier run of the identity must be appended first.
-func (s *Server) tryAdmit(q request.Request) (*pendingRequest, request.Answer, <-chan struct{}) {
+// record of an earlier run of the identity must be appended first. Set waited if
+// the last attempt returned a channel.
+func (s *Server) tryAdmit(q request.Request, waited bool) (*pendingRequest, request.Answer, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if waited {
+		s.removeRecordWaiter(q.Identity)
+	}
 	if p := s.pending[q.Identity]; p != nil {
 		p.waiters++
 		s.Counters.Joined.Add(1)
@@ -145,6 +153,7 @@
 		return nil, answer, nil
 	}
 	if record := s.openRecords[q.Identity]; record != nil {
+		s.recordWaiters[q.Identity]++
 		return nil, request.Answer{}, record.done
 	}
 	if reason, retryable := s.refusal(q); reason != "" {
@@ -163,6 +172,15 @@
 	return p, request.Answer{}, nil
 }
 
+// removeRecordWaiter ends the wait of one submission for the record of an earlier
+// run. The caller holds the mutex.
+func (s *Server) removeRecordWaiter(id request.Identity) {
+	s.recordWaiters[id]--
+	if s.recordWaiters[id] == 0 {
+		delete(s.recordWaiters, id)
+	}
+}
+
 // storedAnswer returns the answer of an identity from the answer cache or the
 // journal. A claim without an outcome returns Pending.
 func (s *Server) storedAnswer(id request.Identity) (request.Answer, bool) {
--- a/internal/role/agent/proof_test.go
+++ b/internal/role/agent/proof_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/role/agent"
 	"wasabihoist/internal/standin/logservice"
 	"wasabihoist/internal/traffic/request"
@@ -90,6 +91,46 @@
 	}
 }
 
+// isPending reports whether an agent answers a lookup that it has the request
+// without an outcome.
+func (cl *cluster) isPending(n *node, q request.Request) bool {
+	cl.t.Helper()
+	reply, err := n.agent.Service().Lookup(context.Background(), &wire.LookupRequest{
+		Identity: &wire.Identity{Organisation: q.Identity.Organisation, Id: q.Identity.ID},
+	})
+	if err != nil {
+		cl.t.Error(err)
+	}
+	return reply.GetFound() && request.Outcome(reply.GetOutcome()) == request.Pending
+}
+
+// Guards against a NotRun answer for a request that waits at an agent until the
+// record of its abandoned claim is folded, and then runs.
+func TestRefusalWhileARepeatWaitsForTheAbandonedClaim(t *testing.T) {
+	parallel(t)
+	c := qt.New(t)
+	cl := newCluster(t, 2, nil)
+	n, e := cl.nodes[0], cl.startEntryClient("entry")
+	q := cl.request("tally", false, 0)
+	n.logGate.close()
+	cl.run(n, q, 100*time.Millisecond)
+	cl.awaitTrue("the claim is given up", func() bool { return !cl.isPending(n, q) })
+	var repeated request.Answer
+	g := group.New(context.Background())
+	g.Go("repeat", func(context.Context) error {
+		repeated = cl.run(n, q, 2*testTimeout)
+		return nil
+	})
+	for end := time.Now().Add(testTimeout); time.Now().Before(end) && !cl.isPending(n, q); {
+		time.Sleep(time.Millisecond)
+	}
+	refused := e.Refuse(context.Background(), q, "the plan has closed")
+	n.logGate.open()
+	c.Assert(g.Wait(), qt.IsNil)
+	assertDone(c, q, repeated)
+	cl.checkAnswers(c, q, refused)
+}
+
 // Guards against a status of NotRun for a request that one agent has refused and
 // another one runs.
 func TestStatusOfARequestThatMovesToAnotherAgent(t *testing.T) {
--- a/internal/role/agent/server.go
+++ b/internal/role/agent/server.go
@@ -48,35 +48,37 @@
 
 	wake chan struct{} // wake is signalled when the dispatcher has work.
 
-	mu          sync.Mutex
-	group       *group.Group // group is nil before Run and after its end.
-	pending     map[request.Identity]*pendingRequest
-	unclaimed   *queue.Queue[*pendingRequest] // unclaimed holds non-idempotent requests without a claim.
-	ready       *queue.Queue[*pendingRequest] // ready holds requests that may be started.
-	claimsAhead int                           // claimsAhead counts requests that are being claimed, or are claimed and not started.
-	running     int                           // running counts occupied slots.
-	answers     *answerCache
-	openRecords map[request.Identity]*openRecord // openRecords are the records that must still be appended, by identity of their request.
-	draining    bool
-	synced      bool // synced is set once the journal has folded a barrier of this process.
-	minion      minionState
-	changed     chan struct{} // changed is closed and replaced when a request or a record is done.
+	mu            sync.Mutex
+	group         *group.Group // group is nil before Run and after its end.
+	pending       map[request.Identity]*pendingRequest
+	unclaimed     *queue.Queue[*pendingRequest] // unclaimed holds non-idempotent requests without a claim.
+	ready         *queue.Queue[*pendingRequest] // ready holds requests that may be started.
+	claimsAhead   int                           // claimsAhead counts requests that are being claimed, or are claimed and not started.
+	running       int                           // running counts occupied slots.
+	answers       *answerCache
+	openRecords   map[request.Identity]*openRecord // openRecords are the records that must still be appended, by identity of their request.
+	recordWaiters map[request.Identity]int         // recordWaiters counts the submissions that are admitted only after an open record.
+	draining      bool
+	synced        bool // synced is set once the journal has folded a barrier of this process.
+	minion        minionState
+	changed       chan struct{} // changed is closed and replaced when a request or a record is done.
 }
 
 // New returns an agent that appends claims with w and reads the claims of other
 // agents from j.
 func New(options Options, j *journal.Journal, w *journal.Writer) *Server {
 	return &Server{
-		options:     options,
-		journal:     j,
-		writer:      w,
-		wake:        make(chan struct{}, 1),
-		pending:     map[request.Identity]*pendingRequest{},
-		unclaimed:   queue.New[*pendingRequest](),
-		ready:       queue.New[*pendingRequest](),
-		answers:     newAnswerCache(options.AnswerRetention, options.MaxAnswerBytes),
-		openRecords: map[request.Identity]*openRecord{},
-		changed:     make(chan struct{}),
+		options:       options,
+		journal:       j,
+		writer:        w,
+		wake:          make(chan struct{}, 1),
+		pending:       map[request.Identity]*pendingRequest{},
+		unclaimed:     queue.New[*pendingRequest](),
+		ready:         queue.New[*pendingRequest](),
+		answers:       newAnswerCache(options.AnswerRetention, options.MaxAnswerBytes),
+		openRecords:   map[request.Identity]*openRecord{},
+		recordWaiters: map[request.Identity]int{},
+		changed:       make(chan struct{}),
 	}
 }
 
