Report a worker lost only after its last unanswered acquisition has lapsed

What callers saw: nothing yet; no job is known to have run twice by this.

Cause: a holder that acquires a lease, and gets no answer to the renewal, tries again, and reports the worker lost once it has been silent for FirstContactTimeout since the first try. Each renewal that the worker carried out without an answer moves the lease and extends it, and the tasks go on. The scheduler takes the tasks of a lost worker as ended: it gives the job out again and stops the other members, while a member still runs.

Change: the holder counts from the last renewal that may have taken effect. At FirstContactTimeout it sends no more, waits until that lease has certainly lapsed, and then reports the loss.

Evidence: TestLostWorkerHasEndedItsTasks, with a worker that carries out renewals without an answer, failed before, without load: the worker is lost and its task has not ended.

--- a/internal/fleet/lease/renewer.go
+++ b/internal/fleet/lease/renewer.go
@@ -51,7 +51,7 @@
 	defer r.client.Close()
 	times := r.session.times
 	silentSince, lostAfter, knownEpoch := time.Now(), times.FirstContactTimeout, r.assignment.Epoch
-	lostReported := false
+	lostReported, lapsesAt := false, time.Time{}
 	for ctx.Err() == nil && r.session.alive() {
 		sentAt, report, seenEpoch, err := r.acquire(ctx, knownEpoch)
 		knownEpoch = max(knownEpoch, seenEpoch)
@@ -60,7 +60,11 @@
 			r.setState(Superseded)
 			return nil
 		case err != nil:
+			if !sentAt.IsZero() && mayHaveRenewed(err) {
+				lapsesAt = sentAt.Add(times.TTL + times.CallTimeout)
+			}
 			if !lostReported && time.Since(silentSince) > lostAfter {
+				sleep(ctx, time.Until(lapsesAt))
 				lostReported = true
 				r.setState(Lost)
 			}
@@ -107,7 +111,7 @@
 // errSuperseded when another scheduler holds a lease with an epoch above
 // knownEpoch, or when this scheduler has assigned the worker to another agent with
 // a higher generation. With a knownEpoch of 0 it supersedes any other scheduler.
-// sentAt is when the renewal was sent. After a failed renewal, seenEpoch is the
+// sentAt is when the renewal was sent, zero if none was. After a failed renewal, seenEpoch is the
 // epoch that the worker listed before, otherwise 0. It raises knownEpoch, so that
 // the next attempt does not supersede a scheduler that acquires the lease meanwhile.
 func (r *renewer) acquire(ctx context.Context, knownEpoch int64) (sentAt time.Time, report worker.Report, seenEpoch int64, err error) {
@@ -145,6 +149,12 @@
 	return sentAt, report, 0, nil
 }
 
+// mayHaveRenewed reports whether a renewal that failed with err may have granted
+// the lease, so that the tasks of the worker go on.
+func mayHaveRenewed(err error) bool {
+	return !errors.Is(err, worker.ErrUnreachable) && !errors.Is(err, worker.ErrStaleLease) && !errors.Is(err, worker.ErrRefused)
+}
+
 // storeTasks stores the tasks of a report under the present position. session.mu is
 // held.
 func (r *renewer) storeTasks(report worker.Report) {
--- a/internal/fleet/lease/table_test.go
+++ b/internal/fleet/lease/table_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,14 +25,22 @@
 }
 
 type fixture struct {
-	c      *qt.C
-	host   *workerhost.Host
-	worker worker.Worker
+	c            *qt.C
+	host         *workerhost.Host
+	worker       worker.Worker
+	loseRenewals atomic.Bool // loseRenewals makes the worker carry out renewals without an answer.
 }
 
 func newFixture(t *testing.T) *fixture {
 	f := &fixture{c: qt.New(t), host: workerhost.New(worker.Resources{Memory: 100}, nil)}
-	server := httptest.NewServer(f.host.Handler())
+	handler := f.host.Handler()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == worker.PathLease && f.loseRenewals.Load() {
+			handler.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		}
+		handler.ServeHTTP(w, r)
+	}))
 	t.Cleanup(func() {
 		server.CloseClientConnections()
 		server.Close()
@@ -174,3 +184,15 @@
 	_, err := table.Watch(context.Background(), f.query("a", 1, 0))
 	f.c.Assert(err, qt.ErrorIs, lease.ErrNoSession)
 }
+
+// Guards against a worker that is reported lost while its tasks go on, because the
+// answers to the renewals of a new holder were lost.
+func TestLostWorkerHasEndedItsTasks(t *testing.T) {
+	f := newFixture(t)
+	before, after := f.startTable(t), f.startTable(t)
+	first := f.query("a", 1, 0)
+	f.c.Assert(f.start(before, first, f.awaitState(before, first, lease.Held), "t"), qt.IsNil)
+	f.loseRenewals.Store(true)
+	f.awaitState(after, f.query("a", 2, 0), lease.Lost)
+	f.c.Assert(f.host.History()[0].Ended.IsZero(), qt.IsFalse)
+}
