Append the running record before the release of a checkpointed attempt

What callers saw: "not-run" for a cancelled job that had run.

The running record is appended beside the run. If the log loses that append, the writer proves its absence with the next batch; when that batch holds the release of the attempt after a checkpoint, the record comes too late and is not valid. The job is queued as if it had never run, and its cancellation, or the loss of all workers that fit it, ends it as not run.

Evidence: TestCancelledJobWithoutRunningRecord, in which the log hangs while the record is on its way, failed before, without load: got "not-run", want "failed".

--- a/internal/fleet/scheduler/attempt.go
+++ b/internal/fleet/scheduler/attempt.go
@@ -92,6 +92,9 @@
 	if !t.call(ctx, func(t *term) { end = t.endRecord(a, claim, r) }) {
 		return nil
 	}
+	if err := a.ensureRunningRecord(ctx, end); err != nil {
+		return err
+	}
 	if err := t.appendRecord(ctx, end); err != nil {
 		return err
 	}
@@ -99,6 +102,18 @@
 	return nil
 }
 
+// ensureRunningRecord appends the running record of an attempt that ran and was
+// checkpointed, if the journal does not have it yet. Without the record, the journal
+// would take the job for one that never ran.
+func (a *attempt) ensureRunningRecord(ctx context.Context, end journal.Record) error {
+	released, ok := end.(journal.JobReleased)
+	js, _ := a.term.journal.Job(a.job.Identity)
+	if !ok || !released.Started || !released.Checkpointed || js.State != job.Claimed || js.Claim != released.Claim {
+		return nil
+	}
+	return a.term.appendRecord(ctx, journal.JobRunning{Identity: a.job.Identity, Claim: released.Claim})
+}
+
 // endRecord returns the record that ends the attempt, and updates the health of
 // the workers from the result.
 func (t *term) endRecord(a *attempt, claim int64, r gang.Result) journal.Record {
--- a/internal/fleet/scheduler/failure_test.go
+++ b/internal/fleet/scheduler/failure_test.go
@@ -512,3 +512,30 @@
 	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Done)
 	f.c.Assert(f.attempts(j)[1][0].Started.Sub(submitted) >= testTiming().ClaimDelay, qt.IsTrue)
 }
+
+// Guards against a NotRun outcome for a job that ran, if the record of its start
+// was lost, a reclaim has ended the run with a checkpoint, and the job is cancelled
+// before it runs again.
+func TestCancelledJobWithoutRunningRecord(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	p := f.process(t, "a")
+	p.run()
+	host := f.hosts["w0"]
+	f.await("the worker is leased", func() bool { return p.scheduler.Summary().LeasedWorkers == 1 })
+	host.SetFaults(workerhost.Faults{HoldStarts: true})
+	j := gangOf("serido", "match", 1, time.Minute)
+	p.submit(j)
+	p.awaitState(j.Identity, job.Claimed)
+	f.log.SetFaults(logservice.Faults{Hang: true})
+	host.SetFaults(workerhost.Faults{})
+	f.await("the job runs", func() bool { return f.released(j) == 1 })
+	sleep(t.Context(), 100*time.Millisecond) // the running record is on its way to the log
+	p.inLoop(func(t *term) { t.attempts[j.Identity].gang.Reclaim(time.Second, "guarantee") })
+	f.await("the job is stopped", func() bool { return f.live(j) == 0 })
+	host.SetFaults(workerhost.Faults{RefuseStarts: true})
+	f.log.SetFaults(logservice.Faults{})
+	p.awaitState(j.Identity, job.Queued)
+	p.append(journal.JobCancelled{Identity: j.Identity})
+	f.c.Assert(p.awaitState(j.Identity, job.Ended).Outcome, qt.Equals, request.Failed)
+	f.c.Assert(f.runs(j), qt.Equals, 1)
+}
