Look for an accepted job before its repeat is refused

What callers saw: "not-run" for a job that another entry had accepted a moment before, and that runs.

The refusal of this call was given as the outcome of the job. Requests and the other calls on jobs are confirmed against the log before such an answer.

While the log is down this cannot be confirmed; the answer then stays not-run, as docs/api.md promises, and docs/promises.md lists the case as not shown.

Evidence: TestRefusedRepeatOfAnAcceptedJob failed before, without load: got not-run, "the job needs 101 accelerators, plan p allows 100", want the state queued.

--- a/internal/role/entry/jobs.go
+++ b/internal/role/entry/jobs.go
@@ -32,12 +32,25 @@
 		return
 	}
 	if reason := e.jobRefusal(submitted); reason != "" {
-		e.writeJobOutcome(w, submitted.Identity, request.NotRun, reason)
+		e.refuseJob(r.Context(), w, submitted.Identity, reason)
 		return
 	}
 	e.submitJob(r.Context(), w, submitted)
 }
 
+// refuseJob writes the state of a job that another entry has accepted, or NotRun
+// with the reason. While the log is down, it finds only the jobs that this entry
+// has read.
+func (e *Entry) refuseJob(ctx context.Context, w http.ResponseWriter, id request.Identity, reason string) {
+	ctx, cancel := context.WithTimeout(ctx, e.options.AppendTimeout)
+	defer cancel()
+	if state, err := e.findJob(ctx, id); err == nil {
+		writeJob(w, state)
+		return
+	}
+	e.writeJobOutcome(w, id, request.NotRun, reason)
+}
+
 func (e *Entry) submitJob(ctx context.Context, w http.ResponseWriter, j job.Job) {
 	ctx, cancel := context.WithTimeout(ctx, e.options.AppendTimeout)
 	defer cancel()
--- a/internal/role/entry/lookup_test.go
+++ b/internal/role/entry/lookup_test.go
@@ -80,3 +80,21 @@
 	}
 	c.Assert(s.entry.Counters().UnconfirmedLookups.Load(), qt.Equals, int64(2))
 }
+
+// Guards against a NotRun answer for a job that another entry accepted a moment
+// ago, if this entry refuses the repeat of the call.
+func TestRefusedRepeatOfAnAcceptedJob(t *testing.T) {
+	c := qt.New(t)
+	s := newFixture(t, nil)
+	s.readLock.Lock()
+	s.acceptAtOtherEntry(c, request.Identity{Organisation: "desk", ID: "1"})
+	g := group.New(context.Background())
+	g.Go("catch up", func(context.Context) error {
+		time.Sleep(appendTimeout / 2)
+		s.readLock.Unlock()
+		return nil
+	})
+	repeat := s.call(deskToken, "POST", "/v1/jobs", jobBody("1", 101))
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Assert(repeat.body["state"], qt.Equals, "queued", qt.Commentf("%v", repeat.body))
+}
