Let the test of proved refusals wait for slow replies

Cause: the test, not the proof. Its client looked a request up after 0.2 s and gave up 0.5 s after the submission. A reply that takes longer is lost, and after a lost reply the outcome of a non-idempotent request is never not-run. Likewise a proof had 1 s.

Change: the client of this test waits for replies and for the proof as long as other tests wait (10 s). What is expected is unchanged. The test still fails when the prover skips agents that are gone, other lists of agents, or agents that know the request (3 mutations, each found).

--- a/internal/role/agent/failure_test.go
+++ b/internal/role/agent/failure_test.go
@@ -37,7 +37,7 @@
 
 // startEntryClient starts a routing client whose list of agents the test may
 // change, with its own journal.
-func (cl *cluster) startEntryClient(name string) *entryClient {
+func (cl *cluster) startEntryClient(name string, adjust ...func(*routing.Options)) *entryClient {
 	cl.t.Helper()
 	g := group.New(context.Background())
 	e := &entryClient{logGate: newGate(), agents: cl.routingAgents()}
@@ -45,6 +45,9 @@
 	options := routing.Default()
 	options.Region, options.DataCentre = "serido", "caico"
 	options.LookupDelay = 200 * time.Millisecond
+	for _, change := range adjust {
+		change(&options)
+	}
 	barrier := func(ctx context.Context) error {
 		_, err := w.Append(ctx, journal.Barrier{})
 		return err
--- a/internal/role/agent/proof_test.go
+++ b/internal/role/agent/proof_test.go
@@ -15,6 +15,12 @@
 	"wasabihoist/internal/traffic/routing"
 )
 
+// patient makes a client wait for the replies of agents on a busy machine. After a
+// lost reply, the outcome of a non-idempotent request is never NotRun.
+func patient(o *routing.Options) {
+	o.LookupDelay, o.DeadlineGrace, o.ProofTimeout = testTimeout, testTimeout, testTimeout
+}
+
 // Guards against a NotRun answer of an entry whose journal is behind the log,
 // for a request that ran for another entry. The log is down, so that no journal
 // can catch up, and the agent that ran the request has failed in a way that
@@ -60,7 +66,7 @@
 			parallel(t)
 			c := qt.New(t)
 			cl := newCluster(t, 2, nil)
-			e, other := cl.startEntryClient("entry"), cl.nodes[1]
+			e, other := cl.startEntryClient("entry", patient), cl.nodes[1]
 			if tt.unlisted {
 				e.agents = e.agents[1:]
 			}
