--- a/internal/role/agent/failure_test.go
+++ b/internal/role/agent/failure_test.go
@@ -356,7 +356,7 @@
 func TestDrainUnderFullLoad(t *testing.T) {
 	c := qt.New(t)
 	cl := newCluster(t, 2, func(o *agent.Options) { o.DefaultPolicy.Limit = 1000 })
-	client := cl.startEntryClient("entry", func(o *routing.Options) { o.LookupDelay = routing.Default().LookupDelay })
+	client := cl.startEntryClient("entry")
 	requests := make([]request.Request, 100)
 	for i := range requests {
 		requests[i] = cl.request(fmt.Sprint("r-", i), i%3 != 0, 0)
@@ -371,7 +371,7 @@
 		cl.awaitTrue("the slots are full", func() bool { waiting, running := cl.nodes[0].agent.Load(); return running == 8 && waiting > 0 })
 		return cl.nodes[0].agent.Drain(ctx)
 	})
-	answers := concurrently(len(requests), func(i int) request.Answer { return submit(client.Client, requests[i], 3*testTimeout) })
+	answers := concurrently(len(requests), func(i int) request.Answer { return submit(client.Client, requests[i], testTimeout) })
 	c.Assert(g.Wait(), qt.IsNil)
 	repeated := 0
 	for i, a := range answers {
--- a/internal/traffic/routing/run_test.go
+++ b/internal/traffic/routing/run_test.go
@@ -11,7 +11,6 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/traffic/request"
@@ -81,20 +80,16 @@
 }
 
 // Guards against a NotRun answer for a request that was sent, if only the lookup
-// could not be sent, because the agent accepts no further connection. The caller
-// leaves only after the agent has the request and further attempts have failed, so
-// that the outcome does not depend on the speed of the machine.
+// could not be sent, because the agent accepts no further connection.
 func TestUnreachableAfterTheRequestWasSent(t *testing.T) {
-	const testTimeout = 20 * time.Second
 	tests := map[string]bool{"idempotent": true, "non-idempotent": false}
 	for name, idempotent := range tests {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			var sent atomic.Bool
 			agent := &hangingAgent{}
 			server := httptest.NewServer(wire.NewAgentServer(agent))
 			t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-			agent.onRequest = func() { sent.Store(true); _ = server.Listener.Close() }
+			agent.onRequest = func() { _ = server.Listener.Close() }
 			target := testAgent("agent", "region-0", "dc-0", Alive)
 			target.Address = netip.MustParseAddrPort(server.Listener.Addr().String())
 			options := Default()
@@ -102,23 +97,9 @@
 			barrier := func(context.Context) error { return nil }
 			client := New(options, func() []Agent { return []Agent{target} }, journal.New(), barrier, nil)
 			defer client.Close()
-			ctx, leave := context.WithCancel(t.Context())
-			g := group.New(ctx)
-			g.Go("leave", func(ctx context.Context) error {
-				defer leave()
-				for !sent.Load() || client.Counters.Retries.Value() < 3 {
-					if err := group.Pause(ctx, time.Millisecond); err != nil {
-						return err
-					}
-				}
-				return nil
-			})
 			q := testRequest("photo")
-			q.Idempotent, q.Deadline = idempotent, time.Now().Add(testTimeout)
-			answer := client.Run(ctx, q)
-			g.Stop()
-			c.Assert(g.Wait(), qt.IsNil)
-			c.Assert(sent.Load(), qt.IsTrue)
+			q.Idempotent, q.Deadline = idempotent, time.Now().Add(time.Second)
+			answer := client.Run(t.Context(), q)
 			c.Assert(answer.Outcome, qt.Equals, request.Unknown, qt.Commentf("%s", answer.Reason))
 		})
 	}
