Tell the minions of a test about the work before the coordinator knows the job

Cause: the test recorded the job first and then told the minions that its tasks last. A task that was started in between ran with the work of submit, ended as done, and was started again, as a lasting task must be.

--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -138,13 +138,23 @@
 	return coordinator.CandidateName(m)
 }
 
-// submit records a job and configures how its tasks run on the minions.
+// submit records a job whose tasks run for a time on the minions.
 func (f *fixture) submit(j workload.Job, runTime time.Duration) workload.Job {
+	works := make([]fleethost.Work, len(j.Steps))
+	for i, step := range j.Steps {
+		works[i] = fleethost.Work{Duration: runTime, Need: step.Need}
+	}
+	return f.submitWorks(j, works)
+}
+
+// submitWorks records a job with the work of each step. The minions know the work
+// before the coordinator knows the job.
+func (f *fixture) submitWorks(j workload.Job, works []fleethost.Work) workload.Job {
 	j.Queue, j.Service, j.Submitted = cmp.Or(j.Queue, "q"), "app", time.Now()
 	j.Attempts, j.Stretch, j.Objective = max(1, j.Attempts), 2, time.Second
-	for i := range j.Steps {
-		j.Steps[i].Estimate = runTime
-		f.fleet.SetWork(j.ID, i, fleethost.Work{Duration: runTime, Need: j.Steps[i].Need})
+	for i, w := range works {
+		j.Steps[i].Estimate = w.Duration
+		f.fleet.SetWork(j.ID, i, w)
 	}
 	record, err := ledger.EncodeJob(j)
 	f.c.Assert(err, qt.IsNil)
--- a/internal/fleet/coordinator/long_running_test.go
+++ b/internal/fleet/coordinator/long_running_test.go
@@ -18,13 +18,11 @@
 	return s
 }
 
-// submitWork submits a job whose first step runs on the minions as described by
+// submitWork submits a job of one step that runs on the minions as described by
 // w.
 func (f *fixture) submitWork(j workload.Job, w fleethost.Work) workload.Job {
-	j = f.submit(j, w.Duration)
 	w.Need = j.Steps[0].ReservedResources()
-	f.fleet.SetWork(j.ID, 0, w)
-	return j
+	return f.submitWorks(j, []fleethost.Work{w})
 }
 
 // running returns the reported runs of a job on a minion.
