Don't run effects whose progress is too large for the ledger

Callers would see: a task that runs twice, or an end that is lost, after a change of the coordinator, for a job with many placed tasks or long checkpoints.

Cause: progress that could not be encoded was dropped from the batch, but its effects ran with the others: starts were sent, and ends acknowledged, that no record names.

TestJobWhoseProgressNeverFitsFails was written with the fix.

Change: a record that would be too large leaves out the checkpoints; the tasks start anew after a change of the coordinator. If it is too large even so, half of the proposed placements are withdrawn until it fits. No start of them was sent. The job is placed again after a second, in smaller parts, as its tasks end. An end takes less room than the placement before it, so what is left fits. If it doesn't, the job fails, and only its state is recorded: the next coordinator stops what it did not expect. Effects never run without the progress, and other jobs are not held up.

TestBatchesAreBounded expected that the last job is dropped, which was the fault. It now expects its record, within the same bounds.

--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -22,6 +23,9 @@
 	appendTimeout = 1500 * time.Millisecond
 	// appendRetryDelay is the delay between two tries.
 	appendRetryDelay = 100 * time.Millisecond
+	// withdrawalRetryDelay is how long a job is not placed again after placements
+	// were withdrawn. Some of its tasks have to end first.
+	withdrawalRetryDelay = time.Second
 	// retentionMargin is added to the retention of job states, to allow for
 	// clock differences.
 	retentionMargin = 10 * time.Second
@@ -95,15 +99,15 @@
 			t.dirty.Remove(id)
 			continue
 		}
-		record, err := ledger.EncodeProgress(j.progress)
-		if err == nil && len(records) > 0 && size+len(record.Value) > maxBatchBytes {
-			break
-		}
-		t.dirty.Remove(id)
-		if err != nil {
+		record, err := t.encodeProgress(j)
+		if err != nil { // The job stays dirty, so that no effect runs.
 			_ = level.Error(t.logger).Log("event", "encoding progress failed", "job", id, "reason", err)
 			continue
 		}
+		if len(records) > 0 && size+len(record.Value) > maxBatchBytes {
+			break
+		}
+		t.dirty.Remove(id)
 		size += len(record.Value)
 		records = append(records, record)
 		written = append(written, id)
@@ -111,6 +115,49 @@
 	return records, written
 }
 
+// encodeProgress returns the record of the progress of a job. If that is too
+// large, it first withdraws placements that wait for it to be durable. Without
+// them, the progress hardly grows: an end takes less room than a placement. If
+// it is too large even so, the job fails, because the effects of its progress
+// would hold up those of all jobs.
+func (t *term) encodeProgress(j *jobState) (ledger.Record, error) {
+	record, err := ledger.EncodeProgress(j.progress)
+	for err != nil && t.withdrawPlacements(j) {
+		_ = level.Warn(t.logger).Log("event", "placements withdrawn", "job", j.job.ID, "reason", err)
+		record, err = ledger.EncodeProgress(j.progress)
+	}
+	if err == nil {
+		return record, nil
+	}
+	if !j.progress.State.Ended() {
+		_ = level.Error(t.logger).Log("event", "job failed", "job", j.job.ID, "reason", err)
+		j.progress.State = workload.Failed
+		t.recordChange(j)
+	}
+	return ledger.EncodeProgress(&workload.Progress{Job: j.job.ID, State: j.progress.State})
+}
+
+// withdrawPlacements undoes half of the proposed placements of a job, the latest
+// ones. It reports false if there are none. No start of them was sent, so their
+// run numbers are free again.
+func (t *term) withdrawPlacements(j *jobState) bool {
+	var proposals []*attempt
+	for _, a := range t.attempts {
+		if a.job == j && a.runs[0].phase == proposed {
+			proposals = append(proposals, a)
+		}
+	}
+	slices.SortFunc(proposals, func(a, b *attempt) int { return b.id - a.id })
+	for _, a := range proposals[:(len(proposals)+1)/2] {
+		for _, r := range slices.Clone(a.runs) {
+			t.requeueRun(r, "")
+			j.progress.Steps[a.step].Tasks[r.task.Index].Run = r.number - 1
+		}
+	}
+	j.retryAt = now() + withdrawalRetryDelay
+	return len(proposals) > 0
+}
+
 // appendWithRetry retries an append under the same sequence number until the
 // store confirms it or another term has begun.
 func (t *term) appendWithRetry(ctx context.Context, fence ledger.Fence, records []ledger.Record) error {
--- a/internal/fleet/coordinator/writer_internal_test.go
+++ b/internal/fleet/coordinator/writer_internal_test.go
@@ -1,7 +1,9 @@
 package coordinator
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
@@ -9,8 +11,13 @@
 	"github.com/go-kit/log"
 
 	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/metrics"
+	"wasabihoist/internal/standin/fleetstore"
+	"wasabihoist/internal/tenancy/catalogue"
 )
 
 // Guards against batches that the store refuses for their size, after which no
@@ -45,5 +52,121 @@
 		c.Assert(len(written) > 0, qt.IsTrue)
 		count += len(written)
 	}
-	c.Check(count, qt.Equals, jobs) // The last job's record exceeds MaxValueBytes and is dropped.
+	c.Check(count, qt.Equals, jobs+1) // The record of the last job exceeds MaxValueBytes with its checkpoints.
+}
+
+// oversizeTerm returns a term with a job whose tasks, 200 bytes each once they are
+// placed, don't fit into a record all at once.
+func oversizeTerm(t *testing.T, gang bool) (*term, *jobState, *hostState) {
+	job := workload.Job{ID: "job", Steps: []workload.Step{{Count: workload.MaxTasks, Gang: gang}}}
+	c := &Coordinator{logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), store: fleetstore.New(), state: ledger.NewState(), catalogue: &catalogue.Current{}}
+	c.Apply(Options{})
+	tm := newTerm(c, 1, now(), group.New(context.Background()))
+	tm.adoptJob(ledger.JobEntry{Job: job, Accepted: true})
+	h := tm.host(strings.Repeat("h", 180))
+	h.client = silentClient{}
+	h.minion = host.Minion{ID: "m"}
+	return tm, tm.jobs["job"], h
+}
+
+// silentClient answers no call.
+type silentClient struct{ host.Client }
+
+// Start implements host.Client.
+func (silentClient) Start(ctx context.Context, _ host.StartRequest) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Stop implements host.Client.
+func (silentClient) Stop(ctx context.Context, _ host.StopRequest) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// propose places the tasks of the only step with the given indices.
+func propose(tm *term, j *jobState, h *hostState, indices ...int) {
+	hosts := slices.Repeat([]string{h.name}, len(indices))
+	tm.proposePlacement(waitingStep{job: j, indices: indices}, hosts)
+}
+
+// flushAll writes all dirty jobs, and returns the progress of a job that is durable
+// then.
+func flushAll(c *qt.C, tm *term, id workload.ID) *workload.Progress {
+	for len(tm.dirty) > 0 || len(tm.effects) > 0 || tm.writer.busy {
+		tm.flush()
+		for tm.writer.busy {
+			(<-tm.events)()
+		}
+	}
+	page, err := tm.store.Newest(context.Background(), tm.topic)
+	c.Assert(err, qt.IsNil)
+	state := ledger.NewState()
+	jobRecord, err := ledger.EncodeJob(tm.jobs[id].job)
+	c.Assert(err, qt.IsNil)
+	c.Assert(state.Apply(ledger.Page{Records: []ledger.StoredRecord{{Record: jobRecord}}, Next: 1}), qt.IsNil)
+	c.Assert(state.Apply(page), qt.IsNil)
+	e, _ := state.Job(id)
+	c.Assert(e.Progress, qt.IsNotNil)
+	return e.Progress
+}
+
+// Guards against starts that are sent, and ends that are acknowledged, although the
+// progress that names them is too large for the ledger.
+func TestEffectsOfOversizeProgressAreDurable(t *testing.T) {
+	for name, gang := range map[string]bool{"gang": true, "single tasks": false} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tm, j, h := oversizeTerm(t, gang)
+			defer func() { tm.group.Stop(); _ = tm.group.Wait() }()
+			indices := make([]int, workload.MaxTasks)
+			for i := range indices {
+				indices[i] = i
+			}
+			propose(tm, j, h, indices...)
+			durable := flushAll(c, tm, "job")
+			started := len(h.runs)
+			c.Check(started > 0, qt.Equals, !gang)
+			c.Check(j.retryAt > now(), qt.IsTrue)
+			for _, r := range h.runs {
+				c.Assert(r.phase, qt.Equals, starting)
+				c.Assert(durable.Steps[0].Tasks[r.task.Index].Phase, qt.Equals, workload.Placed)
+			}
+			if gang {
+				return
+			}
+			propose(tm, j, h, indices[started:]...)
+			acknowledged := false
+			tm.handleEndedRun(h, host.EndedRun{Task: j.job.TaskID(0, 0), Number: 1, Outcome: host.Completed})
+			tm.effects = append(tm.effects, func() { acknowledged = true })
+			durable = flushAll(c, tm, "job")
+			c.Check(acknowledged, qt.IsTrue)
+			c.Check(durable.Steps[0].Tasks[0].Phase, qt.Equals, workload.Finished)
+			for _, r := range h.runs {
+				c.Assert(durable.Steps[0].Tasks[r.task.Index].Phase, qt.Equals, workload.Placed)
+			}
+		})
+	}
+}
+
+// Guards against a job that holds up the starts and acknowledgements of all jobs
+// because its progress never fits into the ledger.
+func TestJobWhoseProgressNeverFitsFails(t *testing.T) {
+	c := qt.New(t)
+	tm, j, h := oversizeTerm(t, false)
+	defer func() { tm.group.Stop(); _ = tm.group.Wait() }()
+	h.client = nil
+	for i := range workload.MaxTasks {
+		j.progress.Place(j.job.TaskID(0, i), 1, h.name, "m")
+	}
+	tm.adoptRuns(j)
+	tm.recordChange(j)
+	served := false
+	tm.effects = append(tm.effects, func() { served = true })
+	c.Check(flushAll(c, tm, "job").State, qt.Equals, workload.Failed)
+	c.Check(served, qt.IsTrue)
+	c.Check(len(h.runs), qt.Equals, workload.MaxTasks) // They hold their resources until they have ended.
+	for _, a := range tm.attempts {
+		c.Assert(a.stopping, qt.IsTrue)
+	}
 }
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -234,7 +234,8 @@
 	return nil
 }
 
-// EncodeProgress returns the progress record of a job.
+// EncodeProgress returns the progress record of a job. It leaves the checkpoints out
+// if the record would be too large. A task without one starts anew.
 func EncodeProgress(p *workload.Progress) (Record, error) {
 	r := progressRecord{State: p.State.String()}
 	if !p.State.Ended() || p.HasPlacedTasks() {
@@ -243,7 +244,20 @@
 			r.Steps = append(r.Steps, encodeStep(s))
 		}
 	}
-	return encode(ProgressKind.Key(string(p.Job)), r)
+	record, err := encode(ProgressKind.Key(string(p.Job)), r)
+	if err != nil {
+		r.dropCheckpoints()
+		record, err = encode(ProgressKind.Key(string(p.Job)), r)
+	}
+	return record, err
+}
+
+func (r progressRecord) dropCheckpoints() {
+	for _, s := range r.Steps {
+		for i := range s.Tasks {
+			s.Tasks[i].Checkpoint = ""
+		}
+	}
 }
 
 func decodeProgress(id string, value []byte) (*workload.Progress, error) {
