Don't start a job anew while its progress can't be read

Callers would see: tasks that run twice after a change of the coordinator, when another writer or another version has replaced the progress record of their job.

Cause: the ledger skips a progress record that it can't use. A process that loads the ledger afresh has no progress of the job then, and took that for a job that has never started.

Change: the ledger marks the entry of such a job. A coordinator that adopts it places nothing of it until every run that a former term has started has certainly ended: until the longest lease and the last start of the former term are over, and on hosts whose leases this term has renewed, until they have answered later or these leases are over too. Runs of the job that are reported meanwhile are unexpected ones, which are stopped; the job waits until they have ended. Its new runs get numbers from 1000, because minions refuse a number that they have seen. Ends that only the lost record names are lost: such a task runs again.

A progress record before the one of its job is now compared with the job, too.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -28,7 +28,7 @@
 	var demands []allocation.Demand
 	for _, o := range t.orderedOccurrences() {
 		j := o.job
-		if at < j.retryAt {
+		if at < j.retryAt || t.mayHaveUnknownRuns(j, at) {
 			continue
 		}
 		for s := o.firstStep(); s < o.firstStep()+len(j.job.Steps); s++ {
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -8,6 +8,10 @@
 	"wasabihoist/internal/fleet/allocation"
 )
 
+// firstRunAfterUnknown is above the run numbers that former terms have used for a
+// task. Minions refuse a number that they have seen.
+const firstRunAfterUnknown = 1000
+
 // waitingStep holds the waiting tasks of a step of a job.
 type waitingStep struct {
 	job     *jobState
@@ -59,6 +63,9 @@
 func (t *term) proposeAttempt(a *attempt, indices []int, hosts []string) {
 	j := a.job
 	run := j.progress.NextRun(a.step, indices)
+	if j.progressUnknown {
+		run = max(run, firstRunAfterUnknown)
+	}
 	if j.job.Step(a.step).Gang {
 		t.shareCheckpoint(j, a.step)
 	}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -62,6 +62,9 @@
 	job         workload.Job
 	acceptOrder int64
 	progress    *workload.Progress // progress is ahead of the ledger by changes that are dirty or being written.
+	// progressUnknown is set if former terms may have recorded more than progress shows.
+	progressUnknown bool
+
 	cancelled   bool
 	activeRuns  int                            // activeRuns counts the runs that hold resources somewhere.
 	failedHosts map[int]collection.Set[string] // failedHosts holds for each step the hosts on which a run of it has failed.
@@ -198,7 +201,10 @@
 		t.endedJobs = append(t.endedJobs, endedJob{e.Job.ID, now() + t.settings().StatusRetention + retentionMargin})
 		return
 	}
-	j := &jobState{job: e.Job, acceptOrder: e.SubmissionOffset, failedHosts: make(map[int]collection.Set[string])}
+	j := &jobState{job: e.Job, acceptOrder: e.SubmissionOffset, progressUnknown: e.ProgressUnknown, failedHosts: make(map[int]collection.Set[string])}
+	if j.progressUnknown {
+		_ = level.Error(t.logger).Log("event", "progress unknown", "job", e.Job.ID, "outcome", "not placed until former runs have ended", "wait", t.formerRunsEnd()-now())
+	}
 	t.jobs[e.Job.ID] = j
 	t.needsPlan = true
 	if e.Progress != nil && e.Progress.Matches(e.Job) {
@@ -240,7 +246,7 @@
 			if a.definition().BestEffort {
 				r.speedPercent = unknownSpeed
 			}
-			r.host.leaseExpiry = max(r.host.leaseExpiry, t.begunAt+confirmationValidity+maxLeaseDuration(t.settings().MaxLease))
+			r.host.leaseExpiry = max(r.host.leaseExpiry, t.formerLeasesEnd())
 		}
 	}
 }
--- a/internal/record/ledger/odd_test.go
+++ b/internal/record/ledger/odd_test.go
@@ -247,3 +247,40 @@
 		}
 	})
 }
+
+// Guards against a job that looks as if it had not started, because its progress
+// can't be used.
+func TestUnusableProgressIsUnknown(t *testing.T) {
+	c := qt.New(t)
+	_, progress, good := goodRecords(c)
+	odd := func(text string) ledger.Record { return ledger.Record{Key: good[1].Key, Value: []byte(text)} }
+	otherSteps := odd(progressText(`[{"waiting":2}]`))
+	for name, tt := range map[string]struct {
+		records  []ledger.Record
+		unknown  bool
+		progress *workload.Progress
+	}{
+		"no progress":               {records: good[:1]},
+		"good":                      {records: good[:2], progress: progress},
+		"unreadable":                {records: []ledger.Record{good[0], odd("{")}, unknown: true},
+		"unreadable after good":     {records: []ledger.Record{good[0], good[1], odd("{")}, unknown: true, progress: progress},
+		"good after unreadable":     {records: []ledger.Record{good[0], odd("{"), good[1]}, progress: progress},
+		"unreadable before the job": {records: []ledger.Record{odd("{"), good[0]}, unknown: true},
+		"other steps":               {records: []ledger.Record{good[0], otherSteps}, unknown: true},
+		"other steps before job":    {records: []ledger.Record{otherSteps, good[0]}, unknown: true},
+		"good before the job":       {records: []ledger.Record{good[1], good[0]}, progress: progress},
+		"ended without steps":       {records: []ledger.Record{odd(`{"state":"done"}`), good[0]}, progress: &workload.Progress{Job: "good", State: workload.Done}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := ledger.NewState()
+			for i, r := range tt.records {
+				_ = s.Apply(ledger.Page{Records: []ledger.StoredRecord{storedRecord(int64(i), r)}, Next: int64(i + 1)})
+			}
+			e, ok := s.Job("good")
+			c.Assert(ok, qt.IsTrue)
+			c.Check(e.ProgressUnknown, qt.Equals, tt.unknown)
+			c.Check(e.Progress, qt.DeepEquals, tt.progress)
+		})
+	}
+}
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -14,6 +14,7 @@
 	Job              workload.Job
 	Accepted         bool               // Accepted is false while only a cancellation or progress record is known.
 	Progress         *workload.Progress // Progress is nil until it is first recorded. It must not be modified.
+	ProgressUnknown  bool               // ProgressUnknown is set while the newest progress record can't be used, so that Progress is older or nil.
 	Cancelled        bool               // Cancelled is set by a cancellation recorded before the job ended.
 	SubmissionOffset int64              // SubmissionOffset is the offset of the first job record that this process has seen.
 }
@@ -159,13 +160,9 @@
 		s.removePending(e)
 		delete(s.entries, id)
 	case kind == JobKind && !e.Accepted:
-		e.Job, err = decodeJob(string(id), r.Value)
-		e.Accepted, e.SubmissionOffset = err == nil, r.Offset
+		err = e.acceptJob(string(id), r)
 	case kind == ProgressKind && !deleted:
-		var p *workload.Progress
-		if p, err = decodeProgress(string(id), r.Value); err == nil {
-			err = e.setProgress(p)
-		}
+		err = e.readProgress(string(id), r.Value)
 	case kind == CancellationKind && !deleted:
 		if err = checkCancellation(string(id), r.Value); err == nil {
 			e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
@@ -176,11 +173,31 @@
 	return err
 }
 
-// setProgress replaces the progress, unless it is that of other steps. The coordinator
-// would start such a job anew, although tasks of it may run.
+func (e *JobEntry) acceptJob(id string, r StoredRecord) error {
+	var err error
+	e.Job, err = decodeJob(id, r.Value)
+	e.Accepted, e.SubmissionOffset = err == nil, r.Offset
+	if p := e.Progress; e.Accepted && p != nil { // It was recorded before the job.
+		e.Progress = nil
+		return e.setProgress(p)
+	}
+	return err
+}
+
+func (e *JobEntry) readProgress(id string, value []byte) error {
+	p, err := decodeProgress(id, value)
+	if err == nil {
+		return e.setProgress(p)
+	}
+	e.ProgressUnknown = true
+	return err
+}
+
+// setProgress replaces the progress, unless it is that of other steps.
 func (e *JobEntry) setProgress(p *workload.Progress) error {
 	withoutSteps := p.State.Ended() && len(p.Steps) == 0
-	if e.Accepted && !withoutSteps && !p.Matches(e.Job) {
+	e.ProgressUnknown = e.Accepted && !withoutSteps && !p.Matches(e.Job)
+	if e.ProgressUnknown {
 		return fmt.Errorf("decode progress of %s: it has other steps or tasks than the job", p.Job)
 	}
 	e.Progress = p
