Bound the stops of an unexpected run

Callers would see: a minion and an agent that are busy with stops, and a log used up, while a minion reports a run that nobody expects and that lasts.

Cause: each status report with such a row started a goroutine and a call, and wrote a warning, also while the call before was in flight.

Change: one stop at a time for a run, the next half a second after the reply, and the warnings once for a run.

--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -59,6 +59,8 @@
 type unexpectedRun struct {
 	need         workload.Resources
 	missingSince time.Duration // missingSince is when the run was first missing from a status report; 0 while it is listed.
+	stopInFlight bool          // stopInFlight is set while a stop is in flight.
+	nextStopAt   time.Duration // nextStopAt is when it may be stopped again; 0 before the first reply to a stop.
 }
 
 // host returns the host with a name, which it adds if it is unknown.
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -7,7 +7,6 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/fleet/host"
-	"wasabihoist/internal/fleet/workload"
 )
 
 // handleStatusReport handles a status report that was requested at sent. It
@@ -127,20 +126,35 @@
 	}
 }
 
-// stopUnexpected stops a run that this term has not started or has given up.
+// unexpectedStopInterval is the pause between two stops of an unexpected run.
+const unexpectedStopInterval = 500 * time.Millisecond
+
+// stopUnexpected stops a run that this term has not started or has given up,
+// unless a stop is in flight or was tried just before.
 func (t *term) stopUnexpected(h *hostState, key runKey) {
-	need := workload.Resources{}
+	u := h.unexpected[key]
+	if u == nil {
+		u = &unexpectedRun{}
+		h.unexpected[key] = u
+		_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
+	}
 	if j := t.jobs[key.task.Job]; j != nil && j.job.StepOf(key.task) < j.job.StepCount() {
-		need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
+		u.need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
 	}
-	h.unexpected[key] = &unexpectedRun{need: need}
-	_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
+	if u.stopInFlight || now() < u.nextStopAt {
+		return
+	}
+	u.stopInFlight = true
 	request := host.StopRequest{Incarnation: h.minion.Incarnation(), Token: t.token, Task: key.task, Number: key.number}
 	client := h.client
 	t.group.Go("stop unexpected run", func(ctx context.Context) error {
-		if err := client.Stop(ctx, request); err != nil {
-			_ = level.Warn(t.logger).Log("event", "stop of unexpected run failed", "job", key.task.Job, "task", key.task, "run", key.number, "reason", err)
-		}
+		err := client.Stop(ctx, request)
+		t.post(func() {
+			if err != nil && u.nextStopAt == 0 {
+				_ = level.Warn(t.logger).Log("event", "stop of unexpected run failed", "job", key.task.Job, "task", key.task, "run", key.number, "reason", err)
+			}
+			u.stopInFlight, u.nextStopAt = false, now()+unexpectedStopInterval
+		})
 		return nil
 	})
 }
