Send no start while the store hasn't confirmed the term recently

Callers would see: a task that runs twice after the machine of a coordinator was suspended, if the minion hasn't yet heard of the next term.

Cause: the reply to the append of a placement may be handled long after it was sent. The start was sent then, with a fresh deadline, however long ago another term had begun. The next coordinator relies on formerStartWindow: that no start is sent later than 3.1 s after the begin of its own term.

Change: each try of a start is built only while the last call that confirmed the term was sent less than formerStartWindow ago, and is delayed otherwise until a claim or an append confirms the term again. The window itself is as before.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -118,16 +118,18 @@
 func (t *term) startRun(ctx context.Context, r *run, client host.Client) error {
 	begin := now()
 	for {
-		request, ok := callLoop(ctx, t, func() *host.StartRequest {
-			if r.attempt.stopping || !r.held() {
-				return nil
-			}
-			return t.startRequest(r)
-		})
-		if !ok || request == nil {
+		try, ok := callLoop(ctx, t, func() startTry { return t.nextTry(r) })
+		if !ok || try == startEnded {
 			return nil
 		}
-		sent := now()
+		if try == startDelayed {
+			if err := group.Pause(ctx, callRetryDelay); err != nil {
+				return err
+			}
+			begin = now()
+			continue
+		}
+		request, sent := try.request, now()
 		err := client.Start(ctx, *request)
 		if errors.Is(err, host.ErrFenced) {
 			return errFenced
@@ -148,6 +150,31 @@
 	}
 }
 
+// startTry is the next try of a start.
+type startTry struct {
+	request *host.StartRequest // request is nil if none is to be sent.
+	delayed bool               // delayed is set while none may be sent.
+}
+
+var (
+	startEnded   = startTry{}
+	startDelayed = startTry{delayed: true}
+)
+
+// nextTry returns the next try of a start. The start is delayed while the store has
+// not confirmed the term recently, because another term may have begun long ago;
+// see formerStartWindow. A process that was suspended can't tell otherwise.
+func (t *term) nextTry(r *run) startTry {
+	switch {
+	case r.attempt.stopping || !r.held():
+		return startEnded
+	case now()-time.Duration(t.confirmedAt.Load()) >= formerStartWindow:
+		return startDelayed
+	default:
+		return startTry{request: t.startRequest(r)}
+	}
+}
+
 func (t *term) startRequest(r *run) *host.StartRequest {
 	j := r.attempt.job
 	r.tries.send(now())
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -11,7 +11,8 @@
 	// counts as ended.
 	stopMargin = 200 * time.Millisecond
 	// formerStartWindow is how long after the begin of a term the former one may
-	// send a start: its placement may just have become durable.
+	// send a start. It sends none later than that after the store confirmed it, and
+	// its placement may just have become durable.
 	formerStartWindow = appendTimeout + startTimeout + callRetryDelay
 )
 
