--- a/internal/fleet/coordinator/writer_internal_test.go
+++ b/internal/fleet/coordinator/writer_internal_test.go
@@ -128,6 +128,9 @@
 			started := len(h.runs)
 			c.Check(started > 0, qt.Equals, !gang)
 			c.Check(j.retryAt > now(), qt.IsTrue)
+			for _, task := range durable.Steps[0].Tasks[started:] {
+				c.Assert(task, qt.Equals, workload.Task{}) // as before its placement was proposed
+			}
 			for _, r := range h.runs {
 				c.Assert(r.phase, qt.Equals, starting)
 				c.Assert(durable.Steps[0].Tasks[r.task.Index].Phase, qt.Equals, workload.Placed)
