Check the calls and answers that entries forward to each other

Callers would see, while entries of two versions run: a call that ends without an answer, or an answer with an outcome or a state that nothing names.

Cause: values from the wire were converted as they were. A method or an outcome that this version doesn't know panics in the handler when it is logged; times overflow.

Change: an unknown method is answered with an error of its own, and an unknown outcome or state is an error at the caller: the fate of the call stays open, and the next entry is asked. Times become the nearest one between 0 and an hour.

--- a/internal/cluster/entrylink/entrylink.go
+++ b/internal/cluster/entrylink/entrylink.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"wasabihoist/internal/cluster/transport"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/fleet/workload"
@@ -41,12 +43,33 @@
 	if err != nil {
 		return gateway.Answer{}, fmt.Errorf("forward: %w", err)
 	}
+	return fromReply(reply)
+}
+
+// fromReply returns an error for a reply that this version does not know. It tells
+// nothing about the effect of the call.
+func fromReply(reply *wire.ForwardReply) (gateway.Answer, error) {
+	if o := reply.GetOutcome(); o < int64(gateway.Accepted) || o > int64(gateway.Unavailable) {
+		return gateway.Answer{}, fmt.Errorf("forward: unknown outcome %d", o)
+	}
+	if s := reply.GetState(); s < int64(workload.Pending) || s > int64(workload.Cancelled) {
+		return gateway.Answer{}, fmt.Errorf("forward: unknown state %d", s)
+	}
 	return gateway.Answer{
-		Outcome: gateway.Outcome(reply.GetOutcome()), State: workload.State(reply.GetState()), Pending: int(reply.GetPending()),
-		Reason: reply.GetReason(), Version: reply.GetVersion(), RetryAfter: time.Duration(reply.GetRetryAfterMillis()) * time.Millisecond,
+		Outcome: gateway.Outcome(reply.GetOutcome()), State: workload.State(reply.GetState()), Pending: int(max(reply.GetPending(), 0)),
+		Reason: reply.GetReason(), Version: reply.GetVersion(), RetryAfter: fromMillis(reply.GetRetryAfterMillis()),
 	}, nil
 }
 
+// maxTime bounds the times of calls and replies, so that they do not overflow.
+const maxTime = time.Hour
+
+// fromMillis converts milliseconds. Values out of range become the nearest one
+// between 0 and maxTime.
+func fromMillis(ms int64) time.Duration {
+	return time.Duration(min(max(ms, 0), maxTime.Milliseconds())) * time.Millisecond
+}
+
 // Handler serves the calls that other entries forward.
 func Handler(g *gateway.Gateway) http.Handler { return wire.NewEntryPeerServer(&server{g}) }
 
@@ -54,9 +77,12 @@
 
 // Forward implements wire.EntryPeer.
 func (s *server) Forward(ctx context.Context, r *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if m := r.GetMethod(); m < int64(gateway.Submit) || m > int64(gateway.Count) {
+		return nil, twirp.NewErrorf(twirp.InvalidArgument, "unknown method %d", m)
+	}
 	answer := s.gateway.Serve(ctx, gateway.Call{
 		Method: gateway.Method(r.GetMethod()), Host: r.GetHost(), Path: r.GetPath(), Key: r.GetKey(), Body: r.GetBody(),
-		Wait: time.Duration(r.GetWaitMillis()) * time.Millisecond, Forwarded: true,
+		Wait: fromMillis(r.GetWaitMillis()), Forwarded: true,
 	})
 	return &wire.ForwardReply{
 		Outcome: int64(answer.Outcome), State: int64(answer.State), Pending: int64(answer.Pending),
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -46,7 +47,12 @@
 var methodNames = [...]string{"submit", "status", "cancel", "count"}
 
 // String returns the name of the method.
-func (m Method) String() string { return methodNames[m] }
+func (m Method) String() string {
+	if m < 0 || int(m) >= len(methodNames) {
+		return fmt.Sprintf("method(%d)", int(m))
+	}
+	return methodNames[m]
+}
 
 // Call is a client request.
 type Call struct {
@@ -79,7 +85,12 @@
 var outcomeNames = [...]string{"accepted", "known", "counted", "unknown-queue", "unknown-job", "unauthorised", "invalid", "refused", "undecided", "unavailable"}
 
 // String returns the name of the outcome.
-func (o Outcome) String() string { return outcomeNames[o] }
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return fmt.Sprintf("outcome(%d)", int(o))
+	}
+	return outcomeNames[o]
+}
 
 // Answer is the answer to a call.
 type Answer struct {
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -257,3 +257,12 @@
 	f.c.Check(f.gateway.Ready(), qt.IsFalse)
 	f.c.Check(f.call(gateway.Submit, "/q/"+jobID, "key1", "").Outcome, qt.Equals, gateway.Accepted)
 }
+
+// Guards against a panic while an odd value is logged.
+func TestOddValuesHaveNames(t *testing.T) {
+	c := qt.New(t)
+	c.Check(gateway.Method(99).String(), qt.Equals, "method(99)")
+	c.Check(gateway.Method(-1).String(), qt.Equals, "method(-1)")
+	c.Check(gateway.Outcome(99).String(), qt.Equals, "outcome(99)")
+	c.Check(gateway.Outcome(-1).String(), qt.Equals, "outcome(-1)")
+}
