Remove a leader once at most

Callers would see: nothing is placed for a moment, again and again, because the leader changes or begins a new term.

Cause: a process counts as ended if a record of its member names a later start, or if nothing listens at the address in it. An odd record of another writer does the same to a leader that lives, which claims the leadership again. Each change is safe, because the next term fences the former one, but nothing bounded their number.

Change: each process removes a candidate once. One that leads again is alive. If a late claim of a process that has ended makes it the leader again, its leadership expires after the time to live.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/record/ledger"
@@ -114,6 +115,7 @@
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
 		catalogue: current, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
+		vacancy: vacancy{removed: collection.NewSet[string]()},
 	}
 	c.Apply(options)
 	return c
--- a/internal/fleet/coordinator/succession.go
+++ b/internal/fleet/coordinator/succession.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/record/ledger"
 )
 
@@ -24,9 +25,10 @@
 // vacancy tracks how long there has been no leader, as far as this process
 // knows.
 type vacancy struct {
-	since      time.Duration // since is when the vacancy was first seen; 0 while there is a leader.
-	lookupTime time.Duration // lookupTime is how long the last lookup of the leader took.
-	lastLeader string        // lastLeader is the candidate that was last seen as leader.
+	since      time.Duration          // since is when the vacancy was first seen; 0 while there is a leader.
+	lookupTime time.Duration          // lookupTime is how long the last lookup of the leader took.
+	lastLeader string                 // lastLeader is the candidate that was last seen as leader.
+	removed    collection.Set[string] // removed holds the leaders that this process has removed.
 }
 
 // shouldClaim reports whether this process should claim the leadership. While
@@ -34,7 +36,8 @@
 // store may move the leadership whenever a candidate joins or leaves. For the
 // same reason, entries claim a vacant leadership one after the other. If the
 // leader's process has certainly ended, shouldClaim removes it from the
-// candidates before it returns true.
+// candidates before it returns true. It removes each candidate once at most: one
+// that leads again is alive, and the record of its member is wrong.
 func (c *Coordinator) shouldClaim(ctx context.Context) bool {
 	begin := now()
 	ctx, cancel := context.WithTimeout(ctx, campaignTimeout)
@@ -50,7 +53,7 @@
 		return false
 	case leader == c.settings().Name:
 		return true
-	case leader != "" && !c.candidateEnded(ctx, leader):
+	case leader != "" && (c.vacancy.removed.Has(leader) || !c.candidateEnded(ctx, leader)):
 		c.vacancy.since = 0
 		return false
 	}
@@ -67,6 +70,7 @@
 		_ = level.Warn(c.logger).Log("event", "leader not removed", "leader", leader, "reason", err)
 		return false
 	}
+	c.vacancy.removed.Add(leader)
 	_ = level.Info(c.logger).Log("event", "leader removed", "leader", leader)
 	return true
 }
--- a/internal/fleet/coordinator/succession_test.go
+++ b/internal/fleet/coordinator/succession_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/standin/fleetstore"
 )
@@ -87,3 +89,40 @@
 		})
 	}
 }
+
+// Guards against a live leader that is removed again and again, because of an odd
+// record of its member.
+func TestLiveLeaderIsRemovedOnceAtMost(t *testing.T) {
+	const address = "10.9.0.1:1"
+	started := time.UnixMilli(1_700_000_000_000)
+	for name, refuses := range map[string]bool{"later start": false, "address of no process": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "r1")
+			leader := f.addEntry("front", address, started)
+			f.group.Go("leader", func(ctx context.Context) error {
+				for ctx.Err() == nil {
+					if _, err := f.store.Campaign(ctx, topic, leader, 0, longLeadership); err != nil {
+						return err
+					}
+					_ = group.Pause(ctx, 20*time.Millisecond)
+				}
+				return nil
+			})
+			f.waitFor("it leads", func() bool {
+				holder, err := f.store.Leader(context.Background(), topic)
+				return err == nil && holder == leader
+			})
+			if refuses {
+				a := netip.MustParseAddrPort(address)
+				f.refusedAddress.Store(&a)
+			} else {
+				f.addEntry("front", address, started.Add(time.Hour))
+			}
+			defer f.startCoordinator("two")()
+			f.waitFor("it is removed", func() bool { return strings.Contains(f.logs.String(), `event="leader removed"`) })
+			time.Sleep(2 * time.Second) // 20 lookups of the leader
+			f.c.Check(strings.Count(f.logs.String(), `event="leader removed"`), qt.Equals, 1)
+		})
+	}
+}
