Don't take a claim after a change of leader for proof that the term is the newest

Callers would see: a task that runs twice, after the leadership went to another process and came back before this one noticed (its machine was suspended, or its claims were not answered).

Cause: any reply that grants the leadership confirmed the term in progress. Another process may have led in between and begun a term with a higher token. A confirmed term sends starts and renews leases, though the next one counts on the contrary.

Change: a claim confirms the term only while the generation is one up to which an append of this term was accepted. After a change, the term appends the progress of a job again if nothing else is to be written; the store fences it if another term has begun. The same holds for the claims during the start of a term.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -200,9 +200,11 @@
 		c.endTerm("another process leads")
 		c.withdraw(ctx)
 	case c.term != nil:
-		c.term.confirm(start)
+		c.term.confirmClaim(leadership.Generation, start)
 	default:
-		c.confirmedClaimAt = start
+		if c.takeover == nil || c.takeover.token == leadership.Generation {
+			c.confirmedClaimAt = start
+		}
 		c.continueTakeover(ctx, leadership.Generation)
 	}
 }
--- /dev/null
+++ b/internal/fleet/coordinator/coordinator_internal_test.go
@@ -0,0 +1,92 @@
+package coordinator
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/workload"
+	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/metrics"
+	"wasabihoist/internal/standin/fleetstore"
+)
+
+// claimedStore answers claims with a script.
+type claimedStore struct {
+	*fleetstore.Store
+	claim ledger.Leadership
+}
+
+// Campaign implements ledger.Store.
+func (s *claimedStore) Campaign(context.Context, ledger.Topic, string, int64, time.Duration) (ledger.Leadership, error) {
+	return s.claim, nil
+}
+
+// Guards against a term that counts as the newest although another one has begun and
+// ended since: the leadership may have come back to this process meanwhile.
+func TestClaimAfterChangeOfLeaderIsNoConfirmation(t *testing.T) {
+	const token = 1
+	for name, tt := range map[string]struct {
+		generation int64 // generation is that of the claims after the first.
+		fenced     bool  // fenced is set if another term has begun.
+		confirmed  bool
+	}{
+		"no change":                        {token, false, true},
+		"another candidate came and went":  {token + 2, false, true},
+		"another term has begun and ended": {token + 2, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			ctx := context.Background()
+			store := &claimedStore{fleetstore.New(), ledger.Leadership{IsLeader: true, Generation: token}}
+			co := &Coordinator{
+				logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), store: store, state: ledger.NewState(),
+				vacancy: vacancy{removed: collection.NewSet[string]()}, generation: token, confirmedClaimAt: now(),
+			}
+			co.Apply(Options{Name: "one"})
+			tm := newTerm(co, token, now(), group.New(ctx))
+			job := workload.Job{ID: "job", Steps: []workload.Step{{Count: 1}}}
+			tm.adoptJob(ledger.JobEntry{Job: job, Accepted: true})
+			co.term = &runningTerm{tm, tm.group}
+			defer co.endTerm("the test ends")
+			confirmed := func() bool { return tm.confirmedAt.Load() > 0 }
+			if tt.fenced {
+				c.Assert(store.AppendFenced(ctx, "", ledger.Fence{Writer: writerName, Epoch: token + 1}, nil), qt.IsNil)
+			}
+			store.claim.Generation = tt.generation
+			tm.confirmedAt.Store(0)
+			co.campaign(ctx)
+			c.Check(confirmed(), qt.Equals, tt.generation == token)
+			co.campaign(ctx) // The generation is the same as before now.
+			c.Check(confirmed(), qt.Equals, tt.generation == token)
+			tm.group.Go("loop", func(ctx context.Context) error {
+				for {
+					tm.flush()
+					select {
+					case event := <-tm.events:
+						event()
+					case <-ctx.Done():
+						return nil
+					case <-time.After(5 * time.Millisecond):
+					}
+				}
+			})
+			select {
+			case <-tm.group.Context().Done():
+			case <-time.After(300 * time.Millisecond):
+			}
+			c.Check(tm.group.Context().Err() != nil, qt.Equals, tt.fenced)
+			c.Check(confirmed(), qt.Equals, tt.confirmed)
+			if tt.confirmed {
+				tm.confirmedAt.Store(0)
+				co.campaign(ctx)
+				c.Check(confirmed(), qt.IsTrue)
+			}
+		})
+	}
+}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -40,6 +40,9 @@
 	events      chan func()  // events holds functions that the loop runs in order.
 	confirmedAt atomic.Int64 // confirmedAt is when the last call that confirmed that this term leads was sent, by the clock of now.
 
+	claimedGeneration   atomic.Int64 // claimedGeneration is the generation in the reply to the last claim.
+	confirmedGeneration atomic.Int64 // confirmedGeneration is the generation up to which no other term has begun.
+
 	begunAt       time.Duration
 	jobs          map[workload.ID]*jobState
 	hosts         map[string]*hostState // hosts holds agents by member name, and hosts that only tasks name.
@@ -85,6 +88,8 @@
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
 		attempts: make(map[int]*attempt), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
+	t.claimedGeneration.Store(token)
+	t.confirmedGeneration.Store(token)
 	t.confirm(confirmed)
 	t.state.Changes() // Discards the changes so far, which All includes.
 	for _, e := range t.state.All() {
@@ -102,6 +107,29 @@
 	}
 }
 
+// confirmClaim records the reply to a claim that was sent at a time. After a change
+// of the generation it confirms the term only once an append has: the leadership
+// may have gone to another process, which has begun a term, and come back.
+func (t *term) confirmClaim(generation int64, at time.Duration) {
+	t.claimedGeneration.Store(generation)
+	if t.confirmedGeneration.Load() == generation {
+		t.confirm(at)
+	}
+}
+
+// requestConfirmation lets the next append happen if a claim waits for one.
+func (t *term) requestConfirmation() {
+	if len(t.dirty) > 0 || t.claimedGeneration.Load() == t.confirmedGeneration.Load() {
+		return
+	}
+	for id, j := range t.jobs {
+		if !j.progressUnknown {
+			t.dirty.Add(id) // Its progress is recorded again.
+			return
+		}
+	}
+}
+
 // post queues an event for the loop. It reports false when the term has ended.
 func (t *term) post(event func()) bool {
 	select {
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -41,6 +41,9 @@
 // flush appends the progress of all dirty jobs, unless a batch is in flight.
 // Effects that depend on it run once it is durable.
 func (t *term) flush() {
+	if !t.writer.busy {
+		t.requestConfirmation()
+	}
 	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 {
 		return
 	}
@@ -58,6 +61,7 @@
 	t.writer.busy = true
 	t.writer.sequence++
 	fence := ledger.Fence{Writer: writerName, Epoch: t.token, Sequence: t.writer.sequence}
+	generation := t.claimedGeneration.Load()
 	t.group.Go("append", func(ctx context.Context) error {
 		start := now()
 		if err := t.appendWithRetry(ctx, fence, records); err != nil {
@@ -66,6 +70,7 @@
 		t.post(func() {
 			t.writer.busy = false
 			t.confirm(start)
+			t.confirmedGeneration.Store(generation)
 			t.metrics.appendTime.Record(now() - start)
 			t.runEffects(effects, written)
 		})
