Set the speed of a run again when an unanswered call may have come late

Callers would see: a best-effort task that stays slow, or one that disturbs the tasks beside it, for good.

Cause: a call that changes the speed and is not answered may be carried out after a newer one that was answered. The status reports show the load and not the speed, so nothing corrected it.

Change: five seconds after a call that was not answered the speed counts as unknown once, and the next report sets it again.

--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -51,6 +51,7 @@
 	stopSent         bool          // stopSent is set once a stop was sent.
 	load             int           // load is what the minion last reported: a latency in milliseconds if the task serves users; see host.Run.
 	speedPercent     int           // speedPercent is the percentage of full speed at which the run works.
+	speedOpenUntil   time.Duration // speedOpenUntil is until when a call to change the speed that was not answered may be carried out; 0 if there is none.
 	throttleInFlight bool          // throttleInFlight is set while a call to change the speed is in flight.
 	ticket           string        // ticket permits the start; empty when none is needed.
 }
--- a/internal/fleet/coordinator/throttling.go
+++ b/internal/fleet/coordinator/throttling.go
@@ -35,6 +35,10 @@
 	// unknownSpeed marks runs that a former term, or a call without a reply, may
 	// have slowed down.
 	unknownSpeed = -1
+	// lateSpeedTime is how long after a call to change the speed that was not
+	// answered the speed is set again, in case the call was carried out after a
+	// newer one. Status reports don't show the speed.
+	lateSpeedTime = 5 * time.Second
 )
 
 // throttle is the state of throttling the best-effort tasks on a host, which
@@ -109,7 +113,13 @@
 // sendSpeed sends the speed of a best-effort run to its minion, unless the run
 // has this speed already or a call is in flight.
 func (r *run) sendSpeed(t *term, percent int) {
-	if !r.attempt.definition().BestEffort || r.phase != running || r.throttleInFlight || r.speedPercent == percent {
+	if !r.attempt.definition().BestEffort || r.phase != running || r.throttleInFlight {
+		return
+	}
+	if r.speedOpenUntil != 0 && now() >= r.speedOpenUntil {
+		r.speedPercent, r.speedOpenUntil = unknownSpeed, 0
+	}
+	if r.speedPercent == percent {
 		return
 	}
 	r.throttleInFlight = true
@@ -127,7 +137,7 @@
 			case err == nil:
 				r.speedPercent, r.progressedAt = percent, now()
 			case !host.IsRefusal(err):
-				r.speedPercent = unknownSpeed
+				r.speedPercent, r.speedOpenUntil = unknownSpeed, now()+lateSpeedTime
 			}
 		})
 		return nil
--- a/internal/fleet/coordinator/throttling_internal_test.go
+++ b/internal/fleet/coordinator/throttling_internal_test.go
@@ -1,10 +1,13 @@
 package coordinator
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/host"
 )
 
 // Guards against best-effort tasks that continue to disturb others, and against
@@ -59,3 +62,54 @@
 		})
 	}
 }
+
+// lateSpeeds carries the first call out after the second one and does not answer it.
+type lateSpeeds struct {
+	host.Client
+	late  int   // late is the speed in the call that is not yet carried out.
+	speed int   // speed is the last one that was carried out.
+	calls []int // calls holds the speeds of all calls.
+}
+
+// Throttle implements host.Client.
+func (l *lateSpeeds) Throttle(_ context.Context, r host.ThrottleRequest) error {
+	l.calls = append(l.calls, r.SpeedPercent)
+	if len(l.calls) == 1 {
+		l.late = r.SpeedPercent
+		return context.DeadlineExceeded
+	}
+	l.speed = r.SpeedPercent
+	if len(l.calls) == 2 {
+		l.speed = l.late
+	}
+	return nil
+}
+
+// Guards against a best-effort task that stays slow because a call that was not
+// answered is carried out after a newer one.
+func TestSpeedIsSetAgainAfterCallThatMayBeCarriedOutLate(t *testing.T) {
+	c := qt.New(t)
+	tm, r := newRunTerm(t, present)
+	r.attempt.job.job.Steps[0].BestEffort = true
+	client := &lateSpeeds{}
+	r.host.client = client
+	send := func(percent int) {
+		r.sendSpeed(tm, percent)
+		for r.throttleInFlight {
+			(<-tm.events)()
+		}
+	}
+	send(50)
+	for range 3 {
+		send(fullSpeed)
+	}
+	c.Check(client.calls, qt.DeepEquals, []int{50, fullSpeed})
+	c.Assert(client.speed, qt.Equals, 50)
+	c.Check(r.speedOpenUntil > now(), qt.IsTrue)
+	r.speedOpenUntil = now()
+	for range 3 {
+		send(fullSpeed)
+	}
+	c.Check(client.calls, qt.DeepEquals, []int{50, fullSpeed, fullSpeed})
+	c.Check(client.speed, qt.Equals, fullSpeed)
+}
