--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -14,6 +14,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/record/ledger"
@@ -114,6 +115,7 @@
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
 		catalogue: current, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
+		vacancy: vacancy{removed: collection.NewSet[string]()},
 	}
 	c.Apply(options)
 	return c
@@ -198,9 +200,11 @@
 		c.endTerm("another process leads")
 		c.withdraw(ctx)
 	case c.term != nil:
-		c.term.confirm(start)
+		c.term.confirmClaim(leadership.Generation, start)
 	default:
-		c.confirmedClaimAt = start
+		if c.takeover == nil || c.takeover.token == leadership.Generation {
+			c.confirmedClaimAt = start
+		}
 		c.continueTakeover(ctx, leadership.Generation)
 	}
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -40,6 +40,9 @@
 	events      chan func()  // events holds functions that the loop runs in order.
 	confirmedAt atomic.Int64 // confirmedAt is when the last call that confirmed that this term leads was sent, by the clock of now.
 
+	claimedGeneration   atomic.Int64 // claimedGeneration is the generation in the reply to the last claim.
+	confirmedGeneration atomic.Int64 // confirmedGeneration is the generation up to which no other term has begun.
+
 	begunAt       time.Duration
 	jobs          map[workload.ID]*jobState
 	hosts         map[string]*hostState // hosts holds agents by member name, and hosts that only tasks name.
@@ -62,6 +65,9 @@
 	job         workload.Job
 	acceptOrder int64
 	progress    *workload.Progress // progress is ahead of the ledger by changes that are dirty or being written.
+	// progressUnknown is set if former terms may have recorded more than progress shows.
+	progressUnknown bool
+
 	cancelled   bool
 	activeRuns  int                            // activeRuns counts the runs that hold resources somewhere.
 	failedHosts map[int]collection.Set[string] // failedHosts holds for each step the hosts on which a run of it has failed.
@@ -82,6 +88,8 @@
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
 		attempts: make(map[int]*attempt), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
+	t.claimedGeneration.Store(token)
+	t.confirmedGeneration.Store(token)
 	t.confirm(confirmed)
 	t.state.Changes() // Discards the changes so far, which All includes.
 	for _, e := range t.state.All() {
@@ -99,6 +107,29 @@
 	}
 }
 
+// confirmClaim records the reply to a claim that was sent at a time. After a change
+// of the generation it confirms the term only once an append has: the leadership
+// may have gone to another process, which has begun a term, and come back.
+func (t *term) confirmClaim(generation int64, at time.Duration) {
+	t.claimedGeneration.Store(generation)
+	if t.confirmedGeneration.Load() == generation {
+		t.confirm(at)
+	}
+}
+
+// requestConfirmation lets the next append happen if a claim waits for one.
+func (t *term) requestConfirmation() {
+	if len(t.dirty) > 0 || t.claimedGeneration.Load() == t.confirmedGeneration.Load() {
+		return
+	}
+	for id, j := range t.jobs {
+		if !j.progressUnknown {
+			t.dirty.Add(id) // Its progress is recorded again.
+			return
+		}
+	}
+}
+
 // post queues an event for the loop. It reports false when the term has ended.
 func (t *term) post(event func()) bool {
 	select {
@@ -198,7 +229,10 @@
 		t.endedJobs = append(t.endedJobs, endedJob{e.Job.ID, now() + t.settings().StatusRetention + retentionMargin})
 		return
 	}
-	j := &jobState{job: e.Job, acceptOrder: e.SubmissionOffset, failedHosts: make(map[int]collection.Set[string])}
+	j := &jobState{job: e.Job, acceptOrder: e.SubmissionOffset, progressUnknown: e.ProgressUnknown, failedHosts: make(map[int]collection.Set[string])}
+	if j.progressUnknown {
+		_ = level.Error(t.logger).Log("event", "progress unknown", "job", e.Job.ID, "outcome", "not placed until former runs have ended", "wait", t.formerRunsEnd()-now())
+	}
 	t.jobs[e.Job.ID] = j
 	t.needsPlan = true
 	if e.Progress != nil && e.Progress.Matches(e.Job) {
@@ -240,7 +274,7 @@
 			if a.definition().BestEffort {
 				r.speedPercent = unknownSpeed
 			}
-			r.host.leaseExpiry = max(r.host.leaseExpiry, t.begunAt+confirmationValidity+maxLeaseDuration(t.settings().MaxLease))
+			r.host.leaseExpiry = max(r.host.leaseExpiry, t.formerLeasesEnd())
 		}
 	}
 }
