Give the links of the soak ports that no outgoing connection takes

Links now take their ports from the blocks of the soak, as processes do.

go test ./internal/run/soak passed twice.

--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -150,7 +150,7 @@
 		callers  = 5 // callers of an entry or heartbeats of a minion
 		ready    = 6
 	)
-	first, err := d.ports.take()
+	first, err := d.ports.take(portsEach)
 	if err != nil {
 		return err
 	}
@@ -178,7 +178,11 @@
 
 // link returns a new link to a target.
 func (d *deployment) link(g *group.Group, target netip.AddrPort) (*proxy, error) {
-	p, err := newProxy(g, target)
+	port, err := d.ports.take(1)
+	if err != nil {
+		return nil, err
+	}
+	p, err := newProxy(g, netip.AddrPortFrom(target.Addr(), port), target)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/run/soak/ports.go
+++ b/internal/run/soak/ports.go
@@ -6,8 +6,8 @@
 	"net"
 )
 
-// The ports of the processes are below those that the kernel gives to outgoing
-// connections, so that they stay free while a process is replaced.
+// The ports of processes and links are below those that the kernel gives to
+// outgoing connections, so that they stay free while a process is replaced.
 const (
 	firstPort = 20_000
 	lastPort  = 32_000
@@ -27,20 +27,20 @@
 	end    uint16 // end is the first port after the present block.
 }
 
-// take returns the first of portsEach free ports in a row.
-func (p *ports) take() (uint16, error) {
+// take returns the first of so many free ports in a row.
+func (p *ports) take(count uint16) (uint16, error) {
 	for range portTries {
-		if p.next+portsEach > p.end {
+		if p.next+count > p.end {
 			p.claim()
 			continue
 		}
 		first := p.next
-		p.next += portsEach
-		if areFree(first, portsEach) {
+		p.next += count
+		if areFree(first, count) {
 			return first, nil
 		}
 	}
-	return 0, fmt.Errorf("no %d free ports in a row", portsEach)
+	return 0, fmt.Errorf("no %d free ports in a row", count)
 }
 
 // claim takes a random block unless another soak uses it.
--- a/internal/run/soak/process_test.go
+++ b/internal/run/soak/process_test.go
@@ -45,7 +45,7 @@
 			folder := c.TempDir()
 			binary := filepath.Join(folder, "program")
 			c.Assert(os.WriteFile(binary, []byte("#!/bin/sh\n"+tt.program+"\n"), 0o700), qt.IsNil)
-			front, err := newProxy(g, netip.MustParseAddrPort("127.0.0.1:1"))
+			front, err := newProxy(g, anyPort, netip.MustParseAddrPort("127.0.0.1:1"))
 			c.Assert(err, qt.IsNil)
 			o := newOracle(nil)
 			p := &process{binary: binary, folder: folder, group: g, finding: o.find, front: front, settings: commonSettings("side-1", front.address())}
@@ -80,7 +80,7 @@
 	taken := make(map[uint16]bool)
 	for range 40 {
 		for _, p := range []*ports{&one, &other} {
-			first, err := p.take()
+			first, err := p.take(portsEach)
 			c.Assert(err, qt.IsNil)
 			for i := range uint16(portsEach) {
 				c.Assert(taken[first+i], qt.IsFalse)
--- a/internal/run/soak/proxy.go
+++ b/internal/run/soak/proxy.go
@@ -49,8 +49,10 @@
 	stale    map[net.Conn]bool // stale connections carry nothing more.
 }
 
-func newProxy(g *group.Group, target netip.AddrPort) (*proxy, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy returns a link that listens at an address. A port of 0 selects one
+// that may be taken while the target is down.
+func newProxy(g *group.Group, at, target netip.AddrPort) (*proxy, error) {
+	l, err := net.Listen("tcp", at.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for a link: %w", err)
 	}
--- a/internal/run/soak/proxy_test.go
+++ b/internal/run/soak/proxy_test.go
@@ -20,6 +20,9 @@
 	"wasabihoist/platform"
 )
 
+// anyPort is a free port of the loopback interface.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
 // Guards against faults of a link that do nothing.
 func TestLinkStates(t *testing.T) {
 	for name, tt := range map[string]struct {
@@ -53,7 +56,7 @@
 				}
 				return nil
 			})
-			p, err := newProxy(g, netip.MustParseAddrPort(l.Addr().String()))
+			p, err := newProxy(g, anyPort, netip.MustParseAddrPort(l.Addr().String()))
 			c.Assert(err, qt.IsNil)
 			p.begin(tt.state)
 			conn, err := net.Dial("tcp", p.address().String())
@@ -83,7 +86,7 @@
 	c.Cleanup(func() { g.Stop(); c.Check(g.Wait(), qt.IsNil) })
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	c.Cleanup(server.Close)
-	p, err := newProxy(g, netip.MustParseAddrPort(server.Listener.Addr().String()))
+	p, err := newProxy(g, anyPort, netip.MustParseAddrPort(server.Listener.Addr().String()))
 	c.Assert(err, qt.IsNil)
 	const timeout = 200 * time.Millisecond
 	call := func(client *http.Client) error {
