--- a/internal/run/soak/process_test.go
+++ b/internal/run/soak/process_test.go
@@ -47,7 +47,7 @@
 			c := qt.New(t)
 			g := group.New(context.Background())
 			c.Cleanup(func() { g.Stop(); c.Check(g.Wait(), qt.IsNil) })
-			front, err := newProxy(g, netip.MustParseAddrPort("127.0.0.1:1"))
+			front, err := newProxy(g, anyPort, netip.MustParseAddrPort("127.0.0.1:1"))
 			c.Assert(err, qt.IsNil)
 			o := newOracle(nil)
 			p := &process{binary: binary, folder: folder, group: g, finding: o.find, front: front, settings: commonSettings("side-1", front.address())}
@@ -82,7 +82,7 @@
 	taken := make(map[uint16]bool)
 	for range 40 {
 		for _, p := range []*ports{&one, &other} {
-			first, err := p.take()
+			first, err := p.take(portsEach)
 			c.Assert(err, qt.IsNil)
 			for i := range uint16(portsEach) {
 				c.Assert(taken[first+i], qt.IsFalse)
