Record that progress is uncertain while unknown runs may exist

Callers would see: a task that runs twice after two changes of the coordinator, when another writer had replaced the progress of its job before the first one.

Cause: a coordinator that has adopted a job with unreadable progress waits until former runs have ended, but may write its progress before, for example when a run is given up of which an older record told. Its successor took that record for all that is known.

Evidence before: TestProgressIsUncertainWhileUnknownRunsMayExist failed without the mark (as a mutant), and so did the case of TestUnusableProgressIsUnknown.

Change: such a record has the mark "uncertain", and the next coordinator waits again. Also tests for two rules whose removal no test noticed: that a claim after a change of the generation does not confirm a takeover, and that one append settles a change.

--- a/internal/fleet/coordinator/coordinator_internal_test.go
+++ b/internal/fleet/coordinator/coordinator_internal_test.go
@@ -83,6 +83,9 @@
 			c.Check(tm.group.Context().Err() != nil, qt.Equals, tt.fenced)
 			c.Check(confirmed(), qt.Equals, tt.confirmed)
 			if tt.confirmed {
+				appends, ok := callLoop(ctx, tm, func() int64 { return tm.writer.sequence })
+				c.Check(ok, qt.IsTrue)
+				c.Check(appends <= 1, qt.IsTrue, qt.Commentf("%d appends", appends))
 				tm.confirmedAt.Store(0)
 				co.campaign(ctx)
 				c.Check(confirmed(), qt.IsTrue)
@@ -90,3 +93,19 @@
 		})
 	}
 }
+
+// Guards against a new term that counts as confirmed by a claim after which another
+// process may have led.
+func TestTakeoverIsNotConfirmedAfterChangeOfLeader(t *testing.T) {
+	for name, generation := range map[string]int64{"no change": 1, "change": 3} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			store := &claimedStore{fleetstore.New(), ledger.Leadership{IsLeader: true, Generation: generation}}
+			co := &Coordinator{logger: log.NewNopLogger(), store: store, generation: 1, takeover: &takeover{token: 1, group: group.New(context.Background()), ready: make(chan bool)}}
+			co.Apply(Options{})
+			co.campaign(context.Background())
+			co.stopTakeover()
+			c.Check(co.confirmedClaimAt != 0, qt.Equals, generation == 1)
+		})
+	}
+}
--- a/internal/fleet/coordinator/proof_internal_test.go
+++ b/internal/fleet/coordinator/proof_internal_test.go
@@ -223,3 +223,36 @@
 		c.Check(runsOf(r.host)[0].number, qt.Equals, firstRunAfterUnknown+want)
 	}
 }
+
+// Guards against a record that a successor takes for all that is known, although it
+// was written while unknown runs may exist.
+func TestProgressIsUncertainWhileUnknownRunsMayExist(t *testing.T) {
+	for name, tt := range map[string]struct {
+		unknown   bool
+		age       time.Duration // age is that of the term.
+		state     workload.State
+		uncertain bool
+	}{
+		"known":                    {state: workload.Running},
+		"unknown":                  {unknown: true, state: workload.Running, uncertain: true},
+		"unknown, but they ended":  {unknown: true, age: time.Minute, state: workload.Running},
+		"unknown, but job is over": {unknown: true, state: workload.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tm, r := newRunTerm(t, present)
+			tm.begunAt -= tt.age
+			j := r.attempt.job
+			j.progressUnknown, j.progress.State = tt.unknown, tt.state
+			record, err := tm.encodeProgress(j)
+			c.Assert(err, qt.IsNil)
+			jobRecord, err := ledger.EncodeJob(j.job)
+			c.Assert(err, qt.IsNil)
+			state := ledger.NewState()
+			c.Assert(state.Apply(ledger.Page{Records: []ledger.StoredRecord{{Record: jobRecord}, {Record: record, Offset: 1}}, Next: 2}), qt.IsNil)
+			e, ok := state.Job(j.job.ID)
+			c.Assert(ok, qt.IsTrue)
+			c.Check(e.ProgressUnknown, qt.Equals, tt.uncertain)
+		})
+	}
+}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -122,11 +122,9 @@
 	if len(t.dirty) > 0 || t.claimedGeneration.Load() == t.confirmedGeneration.Load() {
 		return
 	}
-	for id, j := range t.jobs {
-		if !j.progressUnknown {
-			t.dirty.Add(id) // Its progress is recorded again.
-			return
-		}
+	for id := range t.jobs {
+		t.dirty.Add(id) // Its progress is recorded again.
+		return
 	}
 }
 
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -126,6 +126,7 @@
 // it is too large even so, the job fails, because the effects of its progress
 // would hold up those of all jobs.
 func (t *term) encodeProgress(j *jobState) (ledger.Record, error) {
+	j.progress.Uncertain = !j.progress.State.Ended() && t.mayHaveUnknownRuns(j, now())
 	record, err := ledger.EncodeProgress(j.progress)
 	for err != nil && t.withdrawPlacements(j) {
 		_ = level.Warn(t.logger).Log("event", "placements withdrawn", "job", j.job.ID, "reason", err)
--- a/internal/fleet/workload/progress.go
+++ b/internal/fleet/workload/progress.go
@@ -63,6 +63,7 @@
 	State              State
 	Steps              []StepProgress // Steps holds the steps of all occurrences, with one Task for each task of the job.
 	StepsPerOccurrence int            // StepsPerOccurrence is the number of steps of one occurrence.
+	Uncertain          bool           // Uncertain is set while runs may exist that Steps don't name, because a former record could not be used.
 }
 
 // NewProgress returns the progress of a job that has not started.
@@ -76,7 +77,7 @@
 
 // Clone returns a deep copy.
 func (p *Progress) Clone() *Progress {
-	c := &Progress{Job: p.Job, State: p.State, Steps: make([]StepProgress, len(p.Steps)), StepsPerOccurrence: p.StepsPerOccurrence}
+	c := &Progress{Job: p.Job, State: p.State, Steps: make([]StepProgress, len(p.Steps)), StepsPerOccurrence: p.StepsPerOccurrence, Uncertain: p.Uncertain}
 	for i, s := range p.Steps {
 		c.Steps[i] = StepProgress{Failures: s.Failures, FailedRun: s.FailedRun, Tasks: slices.Clone(s.Tasks)}
 	}
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -148,6 +148,7 @@
 	State              string               `json:"state"`
 	Steps              []stepProgressRecord `json:"steps,omitempty"` // Steps is omitted once the job has ended and no task is placed.
 	StepsPerOccurrence int                  `json:"cycle,omitempty"`
+	Uncertain          bool                 `json:"uncertain,omitempty"`
 }
 
 type stepProgressRecord struct {
@@ -237,7 +238,7 @@
 // EncodeProgress returns the progress record of a job. It leaves the checkpoints out
 // if the record would be too large. A task without one starts anew.
 func EncodeProgress(p *workload.Progress) (Record, error) {
-	r := progressRecord{State: p.State.String()}
+	r := progressRecord{State: p.State.String(), Uncertain: p.Uncertain}
 	if !p.State.Ended() || p.HasPlacedTasks() {
 		r.StepsPerOccurrence = p.StepsPerOccurrence
 		for _, s := range p.Steps {
@@ -265,7 +266,7 @@
 	if err := json.Unmarshal(value, &r); err != nil {
 		return nil, fmt.Errorf("decode progress of %s: %w", id, err)
 	}
-	p := &workload.Progress{Job: workload.ID(id), State: -1, StepsPerOccurrence: r.StepsPerOccurrence}
+	p := &workload.Progress{Job: workload.ID(id), State: -1, StepsPerOccurrence: r.StepsPerOccurrence, Uncertain: r.Uncertain}
 	for s := workload.Pending; s <= workload.Cancelled; s++ {
 		if s.String() == r.State {
 			p.State = s
--- a/internal/record/ledger/odd_test.go
+++ b/internal/record/ledger/odd_test.go
@@ -255,6 +255,10 @@
 	_, progress, good := goodRecords(c)
 	odd := func(text string) ledger.Record { return ledger.Record{Key: good[1].Key, Value: []byte(text)} }
 	otherSteps := odd(progressText(`[{"waiting":2}]`))
+	uncertainProgress := progress.Clone()
+	uncertainProgress.Uncertain = true
+	uncertain, err := ledger.EncodeProgress(uncertainProgress)
+	c.Assert(err, qt.IsNil)
 	for name, tt := range map[string]struct {
 		records  []ledger.Record
 		unknown  bool
@@ -264,6 +268,9 @@
 		"good":                      {records: good[:2], progress: progress},
 		"unreadable":                {records: []ledger.Record{good[0], odd("{")}, unknown: true},
 		"unreadable after good":     {records: []ledger.Record{good[0], good[1], odd("{")}, unknown: true, progress: progress},
+		"uncertain":                 {records: []ledger.Record{good[0], uncertain}, unknown: true, progress: uncertainProgress},
+		"uncertain before the job":  {records: []ledger.Record{uncertain, good[0]}, unknown: true, progress: uncertainProgress},
+		"good after uncertain":      {records: []ledger.Record{good[0], uncertain, good[1]}, progress: progress},
 		"good after unreadable":     {records: []ledger.Record{good[0], odd("{"), good[1]}, progress: progress},
 		"unreadable before the job": {records: []ledger.Record{odd("{"), good[0]}, unknown: true},
 		"other steps":               {records: []ledger.Record{good[0], otherSteps}, unknown: true},
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -14,7 +14,7 @@
 	Job              workload.Job
 	Accepted         bool               // Accepted is false while only a cancellation or progress record is known.
 	Progress         *workload.Progress // Progress is nil until it is first recorded. It must not be modified.
-	ProgressUnknown  bool               // ProgressUnknown is set while the newest progress record can't be used, so that Progress is older or nil.
+	ProgressUnknown  bool               // ProgressUnknown is set while runs may exist that Progress doesn't name: the newest record of it can't be used, or is uncertain.
 	Cancelled        bool               // Cancelled is set by a cancellation recorded before the job ended.
 	SubmissionOffset int64              // SubmissionOffset is the offset of the first job record that this process has seen.
 }
@@ -196,11 +196,11 @@
 // setProgress replaces the progress, unless it is that of other steps.
 func (e *JobEntry) setProgress(p *workload.Progress) error {
 	withoutSteps := p.State.Ended() && len(p.Steps) == 0
-	e.ProgressUnknown = e.Accepted && !withoutSteps && !p.Matches(e.Job)
-	if e.ProgressUnknown {
+	if e.Accepted && !withoutSteps && !p.Matches(e.Job) {
+		e.ProgressUnknown = true
 		return fmt.Errorf("decode progress of %s: it has other steps or tasks than the job", p.Job)
 	}
-	e.Progress = p
+	e.Progress, e.ProgressUnknown = p, p.Uncertain
 	return nil
 }
 
