--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -54,6 +54,7 @@
 	adviser             coordinator.Adviser            // adviser of the advised queue.
 	taskStopTime        time.Duration                  // taskStopTime is how long minions take to stop a run.
 	silentHostRetention time.Duration                  // silentHostRetention of the coordinators; 0 for the default.
+	maxLease            time.Duration                  // maxLease of the coordinators; 0 for lease.
 }
 
 // newFixture starts a fleet with one minion for each rack named.
@@ -110,7 +111,7 @@
 	catalogueReader := ledger.NewReader(f.store, operators, current, 0, log.NewNopLogger())
 	g.Go("plans", catalogueReader.Run)
 	options := coordinator.Options{
-		Name: name, MaxLease: lease, GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser,
+		Name: name, MaxLease: cmp.Or(f.maxLease, lease), GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser,
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current,
 		func(a netip.AddrPort) host.Client { return link{f.minions[a], &f.hooks} }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
--- a/internal/fleet/coordinator/tries_test.go
+++ b/internal/fleet/coordinator/tries_test.go
@@ -23,6 +23,8 @@
 	start func(m *fleethost.Minion, r host.StartRequest) error
 	stop  func(m *fleethost.Minion, r host.StopRequest) error
 	renew func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error)
+
+	throttle func(m *fleethost.Minion, r host.ThrottleRequest) error
 }
 
 // link is the path from the coordinators to a minion.
@@ -47,6 +49,14 @@
 	return l.Minion.Stop(ctx, r)
 }
 
+// Throttle implements host.Client.
+func (l link) Throttle(ctx context.Context, r host.ThrottleRequest) error {
+	if h := l.hooks.Load(); h != nil && h.throttle != nil {
+		return h.throttle(l.Minion, r)
+	}
+	return l.Minion.Throttle(ctx, r)
+}
+
 // RenewLease implements host.Client.
 func (l link) RenewLease(ctx context.Context, r host.RenewLeaseRequest) (host.StatusReport, error) {
 	if h := l.hooks.Load(); h != nil && h.renew != nil {
