Make three tests of the review strict about what they show

TestBestEffortTaskRegainsSpeedAfterUnansweredThrottle failed for a wrong reason (the load of a best-effort task is 0 in the stand-in), the test of unexpected runs did not wait until the run was reported, and that of stops kept the minion from carrying out run 2.

--- a/internal/fleet/coordinator/review_test.go
+++ b/internal/fleet/coordinator/review_test.go
@@ -283,22 +283,21 @@
 	serving.LatencyTarget = 100 * time.Millisecond
 	j := f.submitWork(workload.Job{ID: "serving", Steps: []workload.Step{serving}}, fleethost.Work{Duration: shortDuration, Lasting: true, Latency: 90 * time.Millisecond})
 	f.waitFor("it serves", func() bool { return f.servingTasks(j.ID) == 1 })
-	var slowed atomic.Bool
+	var speed atomic.Int64 // speed is that of the only best-effort task; 0 before the first call.
 	f.hooks.Store(&hooks{throttle: func(m *fleethost.Minion, r host.ThrottleRequest) error {
-		if slowed.CompareAndSwap(false, true) {
-			f.c.Check(m.Throttle(context.Background(), r), qt.IsNil)
-			f.cancel(j.ID)
-			time.Sleep(600 * time.Millisecond)
-			return errNoReply
+		f.c.Check(m.Throttle(context.Background(), r), qt.IsNil)
+		if speed.Swap(int64(r.SpeedPercent)) > 0 {
+			return nil
 		}
-		return m.Throttle(context.Background(), r)
+		f.cancel(j.ID)
+		time.Sleep(600 * time.Millisecond) // A call to a minion takes as long.
+		return errNoReply
 	}})
-	const milliCores = 40_000
-	bestEffort := workload.Step{Count: 1, Need: workload.Resources{MilliCores: milliCores, MemoryMB: 10}, BestEffort: true}
-	f.submitWork(workload.Job{ID: "filling", Priority: 2, Steps: []workload.Step{bestEffort}}, fleethost.Work{Duration: time.Minute, Need: workload.Resources{MilliCores: milliCores}})
-	f.waitFor("it is slowed down", slowed.Load)
+	bestEffort := workload.Step{Count: 1, Need: workload.Resources{MilliCores: 40_000, MemoryMB: 10}, BestEffort: true}
+	f.submitWork(workload.Job{ID: "filling", Priority: 2, Steps: []workload.Step{bestEffort}}, fleethost.Work{Duration: time.Minute})
+	f.waitFor("it is slowed down", func() bool { return speed.Load() == 50 })
 	f.awaitState(j.ID, workload.Cancelled)
-	f.waitFor("it works at full speed", func() bool { return f.running(0, "filling")[0].load == milliCores })
+	f.waitFor("it works at full speed", func() bool { return speed.Load() == 100 })
 }
 
 // Guards against a run that is stopped although the minion reports it, because
@@ -340,10 +339,11 @@
 			var chosen atomic.Pointer[fleethost.Minion]
 			f.hooks.Store(&hooks{
 				start: func(m *fleethost.Minion, r host.StartRequest) error {
-					if r.Number == 1 && chosen.CompareAndSwap(nil, m) || chosen.Load() == m {
-						return errNoReply
+					if r.Number > 1 {
+						return m.Start(context.Background(), r)
 					}
-					return m.Start(context.Background(), r)
+					chosen.Store(m)
+					return errNoReply
 				},
 				stop: func(m *fleethost.Minion, r host.StopRequest) error {
 					if chosen.Load() == m {
@@ -377,6 +377,7 @@
 	f.c.Assert(m.Start(context.Background(), host.StartRequest{
 		Incarnation: m.Report().Incarnation(), Token: 1, Task: workload.TaskID{Job: "job", Step: 1}, Number: 9, StartDeadline: time.Minute,
 	}), qt.IsNil)
+	f.waitFor("it is reported", func() bool { return strings.Contains(f.logs.String(), `event="unexpected run"`) })
 	f.submit(workload.Job{ID: "next", Steps: []workload.Step{step(1, 7)}}, shortDuration)
 	f.awaitState("next", workload.Done)
 	f.cancel("job")
