--- a/internal/fleet/coordinator/review_test.go
+++ b/internal/fleet/coordinator/review_test.go
@@ -383,3 +383,46 @@
 	f.cancel("job")
 	f.awaitState("job", workload.Cancelled)
 }
+
+// Guards against a task that waits until the leases have lapsed although its
+// minion was known to be gone, because the host became silent afterwards.
+func TestTaskOfGoneMinionIsPlacedAgainAfterItsHostIsSilent(t *testing.T) {
+	t.Parallel()
+	f := newLeaseFixture(t, "r1", "r1")
+	f.hooks.Store(&hooks{renew: renewShortly})
+	stop := f.startCoordinator("one")
+	f.submit(workload.Job{ID: "job", Steps: []workload.Step{step(1, 8)}}, 2*time.Second)
+	f.waitFor("it runs", func() bool { return f.starts("job", 1) == 1 })
+	time.Sleep(500 * time.Millisecond)
+	stop()
+	var minion *fleethost.Minion
+	for _, m := range f.minionList {
+		if len(m.Look().Running) > 0 {
+			minion = m
+		}
+	}
+	minion.Restart() // It ends. Nothing answers there until the test is over.
+	var silent atomic.Bool
+	f.hooks.Store(&hooks{renew: func(m *fleethost.Minion, r host.RenewLeaseRequest) (host.StatusReport, error) {
+		switch {
+		case m != minion:
+			return renewShortly(m, r)
+		case silent.Load():
+			return host.StatusReport{}, errNoReply
+		default:
+			return host.StatusReport{Gone: true}, nil
+		}
+	}, stop: func(m *fleethost.Minion, r host.StopRequest) error {
+		if m == minion {
+			return errNoReply
+		}
+		return m.Stop(context.Background(), r)
+	}})
+	defer f.startCoordinator("two")()
+	f.waitFor("the minion is known to be gone", func() bool { return strings.Contains(f.logs.String(), `event="minion gone"`) })
+	silent.Store(true)
+	begin := time.Now()
+	f.waitFor("it runs again", func() bool { return f.starts("job", 1) == 2 })
+	f.c.Check(time.Since(begin) < 6*time.Second, qt.IsTrue, qt.Commentf("after %s", time.Since(begin)))
+	f.awaitState("job", workload.Done)
+}
