--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -33,50 +33,6 @@
 
 func (s *startTries) settle() { s.open-- }
 
-// formerTries returns the tries of a term that ended when another one began at a
-// time.
-func formerTries(begunAt time.Duration) startTries {
-	return startTries{open: 1, openUntil: begunAt + formerStartWindow + maxLeaseDuration(startValidity)}
-}
-
-// formerRunsEnd is when every run that a former term has started has certainly
-// ended, unless this term has renewed its lease.
-func (t *term) formerRunsEnd() time.Duration {
-	return max(t.formerLeasesEnd(), formerTries(t.begunAt).openUntil)
-}
-
-// formerLeasesEnd is when every lease that a former term has renewed has
-// certainly expired.
-func (t *term) formerLeasesEnd() time.Duration {
-	return t.begunAt + confirmationValidity + maxLeaseDuration(t.settings().MaxLease)
-}
-
-// mayHaveUnknownRuns reports whether a run of a former term may exist that the
-// progress of its job doesn't name, because the ledger has a record that can't be
-// used. The runs that are reported are stopped as unexpected ones. Any other has
-// ended by formerRunsEnd, or with the leases of a host that has been silent since
-// this term renewed them.
-func (t *term) mayHaveUnknownRuns(j *jobState, at time.Duration) bool {
-	if !j.progressUnknown {
-		return false
-	}
-	end := t.formerRunsEnd()
-	if at <= end {
-		return true
-	}
-	for _, h := range t.hosts {
-		if h.lastContact <= end && at <= h.leaseExpiry {
-			return true
-		}
-		for key := range h.unexpected {
-			if key.task.Job == j.job.ID {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // mayHaveStarted reports whether the run may exist although no reply confirms it.
 func (s *startTries) mayHaveStarted() bool { return s.open > 0 }
 
@@ -85,6 +41,12 @@
 // minion's id.
 func (s *startTries) mayArrive(at time.Duration) bool { return s.open > 0 && at <= s.openUntil }
 
+// formerTries returns the tries of a term that ended when another one began at a
+// time.
+func formerTries(begunAt time.Duration) startTries {
+	return startTries{open: 1, openUntil: begunAt + formerStartWindow + maxLeaseDuration(startValidity)}
+}
+
 // startSettled reports whether the run can't be started any more after a status
 // report requested at sent, if that does not list it: the minion knows the run
 // and refuses to start it again, or no try can arrive any more. Starts of former
@@ -202,3 +164,41 @@
 		}
 	}
 }
+
+// formerRunsEnd is when every run that a former term has started has certainly
+// ended, unless this term has renewed its lease.
+func (t *term) formerRunsEnd() time.Duration {
+	return max(t.formerLeasesEnd(), formerTries(t.begunAt).openUntil)
+}
+
+// formerLeasesEnd is when every lease that a former term has renewed has
+// certainly expired.
+func (t *term) formerLeasesEnd() time.Duration {
+	return t.begunAt + confirmationValidity + maxLeaseDuration(t.settings().MaxLease)
+}
+
+// mayHaveUnknownRuns reports whether a run of a former term may exist that the
+// progress of its job doesn't name, because the ledger has a record that can't be
+// used. The runs that are reported are stopped as unexpected ones. Any other has
+// ended by formerRunsEnd, or with the leases of a host that has been silent since
+// this term renewed them.
+func (t *term) mayHaveUnknownRuns(j *jobState, at time.Duration) bool {
+	if !j.progressUnknown {
+		return false
+	}
+	end := t.formerRunsEnd()
+	if at <= end {
+		return true
+	}
+	for _, h := range t.hosts {
+		if h.lastContact <= end && at <= h.leaseExpiry {
+			return true
+		}
+		for key := range h.unexpected {
+			if key.task.Job == j.job.ID {
+				return true
+			}
+		}
+	}
+	return false
+}
