--- a/internal/fleet/coordinator/proof_internal_test.go
+++ b/internal/fleet/coordinator/proof_internal_test.go
@@ -219,7 +219,7 @@
 	j.progressUnknown = true
 	for want := range 2 {
 		tm.requeueRun(runsOf(r.host)[0], "")
-		propose(tm, j, r.host, 0)
+		propose(tm, j, []*hostState{r.host}, 0)
 		c.Check(runsOf(r.host)[0].number, qt.Equals, firstRunAfterUnknown+want)
 	}
 }
--- a/internal/fleet/coordinator/writer_internal_test.go
+++ b/internal/fleet/coordinator/writer_internal_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 
@@ -55,18 +54,30 @@
 	c.Check(count, qt.Equals, jobs+1) // The record of the last job exceeds MaxValueBytes with its checkpoints.
 }
 
-// oversizeTerm returns a term with a job whose tasks, 200 bytes each once they are
-// placed, don't fit into a record all at once.
-func oversizeTerm(t *testing.T, gang bool) (*term, *jobState, *hostState) {
+// oversizeTerm returns a term with a job and a host for each of its tasks. The names
+// of the hosts, 180 bytes each, don't fit into a record all at once.
+func oversizeTerm(t *testing.T, gang bool) (*term, *jobState, []*hostState) {
 	job := workload.Job{ID: "job", Steps: []workload.Step{{Count: workload.MaxTasks, Gang: gang}}}
 	c := &Coordinator{logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), store: fleetstore.New(), state: ledger.NewState(), catalogue: &catalogue.Current{}}
 	c.Apply(Options{})
 	tm := newTerm(c, 1, now(), group.New(context.Background()))
 	tm.adoptJob(ledger.JobEntry{Job: job, Accepted: true})
-	h := tm.host(strings.Repeat("h", 180))
-	h.client = silentClient{}
-	h.minion = host.Minion{ID: "m"}
-	return tm, tm.jobs["job"], h
+	hosts := make([]*hostState, workload.MaxTasks)
+	for i := range hosts {
+		hosts[i] = tm.host(fmt.Sprintf("%0180d", i))
+		hosts[i].client = silentClient{}
+		hosts[i].minion = host.Minion{ID: "m"}
+	}
+	return tm, tm.jobs["job"], hosts
+}
+
+// runsOn returns the runs on all hosts.
+func runsOn(hosts []*hostState) []*run {
+	var all []*run
+	for _, h := range hosts {
+		all = append(all, runsOf(h)...)
+	}
+	return all
 }
 
 // silentClient answers no call.
@@ -84,10 +95,14 @@
 	return ctx.Err()
 }
 
-// propose places the tasks of the only step with the given indices.
-func propose(tm *term, j *jobState, h *hostState, indices ...int) {
-	hosts := slices.Repeat([]string{h.name}, len(indices))
-	tm.proposePlacement(waitingStep{job: j, indices: indices}, hosts)
+// propose places the tasks of the only step with the given indices, each on the host
+// with its index.
+func propose(tm *term, j *jobState, hosts []*hostState, indices ...int) {
+	names := make([]string, len(indices))
+	for i, index := range indices {
+		names[i] = hosts[index].name
+	}
+	tm.proposePlacement(waitingStep{job: j, indices: indices}, names)
 }
 
 // flushAll writes all dirty jobs, and returns the progress of a job that is durable
@@ -117,35 +132,35 @@
 	for name, gang := range map[string]bool{"gang": true, "single tasks": false} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			tm, j, h := oversizeTerm(t, gang)
+			tm, j, hosts := oversizeTerm(t, gang)
 			defer func() { tm.group.Stop(); _ = tm.group.Wait() }()
 			indices := make([]int, workload.MaxTasks)
 			for i := range indices {
 				indices[i] = i
 			}
-			propose(tm, j, h, indices...)
+			propose(tm, j, hosts, indices...)
 			durable := flushAll(c, tm, "job")
-			started := len(h.runs)
+			started := len(runsOn(hosts))
 			c.Check(started > 0, qt.Equals, !gang)
 			c.Check(j.retryAt > now(), qt.IsTrue)
 			for _, task := range durable.Steps[0].Tasks[started:] {
 				c.Assert(task, qt.Equals, workload.Task{}) // as before its placement was proposed
 			}
-			for _, r := range h.runs {
+			for _, r := range runsOn(hosts) {
 				c.Assert(r.phase, qt.Equals, starting)
 				c.Assert(durable.Steps[0].Tasks[r.task.Index].Phase, qt.Equals, workload.Placed)
 			}
 			if gang {
 				return
 			}
-			propose(tm, j, h, indices[started:]...)
+			propose(tm, j, hosts, indices[started:]...)
 			acknowledged := false
-			tm.handleEndedRun(h, host.EndedRun{Task: j.job.TaskID(0, 0), Number: 1, Outcome: host.Completed})
+			tm.handleEndedRun(hosts[0], host.EndedRun{Task: j.job.TaskID(0, 0), Number: 1, Outcome: host.Completed})
 			tm.effects = append(tm.effects, func() { acknowledged = true })
 			durable = flushAll(c, tm, "job")
 			c.Check(acknowledged, qt.IsTrue)
 			c.Check(durable.Steps[0].Tasks[0].Phase, qt.Equals, workload.Finished)
-			for _, r := range h.runs {
+			for _, r := range runsOn(hosts) {
 				c.Assert(durable.Steps[0].Tasks[r.task.Index].Phase, qt.Equals, workload.Placed)
 			}
 		})
@@ -156,10 +171,10 @@
 // because its progress never fits into the ledger.
 func TestJobWhoseProgressNeverFitsFails(t *testing.T) {
 	c := qt.New(t)
-	tm, j, h := oversizeTerm(t, false)
+	tm, j, hosts := oversizeTerm(t, false)
 	defer func() { tm.group.Stop(); _ = tm.group.Wait() }()
-	h.client = nil
-	for i := range workload.MaxTasks {
+	for i, h := range hosts {
+		h.client = nil
 		j.progress.Place(j.job.TaskID(0, i), 1, h.name, "m")
 	}
 	tm.adoptRuns(j)
@@ -168,7 +183,7 @@
 	tm.effects = append(tm.effects, func() { served = true })
 	c.Check(flushAll(c, tm, "job").State, qt.Equals, workload.Failed)
 	c.Check(served, qt.IsTrue)
-	c.Check(len(h.runs), qt.Equals, workload.MaxTasks) // They hold their resources until they have ended.
+	c.Check(runsOn(hosts), qt.HasLen, workload.MaxTasks) // They hold their resources until they have ended.
 	for _, a := range tm.attempts {
 		c.Assert(a.stopping, qt.IsTrue)
 	}
