Keep what has arrived of a reply from the store

Cause, second part: a read of up to 1 MB had its wait and 1 s. A reply that was cut off then was thrown away whole and asked for again from the same offset, so that 27 entries kept their link busy with replies that nobody used and never caught up. Loads of the newest record of each key, all pages within 1.5 s, had the same fault; so had concurrent refreshes, which transferred the same backlog several times.

The check for a repeated page moves from the client of the store to the reader, with its test.

--- a/internal/fleet/coordinator/writer_internal_test.go
+++ b/internal/fleet/coordinator/writer_internal_test.go
@@ -114,13 +114,13 @@
 			(<-tm.events)()
 		}
 	}
-	page, err := tm.store.Newest(context.Background(), tm.topic)
+	page, err := tm.store.Newest(context.Background(), tm.topic, "")
 	c.Assert(err, qt.IsNil)
 	state := ledger.NewState()
 	jobRecord, err := ledger.EncodeJob(tm.jobs[id].job)
 	c.Assert(err, qt.IsNil)
 	c.Assert(state.Apply(ledger.Page{Records: []ledger.StoredRecord{{Record: jobRecord}}, Next: 1}), qt.IsNil)
-	c.Assert(state.Apply(page), qt.IsNil)
+	c.Assert(state.Apply(ledger.Page{Records: page.Records, Next: page.End}), qt.IsNil)
 	e, _ := state.Job(id)
 	c.Assert(e.Progress, qt.IsNotNil)
 	return e.Progress
--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -25,8 +25,6 @@
 	// shortPollPeriod is how long polls stay short after records expired unread. A
 	// store that drops its history does so for several seconds.
 	shortPollPeriod = 10 * time.Second
-	// readTimeoutMargin is the time that a read may take in addition to its wait.
-	readTimeoutMargin = time.Second
 	// retryInterval limits the load on a failing store.
 	retryInterval = 100 * time.Millisecond
 )
@@ -51,8 +49,12 @@
 	logger log.Logger
 	odd    *limitedlog.Logger // odd logs records that can't be read.
 
+	transfer chan struct{} // transfer has one element while a caller reads a backlog or the newest records.
+	load     *keyLoad      // load is the load in progress, nil if none. The holder of transfer uses it.
+
 	mu           sync.Mutex
 	loaded       bool          // loaded is set once the newest records of all keys are folded.
+	mustLoad     bool          // mustLoad is set until the newest records are folded, at first and after records have expired.
 	asOf         time.Time     // asOf is the start of the latest successful read.
 	expiredAt    time.Time     // expiredAt is when records last expired unread.
 	failing      bool          // failing is set while reads fail; only changes are logged.
@@ -74,7 +76,10 @@
 		wait = longPollWait
 	}
 	logger = log.With(logger, "topic", topic)
-	return &Reader{store: store, topic: topic, fold: fold, wait: wait, logger: logger, odd: limitedlog.New(logger), loadedSignal: make(chan struct{})}
+	return &Reader{
+		store: store, topic: topic, fold: fold, wait: wait, logger: logger, odd: limitedlog.New(logger),
+		transfer: make(chan struct{}, 1), mustLoad: true, loadedSignal: make(chan struct{}),
+	}
 }
 
 // String returns the name used in logs.
@@ -163,48 +168,108 @@
 	return call.err
 }
 
-// readAndFold reads the next page and folds it. If the store had more records when it
-// answered, it reads them too. It loads the newest record of each key when nothing is
-// loaded or the next records have expired.
+// readAndFold folds all records that the store has at the time of its answer. If the
+// fold is up to date, it waits for new ones for up to the given time.
 func (r *Reader) readAndFold(ctx context.Context, wait time.Duration) error {
-	r.mu.Lock()
-	loaded := r.loaded
-	r.mu.Unlock()
-	start := time.Now()
-	if !loaded {
-		return r.load(ctx, wait, start)
-	}
-	for end := int64(0); ; wait = 0 {
-		from := r.fold.Next()
-		page, err := r.readPage(ctx, from, wait)
+	if wait > 0 && r.upToDate() {
+		start := time.Now()
+		page, err := r.readPage(ctx, r.fold.Next(), wait)
 		switch {
 		case errors.Is(err, ErrExpired):
-			r.mu.Lock()
-			r.expiredAt = time.Now()
-			r.mu.Unlock()
-			_ = level.Info(r.logger).Log("event", "records expired", "next", from, "outcome", "reload the newest record of each key")
-			return r.load(ctx, wait, start)
+			r.handleExpiry()
 		case err != nil:
 			return r.handleReadFailure(ctx, err)
+		default:
+			r.apply(page)
+			if page.Next >= page.End {
+				r.handleReadSuccess(start)
+				return nil
+			}
+		}
+	}
+	return r.catchUp(ctx)
+}
+
+// upToDate reports whether nothing is known to be missing from the fold.
+func (r *Reader) upToDate() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.mustLoad && !r.failing
+}
+
+// catchUp folds all records that were stored before the call. It keeps what it has
+// folded when it fails, and only one caller transfers records at a time, so that a
+// backlog crosses the link once.
+func (r *Reader) catchUp(ctx context.Context) error {
+	start := time.Now()
+	select {
+	case r.transfer <- struct{}{}:
+		defer func() { <-r.transfer }()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for end := int64(0); ; {
+		if r.needsLoad() {
+			resumed := r.load != nil
+			if err := r.loadAll(ctx); err != nil {
+				return r.handleReadFailure(ctx, err)
+			}
+			if !resumed { // Otherwise the end of the topic is that of an earlier call.
+				break
+			}
 		}
-		if err := r.fold.Apply(page); err != nil {
-			r.logSkipped(err)
+		from := r.fold.Next()
+		page, err := r.readPage(ctx, from, 0)
+		if errors.Is(err, ErrExpired) {
+			r.handleExpiry()
+			continue
+		}
+		if err != nil {
+			return r.handleReadFailure(ctx, err)
 		}
+		r.apply(page)
 		end = cmp.Or(end, page.End)
 		if page.Next >= end {
-			r.handleReadSuccess(start)
-			return nil
+			break
 		}
 		if page.Next <= from {
 			return r.handleReadFailure(ctx, fmt.Errorf("the store returned no records from %d on, and has those up to %d", from, end))
 		}
 	}
+	r.handleReadSuccess(start)
+	return nil
 }
 
 func (r *Reader) readPage(ctx context.Context, from int64, wait time.Duration) (Page, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
+	ctx, cancel := watchTransfer(ctx, wait+stallTimeout)
 	defer cancel()
-	return r.store.Read(ctx, r.topic, from, wait)
+	page, err := r.store.Read(ctx, r.topic, from, wait)
+	return page, describeStall(ctx, err)
+}
+
+func (r *Reader) apply(page Page) {
+	if err := r.fold.Apply(page); err != nil {
+		r.logSkipped(err)
+	}
+}
+
+// handleExpiry notes that the next records to read have expired, so that the newest
+// record of each key has to be loaded.
+func (r *Reader) handleExpiry() {
+	r.mu.Lock()
+	r.expiredAt = time.Now()
+	first := !r.mustLoad
+	r.mustLoad = true
+	r.mu.Unlock()
+	if first {
+		_ = level.Info(r.logger).Log("event", "records expired", "next", r.fold.Next(), "outcome", "reload the newest record of each key")
+	}
+}
+
+func (r *Reader) needsLoad() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.mustLoad
 }
 
 // maxReasonBytes bounds the errors of skipped records in a log line. They may quote
@@ -215,32 +280,61 @@
 	r.odd.Warn("event", "unreadable records skipped", "reason", fmt.Sprintf("%.*s", maxReasonBytes, err.Error()))
 }
 
-// load reads the newest record of each key and replaces the folded state by them. It
-// may take as long as a read with the given wait.
-func (r *Reader) load(ctx context.Context, wait time.Duration, start time.Time) error {
-	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeoutMargin)
-	defer cancel()
-	page, err := r.store.Newest(callCtx, r.topic)
-	if err != nil {
-		return r.handleReadFailure(ctx, err)
+// keyLoad is a load of the newest record of each key that is in progress.
+type keyLoad struct {
+	records []StoredRecord
+	after   string // after is the last key that has been loaded.
+	end     int64  // end is the end of the topic when the load began; 0 before the first page.
+}
+
+// loadAll loads the newest record of each key and replaces the folded state by them.
+// If it fails, the next call continues after the last page. The caller holds
+// transfer.
+func (r *Reader) loadAll(ctx context.Context) error {
+	if r.load == nil {
+		r.load = &keyLoad{}
+	}
+	l := r.load
+	for more := true; more; {
+		page, err := r.newestPage(ctx, l.after)
+		if err != nil {
+			return err
+		}
+		if l.end == 0 {
+			l.end = page.End
+		}
+		l.records = append(l.records, page.Records...)
+		if more = page.More; more && page.Last == l.after {
+			r.load = nil
+			return fmt.Errorf("the store returned the page after key %q again", l.after)
+		}
+		l.after = page.Last
 	}
-	applied, err := r.fold.Replace(page)
+	r.load = nil
+	applied, err := r.fold.Replace(Page{Records: l.records, Next: l.end, End: l.end})
 	if err != nil {
 		r.logSkipped(err)
 	}
 	if !applied {
-		return r.handleReadFailure(ctx, errors.New("the store returned an older state"))
+		return errors.New("the store returned an older state")
 	}
 	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mustLoad = false
 	if !r.loaded {
 		r.loaded = true
 		close(r.loadedSignal)
 	}
-	r.mu.Unlock()
-	r.handleReadSuccess(start)
 	return nil
 }
 
+func (r *Reader) newestPage(ctx context.Context, after string) (KeyPage, error) {
+	ctx, cancel := watchTransfer(ctx, stallTimeout)
+	defer cancel()
+	page, err := r.store.Newest(ctx, r.topic, after)
+	return page, describeStall(ctx, err)
+}
+
 // handleReadFailure marks the reader as failing, logs the first failure of a series
 // and returns err.
 func (r *Reader) handleReadFailure(ctx context.Context, err error) error {
--- a/internal/record/ledger/reader_test.go
+++ b/internal/record/ledger/reader_test.go
@@ -1,7 +1,9 @@
 package ledger_test
 
 import (
+	"cmp"
 	"context"
+	"errors"
 	"net/netip"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/standin/fleetstore"
@@ -96,6 +99,60 @@
 	return page, err
 }
 
+// flakyKeyStore returns one key in each page of the newest records, and fails once
+// before the second one.
+type flakyKeyStore struct {
+	*fleetstore.Store
+	asked []string // asked holds the keys after which pages were asked for.
+	last  string   // last replaces the last key of each page if it is set.
+}
+
+func (s *flakyKeyStore) Newest(ctx context.Context, topic ledger.Topic, after string) (ledger.KeyPage, error) {
+	s.asked = append(s.asked, after)
+	if len(s.asked) == 2 {
+		return ledger.KeyPage{}, errors.New("no answer")
+	}
+	page, err := s.Store.Newest(ctx, topic, after)
+	if len(page.Records) > 1 {
+		page.Records, page.Last, page.More = page.Records[:1], page.Records[0].Key, true
+	}
+	page.Last = cmp.Or(s.last, page.Last)
+	return page, err
+}
+
+// Guards against a load that starts anew after each failure. It transfers the same
+// pages again and again over a link that is too slow for all of them, or it misses
+// records that were stored while the load was interrupted.
+func TestLoadGoesOnAfterAFailure(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := &flakyKeyStore{Store: fleetstore.New()}
+	for _, name := range []string{"a", "b", "c"} {
+		c.Assert(store.Append(ctx, topic, []ledger.Record{memberRecord(c, name)}), qt.IsNil)
+	}
+	reader, state := newReader(store, topic)
+	c.Check(reader.Refresh(ctx), qt.ErrorMatches, "no answer")
+	c.Assert(store.Append(ctx, topic, []ledger.Record{memberRecord(c, "0"), ledger.Tombstone(ledger.MemberKind, "a")}), qt.IsNil)
+	c.Assert(reader.Refresh(ctx), qt.IsNil)
+	c.Check(store.asked, qt.DeepEquals, []string{"", "member/a", "member/a", "member/b"})
+	names := collection.NewSet[string]()
+	for name := range state.Members(ledger.AgentRole) {
+		names.Add(name)
+	}
+	c.Check(names.Sorted(), qt.DeepEquals, []string{"0", "b", "c"})
+}
+
+// Guards against a load that never ends because the store returns the same page again.
+func TestLoadEndsWhenAPageRepeats(t *testing.T) {
+	c := qt.New(t)
+	store := &flakyKeyStore{Store: fleetstore.New(), asked: []string{"", ""}, last: "member/a"}
+	for _, name := range []string{"a", "b", "c"} {
+		c.Assert(store.Append(context.Background(), topic, []ledger.Record{memberRecord(c, name)}), qt.IsNil)
+	}
+	reader, _ := newReader(store, topic)
+	c.Check(reader.Refresh(context.Background()), qt.ErrorMatches, `the store returned the page after key "member/a" again`)
+}
+
 // Guards against a refresh that returns after the first page of a long backlog. A
 // coordinator then starts a term without the last decisions of the former one.
 func TestRefreshReadsAllPages(t *testing.T) {
--- a/internal/record/ledger/store.go
+++ b/internal/record/ledger/store.go
@@ -33,6 +33,14 @@
 	End     int64 // End is the offset after the last record that the store has; 0 if it is not known.
 }
 
+// KeyPage is a part of the newest records of a topic, in the order of their keys.
+type KeyPage struct {
+	Records []StoredRecord
+	Last    string // Last is the last key of the page.
+	More    bool   // More is set if there are further keys.
+	End     int64  // End is the offset after the last record that the topic has.
+}
+
 // Fence identifies an append so that the store can reject replaced coordinators and
 // out-of-order appends.
 type Fence struct {
@@ -66,7 +74,8 @@
 // Error implements error.
 func (*SequenceError) Error() string { return "the append does not follow the last one" }
 
-// Store is a client of the platform's store. Each call ends with its context.
+// Store is a client of the platform's store. Each call ends with its context. Read
+// and Newest call Arrived for each part of a reply.
 type Store interface {
 	// Append stores all the records or none.
 	Append(ctx context.Context, topic Topic, records []Record) error
@@ -75,11 +84,13 @@
 	// records it only announces the epoch.
 	AppendFenced(ctx context.Context, topic Topic, fence Fence, records []Record) error
 	// Read returns the records from an offset on. If there are none, it waits for up
-	// to the given time. Page.Next is the offset for the next call.
+	// to the given time. Page.Next is the offset for the next call. If a reply breaks
+	// off, the records that have arrived are returned.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (Page, error)
-	// Newest returns the newest record of each key. Reading from Page.Next on finds
-	// all later changes.
-	Newest(ctx context.Context, topic Topic) (Page, error)
+	// Newest returns the newest record of each key after the given one, empty for the
+	// first page. The pages are not one snapshot: reading from the KeyPage.End of the
+	// first one on finds all later changes.
+	Newest(ctx context.Context, topic Topic, after string) (KeyPage, error)
 	// Campaign registers a candidate, or renews the leadership of a leader, for the
 	// time to live. It may move the leadership to this or another candidate.
 	// generation is the last one that the candidate has received, 0 if none.
--- a/internal/role/gateway/attempts_test.go
+++ b/internal/role/gateway/attempts_test.go
@@ -197,7 +197,7 @@
 			}
 			answer := entries[0].call(gateway.Submit, "/q/"+jobID, "key1", "")
 			c.Assert(late.Wait(), qt.IsNil)
-			page, err := store.Newest(context.Background(), topic)
+			page, err := store.Newest(context.Background(), topic, "")
 			c.Assert(err, qt.IsNil)
 			stored := len(page.Records) > 0
 			if answer.Outcome != gateway.Accepted && answer.Outcome != gateway.Undecided {
--- a/internal/run/soak/proxy_test.go
+++ b/internal/run/soak/proxy_test.go
@@ -138,9 +138,9 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(d.Append(context.Background(), platform.FleetTopic, []ledger.Record{record}), qt.IsNil)
 	state := ledger.NewState()
-	page, err := d.Newest(context.Background(), platform.FleetTopic)
+	page, err := d.Newest(context.Background(), platform.FleetTopic, "")
 	c.Assert(err, qt.IsNil)
-	_, err = state.Replace(page)
+	_, err = state.Replace(ledger.Page{Records: page.Records, Next: page.End})
 	c.Assert(err, qt.IsNil)
 	c.Check(state.Members(ledger.AgentRole)["side-1"].Address, qt.Equals, link)
 }
--- a/internal/standin/fleetstore/store.go
+++ b/internal/standin/fleetstore/store.go
@@ -6,6 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -222,6 +224,7 @@
 			page.Records = append(page.Records, t.records[from-t.first:]...)
 			page.Next = t.next
 		}
+		page.End = t.next
 		changed := s.changed
 		s.mu.Unlock()
 		if err != nil || len(page.Records) > 0 || waited {
@@ -237,22 +240,32 @@
 	}
 }
 
+// keysPerPage is how many records a page of Newest has at most.
+const keysPerPage = 500
+
 // Newest implements ledger.Store.
-func (s *Store) Newest(ctx context.Context, name ledger.Topic) (ledger.Page, error) {
-	answer, err := s.readNewest(name)
+func (s *Store) Newest(ctx context.Context, name ledger.Topic, after string) (ledger.KeyPage, error) {
+	answer, err := s.readNewest(name, after)
 	return answer, s.deliver(ctx, err)
 }
 
-func (s *Store) readNewest(name ledger.Topic) (ledger.Page, error) {
+func (s *Store) readNewest(name ledger.Topic, after string) (ledger.KeyPage, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err := s.refuse(); err != nil {
-		return ledger.Page{}, err
+		return ledger.KeyPage{}, err
 	}
 	t := s.topic(name)
-	page := ledger.Page{Next: t.next}
-	for _, r := range t.newest {
-		page.Records = append(page.Records, r)
+	page := ledger.KeyPage{Last: after, End: t.next}
+	for _, key := range slices.Sorted(maps.Keys(t.newest)) {
+		if key <= after {
+			continue
+		}
+		if page.More = len(page.Records) == keysPerPage; page.More {
+			break
+		}
+		page.Records = append(page.Records, t.newest[key])
+		page.Last = key
 	}
 	return page, nil
 }
