Bound the reads of entries that only follow the ledger

Each append of the coordinator woke the long polls of all 55 entries, and each entry decoded all versions of the progress of a job.

Change: a reader has a least interval between two reads, 0.1 s while another process leads and none for the coordinator. Of several progress records of a job in one page only the last is decoded, unless the state depends on the order of the records.

TestReadIntervalBoundsTheCalls fails without the interval (TestPage IsFoldedLikeItsRecords fails when the condition on the order is removed).

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -46,6 +46,11 @@
 	// defaultSilentHostRetention is how long a silent host without runs is
 	// kept. A restarted host is back much sooner.
 	defaultSilentHostRetention = time.Minute
+	// followerReadInterval is the least time between two reads of the ledger while
+	// another process leads. All entries together then make a number of calls to
+	// the store that does not depend on how often the coordinator writes. Callers
+	// see the end of a job this much later at most.
+	followerReadInterval = 100 * time.Millisecond
 	// resignTimeout bounds giving up the leadership when the process stops.
 	resignTimeout = 500 * time.Millisecond
 )
@@ -118,6 +123,7 @@
 		vacancy: vacancy{removed: collection.NewSet[string]()},
 	}
 	c.Apply(options)
+	reader.SetReadInterval(followerReadInterval)
 	return c
 }
 
@@ -270,6 +276,7 @@
 	g := group.New(ctx)
 	t := newTerm(c, token, c.confirmedClaimAt, g)
 	c.term = &runningTerm{t, g}
+	c.reader.SetReadInterval(0)
 	c.metrics.terms.Add(1)
 	_ = level.Info(c.logger).Log("event", "term begun", "token", token, "jobs", len(t.jobs), "offset", c.state.Next())
 	g.Go("term", t.run)
@@ -281,6 +288,7 @@
 	}
 	c.term.group.Stop()
 	err := c.term.group.Wait()
+	c.reader.SetReadInterval(followerReadInterval)
 	_ = level.Info(c.logger).Log("event", "term ended", "token", c.term.token, "reason", reason, "error", errorText(err))
 	c.term = nil
 }
--- a/internal/fleet/coordinator/coordinator_internal_test.go
+++ b/internal/fleet/coordinator/coordinator_internal_test.go
@@ -54,6 +54,7 @@
 			ctx := context.Background()
 			store := &claimedStore{fleetstore.New(), ledger.Leadership{IsLeader: true, Generation: token}}
 			co := &Coordinator{
+				reader: ledger.NewReader(store, "", ledger.NewState(), 0, log.NewNopLogger()),
 				logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), store: store, state: ledger.NewState(),
 				vacancy: vacancy{removed: collection.NewSet[string]()}, generation: token, confirmedClaimAt: now(),
 			}
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"reflect"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
+	"pgregory.net/rapid"
 
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/workload"
@@ -150,6 +152,47 @@
 	c.Check(s.Next(), qt.Equals, int64(8))
 }
 
+// Guards against records that are left out because a later one of the page follows,
+// although the state of the job depends on their order.
+func TestPageIsFoldedLikeItsRecords(t *testing.T) {
+	c := qt.New(t)
+	encode := func(r ledger.Record, err error) ledger.Record { return mustEncode(c, r, err) }
+	progress := func(state workload.State, run int) ledger.Record {
+		p := workload.NewProgress(sampleJob("j"))
+		p.Place(workload.TaskID{Job: "j"}, run, "host", "minion@1")
+		p.State = state
+		return encode(ledger.EncodeProgress(p))
+	}
+	choices := []ledger.Record{
+		encode(ledger.EncodeJob(sampleJob("j"))), encode(ledger.EncodeCancellation("j", time.UnixMilli(1000))),
+		progress(workload.Running, 1), progress(workload.Running, 2), progress(workload.Done, 3),
+		{Key: "progress/j", Value: []byte("{")}, {Key: "progress/j", Value: []byte(progressText(`[{"waiting":5}]`))},
+		ledger.Tombstone(ledger.ProgressKind, "j"), ledger.Tombstone(ledger.JobKind, "j"), memberRecord(c, "m"),
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		whole, single := ledger.NewState(), ledger.NewState()
+		offset := int64(0)
+		for range rapid.IntRange(1, 3).Draw(t, "pages") {
+			page := ledger.Page{Next: offset}
+			for _, r := range rapid.SliceOfN(rapid.SampledFrom(choices), 1, 6).Draw(t, "records") {
+				page.Records = append(page.Records, storedRecord(page.Next, r))
+				page.Next++
+			}
+			_ = whole.Apply(page)
+			for _, r := range page.Records {
+				_ = single.Apply(ledger.Page{Records: []ledger.StoredRecord{r}, Next: r.Offset + 1})
+			}
+			offset = page.Next
+			if got, want := whole.All(), single.All(); !reflect.DeepEqual(got, want) {
+				t.Fatalf("got %+v, want %+v", got, want)
+			}
+			if got, want := whole.PendingCount("q"), single.PendingCount("q"); got != want {
+				t.Fatalf("%d jobs are pending, want %d", got, want)
+			}
+		}
+	})
+}
+
 func encodedJob(c *qt.C, id workload.ID) ledger.Record {
 	r, err := ledger.EncodeJob(sampleJob(id))
 	return mustEncode(c, r, err)
--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
@@ -49,8 +50,9 @@
 	logger log.Logger
 	odd    *limitedlog.Logger // odd logs records that can't be read.
 
-	transfer chan struct{} // transfer has one element while a caller reads a backlog or the newest records.
-	load     *keyLoad      // load is the load in progress, nil if none. The holder of transfer uses it.
+	transfer     chan struct{} // transfer has one element while a caller reads a backlog or the newest records.
+	load         *keyLoad      // load is the load in progress, nil if none. The holder of transfer uses it.
+	readInterval atomic.Int64  // readInterval is the minimum time between two reads of Run, in nanoseconds.
 
 	mu           sync.Mutex
 	loaded       bool          // loaded is set once the newest records of all keys are folded.
@@ -82,6 +84,10 @@
 	}
 }
 
+// SetReadInterval sets the minimum time between the starts of two reads of Run. The
+// default is none: each record is then read as soon as it is stored.
+func (r *Reader) SetReadInterval(d time.Duration) { r.readInterval.Store(int64(d)) }
+
 // String returns the name used in logs.
 func (r *Reader) String() string { return "reader of " + string(r.topic) }
 
@@ -99,8 +105,13 @@
 // Run reads until ctx ends. It retries failed reads.
 func (r *Reader) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		start := time.Now()
+		pause := time.Duration(r.readInterval.Load())
 		if r.readAndFold(ctx, r.pollWait()) != nil { // The failure is already logged.
-			_ = group.Pause(ctx, retryInterval)
+			start, pause = time.Now(), retryInterval
+		}
+		if pause -= time.Since(start); pause > 0 {
+			_ = group.Pause(ctx, pause)
 		}
 	}
 	return ctx.Err()
--- a/internal/record/ledger/reader_test.go
+++ b/internal/record/ledger/reader_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -153,6 +154,44 @@
 	c.Check(reader.Refresh(context.Background()), qt.ErrorMatches, `the store returned the page after key "member/a" again`)
 }
 
+// countingStore counts the reads that return records.
+type countingStore struct {
+	*fleetstore.Store
+	reads atomic.Int64
+}
+
+func (s *countingStore) Read(ctx context.Context, topic ledger.Topic, from int64, wait time.Duration) (ledger.Page, error) {
+	page, err := s.Store.Read(ctx, topic, from, wait)
+	if len(page.Records) > 0 {
+		s.reads.Add(1)
+	}
+	return page, err
+}
+
+// Guards against calls to the store that grow with the number of entries times the
+// number of appends: 55 entries made 105,000 calls on a quiet day.
+func TestReadIntervalBoundsTheCalls(t *testing.T) {
+	c := qt.New(t)
+	store := &countingStore{Store: fleetstore.New()}
+	reader, state := newReader(store, topic)
+	const interval, duration, appendInterval = 100 * time.Millisecond, time.Second, 5 * time.Millisecond
+	reader.SetReadInterval(interval)
+	g := group.New(context.Background())
+	g.Go("reader", reader.Run)
+	<-reader.Loaded()
+	appends := int64(0)
+	for start := time.Now(); time.Since(start) < duration; time.Sleep(appendInterval) {
+		c.Assert(store.Append(context.Background(), topic, []ledger.Record{memberRecord(c, "m")}), qt.IsNil)
+		appends++
+	}
+	time.Sleep(2 * interval)
+	g.Stop()
+	c.Assert(g.Wait(), qt.IsNil)
+	c.Check(state.Next(), qt.Equals, appends)
+	// One read each interval, and two at the ends of the period.
+	c.Check(store.reads.Load() <= int64(duration/interval)+2, qt.IsTrue, qt.Commentf("%d reads", store.reads.Load()))
+}
+
 // Guards against a refresh that returns after the first page of a long backlog. A
 // coordinator then starts a term without the last decisions of the former one.
 func TestRefreshReadsAllPages(t *testing.T) {
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -69,6 +69,7 @@
 func (s *State) Apply(page Page) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyLatestProgress(page.Records)
 	var errs []error
 	for _, r := range page.Records {
 		errs = append(errs, s.apply(r))
@@ -78,6 +79,41 @@
 	return errors.Join(errs...)
 }
 
+// applyLatestProgress applies the last of several progress records of a job, so that
+// the others need not be decoded. It leaves jobs alone whose state depends on the
+// order of the records, and those whose last record can't be used.
+func (s *State) applyLatestProgress(records []StoredRecord) {
+	last := make(map[string]StoredRecord)
+	repeated, ordered := collection.NewSet[string](), collection.NewSet[string]()
+	for _, r := range records {
+		switch kind, name := splitKey(r.Key); kind {
+		case ProgressKind:
+			if _, ok := last[r.Key]; ok {
+				repeated.Add(r.Key)
+			}
+			last[r.Key] = r
+			if e := s.entries[workload.ID(name)]; e == nil || !e.Accepted || len(r.Value) == 0 {
+				ordered.Add(r.Key)
+			}
+		case JobKind, CancellationKind:
+			ordered.Add(ProgressKind.Key(name))
+		}
+	}
+	for key := range repeated {
+		if ordered.Has(key) {
+			continue
+		}
+		former, known := s.offsets[key]
+		if s.apply(last[key]) == nil {
+			continue
+		}
+		delete(s.offsets, key)
+		if known {
+			s.offsets[key] = former
+		}
+	}
+}
+
 // Replace implements Fold. It deletes keys that the page lacks, unless they were
 // written after the page.
 func (s *State) Replace(page Page) (bool, error) {
