Don't wait for a store that is known to be out of reach

A call at an entry that was cut off waited 0.5 s for its read, and 0.5 s more at each other entry that was cut off too; a submission waited 1.4 s before it was forwarded. All entries forwarded to the same first ones by name.

Load pattern: a part of the entries, or all of them, without the store.

--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -99,6 +99,13 @@
 	return r.asOf
 }
 
+// Failing reports whether the last read has failed.
+func (r *Reader) Failing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing
+}
+
 // Loaded returns a channel that is closed once the fold has all keys.
 func (r *Reader) Loaded() <-chan struct{} { return r.loadedSignal }
 
--- a/internal/role/gateway/attempts.go
+++ b/internal/role/gateway/attempts.go
@@ -13,6 +13,7 @@
 type activeCall struct {
 	Call
 	attempts attempts
+	forwards int // forwards is how many other entries were asked, in the order of Options.Peers.
 }
 
 // attempts counts the attempts to apply a call: appends of its record and forwards to
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -84,6 +84,12 @@
 // it forwards the call to other entries. stored reports whether the ledger shows the
 // record.
 func (g *Gateway) writeRecord(ctx context.Context, c *activeCall, record ledger.Record, stored func() bool, success Answer) Answer {
+	refusal := Answer{Outcome: Refused, Reason: "the store cannot be reached", RetryAfter: retryAfter}
+	if g.jobReader.Failing() { // Another entry may reach the store.
+		if answer := g.forward(ctx, c, refusal); c.Forwarded || answer.Outcome != Refused {
+			return answer
+		}
+	}
 	share := 1.0
 	switch {
 	case c.Forwarded: // The call is not forwarded again, so retries may take the whole wait.
@@ -103,7 +109,7 @@
 		return success
 	}
 	_ = level.Warn(g.logger).Log("event", "record not written", "key", record.Key, "attempts", c.attempts.made, "unproved", c.attempts.unproved, "reason", err)
-	return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "the store cannot be reached", RetryAfter: retryAfter})
+	return g.forward(ctx, c, refusal)
 }
 
 // appendWithRetries retries until the record is durable or ctx ends. It returns the
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync/atomic"
 	"time"
@@ -232,8 +231,10 @@
 
 func (g *Gateway) serve(ctx context.Context, c *activeCall) Answer {
 	arrivedAt := time.Now()
-	if !g.configFresh() && (g.refresh(ctx, g.configReader) != nil || !g.configFresh()) {
-		return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "the configuration cannot be confirmed", RetryAfter: retryAfter})
+	if !g.configFresh() {
+		if answer, confirmed := g.confirmConfig(ctx, c); !confirmed {
+			return answer
+		}
 	}
 	if g.currentConfig.Get() == nil {
 		return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "there is no configuration", RetryAfter: retryAfter})
@@ -243,7 +244,7 @@
 		// The configuration in force may be outdated. Until it is confirmed, no later
 		// call is answered by it.
 		raiseTo(&g.lastDenial, arrivedAt.UnixNano())
-		if g.refresh(ctx, g.configReader) != nil {
+		if g.refresh(ctx, g.configReader, refreshTimeout) != nil {
 			return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "a denial cannot be confirmed", RetryAfter: retryAfter})
 		}
 		admitted, denial = g.admit(c.Call)
@@ -263,9 +264,9 @@
 	}
 }
 
-// refresh brings a reader up to date within refreshTimeout.
-func (g *Gateway) refresh(ctx context.Context, r *ledger.Reader) error {
-	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+// refresh brings a reader up to date within a time limit.
+func (g *Gateway) refresh(ctx context.Context, r *ledger.Reader, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return r.Refresh(ctx)
 }
@@ -316,7 +317,7 @@
 func (g *Gateway) findJob(ctx context.Context, a admission) (ledger.JobEntry, *Answer) {
 	e, ok := g.state.Job(a.job)
 	if !ok {
-		if err := g.refresh(ctx, g.jobReader); err != nil {
+		if err := g.refresh(ctx, g.jobReader, refreshTimeout); err != nil {
 			return e, &Answer{Outcome: Unavailable, Reason: "the ledger cannot be read", RetryAfter: retryAfter}
 		}
 		e, ok = g.state.Job(a.job)
@@ -338,32 +339,3 @@
 		return *denial
 	}
 }
-
-// forward forwards a call to other entries in turn, until one has a definite answer.
-// It returns fallback if none has.
-func (g *Gateway) forward(ctx context.Context, c *activeCall, fallback Answer) Answer {
-	if c.Forwarded {
-		return fallback
-	}
-	forwarded := c.Call
-	for _, peer := range g.options.Peers() {
-		if ctx.Err() != nil {
-			break
-		}
-		if deadline, ok := ctx.Deadline(); ok {
-			forwarded.Wait = time.Until(deadline)
-		}
-		answer, err := c.attempts.run(func() (Answer, error) { return peer.Forward(ctx, forwarded) })
-		if err != nil {
-			_ = level.Info(g.logger).Log("event", "forward failed", "method", c.Method, "job", jobIDFromPath(c.Path), "sent", !errors.Is(err, ErrNotSent), "reason", err)
-			continue
-		}
-		raiseTo(&g.seenVersion, answer.Version)
-		switch answer.Outcome {
-		case Refused, Unavailable, Undecided:
-		default:
-			return answer
-		}
-	}
-	return fallback
-}
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -45,7 +45,10 @@
 	store   *fleetstore.Store
 	gateway *gateway.Gateway
 	peer    *peer
-	peers   []gateway.Peer // peers are the other entries; only peer unless a test replaces them.
+
+	jobReader, configReader *ledger.Reader
+
+	peers []gateway.Peer // peers are the other entries; only peer unless a test replaces them.
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -82,6 +85,7 @@
 		},
 		Peers: func() []gateway.Peer { return f.peers },
 	}, store, state, jobReader, configReader, current, log.NewNopLogger())
+	f.jobReader, f.configReader = jobReader, configReader
 	g := group.New(context.Background())
 	g.Go("jobs", jobReader.Run)
 	g.Go("plans", configReader.Run)
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -15,6 +15,7 @@
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/cluster/entrylink"
 	"wasabihoist/internal/cluster/hostlink"
+	"wasabihoist/internal/cluster/rendezvous"
 	"wasabihoist/internal/cluster/transport"
 	"wasabihoist/internal/fleet/coordinator"
 	"wasabihoist/internal/fleet/host"
@@ -156,31 +157,49 @@
 	return hostlink.NewClient(address, agentTransport.Shared(), agentTransport.CloseIdle)
 }
 
-// peers returns a function that lists clients of the other entries, those of the
-// same region first and then by name.
+// farPeerInterval is how many entries of the same region come before one of another
+// region, which may reach the store when the own region does not.
+const farPeerInterval = 3
+
+// peers returns a function that lists clients of the other entries in an order that
+// differs from entry to entry, so that their forwarded calls are spread. After
+// farPeerInterval entries of the same region comes one of another region.
 func peers(o EntryOptions, self ledger.Member, state *ledger.State, entryTransport *transport.Transport) func() []gateway.Peer {
-	region := func(m ledger.Member) string { return o.Regions[m.DataCentre] }
 	return func() []gateway.Peer {
-		var members []ledger.Member
+		var near, far []ledger.Member
 		for name, m := range state.Members(ledger.EntryRole) {
-			if name != self.Name {
-				members = append(members, m)
+			switch {
+			case name == self.Name:
+			case o.Regions[m.DataCentre] == o.Regions[self.DataCentre]:
+				near = append(near, m)
+			default:
+				far = append(far, m)
 			}
 		}
-		slices.SortFunc(members, func(a, b ledger.Member) int {
-			sameRegionA, sameRegionB := region(a) == region(self), region(b) == region(self)
-			if sameRegionA != sameRegionB {
-				if sameRegionA {
-					return -1
-				}
-				return 1
-			}
-			return cmp.Compare(a.Name, b.Name)
-		})
 		var list []gateway.Peer
-		for _, m := range members {
+		for _, m := range interleave(byWeight(self, near), byWeight(self, far), farPeerInterval) {
 			list = append(list, entrylink.NewClient(m.Address, entryTransport.Fresh()))
 		}
 		return list
 	}
 }
+
+// byWeight sorts members by their rendezvous weight for a process.
+func byWeight(self ledger.Member, members []ledger.Member) []ledger.Member {
+	slices.SortFunc(members, func(a, b ledger.Member) int {
+		return cmp.Or(cmp.Compare(rendezvous.Weight(self.Name, b.Name), rendezvous.Weight(self.Name, a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	return members
+}
+
+// interleave returns the elements of both lists in their order, with one of the second
+// list after each interval of the first one.
+func interleave[T any](first, second []T, interval int) []T {
+	merged := make([]T, 0, len(first)+len(second))
+	for len(first) > 0 && len(second) > 0 {
+		n := min(interval, len(first))
+		merged = append(append(merged, first[:n]...), second[0])
+		first, second = first[n:], second[1:]
+	}
+	return append(append(merged, first...), second...)
+}
