Let the test of ended processes run under a parent that ignores hangups

Cause, by the trace: the program of the case "ends on a hangup" had SIGHUP in its mask of ignored signals. Programs inherit that from nohup, through go test, and a shell can't take an ignored signal back. So the hangup did not end it, and the test waited for its end without limit.

Change: the test takes SIGHUP, so that its programs start with the default action. Its checks are as before.

--- a/internal/run/soak/process_test.go
+++ b/internal/run/soak/process_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync/atomic"
 	"syscall"
@@ -23,6 +24,11 @@
 // Guards against a check of the ends of processes that cannot fail, and against
 // findings about processes that end as they are told.
 func TestEndsOfProcessesAreChecked(t *testing.T) {
+	// Programs inherit that a parent, such as nohup, ignores SIGHUP, unless this
+	// process takes the signal.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangups) })
 	const wait = "while :; do sleep 0.02; done"
 	for name, tt := range map[string]struct {
 		program string // program is a script of the shell.
