Refuse a call at once when no entry can serve it

Cause: while nobody could serve a call, the entry asked the store and further entries again instead of telling the client when to come back.

Change: one read of at most 0.1 s and one round of at most eight other entries during a known outage, then the refusal. What gained for outages of a part of the entries is kept: forwarded calls are refused at once, and calls of clients are forwarded early.

--- a/internal/role/gateway/forward.go
+++ b/internal/role/gateway/forward.go
@@ -6,20 +6,12 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-
-	"wasabihoist/internal/base/group"
 )
 
 const (
 	// maxForwards bounds how many other entries a call is forwarded to in a row. If so
 	// many cannot serve it, the store is hardly reachable for any entry.
 	maxForwards = 8
-	// forwardInterval is the pause before a call is forwarded to further entries, and
-	// bounds the load of forwarded calls while the store is down.
-	forwardInterval = 250 * time.Millisecond
-	// confirmShare is the fraction of the client's wait during which an entry tries to
-	// serve a call for which it cannot confirm the configuration.
-	confirmShare = 0.5
 	// outageRefreshTimeout limits a read during a known outage. The store answers
 	// within it if it is back, and other entries are asked soon if it is not.
 	outageRefreshTimeout = 100 * time.Millisecond
@@ -31,25 +23,17 @@
 // forwards it can ask the next one.
 func (g *Gateway) confirmConfig(ctx context.Context, c *activeCall) (answer Answer, confirmed bool) {
 	refusal := Answer{Outcome: Refused, Reason: "the configuration cannot be confirmed", RetryAfter: retryAfter}
-	if c.Forwarded && g.configReader.Failing() {
-		return refusal, false
-	}
-	until := time.Now().Add(time.Duration(confirmShare * float64(c.Wait)))
-	for {
-		limit := refreshTimeout
-		if g.configReader.Failing() {
-			limit = outageRefreshTimeout
-		}
-		if g.refresh(ctx, g.configReader, limit) == nil && g.configFresh() {
-			return Answer{}, true
-		}
-		if answer = g.forward(ctx, c, refusal); answer.Outcome != Refused || c.Forwarded || time.Now().After(until) {
-			return answer, false
-		}
-		if group.Pause(ctx, forwardInterval) != nil {
+	limit := refreshTimeout
+	if g.configReader.Failing() {
+		if c.Forwarded {
 			return refusal, false
 		}
+		limit = outageRefreshTimeout
+	}
+	if g.refresh(ctx, g.configReader, limit) == nil && g.configFresh() {
+		return Answer{}, true
 	}
+	return g.forward(ctx, c, refusal), false
 }
 
 // forward forwards a call to up to maxForwards other entries in turn, until one has a
