--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -12,11 +12,11 @@
 )
 
 var cases = map[string]*testCase{
-	"exclusion":   {kinds: append(minions(minionCount-1), rareMinion), run: exclusion},
-	"probation":   {kinds: minions(minionCount), run: probation},
-	"reservation": {kinds: minions(minionCount), run: reservation},
-	"attempts":    {kinds: append(minions(minionCount-1), rareMinion), run: lastAttempt},
-	"count":       {kinds: append(minions(minionCount-1), rareMinion), run: pendingCount},
+	"deadlock":  {kinds: minions(minionCount), run: deadlock},
+	"exclusion": {kinds: append(minions(minionCount-1), rareMinion), run: exclusion},
+	"probation": {kinds: minions(minionCount), run: probation},
+	"attempts":  {kinds: append(minions(minionCount-1), rareMinion), run: lastAttempt},
+	"count":     {kinds: append(minions(minionCount-1), rareMinion), run: pendingCount},
 }
 
 // minionCount is the number of minions of the users' small deployments.
@@ -176,20 +176,26 @@
 	return d.judge(j, time.Now()), nil
 }
 
-// reservation: a gang waits for a host on which a task lasts.
-func reservation(d *deployment, trouble bool) (string, error) {
-	lasting := &job{id: newID(1), queue: queueOne, count: 1, need: oneGPU, estimate: 2 * time.Second, work: work{duration: 500 * time.Millisecond, lasting: true}}
-	if !d.submit(lasting) {
+// deadlock: one minion fails what it starts for a moment, and a gang comes that needs
+// all minions, and then a small job.
+func deadlock(d *deployment, trouble bool) (string, error) {
+	m := d.fleet.minions[0]
+	d.setFailing(m, trouble)
+	first := &job{id: newID(1), queue: queueTwo, count: minionCount, spread: 1, need: oneGPU, estimate: time.Second, work: work{duration: time.Second}}
+	if !d.submit(first) {
 		return "", fmt.Errorf("the job was not accepted")
 	}
 	time.Sleep(2 * time.Second)
-	if trouble {
-		large := &job{id: newID(2), queue: queueOne, gang: true, count: minionCount, need: resources{26000, 60000, 8}, estimate: time.Hour, work: work{duration: time.Hour}}
-		if !d.submit(large) {
-			return "", fmt.Errorf("the job was not accepted")
-		}
-		time.Sleep(time.Second)
+	d.setFailing(m, false)
+	if trouble && m.failures == 0 {
+		return "", fmt.Errorf("the job was not started on the failing minion")
+	}
+	time.Sleep(3 * time.Second)
+	large := &job{id: newID(2), queue: queueOne, gang: true, count: 2 * minionCount, need: resources{26000, 60000, 4}, estimate: time.Hour, work: work{duration: time.Hour}}
+	if !d.submit(large) {
+		return "", fmt.Errorf("the job was not accepted")
 	}
+	time.Sleep(time.Second)
 	j := &job{id: newID(3), queue: queueOne, count: 1, need: oneGPU, estimate: time.Hour, work: work{duration: time.Hour}}
 	if !d.submit(j) {
 		return "", fmt.Errorf("the job was not accepted")
