--- a/review/harness/minion.go
+++ b/review/harness/minion.go
@@ -73,6 +73,7 @@
 	jobs    map[string]*job
 	minions []*minion
 	gangs   map[string]*gang // gangs is by STEP/RUN.
+	twice   string           // twice is the last finding by the rule TWICE.
 }
 
 // gang is one run of a gang.
@@ -103,6 +104,8 @@
 	failing  bool // failing minions fail all that they start.
 	failures int  // failures counts the runs that failed because of that.
 	shedding bool // shedding minions refuse all starts with 503.
+	down     bool // down is set after a crash.
+	proxy    *proxy
 }
 
 func (m *minion) clock() time.Duration { return time.Since(m.born) }
@@ -274,7 +277,8 @@
 	}
 	m.prolong(deadline)
 	if r := m.runs[task]; r == nil || r.number != number {
-		f.rec.add("run started", "minion", m.id, "task", task, "run", number, "token", m.token)
+		f.rec.add("run started", "minion", m.id, "born", m.born.UnixMilli(), "task", task, "run", number, "token", m.token)
+		f.checkTwice(m, task, number)
 		m.runs[task] = &run{task: task, number: number, work: j.work, started: time.Now()}
 		j.lastRun = time.Now()
 		if j.gang {
@@ -284,6 +288,37 @@
 	reply(w, http.StatusOK, m.answer())
 }
 
+// checkTwice notes a run that begins while another run of its task is at work. The
+// caller holds mu.
+func (f *fleet) checkTwice(m *minion, task string, number int) {
+	for _, other := range f.minions {
+		if r := other.runs[task]; r != nil && !other.down {
+			f.twice = fmt.Sprintf("TWICE: run %d of task %s begins on %s while run %d of it is at work on %s", number, task, m.id, r.number, other.id)
+			f.rec.add("task runs twice", "finding", f.twice)
+		}
+	}
+}
+
+// crash ends the minion and all that it runs, and restart begins a new incarnation
+// under the same id.
+func (m *minion) crash() {
+	m.proxy.down()
+	m.fleet.mu.Lock()
+	defer m.fleet.mu.Unlock()
+	m.fleet.settle()
+	m.runs, m.ends, m.down = make(map[string]*run), nil, true
+	m.fleet.rec.add("minion crashes", "minion", m.id)
+}
+
+func (m *minion) restart() error {
+	m.fleet.mu.Lock()
+	m.dead, m.ended, m.token, m.lease, m.seq, m.down = make(map[string]int), 0, 0, 0, 0, false
+	m.born = time.UnixMilli(time.Now().UnixMilli())
+	m.fleet.rec.add("minion starts again", "minion", m.id, "born", m.born.UnixMilli())
+	m.fleet.mu.Unlock()
+	return m.proxy.up()
+}
+
 // join adds a member to the run of its gang.
 func (f *fleet) join(r *run) {
 	key := stepOf(r.task) + fmt.Sprint("/", r.number)
@@ -403,7 +438,10 @@
 // beats sends heartbeats until the process ends.
 func (m *minion) beats() {
 	pause := 200 * time.Millisecond
-	if m.beat() {
+	m.fleet.mu.Lock()
+	down := m.down
+	m.fleet.mu.Unlock()
+	if !down && m.beat() {
 		pause = beatPause
 	}
 	time.AfterFunc(pause, m.beats)
