Let a step return to hosts on which it failed if no other host can run it

A job that always fails there is never shown as failed.

Cause: a step excluded the hosts on which it had failed until it had failed on more than half of all hosts of the fleet, and on its last attempt the hosts on probation unless these were a quarter of the fleet. Hosts that can't run the step at all (label, service, size, draining, silent) counted as alternatives, and nothing ended an exclusion while the other hosts were full.

Tickets are requested for further hosts although one on which the step has failed has room. Cooldown, quarantine and probation are unchanged, so a broken host is avoided as before.

Demand.AvoidProbation is gone: such hosts are excluded by name. Its case in TestDecide excludes the host by name now and expects the same placements.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -82,18 +82,18 @@
 	Service           string
 	Need              workload.Resources // Need is the request of each task.
 	Tasks             int
-	Gang              bool           // Gang demands are placed all or nothing.
-	RackLocal         bool           // RackLocal demands prefer hosts of a single rack.
-	DataRack          string         // DataRack is the rack that holds the input data; empty when there is none.
-	Label             string         // Label is a label that the host must have; empty matches all hosts.
-	SpreadLimit       int            // SpreadLimit is the maximum number of the step's tasks on one host; 0 is no limit.
-	TasksByHost       map[string]int // TasksByHost counts the tasks of the step that are already placed.
-	ExcludedHosts     collection.Set[string]
-	MaxPreemptionCost float64 // MaxPreemptionCost is the most work that may be discarded for all tasks of the demand, in core seconds; 0 is no limit.
-	Headroom          int     // Headroom is the number of accelerators of the service that the demand must leave free.
-	AvoidProbation    bool    // AvoidProbation excludes hosts on probation.
-	RelaxLocality     bool    // RelaxLocality permits hosts away from the data, and gangs across racks.
-	BestEffort        bool    // BestEffort demands use only idle cores and go to the hosts with the most.
+	Gang              bool                   // Gang demands are placed all or nothing.
+	RackLocal         bool                   // RackLocal demands prefer hosts of a single rack.
+	DataRack          string                 // DataRack is the rack that holds the input data; empty when there is none.
+	Label             string                 // Label is a label that the host must have; empty matches all hosts.
+	SpreadLimit       int                    // SpreadLimit is the maximum number of the step's tasks on one host; 0 is no limit.
+	TasksByHost       map[string]int         // TasksByHost counts the tasks of the step that are already placed.
+	ExcludedHosts     collection.Set[string] // ExcludedHosts get no task of the demand.
+	AvoidedHosts      collection.Set[string] // AvoidedHosts get a task only if it fits on no other host.
+	MaxPreemptionCost float64                // MaxPreemptionCost is the most work that may be discarded for all tasks of the demand, in core seconds; 0 is no limit.
+	Headroom          int                    // Headroom is the number of accelerators of the service that the demand must leave free.
+	RelaxLocality     bool                   // RelaxLocality permits hosts away from the data, and gangs across racks.
+	BestEffort        bool                   // BestEffort demands use only idle cores and go to the hosts with the most.
 
 	AllowedHosts collection.Option[collection.Set[string]] // AllowedHosts are the only hosts that may be used; None permits all.
 }
@@ -293,7 +293,7 @@
 // usable reports whether tasks of the demand are permitted on the host and would
 // fit if it were empty.
 func usable(d Demand, h *hostState) bool {
-	if h.OnProbation && (d.AvoidProbation || h.busy) {
+	if h.OnProbation && h.busy {
 		return false
 	}
 	if allowed, restricted := d.AllowedHosts.Get(); restricted && !allowed.Has(h.Name) {
--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -257,11 +257,11 @@
 			}(), newDemand(1, ordinary, 1, 8)},
 			placed: map[int][]string{1: {"h1"}},
 		},
-		"a host on probation takes one task, and none of a demand that avoids probation": {
+		"a host on probation takes one task, and none of a demand that excludes it": {
 			hosts: []allocation.Host{func() allocation.Host { h := newHost("h1", "r1", 8, 8); h.OnProbation = true; return h }()},
 			demands: []allocation.Demand{func() allocation.Demand {
 				d := newDemand(0, ordinary, 1, 1)
-				d.AvoidProbation = true
+				d.ExcludedHosts = collection.NewSet("h1")
 				return d
 			}(), newDemand(1, ordinary, 3, 1), newDemand(2, ordinary, 3, 1)},
 			placed: map[int][]string{1: {"h1"}},
@@ -283,6 +283,15 @@
 			demands:   []allocation.Demand{newGang(0, allocation.Urgent, 1, 8)},
 			preempted: []int{1}, reserved: []int{0},
 		},
+		"avoided hosts are used last, although they are the best fit": {
+			hosts: []allocation.Host{newHost("h1", "r1", 2, 2), newHost("h2", "r1", 3, 3), newHost("h3", "r1", 8, 8)},
+			demands: []allocation.Demand{func() allocation.Demand {
+				d := newDemand(0, ordinary, 12, 1)
+				d.AvoidedHosts = collection.NewSet("h1", "h2")
+				return d
+			}()},
+			placed: map[int][]string{0: {"h3", "h3", "h3", "h3", "h3", "h3", "h3", "h3", "h1", "h1", "h2", "h2"}},
+		},
 		"closed and excluded hosts get no tasks": {
 			hosts: []allocation.Host{func() allocation.Host { h := newHost("h1", "r1", 8, 8); h.Open = false; return h }(), newHost("h2", "r1", 8, 8)},
 			demands: []allocation.Demand{func() allocation.Demand {
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -97,6 +97,7 @@
 	free      workload.Resources
 	stepTasks int // stepTasks counts the tasks of the step on the host, assigned ones included.
 	assigned  int // assigned counts the tasks that this call assigns.
+	avoided   bool
 }
 
 // accepts reports whether one more task may be assigned to the host.
@@ -112,7 +113,7 @@
 	maxTasks := 0
 	for _, h := range hosts {
 		if free := available(h); free.Fits(d.Need) && usable(d, h) {
-			candidates = append(candidates, candidate{h, free, d.TasksByHost[h.Name], 0})
+			candidates = append(candidates, candidate{h, free, d.TasksByHost[h.Name], 0, d.AvoidedHosts.Has(h.Name)})
 			maxTasks += free.FitCount(d.Need)
 		}
 	}
@@ -149,11 +150,13 @@
 	return best
 }
 
-// preferredOver reports whether a candidate comes before another one: by best fit,
-// or for best-effort demands by the fewest tasks of the step, then the most idle
-// cores.
+// preferredOver reports whether a candidate comes before another one: hosts that are
+// not avoided first, then by best fit, or for best-effort demands by the fewest tasks
+// of the step, then the most idle cores.
 func (c *candidate) preferredOver(o *candidate, d Demand) bool {
 	switch {
+	case c.avoided != o.avoided:
+		return o.avoided
 	case !d.BestEffort:
 		return lessFree(c.free, o.free)
 	case c.stepTasks != o.stepTasks:
--- a/internal/fleet/coordinator/advice.go
+++ b/internal/fleet/coordinator/advice.go
@@ -70,8 +70,9 @@
 
 // permittedHosts returns the names of the hosts with a valid ticket for a step,
 // or None if its queue does not use the adviser or the catalogue is not loaded.
-// If fewer of the tasks fit on those hosts than wait, it also sets
-// adviceCalls.next to a query about further hosts, unless a query is set. It is
+// If fewer of the tasks than wait fit on those of these hosts where the step has
+// not failed, it also sets adviceCalls.next to a query about further hosts, unless
+// a query is set. It is
 // called for the steps in order of urgency, so the most urgent query is kept.
 // For urgent work, hosts without free resources count as well, because it may
 // preempt other work there.
@@ -96,7 +97,9 @@
 		fits := h.free().FitCount(need)
 		if ticket := advice.tickets[h.minion.Incarnation()]; ticket.usableUntil > at {
 			permitted.Add(h.name)
-			fitting += fits
+			if !j.failures(step).failedOn(h.name) {
+				fitting += fits
+			}
 		} else if fits > 0 || rank <= allocation.Urgent {
 			candidates = append(candidates, h)
 		}
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -148,46 +148,13 @@
 		}
 	}
 	slack := t.slack(j, j.job.Occurrence(step))
-	return allocation.Demand{
+	d := allocation.Demand{
 		Rank: rank, Service: service, Need: s.ReservedResources(), Tasks: tasks, Gang: s.Gang, RackLocal: s.RackLocal, DataRack: s.DataRack,
 		Label: s.Label, SpreadLimit: s.SpreadLimit, TasksByHost: tasksByHost, BestEffort: s.BestEffort, RelaxLocality: slack < 0,
-		ExcludedHosts: t.avoidedHosts(j, step), AvoidProbation: t.fewHostsOnProbation() && onLastAttempt(j, step),
 		AllowedHosts: t.permittedHosts(j, step, service, tasks, rank),
 	}
-}
-
-// fewHostsOnProbation reports whether at most a quarter of the hosts are on
-// probation. Otherwise the jobs are at fault, and tasks that avoid such hosts
-// would find no place.
-func (t *term) fewHostsOnProbation() bool {
-	onProbation := 0
-	for _, h := range t.hosts {
-		if h.health.onProbation() {
-			onProbation++
-		}
-	}
-	return onProbation <= len(t.hosts)/4
-}
-
-// onLastAttempt reports whether one more failure would use up the last attempt
-// of a step.
-func onLastAttempt(j *jobState, step int) bool {
-	s := j.progress.Steps[step]
-	failures := s.Failures
-	for _, task := range s.Tasks {
-		failures = max(failures, task.Failures)
-	}
-	return failures+1 >= j.job.Attempts
-}
-
-// avoidedHosts returns the hosts on which a step has failed. If it has failed
-// on more than half of them, the job is at fault and may run anywhere.
-func (t *term) avoidedHosts(j *jobState, step int) collection.Set[string] {
-	avoid := j.failedHosts[step]
-	if len(avoid) > len(t.hosts)/2 {
-		return nil
-	}
-	return avoid
+	t.avoidFaultyHosts(&d, j, step)
+	return d
 }
 
 // slack returns how long an occurrence can still wait and finish by its due
--- a/internal/fleet/coordinator/health.go
+++ b/internal/fleet/coordinator/health.go
@@ -38,6 +38,7 @@
 	failedJobs       collection.Set[workload.ID] // failedJobs holds the jobs that have failed on the host since the last success there.
 	failureWeight    int                         // failureWeight is the total weight of their failures.
 	quarantinedUntil time.Duration               // quarantinedUntil is the end of the quarantine or cooldown.
+	failedAt         time.Duration               // failedAt is when the last of them was recorded.
 	lastQuarantine   time.Duration               // lastQuarantine is the duration of the last quarantine; 0 if there was none since the last success.
 }
 
@@ -56,6 +57,7 @@
 	}
 	h.failedJobs.Add(id)
 	h.failureWeight++
+	h.failedAt = at
 	if after < earlyFailureWindow {
 		h.failureWeight += earlyFailureWeight - 1
 		h.quarantinedUntil = max(h.quarantinedUntil, at+failureCooldown)
--- a/internal/fleet/coordinator/proof_internal_test.go
+++ b/internal/fleet/coordinator/proof_internal_test.go
@@ -8,7 +8,6 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
-	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
@@ -30,7 +29,7 @@
 	h := tm.host("host")
 	h.minion = minion
 	job := workload.Job{ID: "job", Steps: []workload.Step{{Count: 1}}}
-	j := &jobState{job: job, progress: workload.NewProgress(job), failedHosts: make(map[int]collection.Set[string])}
+	j := &jobState{job: job, progress: workload.NewProgress(job), failuresByStep: make(map[int]*stepFailures)}
 	j.progress.Place(job.TaskID(0, 0), 1, h.name, minion.Incarnation())
 	tm.jobs[job.ID] = j
 	r := tm.addRun(tm.newAttempt(j, 0), job.TaskID(0, 0), 1, h, minion.Incarnation())
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -6,7 +6,6 @@
 
 	"github.com/go-kit/log/level"
 
-	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
 )
@@ -240,22 +239,13 @@
 	return r.percent
 }
 
-// jobSuspected reports whether a job rather than a host is at fault for a
-// failure, because a run of the same step has failed on another host before.
-func (t *term) jobSuspected(j *jobState, step int, h *hostState) bool {
-	failedOn := j.failedHosts[step]
-	return len(failedOn) > 1 || len(failedOn) == 1 && !failedOn.Has(h.name)
-}
-
 // handleCrash counts a failed run against its job and its host.
 func (t *term) handleCrash(h *hostState, r *run, e host.EndedRun) {
 	a := r.attempt
 	j := a.job
-	h.health.recordFailure(j.job.ID, t.jobSuspected(j, a.step, h), now()-r.startedAt, now())
-	if j.failedHosts[a.step] == nil {
-		j.failedHosts[a.step] = collection.NewSet[string]()
-	}
-	j.failedHosts[a.step].Add(h.name)
+	failures := j.failures(a.step)
+	h.health.recordFailure(j.job.ID, failures.failedElsewhere(h.name), now()-r.startedAt, now())
+	failures.record(h.name, now())
 	t.releaseRun(r)
 	j.progress.Fail(j.job, e.Task, e.Number, e.Checkpoint)
 	a.ended = true
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -68,11 +68,11 @@
 	// progressUnknown is set if former terms may have recorded more than progress shows.
 	progressUnknown bool
 
-	cancelled   bool
-	activeRuns  int                            // activeRuns counts the runs that hold resources somewhere.
-	failedHosts map[int]collection.Set[string] // failedHosts holds for each step the hosts on which a run of it has failed.
-	retryAt     time.Duration                  // retryAt is when the job may be placed again after a failed start.
-	advice      map[int]*stepAdvice            // advice holds for each step what the adviser has replied.
+	cancelled      bool
+	activeRuns     int                   // activeRuns counts the runs that hold resources somewhere.
+	failuresByStep map[int]*stepFailures // failuresByStep is accessed by failures, which adds missing steps.
+	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
+	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
 }
 
 // endedJob is a job whose records are removed at removeAt.
@@ -227,7 +227,7 @@
 		t.endedJobs = append(t.endedJobs, endedJob{e.Job.ID, now() + t.settings().StatusRetention + retentionMargin})
 		return
 	}
-	j := &jobState{job: e.Job, acceptOrder: e.SubmissionOffset, progressUnknown: e.ProgressUnknown, failedHosts: make(map[int]collection.Set[string])}
+	j := &jobState{job: e.Job, acceptOrder: e.SubmissionOffset, progressUnknown: e.ProgressUnknown, failuresByStep: make(map[int]*stepFailures)}
 	if j.progressUnknown {
 		_ = level.Error(t.logger).Log("event", "progress unknown", "job", e.Job.ID, "outcome", "not placed until former runs have ended", "wait", t.formerRunsEnd()-now())
 	}
