Count a job as pending until a task of it has started

Cause: Progress.Place moved a pending job to Running, so the ledger showed the job as running when a placement was proposed, before any start was sent. A refused start did not undo that, and the state of a job must not go back.

Change: a job is running from the first sign that a task has started: the answer to a start, a status report that lists a run, or an end (Progress.MarkStarted). The record of that waits for another change of the progress, at most 0.5 s, so that short jobs cause no further record. A coordinator that can't use the progress of a job takes it for running, so that the shown state doesn't go back.

The store case of TestLogsShowTheCause takes the store down after the job is shown as running: the record of the start would be the first append to fail, before the end that the test is about. Its assertions are the same.

--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -192,6 +192,7 @@
 	switch {
 	case err == nil:
 		r.tries.settle()
+		t.recordStart(r.task.Job)
 		return // The agent logs it.
 	case host.IsRefusal(err):
 		r.tries.settle()
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -197,6 +197,7 @@
 
 // handleEndedRun handles an ended run that a minion reports.
 func (t *term) handleEndedRun(h *hostState, e host.EndedRun) {
+	t.recordStart(e.Task.Job)
 	r := h.runs[runKey{e.Task, e.Number}]
 	t.metrics.ends[e.Outcome].Add(1)
 	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name, "minion", h.minion.Incarnation(),
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -89,6 +89,7 @@
 // ones.
 func (t *term) handleRunning(h *hostState, running []host.Run) {
 	for _, reported := range running {
+		t.recordStart(reported.Task.Job)
 		key := runKey{reported.Task, reported.Number}
 		r := h.runs[key]
 		if r == nil {
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -71,6 +71,7 @@
 	cancelled      bool
 	activeRuns     int                   // activeRuns counts the runs that hold resources somewhere.
 	failuresByStep map[int]*stepFailures // failuresByStep is accessed by failures, which adds missing steps.
+	startedAt      time.Duration         // startedAt is when the first start of a task was noticed; 0 once the ledger shows the job as running or is about to.
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
 }
@@ -182,6 +183,7 @@
 		case <-wake.C:
 		case <-ticker.C:
 			t.checkProgress()
+			t.writeStarts()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
 		}
 		t.drainEvents()
@@ -238,6 +240,9 @@
 		t.adoptRuns(j)
 	} else {
 		j.progress = workload.NewProgress(e.Job)
+		if j.progressUnknown {
+			j.progress.MarkStarted() // Otherwise the state that callers see could go back to pending.
+		}
 		_ = level.Info(t.logger).Log("event", "job received", "job", e.Job.ID, "queue", e.Job.Queue, "organisation", e.Job.Organisation,
 			"priority", e.Job.Priority, "offset", e.SubmissionOffset, "age", time.Since(e.Job.Submitted).Round(time.Millisecond))
 	}
--- a/internal/fleet/coordinator/trace_test.go
+++ b/internal/fleet/coordinator/trace_test.go
@@ -78,6 +78,7 @@
 		},
 		"late, because the store was down": {
 			func(f *fixture, j workload.Job) {
+				f.awaitState(j.ID, workload.Running) // Otherwise the record of the start fails first.
 				f.store.SetFaults(fleetstore.Faults{Down: true})
 				f.waitFor("it has ended", func() bool { return f.fleet.Finished(j.TaskID(0, 0)) })
 				f.waitFor("the append has failed", func() bool { return strings.Contains(f.logs.String(), "append failed") })
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -23,6 +23,9 @@
 	appendTimeout = 1500 * time.Millisecond
 	// appendRetryDelay is the delay between two tries.
 	appendRetryDelay = 100 * time.Millisecond
+	// startRecordDelay is how long the record of the first start of a job waits for
+	// another change of its progress, so that short jobs need no record more.
+	startRecordDelay = 500 * time.Millisecond
 	// withdrawalRetryDelay is how long a job is not placed again after placements
 	// were withdrawn. Some of its tasks have to end first.
 	withdrawalRetryDelay = time.Second
@@ -113,6 +116,7 @@
 			break
 		}
 		t.dirty.Remove(id)
+		j.startedAt = 0
 		size += len(record.Value)
 		records = append(records, record)
 		written = append(written, id)
@@ -164,6 +168,24 @@
 	return len(proposals) > 0
 }
 
+// recordStart notes that a task of a job has started, if the job is known.
+func (t *term) recordStart(id workload.ID) {
+	if j := t.jobs[id]; j != nil && j.progress.MarkStarted() {
+		j.startedAt = now()
+	}
+}
+
+// writeStarts marks the jobs as dirty that have been running for startRecordDelay
+// although the ledger shows them as pending.
+func (t *term) writeStarts() {
+	at := now()
+	for id, j := range t.jobs {
+		if j.startedAt != 0 && at >= j.startedAt+startRecordDelay {
+			t.dirty.Add(id)
+		}
+	}
+}
+
 // appendWithRetry retries an append under the same sequence number until the
 // store confirms it or another term has begun.
 func (t *term) appendWithRetry(ctx context.Context, fence ledger.Fence, records []ledger.Record) error {
--- a/internal/fleet/workload/progress.go
+++ b/internal/fleet/workload/progress.go
@@ -136,13 +136,20 @@
 
 func (p *Progress) task(t TaskID) *Task { return &p.step(t).Tasks[t.Index] }
 
-// Place assigns a run of a task to a minion. It moves a pending job to Running.
+// Place assigns a run of a task to a minion. The minion may refuse to start it.
 func (p *Progress) Place(t TaskID, run int, host, minion string) {
 	task := p.task(t)
 	task.Phase, task.Run, task.Host, task.Minion = Placed, run, host, minion
-	if p.State == Pending {
-		p.State = Running
+}
+
+// MarkStarted records that a task has started. It reports whether the job was pending;
+// the job is Running then.
+func (p *Progress) MarkStarted() bool {
+	if p.State != Pending {
+		return false
 	}
+	p.State = Running
+	return true
 }
 
 // NextRun returns a run number above those of all the given tasks.
@@ -166,6 +173,7 @@
 // Finish records the success of a task; one member of a gang finishes all tasks of its
 // step. The job is Done once all tasks of all steps are finished.
 func (p *Progress) Finish(j Job, t TaskID) {
+	p.MarkStarted()
 	tasks := p.step(t).Tasks[t.Index : t.Index+1]
 	if j.Steps[t.Step].Gang {
 		tasks = p.step(t).Tasks
@@ -185,6 +193,7 @@
 // however many members fail, and ignores late failures of earlier runs. The job fails
 // when the task or the gang has used all its attempts.
 func (p *Progress) Fail(j Job, t TaskID, run int, checkpoint string) {
+	p.MarkStarted()
 	p.Release(t, checkpoint)
 	step := p.step(t)
 	failures := &step.Tasks[t.Index].Failures
--- a/internal/fleet/workload/progress_test.go
+++ b/internal/fleet/workload/progress_test.go
@@ -45,6 +45,32 @@
 	}
 }
 
+// Guards against a job that is shown as running before a task has started, and against
+// one that is shown as pending again later.
+func TestJobRunsFromTheFirstStart(t *testing.T) {
+	place := func(p *workload.Progress) { p.Place(task(0, 0), 1, "h", "m") }
+	for name, tt := range map[string]struct {
+		changes []func(p *workload.Progress)
+		state   workload.State
+	}{
+		"placed":                  {[]func(*workload.Progress){place}, workload.Pending},
+		"start refused":           {[]func(*workload.Progress){place, func(p *workload.Progress) { p.Release(task(0, 0), "") }}, workload.Pending},
+		"started":                 {[]func(*workload.Progress){place, func(p *workload.Progress) { p.MarkStarted() }}, workload.Running},
+		"started, then released":  {[]func(*workload.Progress){place, func(p *workload.Progress) { p.MarkStarted() }, func(p *workload.Progress) { p.Release(task(0, 0), "") }}, workload.Running},
+		"a task has finished":     {[]func(*workload.Progress){place, func(p *workload.Progress) { p.Finish(twoSteps(false), task(0, 0)) }}, workload.Running},
+		"a run has failed":        {[]func(*workload.Progress){place, func(p *workload.Progress) { p.Fail(twoSteps(false), task(0, 0), 1, "") }}, workload.Running},
+		"cancelled, then started": {[]func(*workload.Progress){place, func(p *workload.Progress) { p.State = workload.Cancelled }, func(p *workload.Progress) { p.MarkStarted() }}, workload.Cancelled},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := workload.NewProgress(twoSteps(false))
+			for _, change := range tt.changes {
+				change(p)
+			}
+			qt.New(t).Check(p.State, qt.Equals, tt.state)
+		})
+	}
+}
+
 func TestStepsFollowTheirDependencies(t *testing.T) {
 	c := qt.New(t)
 	j := twoSteps(true)
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -100,12 +100,21 @@
 	done.State = workload.Done
 	doneRecord, err := ledger.EncodeProgress(done)
 	c.Assert(err, qt.IsNil)
+	placed := workload.NewProgress(j)
+	placed.Place(workload.TaskID{Job: "j"}, 1, "host", "minion@1")
+	placedRecord, err := ledger.EncodeProgress(placed)
+	c.Assert(err, qt.IsNil)
+	placed.MarkStarted()
+	startedRecord, err := ledger.EncodeProgress(placed)
+	c.Assert(err, qt.IsNil)
 	for name, tt := range map[string]struct {
 		records []ledger.Record
 		want    workload.State
 	}{
 		"submitted":                          {[]ledger.Record{jobRecord}, workload.Pending},
 		"submitted twice":                    {[]ledger.Record{jobRecord, jobRecord}, workload.Pending},
+		"placed":                             {[]ledger.Record{jobRecord, placedRecord}, workload.Pending},
+		"started":                            {[]ledger.Record{jobRecord, placedRecord, startedRecord}, workload.Running},
 		"cancelled":                          {[]ledger.Record{jobRecord, cancelRecord}, workload.Cancelled},
 		"cancelled, then done":               {[]ledger.Record{jobRecord, cancelRecord, doneRecord}, workload.Cancelled},
 		"done, then cancelled":               {[]ledger.Record{jobRecord, doneRecord, cancelRecord}, workload.Done},
