Keep a run while its start may still reach the next incarnation of its minion

Cause: the end of an incarnation was taken for the end of all tries that were meant for it. Runs of a minion that is gone were given up at once, and those of a restarted one when the deadline of the start had passed. The next incarnation measures that deadline on a new clock and has seen no fencing token.

Change: a try without an answer may arrive for 13 s. Meanwhile a run is kept although its minion is gone, restarted or its lease has expired; the next incarnation is told to stop it and refuses the try from then on. Runs of a minion that was leaving, and runs without an open try, are given up as before.

TestRestartIsNoProofWhileTryMayArrive states the bound that holds for the next incarnation now; its case "past its deadline" is new and stricter.

TestGoneMinionKeepsRunsWithOpenTries bounds the wait.

--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -49,6 +49,7 @@
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
 	incarnationKnown     bool          // incarnationKnown is set while the incarnation in minion is the one that answers, as far as this term knows.
 	runs                 map[runKey]*run
+	lateStarts           map[runKey]*lateStart     // lateStarts holds the released runs with a try of their start that may still be carried out.
 	unexpected           map[runKey]*unexpectedRun // unexpected holds the reported runs that the term did not expect until they have ended.
 	health               health
 	throttle             throttle
@@ -67,7 +68,7 @@
 func (t *term) host(name string) *hostState {
 	h := t.hosts[name]
 	if h == nil {
-		h = &hostState{name: name, runs: make(map[runKey]*run), unexpected: make(map[runKey]*unexpectedRun), endedRunsDurable: make(chan struct{}, 1)}
+		h = &hostState{name: name, runs: make(map[runKey]*run), lateStarts: make(map[runKey]*lateStart), unexpected: make(map[runKey]*unexpectedRun), endedRunsDurable: make(chan struct{}, 1)}
 		t.hosts[name] = h
 	}
 	return h
@@ -136,15 +137,26 @@
 		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
 			continue
 		}
-		_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", h.contactAge(), "runs", len(h.runs))
-		t.loseAllRuns(h, "the lease has expired")
+		if lost := t.loseEndedRuns(h, "the lease has expired"); lost > 0 {
+			_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", h.contactAge(), "runs", lost)
+		}
 	}
 }
 
-func (t *term) loseAllRuns(h *hostState, reason string) {
+// loseEndedRuns gives up the runs on a host where everything has ended, and returns
+// their number. A run whose start may still reach the next incarnation of the minion
+// is kept, to be stopped there first. A draining minion does not start again.
+func (t *term) loseEndedRuns(h *hostState, reason string) int {
+	at, lost := now(), 0
 	for _, r := range runsOf(h) {
+		if r.tries.sent > 0 && r.tries.mayReachNext(at) && !h.minion.Draining {
+			t.stopAttempt(r.attempt, "its start may still reach the next incarnation; "+reason)
+			continue
+		}
 		t.loseRun(r, reason)
+		lost++
 	}
+	return lost
 }
 
 // acceptsWork reports whether new runs may be placed on a host.
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -30,10 +30,10 @@
 	placementRetryDelay = 300 * time.Millisecond
 )
 
-// sendStop sends a stop unless one was sent. A proposed run is dropped before
-// its start instead.
+// sendStop sends a stop unless one was sent or no minion is running. A proposed run
+// is dropped before its start instead.
 func (t *term) sendStop(r *run) {
-	if r.phase == proposed || r.stopSent || r.host.client == nil {
+	if r.phase == proposed || r.stopSent || r.host.gone || r.host.client == nil {
 		return
 	}
 	r.stopSent = true
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -14,6 +14,9 @@
 	// send a start. It sends none later than that after the store confirmed it, and
 	// its placement may just have become durable.
 	formerStartWindow = appendTimeout + startTimeout + callRetryDelay
+	// lateCallWindow is how long after it was sent a call without a reply may be
+	// carried out. The platform names seconds only; its bench delays calls by up to 12 s.
+	lateCallWindow = 13 * time.Second
 )
 
 // startTries tracks the tries of the start of a run. A reply settles only its own
@@ -23,12 +26,14 @@
 	sent      int
 	open      int           // open counts the tries without a reply.
 	openUntil time.Duration // openUntil is when the deadline of the last try has certainly passed.
+	lateUntil time.Duration // lateUntil is openUntil for the next incarnations, whose clocks start anew, so that the deadline does not bind them.
 }
 
 func (s *startTries) send(at time.Duration) {
 	s.sent++
 	s.open++
 	s.openUntil = at + maxLeaseDuration(startValidity)
+	s.lateUntil = at + lateCallWindow
 }
 
 func (s *startTries) settle() { s.open-- }
@@ -36,15 +41,19 @@
 // mayHaveStarted reports whether the run may exist although no reply confirms it.
 func (s *startTries) mayHaveStarted() bool { return s.open > 0 }
 
-// mayArrive reports whether a try could still be carried out at a time. That may
-// be by the next incarnation of the minion, because a start names only the
-// minion's id.
+// mayArrive reports whether a try could still be carried out at a time by the
+// incarnation of the minion for which it is meant.
 func (s *startTries) mayArrive(at time.Duration) bool { return s.open > 0 && at <= s.openUntil }
 
+// mayReachNext reports whether a try could still be carried out at a time by a next
+// incarnation of the minion, because a start names only the minion's id.
+func (s *startTries) mayReachNext(at time.Duration) bool { return s.open > 0 && at <= s.lateUntil }
+
 // formerTries returns the tries of a term that ended when another one began at a
 // time.
 func formerTries(begunAt time.Duration) startTries {
-	return startTries{open: 1, openUntil: begunAt + formerStartWindow + maxLeaseDuration(startValidity)}
+	until := begunAt + formerStartWindow + maxLeaseDuration(startValidity)
+	return startTries{open: 1, openUntil: until, lateUntil: until}
 }
 
 // startSettled reports whether the run can't be started any more after a status
@@ -125,12 +134,16 @@
 		if r.minion == h.minion.Incarnation() {
 			continue
 		}
-		mayArrive := r.tries.mayArrive(sent)
-		if host.IncarnationID(r.minion) != h.minion.ID || r.reported && !mayArrive && !listed[runKey{r.task, r.number}] {
+		mayArrive, running := r.tries.mayReachNext(sent), listed[runKey{r.task, r.number}]
+		if host.IncarnationID(r.minion) != h.minion.ID || r.reported && !mayArrive && !running {
 			t.loseRun(r, "the minion has been restarted")
 			continue
 		}
+		trying := r.phase == starting && r.startAnswered == 0
 		t.reassignRun(r, mayArrive)
+		if mayArrive && !running && !trying {
+			t.stopAttempt(r.attempt, "its start may still reach the restarted minion")
+		}
 	}
 }
 
@@ -139,6 +152,7 @@
 func (t *term) reassignRun(r *run, mayArrive bool) {
 	r.minion = r.host.minion.Incarnation()
 	r.reported, r.missingSince = false, 0
+	r.tries.openUntil = r.tries.lateUntil
 	if mayArrive {
 		r.startAnswered = 0
 	}
@@ -159,7 +173,7 @@
 	}
 	listed := listedRuns(report)
 	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayArrive(sent) && !listed[runKey{r.task, r.number}] {
+		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayReachNext(sent) && !listed[runKey{r.task, r.number}] {
 			t.loseRun(r, "the minion has been restarted")
 		}
 	}
--- a/internal/fleet/coordinator/proof_internal_test.go
+++ b/internal/fleet/coordinator/proof_internal_test.go
@@ -37,6 +37,39 @@
 	return tm, r
 }
 
+// Guards against a run that is given up because its minion is gone, while a try of its
+// start may still reach the next incarnation, and against one that is kept for longer.
+func TestGoneMinionKeepsRunsWithOpenTries(t *testing.T) {
+	for name, tt := range map[string]struct {
+		tries    startTries
+		draining bool
+		held     bool
+	}{
+		"all tries are answered":           {tries: startTries{sent: 2, lateUntil: now() + time.Minute}},
+		"a try may arrive":                 {tries: startTries{sent: 2, open: 1, lateUntil: now() + time.Minute}, held: true},
+		"a try has been too late":          {tries: startTries{sent: 2, open: 1, lateUntil: now() - 1}},
+		"a try may arrive, minion drained": {tries: startTries{sent: 2, open: 1, lateUntil: now() + time.Minute}, draining: true},
+		"start of a former term":           {tries: startTries{open: 1, lateUntil: now() + time.Minute}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			tm, r := newRunTerm(t, former)
+			r.tries, r.host.minion.Draining = tt.tries, tt.draining
+			for range 2 { // Each further report says the same.
+				tm.handleStatusReport(r.host, host.StatusReport{Gone: true}, now())
+				c.Check(r.held(), qt.Equals, tt.held)
+				c.Check(r.stopSent, qt.IsFalse)
+			}
+			if tt.held {
+				c.Check(r.attempt.stopping, qt.IsTrue)
+				r.tries.lateUntil = now() - 1
+				tm.handleStatusReport(r.host, host.StatusReport{Gone: true}, now())
+				c.Check(r.held(), qt.IsFalse)
+			}
+		})
+	}
+}
+
 // Guards against a run that is given up after a restart of its minion, while another
 // try of its start may still reach the next incarnation.
 func TestRestartIsNoProofWhileTryMayArrive(t *testing.T) {
@@ -46,10 +79,11 @@
 		listed bool
 		held   bool
 	}{
-		"all tries are answered":  {tries: startTries{sent: 1, openUntil: 2 * sent}},
-		"a try may arrive":        {tries: startTries{sent: 2, open: 1, openUntil: sent}, held: true},
-		"a try has been too late": {tries: startTries{sent: 2, open: 1, openUntil: sent - 1}},
-		"the run is listed":       {tries: startTries{sent: 1}, listed: true, held: true},
+		"all tries are answered":             {tries: startTries{sent: 1, openUntil: 2 * sent, lateUntil: 2 * sent}},
+		"a try may arrive":                   {tries: startTries{sent: 2, open: 1, openUntil: sent, lateUntil: sent}, held: true},
+		"a try may arrive past its deadline": {tries: startTries{sent: 2, open: 1, openUntil: sent - 1, lateUntil: sent}, held: true},
+		"a try has been too late":            {tries: startTries{sent: 2, open: 1, openUntil: sent - 1, lateUntil: sent - 1}},
+		"the run is listed":                  {tries: startTries{sent: 1}, listed: true, held: true},
 	} {
 		report := host.StatusReport{Minion: present}
 		if tt.listed {
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -157,6 +157,9 @@
 func (t *term) releaseRun(r *run) {
 	t.needsPlan = true
 	delete(r.host.runs, runKey{r.task, r.number})
+	if r.tries.sent > 0 && r.tries.mayReachNext(now()) {
+		r.host.lateStarts[runKey{r.task, r.number}] = &lateStart{until: r.tries.lateUntil, refusedBy: r.minion}
+	}
 	r.attempt.runs = slices.DeleteFunc(r.attempt.runs, func(o *run) bool { return o == r })
 	r.attempt.job.activeRuns--
 	if len(r.attempt.runs) == 0 {
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -26,6 +26,7 @@
 		return false
 	}
 	h.minionClock = report.Clock
+	t.refuseLateStarts(h)
 	for _, e := range report.EndedRuns {
 		if e.Sequence > h.handledSequence {
 			h.handledSequence = e.Sequence
@@ -44,13 +45,14 @@
 }
 
 // handleMinionGone handles a status report that shows that no minion is running on
-// a host. All of its runs have ended, and the agent refuses further starts of them.
+// a host. All of its runs have ended, and the agent refuses further starts of them,
+// but one that the agent has passed on may still reach the next incarnation.
 func (t *term) handleMinionGone(h *hostState) {
 	if !h.gone {
 		h.gone = true
 		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
 	}
-	t.loseAllRuns(h, "the minion is gone")
+	t.loseEndedRuns(h, "the minion is gone")
 	clear(h.unexpected)
 	h.incarnationKnown = false
 }
