Name what a newcomer would stumble over, and forget starts of replaced minions

loseEndedRuns, beside StatusReport.EndedRuns, read as if minions had listed these runs: loseRunsOn. jobState.startedAt is startNoticedAt. A late start that names the id of a minion which another one has replaced on its host is dropped: the new minion refuses it by its id, so the stop was needless.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -89,7 +89,7 @@
 	SpreadLimit       int                    // SpreadLimit is the maximum number of the step's tasks on one host; 0 is no limit.
 	TasksByHost       map[string]int         // TasksByHost counts the tasks of the step that are already placed.
 	ExcludedHosts     collection.Set[string] // ExcludedHosts get no task of the demand.
-	AvoidedHosts      collection.Set[string] // AvoidedHosts get a task only if it fits on no other host.
+	AvoidedHosts      collection.Set[string] // AvoidedHosts are used after all other hosts with room for a task.
 	MaxPreemptionCost float64                // MaxPreemptionCost is the most work that may be discarded for all tasks of the demand, in core seconds; 0 is no limit.
 	Headroom          int                    // Headroom is the number of accelerators of the service that the demand must leave free.
 	RelaxLocality     bool                   // RelaxLocality permits hosts away from the data, and gangs across racks.
--- a/internal/fleet/coordinator/advice.go
+++ b/internal/fleet/coordinator/advice.go
@@ -70,12 +70,11 @@
 
 // permittedHosts returns the names of the hosts with a valid ticket for a step,
 // or None if its queue does not use the adviser or the catalogue is not loaded.
-// If fewer of the tasks than wait fit on those of these hosts where the step has
-// not failed, it also sets adviceCalls.next to a query about further hosts, unless
-// a query is set. It is
-// called for the steps in order of urgency, so the most urgent query is kept.
-// For urgent work, hosts without free resources count as well, because it may
-// preempt other work there.
+// If not all waiting tasks fit on those of these hosts where the step has not
+// failed, it also sets adviceCalls.next to a query about further hosts, unless a
+// query is set. It is called for the steps in order of urgency, so the most urgent
+// query is kept. For urgent work, hosts without free resources count as well,
+// because it may preempt other work there.
 func (t *term) permittedHosts(j *jobState, step int, service string, tasks int, rank allocation.Rank) collection.Option[collection.Set[string]] {
 	catalogue := t.catalogue.Get()
 	if catalogue == nil {
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -137,16 +137,16 @@
 		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
 			continue
 		}
-		if lost := t.loseEndedRuns(h, "the lease has expired"); lost > 0 {
+		if lost := t.loseRunsOn(h, "the lease has expired"); lost > 0 {
 			_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", h.contactAge(), "runs", lost)
 		}
 	}
 }
 
-// loseEndedRuns gives up the runs on a host where everything has ended, and returns
+// loseRunsOn gives up the runs on a host on which everything has ended, and returns
 // their number. A run whose start may still reach the next incarnation of the minion
 // is kept, to be stopped there first. A draining minion does not start again.
-func (t *term) loseEndedRuns(h *hostState, reason string) int {
+func (t *term) loseRunsOn(h *hostState, reason string) int {
 	at, lost := now(), 0
 	for _, r := range runsOf(h) {
 		if r.tries.sent > 0 && r.tries.mayReachNext(at) && !h.minion.Draining {
--- a/internal/fleet/coordinator/late_starts.go
+++ b/internal/fleet/coordinator/late_starts.go
@@ -25,7 +25,7 @@
 func (t *term) refuseLateStarts(h *hostState) {
 	at, incarnation, client := now(), h.minion.Incarnation(), h.client
 	for key, s := range h.lateStarts {
-		if at > s.until {
+		if at > s.until || host.IncarnationID(s.refusedBy) != h.minion.ID {
 			delete(h.lateStarts, key)
 			continue
 		}
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -52,7 +52,7 @@
 		h.gone = true
 		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
 	}
-	t.loseEndedRuns(h, "the minion is gone")
+	t.loseRunsOn(h, "the minion is gone")
 	clear(h.unexpected)
 	h.incarnationKnown = false
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -71,7 +71,7 @@
 	cancelled      bool
 	activeRuns     int                   // activeRuns counts the runs that hold resources somewhere.
 	failuresByStep map[int]*stepFailures // failuresByStep is accessed by failures, which adds missing steps.
-	startedAt      time.Duration         // startedAt is when the first start of a task was noticed; 0 once the ledger shows the job as running or is about to.
+	startNoticedAt time.Duration         // startNoticedAt is when the first start of a task was noticed; 0 before, and once an append has it.
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
 }
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -116,7 +116,7 @@
 			break
 		}
 		t.dirty.Remove(id)
-		j.startedAt = 0
+		j.startNoticedAt = 0
 		size += len(record.Value)
 		records = append(records, record)
 		written = append(written, id)
@@ -171,7 +171,7 @@
 // recordStart notes that a task of a job has started, if the job is known.
 func (t *term) recordStart(id workload.ID) {
 	if j := t.jobs[id]; j != nil && j.progress.MarkStarted() {
-		j.startedAt = now()
+		j.startNoticedAt = now()
 	}
 }
 
@@ -180,7 +180,7 @@
 func (t *term) writeStarts() {
 	at := now()
 	for id, j := range t.jobs {
-		if j.startedAt != 0 && at >= j.startedAt+startRecordDelay {
+		if j.startNoticedAt != 0 && at >= j.startNoticedAt+startRecordDelay {
 			t.dirty.Add(id)
 		}
 	}
