Do not count removed jobs as pending

Callers would see: pendingCount stays too high at one entry until it restarts.

Cause: the removal of a job's record takes the job out of the count and then runs the same update as any other record, which adds a job that the entry last saw as pending. Only an entry that missed everything between submission and removal, over two minutes later, is affected.

Evidence and test: both cases of TestRemovedJobIsNotPending failed before with a count of 1 instead of 0.

Change: a removal ends after it has taken the job out.

--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -89,6 +89,33 @@
 	}
 }
 
+// Guards against a removed job that is counted as pending for as long as the process
+// runs, because it never saw the job's end.
+func TestRemovedJobIsNotPending(t *testing.T) {
+	jobRecord, err := ledger.EncodeJob(sampleJob("j"))
+	qt.New(t).Assert(err, qt.IsNil)
+	for name, remove := range map[string]func(s *ledger.State) error{
+		"removed by a record": func(s *ledger.State) error {
+			return s.Apply(ledger.Page{Records: []ledger.StoredRecord{storedRecord(1, ledger.Tombstone(ledger.JobKind, "j"))}, Next: 2})
+		},
+		"missing in the newest records": func(s *ledger.State) error {
+			_, err := s.Replace(ledger.Page{Next: 2})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			s := ledger.NewState()
+			c.Assert(s.Apply(ledger.Page{Records: []ledger.StoredRecord{storedRecord(0, jobRecord)}, Next: 1}), qt.IsNil)
+			c.Assert(s.PendingCount("q"), qt.Equals, 1)
+			c.Assert(remove(s), qt.IsNil)
+			_, known := s.Job("j")
+			c.Check(known, qt.IsFalse)
+			c.Check(s.PendingCount("q"), qt.Equals, 0)
+		})
+	}
+}
+
 func TestJobStateFollowsRecordOrder(t *testing.T) {
 	c := qt.New(t)
 	j := sampleJob("j")
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -190,11 +190,14 @@
 		e = &JobEntry{SubmissionOffset: r.Offset}
 		s.entries[id] = e
 	}
-	var err error
-	switch {
-	case kind == JobKind && deleted:
+	s.changed.Add(id)
+	if kind == JobKind && deleted {
 		s.removePending(e)
 		delete(s.entries, id)
+		return nil
+	}
+	var err error
+	switch {
 	case kind == JobKind && !e.Accepted:
 		err = e.acceptJob(string(id), r)
 	case kind == ProgressKind && !deleted:
@@ -204,7 +207,6 @@
 			e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
 		}
 	}
-	s.changed.Add(id)
 	s.updatePending(id, e)
 	return err
 }
