--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -15,7 +15,7 @@
 	// its placement may just have become durable.
 	formerStartWindow = appendTimeout + startTimeout + callRetryDelay
 	// lateCallWindow is how long after it was sent a call without a reply may be
-	// carried out. The platform names seconds only; its bench delays calls by up to 12 s.
+	// carried out.
 	lateCallWindow = 13 * time.Second
 )
 
@@ -139,9 +139,9 @@
 			t.loseRun(r, "the minion has been restarted")
 			continue
 		}
-		trying := r.phase == starting && r.startAnswered == 0
+		retried := r.phase == starting && r.startAnswered == 0 // The next try goes to the present incarnation.
 		t.reassignRun(r, mayArrive)
-		if mayArrive && !running && !trying {
+		if mayArrive && !running && !retried {
 			t.stopAttempt(r.attempt, "its start may still reach the restarted minion")
 		}
 	}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -70,7 +70,7 @@
 
 	cancelled      bool
 	activeRuns     int                   // activeRuns counts the runs that hold resources somewhere.
-	failuresByStep map[int]*stepFailures // failuresByStep is accessed by failures, which adds missing steps.
+	failuresByStep map[int]*stepFailures // failuresByStep holds the failed runs of each step; see the method failures.
 	startNoticedAt time.Duration         // startNoticedAt is when the first start of a task was noticed; 0 before, and once an append has it.
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
