--- a/review/stand-ins-2/client.go
+++ b/review/stand-ins-2/client.go
@@ -16,26 +16,20 @@
 
 // step is a step of a job.
 type step struct {
-	Count        int    `json:"count"`
-	CPU          int    `json:"cpu"`
-	Memory       int    `json:"memMb"`
-	GPU          int    `json:"gpu"`
-	EstimateMs   int    `json:"estimateMs,omitempty"`
-	LongRunning  bool   `json:"longRunning,omitempty"`
-	AntiAffinity int    `json:"antiAffinity,omitempty"`
-	MayMiss      int    `json:"mayMiss,omitempty"`
-	Gang         bool   `json:"gang,omitempty"`
-	Affinity     string `json:"affinity,omitempty"`
+	Count        int  `json:"count"`
+	CPU          int  `json:"cpu"`
+	Memory       int  `json:"memMb"`
+	GPU          int  `json:"gpu"`
+	EstimateMs   int  `json:"estimateMs,omitempty"`
+	LongRunning  bool `json:"longRunning,omitempty"`
+	AntiAffinity int  `json:"antiAffinity,omitempty"`
+	MayMiss      int  `json:"mayMiss,omitempty"`
+	Gang         bool `json:"gang,omitempty"`
 }
 
 // call sends a request of a client to an entry. It returns status 0 if there was no
 // answer within the time.
 func (d *deployment) call(method, front, path string, body any, within time.Duration) (int, string) {
-	return d.callAs(clientKey, method, front, path, body, within)
-}
-
-// callAs is call with a key.
-func (d *deployment) callAs(key, method, front, path string, body any, within time.Duration) (int, string) {
 	data := ""
 	if body != nil {
 		encoded, err := json.Marshal(body)
@@ -51,10 +45,10 @@
 		panic(err)
 	}
 	r.Host = clientHost
-	r.Header.Set(names["credential"], key)
+	r.Header.Set(names["credential"], clientKey)
 	r.Header.Set("X-Deadline-Ms", "3000")
 	r.Header.Set("Content-Type", "application/json")
-	d.log.write("client", "%s %s to %s with key %.4s... %s", method, path, front, key, data)
+	d.log.write("client", "%s %s to %s %s", method, path, front, data)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		d.log.write("client", "%s %s: no answer, the client leaves: %v", method, path, ctx.Err())
--- a/review/stand-ins-2/deployment.go
+++ b/review/stand-ins-2/deployment.go
@@ -122,13 +122,11 @@
 {"name":"r-low","host":"nony24.example","pathPrefix":"/low/","kind":"non_idempotent","timeoutMs":3000,"sloMs":3000,"priority":2,"service":"huvo11a","attempts":3,"stretch":3.0,"public":false}],
 "services":[{"name":"huvo11a","healthPath":"/health","maxConns":64,"protocol":"h1","tls":false,"admissionCheck":false,"spare":false}],
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
-"tenants":[{"name":"kaje80","apiKeys":["d4a3hwrr6x73d3zji9n7"],"priority":1,"guaranteed":{"gpu":48}},
-{"name":"sevo861","apiKeys":["3hh2b9wu3fexd9dnn2ct"],"priority":1,"guaranteed":{"gpu":0}}]}`
+"tenants":[{"name":"kaje80","apiKeys":["d4a3hwrr6x73d3zji9n7"],"priority":1,"guaranteed":{"gpu":48}}]}`
 
 const (
 	clientHost = "nony24.example"
 	clientKey  = "d4a3hwrr6x73d3zji9n7"
-	otherKey   = "3hh2b9wu3fexd9dnn2ct" // otherKey is that of another tenant.
 )
 
 func (d *deployment) ip(last int) string { return fmt.Sprintf("%s.%d", d.network, last) }
@@ -228,28 +226,6 @@
 	return nil
 }
 
-// kill kills the process of a machine and starts it again, as the platform does.
-func (d *deployment) kill(name, command string) error {
-	d.mu.Lock()
-	c := d.started[name]
-	d.mu.Unlock()
-	d.log.write("case", "%s is killed", name)
-	if err := c.Process.Kill(); err != nil {
-		return err
-	}
-	_ = c.Wait()
-	time.Sleep(restartDelay)
-	text, err := os.ReadFile(filepath.Join(d.folder, name+".toml"))
-	if err != nil {
-		return err
-	}
-	d.log.write("case", "%s is started again", name)
-	return d.start(name, command, string(text))
-}
-
-// restartDelay is how long the platform takes to start a process again.
-const restartDelay = 500 * time.Millisecond
-
 // await waits until all entries are ready and one of them has heard of all minions.
 func (d *deployment) await() error {
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -24,9 +24,6 @@
 	"late-accept": playLateAccept,
 	"reservation": playReservation,
 	"budget":      playBudget,
-	"same-id":     playSameID,
-	"late-start":  playLateStart,
-	"data-rack":   playDataRack,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-ins-2/minion.go
+++ b/review/stand-ins-2/minion.go
@@ -4,10 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"time"
@@ -51,9 +49,6 @@
 	log               *record
 	fleet             *fleet
 
-	server *http.Server
-	all    *sync.WaitGroup
-
 	mu       sync.Mutex
 	born     time.Time
 	token    int64
@@ -62,9 +57,6 @@
 	highest  map[string]int // highest is the highest number of a run of a task that was stopped or has ended.
 	ended    [][]any
 	ends     int64
-	sequence int
-	nextBeat time.Time
-	down     bool            // down is set while the minion is not running.
 	silent   bool            // silent minions have crashed; their host answers nothing.
 	stopped  map[string]bool // stopped holds the tasks at work that were told to stop.
 	changed  chan struct{}
@@ -76,7 +68,6 @@
 	work   map[string]work // work by spec.
 	failed map[string]int  // failed counts the runs of each spec that were told to fail.
 	starts []start
-	late   time.Duration // late is how late the next start is carried out, without an answer; 0 is not late.
 }
 
 // start is a task that a minion has begun.
@@ -166,37 +157,6 @@
 	m.notify()
 }
 
-// restart lets the minion crash and start again under its id after a time. Its first
-// heartbeat follows after half of the interval.
-func (m *minion) restart(after time.Duration) error {
-	m.mu.Lock()
-	m.log.write(m.id, "crashes")
-	m.down = true
-	clear(m.runs)
-	m.mu.Unlock()
-	_ = m.server.Close()
-	time.Sleep(after)
-	l, err := net.Listen("tcp", m.address)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	m.runs, m.highest, m.stopped = make(map[string]*running), make(map[string]int), make(map[string]bool)
-	m.ended, m.ends, m.token, m.deadline, m.sequence = nil, 0, 0, 0, 0
-	m.born, m.down, m.nextBeat = time.Now().Truncate(time.Millisecond), false, time.Now().Add(beatEvery/2)
-	m.log.write(m.id, "has started again")
-	m.mu.Unlock()
-	m.listen(l)
-	return nil
-}
-
-// listen serves the calls of the agent.
-func (m *minion) listen(l net.Listener) {
-	server := &http.Server{Handler: m.handler()}
-	m.server = server
-	m.all.Go(func() { _ = server.Serve(l) })
-}
-
 // wasStopped reports whether a task of a job that was at work was told to stop.
 func (m *minion) wasStopped(job string) bool {
 	m.mu.Lock()
@@ -325,44 +285,6 @@
 }
 
 func (m *minion) start(w http.ResponseWriter, r *http.Request) {
-	m.fleet.mu.Lock()
-	late := m.fleet.late
-	m.fleet.late = 0
-	m.fleet.mu.Unlock()
-	if late > 0 {
-		m.startLate(r, late)
-		panic(http.ErrAbortHandler)
-	}
-	m.startNow(w, r)
-}
-
-// startLate carries out a start after a time, by the life of the minion that is there
-// then, and does not answer it.
-func (m *minion) startLate(r *http.Request, late time.Duration) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
-	m.log.write(m.id, "gives no answer to a start, which is carried out after %s: %s", late, body)
-	time.AfterFunc(late, func() {
-		m.mu.Lock()
-		down := m.down
-		m.mu.Unlock()
-		if down {
-			return
-		}
-		again, err := http.NewRequest(http.MethodPost, "http://"+m.address, bytes.NewReader(body))
-		if err != nil {
-			return
-		}
-		answer := httptest.NewRecorder()
-		m.startNow(answer, again)
-		m.log.write(m.id, "the late start would be answered %d %s", answer.Code, answer.Body)
-	})
-	<-r.Context().Done()
-}
-
-func (m *minion) startNow(w http.ResponseWriter, r *http.Request) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o, ok := m.decode(w, r)
@@ -418,16 +340,12 @@
 	reply(w, http.StatusOK, map[string]any{"clockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli()})
 }
 
-// beat sends a heartbeat to the agent if one is due.
-func (m *minion) beat(client *http.Client) {
+// beat sends one heartbeat to the agent.
+func (m *minion) beat(client *http.Client, sequence int) {
 	m.mu.Lock()
-	silent := m.silent || m.down || time.Now().Before(m.nextBeat)
-	if !silent {
-		m.nextBeat = time.Now().Add(beatEvery)
-		m.sequence++
-	}
+	silent := m.silent
 	body := map[string]any{
-		"service": m.service, "address": m.address, "zone": zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": m.sequence,
+		"service": m.service, "address": m.address, "zone": zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "seq": sequence,
 		"capacity": map[string]any{"cpu": capacityCPU, "memMb": capacityMemory, "gpu": capacityGPU},
 		"labels":   []string{"a", m.rack}, "clockMs": m.clock().Milliseconds(), "born": m.born.UnixMilli(),
 	}
@@ -451,28 +369,31 @@
 	if err != nil {
 		return err
 	}
-	m.all = all
-	m.listen(l)
+	server := &http.Server{Handler: m.handler()}
+	all.Go(func() { _ = server.Serve(l) })
 	all.Go(func() {
 		<-stop
-		_ = m.server.Close()
+		_ = server.Close()
 	})
-	all.Go(func() { every(5*time.Millisecond, stop, m.settle) })
+	all.Go(func() { every(5*time.Millisecond, stop, func(int) { m.settle() }) })
 	client := &http.Client{Timeout: time.Second}
-	all.Go(func() { every(10*time.Millisecond, stop, func() { m.beat(client) }) })
+	all.Go(func() {
+		m.beat(client, 1)
+		every(beatEvery, stop, func(n int) { m.beat(client, n+2) })
+	})
 	return nil
 }
 
 // every calls step once per interval until stop is closed.
-func every(interval time.Duration, stop <-chan struct{}, step func()) {
+func every(interval time.Duration, stop <-chan struct{}, step func(n int)) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-stop:
 			return
 		case <-ticker.C:
-			step()
+			step(n)
 		}
 	}
 }
