--- a/review/stand-ins-2/client.go
+++ b/review/stand-ins-2/client.go
@@ -16,15 +16,16 @@
 
 // step is a step of a job.
 type step struct {
-	Count        int  `json:"count"`
-	CPU          int  `json:"cpu"`
-	Memory       int  `json:"memMb"`
-	GPU          int  `json:"gpu"`
-	EstimateMs   int  `json:"estimateMs,omitempty"`
-	LongRunning  bool `json:"longRunning,omitempty"`
-	AntiAffinity int  `json:"antiAffinity,omitempty"`
-	MayMiss      int  `json:"mayMiss,omitempty"`
-	Gang         bool `json:"gang,omitempty"`
+	Count        int   `json:"count"`
+	CPU          int   `json:"cpu"`
+	Memory       int   `json:"memMb"`
+	GPU          int   `json:"gpu"`
+	EstimateMs   int   `json:"estimateMs,omitempty"`
+	LongRunning  bool  `json:"longRunning,omitempty"`
+	AntiAffinity int   `json:"antiAffinity,omitempty"`
+	MayMiss      int   `json:"mayMiss,omitempty"`
+	DependsOn    []int `json:"dependsOn,omitempty"`
+	Gang         bool  `json:"gang,omitempty"`
 }
 
 // call sends a request of a client to an entry. It returns status 0 if there was no
--- a/review/stand-ins-2/deployment.go
+++ b/review/stand-ins-2/deployment.go
@@ -115,8 +115,13 @@
 ttlMinMs = 1000
 `
 
-// configuration is what the operator has written. Its queues differ by priority only.
-const configuration = `{"version":7,"routes":[
+// advisedRoute is the queue whose tasks need a ticket of the placement adviser.
+const advisedRoute = `
+{"name":"r-advised","host":"nony24.example","pathPrefix":"/advised/","kind":"non_idempotent","timeoutMs":3000,"sloMs":1200,"priority":1,"service":"huvo11a","attempts":2,"stretch":3.0,"public":false,"placementAdvisor":{"decideMs":20,"perWorkerMs":2,"validityMs":3000}},`
+
+// configuration is what the operator has written, without the version and the first
+// route. Its other queues differ by priority only.
+const configuration = `
 {"name":"r-urgent","host":"nony24.example","pathPrefix":"/urgent/","kind":"non_idempotent","timeoutMs":3000,"sloMs":400,"priority":0,"service":"huvo11a","attempts":2,"stretch":1.5,"public":false},
 {"name":"r-plain","host":"nony24.example","pathPrefix":"/plain/","kind":"non_idempotent","timeoutMs":3000,"sloMs":1200,"priority":1,"service":"huvo11a","attempts":2,"stretch":3.0,"public":false},
 {"name":"r-low","host":"nony24.example","pathPrefix":"/low/","kind":"non_idempotent","timeoutMs":3000,"sloMs":3000,"priority":2,"service":"huvo11a","attempts":3,"stretch":3.0,"public":false}],
@@ -129,6 +134,12 @@
 	clientKey  = "d4a3hwrr6x73d3zji9n7"
 )
 
+// publish writes a version of the configuration with one more route.
+func (d *deployment) publish(version int, route string) {
+	d.log.write("operator", "version %d of the configuration is stored", version)
+	d.store.put("keyed.op", "config", fmt.Appendf(nil, `{"version":%d,"routes":[%s%s`, version, route, configuration))
+}
+
 func (d *deployment) ip(last int) string { return fmt.Sprintf("%s.%d", d.network, last) }
 
 // freePorts returns the first of some ports that are free at an address.
@@ -155,7 +166,7 @@
 		return nil, err
 	}
 	return &deployment{
-		log: log, store: newStore(log), fleet: &fleet{work: make(map[string]work), failed: make(map[string]int)}, folder: folder, binary: binary,
+		log: log, store: newStore(log), fleet: &fleet{work: make(map[string]work), failed: make(map[string]int), tickets: make(map[string]time.Time)}, folder: folder, binary: binary,
 		network: fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), 1+rand.IntN(250)), stop: make(chan struct{}), started: make(map[string]*exec.Cmd),
 	}, nil
 }
@@ -167,13 +178,23 @@
 	if err != nil {
 		return err
 	}
-	d.store.put("keyed.op", "config", []byte(configuration))
+	d.publish(7, advisedRoute)
 	server := &http.Server{Handler: d.store.handler()}
 	d.all.Go(func() { _ = server.Serve(l) })
 	d.all.Go(func() {
 		<-d.stop
 		_ = server.Close()
 	})
+	adviser, err := net.Listen("tcp", d.ip(2)+":0")
+	if err != nil {
+		return err
+	}
+	advice := &http.Server{Handler: d.adviser()}
+	d.all.Go(func() { _ = advice.Serve(adviser) })
+	d.all.Go(func() {
+		<-d.stop
+		_ = advice.Close()
+	})
 	for i := range entries + agents {
 		ip := d.ip(10 + i)
 		port, err := freePorts(ip, 16)
@@ -181,7 +202,7 @@
 			return err
 		}
 		address := func(offset int) string { return fmt.Sprintf("%s:%d", ip, port+offset) }
-		name, class, command, more := fmt.Sprintf("front-%d", i+1), "front", "hosted-entry", ""
+		name, class, command, more := fmt.Sprintf("front-%d", i+1), "front", "hosted-entry", fmt.Sprintf("placementAdvisor = %q", adviser.Addr())
 		listen := fmt.Sprintf("front = %q\nready = %q", address(8), address(9))
 		if i < entries {
 			d.fronts, d.ready = append(d.fronts, address(8)), append(d.ready, address(9))
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -20,10 +20,10 @@
 var errBroken = errors.New("the rule was broken")
 
 var cases = map[string]func(d *deployment, trouble bool) error{
-	"probation":   playProbation,
-	"late-accept": playLateAccept,
-	"reservation": playReservation,
-	"budget":      playBudget,
+	"late-accept":   playLateAccept,
+	"reservation":   playReservation,
+	"advised-route": playAdvisedRoute,
+	"budget":        playBudget,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-ins-2/minion.go
+++ b/review/stand-ins-2/minion.go
@@ -25,9 +25,13 @@
 	beatEvery   = 1500 * time.Millisecond
 )
 
+// maxRejectedLines bounds the lines of the record on rejected starts.
+const maxRejectedLines = 30
+
 // work is what a task does, by the text in the spec of its job.
 type work struct {
 	lasts    bool
+	advised  bool          // advised work needs a ticket.
 	fails    int           // fails is how many runs fail; the others end done or last.
 	duration time.Duration // duration is the time until a run ends, or fails.
 }
@@ -68,6 +72,9 @@
 	work   map[string]work // work by spec.
 	failed map[string]int  // failed counts the runs of each spec that were told to fail.
 	starts []start
+
+	tickets  map[string]time.Time // tickets holds until when each ticket is valid.
+	rejected int                  // rejected counts the starts without a valid ticket.
 }
 
 // start is a task that a minion has begun.
@@ -169,13 +176,6 @@
 	return false
 }
 
-// isRunning reports whether a task runs here.
-func (m *minion) isRunning(task string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.runs[task] != nil
-}
-
 func (m *minion) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/hold", m.hold)
@@ -203,6 +203,7 @@
 	Run        int    `json:"run"`
 	Spec       string `json:"spec"`
 	DeadlineMs int64  `json:"deadlineMs"`
+	Ticket     string `json:"ticket"`
 	WaitMs     int64  `json:"waitMs"`
 	token      int64
 	seen       int64
@@ -304,10 +305,19 @@
 		m.refuse(w, "late")
 		return
 	}
-	m.extend(o.DeadlineMs)
 	f := m.fleet
 	f.mu.Lock()
 	what := f.work[o.Spec]
+	if what.advised && !f.valid(o.Ticket, m.id, o.Task) {
+		f.rejected++
+		if f.rejected <= maxRejectedLines {
+			m.log.write(m.id, "start of run %d of %s is rejected, ticket %q", o.Run, o.Task, o.Ticket)
+		}
+		f.mu.Unlock()
+		m.refuse(w, "ticket")
+		return
+	}
+	m.extend(o.DeadlineMs)
 	how := "done"
 	if f.failed[o.Spec] < what.fails {
 		f.failed[o.Spec]++
--- a/review/stand-ins-2/reservation.go
+++ b/review/stand-ins-2/reservation.go
@@ -6,6 +6,12 @@
 	"time"
 )
 
+// The bounds of the rule LOST.
+const (
+	idleTime   = 3 * time.Second // idleTime is how long nothing may run although there is room.
+	finishTime = 14 * time.Second
+)
+
 // playReservation submits a large gang that needs whole minions, while a task of
 // another job lasts on each of them, and then small jobs.
 func playReservation(d *deployment, trouble bool) error {
--- a/review/stand-ins-2/store.go
+++ b/review/stand-ins-2/store.go
@@ -76,6 +76,13 @@
 	s.changed = make(chan struct{})
 }
 
+// writeCount returns how many writing calls the store has got.
+func (s *store) writeCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes
+}
+
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+names["append"], s.append)
