--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 # comes first.
 set -euo pipefail
 cd "$(dirname "$0")/stand-ins-2"
-GOFLAGS=-mod=mod GOWORK=off go build -o ../../target/review-2/stand-ins-2 .
+GOFLAGS=-buildvcs=false GOPROXY=off GOTOOLCHAIN=local GOWORK=off go build -o ../../target/review-2/stand-ins-2 .
--- a/review/stand-ins-2/deployment.go
+++ b/review/stand-ins-2/deployment.go
@@ -11,7 +11,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -249,7 +248,7 @@
 
 // await waits until all entries are ready and one of them has heard of all minions.
 func (d *deployment) await() error {
-	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		ready := 0
 		for _, address := range d.ready {
 			if resp, err := http.Get("http://" + address + "/v1/ready"); err == nil {
@@ -271,16 +270,20 @@
 	return errors.New("the deployment is not ready")
 }
 
-// end ends all processes and stand-ins and keeps the logs in a folder if that is
-// named.
-func (d *deployment) end(keep string) {
+// killAll kills the processes that this deployment has started.
+func (d *deployment) killAll() {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	for _, c := range d.started {
-		_ = c.Process.Signal(syscall.SIGCONT)
 		_ = c.Process.Kill()
 		_ = c.Wait()
 	}
-	d.mu.Unlock()
+}
+
+// end ends all processes and stand-ins and keeps the logs in a folder if that is
+// named.
+func (d *deployment) end(keep string) {
+	d.killAll()
 	close(d.stop)
 	d.all.Wait()
 	if keep == "" {
--- a/review/stand-ins-2/main.go
+++ b/review/stand-ins-2/main.go
@@ -7,6 +7,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"sync"
+	"syscall"
 )
 
 // The exit codes.
@@ -44,6 +47,14 @@
 		return couldNot
 	}
 	defer d.end(os.Getenv("KEEP_LOGS"))
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	var watch sync.WaitGroup
+	watch.Go(func() {
+		<-signals
+		d.killAll()
+		os.Exit(couldNot)
+	})
 	trouble := os.Getenv("TROUBLE") != "0"
 	log.write("case", "%s, disruption: %t", os.Args[1], trouble)
 	err = cases[os.Args[1]](d, trouble)
