Log which gangs reserve hosts, and for how long

What callers saw: nothing of this change.

Cause: a plan keeps hosts free for a waiting gang without a trace of it. So the reservation could not be told from the headroom for urgent work or from hosts on probation.

Change: the coordinator logs "hosts reserved" with the hosts and the estimated time until the gang fits, and "reservation ended" with the time for which it was held; the metric coordinator-reservations counts them. No decision changes.

go test ./internal/fleet/allocation ./internal/fleet/coordinator: passed.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -111,6 +111,13 @@
 	Preempted    []int               // Preempted holds the IDs of the units to stop, sorted.
 	PreemptedFor map[int]int         // PreemptedFor maps each preempted unit to the demand that needs its resources.
 	Reserved     collection.Set[int] // Reserved holds the demands with waiting tasks that have reserved resources.
+	Reservations map[int]Reservation // Reservations holds the hosts that gangs wait for until running work ends, by demand.
+}
+
+// Reservation keeps hosts free for a gang until the work that runs on them ends.
+type Reservation struct {
+	Hosts   []string      // Hosts has one name for each task.
+	StartIn time.Duration // StartIn is the estimated time until the gang fits.
 }
 
 // Decide plans for the demands in their order. It does not change its arguments.
@@ -153,7 +160,7 @@
 func newPlanner(hosts []Host, units []Unit) *planner {
 	p := &planner{
 		racks: make(map[string][]*hostState), units: units, usages: make([][]hostUsage, len(units)),
-		isPreempted: make([]bool, len(units)), preemptedInGroup: make(map[int]int), plan: Plan{PreemptedFor: make(map[int]int), Reserved: collection.NewSet[int]()},
+		isPreempted: make([]bool, len(units)), preemptedInGroup: make(map[int]int), plan: Plan{PreemptedFor: make(map[int]int), Reserved: collection.NewSet[int](), Reservations: make(map[int]Reservation)},
 	}
 	byName := make(map[string]*hostState, len(hosts))
 	for i, h := range hosts {
--- a/internal/fleet/allocation/reserve.go
+++ b/internal/fleet/allocation/reserve.go
@@ -27,13 +27,18 @@
 		}
 	}
 	if best == nil && d.RackLocal {
-		best, _ = p.earliestHosts(d, p.hosts, never)
+		best, bestTime = p.earliestHosts(d, p.hosts, never)
 	}
 	if best == nil {
 		return
 	}
 	p.reservedGangs++
 	p.reserveFuture(d, best)
+	r := Reservation{StartIn: bestTime}
+	for _, h := range best {
+		r.Hosts = append(r.Hosts, h.Name)
+	}
+	p.plan.Reservations[d.ID] = r
 }
 
 // urgentReservationWindow is the longest remaining time of running work whose
--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -9,6 +9,7 @@
 type metricSet struct {
 	terms            metrics.Counter
 	placements       metrics.Counter
+	reservations     metrics.Counter
 	stops            metrics.Counter
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
@@ -23,6 +24,7 @@
 	m := metricSet{
 		terms:            r.Counter("coordinator-terms", "terms", "Terms that this process has begun to lead."),
 		placements:       r.Counter("coordinator-placements", "attempts", "Gangs and single tasks that were given to hosts."),
+		reservations:     r.Counter("coordinator-reservations", "reservations", "Reservations of hosts for gangs that wait for running work to end."),
 		stops:            r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -26,6 +26,7 @@
 	steps, demands := t.demands()
 	t.requestAdvice()
 	if len(demands) == 0 {
+		t.recordReservations(nil, nil)
 		return
 	}
 	begin := now()
@@ -38,6 +39,7 @@
 	for _, p := range plan.Placements {
 		t.proposePlacement(steps[p.Demand], p.Hosts)
 	}
+	t.recordReservations(steps, plan.Reservations)
 }
 
 // proposePlacement assigns the first waiting tasks of a step to hosts, one task
