Reserve hosts for a gang only while it can expect them, and for a limited time

Cause: a gang that does not fit reserves the hosts that become free first, and less urgent work gets nothing of them. The reservation was made for whatever time that takes and made anew by each plan, so nothing ended it. Long-running tasks counted as ending in an hour, at any time; work without an estimate, or beyond it, as ending at once, at any time.

Change: - Work that does not end by itself has no remaining time; a run without a usable estimate takes at least what its lack of progress implies. The planned start is never postponed, so work that outruns its estimate, or has none, can't keep the gang waiting again and again. - Long-running tasks that fit nowhere else use reserved hosts. - A gang with a reservation comes first among work of its rank, so that two gangs don't take hosts from each other in turn. - A reservation counts hosts on probation and other racks as the placement does, and work that starts in the same plan as ending.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -63,13 +64,16 @@
 	FutureFree  workload.Resources // FutureFree is Free plus what pending stops will release.
 }
 
+// Never is the time until something that does not happen.
+const Never = time.Duration(math.MaxInt64)
+
 // Unit is the smallest amount of running work that can be preempted: a gang or a
 // single task.
 type Unit struct {
 	ID                 int
 	Rank               Rank
 	PreemptionCost     float64                       // PreemptionCost is the work that a stop discards, in core seconds.
-	RemainingTime      time.Duration                 // RemainingTime is the estimated time until the unit ends.
+	RemainingTime      time.Duration                 // RemainingTime is the estimated time until the unit ends; Never if it does not end by itself.
 	DisruptionGroup    int                           // DisruptionGroup identifies units that share a disruption budget; 0 is none.
 	DisruptionsAllowed int                           // DisruptionsAllowed is how many units of the group may be stopped now.
 	UsageByHost        map[string]workload.Resources // UsageByHost holds the resources used on each host.
@@ -94,12 +98,19 @@
 	Headroom          int                    // Headroom is the number of accelerators of the service that the demand must leave free.
 	RelaxLocality     bool                   // RelaxLocality permits hosts away from the data, and gangs across racks.
 	BestEffort        bool                   // BestEffort demands use only idle cores and go to the hosts with the most.
+	RunTime           time.Duration          // RunTime is the estimated run time of a task; 0 if it is not known, Never for long-running tasks.
 
 	AllowedHosts collection.Option[collection.Set[string]] // AllowedHosts are the only hosts that may be used; None permits all.
+
+	// The following apply to the reservations of gangs that may not preempt.
+	NoReservation      bool                             // NoReservation is set while the gang must not reserve hosts.
+	MaxReservationWait time.Duration                    // MaxReservationWait is the longest estimated wait for which hosts are reserved; 0 is no limit.
+	PlannedStart       collection.Option[time.Duration] // PlannedStart is the time until the latest start that a reservation is planned for; None is no limit.
 }
 
 // Placement assigns tasks of a demand to hosts. Hosts has one name for each
-// placed task, in order; a placement of a gang covers all its tasks.
+// placed task, in order; a placement of a gang covers all its tasks. A plan has at
+// most one placement of a demand.
 type Placement struct {
 	Demand int
 	Hosts  []string
@@ -114,7 +125,8 @@
 	Reservations map[int]Reservation // Reservations holds the hosts that gangs wait for until running work ends, by demand.
 }
 
-// Reservation keeps hosts free for a gang until the work that runs on them ends.
+// Reservation keeps hosts free for a gang until the work that runs on them ends. Other
+// demands may use the hosts if they end by the planned start of the gang.
 type Reservation struct {
 	Hosts   []string      // Hosts has one name for each task.
 	StartIn time.Duration // StartIn is the estimated time until the gang fits.
@@ -136,6 +148,21 @@
 	index int
 	busy  bool  // busy is set when the host has tasks that are not being stopped, or gets one from this plan.
 	units []int // units holds the indices of the units on the host, cheapest to preempt first.
+
+	starting []release         // starting holds the tasks that this plan places.
+	reserved []reservedForGang // reserved holds what gangs have reserved of FutureFree.
+}
+
+// release is the end of work on a host.
+type release struct {
+	resources workload.Resources
+	after     time.Duration // after is the time until then; Never if the work does not end by itself or its run time is not known.
+}
+
+// reservedForGang is what a member of a gang will use of a host.
+type reservedForGang struct {
+	need    workload.Resources
+	startIn time.Duration // startIn is the time until the planned start of the gang.
 }
 
 // availableNow returns what new tasks can use at once without touching
@@ -195,18 +222,27 @@
 	if d.RelaxLocality && d.Gang && d.RackLocal && d.Rank <= Urgent && p.planInOneRack(d) {
 		return
 	}
-	if chosen := p.keepHeadroom(d, p.selectHosts(d, (*hostState).availableNow)); len(chosen) > 0 {
-		p.place(d, chosen)
-		d.Tasks -= len(chosen)
-		d.TasksByHost = addTasks(d.TasksByHost, chosen)
-		if d.Tasks == 0 {
+	if d = p.placeWhatFits(d, (*hostState).availableNow); d.Tasks == 0 {
+		return
+	}
+	if d.RunTime > 0 && len(p.plan.Reservations) > 0 {
+		if d = p.placeWhatFits(d, availableForBackfill(d.RunTime)); d.Tasks == 0 {
 			return
 		}
 	}
-	if d.Headroom > 0 {
+	if d.Headroom > 0 || d.NoReservation {
 		return // A demand that leaves headroom can wait and reserves nothing.
 	}
+	p.planWaiting(d)
+}
+
+// planWaiting reserves resources for the tasks of a demand that do not fit now, and
+// preempts units for an urgent demand.
+func (p *planner) planWaiting(d Demand) {
 	if chosen := p.selectHosts(d, (*hostState).availableLater); len(chosen) > 0 {
+		if d.Gang && d.Rank > Urgent {
+			p.recordReservation(d, chosen, 0)
+		}
 		p.reserveFuture(d, chosen)
 		d.Tasks -= len(chosen)
 		d.TasksByHost = addTasks(d.TasksByHost, chosen)
@@ -223,6 +259,19 @@
 	}
 }
 
+// placeWhatFits places the tasks of a demand that fit on the available resources and
+// returns the demand for the others.
+func (p *planner) placeWhatFits(d Demand, available func(*hostState) workload.Resources) Demand {
+	chosen := p.keepHeadroom(d, p.selectHosts(d, available))
+	if len(chosen) == 0 {
+		return d
+	}
+	p.place(d, chosen)
+	d.Tasks -= len(chosen)
+	d.TasksByHost = addTasks(d.TasksByHost, chosen)
+	return d
+}
+
 // planInOneRack plans a gang that may preempt and would also run across racks. It
 // prefers a rack that the gang has now, or will have when pending or new stops are
 // done, because a stop takes less time than the gang loses across racks. It reports
@@ -279,14 +328,19 @@
 
 // place takes the resources of the chosen hosts now and plans their tasks.
 func (p *planner) place(d Demand, chosen []*hostState) {
-	placement := Placement{Demand: d.ID}
+	last := len(p.plan.Placements) - 1
+	if last < 0 || p.plan.Placements[last].Demand != d.ID {
+		p.plan.Placements = append(p.plan.Placements, Placement{Demand: d.ID})
+		last++
+	}
+	placement := &p.plan.Placements[last]
 	for _, h := range chosen {
 		h.Free = h.Free.Sub(d.Need)
 		h.FutureFree = h.FutureFree.Sub(d.Need)
 		h.busy = true
+		h.starting = append(h.starting, release{d.Need, cmp.Or(d.RunTime, Never)})
 		placement.Hosts = append(placement.Hosts, h.Name)
 	}
-	p.plan.Placements = append(p.plan.Placements, placement)
 }
 
 // reserveFuture keeps resources of the chosen hosts for a waiting demand.
--- a/internal/fleet/allocation/allocation_test.go
+++ b/internal/fleet/allocation/allocation_test.go
@@ -318,8 +318,8 @@
 	}
 }
 
-// Guards against overbooked hosts, partly placed gangs, exceeded spread limits, and
-// preemption of work that is as urgent or guaranteed.
+// Guards against overbooked hosts, partly placed gangs, tasks that are placed twice,
+// exceeded spread limits, and preemption of work that is as urgent or guaranteed.
 func TestDecidedPlansAreValid(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		hosts := drawHosts(t)
@@ -330,8 +330,13 @@
 		for _, h := range hosts {
 			free[h.Name] = h.Free
 		}
+		placed := collection.NewSet[int]()
 		for _, p := range plan.Placements {
 			d := demands[p.Demand]
+			if placed.Has(d.ID) || len(p.Hosts) > d.Tasks {
+				t.Fatalf("demand %d of %d tasks was placed on hosts %v, or more than once", d.ID, d.Tasks, p.Hosts)
+			}
+			placed.Add(d.ID)
 			if d.Gang && len(p.Hosts) != d.Tasks {
 				t.Fatalf("gang %d of %d tasks was placed on hosts %v", d.ID, d.Tasks, p.Hosts)
 			}
@@ -385,12 +390,21 @@
 			n := rapid.IntRange(1, used).Draw(t, "part")
 			used -= n
 			rank := allocation.Rank(rapid.IntRange(0, 3).Draw(t, "rank"))
-			units = append(units, newUnit(len(units), rank, rapid.Float64Range(0, 100).Draw(t, "loss"), map[string]int{h.Name: n}))
+			u := newUnit(len(units), rank, rapid.Float64Range(0, 100).Draw(t, "loss"), map[string]int{h.Name: n})
+			units = append(units, endingIn(u, drawTime(t, "remaining")))
 		}
 	}
 	return units
 }
 
+// drawTime returns a time of up to ten seconds, or none or Never.
+func drawTime(t *rapid.T, name string) time.Duration {
+	if rapid.IntRange(0, 3).Draw(t, name+" is endless") == 0 {
+		return allocation.Never
+	}
+	return time.Duration(rapid.IntRange(0, 10).Draw(t, name)) * time.Second
+}
+
 func drawDemands(t *rapid.T) []allocation.Demand {
 	var demands []allocation.Demand
 	for i := range rapid.IntRange(0, 6).Draw(t, "demands") {
@@ -399,6 +413,12 @@
 		d.RackLocal = rapid.Bool().Draw(t, "local")
 		d.RelaxLocality = rapid.Bool().Draw(t, "far")
 		d.SpreadLimit = rapid.IntRange(0, 2).Draw(t, "limit")
+		d.RunTime = drawTime(t, "run time")
+		d.MaxReservationWait = time.Duration(rapid.IntRange(0, 10).Draw(t, "wait")) * time.Second
+		d.NoReservation = rapid.Bool().Draw(t, "no reservation")
+		if rapid.Bool().Draw(t, "planned") {
+			d.PlannedStart = collection.Some(time.Duration(rapid.IntRange(-5, 5).Draw(t, "start")) * time.Second)
+		}
 		if rapid.Bool().Draw(t, "data") {
 			d.DataRack = "r0"
 		}
--- a/internal/fleet/allocation/reserve.go
+++ b/internal/fleet/allocation/reserve.go
@@ -13,34 +13,62 @@
 const maxReservedGangs = 2
 
 // reserveForGang reserves hosts for a gang that does not fit, so that smaller work
-// does not starve it. It selects the hosts that become free first.
+// does not starve it. It selects the hosts that become free first. It reserves none
+// if work is in the way that does not end by itself, or not within the wait that the
+// demand permits: the hosts would stand idle although other work could use them.
 func (p *planner) reserveForGang(d Demand) {
 	if p.reservedGangs >= maxReservedGangs {
 		return
 	}
 	var best []*hostState
-	bestTime := time.Duration(-1)
+	bestTime := Never
 	for _, hosts := range p.candidateHostSets(d) {
-		chosen, at := p.earliestHosts(d, hosts, never)
+		chosen, at := p.earliestHosts(d, hosts, cmp.Or(d.MaxReservationWait, Never))
 		if chosen != nil && (best == nil || at < bestTime) {
 			best, bestTime = chosen, at
 		}
 	}
-	if best == nil && d.RackLocal {
-		best, bestTime = p.earliestHosts(d, p.hosts, never)
+	if best == nil && d.RackLocal && (d.RelaxLocality || !p.fitsEmptyRack(d)) {
+		best, bestTime = p.earliestHosts(d, p.hosts, cmp.Or(d.MaxReservationWait, Never))
 	}
 	if best == nil {
 		return
 	}
 	p.reservedGangs++
+	p.recordReservation(d, best, bestTime)
 	p.reserveFuture(d, best)
-	r := Reservation{StartIn: bestTime}
-	for _, h := range best {
+}
+
+// recordReservation notes that hosts are reserved for a gang. Its planned start is not
+// after PlannedStart, so that work that starts on the hosts meanwhile does not postpone
+// it again and again.
+func (p *planner) recordReservation(d Demand, chosen []*hostState, startIn time.Duration) {
+	if planned, ok := d.PlannedStart.Get(); ok {
+		startIn = min(startIn, planned)
+	}
+	r := Reservation{StartIn: startIn}
+	for _, h := range chosen {
 		r.Hosts = append(r.Hosts, h.Name)
+		h.reserved = append(h.reserved, reservedForGang{d.Need, startIn})
 	}
 	p.plan.Reservations[d.ID] = r
 }
 
+// availableForBackfill returns what tasks with a run time can use at once including
+// what is reserved for gangs that start after the tasks have ended. Long-running tasks
+// may use all that is reserved, because no reservation is long enough for them.
+func availableForBackfill(runTime time.Duration) func(*hostState) workload.Resources {
+	return func(h *hostState) workload.Resources {
+		free := h.FutureFree
+		for _, r := range h.reserved {
+			if runTime <= r.startIn || runTime == Never {
+				free = free.Add(r.need)
+			}
+		}
+		return h.Free.Min(free)
+	}
+}
+
 // urgentReservationWindow is the longest remaining time of running work whose
 // resources are reserved for urgent tasks. Less urgent work started there meanwhile
 // would be preempted soon after.
@@ -60,7 +88,7 @@
 // reservationCandidate is a host on which earliestHosts may reserve resources.
 type reservationCandidate struct {
 	host      *hostState
-	fitsAfter time.Duration // fitsAfter is the time until the chosen tasks and one more fit; never if they do not.
+	fitsAfter time.Duration // fitsAfter is the time until the chosen tasks and one more fit; Never if they do not.
 	tasks     int
 }
 
@@ -77,15 +105,15 @@
 	var chosen []*hostState
 	var last time.Duration
 	for range d.Tasks {
-		best := slices.MinFunc(append(candidates, &reservationCandidate{fitsAfter: never}), func(a, b *reservationCandidate) int { return cmp.Compare(a.fitsAfter, b.fitsAfter) })
-		if best.fitsAfter == never || best.fitsAfter > within {
+		best := slices.MinFunc(append(candidates, &reservationCandidate{fitsAfter: Never}), func(a, b *reservationCandidate) int { return cmp.Compare(a.fitsAfter, b.fitsAfter) })
+		if best.fitsAfter == Never || best.fitsAfter > within {
 			break
 		}
 		chosen = append(chosen, best.host)
 		last = max(last, best.fitsAfter)
 		best.tasks++
-		best.fitsAfter = never
-		if d.SpreadLimit == 0 || d.TasksByHost[best.host.Name]+best.tasks < d.SpreadLimit {
+		best.fitsAfter = Never
+		if !best.host.OnProbation && (d.SpreadLimit == 0 || d.TasksByHost[best.host.Name]+best.tasks < d.SpreadLimit) {
 			best.fitsAfter = p.earliestFit(best.host, scale(d.Need, best.tasks+1))
 		}
 	}
@@ -95,9 +123,6 @@
 	return chosen, last
 }
 
-// never is the time until something that does not happen.
-const never = time.Duration(1<<63 - 1)
-
 // earliestFit returns the time until the need fits on a host if nothing else
 // starts there.
 func (p *planner) earliestFit(h *hostState, need workload.Resources) time.Duration {
@@ -105,18 +130,20 @@
 	if free.Fits(need) {
 		return 0
 	}
-	units := slices.Clone(h.units)
-	slices.SortFunc(units, func(a, b int) int { return cmp.Compare(p.units[a].RemainingTime, p.units[b].RemainingTime) })
-	for _, i := range units {
-		if p.isPreempted[i] {
-			continue
+	ends := slices.Clone(h.starting)
+	for _, i := range h.units {
+		if !p.isPreempted[i] {
+			ends = append(ends, release{p.usedOn(i, h), p.units[i].RemainingTime})
 		}
-		free = free.Add(p.usedOn(i, h))
+	}
+	slices.SortFunc(ends, func(a, b release) int { return cmp.Compare(a.after, b.after) })
+	for _, e := range ends {
+		free = free.Add(e.resources)
 		if free.Fits(need) {
-			return p.units[i].RemainingTime
+			return e.after
 		}
 	}
-	return never
+	return Never
 }
 
 // scale returns the need of n equal tasks.
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -19,7 +19,9 @@
 )
 
 // demands returns the steps whose tasks wait and may start, and their demands
-// in the order in which they are served.
+// in the order in which they are served. Among demands of the same rank, gangs with a
+// reservation come first, in the order of these, so that they don't lose their hosts
+// to each other.
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
 	guaranteed := t.withinGuarantee()
 	at := now()
@@ -44,11 +46,17 @@
 			if d.Rank >= allocation.Ordinary && t.slack(j, o.number) > headroomSlack {
 				d.Headroom = reserved
 			}
-			steps = append(steps, waitingStep{j, d.Rank, s, indices})
+			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
+			if d.Gang && d.Rank >= allocation.Ordinary {
+				w.reservedAt = t.applyReservation(&d, w.key(), time.Since(j.job.EarliestStart(o.number)), at)
+			}
+			steps = append(steps, w)
 			demands = append(demands, d)
 		}
 	}
-	slices.SortStableFunc(demands, func(a, b allocation.Demand) int { return cmp.Compare(a.Rank, b.Rank) })
+	slices.SortStableFunc(demands, func(a, b allocation.Demand) int {
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(steps[a.ID].reservationOrder(), steps[b.ID].reservationOrder()))
+	})
 	return steps, demands
 }
 
@@ -150,9 +158,12 @@
 	slack := t.slack(j, j.job.Occurrence(step))
 	d := allocation.Demand{
 		Rank: rank, Service: service, Need: s.ReservedResources(), Tasks: tasks, Gang: s.Gang, RackLocal: s.RackLocal, DataRack: s.DataRack,
-		Label: s.Label, SpreadLimit: s.SpreadLimit, TasksByHost: tasksByHost, BestEffort: s.BestEffort, RelaxLocality: slack < 0,
+		Label: s.Label, SpreadLimit: s.SpreadLimit, TasksByHost: tasksByHost, BestEffort: s.BestEffort, RunTime: s.Estimate, RelaxLocality: slack < 0,
 		AllowedHosts: t.permittedHosts(j, step, service, tasks, rank),
 	}
+	if s.LongRunning {
+		d.RunTime = allocation.Never
+	}
 	t.avoidFaultyHosts(&d, j, step)
 	return d
 }
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -147,13 +147,20 @@
 	return f.submitWorks(j, works)
 }
 
-// submitWorks records a job with the work of each step. The minions know the work
-// before the coordinator knows the job.
+// submitWorks records a job with the work of each step, which is estimated correctly.
 func (f *fixture) submitWorks(j workload.Job, works []fleethost.Work) workload.Job {
+	for i, w := range works {
+		j.Steps[i].Estimate = w.Duration
+	}
+	return f.submitEstimated(j, works)
+}
+
+// submitEstimated records a job with the work of each step and the estimates that the
+// job has. The minions know the work before the coordinator knows the job.
+func (f *fixture) submitEstimated(j workload.Job, works []fleethost.Work) workload.Job {
 	j.Queue, j.Service, j.Submitted = cmp.Or(j.Queue, "q"), "app", time.Now()
 	j.Attempts, j.Stretch, j.Objective = max(1, j.Attempts), 2, time.Second
 	for i, w := range works {
-		j.Steps[i].Estimate = w.Duration
 		f.fleet.SetWork(j.ID, i, w)
 	}
 	record, err := ledger.EncodeJob(j)
--- a/internal/fleet/coordinator/long_running.go
+++ b/internal/fleet/coordinator/long_running.go
@@ -8,9 +8,6 @@
 )
 
 const (
-	// longRunningTimeLeft is the remaining run time assumed for a long-running
-	// task, which runs until its job is cancelled.
-	longRunningTimeLeft = time.Hour
 	// longRunningRestartTime is the work time lost when a long-running task is
 	// stopped: the time until it serves again.
 	longRunningRestartTime = 2 * time.Second
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -5,6 +5,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/allocation"
 )
 
@@ -18,15 +19,23 @@
 	rank    allocation.Rank
 	step    int
 	indices []int
+
+	reservedAt collection.Option[time.Duration] // reservedAt is when the reservation of a gang was made.
 }
 
+func (w waitingStep) key() stepKey { return stepKey{w.job, w.step} }
+
+// reservationOrder returns a value by which steps with a reservation are sorted, before
+// those without one.
+func (w waitingStep) reservationOrder() time.Duration { return w.reservedAt.Or(allocation.Never) }
+
 // plan decides which tasks to place and which attempts to preempt, and begins
 // both.
 func (t *term) plan() {
 	steps, demands := t.demands()
 	t.requestAdvice()
 	if len(demands) == 0 {
-		t.recordReservations(nil, nil)
+		t.recordReservations(nil, allocation.Plan{}, now())
 		return
 	}
 	begin := now()
@@ -36,10 +45,10 @@
 		a, w := t.attempts[id], steps[plan.PreemptedFor[id]]
 		t.stopAttempt(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", w.rank, "loss-core-seconds", t.preemptionCost(a))
 	}
+	t.recordReservations(steps, plan, begin)
 	for _, p := range plan.Placements {
 		t.proposePlacement(steps[p.Demand], p.Hosts)
 	}
-	t.recordReservations(steps, plan.Reservations)
 }
 
 // proposePlacement assigns the first waiting tasks of a step to hosts, one task
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/fleet/allocation"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
 )
@@ -134,16 +135,22 @@
 	return time.Duration(100-r.percent)*perPercent - (at - r.progressedAt), true
 }
 
-// expectedTimeLeft returns the remaining time of a run, from its progress if
-// that is known and otherwise from the estimate that came with the job.
+// expectedTimeLeft returns the remaining time of a run, from its progress if that is
+// known and otherwise from the estimate that came with the job. Without an estimate,
+// or once that is used up, it is the least time that a run takes which has not
+// advanced by minEstimatePercent yet.
 func (r *run) expectedTimeLeft(at time.Duration) time.Duration {
 	if r.attempt.definition().LongRunning {
-		return longRunningTimeLeft
+		return allocation.Never
 	}
 	if left, known := r.timeLeft(at); known {
 		return max(0, left)
 	}
-	return max(0, r.attempt.definition().Estimate-(at-r.startedAt))
+	elapsed := at - r.startedAt
+	if left := r.attempt.definition().Estimate - elapsed; left > 0 {
+		return left
+	}
+	return elapsed * (100 - minEstimatePercent) / minEstimatePercent
 }
 
 func (t *term) markRunning(r *run) {
