Keep no more than half of an idle service free for urgent work

After a burst of urgent work that is larger than the service, ordinary jobs with time to spare are not started although every host is free, and long-running tasks neither.

Cause: ordinary work leaves half of the recent peak of urgent work free, and that peak counts what waits. A burst of ten times the service leaves a headroom of five times the service, which halves every 8 s only. Long-running tasks, whose due time says nothing about them, were held back like others.

Change: while more than half of the accelerators of a service are free, at most half of the free ones are kept. A job that fits twice starts then. In a busy service nothing changes. Long-running tasks leave no headroom.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -43,8 +43,8 @@
 			if d.Rank == allocation.Urgent {
 				d.MaxPreemptionCost = urgentCostRatio * float64(d.Tasks) * d.Need.CoreEquivalents() * taskWorkTime(j.job.Step(s)).Seconds()
 			}
-			if d.Rank >= allocation.Ordinary && t.slack(j, o.number) > headroomSlack {
-				d.Headroom = reserved
+			if reserved > 0 && d.Rank >= allocation.Ordinary && !j.job.Step(s).LongRunning && t.slack(j, o.number) > headroomSlack {
+				d.Headroom = t.headroomOf(d.Service, reserved)
 			}
 			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
 			if d.Gang && d.Rank >= allocation.Ordinary {
--- a/internal/fleet/coordinator/headroom.go
+++ b/internal/fleet/coordinator/headroom.go
@@ -35,3 +35,26 @@
 	h.peak, h.updatedAt = max(float64(urgent), h.peak*decay), at
 	return int(headroomShare * (h.peak - float64(urgent)))
 }
+
+// capHeadroom limits the headroom of a service to half of its free accelerators while
+// more than half of all are free. Otherwise a mostly idle service would keep work
+// waiting after a burst that was larger than the service.
+func capHeadroom(headroom, free, capacity int) int {
+	if 2*free <= capacity {
+		return headroom
+	}
+	return min(headroom, free/2)
+}
+
+// headroomOf returns how many accelerators of a service ordinary work has to leave
+// free when that many are to be left free for urgent work.
+func (t *term) headroomOf(service string, headroom int) int {
+	free, capacity, at := 0, 0, now()
+	for _, h := range t.hosts {
+		if h.minion.Service == service && h.acceptsWork(at) {
+			free += h.free().Accelerators
+			capacity += h.minion.Capacity.Accelerators
+		}
+	}
+	return capHeadroom(headroom, free, capacity)
+}
--- a/internal/fleet/coordinator/headroom_internal_test.go
+++ b/internal/fleet/coordinator/headroom_internal_test.go
@@ -28,3 +28,20 @@
 		c.Check(h.reserve(tt.urgent, tt.at), qt.Equals, tt.want, qt.Commentf("at %s", tt.at))
 	}
 }
+
+// Guards against headroom that keeps a mostly idle service idle, and against headroom
+// that is lost in a busy one.
+func TestHeadroomIsCappedWhileMostIsFree(t *testing.T) {
+	for name, tt := range map[string]struct{ headroom, free, capacity, want int }{
+		"small headroom":              {5, 16, 16, 5},
+		"larger than the service":     {80, 16, 16, 8},
+		"just over half is free":      {80, 9, 16, 4},
+		"half is free":                {80, 8, 16, 80},
+		"little is free":              {5, 2, 16, 5},
+		"no host of the service open": {5, 0, 0, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			qt.New(t).Check(capHeadroom(tt.headroom, tt.free, tt.capacity), qt.Equals, tt.want)
+		})
+	}
+}
