Leave a rack that work without an end has filled

A job whose data is in a rack, or a gang that belongs into one rack, is not started although other racks are idle, while long-running tasks leave it no room where it prefers to run.

Cause: such a job waits for its rack until its slack is used up, unless the rack could not hold it even when empty. "Empty" left out that work may never end. So a job with an estimate of a minute waits for two minutes, and a long-running task, which has no due time to speak of, as well. The same class as the reservation: waiting for hosts that do not become free.

Change: a rack counts as empty once the work there has ended that ends by itself, or that the waiting demand may preempt. A rack that will not have room is left at once.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -149,6 +149,7 @@
 	busy  bool  // busy is set when the host has tasks that are not being stopped, or gets one from this plan.
 	units []int // units holds the indices of the units on the host, cheapest to preempt first.
 
+	endless  []int             // endless holds the indices of those units that do not end by themselves.
 	starting []release         // starting holds the tasks that this plan places.
 	reserved []reservedForGang // reserved holds what gangs have reserved of FutureFree.
 }
@@ -204,6 +205,9 @@
 		for name, used := range u.UsageByHost {
 			if h := byName[name]; h != nil {
 				h.units = append(h.units, i)
+				if u.RemainingTime == Never {
+					h.endless = append(h.endless, i)
+				}
 				p.usages[i] = append(p.usages[i], hostUsage{h.index, used})
 			}
 		}
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -17,9 +17,10 @@
 
 // selectRackLocal returns hosts of a single rack for the whole gang: the rack with
 // the data if the gang fits there, else the rack with the fewest accelerators left
-// over. With a data rack, other racks are used only if locality is relaxed. A gang
+// over. With a data rack, other racks are used only if locality is relaxed or the data
+// rack will not be able to hold it. A gang
 // that fits in no rack now is spread across racks if locality is relaxed or no
-// empty rack could hold it; otherwise it waits.
+// rack will be able to hold it; otherwise it waits.
 func (p *planner) selectRackLocal(d Demand, available func(*hostState) workload.Resources) []*hostState {
 	var best []*hostState
 	leastLeftover := 0
@@ -39,7 +40,7 @@
 			best, leastLeftover = chosen, leftover
 		}
 	}
-	if best != nil && (d.DataRack == "" || d.RelaxLocality) {
+	if best != nil && (d.DataRack == "" || d.RelaxLocality || !p.fitsEmptyDataRack(d)) {
 		return best
 	}
 	if d.RelaxLocality || !p.fitsEmptyRack(d) {
@@ -48,19 +49,33 @@
 	return nil
 }
 
-// fitsEmptyRack reports whether the gang fits in some rack when that is empty.
+// fitsEmptyRack reports whether the gang fits in some rack once all work there has
+// ended that ends by itself or that the gang may preempt.
 func (p *planner) fitsEmptyRack(d Demand) bool {
-	empty := func(h *hostState) workload.Resources { return h.Capacity }
 	for _, name := range p.rackNames {
-		if len(bestFit(d, p.racks[name], empty)) == d.Tasks {
+		if len(bestFit(d, p.racks[name], p.emptied(d.Rank))) == d.Tasks {
 			return true
 		}
 	}
 	return false
 }
 
+// emptied returns what a host has free once all work there has ended that ends by
+// itself or that a demand of the rank may preempt.
+func (p *planner) emptied(rank Rank) func(*hostState) workload.Resources {
+	return func(h *hostState) workload.Resources {
+		free := h.Capacity
+		for _, i := range h.endless {
+			if !rank.mayPreempt(p.units[i].Rank) {
+				free = free.Sub(p.usedOn(i, h))
+			}
+		}
+		return free
+	}
+}
+
 // selectNearData prefers the rack with the data. Tasks that do not fit there wait,
-// unless locality is relaxed or the rack can never hold them.
+// unless locality is relaxed or the rack will not be able to hold them.
 func (p *planner) selectNearData(d Demand, available func(*hostState) workload.Resources) []*hostState {
 	near := bestFit(d, p.racks[d.DataRack], available)
 	if len(near) == d.Tasks || !d.RelaxLocality && p.fitsEmptyDataRack(d) {
@@ -83,11 +98,11 @@
 	return append(near, bestFit(rest, p.hosts, free)...)
 }
 
-// fitsEmptyDataRack reports whether the rack with the data, when empty, fits the whole
-// gang or at least one task of a demand that is not a gang.
+// fitsEmptyDataRack reports whether the rack with the data fits the whole gang, or at
+// least one task of a demand that is not a gang, once the work there has ended as in
+// fitsEmptyRack.
 func (p *planner) fitsEmptyDataRack(d Demand) bool {
-	empty := func(h *hostState) workload.Resources { return h.Capacity }
-	chosen := len(bestFit(d, p.racks[d.DataRack], empty))
+	chosen := len(bestFit(d, p.racks[d.DataRack], p.emptied(d.Rank)))
 	return chosen == d.Tasks || !d.Gang && chosen > 0
 }
 
