Record the cancellation of a job that the ledger does not show

Seconds later the job is accepted after all and runs to its end.

Cause: the store may carry out a write seconds after it was sent, and a submission may be delayed in the network as well. An entry took what the ledger shows for all that there will be: it answered the cancellation from the ledger and left nothing behind that the late write could meet.

Change: before the 410 the entry writes early-cancellation/ID/RANDOM with the organisation of the caller. - A job of that organisation with this ID counts as cancelled in every process, whichever record comes first; jobs of others are not concerned, and they get the same answers as before. - The record is in the store, so it holds over the restart of every entry and after the store has forgotten its history. - A repetition within 30 s relies on the former record and writes nothing. Later ones are recorded under a key of their own, so that a late removal of the old record can't take the new one along. - The coordinator removes the records 130 s after it has first seen them, or later if states are kept for longer. - A submission of the ID by that organisation is refused, without a time to come back; other IDs are not concerned. - The answer 410 to a cancellation means a durable record now, so an earlier append without an answer does not make it undecided.

--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -52,6 +52,7 @@
 	membersReadAt time.Duration // membersReadAt is when the members were last read.
 	headroom      headroom
 	reservations  reservations
+	early         earlyCancellations
 	adviceCalls   adviceCalls
 	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
 	nextPlanAt    time.Duration               // nextPlanAt is when the next plan may be made.
@@ -166,6 +167,7 @@
 		t.readMembers()
 		t.expireLeases()
 		t.removeEndedJobs()
+		t.removeEarlyCancellations(now())
 		if at := now(); t.needsPlan && at >= t.nextPlanAt {
 			t.needsPlan = false
 			t.plan()
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -17,10 +17,11 @@
 
 // The kinds of records.
 const (
-	JobKind          Kind = "job"
-	CancellationKind Kind = "cancellation"
-	ProgressKind     Kind = "progress"
-	MemberKind       Kind = "member"
+	JobKind               Kind = "job"
+	CancellationKind      Kind = "cancellation"
+	EarlyCancellationKind Kind = "early-cancellation"
+	ProgressKind          Kind = "progress"
+	MemberKind            Kind = "member"
 )
 
 // Key returns the record key KIND/NAME.
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -205,6 +205,10 @@
 		{Key: "progress/j", Value: []byte("{")}, {Key: "progress/j", Value: []byte(progressText(`[{"waiting":5}]`))},
 		ledger.Tombstone(ledger.ProgressKind, "j"), ledger.Tombstone(ledger.JobKind, "j"), memberRecord(c, "m"),
 	}
+	for _, organisation := range []string{"o", "p"} {
+		cancellation := ledger.NewEarlyCancellation("j", organisation, time.UnixMilli(1000))
+		choices = append(choices, encode(ledger.EncodeEarlyCancellation(cancellation)), ledger.Tombstone(ledger.EarlyCancellationKind, cancellation.Name))
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		whole, single := ledger.NewState(), ledger.NewState()
 		offset := int64(0)
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -15,7 +15,7 @@
 	Accepted         bool               // Accepted is false while only a cancellation or progress record is known.
 	Progress         *workload.Progress // Progress is nil until it is first recorded. It must not be modified.
 	ProgressUnknown  bool               // ProgressUnknown is set while runs may exist that Progress doesn't name: the newest record of it can't be used, or is uncertain.
-	Cancelled        bool               // Cancelled is set by a cancellation recorded before the job ended.
+	Cancelled        bool               // Cancelled is set by a cancellation recorded before the job ended, or before the job.
 	SubmissionOffset int64              // SubmissionOffset is the offset of the first job record that this process has seen.
 }
 
@@ -35,6 +35,7 @@
 type State struct {
 	mu      sync.Mutex
 	entries map[workload.ID]*JobEntry
+	early   map[workload.ID]map[string]EarlyCancellation // early holds the early cancellations by job and name.
 	members map[string]Member
 	offsets map[string]int64                       // offsets holds the offset of the newest record of each key.
 	next    int64                                  // next is the offset after the last folded record.
@@ -52,6 +53,7 @@
 
 func (s *State) reset() {
 	s.entries = make(map[workload.ID]*JobEntry)
+	s.early = make(map[workload.ID]map[string]EarlyCancellation)
 	s.members = make(map[string]Member)
 	s.offsets = make(map[string]int64)
 	s.changed = collection.NewSet[workload.ID]()
@@ -97,6 +99,8 @@
 			}
 		case JobKind, CancellationKind:
 			ordered.Add(ProgressKind.Key(name))
+		case EarlyCancellationKind:
+			ordered.Add(ProgressKind.Key(string(earlyCancelledJob(name))))
 		}
 	}
 	for key := range repeated {
@@ -164,6 +168,8 @@
 		return s.applyMember(name, r.Value, deleted)
 	case JobKind, ProgressKind, CancellationKind:
 		return s.applyJob(kind, workload.ID(name), r, deleted)
+	case EarlyCancellationKind:
+		return s.applyEarlyCancellation(name, r.Value, deleted)
 	default: // a kind of another writer
 		return nil
 	}
@@ -200,17 +206,25 @@
 	switch {
 	case kind == JobKind && !e.Accepted:
 		err = e.acceptJob(string(id), r)
+		if s.cancelledEarly(e) {
+			e.cancel()
+		}
 	case kind == ProgressKind && !deleted:
 		err = e.readProgress(string(id), r.Value)
 	case kind == CancellationKind && !deleted:
 		if err = checkCancellation(string(id), r.Value); err == nil {
-			e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
+			e.cancel()
 		}
 	}
 	s.updatePending(id, e)
 	return err
 }
 
+// cancel marks the job as cancelled unless it has ended.
+func (e *JobEntry) cancel() {
+	e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
+}
+
 func (e *JobEntry) acceptJob(id string, r StoredRecord) error {
 	var err error
 	e.Job, err = decodeJob(id, r.Value)
--- a/internal/role/gateway/attempts.go
+++ b/internal/role/gateway/attempts.go
@@ -43,7 +43,7 @@
 		return errors.Is(err, ledger.ErrNotDone) || errors.Is(err, ErrNotSent)
 	}
 	switch answer.Outcome {
-	case UnknownQueue, UnknownJob, Unauthorised, Invalid, Refused, Unavailable:
+	case UnknownQueue, Unauthorised, Invalid, Refused, Unavailable:
 		return true
 	default:
 		return false
@@ -57,7 +57,7 @@
 		return answer
 	}
 	switch answer.Outcome {
-	case Accepted, Known, Counted, Undecided:
+	case Accepted, Known, UnknownJob, Counted, Undecided: // A cancellation of an unknown job is recorded.
 	default:
 		answer.Outcome = Undecided
 		answer.Reason = "an attempt has an unknown outcome; the last answer: " + answer.Reason
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -18,6 +18,9 @@
 	if e, ok := g.state.Job(a.job); ok && e.Job.Organisation == a.organisation {
 		return Answer{Outcome: Accepted, Reason: "it was submitted before"}
 	}
+	if _, cancelled := g.state.EarlyCancellation(a.job, a.organisation); cancelled {
+		return Answer{Outcome: Refused, Reason: "the job was cancelled before it was submitted"}
+	}
 	submission, err := g.options.Decode(c.Body)
 	if err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
@@ -44,14 +47,14 @@
 	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
 }
 
-// cancel records the cancellation of a job that has not ended.
+// cancel records the cancellation of a job that has not ended, or that is not known.
 func (g *Gateway) cancel(ctx context.Context, c *activeCall, a admission) Answer {
 	e, denial := g.findJob(ctx, a)
 	if denial != nil {
 		if denial.Outcome == Unavailable {
 			return g.forward(ctx, c, Answer{Outcome: Refused, Reason: denial.Reason, RetryAfter: denial.RetryAfter})
 		}
-		return *denial
+		return g.cancelEarly(ctx, c, a, *denial)
 	}
 	if e.State().Ended() {
 		return Answer{Outcome: Known, State: e.State()}
@@ -67,6 +70,30 @@
 	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Known, State: workload.Cancelled})
 }
 
+// earlyCancellationValidity is for how long a repeated cancellation relies on the record
+// of the first. It is far shorter than the time for which that is kept, so that a late
+// write of the job finds a record after each answer.
+const earlyCancellationValidity = 30 * time.Second
+
+// cancelEarly records the cancellation of a job that the ledger does not show to the
+// caller, and returns the answer that there is no such job. A write of the job may
+// still be under way, even if its client has had no answer for long.
+func (g *Gateway) cancelEarly(ctx context.Context, c *activeCall, a admission, answer Answer) Answer {
+	if former, ok := g.state.EarlyCancellation(a.job, a.organisation); ok && time.Since(former.At).Abs() < earlyCancellationValidity {
+		return answer
+	}
+	cancellation := ledger.NewEarlyCancellation(a.job, a.organisation, time.Now())
+	record, err := ledger.EncodeEarlyCancellation(cancellation)
+	if err != nil {
+		return Answer{Outcome: Invalid, Reason: err.Error()}
+	}
+	stored := func() bool {
+		newest, ok := g.state.EarlyCancellation(a.job, a.organisation)
+		return ok && !newest.At.Before(cancellation.At.Truncate(time.Millisecond))
+	}
+	return g.writeRecord(ctx, c, record, stored, answer)
+}
+
 const (
 	// staleReadRetryShare is the fraction of the client's wait during which an entry
 	// retries an append before it forwards the call, when its last successful read is
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -73,7 +73,7 @@
 	Known                       // Known means that the answer has the state of the job.
 	Counted                     // Counted means that the answer has the number of pending jobs.
 	UnknownQueue                // UnknownQueue means that no queue matches the host and path.
-	UnknownJob
+	UnknownJob                  // UnknownJob means that no such job exists; a cancelled one will not run either.
 	Unauthorised
 	Invalid     // Invalid means that the call is malformed.
 	Refused     // Refused means that the call definitely had no effect.
