Soak: clients leave after a try without an answer and cancel their job

Change: in the second draw one job in three is cancelled by its client after a try without an answer, at one entry after the other until that is acknowledged with 200 or 410. The check is the former one: nothing of the job starts 10 s later. An acknowledgement with 410 counts for other jobs as well now. TestOracle has a case in which the check fails.

--- a/internal/run/soak/load.go
+++ b/internal/run/soak/load.go
@@ -39,6 +39,7 @@
 	mostOfMember   = 2 // mostOfMember is the largest number of accelerators of a member of a gang.
 	labelShare     = 0.1
 	rackShare      = 0.15
+	leaveEvery     = 3 // leaveEvery is how many jobs there are for each whose client leaves, and cancels it, after a try without an answer.
 )
 
 // client is one caller with a connection that it keeps using until the process
@@ -128,7 +129,8 @@
 }
 
 // submit hands one job in, at another entry after each try without an answer,
-// and follows it. Some jobs are given up after a refusal.
+// and follows it. Some jobs are given up after a refusal, some are cancelled after a
+// try without an answer.
 func (c *client) submit(ctx context.Context) {
 	j, caller := c.draw()
 	cancels := c.random.Float64() < cancelShare
@@ -151,6 +153,10 @@
 		if refused && impatient {
 			return
 		}
+		if !refused && c.added != nil && c.jobs%leaveEvery == 0 {
+			c.leave(caller, j)
+			return
+		}
 		if group.Pause(ctx, retryPause) != nil {
 			return
 		}
@@ -166,7 +172,7 @@
 		}
 		entry := c.deployment.entries[asked%len(c.deployment.entries)].settings.Callers
 		if cancels {
-			cancels = !c.cancel(ctx, caller, j)
+			cancels = !c.cancel(ctx, caller, j, c.number)
 		}
 		start := time.Now()
 		state, status, err := caller.State(ctx, entry, j.ID)
@@ -183,12 +189,24 @@
 	}
 }
 
-// cancel cancels a job and reports whether that was acknowledged.
-func (c *client) cancel(ctx context.Context, caller platform.Caller, j workload.Job) bool {
+// leave cancels a job whose submission had no answer, until that is acknowledged.
+func (c *client) leave(caller platform.Caller, j workload.Job) {
+	c.group.Go("leave "+string(j.ID), func(ctx context.Context) error {
+		for entry := c.number + 1; !c.cancel(ctx, caller, j, entry); entry++ {
+			if group.Pause(ctx, pollPause) != nil {
+				return nil
+			}
+		}
+		return nil
+	})
+}
+
+// cancel cancels a job at an entry and reports whether that was acknowledged.
+func (c *client) cancel(ctx context.Context, caller platform.Caller, j workload.Job, entry int) bool {
 	c.oracle.cancel(j.ID) // The call may be carried out whatever its answer is.
-	entry := c.deployment.entries[c.number%len(c.deployment.entries)].settings.Callers
-	status, err := caller.Cancel(ctx, entry, j.ID)
-	if err != nil || status != http.StatusOK {
+	callers := c.deployment.entries[entry%len(c.deployment.entries)].settings.Callers
+	status, err := caller.Cancel(ctx, callers, j.ID)
+	if err != nil || status != platform.StatusAccepted && status != platform.StatusUnknownJob {
 		return false
 	}
 	c.group.Go("cancelled "+string(j.ID), func(ctx context.Context) error {
--- a/internal/run/soak/oracle_test.go
+++ b/internal/run/soak/oracle_test.go
@@ -87,6 +87,15 @@
 			},
 			finding: ".*started 1 tasks long after it was cancelled",
 		},
+		"starts long after the cancellation of an unknown job": {
+			play: func(o *oracle, h *history) {
+				o.submitted(job, false, false)
+				o.cancel(job.ID)
+				o.cancelSettled(job.ID)
+				h.starts = 1
+			},
+			finding: ".*started 1 tasks long after it was cancelled",
+		},
 		"lost": {
 			play:    func(o *oracle, _ *history) { o.submitted(job, true, false); o.shown(job.ID, "running") },
 			finding: `.*was accepted and has not ended; it is shown as "running"`,
