Soak: the linter accepts the clients that leave

The loop is a method of its own now, as for the clients that follow a job. Behaviour is the same; tests of run/soak: passed.

--- a/internal/run/soak/load.go
+++ b/internal/run/soak/load.go
@@ -154,7 +154,10 @@
 			return
 		}
 		if !refused && c.added != nil && c.jobs%leaveEvery == 0 {
-			c.leave(caller, j)
+			c.group.Go("leave "+string(j.ID), func(ctx context.Context) error {
+				c.leave(ctx, caller, j)
+				return nil
+			})
 			return
 		}
 		if group.Pause(ctx, retryPause) != nil {
@@ -190,15 +193,12 @@
 }
 
 // leave cancels a job whose submission had no answer, until that is acknowledged.
-func (c *client) leave(caller platform.Caller, j workload.Job) {
-	c.group.Go("leave "+string(j.ID), func(ctx context.Context) error {
-		for entry := c.number + 1; !c.cancel(ctx, caller, j, entry); entry++ {
-			if group.Pause(ctx, pollPause) != nil {
-				return nil
-			}
+func (c *client) leave(ctx context.Context, caller platform.Caller, j workload.Job) {
+	for entry := c.number + 1; !c.cancel(ctx, caller, j, entry); entry++ {
+		if group.Pause(ctx, pollPause) != nil {
+			return
 		}
-		return nil
-	})
+	}
 }
 
 // cancel cancels a job at an entry and reports whether that was acknowledged.
