Let work in the way of a gang postpone its planned start

The tasks in the way of a gang take longer than estimated, but not so long that the reservation ends. From the time that the estimates gave on, no other work starts on the hosts, although it is known by then that they will be busy for long.

Cause: the planned start of a reservation was never postponed, so that work that starts on the reserved hosts can't keep the gang waiting. That holds for such work only; work that was there before postpones the start whatever is planned.

Evidence: the new case "tasks longer than estimated" (1 s estimated, 15 s taken) before: the jobs were done after 14.1 s instead of 8 s at most.

Change: the planned start counts the work that was placed before the reservation was made, with its remaining time as of now; only work placed since then is left out. Other work uses the hosts if twice its estimate ends by then, because many estimates are too short by half. A reservation is held for 10 s instead of 5 s beyond the permitted wait, so that one overrun does not end it just before the start.

Result: the case is done after 0.06 s.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -73,6 +73,7 @@
 	ID                 int
 	Rank               Rank
 	PreemptionCost     float64                       // PreemptionCost is the work that a stop discards, in core seconds.
+	Age                time.Duration                 // Age is the time since the unit was placed.
 	RemainingTime      time.Duration                 // RemainingTime is the estimated time until the unit ends; Never if it does not end by itself.
 	DisruptionGroup    int                           // DisruptionGroup identifies units that share a disruption budget; 0 is none.
 	DisruptionsAllowed int                           // DisruptionsAllowed is how many units of the group may be stopped now.
@@ -103,9 +104,10 @@
 	AllowedHosts collection.Option[collection.Set[string]] // AllowedHosts are the only hosts that may be used; None permits all.
 
 	// The following apply to the reservations of gangs that may not preempt.
-	NoReservation      bool                             // NoReservation is set while the gang must not reserve hosts.
-	MaxReservationWait time.Duration                    // MaxReservationWait is the longest estimated wait for which hosts are reserved; 0 is no limit.
-	PlannedStart       collection.Option[time.Duration] // PlannedStart is the time until the latest start that a reservation is planned for; None is no limit.
+	NoReservation      bool          // NoReservation is set while the gang must not reserve hosts.
+	NoBackfill         bool          // NoBackfill keeps other demands from the reserved hosts, even if they would end in time.
+	MaxReservationWait time.Duration // MaxReservationWait is the longest estimated wait for which hosts are reserved; 0 is no limit.
+	ReservedFor        time.Duration // ReservedFor is how long the gang has held its reservation; 0 if it has none.
 }
 
 // Placement assigns tasks of a demand to hosts. Hosts has one name for each
--- a/internal/fleet/allocation/reserve.go
+++ b/internal/fleet/allocation/reserve.go
@@ -39,12 +39,16 @@
 	p.reserveFuture(d, best)
 }
 
-// recordReservation notes that hosts are reserved for a gang. Its planned start is not
-// after PlannedStart, so that work that starts on the hosts meanwhile does not postpone
-// it again and again.
+// recordReservation notes that hosts are reserved for a gang that fits there in a time.
+// Work that was placed while the gang has held its reservation does not postpone the
+// planned start. So work that outruns its estimate can't keep the gang waiting again
+// and again.
 func (p *planner) recordReservation(d Demand, chosen []*hostState, startIn time.Duration) {
-	if planned, ok := d.PlannedStart.Get(); ok {
-		startIn = min(startIn, planned)
+	switch {
+	case d.NoBackfill:
+		startIn = 0
+	case d.ReservedFor > 0:
+		startIn = min(startIn, p.startBesideBackfill(d, chosen))
 	}
 	r := Reservation{StartIn: startIn}
 	for _, h := range chosen {
@@ -54,6 +58,24 @@
 	p.plan.Reservations[d.ID] = r
 }
 
+// startBesideBackfill returns the time until a gang fits on its hosts if the work ends
+// at once that was placed while the gang has held its reservation.
+func (p *planner) startBesideBackfill(d Demand, chosen []*hostState) time.Duration {
+	tasks := make(map[*hostState]int, len(chosen))
+	for _, h := range chosen {
+		tasks[h]++
+	}
+	var last time.Duration
+	for h, n := range tasks {
+		last = max(last, p.earliestFit(h, scale(d.Need, n), d.ReservedFor))
+	}
+	return last
+}
+
+// backfillFactor is how many times their estimated run time tasks may take to end by
+// the planned start of a gang. Many estimates are too short by half.
+const backfillFactor = 2
+
 // availableForBackfill returns what tasks with a run time can use at once including
 // what is reserved for gangs that start after the tasks have ended. Long-running tasks
 // may use all that is reserved, because no reservation is long enough for them.
@@ -61,7 +83,7 @@
 	return func(h *hostState) workload.Resources {
 		free := h.FutureFree
 		for _, r := range h.reserved {
-			if runTime <= r.startIn || runTime == Never {
+			if runTime == Never || backfillFactor*runTime <= r.startIn {
 				free = free.Add(r.need)
 			}
 		}
@@ -99,7 +121,7 @@
 	var candidates []*reservationCandidate
 	for _, h := range hosts {
 		if usable(d, h) {
-			candidates = append(candidates, &reservationCandidate{h, p.earliestFit(h, d.Need), 0})
+			candidates = append(candidates, &reservationCandidate{h, p.earliestFit(h, d.Need, 0), 0})
 		}
 	}
 	var chosen []*hostState
@@ -114,7 +136,7 @@
 		best.tasks++
 		best.fitsAfter = Never
 		if !best.host.OnProbation && (d.SpreadLimit == 0 || d.TasksByHost[best.host.Name]+best.tasks < d.SpreadLimit) {
-			best.fitsAfter = p.earliestFit(best.host, scale(d.Need, best.tasks+1))
+			best.fitsAfter = p.earliestFit(best.host, scale(d.Need, best.tasks+1), 0)
 		}
 	}
 	if d.Gang && len(chosen) < d.Tasks {
@@ -124,18 +146,29 @@
 }
 
 // earliestFit returns the time until the need fits on a host if nothing else
-// starts there.
-func (p *planner) earliestFit(h *hostState, need workload.Resources) time.Duration {
+// starts there. Work that is younger than minAge counts as ended.
+func (p *planner) earliestFit(h *hostState, need workload.Resources, minAge time.Duration) time.Duration {
 	free := h.FutureFree
-	if free.Fits(need) {
-		return 0
+	var ends []release
+	for _, s := range h.starting {
+		if minAge > 0 {
+			free = free.Add(s.resources)
+		} else {
+			ends = append(ends, s)
+		}
 	}
-	ends := slices.Clone(h.starting)
 	for _, i := range h.units {
-		if !p.isPreempted[i] {
+		switch {
+		case p.isPreempted[i]:
+		case p.units[i].Age < minAge:
+			free = free.Add(p.usedOn(i, h))
+		default:
 			ends = append(ends, release{p.usedOn(i, h), p.units[i].RemainingTime})
 		}
 	}
+	if free.Fits(need) {
+		return 0
+	}
 	slices.SortFunc(ends, func(a, b release) int { return cmp.Compare(a.after, b.after) })
 	for _, e := range ends {
 		free = free.Add(e.resources)
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -68,7 +68,7 @@
 		if a.stopping || a.ended || t.endsSoon(a, at) {
 			continue
 		}
-		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), UsageByHost: make(map[string]workload.Resources)}
+		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Age: at - a.began, UsageByHost: make(map[string]workload.Resources)}
 		for _, r := range a.runs {
 			u.UsageByHost[r.host.name] = u.UsageByHost[r.host.name].Add(r.need)
 			u.RemainingTime = max(u.RemainingTime, r.expectedTimeLeft(at))
--- a/internal/fleet/coordinator/reservations.go
+++ b/internal/fleet/coordinator/reservations.go
@@ -15,7 +15,7 @@
 	minReservationWait = 20 * time.Second
 	// reservationGrace is how much longer than that a reservation is held, because the
 	// work in the way may take longer than estimated.
-	reservationGrace = 5 * time.Second
+	reservationGrace = 10 * time.Second
 	// maxReservationPause bounds the time without new reservations after one was given
 	// up.
 	maxReservationPause = 20 * time.Second
@@ -34,7 +34,6 @@
 	maxWait time.Duration // maxWait is the longest estimated wait for which hosts are reserved.
 	held    bool          // held is set while hosts are reserved.
 	madeAt  time.Duration // madeAt is when the reservation was made that is held.
-	startAt time.Duration // startAt is the earliest start that was estimated for the gang since then.
 	missed  bool          // missed is set once a reservation was given up. Later ones admit no other work to their hosts.
 }
 
@@ -51,17 +50,15 @@
 		t.reservations.pausedUntil = max(t.reservations.pausedUntil, at+min(at-r.madeAt, maxReservationPause))
 		t.endReservation(key, at, "the gang has not started in time")
 	}
+	d.NoBackfill = r.missed
 	if r.held {
 		d.MaxReservationWait = r.maxWait + reservationGrace
-		d.PlannedStart = collection.Some(r.startAt - at)
+		d.ReservedFor = at - r.madeAt
 		return collection.Some(r.madeAt)
 	}
 	r.maxWait = max(minReservationWait, waited)
 	d.MaxReservationWait = r.maxWait
 	d.NoReservation = at < t.reservations.pausedUntil
-	if r.missed {
-		d.PlannedStart = collection.Some(time.Duration(0))
-	}
 	return collection.None[time.Duration]()
 }
 
@@ -92,7 +89,6 @@
 // holdReservation makes the reservation that is planned for a gang, or keeps it.
 func (t *term) holdReservation(key stepKey, planned allocation.Reservation, at time.Duration) {
 	r := t.reservations.byGang[key]
-	r.startAt = at + planned.StartIn
 	if r.held {
 		return
 	}
--- a/internal/fleet/coordinator/reservations_test.go
+++ b/internal/fleet/coordinator/reservations_test.go
@@ -42,6 +42,7 @@
 		"long tasks":                  {step(3, 1), long, fleethost.Work{Duration: long}},
 		"long tasks without estimate": {step(3, 1), 0, fleethost.Work{Duration: long}},
 		"long tasks with a wrong one": {step(3, 1), time.Second, fleethost.Work{Duration: long}},
+		"tasks longer than estimated": {step(3, 1), time.Second, fleethost.Work{Duration: 15 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
