--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -89,7 +89,7 @@
 	}
 	stored := func() bool {
 		newest, ok := g.state.EarlyCancellation(a.job, a.organisation)
-		return ok && !newest.At.Before(cancellation.At.Truncate(time.Millisecond))
+		return ok && newest.Name == cancellation.Name
 	}
 	return g.writeRecord(ctx, c, record, stored, answer)
 }
