Count work without an estimate that starts in a plan as ending soon

What callers saw: nothing; found on reading the change. A gang loses its reservation for one plan each time that more urgent work without an estimate starts on one of its hosts in that plan, and less urgent work may take the other hosts.

Cause: within the plan such work counted as never ending, from the next plan on as a run that has just begun, which counts as ending at once.

Change: it counts as ending at once in both. Work that does not end by itself is told apart by its run time, Never. A host on which the need fits at once is recognised before its work is looked at.

go test ./internal/fleet/...: passed.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -131,7 +131,7 @@
 // demands may use the hosts if they end by the planned start of the gang.
 type Reservation struct {
 	Hosts   []string      // Hosts has one name for each task.
-	StartIn time.Duration // StartIn is the estimated time until the gang fits.
+	StartIn time.Duration // StartIn is the time until the planned start.
 }
 
 // Decide plans for the demands in their order. It does not change its arguments.
@@ -159,7 +159,7 @@
 // release is the end of work on a host.
 type release struct {
 	resources workload.Resources
-	after     time.Duration // after is the time until then; Never if the work does not end by itself or its run time is not known.
+	after     time.Duration // after is the estimated time until then; Never if the work does not end by itself.
 }
 
 // reservedForGang is what a member of a gang will use of a host.
@@ -236,10 +236,9 @@
 			return
 		}
 	}
-	if d.Headroom > 0 || d.NoReservation {
-		return // A demand that leaves headroom can wait and reserves nothing.
+	if d.Headroom == 0 && !d.NoReservation { // A demand that leaves headroom can wait.
+		p.planWaiting(d)
 	}
-	p.planWaiting(d)
 }
 
 // planWaiting reserves resources for the tasks of a demand that do not fit now, and
@@ -344,7 +343,7 @@
 		h.Free = h.Free.Sub(d.Need)
 		h.FutureFree = h.FutureFree.Sub(d.Need)
 		h.busy = true
-		h.starting = append(h.starting, release{d.Need, cmp.Or(d.RunTime, Never)})
+		h.starting = append(h.starting, release{d.Need, d.RunTime})
 		placement.Hosts = append(placement.Hosts, h.Name)
 	}
 }
--- a/internal/fleet/allocation/reserve.go
+++ b/internal/fleet/allocation/reserve.go
@@ -149,6 +149,9 @@
 // starts there. Work that is younger than minAge counts as ended.
 func (p *planner) earliestFit(h *hostState, need workload.Resources, minAge time.Duration) time.Duration {
 	free := h.FutureFree
+	if free.Fits(need) {
+		return 0
+	}
 	var ends []release
 	for _, s := range h.starting {
 		if minAge > 0 {
--- a/internal/fleet/allocation/reserve_test.go
+++ b/internal/fleet/allocation/reserve_test.go
@@ -122,9 +122,13 @@
 			demands: []allocation.Demand{waitingUpTo(rackLocal(newGang(0, ordinary, 2, 4)), time.Second), newDemand(1, low, 1, 7)},
 			placed:  map[int][]string{1: {"h1"}},
 		},
+		"long-running work that starts in the same plan": {
+			hosts: empty, demands: []allocation.Demand{lastingFor(newDemand(1, allocation.Urgent, 1, 1), allocation.Never), newGang(0, ordinary, 2, 8), newDemand(2, low, 1, 8)},
+			placed: map[int][]string{1: {"h1"}, 2: {"h2"}},
+		},
 		"work of unknown run time that starts in the same plan": {
 			hosts: empty, demands: []allocation.Demand{newDemand(1, allocation.Urgent, 1, 1), newGang(0, ordinary, 2, 8), newDemand(2, low, 1, 8)},
-			placed: map[int][]string{1: {"h1"}, 2: {"h2"}},
+			placed: map[int][]string{1: {"h1"}}, startIn: collection.Some(0 * time.Second),
 		},
 		"work that starts in the same plan and ends soon": {
 			hosts: empty, demands: []allocation.Demand{lastingFor(newDemand(1, allocation.Urgent, 1, 1), time.Second), newGang(0, ordinary, 2, 8), newDemand(2, low, 1, 8)},
