--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -53,16 +53,16 @@
 // ended that ends by itself or that the gang may preempt.
 func (p *planner) fitsEmptyRack(d Demand) bool {
 	for _, name := range p.rackNames {
-		if len(bestFit(d, p.racks[name], p.emptied(d.Rank))) == d.Tasks {
+		if len(bestFit(d, p.racks[name], p.freeOnceEmptied(d.Rank))) == d.Tasks {
 			return true
 		}
 	}
 	return false
 }
 
-// emptied returns what a host has free once all work there has ended that ends by
+// freeOnceEmptied returns what a host has free once all work there has ended that ends by
 // itself or that a demand of the rank may preempt.
-func (p *planner) emptied(rank Rank) func(*hostState) workload.Resources {
+func (p *planner) freeOnceEmptied(rank Rank) func(*hostState) workload.Resources {
 	return func(h *hostState) workload.Resources {
 		free := h.Capacity
 		for _, i := range h.endless {
@@ -102,7 +102,7 @@
 // least one task of a demand that is not a gang, once the work there has ended as in
 // fitsEmptyRack.
 func (p *planner) fitsEmptyDataRack(d Demand) bool {
-	chosen := len(bestFit(d, p.racks[d.DataRack], p.emptied(d.Rank)))
+	chosen := len(bestFit(d, p.racks[d.DataRack], p.freeOnceEmptied(d.Rank)))
 	return chosen == d.Tasks || !d.Gang && chosen > 0
 }
 
--- a/internal/fleet/coordinator/reservations_internal_test.go
+++ b/internal/fleet/coordinator/reservations_internal_test.go
@@ -39,7 +39,6 @@
 	tm, plan := newReservationTerm(t.Name())
 	w := waitingStep{job: &jobState{}}
 	soon := collection.Some(time.Second)
-	const second = time.Second
 	for _, tt := range []struct {
 		at         time.Duration
 		held       bool          // held is set while the plan after that time reserves hosts.
@@ -47,13 +46,13 @@
 		noBackfill bool
 		wait       time.Duration
 	}{
-		{10 * second, true, 0, false, minReservationWait},
-		{11 * second, true, second, false, minReservationWait + reservationGrace},
-		{39 * second, true, 29 * second, false, minReservationWait + reservationGrace},
-		{40 * second, false, 0, true, minReservationWait},
-		{59 * second, false, 0, true, minReservationWait},
-		{60 * second, true, 0, true, minReservationWait},
-		{61 * second, true, second, true, minReservationWait + reservationGrace},
+		{10 * time.Second, true, 0, false, minReservationWait},
+		{11 * time.Second, true, time.Second, false, minReservationWait + reservationGrace},
+		{39 * time.Second, true, 29 * time.Second, false, minReservationWait + reservationGrace},
+		{40 * time.Second, false, 0, true, minReservationWait},
+		{59 * time.Second, false, 0, true, minReservationWait},
+		{60 * time.Second, true, 0, true, minReservationWait},
+		{61 * time.Second, true, time.Second, true, minReservationWait + reservationGrace},
 	} {
 		d := plan(w, tt.at, soon)
 		comment := qt.Commentf("at %s", tt.at)
--- a/internal/record/ledger/early_cancellation_test.go
+++ b/internal/record/ledger/early_cancellation_test.go
@@ -47,10 +47,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			s := ledger.NewState()
-			for i, r := range tt.records {
-				c.Assert(s.Apply(ledger.Page{Records: []ledger.StoredRecord{storedRecord(int64(i), r)}, Next: int64(i + 1)}), qt.IsNil)
-			}
+			s := foldEach(c, tt.records)
 			e, ok := s.Job("j")
 			c.Assert(ok, qt.IsTrue)
 			c.Check(e.State(), qt.Equals, tt.want)
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -39,6 +39,15 @@
 	return ledger.StoredRecord{Record: r, Offset: offset}
 }
 
+// foldEach returns the state after some records, each read in a page of its own.
+func foldEach(c *qt.C, records []ledger.Record) *ledger.State {
+	s := ledger.NewState()
+	for i, r := range records {
+		c.Assert(s.Apply(ledger.Page{Records: []ledger.StoredRecord{storedRecord(int64(i), r)}, Next: int64(i + 1)}), qt.IsNil)
+	}
+	return s
+}
+
 func TestJobAndProgressRecordsRoundTrip(t *testing.T) {
 	c := qt.New(t)
 	j := sampleJob("j")
@@ -150,10 +159,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			s := ledger.NewState()
-			for i, r := range tt.records {
-				c.Assert(s.Apply(ledger.Page{Records: []ledger.StoredRecord{storedRecord(int64(i), r)}, Next: int64(i + 1)}), qt.IsNil)
-			}
+			s := foldEach(c, tt.records)
 			e, ok := s.Job("j")
 			c.Assert(ok, qt.IsTrue)
 			c.Check(e.State(), qt.Equals, tt.want)
