Stand-in of the minions: incarnations differ in their start times

Cause: the stand-in rounds its start time to milliseconds, and that time tells incarnations with one id apart. A restart within the same millisecond gave the next incarnation the time of the former one, so there was no other incarnation for the agent to tell. The platform gives the start time in milliseconds as well, but a minion does not start twice in one.

Change: a new incarnation begins a millisecond after the former one at least, also after Replace. No test or product code changes.

--- a/internal/standin/fleethost/minion.go
+++ b/internal/standin/fleethost/minion.go
@@ -105,6 +105,7 @@
 func (m *Minion) Replace(report host.Minion) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	report.StartedAt = m.report.StartedAt
 	m.report = report
 	m.begin()
 }
@@ -118,9 +119,15 @@
 	m.late, m.gone = nil, true
 }
 
+// begin starts the next incarnation. Its start time, which tells incarnations with the
+// same id apart, differs from that of the former one by a millisecond at least.
 func (m *Minion) begin() {
 	m.gone, m.report.Draining = false, false
-	m.report.StartedAt = time.Now().Round(time.Millisecond)
+	now, next := time.Now().Round(time.Millisecond), m.report.StartedAt.Add(time.Millisecond)
+	if now.Before(next) {
+		now = next
+	}
+	m.report.StartedAt = now
 }
 
 // loseEnds notes that the ends may be lost: their tasks may run again.
