--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -74,6 +74,10 @@
 	// LeadershipTTL is the validity of a leadership claim. It must not be shorter than the minimum TTL of the store;
 	// values below one second are raised to one second.
 	LeadershipTTL time.Duration
+	// Adaptive is set where the declarations of hosts and jobs may be wrong, so that decisions follow what their runs show.
+	Adaptive bool
+	// EvacuationTimeout is the longest time until no start reaches an evacuated data centre; 0 if none is evacuated.
+	EvacuationTimeout time.Duration
 	// Adviser issues the start tickets for jobs of advised queues; nil if there is none.
 	Adviser Adviser
 }
