Add the command forecast: where a job would go now, and why

What callers saw: operators could not tell why a job would wait, or what it would stop, without sending it; explain serves the other deployment only. Cause: the model of the fleet is in the memory of the coordinator, and no call asks for a plan that is not carried out. Change: Coordinator.Forecast makes a plan that includes the job and puts back what the plan notes on the way; the internal address of an entry serves it for submissions that the configuration permits; the command finds the leader in the store. Hosts are counted by why a task does not start there. Measured: TestForecast (room, no label, full, stops for urgent work; nothing is started or recorded), TestForecastNeedsALeader, and TestForecastOfAnEntry with a real entry.

--- a/cmd/pages_test.go
+++ b/cmd/pages_test.go
@@ -29,7 +29,8 @@
 	"wasabihoist soak --seed 100 --seeds 50":           longSoak,
 	"wasabihoist soak --seed 113 --draw 1 --only 5":    longSoak,
 	"wasabihoist soak --cases testdata/soak/seeds.txt": longSoak,
-	"go build -o wasabihoist .":                        "the scenario builds into its own directory",
+	"wasabihoist forecast --host desk.example --path /match/5c0e7a21d94b36f8 --key secret job.json": "TestForecastOfAnEntry runs it",
+	"go build -o wasabihoist .": "the scenario builds into its own directory",
 	"export WASABIHOIST_OPERATOR=127.0.0.1:17801 WASABIHOIST_OPERATOR_TOKEN=example-operator-token": "the scenario sets its own address",
 }
 
--- a/cmd/registry.go
+++ b/cmd/registry.go
@@ -39,6 +39,7 @@
 		fleetEntry(),
 		jobsEntry(),
 		explainEntry(),
+		forecastEntry(),
 		auditEntry(),
 		benchEntry(),
 		versionEntry(),
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -107,6 +107,8 @@
 	vacancy          vacancy
 	takeover         *takeover // takeover is a term that is being started; nil if there is none.
 	term             *runningTerm
+
+	leading atomic.Pointer[term] // leading is the term in progress, for calls from outside of Run; nil if there is none.
 }
 
 // runningTerm is a term with the group that it runs in.
@@ -280,6 +282,7 @@
 	g := group.New(ctx)
 	t := newTerm(c, token, c.confirmedClaimAt, g)
 	c.term = &runningTerm{t, g}
+	c.leading.Store(t)
 	c.reader.SetReadInterval(0)
 	c.metrics.terms.Add(1)
 	_ = level.Info(c.logger).Log("event", "term begun", "token", token, "jobs", len(t.jobs), "offset", c.state.Next())
@@ -290,6 +293,7 @@
 	if c.term == nil {
 		return
 	}
+	c.leading.Store(nil)
 	c.term.group.Stop()
 	err := c.term.group.Wait()
 	c.reader.SetReadInterval(followerReadInterval)
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -55,6 +55,7 @@
 	taskStopTime        time.Duration                  // taskStopTime is how long minions take to stop a run.
 	silentHostRetention time.Duration                  // silentHostRetention of the coordinators; 0 for the default.
 	maxLease            time.Duration                  // maxLease of the coordinators; 0 for lease.
+	newest              *coordinator.Coordinator       // newest is the coordinator that was started last.
 }
 
 // newFixture starts a fleet with one minion for each rack named.
@@ -115,6 +116,7 @@
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current,
 		func(a netip.AddrPort) host.Client { return link{f.minions[a], &f.hooks} }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
+	f.newest = coord
 	g.Go("coordinator", coord.Run)
 	return func() {
 		g.Stop()
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -25,14 +25,10 @@
 	if err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
-	q := a.queue
-	if q.UsesAdviser && !g.options.HasAdviser {
+	if a.queue.UsesAdviser && !g.options.HasAdviser {
 		return Answer{Outcome: Refused, Reason: "the queue needs a placement adviser, and the settings name none"}
 	}
-	job := workload.Job{
-		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps, Schedule: submission.Schedule,
-		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
-	}
+	job := newJob(a, submission)
 	if err := job.Validate(); err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -82,11 +82,13 @@
 	}
 	entryTransport := transport.New(nil, nil)
 	registry := metrics.For(o.Node)
+	o.Reloadable.Coordinator.Name = coordinator.CandidateName(self)
+	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, dialAgent, transport.Refused, registry, logger)
 	g := gateway.New(gateway.Options{
 		Topic: o.Topic, MaxConfigAge: o.Reloadable.MaxConfigAge, HasAdviser: o.Reloadable.Coordinator.Adviser != nil, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, entryTransport),
 	}, store, state, ledgerReader, configurationReader, current, logger)
 	open, err := listen([]Endpoint{
-		{"calls of entries", o.Internal, entrylink.Handler(g)},
+		{"calls of entries", o.Internal, internalHandler(g, c)},
 		{"readiness", o.Ready, o.ReadyHandler(g)},
 		{"metrics", o.Metrics, registry.Handler()},
 		{"clients", o.Callers, o.CallerHandler(g)},
@@ -95,8 +97,6 @@
 		return err
 	}
 	_ = level.Info(logger).Log("event", "started", "role", "entry", "callers", o.Callers, "internal", o.Internal)
-	o.Reloadable.Coordinator.Name = coordinator.CandidateName(self)
-	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, dialAgent, transport.Refused, registry, logger)
 	services := group.New(context.WithoutCancel(ctx))
 	services.Go(ledgerReader.String(), ledgerReader.Run)
 	services.Go(configurationReader.String(), configurationReader.Run)
@@ -125,6 +125,14 @@
 	return err
 }
 
+// internalHandler serves the calls of other entries, and the forecasts for operators.
+func internalHandler(g *gateway.Gateway, c *coordinator.Coordinator) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", entrylink.Handler(g))
+	mux.Handle(entrylink.ForecastPattern, entrylink.ForecastHandler(g, c))
+	return mux
+}
+
 // serveUntilStop serves until ctx ends. Then the readiness check fails, open
 // connections are served for drainShare of the grace period, and calls in
 // progress may finish until shutdownShare of it. The endpoints shut down in
