Evacuation: nothing starts in a data centre that operators evacuate

Cause: the record was read and ignored.

Change: the entries fold evacuations beside the configuration, in the order of their offsets, and a load of the newest records replaces them. Hosts of an evacuated data centre are closed to plans, reservations, headroom, preemption and queries to the adviser. What is placed there and not started returns to the queue; no further try of a start is sent. No start is sent either while the last reading of the operators' topic is too old to rule out an evacuation: the bound less the time for which the start is valid. On only where the settings have the bound. coordinator.New takes the age of that reading.

Tests: each was seen failing without its part: hosts open to plans, held starts, further tries, a longer validity of starts, records read twice, a load that does not replace. TestLaterTryOfStartProlongsLease now builds its coordinator with options, as all others do: the validity of a start depends on them; its checks are unchanged. Passed: coordinator, platform, tenancy, run/hosted, cmd.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -121,7 +121,7 @@
 			Node: s.Node, DataCentre: s.DataCentre, Regions: s.Regions, Callers: s.Callers, Ready: s.Ready, Internal: s.Internal,
 			Metrics: p.metrics, MemoryMB: s.MemoryMB, Reloadable: tuning(s, p.logger), Reloads: tunings,
 			Topic: platform.FleetTopic, OperatorTopic: platform.OperatorTopic, ConfigurationKey: platform.ConfigurationKey,
-			DecodeConfiguration: platform.DecodeConfiguration, DecodeJob: platform.DecodeJob,
+			DecodeConfiguration: platform.DecodeConfiguration, EvacuatedDataCentre: platform.EvacuatedDataCentre, DecodeJob: platform.DecodeJob,
 			CallerHandler: platform.CallerHandler, ReadyHandler: platform.ReadyHandler,
 		}, platform.NewStore(s.Store), p.logger)
 	})
--- a/internal/fleet/coordinator/avoidance.go
+++ b/internal/fleet/coordinator/avoidance.go
@@ -115,7 +115,7 @@
 	if allowed, restricted := d.AllowedHosts.Get(); restricted && !allowed.Has(h.name) {
 		return false
 	}
-	return h.incarnationKnown && !h.gone && !h.silent && !h.minion.Draining && h.minion.Service == d.Service &&
+	return h.incarnationKnown && !h.gone && !h.silent && !h.minion.Draining && !h.evacuated && h.minion.Service == d.Service &&
 		(d.Label == "" || slices.Contains(h.minion.Labels, d.Label)) && h.minion.Capacity.Fits(d.Need)
 }
 
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -55,9 +56,15 @@
 	taskStopTime        time.Duration                  // taskStopTime is how long minions take to stop a run.
 	silentHostRetention time.Duration                  // silentHostRetention of the coordinators; 0 for the default.
 	maxLease            time.Duration                  // maxLease of the coordinators; 0 for lease.
+	evacuationTimeout   time.Duration                  // evacuationTimeout of the coordinators; 0 if they don't follow evacuations.
+	operatorsDown       atomic.Bool                    // operatorsDown is set while the operators' topic can't be read.
 }
 
-// newFixture starts a fleet with one minion for each rack named.
+// evacuationPrefix comes before the data centre in the key of an evacuation.
+const evacuationPrefix = "evacuate/"
+
+// newFixture starts a fleet with one minion for each rack named. The data centre of a
+// minion has the name of its rack.
 func newFixture(t *testing.T, racks ...string) *fixture {
 	return newSlowFixture(t, defaultStopTime, racks...)
 }
@@ -72,7 +79,7 @@
 	f.append(operators, ledger.Record{Key: "config", Value: []byte("1")})
 	for i, rack := range racks {
 		address := netip.MustParseAddrPort(fmt.Sprintf("10.0.0.%d:1", i+1))
-		m := fleethost.NewMinion(f.fleet, host.Minion{ID: fmt.Sprintf("m-%d", i), Service: "app", Rack: rack, Labels: []string{"a", rack}, Capacity: minionCapacity})
+		m := fleethost.NewMinion(f.fleet, host.Minion{ID: fmt.Sprintf("m-%d", i), Service: "app", DataCentre: rack, Rack: rack, Labels: []string{"a", rack}, Capacity: minionCapacity})
 		f.minions[address] = m
 		f.minionList = append(f.minionList, m)
 		record, err := ledger.EncodeMember(ledger.Member{Name: fmt.Sprintf("host-%d", i), Role: ledger.AgentRole, Address: address})
@@ -102,18 +109,19 @@
 			Organisations: []catalogue.Organisation{{Name: "owner", GuaranteedAccelerators: 8}},
 		}, nil
 	}, log.NewNopLogger())
+	current.FollowEvacuations(func(key string) (string, bool) { return strings.CutPrefix(key, evacuationPrefix) })
 	logger, err := logging.New(&f.logs, "info", name)
 	f.c.Assert(err, qt.IsNil)
 	g := group.New(f.group.Context())
 	state := ledger.NewState()
 	reader := ledger.NewReader(f.store, topic, state, 0, log.NewNopLogger())
 	g.Go("jobs", reader.Run)
-	catalogueReader := ledger.NewReader(f.store, operators, current, 0, log.NewNopLogger())
+	catalogueReader := ledger.NewReader(operatorsStore{f.store, &f.operatorsDown}, operators, current, 0, log.NewNopLogger())
 	g.Go("plans", catalogueReader.Run)
 	options := coordinator.Options{
-		Name: name, MaxLease: cmp.Or(f.maxLease, lease), GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser,
+		Name: name, MaxLease: cmp.Or(f.maxLease, lease), GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser, EvacuationTimeout: f.evacuationTimeout,
 	}
-	coord := coordinator.New(options, f.store, topic, state, reader, current,
+	coord := coordinator.New(options, f.store, topic, state, reader, current, catalogueReader.AsOf,
 		func(a netip.AddrPort) host.Client { return link{f.minions[a], &f.hooks} }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
 	g.Go("coordinator", coord.Run)
 	return func() {
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -34,6 +34,7 @@
 type hostState struct {
 	name         string
 	address      netip.AddrPort
+	dataCentre   string    // dataCentre is that of the agent; empty when the host is known from tasks only.
 	started      time.Time // started is the start time of the agent process, which tells its restarts apart.
 	client       host.Client
 	session      *group.Group  // session runs the renewals; nil when the host is known from tasks only.
@@ -42,6 +43,7 @@
 	minion               host.Minion // minion is how the minion last described itself; its ID is empty before the first time.
 	silent               bool        // silent is set while calls fail.
 	gone                 bool        // gone is set while no minion answers at its address.
+	evacuated            bool        // evacuated is set while the data centre of the agent or the minion is among the evacuated ones.
 	lastContact          time.Duration
 	minionClock          time.Duration // minionClock is the minion's clock at lastContact or before.
 	leaseExpiry          time.Duration // leaseExpiry is when every lease that this or a former term granted has certainly expired.
@@ -92,7 +94,8 @@
 			h.session.Stop()
 		}
 		_ = level.Info(t.logger).Log("event", "agent found", "host", name, "address", m.Address, "data-centre", m.DataCentre)
-		h.address, h.started, h.client = m.Address, m.Started, t.dial(m.Address)
+		h.address, h.dataCentre, h.started, h.client = m.Address, m.DataCentre, m.Started, t.dial(m.Address)
+		h.evacuated = t.evacuations.include(h)
 		h.sessionStart = at
 		h.session = group.New(t.group.Context())
 		t.startSession(h, h.client, h.session)
@@ -161,7 +164,7 @@
 
 // acceptsWork reports whether new runs may be placed on a host.
 func (h *hostState) acceptsWork(at time.Duration) bool {
-	return h.incarnationKnown && !h.gone && !h.silent && !h.minion.Draining && at-h.lastContact < renewalWait+silenceTimeout && !h.health.quarantined(at)
+	return h.incarnationKnown && !h.gone && !h.silent && !h.minion.Draining && !h.evacuated && at-h.lastContact < renewalWait+silenceTimeout && !h.health.quarantined(at)
 }
 
 // minionClockNow returns a time that the minion's clock has certainly reached.
--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -14,6 +14,7 @@
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
+	startsWithdrawn  metrics.Counter
 	ends             map[host.Outcome]metrics.Counter
 	planTime         *metrics.Histogram
 	appendTime       *metrics.Histogram
@@ -29,6 +30,7 @@
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
+		startsWithdrawn:  r.Counter("coordinator-starts-withdrawn", "attempts", "Gangs and single tasks that were not started or stopped before their start was confirmed, because a host of theirs was evacuated."),
 		ends:             make(map[host.Outcome]metrics.Counter),
 		planTime:         r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
 		appendTime:       r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -16,8 +16,8 @@
 	// callRetryDelay is the delay between two tries of a call to a minion that
 	// was not answered.
 	callRetryDelay = 100 * time.Millisecond
-	// startValidity is how long a minion may carry out a start, counted from
-	// when it was sent.
+	// startValidity is the longest time for which a minion may carry out a start,
+	// counted from when it was sent.
 	startValidity = 2 * time.Second
 	// startTimeout is how long a start is retried before the attempt is given
 	// up.
@@ -84,9 +84,10 @@
 }
 
 // startAttempt sends the starts of an attempt whose placement is durable. If the
-// attempt has been stopped meanwhile, its tasks are requeued instead.
+// attempt has been stopped meanwhile, or a host of it evacuated, its tasks are
+// requeued instead.
 func (t *term) startAttempt(a *attempt) {
-	if a.stopping {
+	if a.stopping || t.withdrawProposed(a) {
 		for _, r := range slices.Clone(a.runs) {
 			t.requeueRun(r, "")
 		}
@@ -163,13 +164,20 @@
 
 // nextTry returns the next try of a start. The start is delayed while the store has
 // not confirmed the term recently, because another term may have begun long ago;
-// see formerStartWindow. A process that was suspended can't tell otherwise.
+// see formerStartWindow. A process that was suspended can't tell otherwise. It is
+// also delayed while the host may have been evacuated, see startsHeld, and ends if
+// the host is evacuated.
 func (t *term) nextTry(r *run) startTry {
 	switch {
 	case r.attempt.stopping || !r.held():
 		return startEnded
 	case now()-time.Duration(t.confirmedAt.Load()) >= formerStartWindow:
 		return startDelayed
+	case t.startsHeld():
+		return startDelayed
+	case r.host.evacuated:
+		t.withdrawStart(r)
+		return startEnded
 	default:
 		return startTry{request: t.startRequest(r)}
 	}
@@ -181,7 +189,7 @@
 	r.host.leaseExpiry = max(r.host.leaseExpiry, r.tries.openUntil) // A start grants a lease until its deadline.
 	return &host.StartRequest{
 		Incarnation: r.minion, Token: t.token, Task: r.task, Number: r.number, Spec: j.job.Spec,
-		StartDeadline: r.host.minionClockNow() + startValidity,
+		StartDeadline: r.host.minionClockNow() + t.startValidity(),
 		Checkpoint:    r.progress().Checkpoint, Ticket: r.ticket,
 	}
 }
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -75,6 +75,7 @@
 				"accelerators", report.Minion.Capacity.Accelerators, "draining", report.Minion.Draining, "remaining", report.Minion.Remaining, "former", h.minion.Incarnation())
 		}
 		h.minion = report.Minion
+		h.evacuated = t.evacuations.include(h)
 		t.needsPlan = t.needsPlan || !sameIncarnation || !h.incarnationKnown
 	}
 	if !sameIncarnation {
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -54,6 +54,7 @@
 	reservations  reservations
 	early         earlyCancellations
 	adviceCalls   adviceCalls
+	evacuations   evacuations
 	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
 	nextPlanAt    time.Duration               // nextPlanAt is when the next plan may be made.
 	dirty         collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
@@ -164,6 +165,7 @@
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
+		t.readEvacuations()
 		t.readMembers()
 		t.expireLeases()
 		t.removeEndedJobs()
@@ -183,6 +185,7 @@
 			event()
 		case <-t.state.Changed():
 			t.readChanges()
+		case <-t.evacuationsChanged():
 		case <-wake.C:
 		case <-ticker.C:
 			t.checkProgress()
--- a/internal/fleet/coordinator/term_internal_test.go
+++ b/internal/fleet/coordinator/term_internal_test.go
@@ -120,6 +120,7 @@
 	job := workload.Job{ID: "job", Steps: []workload.Step{{Count: 1}}}
 	h := &hostState{name: "host", runs: make(map[runKey]*run), lastContact: now()}
 	term := &term{Coordinator: &Coordinator{}}
+	term.Apply(Options{})
 	a := &attempt{job: &jobState{job: job, progress: workload.NewProgress(job)}}
 	r := term.addRun(a, job.TaskID(0, 0), 1, h, "minion@start")
 	for range 2 {
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -50,11 +50,13 @@
 	Reloadable    ReloadableOptions
 	Reloads       <-chan ReloadableOptions // Reloads delivers the options after a change of the settings.
 	Topic         ledger.Topic             // Topic holds the records of the ledger.
-	OperatorTopic ledger.Topic             // OperatorTopic holds the configuration.
+	OperatorTopic ledger.Topic             // OperatorTopic holds the configuration and the evacuations.
 	// ConfigurationKey is the key of the configuration in the operators' topic.
 	ConfigurationKey string
 
 	DecodeConfiguration func(value []byte) (*catalogue.Catalogue, error)
+	// EvacuatedDataCentre returns the data centre that the key of a record in the operators' topic evacuates.
+	EvacuatedDataCentre func(key string) (string, bool)
 	DecodeJob           func(body []byte) (gateway.Submission, error)
 	CallerHandler       func(g *gateway.Gateway) http.Handler
 	ReadyHandler        func(g *gateway.Gateway) http.Handler
@@ -75,6 +77,7 @@
 	started := time.Now().Truncate(time.Millisecond) // The ledger stores milliseconds.
 	state := ledger.NewState()
 	current := catalogue.NewCurrent(o.ConfigurationKey, o.DecodeConfiguration, logger)
+	current.FollowEvacuations(o.EvacuatedDataCentre)
 	ledgerReader := ledger.NewReader(store, o.Topic, state, 0, logger)
 	configurationReader := ledger.NewReader(store, o.OperatorTopic, current, configurationPollWait, logger)
 	self := ledger.Member{
@@ -96,7 +99,7 @@
 	}
 	_ = level.Info(logger).Log("event", "started", "role", "entry", "callers", o.Callers, "internal", o.Internal)
 	o.Reloadable.Coordinator.Name = coordinator.CandidateName(self)
-	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, dialAgent, transport.Refused, registry, logger)
+	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, configurationReader.AsOf, dialAgent, transport.Refused, registry, logger)
 	services := group.New(context.WithoutCancel(ctx))
 	services.Go(ledgerReader.String(), ledgerReader.Run)
 	services.Go(configurationReader.String(), configurationReader.Run)
