--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -50,11 +50,13 @@
 	Reloadable    ReloadableOptions
 	Reloads       <-chan ReloadableOptions // Reloads delivers the options after a change of the settings.
 	Topic         ledger.Topic             // Topic holds the records of the ledger.
-	OperatorTopic ledger.Topic             // OperatorTopic holds the configuration.
+	OperatorTopic ledger.Topic             // OperatorTopic holds the configuration and the evacuations.
 	// ConfigurationKey is the key of the configuration in the operators' topic.
 	ConfigurationKey string
 
 	DecodeConfiguration func(value []byte) (*catalogue.Catalogue, error)
+	// EvacuatedDataCentre returns the data centre that the key of a record in the operators' topic evacuates.
+	EvacuatedDataCentre func(key string) (string, bool)
 	DecodeJob           func(body []byte) (gateway.Submission, error)
 	CallerHandler       func(g *gateway.Gateway) http.Handler
 	ReadyHandler        func(g *gateway.Gateway) http.Handler
@@ -75,6 +77,7 @@
 	started := time.Now().Truncate(time.Millisecond) // The ledger stores milliseconds.
 	state := ledger.NewState()
 	current := catalogue.NewCurrent(o.ConfigurationKey, o.DecodeConfiguration, logger)
+	current.FollowEvacuations(o.EvacuatedDataCentre)
 	ledgerReader := ledger.NewReader(store, o.Topic, state, 0, logger)
 	configurationReader := ledger.NewReader(store, o.OperatorTopic, current, configurationPollWait, logger)
 	self := ledger.Member{
@@ -83,7 +86,7 @@
 	entryTransport := transport.New(nil, nil)
 	registry := metrics.For(o.Node)
 	o.Reloadable.Coordinator.Name = coordinator.CandidateName(self)
-	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, dialAgent, transport.Refused, registry, logger)
+	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, configurationReader.AsOf, dialAgent, transport.Refused, registry, logger)
 	g := gateway.New(gateway.Options{
 		Topic: o.Topic, MaxConfigAge: o.Reloadable.MaxConfigAge, HasAdviser: o.Reloadable.Coordinator.Adviser != nil, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, entryTransport),
 	}, store, state, ledgerReader, configurationReader, current, logger)
