Admission: bounded doors for the servers of the hosted programs

Cause: bodies were read before queue, key and limits were known; nothing bounded the bytes of all calls, the connections, the fields of a header or the decoded size of a body.

Change: internal/traffic/admission. Each server has a door with a share of the memory and the descriptors of its machine. When it is full, the connection that gives way is chosen by a pure function. Bodies over 8 KiB take shared room; the oldest that does not end gives way. Header, body, answer and idle times are checked twice a second, with the limits of the configuration in force. The gateway reads the body only after the queue and the key have been checked. Jobs and heartbeats are refused before they are decoded if they have too many values. Settings: limits.maxFds is read.

Evidence: the tests of this package fail with each part taken out (displacement, interruption, room for bodies, header limit, header timeout, Connection: close, answering phase, Apply).

maxWait is 2 minutes instead of an hour: a call that is being served keeps its place.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -119,7 +119,7 @@
 		defer g.Stop()
 		return hosted.RunEntry(ctx, hosted.EntryOptions{
 			Node: s.Node, DataCentre: s.DataCentre, Regions: s.Regions, Callers: s.Callers, Ready: s.Ready, Internal: s.Internal,
-			Metrics: p.metrics, MemoryMB: s.MemoryMB, Reloadable: tuning(s, p.logger), Reloads: tunings,
+			Metrics: p.metrics, MemoryMB: s.MemoryMB, MaxDescriptors: s.MaxDescriptors, Reloadable: tuning(s, p.logger), Reloads: tunings,
 			Topic: platform.FleetTopic, OperatorTopic: platform.OperatorTopic, ConfigurationKey: platform.ConfigurationKey,
 			DecodeConfiguration: platform.DecodeConfiguration, DecodeJob: platform.DecodeJob,
 			CallerHandler: platform.CallerHandler, ReadyHandler: platform.ReadyHandler,
@@ -175,7 +175,7 @@
 		s := p.settings
 		connect := func() hostagent.Connection { return platform.NewMinionConnection(s.Minion) }
 		return hosted.RunAgent(ctx, hosted.AgentOptions{
-			Node: s.Node, DataCentre: s.DataCentre, Internal: s.Internal, Control: s.Control, Metrics: p.metrics, MemoryMB: s.MemoryMB, MaxLease: s.MaxLease,
+			Node: s.Node, DataCentre: s.DataCentre, Internal: s.Internal, Control: s.Control, Metrics: p.metrics, MemoryMB: s.MemoryMB, MaxDescriptors: s.MaxDescriptors, MaxLease: s.MaxLease,
 			Topic:          platform.FleetTopic,
 			ControlHandler: func(a *hostagent.Agent) http.Handler { return platform.ControlHandler(a, p.logger) },
 		}, platform.NewStore(s.Store), platform.NewMinionClient(s.Minion), connect, p.logger)
--- a/internal/role/gateway/attempts.go
+++ b/internal/role/gateway/attempts.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 
 	"wasabihoist/internal/record/ledger"
@@ -16,6 +17,23 @@
 	forwards int // forwards is how many other entries were asked, in the order of Options.Peers.
 }
 
+// loadBody reads the body if it has not been read. It returns the answer to the call if
+// the body can't be read in time.
+func (c *activeCall) loadBody(ctx context.Context) *Answer {
+	if c.Method != Submit || c.Body != nil || c.ReadBody == nil {
+		return nil
+	}
+	body, answer := c.ReadBody()
+	if answer != nil {
+		return answer
+	}
+	c.Body = body
+	if ctx.Err() != nil {
+		return &Answer{Outcome: Refused, Reason: "the body has taken the time for the call", RetryAfter: retryAfter}
+	}
+	return nil
+}
+
 // attempts counts the attempts to apply a call: appends of its record and forwards to
 // other entries. The result of one attempt proves nothing about another. So the client
 // may only be told that its call had no effect if that is proved for each of them.
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -21,30 +21,47 @@
 	if _, cancelled := g.state.EarlyCancellation(a.job, a.organisation); cancelled {
 		return Answer{Outcome: Refused, Reason: "the job was cancelled before it was submitted"}
 	}
+	if a.queue.UsesAdviser && !g.options.HasAdviser {
+		return Answer{Outcome: Refused, Reason: "the queue needs a placement adviser, and the settings name none"}
+	}
+	record, denial := g.encodeJob(ctx, c, a)
+	if denial != nil {
+		return *denial
+	}
+	stored := func() bool {
+		e, ok := g.state.Job(a.job)
+		return ok && e.Job.Organisation == a.organisation
+	}
+	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
+}
+
+// encodeJob returns the record of a submitted job, or the answer to a call that has
+// none.
+func (g *Gateway) encodeJob(ctx context.Context, c *activeCall, a admission) (ledger.Record, *Answer) {
+	if answer := c.loadBody(ctx); answer != nil {
+		return ledger.Record{}, answer
+	}
+	if err := g.decoding.Acquire(ctx, 1); err != nil {
+		return ledger.Record{}, &Answer{Outcome: Refused, Reason: "too many jobs are being read", RetryAfter: retryAfter}
+	}
+	defer g.decoding.Release(1)
 	submission, err := g.options.Decode(c.Body)
 	if err != nil {
-		return Answer{Outcome: Invalid, Reason: err.Error()}
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	q := a.queue
-	if q.UsesAdviser && !g.options.HasAdviser {
-		return Answer{Outcome: Refused, Reason: "the queue needs a placement adviser, and the settings name none"}
-	}
 	job := workload.Job{
 		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps, Schedule: submission.Schedule,
 		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
 	}
 	if err := job.Validate(); err != nil {
-		return Answer{Outcome: Invalid, Reason: err.Error()}
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	record, err := ledger.EncodeJob(job)
 	if err != nil {
-		return Answer{Outcome: Invalid, Reason: err.Error()}
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: err.Error()}
 	}
-	stored := func() bool {
-		e, ok := g.state.Job(a.job)
-		return ok && e.Job.Organisation == a.organisation
-	}
-	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
+	return record, nil
 }
 
 // cancel records the cancellation of a job that has not ended, or that is not known.
--- a/internal/role/gateway/forward.go
+++ b/internal/role/gateway/forward.go
@@ -43,6 +43,9 @@
 	if c.Forwarded {
 		return fallback
 	}
+	if answer := c.loadBody(ctx); answer != nil {
+		return *answer
+	}
 	forwarded := c.Call
 	peers := g.options.Peers()
 	peers = peers[min(c.forwards, len(peers)):]
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -10,6 +10,7 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/semaphore"
 
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
@@ -30,6 +31,8 @@
 	// retryAfter is the retry delay for clients refused during an outage. The gateway
 	// retries the store well within this time.
 	retryAfter = time.Second
+	// maxDecoding bounds how many jobs are decoded at a time.
+	maxDecoding = 2
 )
 
 // Method is the operation that a call requests.
@@ -62,6 +65,10 @@
 	Wait      time.Duration // Wait is the client's timeout for the answer.
 	Body      []byte
 	Forwarded bool // Forwarded is set for calls from another entry, which are not forwarded again.
+	// ReadBody reads the body of a Submit call; nil if Body has it. It is called at most
+	// once, and only if the body is needed: to submit the job or to forward the call. If
+	// it fails, it returns the answer to the call.
+	ReadBody func() ([]byte, *Answer)
 }
 
 // Outcome is the result of a call.
@@ -79,9 +86,11 @@
 	Refused     // Refused means that the call definitely had no effect.
 	Undecided   // Undecided means that the call may have had its effect; the client must retry.
 	Unavailable // Unavailable means that a query cannot be answered now.
+	TooLarge    // TooLarge means that the body is over its limit. Entries don't forward it.
+	TooSlow     // TooSlow means that the body did not arrive in time. Entries don't forward it.
 )
 
-var outcomeNames = [...]string{"accepted", "known", "counted", "unknown-queue", "unknown-job", "unauthorised", "invalid", "refused", "undecided", "unavailable"}
+var outcomeNames = [...]string{"accepted", "known", "counted", "unknown-queue", "unknown-job", "unauthorised", "invalid", "refused", "undecided", "unavailable", "too-large", "too-slow"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
@@ -136,10 +145,11 @@
 	currentConfig *catalogue.Current
 	logger        log.Logger
 	draining      atomic.Bool
-	maxConfigAge  atomic.Int64    // maxConfigAge is the current value of Options.MaxConfigAge, in nanoseconds.
-	lastDenial    atomic.Int64    // lastDenial is when the last call arrived that admit denied before the denial was confirmed, in Unix nanoseconds.
-	seenVersion   atomic.Int64    // seenVersion is the newest configuration version of the answers to forwarded calls.
-	appendTimeout adaptiveTimeout // appendTimeout limits append attempts.
+	maxConfigAge  atomic.Int64        // maxConfigAge is the current value of Options.MaxConfigAge, in nanoseconds.
+	lastDenial    atomic.Int64        // lastDenial is when the last call arrived that admit denied before the denial was confirmed, in Unix nanoseconds.
+	seenVersion   atomic.Int64        // seenVersion is the newest configuration version of the answers to forwarded calls.
+	appendTimeout adaptiveTimeout     // appendTimeout limits append attempts.
+	decoding      *semaphore.Weighted // decoding bounds how many jobs are decoded at a time, because they take most memory then.
 	metrics       callMetrics
 }
 
@@ -148,7 +158,7 @@
 func New(options Options, store ledger.Store, state *ledger.State, jobReader, configReader *ledger.Reader, current *catalogue.Current, logger log.Logger) *Gateway {
 	g := &Gateway{
 		options: options, store: store, state: state, jobReader: jobReader, configReader: configReader, currentConfig: current, logger: logger,
-		metrics: newCallMetrics(options.Registry),
+		metrics: newCallMetrics(options.Registry), decoding: semaphore.NewWeighted(maxDecoding),
 	}
 	g.SetMaxConfigAge(options.MaxConfigAge)
 	return g
--- a/internal/role/gateway/metrics.go
+++ b/internal/role/gateway/metrics.go
@@ -17,7 +17,7 @@
 	c := callMetrics{calls: make(map[Method]map[Outcome]metrics.Counter), durations: make(map[Method]*metrics.Histogram)}
 	for m := Submit; m <= Count; m++ {
 		c.calls[m] = make(map[Outcome]metrics.Counter)
-		for o := Accepted; o <= Unavailable; o++ {
+		for o := Accepted; o <= TooSlow; o++ {
 			c.calls[m][o] = r.Counter("gateway-"+m.String()+"-"+o.String(), "calls", "Calls to "+m.String()+" that were answered as "+o.String()+".")
 		}
 		c.durations[m] = r.Histogram("gateway-"+m.String()+"-time", "Time from the arrival of a call to "+m.String()+" until its answer.")
--- a/internal/run/hosted/agent.go
+++ b/internal/run/hosted/agent.go
@@ -15,6 +15,7 @@
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/role/hostagent"
 	"wasabihoist/internal/run/metrics"
+	"wasabihoist/internal/traffic/admission"
 )
 
 const (
@@ -34,7 +35,9 @@
 	Metrics    netip.AddrPort // Metrics is the address that serves the metrics.
 	MaxLease   time.Duration  // MaxLease is the longest lease that a renewal grants.
 	MemoryMB   int            // MemoryMB is the memory limit of the process; 0 is no limit.
-	Topic      ledger.Topic   // Topic holds the records of the ledger.
+	// MaxDescriptors is the most descriptors of the process; 0 leaves it to the operating system.
+	MaxDescriptors int
+	Topic          ledger.Topic // Topic holds the records of the ledger.
 	// ControlHandler returns the handler of the heartbeats.
 	ControlHandler func(a *hostagent.Agent) http.Handler
 }
@@ -46,19 +49,17 @@
 	registry := metrics.For(o.Node)
 	agent := hostagent.New(minion, connect, registry, logger)
 	agent.SetMaxLease(o.MaxLease)
-	open, err := listen([]Endpoint{
-		{"heartbeats", o.Control, o.ControlHandler(agent)},
-		{"metrics", o.Metrics, registry.Handler()},
-		{"calls of the coordinator", o.Internal, hostlink.Handler(agent)},
-	})
+	open, err := listen(ctx, []Endpoint{
+		{Name: "heartbeats", Address: o.Control, Handler: o.ControlHandler(agent), Share: admission.HeartbeatShare},
+		{Name: "metrics", Address: o.Metrics, Handler: registry.Handler(), Share: admission.OperatorShare},
+		{Name: "calls of the coordinator", Address: o.Internal, Handler: hostlink.Handler(agent), Share: admission.InternalShare, Limits: internalLimits},
+	}, admission.NewMachine(o.MemoryMB, o.MaxDescriptors), registry, logger)
 	if err != nil {
 		return err
 	}
 	_ = level.Info(logger).Log("event", "started", "role", "agent", "internal", o.Internal, "control", o.Control)
 	g := group.New(ctx)
-	for _, l := range open {
-		l.start(g)
-	}
+	start(open, g)
 	g.Go("announcements", func(ctx context.Context) error {
 		m := ledger.Member{
 			Name: memberName(o.Node, o.Internal), Role: ledger.AgentRole, DataCentre: o.DataCentre,
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -23,6 +23,7 @@
 	"wasabihoist/internal/role/gateway"
 	"wasabihoist/internal/run/metrics"
 	"wasabihoist/internal/tenancy/catalogue"
+	"wasabihoist/internal/traffic/admission"
 )
 
 const (
@@ -39,18 +40,20 @@
 
 // EntryOptions are the options of an entry.
 type EntryOptions struct {
-	Node          string
-	DataCentre    string
-	Regions       map[string]string // Regions holds the region of each data centre.
-	Callers       netip.AddrPort    // Callers is the address that serves the callers.
-	Ready         netip.AddrPort    // Ready is the address of the readiness check.
-	Internal      netip.AddrPort    // Internal is the address for calls of other entries.
-	MemoryMB      int               // MemoryMB is the memory limit of the process; 0 is no limit.
-	Metrics       netip.AddrPort    // Metrics is the address that serves the metrics.
-	Reloadable    ReloadableOptions
-	Reloads       <-chan ReloadableOptions // Reloads delivers the options after a change of the settings.
-	Topic         ledger.Topic             // Topic holds the records of the ledger.
-	OperatorTopic ledger.Topic             // OperatorTopic holds the configuration.
+	Node       string
+	DataCentre string
+	Regions    map[string]string // Regions holds the region of each data centre.
+	Callers    netip.AddrPort    // Callers is the address that serves the callers.
+	Ready      netip.AddrPort    // Ready is the address of the readiness check.
+	Internal   netip.AddrPort    // Internal is the address for calls of other entries.
+	MemoryMB   int               // MemoryMB is the memory limit of the process; 0 is no limit.
+	// MaxDescriptors is the most descriptors of the process; 0 leaves it to the operating system.
+	MaxDescriptors int
+	Metrics        netip.AddrPort // Metrics is the address that serves the metrics.
+	Reloadable     ReloadableOptions
+	Reloads        <-chan ReloadableOptions // Reloads delivers the options after a change of the settings.
+	Topic          ledger.Topic             // Topic holds the records of the ledger.
+	OperatorTopic  ledger.Topic             // OperatorTopic holds the configuration.
 	// ConfigurationKey is the key of the configuration in the operators' topic.
 	ConfigurationKey string
 
@@ -85,12 +88,12 @@
 	g := gateway.New(gateway.Options{
 		Topic: o.Topic, MaxConfigAge: o.Reloadable.MaxConfigAge, HasAdviser: o.Reloadable.Coordinator.Adviser != nil, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, entryTransport),
 	}, store, state, ledgerReader, configurationReader, current, logger)
-	open, err := listen([]Endpoint{
-		{"calls of entries", o.Internal, entrylink.Handler(g)},
-		{"readiness", o.Ready, o.ReadyHandler(g)},
-		{"metrics", o.Metrics, registry.Handler()},
-		{"clients", o.Callers, o.CallerHandler(g)},
-	})
+	open, err := listen(ctx, []Endpoint{
+		{Name: "calls of entries", Address: o.Internal, Handler: entrylink.Handler(g), Share: admission.InternalShare, Limits: internalLimits},
+		{Name: "readiness", Address: o.Ready, Handler: o.ReadyHandler(g), Share: admission.OperatorShare},
+		{Name: "metrics", Address: o.Metrics, Handler: registry.Handler(), Share: admission.OperatorShare},
+		{Name: "clients", Address: o.Callers, Handler: o.CallerHandler(g), Share: admission.ClientShare},
+	}, admission.NewMachine(o.MemoryMB, o.MaxDescriptors), registry, logger)
 	if err != nil {
 		return err
 	}
@@ -100,9 +103,9 @@
 	services := group.New(context.WithoutCancel(ctx))
 	services.Go(ledgerReader.String(), ledgerReader.Run)
 	services.Go(configurationReader.String(), configurationReader.Run)
-	for _, l := range open {
-		l.start(services)
-	}
+	start(open, services)
+	clients := open[len(open)-1].door
+	services.Go("limits of clients", func(ctx context.Context) error { return applyLimits(ctx, current, clients) })
 	services.Go("announcement", func(ctx context.Context) error { return announce(ctx, store, o.Topic, self, logger) })
 	// The coordinator gets ctx, so that it resigns as soon as the stop begins.
 	services.Go(c.String(), func(context.Context) error { return c.Run(ctx) })
@@ -125,6 +128,25 @@
 	return err
 }
 
+// internalLimits are the limits of calls between processes. Their bodies may have a
+// call of a client and its names.
+var internalLimits = admission.Limits{MaxBodyBytes: 2 * admission.DefaultMaxBodyBytes}
+
+// applyLimits puts the limits of each configuration in force for the clients.
+func applyLimits(ctx context.Context, current *catalogue.Current, clients *admission.Door) error {
+	for {
+		changed := current.Changed()
+		if c := current.Get(); c != nil {
+			clients.Apply(admission.Limits{MaxBodyBytes: c.MaxBodyBytes, MaxHeaderBytes: c.MaxHeaderBytes, HeaderTimeout: c.HeaderTimeout, IdleTimeout: c.IdleTimeout})
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
 // serveUntilStop serves until ctx ends. Then the readiness check fails, open
 // connections are served for drainShare of the grace period, and calls in
 // progress may finish until shutdownShare of it. The endpoints shut down in
--- a/internal/run/hosted/hosted.go
+++ b/internal/run/hosted/hosted.go
@@ -11,19 +11,21 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/limitedlog"
 	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/record/ledger"
+	"wasabihoist/internal/run/metrics"
+	"wasabihoist/internal/traffic/admission"
 )
 
 const (
-	headerTimeout = 3 * time.Second
-	idleTimeout   = 60 * time.Second
 	// memoryShare is the part of the memory limit that becomes the soft limit of
 	// the Go runtime; the rest is for stacks, kernel buffers and the C library.
 	memoryShare = 0.7
@@ -46,28 +48,33 @@
 	Name    string
 	Address netip.AddrPort
 	Handler http.Handler
+	Share   admission.Share  // Share is what its clients may take of the machine.
+	Limits  admission.Limits // Limits are in force until the configuration sets others.
 }
 
 // listeningEndpoint is an endpoint with its open listener and its server.
 type listeningEndpoint struct {
 	Endpoint
+	door     *admission.Door
 	listener net.Listener
 	server   *http.Server
 }
 
 // listen listens on the addresses of all endpoints. If one fails, it closes the
 // others and returns an error.
-func listen(endpoints []Endpoint) ([]listeningEndpoint, error) {
+func listen(ctx context.Context, endpoints []Endpoint, m admission.Machine, registry *metrics.Registry, logger log.Logger) ([]listeningEndpoint, error) {
 	var open []listeningEndpoint
 	var errs []error
 	for _, e := range endpoints {
-		l, err := net.Listen("tcp", e.Address.String())
+		door := admission.New(admission.Options{
+			Name: strings.ReplaceAll(e.Name, " ", "-"), Machine: m, Share: e.Share, Limits: e.Limits, Registry: registry, Log: limitedlog.New(logger),
+		})
+		l, err := door.Listen(ctx, e.Address)
 		if err != nil {
 			errs = append(errs, fmt.Errorf("listen for %s: %w", e.Name, err))
 			continue
 		}
-		server := &http.Server{Handler: e.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-		open = append(open, listeningEndpoint{e, l, server})
+		open = append(open, listeningEndpoint{e, door, l, door.Server(e.Handler)})
 	}
 	if len(errs) > 0 {
 		for _, o := range open {
@@ -77,9 +84,17 @@
 	return open, errors.Join(errs...)
 }
 
-// start serves the endpoint in the group.
-func (l listeningEndpoint) start(g *group.Group) {
-	g.Go(l.Name, func(ctx context.Context) error { return webserver.Serve(ctx, l.server, l.listener) })
+// start serves the endpoints in the group.
+func start(open []listeningEndpoint, g *group.Group) {
+	for _, l := range open {
+		g.Go(l.Name, func(ctx context.Context) error { return webserver.Serve(ctx, l.server, l.listener) })
+	}
+	g.Every("slow clients", admission.CheckInterval, func(context.Context) error {
+		for _, l := range open {
+			l.door.Check()
+		}
+		return nil
+	})
 }
 
 // announce appends the record of a member to the ledger, with retries until it
--- a/internal/tenancy/catalogue/catalogue.go
+++ b/internal/tenancy/catalogue/catalogue.go
@@ -36,7 +36,11 @@
 	Version       int64
 	Queues        []Queue
 	Organisations []Organisation
-	MaxBodyBytes  int64 // MaxBodyBytes limits the body of a call; 0 is no limit.
+	// Limits of the calls; 0 is not configured.
+	MaxBodyBytes   int64
+	MaxHeaderBytes int64
+	HeaderTimeout  time.Duration // HeaderTimeout is the time for the header of a call.
+	IdleTimeout    time.Duration // IdleTimeout is the time between two calls on a connection.
 
 	byHost        map[string][]Queue // byHost has lower-case keys.
 	byKey         map[string]string  // byKey maps API keys to the names of organisations.
