Leaving hosts: stop what will be lost, let end what can

What callers saw: a host leaves after a notice of 1.6 to 5.5 s, and what still runs there is discarded at that time and started elsewhere only then.

Cause: only checkpointing and long-running tasks were stopped, 1 s before the host leaves, also those about to end.

Change, where the settings have Adaptive: bounds on the time that an attempt still takes follow from its progress. Work that can't be saved and will not end in time is stopped as soon as that shows, if it fits elsewhere or holds hosts that stay. Work that can be saved uses the host to the last second, unless it will end in time. A gang is decided as a whole. Elsewhere nothing changes.

--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -15,6 +15,7 @@
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
 	startsWithdrawn  metrics.Counter
+	leavingMoved     metrics.Counter
 	ends             map[host.Outcome]metrics.Counter
 	planTime         *metrics.Histogram
 	appendTime       *metrics.Histogram
@@ -31,6 +32,7 @@
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
 		startsWithdrawn:  r.Counter("coordinator-starts-withdrawn", "attempts", "Gangs and single tasks that were not started or stopped before their start was confirmed, because a host of theirs was evacuated."),
+		leavingMoved:     r.Counter("coordinator-leaving-moved", "attempts", "Gangs and single tasks that were stopped because a host of theirs is about to leave."),
 		ends:             make(map[host.Outcome]metrics.Counter),
 		planTime:         r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
 		appendTime:       r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
--- a/internal/fleet/coordinator/progress.go
+++ b/internal/fleet/coordinator/progress.go
@@ -33,6 +33,9 @@
 // leave if their work can be saved or moved.
 func (t *term) checkProgress() {
 	at := now()
+	if t.settings().Adaptive {
+		t.leaveHosts(at)
+	}
 	for _, a := range t.attempts {
 		if a.stopping || a.ended {
 			continue
@@ -46,6 +49,9 @@
 				t.stopAttempt(a, "the run makes no progress")
 				break
 			}
+			if t.settings().Adaptive {
+				continue // leaveHosts decides.
+			}
 			leaving := r.host.minion.Draining && r.host.minion.Remaining-(at-r.host.lastContact) < drainMargin
 			if leaving && (a.definition().Checkpoints || a.definition().LongRunning) {
 				t.stopAttempt(a, "the minion is about to leave")
