Admission: time for which a process was held up doesn't count

Callers of a host that was suspended for longer than a limit would be closed on its return, although what they had sent was only not read yet. Check shifts the phases of all connections by a gap between two checks.

Evidence: TestSuspensionDoesNotCount fails without the shift.

--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -46,8 +46,8 @@
 	}
 	defer g.decoding.Release(1)
 	submission, err := g.options.Decode(c.Body)
-	if err != nil {
-		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: err.Error()}
+	if err != nil { // The error may quote the body.
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: shorten(err.Error())}
 	}
 	q := a.queue
 	job := workload.Job{
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -197,7 +198,7 @@
 	}
 	g.metrics.record(c.Method, answer.Outcome, time.Since(begin))
 	_ = level.Info(g.logger).Log("event", "call", "method", c.Method, "job", jobIDFromPath(c.Path), "outcome", answer.Outcome, "state", answer.State,
-		"reason", answer.Reason, "took", time.Since(begin).Round(time.Microsecond), "forwarded", c.Forwarded, "attempts", active.attempts.made, "unproved", active.attempts.unproved,
+		"reason", shorten(answer.Reason), "took", time.Since(begin).Round(time.Microsecond), "forwarded", c.Forwarded, "attempts", active.attempts.made, "unproved", active.attempts.unproved,
 		"configuration", answer.Version, "configuration-age", ageOf(g.configReader.AsOf()), "ledger-age", ageOf(g.jobReader.AsOf()), "offset", g.state.Next())
 	return answer
 }
@@ -229,14 +230,19 @@
 	return time.Since(at).Round(time.Millisecond)
 }
 
-// jobIDFromPath returns the last element of the path.
+// jobIDFromPath returns the last element of the path, shortened.
 func jobIDFromPath(path string) string {
-	for i := len(path) - 1; i >= 0; i-- {
-		if path[i] == '/' {
-			return path[i+1:]
-		}
+	return shorten(path[strings.LastIndexByte(path, '/')+1:])
+}
+
+// maxLoggedBytes bounds text of a client in a log line.
+const maxLoggedBytes = 256
+
+func shorten(text string) string {
+	if len(text) > maxLoggedBytes {
+		return text[:maxLoggedBytes] + "..."
 	}
-	return path
+	return text
 }
 
 func (g *Gateway) serve(ctx context.Context, c *activeCall) Answer {
--- a/internal/traffic/admission/door.go
+++ b/internal/traffic/admission/door.go
@@ -71,6 +71,7 @@
 	connections map[*connection]struct{} // connections has room.connections elements at most, unless that was lowered.
 	bodyBytes   int64                    // bodyBytes is the sum of connection.held, room.bodyBytes at most.
 	bodyRoom    *semaphore.Weighted      // bodyRoom hands out room.bodyBytes in the order of requests.
+	checked     time.Time                // checked is when Check was last called.
 }
 
 // New returns a door.
@@ -205,12 +206,20 @@
 // CheckInterval is the time between two calls of Check.
 const CheckInterval = 500 * time.Millisecond
 
-// Check ends the connections whose phase has taken too long.
+// Check ends the connections whose phase has taken too long. The time for which the
+// process was held up doesn't count, because what the clients have sent meanwhile is
+// not read yet.
 func (d *Door) Check() {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	heldUp := time.Duration(0)
+	if gap := now.Sub(d.checked); !d.checked.IsZero() && gap > 2*CheckInterval {
+		heldUp = gap
+	}
+	d.checked = now
 	for c := range d.connections {
+		c.since = c.since.Add(heldUp)
 		if !c.overdue(d.limits, now) {
 			continue
 		}
--- /dev/null
+++ b/internal/traffic/admission/door_internal_test.go
@@ -0,0 +1,38 @@
+package admission
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"wasabihoist/internal/base/limitedlog"
+	"wasabihoist/internal/run/metrics"
+)
+
+// Guards against clients that are closed for the time for which the process itself was
+// suspended.
+func TestSuspensionDoesNotCount(t *testing.T) {
+	for name, tt := range map[string]struct {
+		sinceCheck time.Duration
+		open       int
+	}{
+		"suspended": {2 * DefaultHeaderTimeout, 1},
+		"running":   {CheckInterval, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := New(Options{Name: "test", Share: ClientShare, Registry: metrics.For(t.Name()), Log: limitedlog.New(log.NewNopLogger())})
+			server, client := net.Pipe()
+			c.Cleanup(func() { _ = client.Close() })
+			conn := &connection{Conn: server, door: d.door}
+			c.Assert(d.admit(conn), qt.IsTrue)
+			conn.since = time.Now().Add(-2 * DefaultHeaderTimeout)
+			d.checked = time.Now().Add(-tt.sinceCheck)
+			d.Check()
+			c.Check(d.connections, qt.HasLen, tt.open)
+		})
+	}
+}
