Admission: look for slow clients only when a limit is due

The check twice a second woke each process twice a second. One loop for all doors now sleeps until the next limit of an open connection, 3 s at most.

--- a/internal/run/hosted/hosted.go
+++ b/internal/run/hosted/hosted.go
@@ -86,15 +86,12 @@
 
 // start serves the endpoints in the group.
 func start(open []listeningEndpoint, g *group.Group) {
+	var doors []*admission.Door
 	for _, l := range open {
 		g.Go(l.Name, func(ctx context.Context) error { return webserver.Serve(ctx, l.server, l.listener) })
+		doors = append(doors, l.door)
 	}
-	g.Every("slow clients", admission.CheckInterval, func(context.Context) error {
-		for _, l := range open {
-			l.door.Check()
-		}
-		return nil
-	})
+	g.Go("doors", func(ctx context.Context) error { return admission.Run(ctx, doors...) })
 }
 
 // announce appends the record of a member to the ledger, with retries until it
--- a/internal/traffic/admission/door.go
+++ b/internal/traffic/admission/door.go
@@ -15,6 +15,7 @@
 
 	"golang.org/x/sync/semaphore"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/base/limitedlog"
 	"wasabihoist/internal/run/metrics"
 )
@@ -71,7 +72,7 @@
 	connections map[*connection]struct{} // connections has room.connections elements at most, unless that was lowered.
 	bodyBytes   int64                    // bodyBytes is the sum of connection.held, room.bodyBytes at most.
 	bodyRoom    *semaphore.Weighted      // bodyRoom hands out room.bodyBytes in the order of requests.
-	checked     time.Time                // checked is when Check was last called.
+	nextCheck   time.Time                // nextCheck is when Check is expected to be called again.
 }
 
 // New returns a door.
@@ -203,42 +204,71 @@
 	}
 }
 
-// CheckInterval is the time between two calls of Check.
-const CheckInterval = 500 * time.Millisecond
+const (
+	minCheckInterval = 500 * time.Millisecond
+	maxCheckInterval = DefaultHeaderTimeout
+	// maxHoldUp is how much later than expected a check may come in a process that runs.
+	maxHoldUp = time.Second
+)
 
-// Check ends the connections whose phase has taken too long. The time for which the
-// process was held up doesn't count, because what the clients have sent meanwhile is
-// not read yet.
-func (d *Door) Check() {
-	now := time.Now()
+// Run ends the connections of the doors whose phase takes too long, until ctx ends. They
+// may stay up to maxCheckInterval longer, so that a quiet process rarely wakes up.
+func Run(ctx context.Context, doors ...*Door) error {
+	for {
+		now, wait := time.Now(), maxCheckInterval
+		for _, d := range doors {
+			wait = min(wait, d.check(now))
+		}
+		wait = max(wait, minCheckInterval)
+		for _, d := range doors {
+			d.expectCheck(now.Add(wait))
+		}
+		if err := group.Pause(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
+func (d *door) expectCheck(at time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	heldUp := time.Duration(0)
-	if gap := now.Sub(d.checked); !d.checked.IsZero() && gap > 2*CheckInterval {
-		heldUp = gap
+	d.nextCheck = at
+}
+
+// check ends the connections whose phase has taken too long, and returns the time until
+// the next check. The time for which the process was held up doesn't count, because
+// what the clients have sent meanwhile is not read yet.
+func (d *door) check(now time.Time) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	heldUp := now.Sub(d.nextCheck)
+	if d.nextCheck.IsZero() || heldUp < maxHoldUp {
+		heldUp = 0
 	}
-	d.checked = now
+	wait := d.limits.HeaderTimeout // A connection that comes meanwhile has as long.
 	for c := range d.connections {
 		c.since = c.since.Add(heldUp)
-		if !c.overdue(d.limits, now) {
+		if left, bounded := c.timeLeft(d.limits, now); !bounded || c.ended != "" {
+			continue
+		} else if left > 0 {
+			wait = min(wait, left)
 			continue
 		}
 		switch c.phase {
 		case receiving:
-			if c.ended == "" {
-				d.count(SlowBody, c.peer)
-				c.interrupt(SlowBody)
-			}
+			d.count(SlowBody, c.peer)
+			c.interrupt(SlowBody)
 			continue
 		case idle:
 			d.count(Unused, c.peer)
-		case answering:
+		case answering, closing:
 			d.count(SlowReader, c.peer)
 		default:
 			d.count(SlowHeader, c.peer)
 		}
 		d.end(c)
 	}
+	return wait
 }
 
 // Errors of bodies that are not read to their end. The call has had no effect.
--- a/internal/traffic/admission/door_internal_test.go
+++ b/internal/traffic/admission/door_internal_test.go
@@ -16,11 +16,11 @@
 // suspended.
 func TestSuspensionDoesNotCount(t *testing.T) {
 	for name, tt := range map[string]struct {
-		sinceCheck time.Duration
-		open       int
+		late time.Duration // late is how late the check comes.
+		open int
 	}{
 		"suspended": {2 * DefaultHeaderTimeout, 1},
-		"running":   {CheckInterval, 0},
+		"running":   {0, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -30,8 +30,8 @@
 			conn := &connection{Conn: server, door: d.door}
 			c.Assert(d.admit(conn), qt.IsTrue)
 			conn.since = time.Now().Add(-2 * DefaultHeaderTimeout)
-			d.checked = time.Now().Add(-tt.sinceCheck)
-			d.Check()
+			d.nextCheck = time.Now().Add(-tt.late)
+			d.check(time.Now())
 			c.Check(d.connections, qt.HasLen, tt.open)
 		})
 	}
--- a/internal/traffic/admission/door_test.go
+++ b/internal/traffic/admission/door_test.go
@@ -57,7 +57,7 @@
 	}))
 	g := group.New(context.Background())
 	g.Go("serve", func(ctx context.Context) error { return webserver.Serve(ctx, server, l) })
-	g.Every("check", 50*time.Millisecond, func(context.Context) error { door.Check(); return nil })
+	g.Go("door", func(ctx context.Context) error { return admission.Run(ctx, door) })
 	c.Cleanup(func() { g.Stop(); c.Check(g.Wait(), qt.IsNil) })
 	return entrance{door, l.Addr().String()}
 }
--- a/internal/traffic/admission/precedence.go
+++ b/internal/traffic/admission/precedence.go
@@ -95,20 +95,20 @@
 	return best
 }
 
-// overdue reports whether the phase of an occupant has taken too long. Serving has a
-// limit of its own, the deadline of the call.
-func (o occupant) overdue(l Limits, now time.Time) bool {
-	took := now.Sub(o.since)
+// timeLeft returns how much longer the phase of an occupant may take; false if it has
+// no bound. Serving is bounded by the deadline of the call.
+func (o occupant) timeLeft(l Limits, now time.Time) (time.Duration, bool) {
+	left := -now.Sub(o.since)
 	switch o.phase {
 	case connected, heading:
-		return took > l.HeaderTimeout
+		return left + l.HeaderTimeout, true
 	case receiving:
-		return took > BodyTimeout
+		return left + BodyTimeout, true
 	case answering, closing:
-		return took > AnswerTimeout
+		return left + AnswerTimeout, true
 	case idle:
-		return took > l.IdleTimeout
+		return left + l.IdleTimeout, true
 	default:
-		return false
+		return 0, false
 	}
 }
