Entry of the plain log service: doors for callers, operators and minions

These servers bounded header size and idle time, but no connections, bodies of all calls together, fields or the time for a body. They have doors now. A body that the door refuses is answered 413, 408 or 503, as before anything is submitted.

--- a/internal/role/entry/codec.go
+++ b/internal/role/entry/codec.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"regexp"
+	"strconv"
 	"time"
 
 	"wasabihoist/internal/base/finding"
@@ -14,6 +15,7 @@
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/role/restapi"
 	"wasabihoist/internal/tenancy/organisation"
+	"wasabihoist/internal/traffic/admission"
 	"wasabihoist/internal/traffic/request"
 )
 
@@ -26,6 +28,8 @@
 	maxAccelerators = 1 << 10
 	maxCores        = 1 << 16
 	maxMemoryMB     = 1 << 32
+	// bodyRetryAfter is the retry delay, in seconds, for a call whose body found no room.
+	bodyRetryAfter = 1
 )
 
 // validID matches the ids of submissions and the names of data centres.
@@ -174,6 +178,13 @@
 		writeProblem(w, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit))
 		return
 	}
+	if status, refused := admission.Status(err); refused {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", strconv.Itoa(bodyRetryAfter))
+		}
+		writeProblem(w, status, err.Error())
+		return
+	}
 	var findings *finding.List
 	if !errors.As(err, &findings) {
 		writeProblem(w, http.StatusBadRequest, err.Error())
--- a/internal/run/process/agent.go
+++ b/internal/run/process/agent.go
@@ -12,6 +12,7 @@
 	"wasabihoist/internal/record/relay"
 	"wasabihoist/internal/role/agent"
 	"wasabihoist/internal/run/settings"
+	"wasabihoist/internal/traffic/admission"
 	"wasabihoist/internal/traffic/routing"
 )
 
@@ -40,7 +41,7 @@
 	if err != nil {
 		return nil, errors.Join(err, n.close())
 	}
-	a.announce, err = newEndpoint(env, "agent.announce-address", s.Agent.AnnounceAddress, a.agent.Handler())
+	a.announce, err = n.newEndpoint(env, "agent.announce-address", s.Agent.AnnounceAddress, admission.HeartbeatShare, a.agent.Handler())
 	if err != nil {
 		return nil, errors.Join(err, n.close())
 	}
--- a/internal/run/process/entry.go
+++ b/internal/run/process/entry.go
@@ -7,15 +7,19 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/limitedlog"
 	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/cluster/wire"
 	"wasabihoist/internal/fleet/report"
 	"wasabihoist/internal/record/journal"
 	"wasabihoist/internal/role/entry"
+	"wasabihoist/internal/run/metrics"
 	"wasabihoist/internal/run/settings"
+	"wasabihoist/internal/traffic/admission"
 	"wasabihoist/internal/traffic/routing"
 )
 
@@ -42,18 +46,28 @@
 	operators endpoint
 }
 
-// endpoint is a listener with its server. The zero value serves nothing.
+// endpoint is a listener with its server, behind a door. The zero value serves nothing.
 type endpoint struct {
+	door     *admission.Door
 	listener net.Listener
 	server   *http.Server
 }
 
-func newEndpoint(env Environment, key string, address netip.AddrPort, handler http.Handler) (endpoint, error) {
+// endpointLimits are the limits of callers, operators and minions. The entry has a lower one for
+// the bodies of its calls.
+var endpointLimits = admission.Limits{MaxBodyBytes: 2 << 20, MaxHeaderBytes: maxHeaderBytes, HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+
+// newEndpoint listens at an address, which a key of the settings gives.
+func (n *node) newEndpoint(env Environment, key string, address netip.AddrPort, share admission.Share, handler http.Handler) (endpoint, error) {
 	listener, err := env.listen(key, address)
 	if err != nil {
 		return endpoint{}, err
 	}
-	return endpoint{listener, newServer(handler)}, nil
+	door := admission.New(admission.Options{
+		Name: key[strings.LastIndexByte(key, '.')+1:], Machine: admission.NewMachine(0, 0), Share: share, Limits: endpointLimits,
+		Registry: metrics.For(n.settings.Name), Log: limitedlog.New(n.logger),
+	})
+	return endpoint{door, door.Listener(listener), door.Server(handler)}, nil
 }
 
 func (e endpoint) start(g *group.Group, name string) {
@@ -61,6 +75,7 @@
 		return
 	}
 	g.Go(name, func(ctx context.Context) error { return webserver.Serve(ctx, e.server, e.listener) })
+	g.Go(name+" door", func(ctx context.Context) error { return admission.Run(ctx, e.door) })
 }
 
 // shutdown waits for open calls until ctx ends and then closes them.
@@ -82,12 +97,12 @@
 	e.barrier = journal.NewReadBarrier(n.writer)
 	e.router = routing.New(routingOptions(s), n.board.agents.Get, n.journal, e.barrier.Wait, n.transport)
 	e.entry = entry.New(entryOptions(s), n.journal, n.writer, e.router, e.collector, n.directory.list, e.barrier.Wait)
-	e.callers, err = newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, e.entry.CallerHandler())
+	e.callers, err = n.newEndpoint(env, "entry.caller-address", s.Entry.CallerAddress, admission.ClientShare, e.entry.CallerHandler())
 	if err != nil {
 		return nil, errors.Join(err, n.close())
 	}
 	if s.Entry.OperatorAddress.IsValid() {
-		e.operators, err = newEndpoint(env, "entry.operator-address", s.Entry.OperatorAddress, e.entry.OperatorHandler())
+		e.operators, err = n.newEndpoint(env, "entry.operator-address", s.Entry.OperatorAddress, admission.InternalShare, e.entry.OperatorHandler())
 	}
 	if err != nil {
 		return nil, errors.Join(err, n.close(), e.callers.listener.Close())
--- a/internal/traffic/admission/door.go
+++ b/internal/traffic/admission/door.go
@@ -277,3 +277,18 @@
 	ErrSlowBody  = errors.New("the body did not arrive in time")
 	ErrNoRoom    = errors.New("there is no room for the body")
 )
+
+// Status returns the HTTP status for the error of a body; false if the door has not
+// caused it.
+func Status(err error) (int, bool) {
+	switch {
+	case errors.Is(err, ErrLargeBody):
+		return http.StatusRequestEntityTooLarge, true
+	case errors.Is(err, ErrSlowBody):
+		return http.StatusRequestTimeout, true
+	case errors.Is(err, ErrNoRoom):
+		return http.StatusServiceUnavailable, true
+	default:
+		return 0, false
+	}
+}
--- a/internal/traffic/admission/door_test.go
+++ b/internal/traffic/admission/door_test.go
@@ -40,18 +40,15 @@
 	})
 	l, err := door.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 	c.Assert(err, qt.IsNil)
-	statuses := map[error]int{admission.ErrLargeBody: http.StatusRequestEntityTooLarge, admission.ErrNoRoom: http.StatusServiceUnavailable, admission.ErrSlowBody: http.StatusRequestTimeout}
 	server := door.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/unknown" {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
 		data, err := io.ReadAll(r.Body)
-		for e, status := range statuses {
-			if errors.Is(err, e) {
-				w.WriteHeader(status)
-				return
-			}
+		if status, refused := admission.Status(err); refused {
+			w.WriteHeader(status)
+			return
 		}
 		_, _ = w.Write(data)
 	}))
