--- a/internal/traffic/admission/door_test.go
+++ b/internal/traffic/admission/door_test.go
@@ -40,24 +40,21 @@
 	})
 	l, err := door.Listen(context.Background(), netip.MustParseAddrPort("127.0.0.1:0"))
 	c.Assert(err, qt.IsNil)
-	statuses := map[error]int{admission.ErrLargeBody: http.StatusRequestEntityTooLarge, admission.ErrNoRoom: http.StatusServiceUnavailable, admission.ErrSlowBody: http.StatusRequestTimeout}
 	server := door.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/unknown" {
 			w.WriteHeader(http.StatusNotFound)
 			return
 		}
 		data, err := io.ReadAll(r.Body)
-		for e, status := range statuses {
-			if errors.Is(err, e) {
-				w.WriteHeader(status)
-				return
-			}
+		if status, refused := admission.Status(err); refused {
+			w.WriteHeader(status)
+			return
 		}
 		_, _ = w.Write(data)
 	}))
 	g := group.New(context.Background())
 	g.Go("serve", func(ctx context.Context) error { return webserver.Serve(ctx, server, l) })
-	g.Every("check", 50*time.Millisecond, func(context.Context) error { door.Check(); return nil })
+	g.Go("door", func(ctx context.Context) error { return admission.Run(ctx, door) })
 	c.Cleanup(func() { g.Stop(); c.Check(g.Wait(), qt.IsNil) })
 	return entrance{door, l.Addr().String()}
 }
