Log what each stop and each lost run discards

What callers saw: nothing. Operators could see the core seconds that a preemption discards, but not those of the other stops (failed gangs, stalled runs, cancelled jobs) nor of runs that were lost with their host.

Change: the events "stop" and "run lost" carry loss-core-seconds of their run, "job received" carries due-in, estimate and work. In a preemption the field now counts the run of the line; it used to repeat the sum of the gang.

--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -43,7 +43,7 @@
 	t.metrics.planTime.Record(now() - begin)
 	for _, id := range plan.Preempted {
 		a, w := t.attempts[id], steps[plan.PreemptedFor[id]]
-		t.stopAttempt(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", w.rank, "loss-core-seconds", t.preemptionCost(a))
+		t.stopAttempt(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", w.rank)
 	}
 	t.recordReservations(steps, plan, begin)
 	for _, p := range plan.Placements {
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -198,7 +199,7 @@
 // members of its gang are stopped.
 func (t *term) loseRun(r *run, reason string) {
 	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason,
-		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", r.host.contactAge())
+		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", r.host.contactAge(), "loss-core-seconds", math.Round(t.runPreemptionCost(r, now())))
 	t.metrics.lost.Add(1)
 	a := r.attempt
 	t.requeueRun(r, "")
@@ -277,7 +278,8 @@
 	t.metrics.stops.Add(1)
 	for _, r := range slices.Clone(a.runs) {
 		fields := []any{"event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason}
-		_ = level.Info(t.logger).Log(append(fields, details...)...)
+		fields = append(append(fields, details...), "loss-core-seconds", math.Round(t.runPreemptionCost(r, now())))
+		_ = level.Info(t.logger).Log(fields...)
 		t.sendStop(r)
 	}
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -247,7 +248,8 @@
 			j.progress.MarkStarted() // Otherwise the state that callers see could go back to pending.
 		}
 		_ = level.Info(t.logger).Log("event", "job received", "job", e.Job.ID, "queue", e.Job.Queue, "organisation", e.Job.Organisation,
-			"priority", e.Job.Priority, "offset", e.SubmissionOffset, "age", time.Since(e.Job.Submitted).Round(time.Millisecond))
+			"priority", e.Job.Priority, "offset", e.SubmissionOffset, "age", time.Since(e.Job.Submitted).Round(time.Millisecond),
+			"due-in", time.Until(e.Job.Due(0)).Round(time.Millisecond), "estimate", e.Job.CriticalPath(), "work", math.Round(e.Job.Work()))
 	}
 	switch {
 	case e.Cancelled:
