--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -11,6 +11,8 @@
 	placements       metrics.Counter
 	reservations     metrics.Counter
 	stops            metrics.Counter
+	preemptions      metrics.Counter
+	discarded        metrics.Counter
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
@@ -26,6 +28,8 @@
 		placements:       r.Counter("coordinator-placements", "attempts", "Gangs and single tasks that were given to hosts."),
 		reservations:     r.Counter("coordinator-reservations", "reservations", "Reservations of hosts for gangs that wait for running work to end."),
 		stops:            r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
+		preemptions:      r.Counter("coordinator-preemptions", "attempts", "Gangs and single tasks that were stopped to make room for more urgent work."),
+		discarded:        r.Counter("coordinator-discarded", "core seconds", "Work that was discarded by stops and with lost runs."),
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -199,7 +199,7 @@
 // members of its gang are stopped.
 func (t *term) loseRun(r *run, reason string) {
 	_ = level.Warn(t.logger).Log("event", "run lost", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "reason", reason,
-		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", r.host.contactAge(), "loss-core-seconds", math.Round(t.runPreemptionCost(r, now())))
+		"minion", r.minion, "reported", r.reported, "tries", r.tries.sent, "open-tries", r.tries.open, "last-contact", r.host.contactAge(), "loss-core-seconds", t.discard(r))
 	t.metrics.lost.Add(1)
 	a := r.attempt
 	t.requeueRun(r, "")
@@ -278,8 +278,15 @@
 	t.metrics.stops.Add(1)
 	for _, r := range slices.Clone(a.runs) {
 		fields := []any{"event", "stop", "job", r.task.Job, "task", r.task, "run", r.number, "host", r.host.name, "percent", r.percent, "reason", reason}
-		fields = append(append(fields, details...), "loss-core-seconds", math.Round(t.runPreemptionCost(r, now())))
+		fields = append(append(fields, details...), "loss-core-seconds", t.discard(r))
 		_ = level.Info(t.logger).Log(fields...)
 		t.sendStop(r)
 	}
 }
+
+// discard counts the work that is discarded with a run, and returns it in core seconds.
+func (t *term) discard(r *run) int64 {
+	loss := int64(math.Round(t.runPreemptionCost(r, now())))
+	t.metrics.discarded.Add(loss)
+	return loss
+}
