Coordinator: in an overload serve first what can be in time together

Late jobs went before those that could still be in time, by the time at which they become worthless.

Change: lateness.Order, a pure function, leaves out what is worth least for its room until the rest can be in time (Moore and Hodgson), for each rank and service. It weighs the size of a job against its queue, the organisation's part of the waiting work, and the time that it has waited. Due times follow the run time that progress shows. On only where Options.Adaptive is set. Logged as event=overload, counted in coordinator-overloads.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -28,7 +28,8 @@
 	reserved := t.headroom.reserve(t.urgentAccelerators(), at)
 	var steps []waitingStep
 	var demands []allocation.Demand
-	for _, o := range t.orderedOccurrences() {
+	rankOf := func(j *jobState) allocation.Rank { return allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)) }
+	for _, o := range t.orderedOccurrences(rankOf) {
 		j := o.job
 		if at < j.retryAt || t.mayHaveUnknownRuns(j, at) {
 			continue
@@ -38,14 +39,14 @@
 			if len(indices) == 0 {
 				continue
 			}
-			d := t.newDemand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
+			d := t.newDemand(j, s, len(indices), rankOf(j))
 			d.ID = len(steps) // The demands are sorted below, the steps are not.
 			if d.Rank == allocation.Urgent {
 				d.MaxPreemptionCost = urgentCostRatio * float64(d.Tasks) * d.Need.CoreEquivalents() * taskWorkTime(j.job.Step(s)).Seconds()
 			}
 			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
 			if t.settings().Adaptive {
-				w.precedence = t.claims.precedenceOf(w.key(), d.Rank, time.Since(j.job.Submitted), at)
+				w.precedence = t.claims.precedenceOf(w.key(), d.Rank, time.Since(j.begin(o.number)), at)
 			}
 			if reserved > 0 && d.Rank >= allocation.Ordinary && !j.job.Step(s).LongRunning && t.slack(j, o.number) > headroomSlack {
 				d.Headroom = t.headroomOf(d.Service, reserved)
@@ -76,8 +77,8 @@
 }
 
 // orderedOccurrences returns the active occurrences in order of their latest
-// start.
-func (t *term) orderedOccurrences() []occurrence {
+// start, or by what they are worth to their callers where decisions are adaptive.
+func (t *term) orderedOccurrences(rankOf func(*jobState) allocation.Rank) []occurrence {
 	list := make([]occurrence, 0, len(t.jobs))
 	at := time.Now()
 	for _, j := range t.jobs {
@@ -92,6 +93,9 @@
 	slices.SortFunc(list, func(a, b occurrence) int {
 		return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.job.acceptOrder, b.job.acceptOrder), cmp.Compare(a.number, b.number))
 	})
+	if t.settings().Adaptive {
+		t.orderByWorth(list, rankOf, at)
+	}
 	return list
 }
 
@@ -146,12 +150,7 @@
 // next query to the adviser; see permittedHosts.
 func (t *term) newDemand(j *jobState, step, tasks int, rank allocation.Rank) allocation.Demand {
 	s := j.job.Step(step)
-	service := j.job.Service
-	if catalogue := t.catalogue.Get(); catalogue != nil {
-		if q, ok := catalogue.Queue(j.job.Queue); ok {
-			service = q.Service
-		}
-	}
+	service := t.serviceOf(j)
 	tasksByHost := make(map[string]int)
 	for _, task := range j.progress.Steps[step].Tasks {
 		if task.Phase == workload.Placed {
@@ -171,6 +170,16 @@
 	return d
 }
 
+// serviceOf returns the service that runs a job now.
+func (t *term) serviceOf(j *jobState) string {
+	if catalogue := t.catalogue.Get(); catalogue != nil {
+		if q, ok := catalogue.Queue(j.job.Queue); ok {
+			return q.Service
+		}
+	}
+	return j.job.Service
+}
+
 // slack returns how long an occurrence can still wait and finish by its due
 // time; negative if it is too late.
 func (t *term) slack(j *jobState, occurrence int) time.Duration {
--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -13,6 +13,7 @@
 	stops            metrics.Counter
 	preemptions      metrics.Counter
 	discarded        metrics.Counter
+	overloads        metrics.Counter
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
@@ -30,6 +31,7 @@
 		stops:            r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
 		preemptions:      r.Counter("coordinator-preemptions", "attempts", "Gangs and single tasks that were stopped to make room for more urgent work."),
 		discarded:        r.Counter("coordinator-discarded", "core seconds", "Work that was discarded by stops and with lost runs."),
+		overloads:        r.Counter("coordinator-overloads", "times", "Times at which work of a rank began to give way to other work of its rank."),
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -7,6 +7,7 @@
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/allocation"
+	"wasabihoist/internal/fleet/lateness"
 )
 
 // firstRunAfterUnknown is above the run numbers that former terms have used for a
@@ -33,6 +34,9 @@
 // plan decides which tasks to place and which attempts to preempt, and begins
 // both.
 func (t *term) plan() {
+	if t.settings().Adaptive {
+		t.measure()
+	}
 	steps, demands := t.demands()
 	t.claims.keep(steps)
 	t.requestAdvice()
@@ -91,6 +95,7 @@
 		t.addRun(a, id, run, h, h.minion.Incarnation()).ticket = t.ticketFor(j, a.step, h)
 	}
 	occurrence := j.job.Occurrence(a.step)
+	a.overdue = time.Since(j.begin(occurrence)) > lateness.MaxWait && t.slack(j, occurrence) < 0
 	_ = level.Info(t.logger).Log("event", "placed", "job", j.job.ID, "occurrence", occurrence, "step", a.step%len(j.job.Steps), "tasks", len(indices), "run", run, "first-task", indices[0],
 		"hosts", joinNames(hosts), "age", time.Since(j.job.Submitted).Round(time.Millisecond), "slack", t.slack(j, occurrence).Round(time.Millisecond))
 	t.metrics.placements.Add(1)
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -71,6 +71,7 @@
 	stopping bool
 	ended    bool // ended means that the outcome is known; runs that remain end by themselves.
 	began    time.Duration
+	overdue  bool // overdue is set if the job had waited for too long when the attempt was placed.
 }
 
 // definition returns the step that the attempt runs.
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -53,6 +53,8 @@
 	membersReadAt time.Duration // membersReadAt is when the members were last read.
 	headroom      headroom
 	claims        claims
+	workSizes     workSizes
+	overloads     map[competition]overload
 	reservations  reservations
 	early         earlyCancellations
 	adviceCalls   adviceCalls
@@ -77,6 +79,7 @@
 	failuresByStep map[int]*stepFailures // failuresByStep holds the failed runs of each step; see the method failures.
 	startNoticedAt time.Duration         // startNoticedAt is when the first start of a task was noticed; 0 before, and once an append has it.
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
+	measured       map[int]time.Duration // measured holds how long the tasks of a step take by the progress of its fastest run.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
 }
 
@@ -91,7 +94,7 @@
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
-		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, claims: make(claims), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, claims: make(claims), workSizes: make(workSizes), overloads: make(map[competition]overload), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
@@ -239,6 +242,7 @@
 		_ = level.Error(t.logger).Log("event", "progress unknown", "job", e.Job.ID, "outcome", "not placed until former runs have ended", "wait", t.formerRunsEnd()-now())
 	}
 	t.jobs[e.Job.ID] = j
+	t.workSizes.add(e.Job)
 	t.needsPlan = true
 	if e.Progress != nil && e.Progress.Matches(e.Job) {
 		j.progress = e.Progress.Clone()
