--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -19,7 +19,7 @@
 )
 
 // demands returns the steps whose tasks wait and may start, and their demands
-// in the order in which they are served. Among demands of the same rank, gangs with a
+// in the order in which they are served. Claims go first, then the more urgent ranks. Among demands of the same rank, gangs with a
 // reservation come first, in the order of these, so that they don't lose their hosts
 // to each other.
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
@@ -28,7 +28,8 @@
 	reserved := t.headroom.reserve(t.urgentAccelerators(), at)
 	var steps []waitingStep
 	var demands []allocation.Demand
-	for _, o := range t.orderedOccurrences() {
+	rankOf := func(j *jobState) allocation.Rank { return allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)) }
+	for _, o := range t.orderedOccurrences(rankOf) {
 		j := o.job
 		if at < j.retryAt || t.mayHaveUnknownRuns(j, at) {
 			continue
@@ -38,15 +39,18 @@
 			if len(indices) == 0 {
 				continue
 			}
-			d := t.newDemand(j, s, len(indices), allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)))
+			d := t.newDemand(j, s, len(indices), rankOf(j))
 			d.ID = len(steps) // The demands are sorted below, the steps are not.
 			if d.Rank == allocation.Urgent {
 				d.MaxPreemptionCost = urgentCostRatio * float64(d.Tasks) * d.Need.CoreEquivalents() * taskWorkTime(j.job.Step(s)).Seconds()
 			}
+			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
+			if t.settings().Adaptive {
+				w.precedence = t.claims.precedenceOf(w.key(), d.Rank, time.Since(j.begin(o.number)), at)
+			}
 			if reserved > 0 && d.Rank >= allocation.Ordinary && !j.job.Step(s).LongRunning && t.slack(j, o.number) > headroomSlack {
 				d.Headroom = t.headroomOf(d.Service, reserved)
 			}
-			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
 			if d.Gang && d.Rank >= allocation.Ordinary {
 				w.reservedAt = t.applyReservation(&d, w.key(), time.Since(j.job.EarliestStart(o.number)), at)
 			}
@@ -55,7 +59,7 @@
 		}
 	}
 	slices.SortStableFunc(demands, func(a, b allocation.Demand) int {
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(steps[a.ID].reservationOrder(), steps[b.ID].reservationOrder()))
+		return cmp.Or(steps[a.ID].precedence.compare(steps[b.ID].precedence), cmp.Compare(a.Rank, b.Rank), cmp.Compare(steps[a.ID].reservationOrder(), steps[b.ID].reservationOrder()))
 	})
 	return steps, demands
 }
@@ -73,8 +77,8 @@
 }
 
 // orderedOccurrences returns the active occurrences in order of their latest
-// start.
-func (t *term) orderedOccurrences() []occurrence {
+// start, or by what they are worth to their callers where decisions are adaptive.
+func (t *term) orderedOccurrences(rankOf func(*jobState) allocation.Rank) []occurrence {
 	list := make([]occurrence, 0, len(t.jobs))
 	at := time.Now()
 	for _, j := range t.jobs {
@@ -89,6 +93,9 @@
 	slices.SortFunc(list, func(a, b occurrence) int {
 		return cmp.Or(a.latestStart.Compare(b.latestStart), cmp.Compare(a.job.acceptOrder, b.job.acceptOrder), cmp.Compare(a.number, b.number))
 	})
+	if t.settings().Adaptive {
+		t.orderByWorth(list, rankOf, at)
+	}
 	return list
 }
 
@@ -143,12 +150,7 @@
 // next query to the adviser; see permittedHosts.
 func (t *term) newDemand(j *jobState, step, tasks int, rank allocation.Rank) allocation.Demand {
 	s := j.job.Step(step)
-	service := j.job.Service
-	if catalogue := t.catalogue.Get(); catalogue != nil {
-		if q, ok := catalogue.Queue(j.job.Queue); ok {
-			service = q.Service
-		}
-	}
+	service := t.serviceOf(j)
 	tasksByHost := make(map[string]int)
 	for _, task := range j.progress.Steps[step].Tasks {
 		if task.Phase == workload.Placed {
@@ -168,6 +170,16 @@
 	return d
 }
 
+// serviceOf returns the service that runs a job now.
+func (t *term) serviceOf(j *jobState) string {
+	if catalogue := t.catalogue.Get(); catalogue != nil {
+		if q, ok := catalogue.Queue(j.job.Queue); ok {
+			return q.Service
+		}
+	}
+	return j.job.Service
+}
+
 // slack returns how long an occurrence can still wait and finish by its due
 // time; negative if it is too late.
 func (t *term) slack(j *jobState, occurrence int) time.Duration {
