Refuse jobs that their service can't serve

What callers saw: a job with a task larger than any host, a label that no host has or a gang larger than the service was accepted and waited until it was worthless, as did less urgent jobs in an overload by more urgent work. Nothing was ever refused for want of room.

Change: the coordinator publishes an outlook of each service, a keyed record in its fenced appends: the kinds of hosts once they have settled, and how long the waiting work that is more urgent than a class takes. Written when it tells something new, once a second at most, and every 10 s otherwise; it means nothing after 20 s. Entries refuse by it before they try to write a job, with a time to return that is spread by the identity of the job. In doubt they accept. Urgent jobs are refused only if no host can run them.

--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -55,6 +55,7 @@
 	claims        claims
 	workSizes     workSizes
 	overloads     map[competition]overload
+	outlooks      outlooks
 	reservations  reservations
 	early         earlyCancellations
 	adviceCalls   adviceCalls
@@ -94,7 +95,7 @@
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
-		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, claims: make(claims), workSizes: make(workSizes), overloads: make(map[competition]overload), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, claims: make(claims), workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
@@ -192,6 +193,7 @@
 		case <-ticker.C:
 			t.checkProgress()
 			t.writeStarts()
+			t.updateOutlooks()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
 		}
 		t.drainEvents()
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -47,7 +47,7 @@
 	if !t.writer.busy {
 		t.requestConfirmation()
 	}
-	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 {
+	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 {
 		return
 	}
 	records, written := t.encodeDirty()
@@ -57,6 +57,7 @@
 	} else {
 		t.effects = nil
 	}
+	records = append(records, t.outlooks.take()...)
 	if len(records) == 0 {
 		t.runEffects(effects, written)
 		return
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -22,6 +22,7 @@
 	EarlyCancellationKind Kind = "early-cancellation"
 	ProgressKind          Kind = "progress"
 	MemberKind            Kind = "member"
+	OutlookKind           Kind = "outlook"
 )
 
 // Key returns the record key KIND/NAME.
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/fleet/outlook"
 	"wasabihoist/internal/fleet/workload"
 )
 
@@ -37,6 +38,7 @@
 	entries map[workload.ID]*JobEntry
 	early   map[workload.ID]map[string]EarlyCancellation // early holds the early cancellations by job and name.
 	members map[string]Member
+	outlook map[string]outlook.Outlook             // outlook holds the newest outlook of each service.
 	offsets map[string]int64                       // offsets holds the offset of the newest record of each key.
 	next    int64                                  // next is the offset after the last folded record.
 	changed collection.Set[workload.ID]            // changed holds the jobs that changed since the last call of Changes.
@@ -55,6 +57,7 @@
 	s.entries = make(map[workload.ID]*JobEntry)
 	s.early = make(map[workload.ID]map[string]EarlyCancellation)
 	s.members = make(map[string]Member)
+	s.outlook = make(map[string]outlook.Outlook)
 	s.offsets = make(map[string]int64)
 	s.changed = collection.NewSet[workload.ID]()
 	s.pending = make(map[string]collection.Set[workload.ID])
@@ -170,6 +173,8 @@
 		return s.applyJob(kind, workload.ID(name), r, deleted)
 	case EarlyCancellationKind:
 		return s.applyEarlyCancellation(name, r.Value, deleted)
+	case OutlookKind:
+		return s.applyOutlook(name, r.Value, deleted)
 	default: // a kind of another writer
 		return nil
 	}
@@ -187,6 +192,27 @@
 	return err
 }
 
+// applyOutlook forgets the former outlook of a service, also if the new one can't be read.
+func (s *State) applyOutlook(service string, value []byte, deleted bool) error {
+	delete(s.outlook, service)
+	if deleted {
+		return nil
+	}
+	o, err := decodeOutlook(service, value)
+	if err == nil {
+		s.outlook[service] = o
+	}
+	return err
+}
+
+// Outlook returns the newest outlook of a service.
+func (s *State) Outlook(service string) (outlook.Outlook, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.outlook[service]
+	return o, ok
+}
+
 func (s *State) applyJob(kind Kind, id workload.ID, r StoredRecord, deleted bool) error {
 	e := s.entries[id]
 	if e == nil {
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/outlook"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
 )
@@ -36,6 +37,9 @@
 	if err := job.Validate(); err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
+	if refusal, refused := g.refuse(job); refused {
+		return Answer{Outcome: Refused, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
+	}
 	record, err := ledger.EncodeJob(job)
 	if err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
@@ -47,6 +51,19 @@
 	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
 }
 
+// refuse returns the refusal of a new job by the outlook of its service. Without a recent
+// read of the ledger the job is accepted.
+func (g *Gateway) refuse(job workload.Job) (outlook.Refusal, bool) {
+	if g.jobReader.Failing() || time.Since(g.jobReader.AsOf()) > maxReadAge {
+		return outlook.Refusal{}, false
+	}
+	o, known := g.state.Outlook(job.Service)
+	if !known {
+		return outlook.Refusal{}, false
+	}
+	return o.Refuse(job, time.Now())
+}
+
 // cancel records the cancellation of a job that has not ended, or that is not known.
 func (g *Gateway) cancel(ctx context.Context, c *activeCall, a admission) Answer {
 	e, denial := g.findJob(ctx, a)
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/outlook"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/role/gateway"
@@ -78,6 +79,9 @@
 				return gateway.Submission{}, errors.New("cannot be read")
 			}
 			s := gateway.Submission{Steps: []workload.Step{{Count: 1}}}
+			if string(body) == "large" {
+				s.Steps[0].Need.MemoryMB = 10
+			}
 			if string(body) == "timed" {
 				s.Schedule = workload.Schedule{Repetitions: 3}
 			}
@@ -270,3 +274,42 @@
 	c.Check(gateway.Outcome(99).String(), qt.Equals, "outcome(99)")
 	c.Check(gateway.Outcome(-1).String(), qt.Equals, "outcome(-1)")
 }
+
+// Guards against jobs that are accepted although no host can run them, and against the
+// refusal of jobs that are accepted already or of which the ledger may know more.
+func TestJobsThatCannotBeServedAreRefused(t *testing.T) {
+	publish := func(f *fixture, kinds ...outlook.HostKind) {
+		record, err := ledger.EncodeOutlook(outlook.Outlook{Service: "app", At: time.Now(), Kinds: kinds})
+		f.c.Assert(err, qt.IsNil)
+		f.c.Assert(f.store.Append(context.Background(), topic, []ledger.Record{record}), qt.IsNil)
+		f.c.Assert(f.jobReader.Refresh(context.Background()), qt.IsNil)
+	}
+	small := outlook.HostKind{Capacity: workload.Resources{MemoryMB: 5}, Count: 3}
+	for name, tt := range map[string]struct {
+		prepare func(*fixture)
+		want    gateway.Outcome
+	}{
+		"no outlook": {func(*fixture) {}, gateway.Accepted},
+		"not known":  {func(f *fixture) { publish(f) }, gateway.Accepted},
+		"fits":       {func(f *fixture) { publish(f, outlook.HostKind{Capacity: workload.Resources{MemoryMB: 10}, Count: 1}) }, gateway.Accepted},
+		"too large":  {func(f *fixture) { publish(f, small) }, gateway.Refused},
+		"is known":   {func(f *fixture) { f.call(gateway.Submit, "/q/"+jobID, "key1", "large"); publish(f, small) }, gateway.Accepted},
+		"ledger can't be read": {func(f *fixture) {
+			publish(f, small)
+			f.store.SetFaults(fleetstore.Faults{Down: true})
+			time.Sleep(100 * time.Millisecond)
+		}, gateway.Undecided},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			tt.prepare(f)
+			answer := f.call(gateway.Submit, "/q/"+jobID, "key1", "large")
+			f.c.Check(answer.Outcome, qt.Equals, tt.want, qt.Commentf("%+v", answer))
+			if tt.want == gateway.Refused {
+				f.c.Check(answer.RetryAfter > 0, qt.IsTrue)
+				f.store.SetFaults(fleetstore.Faults{})
+				f.c.Check(f.call(gateway.Status, "/q/"+jobID, "key1", "").Outcome, qt.Equals, gateway.UnknownJob)
+			}
+		})
+	}
+}
