--- a/internal/fleet/coordinator/claims_internal_test.go
+++ b/internal/fleet/coordinator/claims_internal_test.go
@@ -49,3 +49,39 @@
 		})
 	}
 }
+
+// Replays two urgent jobs, of which the second has less slack: the host that is released
+// for the first stays with it, and work on the other host is stopped for the second.
+func TestPlanKeepsReleasedHostForItsClaim(t *testing.T) {
+	c := qt.New(t)
+	tm := newIdleTerm(t, "a", "b")
+	tm.Apply(Options{Adaptive: true, MaxLease: 10 * time.Second})
+	add := func(id workload.ID, priority int, objective time.Duration) *jobState {
+		j := &jobState{job: workload.Job{
+			ID: id, Service: "app", Priority: priority, Submitted: time.Now(), Objective: objective, Attempts: 1,
+			Steps: []workload.Step{{Count: 1, Estimate: time.Second, Need: workload.Resources{Accelerators: 8}}},
+		}, failuresByStep: make(map[int]*stepFailures)}
+		j.progress = workload.NewProgress(j.job)
+		tm.jobs[id] = j
+		tm.plan()
+		return j
+	}
+	hostOf := func(j *jobState) string { return j.progress.Steps[0].Tasks[0].Host }
+	running := map[string]*jobState{}
+	for _, id := range []workload.ID{"bulk-1", "bulk-2"} {
+		j := add(id, 2, time.Hour)
+		running[hostOf(j)] = j
+	}
+	first := add("first", 0, 10*time.Second)
+	for _, a := range tm.attempts {
+		if a.stopping {
+			tm.requeueRun(a.runs[0], "")
+		}
+	}
+	second := add("second", 0, 5*time.Second)
+	c.Check(hostOf(first), qt.Not(qt.Equals), "")
+	c.Check(hostOf(second), qt.Equals, "")
+	for _, a := range tm.attempts {
+		c.Check(a.stopping, qt.Equals, a.job.job.Priority == 2, qt.Commentf("%s", a.job.job.ID))
+	}
+}
