--- a/internal/fleet/lateness/order.go
+++ b/internal/fleet/lateness/order.go
@@ -116,18 +116,21 @@
 // the one with the least density. This is the algorithm of Moore and Hodgson, which is
 // exact if all are worth the same.
 func feasible(candidates []Candidate, dueFirst []int, density []float64, taken time.Duration) []int {
-	var chosen []int
+	leastFirst := collection.NewHeap(
+		func(a, b int) bool { return cmp.Or(cmp.Compare(density[a], density[b]), cmp.Compare(a, b)) < 0 },
+		func(int, int) {})
+	left := collection.NewSet[int]()
 	sum := taken
 	for _, i := range dueFirst {
-		chosen = append(chosen, i)
+		leastFirst.Push(i)
 		sum += candidates[i].Room
-		for len(chosen) > 0 && sum > candidates[i].Due {
-			least := slices.MinFunc(chosen, func(a, b int) int { return cmp.Compare(density[a], density[b]) })
+		for leastFirst.Len() > 0 && sum > candidates[i].Due {
+			least := leastFirst.Remove(0)
 			sum -= candidates[least].Room
-			chosen = slices.DeleteFunc(chosen, func(other int) bool { return other == least })
+			left.Add(least)
 		}
 	}
-	return chosen
+	return slices.DeleteFunc(slices.Clone(dueFirst), left.Has)
 }
 
 // densities returns what a result in time is worth for the room that it takes. For
