Coordinator: remove claims, and leave urgent work in the order of its latest start

Cause: claims serve a burst of urgent jobs in the order in which work was stopped for them, so jobs with less slack wait behind those with more. Among urgent work, an estimate that is off by more than the wait decides what counts as late.

The order by worth covers ranks that are not urgent.

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -19,7 +19,7 @@
 )
 
 // demands returns the steps whose tasks wait and may start, and their demands
-// in the order in which they are served. Claims go first, then the more urgent ranks. Among demands of the same rank, gangs with a
+// in the order in which they are served. Among demands of the same rank, gangs with a
 // reservation come first, in the order of these, so that they don't lose their hosts
 // to each other.
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
@@ -44,13 +44,10 @@
 			if d.Rank == allocation.Urgent {
 				d.MaxPreemptionCost = urgentCostRatio * float64(d.Tasks) * d.Need.CoreEquivalents() * taskWorkTime(j.job.Step(s)).Seconds()
 			}
-			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
-			if t.settings().Adaptive {
-				w.precedence = t.claims.precedenceOf(w.key(), d.Rank, time.Since(j.begin(o.number)), at)
-			}
 			if reserved > 0 && d.Rank >= allocation.Ordinary && !j.job.Step(s).LongRunning && t.slack(j, o.number) > headroomSlack {
 				d.Headroom = t.headroomOf(d.Service, reserved)
 			}
+			w := waitingStep{job: j, rank: d.Rank, step: s, indices: indices}
 			if d.Gang && d.Rank >= allocation.Ordinary {
 				w.reservedAt = t.applyReservation(&d, w.key(), time.Since(j.job.EarliestStart(o.number)), at)
 			}
@@ -59,7 +56,7 @@
 		}
 	}
 	slices.SortStableFunc(demands, func(a, b allocation.Demand) int {
-		return cmp.Or(steps[a.ID].precedence.compare(steps[b.ID].precedence), cmp.Compare(a.Rank, b.Rank), cmp.Compare(steps[a.ID].reservationOrder(), steps[b.ID].reservationOrder()))
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(steps[a.ID].reservationOrder(), steps[b.ID].reservationOrder()))
 	})
 	return steps, demands
 }
--- a/internal/fleet/coordinator/lateness.go
+++ b/internal/fleet/coordinator/lateness.go
@@ -103,13 +103,14 @@
 	return 100 * (r.progressedAt - r.startedAt) / time.Duration(r.percent-r.firstPercent), true
 }
 
-// orderByWorth sorts occurrences in the order in which they are served, within each rank
-// and service; see lateness.Order.
+// orderByWorth sorts occurrences that are not urgent in the order in which they are served,
+// within each rank and service; see lateness.Order.
 func (t *term) orderByWorth(list []occurrence, rankOf func(*jobState) allocation.Rank, at time.Time) {
 	groups := make(map[competition][]int)
 	for i, o := range list {
-		// Guarantees set a time by which work starts, so the earliest latest start goes first.
-		if rank := rankOf(o.job); !o.job.job.HasLongRunning() && rank != allocation.Guaranteed {
+		// Urgent work preempts other work instead of waiting for it. Among itself it waits
+		// for less time than its estimates are off.
+		if rank := rankOf(o.job); !o.job.job.HasLongRunning() && rank > allocation.Urgent {
 			key := competition{rank, t.serviceOf(o.job)}
 			groups[key] = append(groups[key], i)
 		}
@@ -188,13 +189,14 @@
 // maxRoom bounds the room of a job, so that the sum over all jobs doesn't overflow.
 const maxRoom = 7 * 24 * time.Hour
 
-// load returns the work of a service that a rank can't preempt.
+// load returns the running work of a service, and the waiting work that is more urgent
+// than a rank.
 func (t *term) load(rank allocation.Rank, service string, rankOf func(*jobState) allocation.Rank, capacity workload.Resources) lateness.Load {
 	var load lateness.Load
 	at := now()
 	for _, a := range t.attempts {
 		other := rankOf(a.job)
-		if a.definition().LongRunning || other > rank && rank <= allocation.Urgent || t.serviceOf(a.job) != service {
+		if a.definition().LongRunning || t.serviceOf(a.job) != service {
 			continue
 		}
 		for _, r := range a.runs {
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -21,7 +21,6 @@
 	step    int
 	indices []int
 
-	precedence precedence                       // precedence is the same for all where decisions are not adaptive.
 	reservedAt collection.Option[time.Duration] // reservedAt is when the reservation of a gang was made.
 }
 
@@ -38,7 +37,6 @@
 		t.measure()
 	}
 	steps, demands := t.demands()
-	t.claims.keep(steps)
 	t.requestAdvice()
 	if len(demands) == 0 {
 		t.recordReservations(nil, allocation.Plan{}, now())
@@ -49,7 +47,6 @@
 	t.metrics.planTime.Record(now() - begin)
 	for _, id := range plan.Preempted {
 		a, w := t.attempts[id], steps[plan.PreemptedFor[id]]
-		t.claims.add(w.key(), begin)
 		t.metrics.preemptions.Add(1)
 		t.stopAttempt(a, "it makes room for more urgent work", "for-job", w.job.job.ID, "for-rank", w.rank)
 	}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -52,7 +52,6 @@
 	writer        writer
 	membersReadAt time.Duration // membersReadAt is when the members were last read.
 	headroom      headroom
-	claims        claims
 	workSizes     workSizes
 	overloads     map[competition]overload
 	outlooks      outlooks
@@ -95,7 +94,7 @@
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
-		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, claims: make(claims), workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
