Takeover: adopted work does not count as just begun

What callers saw: after a change of the coordinator, work of its predecessor that was nearly done was preempted for urgent jobs.

Cause: the time that a run of a former term has worked is not known, and was counted from its adoption. So all adopted work was the cheapest to stop, and the first plan was made before any host had reported.

Change, where the settings have Adaptive: such a run is not preempted before its first report, for 0.3 s at most, and counts with the share of its estimate that its first report shows. Elsewhere nothing changes.

--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -65,7 +65,7 @@
 	units := make([]allocation.Unit, 0, len(t.attempts))
 	budgets := t.disruptionBudgets()
 	for _, a := range t.attempts {
-		if a.stopping || a.ended || t.endsSoon(a, at) {
+		if a.stopping || a.ended || t.endsSoon(a, at) || t.awaitsReport(a, at) {
 			continue
 		}
 		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Age: at - a.began, UsageByHost: make(map[string]workload.Resources)}
@@ -118,7 +118,7 @@
 // is stopped. Checkpointing tasks save their work when they are stopped, so
 // only their restart counts.
 func (t *term) runPreemptionCost(r *run, at time.Duration) float64 {
-	lost := at - r.startedAt
+	lost := at - r.startedAt + t.workBeforeAdoption(r)
 	if r.attempt.definition().LongRunning {
 		lost = min(lost, longRunningRestartTime)
 	}
