Hosted: leave room for the program in the soft limit of the memory

A process near its limit took up to 60 of 64 MB under a crowd of chunks far over the limit, because the share for the Go runtime did not leave out the 16 MB of the program itself. The soft limit is now 0.7 of the rest.

--- a/internal/run/hosted/hosted.go
+++ b/internal/run/hosted/hosted.go
@@ -26,9 +26,13 @@
 )
 
 const (
-	// memoryShare is the part of the memory limit that becomes the soft limit of
-	// the Go runtime; the rest is for stacks, kernel buffers and the C library.
+	// programBytes is the memory that the program itself takes outside of the Go runtime.
+	programBytes = 16 << 20
+	// memoryShare is the part of the other memory that becomes the soft limit of the Go
+	// runtime; the rest is for kernel buffers, the C library and collections that come late.
 	memoryShare = 0.7
+	// minMemoryShare is the least part of the memory limit that becomes the soft limit.
+	minMemoryShare = 0.3
 	// announceTimeout bounds one attempt to write the record of a member.
 	announceTimeout    = time.Second
 	announceRetryDelay = 200 * time.Millisecond
@@ -38,7 +42,8 @@
 // memory limit. 0 means that there is no limit.
 func limitMemory(megabytes int) {
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(float64(megabytes) * memoryShare * (1 << 20)))
+		limit := float64(megabytes) * (1 << 20)
+		debug.SetMemoryLimit(int64(max(minMemoryShare*limit, memoryShare*(limit-programBytes))))
 	}
 }
 
