--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -262,6 +262,34 @@
 	f.c.Check(f.call(gateway.Submit, "/q/"+jobID, "key1", "").Outcome, qt.Equals, gateway.Accepted)
 }
 
+// Guards against bodies that are read, and held, for calls that are refused in any case.
+func TestBodyIsReadOnlyIfNeeded(t *testing.T) {
+	f := newFixture(t)
+	for name, tt := range map[string]struct {
+		path, key string
+		unread    *gateway.Answer
+		want      gateway.Outcome
+		reads     int
+	}{
+		"no queue":       {"/x/" + jobID, "key1", nil, gateway.UnknownQueue, 0},
+		"no key":         {"/q/" + jobID, "nobody", nil, gateway.Unauthorised, 0},
+		"no job":         {"/q/short", "key1", nil, gateway.Invalid, 0},
+		"no adviser":     {"/advised/" + jobID, "key1", nil, gateway.Refused, 0},
+		"cannot be read": {"/q/" + jobID, "key1", &gateway.Answer{Outcome: gateway.TooLarge}, gateway.TooLarge, 1},
+		"job":            {"/q/" + scheduledJobID, "key1", nil, gateway.Accepted, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reads := 0
+			answer := f.gateway.Serve(t.Context(), gateway.Call{
+				Method: gateway.Submit, Host: "h", Path: tt.path, Key: tt.key, Wait: time.Second,
+				ReadBody: func() ([]byte, *gateway.Answer) { reads++; return []byte("{}"), tt.unread },
+			})
+			qt.Check(t, answer.Outcome, qt.Equals, tt.want)
+			qt.Check(t, reads, qt.Equals, tt.reads)
+		})
+	}
+}
+
 // Guards against a panic while an odd value is logged.
 func TestOddValuesHaveNames(t *testing.T) {
 	c := qt.New(t)
--- a/internal/traffic/admission/door_test.go
+++ b/internal/traffic/admission/door_test.go
@@ -141,6 +141,7 @@
 		"large body":       {request("/", 100_001, 0), http.StatusRequestEntityTooLarge},
 		"large chunks":     {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n186a1\r\n" + strings.Repeat("x", 100_001) + "\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
 		"no route":         {request("/unknown", 100_000, 50_000), http.StatusNotFound},
+		"asks first":       {strings.Replace(request("/unknown", 100_000, 0), "\r\n\r\n", "\r\nExpect: 100-continue\r\n\r\n", 1), http.StatusNotFound},
 		"large header":     {"GET / HTTP/1.1\r\nHost: h\r\nA: " + strings.Repeat("x", 4000) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
 		"many fields":      {"GET / HTTP/1.1\r\nHost: h\r\n" + strings.Repeat("A:\r\n", 200), http.StatusRequestHeaderFieldsTooLarge},
 		"header in pieces": {"GET / HTTP/1.1\r\nHost: h\r\n", 0},
