--- a/internal/traffic/admission/connection.go
+++ b/internal/traffic/admission/connection.go
@@ -7,7 +7,7 @@
 	"time"
 )
 
-// connection is an accepted connection. The door's mutex guards its fields.
+// connection is an accepted connection. The mutex of the door guards what follows it.
 type connection struct {
 	net.Conn
 	door *door
@@ -16,7 +16,7 @@
 	header headerScan
 	held   int64  // held is how much of the door's room for bodies is taken; 0 unless a call is open.
 	ended  Reason // ended is why the body that arrives is not read any further; empty if it is.
-	closed bool
+	closed bool   // closed is set once the connection has left the door.
 }
 
 type connectionKey struct{}
--- a/internal/traffic/admission/door.go
+++ b/internal/traffic/admission/door.go
@@ -26,7 +26,7 @@
 // The reasons.
 const (
 	Displaced   Reason = "displaced"    // Displaced connections gave way to a new one.
-	Full        Reason = "full"         // Full doors refuse a new connection when all others are being served.
+	Full        Reason = "full"         // Full doors refuse a new connection while all others are being served.
 	LargeHeader Reason = "large-header" // LargeHeader requests have too many bytes or fields before the body.
 	LargeBody   Reason = "large-body"
 	NoRoom      Reason = "no-room" // NoRoom is left for a body; or the body gave way to others.
@@ -72,7 +72,7 @@
 	connections map[*connection]struct{} // connections has room.connections elements at most, unless that was lowered.
 	bodyBytes   int64                    // bodyBytes is the sum of connection.held, room.bodyBytes at most.
 	bodyRoom    *semaphore.Weighted      // bodyRoom hands out room.bodyBytes in the order of requests.
-	nextCheck   time.Time                // nextCheck is when Check is expected to be called again.
+	nextCheck   time.Time                // nextCheck is when check is expected to be called again; zero before the first time.
 }
 
 // New returns a door.
@@ -151,8 +151,8 @@
 			return nil, err
 		}
 		c := &connection{Conn: conn, door: l.door}
-		if addr, err := netip.ParseAddrPort(conn.RemoteAddr().String()); err == nil {
-			c.peer = addr.Addr().Unmap()
+		if remote, ok := conn.RemoteAddr().(*net.TCPAddr); ok {
+			c.peer = remote.AddrPort().Addr().Unmap()
 		}
 		if l.door.admit(c) {
 			return c, nil
@@ -205,6 +205,7 @@
 }
 
 const (
+	// minCheckInterval and maxCheckInterval bound the time between two checks.
 	minCheckInterval = 500 * time.Millisecond
 	maxCheckInterval = DefaultHeaderTimeout
 	// maxHoldUp is how much later than expected a check may come in a process that runs.
@@ -248,29 +249,35 @@
 	wait := d.limits.HeaderTimeout // A connection that comes meanwhile has as long.
 	for c := range d.connections {
 		c.since = c.since.Add(heldUp)
-		if left, bounded := c.timeLeft(d.limits, now); !bounded || c.ended != "" {
-			continue
-		} else if left > 0 {
+		left, bounded := c.timeLeft(d.limits, now)
+		switch {
+		case !bounded || c.ended != "":
+		case left > 0:
 			wait = min(wait, left)
-			continue
-		}
-		switch c.phase {
-		case receiving:
-			d.count(SlowBody, c.peer)
-			c.interrupt(SlowBody)
-			continue
-		case idle:
-			d.count(Unused, c.peer)
-		case answering, closing:
-			d.count(SlowReader, c.peer)
 		default:
-			d.count(SlowHeader, c.peer)
+			d.endOverdue(c)
 		}
-		d.end(c)
 	}
 	return wait
 }
 
+// endOverdue ends a connection whose phase has taken too long. The caller holds d.mu.
+func (d *door) endOverdue(c *connection) {
+	switch c.phase {
+	case receiving:
+		d.count(SlowBody, c.peer)
+		c.interrupt(SlowBody) // The handler answers.
+		return
+	case idle:
+		d.count(Unused, c.peer)
+	case answering, closing:
+		d.count(SlowReader, c.peer)
+	default:
+		d.count(SlowHeader, c.peer)
+	}
+	d.end(c)
+}
+
 // Errors of bodies that are not read to their end. The call has had no effect.
 var (
 	ErrLargeBody = errors.New("the body is too large")
