Allocation: choose hosts by their observed pace

A gang is as slow as its slowest member.

Cause: nothing recorded how fast a host works; the tightest host came first.

Change: the package pace learns the relative speed of each incarnation of a host from the rates of runs of one step, corrected by the paces that are known, with weighted medians and a half-life of 10 s. Gangs go to hosts of one pace, urgent work and work that is just in time to fast hosts, work with slack to slow ones. Nothing is excluded. Best fit stays the order within a pace. On where Options.Adaptive is set.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"wasabihoist/internal/base/collection"
+	"wasabihoist/internal/fleet/pace"
 	"wasabihoist/internal/fleet/workload"
 )
 
@@ -62,6 +63,7 @@
 	Capacity    workload.Resources
 	Free        workload.Resources // Free is what no task uses.
 	FutureFree  workload.Resources // FutureFree is Free plus what pending stops will release.
+	Pace        pace.Class         // Pace is how fast the host works compared with others.
 }
 
 // Never is the time until something that does not happen.
@@ -99,6 +101,7 @@
 	Headroom          int                    // Headroom is the number of accelerators of the service that the demand must leave free.
 	RelaxLocality     bool                   // RelaxLocality permits hosts away from the data, and gangs across racks.
 	BestEffort        bool                   // BestEffort demands use only idle cores and go to the hosts with the most.
+	Pace              PacePreference         // Pace is the preference among hosts by their pace.
 	RunTime           time.Duration          // RunTime is the estimated run time of a task; 0 if it is not known, Never for long-running tasks.
 
 	AllowedHosts collection.Option[collection.Set[string]] // AllowedHosts are the only hosts that may be used; None permits all.
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -1,6 +1,10 @@
 package allocation
 
-import "wasabihoist/internal/fleet/workload"
+import (
+	"cmp"
+
+	"wasabihoist/internal/fleet/workload"
+)
 
 // selectHosts returns one host for each task that fits; for a gang all or none.
 // available returns the resources of a host that may be used.
@@ -11,21 +15,22 @@
 	case d.DataRack != "":
 		return p.selectNearData(d, available)
 	default:
-		return bestFit(d, p.hosts, available)
+		chosen, _ := fitByPace(d, p.hosts, available)
+		return chosen
 	}
 }
 
 // selectRackLocal returns hosts of a single rack for the whole gang: the rack with
-// the data if the gang fits there, else the rack with the fewest accelerators left
-// over. With a data rack, other racks are used only if locality is relaxed or the data
+// the data if the gang fits there, else the rack with the preferred pace, then with the
+// fewest accelerators left over. With a data rack, other racks are used only if locality is relaxed or the data
 // rack will not be able to hold it. A gang
 // that fits in no rack now is spread across racks if locality is relaxed or no
 // rack will be able to hold it; otherwise it waits.
 func (p *planner) selectRackLocal(d Demand, available func(*hostState) workload.Resources) []*hostState {
 	var best []*hostState
-	leastLeftover := 0
+	bestPlace, leastLeftover := 0, 0
 	for _, name := range p.rackNames {
-		chosen := bestFit(d, p.racks[name], available)
+		chosen, place := fitByPace(d, p.racks[name], available)
 		if len(chosen) < d.Tasks {
 			continue
 		}
@@ -36,15 +41,16 @@
 		if name == d.DataRack {
 			return chosen
 		}
-		if best == nil || leftover < leastLeftover {
-			best, leastLeftover = chosen, leftover
+		if best == nil || cmp.Or(cmp.Compare(place, bestPlace), cmp.Compare(leftover, leastLeftover)) < 0 {
+			best, bestPlace, leastLeftover = chosen, place, leftover
 		}
 	}
 	if best != nil && (d.DataRack == "" || d.RelaxLocality || !p.fitsEmptyDataRack(d)) {
 		return best
 	}
 	if d.RelaxLocality || !p.fitsEmptyRack(d) {
-		return bestFit(d, p.hosts, available)
+		chosen, _ := fitByPace(d, p.hosts, available)
+		return chosen
 	}
 	return nil
 }
@@ -77,12 +83,13 @@
 // selectNearData prefers the rack with the data. Tasks that do not fit there wait,
 // unless locality is relaxed or the rack will not be able to hold them.
 func (p *planner) selectNearData(d Demand, available func(*hostState) workload.Resources) []*hostState {
-	near := bestFit(d, p.racks[d.DataRack], available)
+	near, _ := fitByPace(d, p.racks[d.DataRack], available)
 	if len(near) == d.Tasks || !d.RelaxLocality && p.fitsEmptyDataRack(d) {
 		return near
 	}
 	if d.Gang {
-		return bestFit(d, p.hosts, available)
+		chosen, _ := fitByPace(d, p.hosts, available)
+		return chosen
 	}
 	rest := d
 	rest.Tasks -= len(near)
@@ -166,14 +173,14 @@
 }
 
 // preferredOver reports whether a candidate comes before another one: hosts that are
-// not avoided first, then by best fit, or for best-effort demands by the fewest tasks
+// not avoided first, then by the preferred pace and by best fit, or for best-effort demands by the fewest tasks
 // of the step, then the most idle cores.
 func (c *candidate) preferredOver(o *candidate, d Demand) bool {
 	switch {
 	case c.avoided != o.avoided:
 		return o.avoided
 	case !d.BestEffort:
-		return lessFree(c.free, o.free)
+		return cmp.Or(d.Pace.compare(c.host.Pace, o.host.Pace), compareFree(c.free, o.free)) < 0
 	case c.stepTasks != o.stepTasks:
 		return c.stepTasks < o.stepTasks
 	default:
@@ -181,10 +188,7 @@
 	}
 }
 
-// lessFree compares accelerators, then cores; memory does not count.
-func lessFree(a, b workload.Resources) bool {
-	if a.Accelerators != b.Accelerators {
-		return a.Accelerators < b.Accelerators
-	}
-	return a.MilliCores < b.MilliCores
+// compareFree compares accelerators, then cores; memory does not count.
+func compareFree(a, b workload.Resources) int {
+	return cmp.Or(cmp.Compare(a.Accelerators, b.Accelerators), cmp.Compare(a.MilliCores, b.MilliCores))
 }
--- /dev/null
+++ b/internal/fleet/allocation/pace.go
@@ -0,0 +1,72 @@
+package allocation
+
+import (
+	"cmp"
+	"slices"
+
+	"wasabihoist/internal/fleet/pace"
+	"wasabihoist/internal/fleet/workload"
+)
+
+// PacePreference is which hosts a demand prefers by their pace. No host is excluded:
+// a slow one is better than waiting.
+type PacePreference int
+
+// The preferences.
+const (
+	AnyPace    PacePreference = iota // AnyPace does not consider the pace.
+	PreferFast                       // PreferFast is for work that must not take longer than on a typical host.
+	PreferSlow                       // PreferSlow is for work with time to spare. It leaves faster hosts to other work.
+)
+
+// compare compares two hosts by the preference of the demand; the preferred one is less.
+func (p PacePreference) compare(a, b pace.Class) int {
+	switch p {
+	case PreferFast:
+		return cmp.Compare(b, a)
+	case PreferSlow:
+		return cmp.Compare(a, b)
+	case AnyPace:
+	}
+	return 0
+}
+
+// paceGroups holds the groups of paces among which the hosts of a gang are chosen, the
+// best group first. The members of a gang end together, so a gang is as slow as its
+// slowest member and occupies the faster hosts as long: hosts of one pace come first,
+// then as few paces as possible.
+var paceGroups = map[PacePreference][][]pace.Class{
+	PreferFast: {{pace.Fast}, {pace.Typical}, {pace.Typical, pace.Fast}},
+	PreferSlow: {{pace.Slow}, {pace.Typical}, {pace.Slow, pace.Typical}},
+}
+
+// fitByPace assigns the tasks of a demand like bestFit, by the preferred pace. It
+// answers a fleet in which some hosts work at half or twice the pace of others: an
+// urgent gang with a single slow member ends late, and one slow member holds up the
+// faster hosts of its gang.
+//
+// It also returns the place of the group of paces that was used, less being preferred.
+func fitByPace(d Demand, hosts []*hostState, available func(*hostState) workload.Resources) (chosen []*hostState, place int) {
+	if d.Pace == AnyPace || !d.Gang {
+		return bestFit(d, hosts, available), 0
+	}
+	groups := paceGroups[d.Pace]
+	d.Pace = PreferSlow // A gang of several paces takes as few of the faster hosts as possible.
+	for i, group := range groups {
+		if chosen := bestFit(d, ofPace(hosts, group), available); len(chosen) > 0 {
+			return chosen, i
+		}
+	}
+	return bestFit(d, hosts, available), len(groups)
+}
+
+// ofPace returns the hosts that work at one of the given paces.
+func ofPace(hosts []*hostState, classes []pace.Class) []*hostState {
+	var list []*hostState
+	for _, h := range hosts {
+		if slices.Contains(classes, h.Pace) {
+			list = append(list, h)
+		}
+	}
+	return list
+}
--- a/internal/fleet/allocation/preempt.go
+++ b/internal/fleet/allocation/preempt.go
@@ -167,7 +167,7 @@
 			continue
 		}
 		better := bestHost == nil || cost < bestCost ||
-			cost == bestCost && lessFree(trial.free[h.index], trial.free[bestHost.index])
+			cost == bestCost && cmp.Or(d.Pace.compare(h.Pace, bestHost.Pace), compareFree(trial.free[h.index], trial.free[bestHost.index])) < 0
 		if better {
 			bestHost, bestVictims, bestCost = h, victims, cost
 		}
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -155,7 +155,8 @@
 			tasksByHost[task.Host]++
 		}
 	}
-	slack := t.slack(j, j.job.Occurrence(step))
+	occurrence := j.job.Occurrence(step)
+	slack := t.slack(j, occurrence)
 	d := allocation.Demand{
 		Rank: rank, Service: service, Need: s.ReservedResources(), Tasks: tasks, Gang: s.Gang, RackLocal: s.RackLocal, DataRack: s.DataRack,
 		Label: s.Label, SpreadLimit: s.SpreadLimit, TasksByHost: tasksByHost, BestEffort: s.BestEffort, RunTime: s.Estimate, RelaxLocality: slack < 0,
@@ -164,6 +165,9 @@
 	if s.LongRunning {
 		d.RunTime = allocation.Never
 	}
+	if t.settings().Adaptive {
+		d.Pace = pacePreference(rank, slack, t.remainingTime(j, occurrence))
+	}
 	t.avoidFaultyHosts(&d, j, step)
 	return d
 }
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -53,6 +53,7 @@
 	unexpected           map[runKey]*unexpectedRun // unexpected holds the reported runs that the term did not expect until they have ended.
 	health               health
 	throttle             throttle
+	paceLoggedAt         time.Duration // paceLoggedAt is when a change of the pace class was last logged; 0 before.
 	endedRunsDurable     chan struct{} // endedRunsDurable signals that further ended runs are durable; it has capacity 1.
 }
 
--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -14,6 +14,8 @@
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
+	slowHosts        metrics.Gauge
+	fastHosts        metrics.Gauge
 	ends             map[host.Outcome]metrics.Counter
 	planTime         *metrics.Histogram
 	appendTime       *metrics.Histogram
@@ -29,6 +31,8 @@
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
+		slowHosts:        r.Gauge("coordinator-slow-hosts", "hosts", "Hosts that have worked slower than the typical host."),
+		fastHosts:        r.Gauge("coordinator-fast-hosts", "hosts", "Hosts that have worked faster than the typical host."),
 		ends:             make(map[host.Outcome]metrics.Counter),
 		planTime:         r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
 		appendTime:       r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -228,6 +228,7 @@
 	switch e.Outcome {
 	case host.Completed:
 		h.health.recordSuccess()
+		t.observeEnd(r)
 		t.releaseRun(r)
 		j.progress.Finish(j.job, e.Task)
 		a.ended = true
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -102,6 +102,7 @@
 			t.markRunning(r)
 		}
 		r.update(reported)
+		t.observeProgress(r)
 		if r.attempt.stopping {
 			t.sendStop(r)
 		}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -53,6 +53,7 @@
 	headroom      headroom
 	reservations  reservations
 	early         earlyCancellations
+	paces         hostPaces
 	adviceCalls   adviceCalls
 	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
 	nextPlanAt    time.Duration               // nextPlanAt is when the next plan may be made.
@@ -89,7 +90,7 @@
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
-		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, paces: newHostPaces(), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
@@ -186,6 +187,7 @@
 		case <-wake.C:
 		case <-ticker.C:
 			t.checkProgress()
+			t.updatePaces(now())
 			t.writeStarts()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
 		}
