Allocation: leave fast hosts free instead of filling slow ones first

Cause (suspected, from the order of the choice, not traced): work spreads over three groups of hosts before it fills partly used ones, so fewer whole hosts are free for gangs of whole hosts.

Change: work with time to spare leaves fast hosts free and does not choose between slow and typical ones.

Tests: two cases of this part's own table stated the former choice; they now state the new one, and two were added (spared, used at need).

--- a/internal/fleet/allocation/pace.go
+++ b/internal/fleet/allocation/pace.go
@@ -16,7 +16,7 @@
 const (
 	AnyPace    PacePreference = iota // AnyPace does not consider the pace.
 	PreferFast                       // PreferFast is for work that must not take longer than on a typical host.
-	PreferSlow                       // PreferSlow is for work with time to spare. It leaves faster hosts to other work.
+	SpareFast                        // SpareFast is for work with time to spare. It leaves fast hosts to other work.
 )
 
 // compare compares two hosts by the preference of the demand; the preferred one is less.
@@ -24,20 +24,21 @@
 	switch p {
 	case PreferFast:
 		return cmp.Compare(b, a)
-	case PreferSlow:
-		return cmp.Compare(a, b)
+	case SpareFast:
+		return cmp.Compare(max(a, pace.Typical), max(b, pace.Typical))
 	case AnyPace:
 	}
 	return 0
 }
 
 // paceGroups holds the groups of paces among which the hosts of a gang are chosen, the
-// best group first. The members of a gang end together, so a gang is as slow as its
-// slowest member and occupies the faster hosts as long: hosts of one pace come first,
-// then as few paces as possible.
+// best group first; all hosts come last. The members of a gang end together, so a gang is
+// as slow as its slowest member and occupies the faster hosts as long: for work that must
+// not be slow, hosts of one pace come first. Other work does not choose between slow and
+// typical hosts, because whole hosts stay free only if the tightest come first.
 var paceGroups = map[PacePreference][][]pace.Class{
 	PreferFast: {{pace.Fast}, {pace.Typical}, {pace.Typical, pace.Fast}},
-	PreferSlow: {{pace.Slow}, {pace.Typical}, {pace.Slow, pace.Typical}},
+	SpareFast:  {{pace.Slow, pace.Typical}},
 }
 
 // fitByPace assigns the tasks of a demand like bestFit, by the preferred pace. It
@@ -51,7 +52,7 @@
 		return bestFit(d, hosts, available), 0
 	}
 	groups := paceGroups[d.Pace]
-	d.Pace = PreferSlow // A gang of several paces takes as few of the faster hosts as possible.
+	d.Pace = SpareFast // A gang of several paces takes as few fast hosts as possible.
 	for i, group := range groups {
 		if chosen := bestFit(d, ofPace(hosts, group), available); len(chosen) > 0 {
 			return chosen, i
--- a/internal/fleet/allocation/pace_test.go
+++ b/internal/fleet/allocation/pace_test.go
@@ -31,21 +31,23 @@
 		d.Pace = preference
 		return d
 	}
+	equal := []allocation.Host{host("x", "a", 8, pace.Fast), host("y", "a", 4, pace.Fast)}
 	for name, tt := range map[string]struct {
 		hosts  []allocation.Host
 		demand allocation.Demand
 		want   []string
 	}{
-		"without preference the tightest":       {mixed, tasks(1, 1, allocation.AnyPace), []string{"a-slow"}},
-		"urgent gang":                           {mixed, gang(allocation.Urgent, 2, allocation.PreferFast), []string{"b-fast", "b-fast-2"}},
-		"urgent gang in one rack":               {mixed, rackLocal(gang(allocation.Urgent, 2, allocation.PreferFast)), []string{"b-fast", "b-fast-2"}},
-		"gang that needs two paces":             {mixed, gang(allocation.Urgent, 3, allocation.PreferFast), []string{"a-typical", "a-typical-2", "b-fast"}},
-		"slow is better than waiting":           {mixed, gang(allocation.Urgent, 5, allocation.PreferFast), []string{"b-slow", "a-typical", "a-typical-2", "b-fast", "b-fast-2"}},
-		"gang with slack in one rack":           {mixed, rackLocal(gang(allocation.Ordinary, 2, allocation.PreferSlow)), []string{"a-typical", "a-typical-2"}},
-		"task with slack takes the slow hosts":  {mixed, tasks(2, 8, allocation.PreferSlow), []string{"b-slow", "a-typical"}},
-		"task without slack takes the fast":     {mixed, tasks(1, 1, allocation.PreferFast), []string{"b-fast"}},
-		"the tightest among hosts of one pace":  {[]allocation.Host{host("x", "a", 8, pace.Fast), host("y", "a", 4, pace.Fast)}, tasks(1, 2, allocation.PreferFast), []string{"y"}},
-		"a gang that leaves faster hosts alone": {mixed, gang(allocation.Ordinary, 1, allocation.PreferSlow), []string{"b-slow"}},
+		"without preference the tightest":      {mixed, tasks(1, 1, allocation.AnyPace), []string{"a-slow"}},
+		"urgent gang":                          {mixed, gang(allocation.Urgent, 2, allocation.PreferFast), []string{"b-fast", "b-fast-2"}},
+		"urgent gang in one rack":              {mixed, rackLocal(gang(allocation.Urgent, 2, allocation.PreferFast)), []string{"b-fast", "b-fast-2"}},
+		"gang that needs two paces":            {mixed, gang(allocation.Urgent, 3, allocation.PreferFast), []string{"a-typical", "a-typical-2", "b-fast"}},
+		"slow is better than waiting":          {mixed, gang(allocation.Urgent, 5, allocation.PreferFast), []string{"a-typical", "a-typical-2", "b-slow", "b-fast", "b-fast-2"}},
+		"gang with slack in one rack":          {mixed, rackLocal(gang(allocation.Ordinary, 2, allocation.SpareFast)), []string{"a-typical", "a-typical-2"}},
+		"gang with slack spares fast hosts":    {mixed, gang(allocation.Ordinary, 3, allocation.SpareFast), []string{"a-typical", "a-typical-2", "b-slow"}},
+		"gang with slack uses them at need":    {mixed, gang(allocation.Ordinary, 4, allocation.SpareFast), []string{"a-typical", "a-typical-2", "b-slow", "b-fast"}},
+		"task with slack spares fast hosts":    {mixed, tasks(4, 8, allocation.SpareFast), []string{"a-typical", "a-typical-2", "b-slow", "b-fast"}},
+		"task without slack takes the fast":    {mixed, tasks(1, 1, allocation.PreferFast), []string{"b-fast"}},
+		"the tightest among hosts of one pace": {equal, tasks(1, 2, allocation.PreferFast), []string{"y"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/internal/fleet/coordinator/host_pace.go
+++ b/internal/fleet/coordinator/host_pace.go
@@ -122,15 +122,15 @@
 }
 
 // slackShare is the share of its remaining run time that the slack of an occurrence has
-// to exceed for its work to go to slow hosts.
+// to exceed for its work to leave fast hosts to other work.
 const slackShare = 0.5
 
 // pacePreference returns which hosts a demand prefers. Urgent work goes to fast hosts,
 // and so does other work that is in time only if it does not take longer than estimated.
-// Work with slack goes to slow hosts, and so does work that is too late already.
+// Work with slack leaves them free, and so does work that is too late already.
 func pacePreference(rank allocation.Rank, slack, remaining time.Duration) allocation.PacePreference {
 	if rank <= allocation.Urgent || slack >= 0 && slack < time.Duration(slackShare*float64(remaining)) {
 		return allocation.PreferFast
 	}
-	return allocation.PreferSlow
+	return allocation.SpareFast
 }
--- a/internal/fleet/coordinator/host_pace_internal_test.go
+++ b/internal/fleet/coordinator/host_pace_internal_test.go
@@ -15,25 +15,25 @@
 	"wasabihoist/internal/run/metrics"
 )
 
-// newPaceTerm returns a term in which the tasks of a step run on five hosts, two on each.
-// The first host has done a quarter and the others half of the work.
-func newPaceTerm(name string, adaptive bool, definition workload.Step) *term {
+// newPaceTerm returns a term in which the tasks of a step run on five hosts, four on each.
+// They have reached a percentage of the work on the first host and on the others.
+func newPaceTerm(name string, adaptive bool, definition workload.Step, first, others int) *term {
 	t := &term{
 		Coordinator: &Coordinator{metrics: newMetricSet(metrics.For(name))}, logger: log.NewNopLogger(),
 		hosts: make(map[string]*hostState), attempts: make(map[int]*attempt), paces: newHostPaces(), runTimes: newRunTimes(),
 	}
 	t.options.Store(&Options{Adaptive: adaptive})
-	definition.Count = 10
+	definition.Count = 20
 	j := workload.Job{ID: "job", Steps: []workload.Step{definition}}
 	state := &jobState{job: j, progress: workload.NewProgress(j)}
 	for i := range definition.Count {
-		h := t.host(fmt.Sprint("host-", i/2))
+		h := t.host(fmt.Sprint("host-", i/4))
 		a := t.newAttempt(state, 0)
 		r := t.addRun(a, j.TaskID(0, i), 1, h, h.minion.Incarnation())
 		r.phase, r.reported, r.startedAt = running, true, now()-time.Second
-		percent := 50
-		if i < 2 {
-			percent = 25
+		percent := others
+		if i < 4 {
+			percent = first
 		}
 		r.update(host.Run{Task: r.task, Number: 1, ProgressPercent: percent})
 		t.observeProgress(r)
@@ -59,7 +59,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			tm := newPaceTerm(t.Name(), tt.adaptive, tt.step)
+			tm := newPaceTerm(t.Name(), tt.adaptive, tt.step, 25, 50)
 			c.Check(tm.paceOf(tm.hosts["host-0"]), qt.Equals, tt.want)
 			c.Check(tm.paceOf(tm.hosts["host-1"]), qt.Equals, pace.Typical)
 		})
@@ -75,8 +75,8 @@
 	}{
 		"urgent":               {allocation.Urgent, time.Minute, time.Second, allocation.PreferFast},
 		"just in time":         {allocation.Ordinary, time.Second, 10 * time.Second, allocation.PreferFast},
-		"time to spare":        {allocation.Ordinary, 20 * time.Second, 10 * time.Second, allocation.PreferSlow},
-		"too late in any case": {allocation.Ordinary, -time.Second, 10 * time.Second, allocation.PreferSlow},
+		"time to spare":        {allocation.Ordinary, 20 * time.Second, 10 * time.Second, allocation.SpareFast},
+		"too late in any case": {allocation.Ordinary, -time.Second, 10 * time.Second, allocation.SpareFast},
 	} {
 		t.Run(name, func(t *testing.T) {
 			qt.New(t).Check(pacePreference(tt.rank, tt.slack, tt.remaining), qt.Equals, tt.want)
--- a/internal/fleet/coordinator/run_times_internal_test.go
+++ b/internal/fleet/coordinator/run_times_internal_test.go
@@ -26,7 +26,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
-			tm := newPaceTerm(t.Name(), tt.adaptive, tt.step)
+			tm := newPaceTerm(t.Name(), tt.adaptive, tt.step, 25, 50)
 			j := tm.attempts[1].job
 			expected := tm.expected(j).Step(0).Estimate
 			c.Check(expected >= tt.min && expected <= tt.max, qt.IsTrue, qt.Commentf("%s", expected))
@@ -40,7 +40,7 @@
 func TestRunTimesOfQueueAreLearned(t *testing.T) {
 	c := qt.New(t)
 	const declared = 200 * time.Millisecond
-	tm := newPaceTerm(t.Name(), true, workload.Step{Estimate: declared})
+	tm := newPaceTerm(t.Name(), true, workload.Step{Estimate: declared}, 25, 50)
 	j := tm.attempts[1].job
 	next := &jobState{job: j.job, progress: workload.NewProgress(j.job)}
 	c.Assert(tm.expected(next).Step(0).Estimate, qt.Equals, declared)
