Coordinator: move runs off hosts that have turned slow

The load: a host turns slow while it works, and what runs there is late although it would be in time elsewhere.

--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -11,6 +11,7 @@
 	placements       metrics.Counter
 	reservations     metrics.Counter
 	stops            metrics.Counter
+	moves            metrics.Counter
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
@@ -28,6 +29,7 @@
 		placements:       r.Counter("coordinator-placements", "attempts", "Gangs and single tasks that were given to hosts."),
 		reservations:     r.Counter("coordinator-reservations", "reservations", "Reservations of hosts for gangs that wait for running work to end."),
 		stops:            r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
+		moves:            r.Counter("coordinator-moves", "attempts", "Gangs and single tasks that were stopped to go on at hosts that are not slow."),
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -190,6 +190,7 @@
 		case <-ticker.C:
 			t.checkProgress()
 			t.updatePaces(now())
+			t.moveSlowRuns(now())
 			t.logRunTimes(now())
 			t.writeStarts()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
