Coordinator: keep decisions on declared run times, count small leads of pace as typical

Not shown to help, so no decision uses them now (Options.ObservedRunTimes is set by no program); they are learned and logged.

Change: a host is fast from 1.4 times the typical pace on, slow from 1.13 times slower on as before.

Tests: the fixture of this part's own tests sets ObservedRunTimes with Adaptive; cases and bounds as before.

--- a/internal/fleet/coordinator/host_pace_internal_test.go
+++ b/internal/fleet/coordinator/host_pace_internal_test.go
@@ -22,7 +22,7 @@
 		Coordinator: &Coordinator{metrics: newMetricSet(metrics.For(name))}, logger: log.NewNopLogger(),
 		hosts: make(map[string]*hostState), attempts: make(map[int]*attempt), paces: newHostPaces(), runTimes: newRunTimes(),
 	}
-	t.options.Store(&Options{Adaptive: adaptive})
+	t.options.Store(&Options{Adaptive: adaptive, ObservedRunTimes: adaptive})
 	definition.Count = 20
 	j := workload.Job{ID: "job", Steps: []workload.Step{definition}}
 	state := &jobState{job: j, progress: workload.NewProgress(j)}
--- a/internal/fleet/coordinator/run_times.go
+++ b/internal/fleet/coordinator/run_times.go
@@ -79,11 +79,12 @@
 }
 
 // expected returns the job with the run times that its steps are expected to take: as
-// their tasks have shown, else as its queue lets expect.
+// their tasks have shown, else as its queue lets expect. Without ObservedRunTimes these
+// are the declared ones.
 func (t *term) expected(j *jobState) workload.Job {
 	e := &j.expectation
 	switch {
-	case !t.settings().Adaptive:
+	case !t.settings().ObservedRunTimes:
 		return j.job
 	case e.known && e.version == t.runTimes.version:
 		return e.job
--- a/internal/fleet/pace/pace.go
+++ b/internal/fleet/pace/pace.go
@@ -53,12 +53,16 @@
 	// priorWeight is the weight, in fresh observations, of the assumption that a host
 	// is typical. The tasks of a step differ in length, so a single one proves little.
 	priorWeight = 2.0
-	// classRatio is how many times faster or slower than the typical host a host has to
-	// be to leave the class Typical.
-	classRatio = 1.13
-	// keepRatio is the ratio down to which a host stays in another class than Typical,
-	// so that a host at the limit does not change its class all the time.
-	keepRatio = 1.08
+	// slowRatio is how many times slower than the typical host a slow host is at least.
+	// Urgent work has little time to spare, so small differences count.
+	slowRatio = 1.13
+	// fastRatio is how many times faster than the typical host a fast host is at least.
+	// Work that goes to fast hosts leaves fewer whole hosts free, which outweighs small
+	// differences.
+	fastRatio = 1.4
+	// keepShare is the share of these ratios down to which a host stays slow or fast, so
+	// that a host at the limit does not change its class all the time.
+	keepShare = 0.95
 	// rounds is how often the rates of steps and the paces of hosts are corrected by each other.
 	rounds = 3
 )
@@ -229,14 +233,18 @@
 
 // classOf returns the class of a host that was in a former class.
 func classOf(logPace float64, former Class) Class {
-	ratio := classRatio
-	if former != Typical {
-		ratio = keepRatio
+	slow, fast := 1/slowRatio, fastRatio
+	switch former {
+	case Slow:
+		slow /= keepShare
+	case Fast:
+		fast *= keepShare
+	case Typical:
 	}
-	switch limit := math.Log(ratio); {
-	case logPace >= limit && former != Slow, logPace >= math.Log(classRatio):
+	switch relative := math.Exp(logPace); {
+	case relative >= fast:
 		return Fast
-	case logPace <= -limit && former != Fast, logPace <= -math.Log(classRatio):
+	case relative <= slow:
 		return Slow
 	}
 	return Typical
