--- a/internal/fleet/coordinator/lateness.go
+++ b/internal/fleet/coordinator/lateness.go
@@ -200,7 +200,7 @@
 			continue
 		}
 		for _, r := range a.runs {
-			taken := time.Duration(share(r.need, capacity) * float64(r.expectedTimeLeft(at)))
+			taken := time.Duration(share(r.need, capacity) * float64(r.expectedTimeLeft(at, t.expected(a.job).Step(a.step).Estimate)))
 			load.Taken += taken
 			if other == rank && a.overdue {
 				load.Overdue += taken
--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -19,6 +19,9 @@
 	startsRefused    metrics.Counter
 	startsWithdrawn  metrics.Counter
 	leavingMoved     metrics.Counter
+	moves            metrics.Counter
+	slowHosts        metrics.Gauge
+	fastHosts        metrics.Gauge
 	ends             map[host.Outcome]metrics.Counter
 	planTime         *metrics.Histogram
 	appendTime       *metrics.Histogram
@@ -39,6 +42,9 @@
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
 		startsWithdrawn:  r.Counter("coordinator-starts-withdrawn", "attempts", "Gangs and single tasks that were not started or stopped before their start was confirmed, because a host of theirs was evacuated."),
 		leavingMoved:     r.Counter("coordinator-leaving-moved", "attempts", "Gangs and single tasks that were stopped because a host of theirs is about to leave."),
+		moves:            r.Counter("coordinator-moves", "attempts", "Gangs and single tasks that were stopped to go on at hosts that are not slow."),
+		slowHosts:        r.Gauge("coordinator-slow-hosts", "hosts", "Hosts that have worked slower than the typical host."),
+		fastHosts:        r.Gauge("coordinator-fast-hosts", "hosts", "Hosts that have worked faster than the typical host."),
 		ends:             make(map[host.Outcome]metrics.Counter),
 		planTime:         r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
 		appendTime:       r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -57,6 +57,8 @@
 	outlooks      outlooks
 	reservations  reservations
 	early         earlyCancellations
+	paces         hostPaces
+	runTimes      runTimes
 	adviceCalls   adviceCalls
 	evacuations   evacuations
 	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
@@ -82,6 +84,7 @@
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
 	measured       map[int]time.Duration // measured holds how long the tasks of a step take by the progress of its fastest run.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
+	expectation    expectation           // expectation holds the run times that its steps are expected to take.
 }
 
 // endedJob is a job whose records are removed at removeAt.
@@ -95,7 +98,9 @@
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
-		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)},
+		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(), runTimes: newRunTimes(),
+		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
@@ -194,6 +199,9 @@
 		case <-wake.C:
 		case <-ticker.C:
 			t.checkProgress()
+			t.updatePaces(now())
+			t.moveSlowRuns(now())
+			t.logRunTimes(now())
 			t.writeStarts()
 			t.updateOutlooks()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
