--- a/internal/fleet/lateness/lateness.go
+++ b/internal/fleet/lateness/lateness.go
@@ -1,6 +1,5 @@
-// Package lateness values the results of jobs by the time at which they are done.
-// It decides which work gives way when there is too little room: in which order
-// waiting work is served, and what a delay of running work costs its caller.
+// Package lateness decides in which order waiting work is served when there is too little
+// room, by what results are worth to callers and when they are late.
 //
 // Times are relative to the moment of the decision.
 package lateness
@@ -26,20 +25,10 @@
 // ClassOf returns the class of jobs of a priority, of which 0 is the highest.
 func ClassOf(priority int) Class { return min(max(Class(priority), Urgent), Low) }
 
-// terms are what the results of a class are worth.
-type terms struct {
-	worth float64 // worth is what a core second of work that is done in time is worth, in core seconds of discarded work.
-	late  float64 // late is the share of that worth that is left when the result is late.
-}
-
-// termsOf holds the terms of the classes. They follow what callers say of their work,
-// because the requests don't carry them: a late result of any class keeps about a fifth
-// of its worth, and a core second of work is worth less the longer such jobs may take.
-var termsOf = map[Class]terms{
-	Urgent:   {worth: 5, late: 0.2},
-	Ordinary: {worth: 0.8, late: 0.25},
-	Low:      {worth: 0.15, late: 0.2},
-}
+// worthOf holds what a core second of work that is done in time is worth, in core seconds
+// of discarded work. The values follow what callers say of their work, because requests
+// don't carry them. A late result of any class keeps about a fifth of its worth.
+var worthOf = map[Class]float64{Urgent: 5, Ordinary: 0.8, Low: 0.15}
 
 // Work is what a caller waits for.
 type Work struct {
@@ -64,30 +53,5 @@
 	if w.MeanSize > 0 {
 		size = min(fixedShare*w.MeanSize+(1-fixedShare)*w.Size, maxRelativeWorth*w.MeanSize)
 	}
-	return termsOf[w.Class].worth * size
-}
-
-// Value returns the expected worth of a result that is done after the given time, which
-// may be off by spread in either direction.
-func (w Work) Value(done, spread time.Duration) float64 {
-	late := termsOf[w.Class].late
-	return w.Worth() * ((1-late)*chance(w.Due, done, spread) + late*chance(w.Limit, done, spread))
-}
-
-// DelayCost returns the worth that is lost if the result is done after later instead
-// of earlier.
-func (w Work) DelayCost(earlier, later, spread time.Duration) float64 {
-	return max(0, w.Value(earlier, spread)-w.Value(later, spread))
-}
-
-// chance returns the probability that a time which is off by at most spread, each
-// value being as likely, is not after the limit.
-func chance(limit, expected, spread time.Duration) float64 {
-	if spread <= 0 {
-		if expected <= limit {
-			return 1
-		}
-		return 0
-	}
-	return min(1, max(0, float64(limit-expected+spread)/float64(2*spread)))
+	return worthOf[w.Class] * size
 }
