Coordinator: successors know when a former term can last have renewed leases

Cause: a coordinator renewed leases for 4 s after the store last confirmed its term, and a claim of the leadership could be that confirmation. Nobody else knows of claims, so a successor had to count 4 s and a lease from the begin of its own term.

Change: only durable appends confirm a term; all entries read them. A term records the hosts on which it renews no lease, with the time for which leases may still last there, once a second while there are jobs; it renews none before its first record, and none on a named host before a record without it is durable. A successor counts from these records; one that was started again after its former life had led counts from its start at the latest. While an entry of a version without such records is known, it counts as before.

Tests, with the part taken out (a successor that knows nothing of former terms): TestFormerLeasesExpire failed in 3 of 9 cases, TestLeaderChangesBesideSilentHosts 6.39 s after the last of three leader changes. Changed tests: TestClaimAfterChangeOfLeaderIsNoConfirmation is now TestOnlyAppendsConfirmTerm, which demands that no claim confirms; TestTakeoverIsNotConfirmedAfterChangeOfLeader went into it, a term is not confirmed by its begin at all. TestLogsShowTheCause expects the failed append before the end of the run, because the append of the leases fails first. newRunTerm confirms its term, as the append of the placement does.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -102,11 +102,12 @@
 	connectionRefused RefusalCheck
 	logger            log.Logger
 
-	generation       int64         // generation is that of the leadership in the last reply to a claim.
-	confirmedClaimAt time.Duration // confirmedClaimAt is when the claim that won the leadership, or the last one during the takeover, was sent.
-	vacancy          vacancy
-	takeover         *takeover // takeover is a term that is being started; nil if there is none.
-	term             *runningTerm
+	startedAt time.Duration // startedAt is when this process had started, and each former one of its member had ended.
+
+	generation int64 // generation is that of the leadership in the last reply to a claim.
+	vacancy    vacancy
+	takeover   *takeover // takeover is a term that is being started; nil if there is none.
+	term       *runningTerm
 }
 
 // runningTerm is a term with the group that it runs in.
@@ -116,7 +117,8 @@
 }
 
 // New returns a coordinator for the fleet whose ledger is in topic of store.
-// state and reader hold that ledger; the caller runs the reader. The
+// state and reader hold that ledger; the caller runs the reader, and has made sure
+// that no former process of the same member runs any more. The
 // coordinator does not lead a term before Run.
 func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
 	current *catalogue.Current, dial Dial, connectionRefused RefusalCheck, registry *metrics.Registry, logger log.Logger,
@@ -124,7 +126,7 @@
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
 		catalogue: current, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
-		vacancy: vacancy{removed: collection.NewSet[string]()},
+		vacancy: vacancy{removed: collection.NewSet[string]()}, startedAt: now(),
 	}
 	c.Apply(options)
 	reader.SetReadInterval(followerReadInterval)
@@ -209,12 +211,7 @@
 		c.stopTakeover()
 		c.endTerm("another process leads")
 		c.withdraw(ctx)
-	case c.term != nil:
-		c.term.confirmClaim(leadership.Generation, start)
-	default:
-		if c.takeover == nil || c.takeover.token == leadership.Generation {
-			c.confirmedClaimAt = start
-		}
+	case c.term == nil:
 		c.continueTakeover(ctx, leadership.Generation)
 	}
 }
@@ -278,7 +275,7 @@
 
 func (c *Coordinator) startTerm(ctx context.Context, token int64) {
 	g := group.New(ctx)
-	t := newTerm(c, token, c.confirmedClaimAt, g)
+	t := newTerm(c, token, g)
 	c.term = &runningTerm{t, g}
 	c.reader.SetReadInterval(0)
 	c.metrics.terms.Add(1)
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"time"
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/workload"
@@ -42,6 +43,7 @@
 	changed collection.Set[workload.ID]            // changed holds the jobs that changed since the last call of Changes.
 	notify  chan struct{}                          // notify buffers one signal that there are changes.
 	pending map[string]collection.Set[workload.ID] // pending holds the jobs of each queue that have not started.
+	terms   TermWrites
 }
 
 // NewState returns an empty state.
@@ -170,6 +172,8 @@
 		return s.applyJob(kind, workload.ID(name), r, deleted)
 	case EarlyCancellationKind:
 		return s.applyEarlyCancellation(name, r.Value, deleted)
+	case LeasesKind:
+		return s.applyLeases(r.Value, deleted)
 	default: // a kind of another writer
 		return nil
 	}
@@ -210,6 +214,7 @@
 			e.cancel()
 		}
 	case kind == ProgressKind && !deleted:
+		s.terms.LastAt = time.Now()
 		err = e.readProgress(string(id), r.Value)
 	case kind == CancellationKind && !deleted:
 		if err = checkCancellation(string(id), r.Value); err == nil {
