Coordinator: the leases of idle hosts are renewed as well

Cause: only appends confirm a term, and without jobs none was made, so the leases of an idle fleet were renewed no more. A start grants a lease of its own, so no work was lost by it; a minion without a lease is a change all the same that nobody asked for.

Change: without jobs the leases are recorded every 3 s, within the 4 s for which an append confirms the term; at the begin of a term at once.

TestNoRenewalBeforeItIsRecorded has the idle case, in which it hangs without the change (no append to wait for).

--- a/internal/fleet/coordinator/leases.go
+++ b/internal/fleet/coordinator/leases.go
@@ -13,6 +13,9 @@
 	// leasesInterval is the time between two records of the leases without a change,
 	// while there are jobs. Runs may go on for long without another append.
 	leasesInterval = time.Second
+	// idleLeasesInterval is that without jobs. It keeps the term confirmed, so that
+	// the leases of idle hosts are renewed as well.
+	idleLeasesInterval = 3 * time.Second
 	// suspendAfter is how long a host with runs is silent before its leases are not
 	// renewed without another record.
 	suspendAfter = renewalWait + silenceTimeout
@@ -84,7 +87,11 @@
 
 // leasesDue reports whether the leases are to be recorded.
 func (t *term) leasesDue(at time.Duration) bool {
-	return t.leasesChanged || len(t.jobs) > 0 && at-t.leasesEncodedAt >= leasesInterval
+	interval := idleLeasesInterval
+	if len(t.jobs) > 0 {
+		interval = leasesInterval
+	}
+	return t.leasesChanged || at-t.leasesEncodedAt >= interval
 }
 
 // suspendRenewals lets the leases of a host expire until its minion answers and a
--- a/internal/fleet/coordinator/leases_internal_test.go
+++ b/internal/fleet/coordinator/leases_internal_test.go
@@ -136,4 +136,10 @@
 
 	tm.confirmedAt.Store(int64(now() - confirmationValidity))
 	c.Check(renews(), qt.IsFalse)
+
+	clear(tm.jobs) // The leases of idle hosts are renewed as well.
+	tm.dirty.Remove(job.ID)
+	tm.leasesEncodedAt = now() - idleLeasesInterval
+	write()
+	c.Check(renews(), qt.IsTrue)
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -93,7 +93,7 @@
 		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.confirmedAt.Store(math.MinInt64 / 2)
-	t.leasesEncodedAt = t.begunAt - leasesInterval
+	t.leasesEncodedAt = t.begunAt - idleLeasesInterval
 	t.former = newFormerTerms(c.termWrites(), t.settings().Name, t.startedAt, t.begunAt)
 	t.state.Changes() // Discards the changes so far, which All includes.
 	for _, e := range t.state.All() {
