--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -98,6 +98,7 @@
 	state             *ledger.State
 	reader            *ledger.Reader
 	catalogue         *catalogue.Current
+	operatorsAsOf     func() time.Time // operatorsAsOf returns the time up to which catalogue has all records of the operators.
 	dial              Dial
 	connectionRefused RefusalCheck
 	logger            log.Logger
@@ -108,6 +109,8 @@
 	vacancy    vacancy
 	takeover   *takeover // takeover is a term that is being started; nil if there is none.
 	term       *runningTerm
+
+	leading atomic.Pointer[term] // leading is the term in progress, for calls from outside of Run; nil if there is none.
 }
 
 // runningTerm is a term with the group that it runs in.
@@ -118,14 +121,15 @@
 
 // New returns a coordinator for the fleet whose ledger is in topic of store.
 // state and reader hold that ledger; the caller runs the reader, and has made sure
-// that no former process of the same member runs any more. The
-// coordinator does not lead a term before Run.
+// that no former process of the same member runs any more. operatorsAsOf returns the
+// time up to which all records of the operators are in current, zero before the
+// first. The coordinator does not lead a term before Run.
 func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
-	current *catalogue.Current, dial Dial, connectionRefused RefusalCheck, registry *metrics.Registry, logger log.Logger,
+	current *catalogue.Current, operatorsAsOf func() time.Time, dial Dial, connectionRefused RefusalCheck, registry *metrics.Registry, logger log.Logger,
 ) *Coordinator {
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
-		catalogue: current, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
+		catalogue: current, operatorsAsOf: operatorsAsOf, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
 		vacancy: vacancy{removed: collection.NewSet[string]()}, startedAt: now(),
 	}
 	c.Apply(options)
@@ -277,6 +281,7 @@
 	g := group.New(ctx)
 	t := newTerm(c, token, g)
 	c.term = &runningTerm{t, g}
+	c.leading.Store(t)
 	c.reader.SetReadInterval(0)
 	c.metrics.terms.Add(1)
 	_ = level.Info(c.logger).Log("event", "term begun", "token", token, "jobs", len(t.jobs), "offset", c.state.Next())
@@ -287,6 +292,7 @@
 	if c.term == nil {
 		return
 	}
+	c.leading.Store(nil)
 	c.term.group.Stop()
 	err := c.term.group.Wait()
 	c.reader.SetReadInterval(followerReadInterval)
--- a/internal/fleet/coordinator/metrics.go
+++ b/internal/fleet/coordinator/metrics.go
@@ -11,9 +11,14 @@
 	placements       metrics.Counter
 	reservations     metrics.Counter
 	stops            metrics.Counter
+	preemptions      metrics.Counter
+	discarded        metrics.Counter
+	overloads        metrics.Counter
 	lost             metrics.Counter
 	startsUnanswered metrics.Counter
 	startsRefused    metrics.Counter
+	startsWithdrawn  metrics.Counter
+	leavingMoved     metrics.Counter
 	ends             map[host.Outcome]metrics.Counter
 	planTime         *metrics.Histogram
 	appendTime       *metrics.Histogram
@@ -26,9 +31,14 @@
 		placements:       r.Counter("coordinator-placements", "attempts", "Gangs and single tasks that were given to hosts."),
 		reservations:     r.Counter("coordinator-reservations", "reservations", "Reservations of hosts for gangs that wait for running work to end."),
 		stops:            r.Counter("coordinator-stops", "attempts", "Gangs and single tasks that were stopped."),
+		preemptions:      r.Counter("coordinator-preemptions", "attempts", "Gangs and single tasks that were stopped to make room for more urgent work."),
+		discarded:        r.Counter("coordinator-discarded", "core seconds", "Work that was discarded by stops and with lost runs."),
+		overloads:        r.Counter("coordinator-overloads", "times", "Times at which work of a rank began to give way to other work of its rank."),
 		lost:             r.Counter("coordinator-lost", "runs", "Runs that were given up without an outcome."),
 		startsUnanswered: r.Counter("coordinator-starts-unanswered", "calls", "Tries of a start that were not answered and may have been carried out."),
 		startsRefused:    r.Counter("coordinator-starts-refused", "calls", "Tries of a start that were refused without effect."),
+		startsWithdrawn:  r.Counter("coordinator-starts-withdrawn", "attempts", "Gangs and single tasks that were not started or stopped before their start was confirmed, because a host of theirs was evacuated."),
+		leavingMoved:     r.Counter("coordinator-leaving-moved", "attempts", "Gangs and single tasks that were stopped because a host of theirs is about to leave."),
 		ends:             make(map[host.Outcome]metrics.Counter),
 		planTime:         r.Histogram("coordinator-plan-time", "Time to decide on placements once."),
 		appendTime:       r.Histogram("coordinator-append-time", "Time until a batch of decisions was durable."),
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -65,7 +65,7 @@
 	units := make([]allocation.Unit, 0, len(t.attempts))
 	budgets := t.disruptionBudgets()
 	for _, a := range t.attempts {
-		if a.stopping || a.ended || t.endsSoon(a, at) {
+		if a.stopping || a.ended || t.endsSoon(a, at) || t.awaitsReport(a, at) {
 			continue
 		}
 		u := allocation.Unit{ID: a.id, Rank: allocation.RankOf(a.job.job.Priority, guaranteed.Has(a.job.job.ID)), Age: at - a.began, UsageByHost: make(map[string]workload.Resources)}
@@ -99,6 +99,9 @@
 		if !known {
 			return false
 		}
+		if t.settings().Adaptive && at-r.host.lastContact < silenceTimeout && left+at-r.host.lastContact > -soon {
+			left = max(left, 0) // It was not overdue when its host last answered, and may have ended since.
+		}
 		last = max(last, left)
 	}
 	return len(a.runs) > 0 && -soon < last && last < soon
@@ -118,7 +121,7 @@
 // is stopped. Checkpointing tasks save their work when they are stopped, so
 // only their restart counts.
 func (t *term) runPreemptionCost(r *run, at time.Duration) float64 {
-	lost := at - r.startedAt
+	lost := at - r.startedAt + t.workBeforeAdoption(r)
 	if r.attempt.definition().LongRunning {
 		lost = min(lost, longRunningRestartTime)
 	}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -43,6 +43,8 @@
 
 	begunAt         time.Duration
 	former          formerTerms
+	leasesChanged   bool          // leasesChanged is set when the next record of the leases names other hosts.
+	leasesEncodedAt time.Duration // leasesEncodedAt is when they were last recorded.
 	jobs            map[workload.ID]*jobState
 	hosts           map[string]*hostState // hosts holds agents by member name, and hosts that only tasks name.
 	attempts        map[int]*attempt
@@ -50,11 +52,13 @@
 	writer          writer
 	membersReadAt   time.Duration // membersReadAt is when the members were last read.
 	headroom        headroom
+	workSizes       workSizes
+	overloads       map[competition]overload
+	outlooks        outlooks
 	reservations    reservations
 	early           earlyCancellations
-	leasesChanged   bool          // leasesChanged is set when the next record of the leases names other hosts.
-	leasesEncodedAt time.Duration // leasesEncodedAt is when they were last recorded.
 	adviceCalls     adviceCalls
+	evacuations     evacuations
 	needsPlan       bool                        // needsPlan is set when something has changed that a plan depends on.
 	nextPlanAt      time.Duration               // nextPlanAt is when the next plan may be made.
 	dirty           collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
@@ -76,6 +80,7 @@
 	failuresByStep map[int]*stepFailures // failuresByStep holds the failed runs of each step; see the method failures.
 	startNoticedAt time.Duration         // startNoticedAt is when the first start of a task was noticed; 0 before, and once an append has it.
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
+	measured       map[int]time.Duration // measured holds how long the tasks of a step take by the progress of its fastest run.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
 }
 
@@ -90,7 +95,7 @@
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
-		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)}, workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.confirmedAt.Store(math.MinInt64 / 2)
 	t.leasesEncodedAt = t.begunAt - idleLeasesInterval
@@ -146,6 +151,7 @@
 	wake := time.NewTimer(0)
 	defer wake.Stop()
 	for {
+		t.readEvacuations()
 		t.readMembers()
 		t.expireLeases()
 		t.removeEndedJobs()
@@ -165,10 +171,12 @@
 			event()
 		case <-t.state.Changed():
 			t.readChanges()
+		case <-t.evacuationsChanged():
 		case <-wake.C:
 		case <-ticker.C:
 			t.checkProgress()
 			t.writeStarts()
+			t.updateOutlooks()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
 		}
 		t.drainEvents()
@@ -219,6 +227,7 @@
 		_ = level.Error(t.logger).Log("event", "progress unknown", "job", e.Job.ID, "outcome", "not placed until former runs have ended", "wait", t.formerRunsEnd()-now())
 	}
 	t.jobs[e.Job.ID] = j
+	t.workSizes.add(e.Job)
 	t.needsPlan = true
 	if e.Progress != nil && e.Progress.Matches(e.Job) {
 		j.progress = e.Progress.Clone()
@@ -229,7 +238,8 @@
 			j.progress.MarkStarted() // Otherwise the state that callers see could go back to pending.
 		}
 		_ = level.Info(t.logger).Log("event", "job received", "job", e.Job.ID, "queue", e.Job.Queue, "organisation", e.Job.Organisation,
-			"priority", e.Job.Priority, "offset", e.SubmissionOffset, "age", time.Since(e.Job.Submitted).Round(time.Millisecond))
+			"priority", e.Job.Priority, "offset", e.SubmissionOffset, "age", time.Since(e.Job.Submitted).Round(time.Millisecond),
+			"due-in", time.Until(e.Job.Due(0)).Round(time.Millisecond), "estimate", e.Job.CriticalPath(), "work", math.Round(e.Job.Work()))
 	}
 	switch {
 	case e.Cancelled:
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -46,7 +46,7 @@
 func (t *term) flush() {
 	at := now()
 	due := t.leasesDue(at)
-	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && !due {
+	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 && !due {
 		return
 	}
 	records, written := t.encodeDirty()
@@ -56,6 +56,7 @@
 	} else {
 		t.effects = nil
 	}
+	records = append(records, t.outlooks.take()...)
 	var resumed []*hostState
 	if due {
 		var record ledger.Record
--- a/internal/record/ledger/leases_test.go
+++ b/internal/record/ledger/leases_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
 )
 
@@ -43,3 +44,32 @@
 		})
 	}
 }
+
+// Guards against a term that is taken to have ended before its last append, because the
+// record of that append is not counted.
+func TestEachRecordOfTermCounts(t *testing.T) {
+	progress, err := ledger.EncodeProgress(&workload.Progress{Job: "job", State: workload.Done})
+	if err != nil {
+		t.Fatal(err)
+	}
+	leases, err := ledger.EncodeLeases(ledger.Leases{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, tt := range map[string]struct {
+		record ledger.Record
+		counts bool
+	}{
+		"progress":        {progress, true},
+		"leases":          {leases, true},
+		"outlook":         {ledger.Record{Key: ledger.OutlookKind.Key("app"), Value: []byte("{}")}, true},
+		"job":             {ledger.Record{Key: ledger.JobKind.Key("job"), Value: []byte("{}")}, false},
+		"removal of ends": {ledger.Tombstone(ledger.ProgressKind, "job"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := ledger.NewState()
+			_ = s.Apply(ledger.Page{Records: []ledger.StoredRecord{{Record: tt.record}}, Next: 1}) // A record that can't be read counts as well.
+			qt.New(t).Check(s.TermWrites().LastAt.IsZero(), qt.Equals, !tt.counts)
+		})
+	}
+}
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -8,6 +8,7 @@
 	"github.com/go-kit/log/level"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/outlook"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
 )
@@ -21,30 +22,59 @@
 	if _, cancelled := g.state.EarlyCancellation(a.job, a.organisation); cancelled {
 		return Answer{Outcome: Refused, Reason: "the job was cancelled before it was submitted"}
 	}
-	submission, err := g.options.Decode(c.Body)
-	if err != nil {
-		return Answer{Outcome: Invalid, Reason: err.Error()}
-	}
-	q := a.queue
-	if q.UsesAdviser && !g.options.HasAdviser {
+	if a.queue.UsesAdviser && !g.options.HasAdviser {
 		return Answer{Outcome: Refused, Reason: "the queue needs a placement adviser, and the settings name none"}
 	}
-	job := workload.Job{
-		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: submission.Spec, Steps: submission.Steps, Schedule: submission.Schedule,
-		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
+	record, denial := g.encodeJob(ctx, c, a)
+	if denial != nil {
+		return *denial
+	}
+	stored := func() bool {
+		e, ok := g.state.Job(a.job)
+		return ok && e.Job.Organisation == a.organisation
+	}
+	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
+}
+
+// encodeJob returns the record of a submitted job, or the answer to a call that has
+// none, or whose job its service can't serve.
+func (g *Gateway) encodeJob(ctx context.Context, c *activeCall, a admission) (ledger.Record, *Answer) {
+	if answer := c.loadBody(ctx); answer != nil {
+		return ledger.Record{}, answer
+	}
+	if err := g.decoding.Acquire(ctx, 1); err != nil {
+		return ledger.Record{}, &Answer{Outcome: Refused, Reason: "too many jobs are being read", RetryAfter: retryAfter}
+	}
+	defer g.decoding.Release(1)
+	submission, err := g.options.Decode(c.Body)
+	if err != nil { // The error may quote the body.
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: shorten(err.Error())}
 	}
+	job := newJob(a, submission)
 	if err := job.Validate(); err != nil {
-		return Answer{Outcome: Invalid, Reason: err.Error()}
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: err.Error()}
+	}
+	if refusal, refused := g.refuse(job); refused {
+		return ledger.Record{}, &Answer{Outcome: Refused, Reason: refusal.Reason, RetryAfter: refusal.RetryAfter}
 	}
 	record, err := ledger.EncodeJob(job)
 	if err != nil {
-		return Answer{Outcome: Invalid, Reason: err.Error()}
+		return ledger.Record{}, &Answer{Outcome: Invalid, Reason: err.Error()}
 	}
-	stored := func() bool {
-		e, ok := g.state.Job(a.job)
-		return ok && e.Job.Organisation == a.organisation
+	return record, nil
+}
+
+// refuse returns the refusal of a new job by the outlook of its service. Without a recent
+// read of the ledger the job is accepted.
+func (g *Gateway) refuse(job workload.Job) (outlook.Refusal, bool) {
+	if g.jobReader.Failing() || time.Since(g.jobReader.AsOf()) > maxReadAge {
+		return outlook.Refusal{}, false
 	}
-	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
+	o, known := g.state.Outlook(job.Service)
+	if !known {
+		return outlook.Refusal{}, false
+	}
+	return o.Refuse(job, time.Now())
 }
 
 // cancel records the cancellation of a job that has not ended, or that is not known.
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -5,11 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"golang.org/x/sync/semaphore"
 
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
@@ -30,6 +32,8 @@
 	// retryAfter is the retry delay for clients refused during an outage. The gateway
 	// retries the store well within this time.
 	retryAfter = time.Second
+	// maxDecoding bounds how many jobs are decoded at a time.
+	maxDecoding = 2
 )
 
 // Method is the operation that a call requests.
@@ -62,6 +66,10 @@
 	Wait      time.Duration // Wait is the client's timeout for the answer.
 	Body      []byte
 	Forwarded bool // Forwarded is set for calls from another entry, which are not forwarded again.
+	// ReadBody reads the body of a Submit call; nil if Body has it. It is called at most
+	// once, and only if the body is needed: to submit the job or to forward the call. If
+	// it fails, it returns the answer to the call.
+	ReadBody func() ([]byte, *Answer)
 }
 
 // Outcome is the result of a call.
@@ -79,9 +87,11 @@
 	Refused     // Refused means that the call definitely had no effect.
 	Undecided   // Undecided means that the call may have had its effect; the client must retry.
 	Unavailable // Unavailable means that a query cannot be answered now.
+	TooLarge    // TooLarge means that the body is over its limit. Entries don't forward it.
+	TooSlow     // TooSlow means that the body did not arrive in time. Entries don't forward it.
 )
 
-var outcomeNames = [...]string{"accepted", "known", "counted", "unknown-queue", "unknown-job", "unauthorised", "invalid", "refused", "undecided", "unavailable"}
+var outcomeNames = [...]string{"accepted", "known", "counted", "unknown-queue", "unknown-job", "unauthorised", "invalid", "refused", "undecided", "unavailable", "too-large", "too-slow"}
 
 // String returns the name of the outcome.
 func (o Outcome) String() string {
@@ -136,10 +146,11 @@
 	currentConfig *catalogue.Current
 	logger        log.Logger
 	draining      atomic.Bool
-	maxConfigAge  atomic.Int64    // maxConfigAge is the current value of Options.MaxConfigAge, in nanoseconds.
-	lastDenial    atomic.Int64    // lastDenial is when the last call arrived that admit denied before the denial was confirmed, in Unix nanoseconds.
-	seenVersion   atomic.Int64    // seenVersion is the newest configuration version of the answers to forwarded calls.
-	appendTimeout adaptiveTimeout // appendTimeout limits append attempts.
+	maxConfigAge  atomic.Int64        // maxConfigAge is the current value of Options.MaxConfigAge, in nanoseconds.
+	lastDenial    atomic.Int64        // lastDenial is when the last call arrived that admit denied before the denial was confirmed, in Unix nanoseconds.
+	seenVersion   atomic.Int64        // seenVersion is the newest configuration version of the answers to forwarded calls.
+	appendTimeout adaptiveTimeout     // appendTimeout limits append attempts.
+	decoding      *semaphore.Weighted // decoding bounds how many jobs are decoded at a time, because they take most memory then.
 	metrics       callMetrics
 }
 
@@ -148,7 +159,7 @@
 func New(options Options, store ledger.Store, state *ledger.State, jobReader, configReader *ledger.Reader, current *catalogue.Current, logger log.Logger) *Gateway {
 	g := &Gateway{
 		options: options, store: store, state: state, jobReader: jobReader, configReader: configReader, currentConfig: current, logger: logger,
-		metrics: newCallMetrics(options.Registry),
+		metrics: newCallMetrics(options.Registry), decoding: semaphore.NewWeighted(maxDecoding),
 	}
 	g.SetMaxConfigAge(options.MaxConfigAge)
 	return g
@@ -187,7 +198,7 @@
 	}
 	g.metrics.record(c.Method, answer.Outcome, time.Since(begin))
 	_ = level.Info(g.logger).Log("event", "call", "method", c.Method, "job", jobIDFromPath(c.Path), "outcome", answer.Outcome, "state", answer.State,
-		"reason", answer.Reason, "took", time.Since(begin).Round(time.Microsecond), "forwarded", c.Forwarded, "attempts", active.attempts.made, "unproved", active.attempts.unproved,
+		"reason", shorten(answer.Reason), "took", time.Since(begin).Round(time.Microsecond), "forwarded", c.Forwarded, "attempts", active.attempts.made, "unproved", active.attempts.unproved,
 		"configuration", answer.Version, "configuration-age", ageOf(g.configReader.AsOf()), "ledger-age", ageOf(g.jobReader.AsOf()), "offset", g.state.Next())
 	return answer
 }
@@ -219,14 +230,19 @@
 	return time.Since(at).Round(time.Millisecond)
 }
 
-// jobIDFromPath returns the last element of the path.
+// jobIDFromPath returns the last element of the path, shortened.
 func jobIDFromPath(path string) string {
-	for i := len(path) - 1; i >= 0; i-- {
-		if path[i] == '/' {
-			return path[i+1:]
-		}
+	return shorten(path[strings.LastIndexByte(path, '/')+1:])
+}
+
+// maxLoggedBytes bounds text of a client in a log line.
+const maxLoggedBytes = 256
+
+func shorten(text string) string {
+	if len(text) > maxLoggedBytes {
+		return text[:maxLoggedBytes] + "..."
 	}
-	return path
+	return text
 }
 
 func (g *Gateway) serve(ctx context.Context, c *activeCall) Answer {
