--- a/internal/fleet/coordinator/avoidance_internal_test.go
+++ b/internal/fleet/coordinator/avoidance_internal_test.go
@@ -26,7 +26,7 @@
 	qt.New(t).Assert(current.Apply(ledger.Page{Records: []ledger.StoredRecord{{Record: ledger.Record{Key: "config", Value: []byte("1")}}}}), qt.IsNil)
 	c := &Coordinator{logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), state: ledger.NewState(), catalogue: current}
 	c.Apply(Options{MaxLease: 10 * time.Second})
-	tm := newTerm(c, 2, group.New(context.Background()))
+	tm := newTerm(c, 2, now(), group.New(context.Background()))
 	t.Cleanup(func() { tm.group.Stop(); _ = tm.group.Wait() })
 	for _, name := range hosts {
 		h := tm.host(name)
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -106,12 +106,11 @@
 	connectionRefused RefusalCheck
 	logger            log.Logger
 
-	startedAt time.Duration // startedAt is when this process had started, and each former one of its member had ended.
-
-	generation int64 // generation is that of the leadership in the last reply to a claim.
-	vacancy    vacancy
-	takeover   *takeover // takeover is a term that is being started; nil if there is none.
-	term       *runningTerm
+	generation       int64         // generation is that of the leadership in the last reply to a claim.
+	confirmedClaimAt time.Duration // confirmedClaimAt is when the claim that won the leadership, or the last one during the takeover, was sent.
+	vacancy          vacancy
+	takeover         *takeover // takeover is a term that is being started; nil if there is none.
+	term             *runningTerm
 
 	leading atomic.Pointer[term] // leading is the term in progress, for calls from outside of Run; nil if there is none.
 }
@@ -123,17 +122,16 @@
 }
 
 // New returns a coordinator for the fleet whose ledger is in topic of store.
-// state and reader hold that ledger; the caller runs the reader, and has made sure
-// that no former process of the same member runs any more. operatorsAsOf returns the
-// time up to which all records of the operators are in current, zero before the
-// first. The coordinator does not lead a term before Run.
+// state and reader hold that ledger; the caller runs the reader. operatorsAsOf
+// returns the time up to which all records of the operators are in current, zero
+// before the first. The coordinator does not lead a term before Run.
 func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
 	current *catalogue.Current, operatorsAsOf func() time.Time, dial Dial, connectionRefused RefusalCheck, registry *metrics.Registry, logger log.Logger,
 ) *Coordinator {
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
 		catalogue: current, operatorsAsOf: operatorsAsOf, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
-		vacancy: vacancy{removed: collection.NewSet[string]()}, startedAt: now(),
+		vacancy: vacancy{removed: collection.NewSet[string]()},
 	}
 	c.Apply(options)
 	reader.SetReadInterval(followerReadInterval)
@@ -218,7 +216,12 @@
 		c.stopTakeover()
 		c.endTerm("another process leads")
 		c.withdraw(ctx)
-	case c.term == nil:
+	case c.term != nil:
+		c.term.confirmClaim(leadership.Generation, start)
+	default:
+		if c.takeover == nil || c.takeover.token == leadership.Generation {
+			c.confirmedClaimAt = start
+		}
 		c.continueTakeover(ctx, leadership.Generation)
 	}
 }
@@ -282,7 +285,7 @@
 
 func (c *Coordinator) startTerm(ctx context.Context, token int64) {
 	g := group.New(ctx)
-	t := newTerm(c, token, g)
+	t := newTerm(c, token, c.confirmedClaimAt, g)
 	c.term = &runningTerm{t, g}
 	c.leading.Store(t)
 	c.reader.SetReadInterval(0)
--- a/internal/fleet/coordinator/coordinator_internal_test.go
+++ b/internal/fleet/coordinator/coordinator_internal_test.go
@@ -36,18 +36,18 @@
 	return s.claim, nil
 }
 
-// Guards against a term that counts as the newest although another one has begun, or
-// has begun and ended since, and against one whose successors can't know by its appends
-// how long it has gone on.
-func TestOnlyAppendsConfirmTerm(t *testing.T) {
+// Guards against a term that counts as the newest although another one has begun and
+// ended since: the leadership may have come back to this process meanwhile.
+func TestClaimAfterChangeOfLeaderIsNoConfirmation(t *testing.T) {
 	const token = 1
 	for name, tt := range map[string]struct {
 		generation int64 // generation is that of the claims after the first.
 		fenced     bool  // fenced is set if another term has begun.
+		confirmed  bool
 	}{
-		"no change":                        {token, false},
-		"another candidate came and went":  {token + 2, false},
-		"another term has begun and ended": {token + 2, true},
+		"no change":                        {token, false, true},
+		"another candidate came and went":  {token + 2, false, true},
+		"another term has begun and ended": {token + 2, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
@@ -56,25 +56,24 @@
 			co := &Coordinator{
 				reader: ledger.NewReader(store, "", ledger.NewState(), 0, log.NewNopLogger()),
 				logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), store: store, state: ledger.NewState(),
-				vacancy: vacancy{removed: collection.NewSet[string]()}, generation: token,
+				vacancy: vacancy{removed: collection.NewSet[string]()}, generation: token, confirmedClaimAt: now(),
 			}
 			co.Apply(Options{Name: "one"})
-			tm := newTerm(co, token, group.New(ctx))
+			tm := newTerm(co, token, now(), group.New(ctx))
 			job := workload.Job{ID: "job", Steps: []workload.Step{{Count: 1}}}
-			progress := workload.NewProgress(job)
-			progress.Place(job.TaskID(0, 0), 1, "host", "m@1")
-			tm.adoptJob(ledger.JobEntry{Job: job, Accepted: true, Progress: progress})
+			tm.adoptJob(ledger.JobEntry{Job: job, Accepted: true})
 			co.term = &runningTerm{tm, tm.group}
 			defer co.endTerm("the test ends")
-			confirmed := func() bool { return tm.mayRenew() }
+			confirmed := func() bool { return tm.confirmedAt.Load() > 0 }
 			if tt.fenced {
 				c.Assert(store.AppendFenced(ctx, "", ledger.Fence{Writer: writerName, Epoch: token + 1}, nil), qt.IsNil)
 			}
 			store.claim.Generation = tt.generation
-			c.Check(confirmed(), qt.IsFalse)
+			tm.confirmedAt.Store(0)
 			co.campaign(ctx)
+			c.Check(confirmed(), qt.Equals, tt.generation == token)
 			co.campaign(ctx) // The generation is the same as before now.
-			c.Check(confirmed(), qt.IsFalse)
+			c.Check(confirmed(), qt.Equals, tt.generation == token)
 			tm.group.Go("loop", func(ctx context.Context) error {
 				for {
 					tm.flush()
@@ -89,13 +88,32 @@
 			})
 			waitUntil(c, func() bool { return confirmed() || tm.group.Context().Err() != nil })
 			c.Check(tm.group.Context().Err() != nil, qt.Equals, tt.fenced)
-			c.Check(confirmed(), qt.Equals, !tt.fenced)
-			if !tt.fenced {
+			c.Check(confirmed(), qt.Equals, tt.confirmed)
+			if tt.confirmed {
 				time.Sleep(50 * time.Millisecond) // Further appends would follow.
 				appends, ok := callLoop(ctx, tm, func() int64 { return tm.writer.sequence })
 				c.Check(ok, qt.IsTrue)
 				c.Check(appends <= 1, qt.IsTrue, qt.Commentf("%d appends", appends))
+				tm.confirmedAt.Store(0)
+				co.campaign(ctx)
+				c.Check(confirmed(), qt.IsTrue)
 			}
 		})
 	}
 }
+
+// Guards against a new term that counts as confirmed by a claim after which another
+// process may have led.
+func TestTakeoverIsNotConfirmedAfterChangeOfLeader(t *testing.T) {
+	for name, generation := range map[string]int64{"no change": 1, "change": 3} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			store := &claimedStore{fleetstore.New(), ledger.Leadership{IsLeader: true, Generation: generation}}
+			co := &Coordinator{logger: log.NewNopLogger(), store: store, generation: 1, takeover: &takeover{token: 1, group: group.New(context.Background()), ready: make(chan bool)}}
+			co.Apply(Options{})
+			co.campaign(context.Background())
+			co.stopTakeover()
+			c.Check(co.confirmedClaimAt != 0, qt.Equals, generation == 1)
+		})
+	}
+}
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -49,8 +49,6 @@
 	leaseExpiry          time.Duration // leaseExpiry is when every lease that this or a former term granted has certainly expired.
 	acknowledgedSequence int64         // acknowledgedSequence is the sequence number of the last ended run whose outcome is durable in the ledger.
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
-	suspended            bool          // suspended is set while the next record of the leases says that this term renews none on the host.
-	listed               bool          // listed is set while a record that says so may be the newest. No lease is renewed and no start is sent meanwhile.
 	incarnationKnown     bool          // incarnationKnown is set while the incarnation in minion is the one that answers, as far as this term knows.
 	runs                 map[runKey]*run
 	lateStarts           map[runKey]*lateStart     // lateStarts holds the released runs with a try of their start that may still be carried out.
@@ -140,9 +138,6 @@
 func (t *term) expireLeases() {
 	at := now()
 	for _, h := range t.hosts {
-		if len(h.runs) > 0 && !h.suspended && at-h.lastContact >= suspendAfter {
-			t.suspendRenewals(h)
-		}
 		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
 			continue
 		}
@@ -170,7 +165,7 @@
 
 // acceptsWork reports whether new runs may be placed on a host.
 func (h *hostState) acceptsWork(at time.Duration) bool {
-	return h.incarnationKnown && !h.listed && !h.gone && !h.silent && !h.minion.Draining && !h.evacuated && at-h.lastContact < renewalWait+silenceTimeout && !h.health.quarantined(at)
+	return h.incarnationKnown && !h.gone && !h.silent && !h.minion.Draining && !h.evacuated && at-h.lastContact < renewalWait+silenceTimeout && !h.health.quarantined(at)
 }
 
 // minionClockNow returns a time that the minion's clock has certainly reached.
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -162,18 +162,15 @@
 	startDelayed = startTry{delayed: true}
 )
 
-// nextTry returns the next try of a start. The start is delayed while the term has had
-// no durable append recently, because another term may have begun long ago; see
-// formerStartWindow. A process that was suspended can't tell otherwise. It is also
-// delayed while the host may have been evacuated, see startsHeld, and ends if the host
-// is evacuated. None is sent to a host on which no lease is renewed.
+// nextTry returns the next try of a start. The start is delayed while the store has
+// not confirmed the term recently, because another term may have begun long ago;
+// see formerStartWindow. A process that was suspended can't tell otherwise. It is
+// also delayed while the host may have been evacuated, see startsHeld, and ends if
+// the host is evacuated.
 func (t *term) nextTry(r *run) startTry {
 	switch {
 	case r.attempt.stopping || !r.held():
 		return startEnded
-	case r.host.listed:
-		t.stopAttempt(r.attempt, "its host has become silent")
-		return startEnded
 	case now()-time.Duration(t.confirmedAt.Load()) >= formerStartWindow:
 		return startDelayed
 	case t.startsHeld():
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -10,8 +10,9 @@
 	// stopMargin is added to TaskStopTimeout before a run that was stopped
 	// counts as ended.
 	stopMargin = 200 * time.Millisecond
-	// formerStartWindow is how long after its last durable append a term may send a
-	// start. The placement may just have become durable.
+	// formerStartWindow is how long after the begin of a term the former one may
+	// send a start. It sends none later than that after the store confirmed it, and
+	// its placement may just have become durable.
 	formerStartWindow = appendTimeout + startTimeout + callRetryDelay
 	// lateCallWindow is how long after it was sent a call without a reply may be
 	// carried out.
@@ -48,10 +49,10 @@
 // incarnation of the minion, because a start names only the minion's id.
 func (s *startTries) mayReachNext(at time.Duration) bool { return s.open > 0 && at <= s.lateUntil }
 
-// formerTries returns the tries of a former term whose last append was durable by a
+// formerTries returns the tries of a term that ended when another one began at a
 // time.
-func formerTries(lastAt time.Duration) startTries {
-	until := lastAt + formerStartWindow + maxLeaseDuration(startValidity)
+func formerTries(begunAt time.Duration) startTries {
+	until := begunAt + formerStartWindow + maxLeaseDuration(startValidity)
 	return startTries{open: 1, openUntil: until, lateUntil: until}
 }
 
--- a/internal/fleet/coordinator/proof_internal_test.go
+++ b/internal/fleet/coordinator/proof_internal_test.go
@@ -24,8 +24,7 @@
 func newRunTerm(t *testing.T, minion host.Minion) (*term, *run) {
 	c := &Coordinator{logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), state: ledger.NewState()}
 	c.Apply(Options{MaxLease: 10 * time.Second})
-	tm := newTerm(c, 2, group.New(context.Background()))
-	tm.confirm(now()) // as by the append of the placement
+	tm := newTerm(c, 2, now(), group.New(context.Background()))
 	t.Cleanup(func() { tm.group.Stop(); _ = tm.group.Wait() })
 	h := tm.host("host")
 	h.minion = minion
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -105,35 +105,32 @@
 	}
 }
 
-// prepareRenewal builds the next renewal in the loop of the term.
+// prepareRenewal builds the next renewal in the loop of the term. While the
+// store has not confirmed the term recently, the request fetches the status
+// report but renews nothing, so that the next term knows when the leases
+// expire.
 func (t *term) prepareRenewal(ctx context.Context, h *hostState) (host.RenewLeaseRequest, bool) {
-	return callLoop(ctx, t, func() host.RenewLeaseRequest { return t.renewalRequest(h) })
-}
-
-// renewalRequest returns the next renewal of a host. While the term has had no durable
-// append recently, or its record says that it renews no leases on the host, the request
-// fetches the status report but renews nothing, so that the next term knows when the
-// leases expire.
-func (t *term) renewalRequest(h *hostState) host.RenewLeaseRequest {
-	r := host.RenewLeaseRequest{Token: t.token, AcknowledgedSequence: h.acknowledgedSequence, Wait: renewalWait}
-	switch {
-	case !h.incarnationKnown || h.gone || h.silent || h.listed:
-		r.Wait = 0
-	case h.needsThrottling():
-		r.Wait = sharedRenewalWait
-	}
-	if h.incarnationKnown {
-		r.Incarnation = h.minion.Incarnation()
-	}
-	if h.incarnationKnown && !h.listed && t.mayRenew() {
-		r.LeaseUntil = h.minionClock + t.settings().MaxLease
-		h.leaseExpiry = max(h.leaseExpiry, h.lastContact+maxLeaseDuration(t.settings().MaxLease))
-	}
-	return r
+	return callLoop(ctx, t, func() host.RenewLeaseRequest {
+		r := host.RenewLeaseRequest{Token: t.token, AcknowledgedSequence: h.acknowledgedSequence, Wait: renewalWait}
+		switch {
+		case !h.incarnationKnown || h.gone || h.silent:
+			r.Wait = 0
+		case h.needsThrottling():
+			r.Wait = sharedRenewalWait
+		}
+		if h.incarnationKnown {
+			r.Incarnation = h.minion.Incarnation()
+		}
+		if h.incarnationKnown && t.mayRenew() {
+			r.LeaseUntil = h.minionClock + t.settings().MaxLease
+			h.leaseExpiry = max(h.leaseExpiry, h.lastContact+maxLeaseDuration(t.settings().MaxLease))
+		}
+		return r
+	})
 }
 
-// mayRenew reports whether this term has had a durable append recently enough. See
-// confirmationValidity.
+// mayRenew reports whether the store has confirmed recently enough that this
+// term leads. See confirmationValidity.
 func (t *term) mayRenew() bool {
 	return now()-time.Duration(t.confirmedAt.Load()) < confirmationValidity
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -21,8 +21,8 @@
 	tickInterval = 200 * time.Millisecond
 	// memberReadInterval is how often a term looks for new agents.
 	memberReadInterval = time.Second
-	// confirmationValidity is how long leases are renewed after the last durable
-	// append of the term.
+	// confirmationValidity is how long leases are renewed after the store last
+	// confirmed that the term is the newest.
 	confirmationValidity = 4 * time.Second
 	// maxPlanShare bounds the share of time that planning takes, so that
 	// renewals and calls still get through in a busy fleet.
@@ -39,34 +39,34 @@
 	group       *group.Group
 	logger      log.Logger
 	events      chan func()  // events holds functions that the loop runs in order.
-	confirmedAt atomic.Int64 // confirmedAt is when the last durable append of this term was sent, by the clock of now.
+	confirmedAt atomic.Int64 // confirmedAt is when the last call that confirmed that this term leads was sent, by the clock of now.
 
-	begunAt         time.Duration
-	former          formerTerms
-	leasesChanged   bool          // leasesChanged is set when the next record of the leases names other hosts.
-	leasesEncodedAt time.Duration // leasesEncodedAt is when they were last recorded.
-	jobs            map[workload.ID]*jobState
-	hosts           map[string]*hostState // hosts holds agents by member name, and hosts that only tasks name.
-	attempts        map[int]*attempt
-	nextID          int
-	writer          writer
-	membersReadAt   time.Duration // membersReadAt is when the members were last read.
-	headroom        headroom
-	workSizes       workSizes
-	overloads       map[competition]overload
-	outlooks        outlooks
-	reservations    reservations
-	early           earlyCancellations
-	paces           hostPaces
-	runTimes        runTimes
-	adviceCalls     adviceCalls
-	evacuations     evacuations
-	needsPlan       bool                        // needsPlan is set when something has changed that a plan depends on.
-	nextPlanAt      time.Duration               // nextPlanAt is when the next plan may be made.
-	dirty           collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
-	effects         []func()                    // effects run once the progress of all dirty jobs is durable.
-	endedJobs       []endedJob
-	endedIDs        collection.Set[workload.ID] // endedIDs holds the jobs that ended in this term; the ledger may show them as running for a moment.
+	claimedGeneration   atomic.Int64 // claimedGeneration is the generation in the reply to the last claim.
+	confirmedGeneration atomic.Int64 // confirmedGeneration is the generation up to which no other term has begun.
+
+	begunAt       time.Duration
+	jobs          map[workload.ID]*jobState
+	hosts         map[string]*hostState // hosts holds agents by member name, and hosts that only tasks name.
+	attempts      map[int]*attempt
+	nextID        int
+	writer        writer
+	membersReadAt time.Duration // membersReadAt is when the members were last read.
+	headroom      headroom
+	workSizes     workSizes
+	overloads     map[competition]overload
+	outlooks      outlooks
+	reservations  reservations
+	early         earlyCancellations
+	paces         hostPaces
+	runTimes      runTimes
+	adviceCalls   adviceCalls
+	evacuations   evacuations
+	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
+	nextPlanAt    time.Duration               // nextPlanAt is when the next plan may be made.
+	dirty         collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
+	effects       []func()                    // effects run once the progress of all dirty jobs is durable.
+	endedJobs     []endedJob
+	endedIDs      collection.Set[workload.ID] // endedIDs holds the jobs that ended in this term; the ledger may show them as running for a moment.
 }
 
 // jobState is a job that has not ended, or that still has runs.
@@ -93,7 +93,7 @@
 	removeAt time.Duration
 }
 
-func newTerm(c *Coordinator, token int64, g *group.Group) *term {
+func newTerm(c *Coordinator, token int64, confirmed time.Duration, g *group.Group) *term {
 	t := &term{
 		Coordinator: c, token: token, group: g, logger: log.With(c.logger, "token", token),
 		events: make(chan func(), eventBacklog), begunAt: now(),
@@ -102,9 +102,9 @@
 		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(), runTimes: newRunTimes(),
 		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
-	t.confirmedAt.Store(math.MinInt64 / 2)
-	t.leasesEncodedAt = t.begunAt - idleLeasesInterval
-	t.former = newFormerTerms(c.termWrites(), t.settings().Name, t.startedAt, t.begunAt)
+	t.claimedGeneration.Store(token)
+	t.confirmedGeneration.Store(token)
+	t.confirm(confirmed)
 	t.state.Changes() // Discards the changes so far, which All includes.
 	for _, e := range t.state.All() {
 		t.adoptJob(e)
@@ -112,17 +112,36 @@
 	return t
 }
 
-// confirm records that an append that was sent at a time is durable, which confirms
-// that this term was the newest. The time of the reply would be too late, because
-// another term may begin while the reply is under way. A claim of the leadership
-// confirms nothing: the next term has read all appends of this one, and knows by them
-// how long it may have gone on.
+// confirm records that the store confirmed this term as the newest in reply to a
+// call that was sent at a time. The time of the reply would be too late, because
+// another term may begin while the reply is under way.
 func (t *term) confirm(at time.Duration) {
 	if int64(at) > t.confirmedAt.Load() {
 		t.confirmedAt.Store(int64(at))
 	}
 }
 
+// confirmClaim records the reply to a claim that was sent at a time. After a change
+// of the generation it confirms the term only once an append has: the leadership
+// may have gone to another process, which has begun a term, and come back.
+func (t *term) confirmClaim(generation int64, at time.Duration) {
+	t.claimedGeneration.Store(generation)
+	if t.confirmedGeneration.Load() == generation {
+		t.confirm(at)
+	}
+}
+
+// requestConfirmation lets the next append happen if a claim waits for one.
+func (t *term) requestConfirmation() {
+	if len(t.dirty) > 0 || t.claimedGeneration.Load() == t.confirmedGeneration.Load() {
+		return
+	}
+	for id := range t.jobs {
+		t.dirty.Add(id) // Its progress is recorded again.
+		return
+	}
+}
+
 // post queues an event for the loop. It reports false when the term has ended.
 func (t *term) post(event func()) bool {
 	select {
@@ -276,15 +295,11 @@
 			id := j.job.TaskID(s, i)
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
 			r.phase = adopted
-			expiry, tries := t.former.leaseExpiry(r.host.name, t.settings().MaxLease)
-			r.tries = tries
+			r.tries = formerTries(t.begunAt)
 			if a.definition().BestEffort {
 				r.speedPercent = unknownSpeed
 			}
-			r.host.leaseExpiry = max(r.host.leaseExpiry, expiry)
-			if r.host.lastContact == 0 && !r.host.suspended {
-				t.suspendRenewals(r.host)
-			}
+			r.host.leaseExpiry = max(r.host.leaseExpiry, t.formerLeasesEnd())
 		}
 	}
 }
--- a/internal/fleet/coordinator/trace_test.go
+++ b/internal/fleet/coordinator/trace_test.go
@@ -85,7 +85,7 @@
 				f.store.SetFaults(fleetstore.Faults{})
 				f.awaitState(j.ID, workload.Done)
 			},
-			[]string{`event=placed job=job `, `event="append failed"`, `outcome=completed`, `event="append done"`, `event="job ended" job=job state=done`},
+			[]string{`event=placed job=job `, `outcome=completed`, `event="append failed"`, `event="append done"`, `event="job ended" job=job state=done`},
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -44,9 +44,10 @@
 // flush appends the progress of all dirty jobs, unless a batch is in flight.
 // Effects that depend on it run once it is durable.
 func (t *term) flush() {
-	at := now()
-	due := t.leasesDue(at)
-	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 && !due {
+	if !t.writer.busy {
+		t.requestConfirmation()
+	}
+	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 {
 		return
 	}
 	records, written := t.encodeDirty()
@@ -57,16 +58,6 @@
 		t.effects = nil
 	}
 	records = append(records, t.outlooks.take()...)
-	var resumed []*hostState
-	if due {
-		var record ledger.Record
-		var err error
-		if record, resumed, err = t.encodeLeases(at); err != nil {
-			_ = level.Error(t.logger).Log("event", "encoding leases failed", "reason", err)
-		} else {
-			records = append(records, record)
-		}
-	}
 	if len(records) == 0 {
 		t.runEffects(effects, written)
 		return
@@ -74,6 +65,7 @@
 	t.writer.busy = true
 	t.writer.sequence++
 	fence := ledger.Fence{Writer: writerName, Epoch: t.token, Sequence: t.writer.sequence}
+	generation := t.claimedGeneration.Load()
 	t.group.Go("append", func(ctx context.Context) error {
 		start := now()
 		if err := t.appendWithRetry(ctx, fence, records); err != nil {
@@ -82,7 +74,7 @@
 		t.post(func() {
 			t.writer.busy = false
 			t.confirm(start)
-			t.resume(resumed)
+			t.confirmedGeneration.Store(generation)
 			t.metrics.appendTime.Record(now() - start)
 			t.runEffects(effects, written)
 		})
--- a/internal/fleet/coordinator/writer_internal_test.go
+++ b/internal/fleet/coordinator/writer_internal_test.go
@@ -60,7 +60,7 @@
 	job := workload.Job{ID: "job", Steps: []workload.Step{{Count: workload.MaxTasks, Gang: gang}}}
 	c := &Coordinator{logger: log.NewNopLogger(), metrics: newMetricSet(metrics.For(t.Name())), store: fleetstore.New(), state: ledger.NewState(), catalogue: &catalogue.Current{}}
 	c.Apply(Options{})
-	tm := newTerm(c, 1, group.New(context.Background()))
+	tm := newTerm(c, 1, now(), group.New(context.Background()))
 	tm.adoptJob(ledger.JobEntry{Job: job, Accepted: true})
 	hosts := make([]*hostState, workload.MaxTasks)
 	for i := range hosts {
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"time"
 
 	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/outlook"
@@ -45,7 +44,6 @@
 	changed collection.Set[workload.ID]            // changed holds the jobs that changed since the last call of Changes.
 	notify  chan struct{}                          // notify buffers one signal that there are changes.
 	pending map[string]collection.Set[workload.ID] // pending holds the jobs of each queue that have not started.
-	terms   TermWrites
 }
 
 // NewState returns an empty state.
@@ -176,10 +174,7 @@
 	case EarlyCancellationKind:
 		return s.applyEarlyCancellation(name, r.Value, deleted)
 	case OutlookKind:
-		s.terms.LastAt = time.Now()
 		return s.applyOutlook(name, r.Value, deleted)
-	case LeasesKind:
-		return s.applyLeases(r.Value, deleted)
 	default: // a kind of another writer
 		return nil
 	}
@@ -241,7 +236,6 @@
 			e.cancel()
 		}
 	case kind == ProgressKind && !deleted:
-		s.terms.LastAt = time.Now()
 		err = e.readProgress(string(id), r.Value)
 	case kind == CancellationKind && !deleted:
 		if err = checkCancellation(string(id), r.Value); err == nil {
