Coordinator: a probation ends with time as well

Cause: a host on probation takes one task at a time until a task completes there. Long-running tasks never complete, so each host was closed for good.

Change: a probation ends 10 s after the last failure, the next ones after twice as long, up to a minute; failures are forgotten a minute after the last one. Cooldown and quarantine of a host that fails everything are unchanged. On their last attempt, steps use such a host last for that minute, as before.

TestHealth checks its probations at a time now, and that they end.

--- a/internal/fleet/coordinator/avoidance.go
+++ b/internal/fleet/coordinator/avoidance.go
@@ -83,7 +83,7 @@
 		}
 		candidates++
 		failedAt, avoid := failures.failedAt[name]
-		if lastAttempt && h.health.onProbation() {
+		if lastAttempt && h.health.suspected(at) {
 			failedAt, avoid = max(failedAt, h.health.failedAt), true
 		}
 		if avoid {
--- a/internal/fleet/coordinator/health.go
+++ b/internal/fleet/coordinator/health.go
@@ -16,8 +16,14 @@
 	// weight 1.
 	earlyFailureWeight = 2
 	// probationWeight is the weight of failures from which a host is on
-	// probation: it gets one task at a time until one succeeds.
+	// probation: it gets one task at a time until one succeeds, or for a time.
 	probationWeight = 2
+	// minProbation is the duration of a first probation. Without a limit, a host
+	// on which no task can begin, or on which none ends, would never leave it.
+	minProbation = 10 * time.Second
+	// maxProbation bounds the duration, which doubles with each further probation.
+	// Failures that are longer ago say nothing about a host.
+	maxProbation = time.Minute
 	// failureCooldown is how long a host gets no new work after an early
 	// failure. The failed task frees its resources at once, so the host would
 	// get the next tasks too.
@@ -33,13 +39,21 @@
 	maxQuarantine = 16 * time.Second
 )
 
-// health tracks the failures on a host, to tell a faulty host from faulty jobs.
+// health tracks the failures on a host, to tell a faulty host from faulty jobs. A
+// success there ends all of it. It may never come, where tasks do not end by themselves
+// or a job waits for the whole host; then each part ends with time, at the latest
+// maxProbation after the last failure.
+//
+// The load that it answers: a host that fails everything it starts and so would
+// attract all work, among jobs that fail on any host.
 type health struct {
 	failedJobs       collection.Set[workload.ID] // failedJobs holds the jobs that have failed on the host since the last success there.
 	failureWeight    int                         // failureWeight is the total weight of their failures.
 	quarantinedUntil time.Duration               // quarantinedUntil is the end of the quarantine or cooldown.
 	failedAt         time.Duration               // failedAt is when the last of them was recorded.
 	lastQuarantine   time.Duration               // lastQuarantine is the duration of the last quarantine; 0 if there was none since the last success.
+	probationUntil   time.Duration               // probationUntil is the end of the probation if no task succeeds before it.
+	lastProbation    time.Duration               // lastProbation is the duration of the last probation; 0 if there was none since the last success.
 }
 
 // recordSuccess forgets all failures and ends a quarantine or cooldown.
@@ -52,6 +66,9 @@
 	if jobSuspected {
 		return
 	}
+	if h.failureWeight > 0 && at >= h.failedAt+maxProbation {
+		*h = health{quarantinedUntil: h.quarantinedUntil}
+	}
 	if h.failedJobs == nil {
 		h.failedJobs = collection.NewSet[workload.ID]()
 	}
@@ -62,6 +79,12 @@
 		h.failureWeight += earlyFailureWeight - 1
 		h.quarantinedUntil = max(h.quarantinedUntil, at+failureCooldown)
 	}
+	if h.failureWeight >= probationWeight {
+		if !h.onProbation(at) {
+			h.lastProbation = min(max(minProbation, 2*h.lastProbation), maxProbation)
+		}
+		h.probationUntil = at + h.lastProbation
+	}
 	if h.failureWeight <= probationWeight || len(h.failedJobs) < minFailedJobs {
 		return
 	}
@@ -75,8 +98,14 @@
 	h.quarantinedUntil = max(h.quarantinedUntil, at+failureCooldown)
 }
 
-// onProbation reports whether the failures since the last success reach
-// probationWeight.
-func (h *health) onProbation() bool { return h.failureWeight >= probationWeight }
+// onProbation reports whether the host gets one task at a time, because the failures
+// since the last success have reached probationWeight not long ago.
+func (h *health) onProbation(at time.Duration) bool { return at < h.probationUntil }
+
+// suspected reports whether the failures since the last success reach probationWeight,
+// also after the probation. Steps on their last attempt use such a host last.
+func (h *health) suspected(at time.Duration) bool {
+	return h.failureWeight >= probationWeight && at < h.failedAt+maxProbation
+}
 
 func (h *health) quarantined(at time.Duration) bool { return at < h.quarantinedUntil }
--- a/internal/fleet/coordinator/health_internal_test.go
+++ b/internal/fleet/coordinator/health_internal_test.go
@@ -43,9 +43,39 @@
 			if tt.succeeded {
 				h.recordSuccess()
 			}
-			c.Check(h.onProbation(), qt.Equals, tt.onProbation)
+			c.Check(h.onProbation(minProbation-1), qt.Equals, tt.onProbation)
+			c.Check(h.onProbation(minProbation), qt.IsFalse)
 			c.Check(h.quarantinedUntil, qt.Equals, tt.until)
 			c.Check(h.quarantined(tt.until), qt.IsFalse)
 		})
 	}
 }
+
+// Guards against a host that never leaves its probation, because no task can end there,
+// and against one that fails everything and leaves it again and again.
+func TestProbationEnds(t *testing.T) {
+	const early = 300 * time.Millisecond
+	for name, tt := range map[string]struct {
+		failures []time.Duration
+		at       time.Duration
+		want     bool
+	}{
+		"once":                             {[]time.Duration{0}, minProbation, false},
+		"again during the probation":       {[]time.Duration{0, minProbation - 1}, 2*minProbation - 2, true},
+		"again, over":                      {[]time.Duration{0, minProbation - 1}, 2*minProbation - 1, false},
+		"again after it":                   {[]time.Duration{0, minProbation}, 3*minProbation - 1, true},
+		"again after it, over":             {[]time.Duration{0, minProbation}, 3 * minProbation, false},
+		"each time it has ended":           {[]time.Duration{0, 10 * time.Second, 30 * time.Second, 70 * time.Second, 130*time.Second - 1}, 130 * time.Second, true},
+		"bounded":                          {[]time.Duration{0, 10 * time.Second, 30 * time.Second, 70*time.Second + 1}, 70*time.Second + 1 + maxProbation, false},
+		"long after the former one":        {[]time.Duration{0, maxProbation}, maxProbation + minProbation, false},
+		"long after the former one, first": {[]time.Duration{0, maxProbation}, maxProbation + minProbation - 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var h health
+			for _, at := range tt.failures {
+				h.recordFailure("job", false, early, at)
+			}
+			qt.New(t).Check(h.onProbation(tt.at), qt.Equals, tt.want)
+		})
+	}
+}
--- a/internal/fleet/coordinator/long_running_test.go
+++ b/internal/fleet/coordinator/long_running_test.go
@@ -67,6 +67,24 @@
 	f.waitFor("nothing runs", func() bool { return len(f.running(0, j.ID))+len(f.running(1, j.ID)) == 0 })
 }
 
+// Guards against hosts that get no further task while long-running tasks last there that
+// have failed once at their start: no task ends there that could end the probation.
+func TestHostsOfLongRunningTasksLeaveProbation(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r2")
+	defer f.startCoordinator("one")()
+	s := longRunning(2, 1)
+	s.SpreadLimit = 1
+	j := f.submitWork(workload.Job{ID: "first", Steps: []workload.Step{s}}, fleethost.Work{Duration: shortDuration, Lasting: true})
+	f.waitFor("both are serving", func() bool { return f.servingTasks(j.ID) == 2 })
+	for m := range f.minionList {
+		f.minionList[m].End(j.TaskID(0, f.running(m, j.ID)[0].index)) // early
+	}
+	f.waitFor("both are serving again", func() bool { return f.servingTasks(j.ID) == 2 && f.starts(j.ID, 2) == 4 })
+	f.submitWork(workload.Job{ID: "second", Steps: []workload.Step{longRunning(1, 1)}}, fleethost.Work{Duration: shortDuration, Lasting: true})
+	f.waitFor("the second one serves", func() bool { return f.servingTasks("second") == 1 })
+}
+
 // Guards against preempting more tasks of a long-running step than may be
 // unavailable at a time.
 func TestDisruptionBudget(t *testing.T) {
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -38,7 +38,7 @@
 		}
 		hosts = append(hosts, allocation.Host{
 			Name: h.name, Rack: h.minion.Rack, Service: h.minion.Service, Labels: collection.NewSet(h.minion.Labels...),
-			Open: h.acceptsWork(at), OnProbation: h.health.onProbation(), Capacity: h.minion.Capacity, Free: free, FutureFree: futureFree, Pace: t.paceOf(h),
+			Open: h.acceptsWork(at), OnProbation: h.health.onProbation(at), Capacity: h.minion.Capacity, Free: free, FutureFree: futureFree, Pace: t.paceOf(h),
 		})
 	}
 	slices.SortFunc(hosts, func(a, b allocation.Host) int { return cmp.Compare(a.Name, b.Name) })
