Pace: choose by pace only where hosts differ by 1.4 times or more

Change: slow and fast from 1.4 times on, so that sites with smaller differences place as before but for noise in the classes.

--- a/internal/fleet/pace/pace.go
+++ b/internal/fleet/pace/pace.go
@@ -53,14 +53,11 @@
 	// priorWeight is the weight, in fresh observations, of the assumption that a host
 	// is typical. The tasks of a step differ in length, so a single one proves little.
 	priorWeight = 2.0
-	// slowRatio is how many times slower than the typical host a slow host is at least.
-	// Urgent work has little time to spare, so small differences count.
-	slowRatio = 1.13
-	// fastRatio is how many times faster than the typical host a fast host is at least.
-	// Work that goes to fast hosts leaves fewer whole hosts free, which outweighs small
-	// differences.
-	fastRatio = 1.4
-	// keepShare is the share of these ratios down to which a host stays slow or fast, so
+	// classRatio is how many times slower or faster than the typical host a host has to
+	// be to leave the class Typical. A choice by pace leaves fewer whole hosts free, which
+	// outweighs smaller differences.
+	classRatio = 1.4
+	// keepShare is the share of classRatio down to which a host stays slow or fast, so
 	// that a host at the limit does not change its class all the time.
 	keepShare = 0.95
 	// rounds is how often the rates of steps and the paces of hosts are corrected by each other.
@@ -233,7 +230,7 @@
 
 // classOf returns the class of a host that was in a former class.
 func classOf(logPace float64, former Class) Class {
-	slow, fast := 1/slowRatio, fastRatio
+	slow, fast := 1/classRatio, classRatio
 	switch former {
 	case Slow:
 		slow /= keepShare
