Take the ports of started processes from blocks that no other program uses

Cause: the scripted scenarios reserve their ports at random between 20000 and 30000, close them again and start the processes later. The soak, which runs as one of these scenarios, takes its ports from 20000 to 32000 and holds them. Each kept its own list, so both used the same ports.

Whether that fails a test depends on who listens first.

Change: internal/base/loopback hands out ports in blocks; the first port of a block is held by the program that uses it.

--- a/cmd/hosted_test.go
+++ b/cmd/hosted_test.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -19,6 +17,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/loopback"
 	"wasabihoist/platform"
 )
 
@@ -31,22 +30,13 @@
 	ended   chan error
 }
 
-// freeAddress returns an address that no other test is given. Its port lies below
-// the range from which the system takes ports of outgoing connections.
+// freePorts belongs to all tests of the run, so that no address is given twice.
+var freePorts loopback.Ports
+
 func freeAddress(c *qt.C) netip.AddrPort {
-	const lowest, count, attempts = 20_000, 10_000, 1000
-	for range attempts {
-		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))
-		if _, given := givenAddresses.LoadOrStore(address, true); given {
-			continue
-		}
-		if l, err := net.Listen("tcp", address); err == nil {
-			c.Assert(l.Close(), qt.IsNil)
-			return netip.MustParseAddrPort(address)
-		}
-	}
-	c.Fatalf("no free address in %d tries", attempts)
-	return netip.AddrPort{}
+	address, err := freePorts.TakeAddress()
+	c.Assert(err, qt.IsNil)
+	return address
 }
 
 func startRealAgent(c *qt.C) *realAgent {
--- a/cmd/script_test.go
+++ b/cmd/script_test.go
@@ -2,15 +2,10 @@
 
 import (
 	"encoding/json"
-	"errors"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
-	"sync"
 	"testing"
 	"time"
 
@@ -60,36 +55,17 @@
 	})
 }
 
-// givenAddresses holds the addresses of all scenarios of the run, which run at
-// the same time.
-var givenAddresses sync.Map
-
-// reserveAddresses sets one variable for each listener of the process
-// scenarios to a free loopback address. The ports lie below the range from
-// which the system takes ports of outgoing connections; one of that range was
-// taken between its reservation and the start of the process.
+// reserveAddresses sets one variable for each listener of the process scenarios to a
+// free loopback address.
 func reserveAddresses(env *testscript.Env) error {
-	const lowest, count, attempts = 20_000, 10_000, 1000
-	names := []string{"LOG", "WORKER1", "WORKER2", "MINION", "ANNOUNCE", "AGENT", "ENTRY", "CALLERS", "OPERATORS", "METRICS1", "METRICS2", "WORKER3", "WORKER4"}
-	for range attempts {
-		if len(names) == 0 {
-			return nil
-		}
-		address := fmt.Sprintf("127.0.0.1:%d", lowest+rand.IntN(count))
-		if _, given := givenAddresses.LoadOrStore(address, true); given {
-			continue // Another scenario of this run will listen there.
-		}
-		l, err := net.Listen("tcp", address)
+	for _, name := range []string{"LOG", "WORKER1", "WORKER2", "MINION", "ANNOUNCE", "AGENT", "ENTRY", "CALLERS", "OPERATORS", "METRICS1", "METRICS2", "WORKER3", "WORKER4"} {
+		address, err := freePorts.TakeAddress()
 		if err != nil {
-			continue
+			return err
 		}
-		// All listeners stay open until the last one is reserved, so that no
-		// address is given out twice.
-		defer func() { _ = l.Close() }()
-		env.Setenv(names[0], address)
-		names = names[1:]
+		env.Setenv(name, address.String())
 	}
-	return errors.New("no free loopback addresses")
+	return nil
 }
 
 // readGoEnvironment returns the settings with which a scenario builds the
--- a/internal/run/soak/deployment.go
+++ b/internal/run/soak/deployment.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/base/loopback"
 	"wasabihoist/internal/base/webserver"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
@@ -65,7 +66,7 @@
 	links   []*proxy   // links between processes, store and minions, both ways, and to the processes.
 	first   int        // first is the number of the links without those to the processes.
 	oracle  *oracle
-	ports   ports
+	ports   loopback.Ports
 	hosts   int // hosts is the number of hosts that are up with a minion or soon will be.
 
 	mu       sync.Mutex
@@ -149,8 +150,9 @@
 		metrics  = 4
 		callers  = 5 // callers of an entry or heartbeats of a minion
 		ready    = 6
+		count    = 7
 	)
-	first, err := d.ports.take(portsEach)
+	first, err := d.ports.Take(count)
 	if err != nil {
 		return err
 	}
@@ -178,7 +180,7 @@
 
 // link returns a new link to a target.
 func (d *deployment) link(g *group.Group, target netip.AddrPort) (*proxy, error) {
-	port, err := d.ports.take(1)
+	port, err := d.ports.Take(1)
 	if err != nil {
 		return nil, err
 	}
@@ -247,7 +249,7 @@
 		})
 	}
 	_ = ending.Wait() // The functions return no errors.
-	d.ports.release()
+	d.ports.Release()
 }
 
 // errFindings is returned when a promise was broken.
--- a/internal/run/soak/process_test.go
+++ b/internal/run/soak/process_test.go
@@ -79,26 +79,6 @@
 	c.Check(time.Since(p.started) >= beginTime, qt.IsTrue)
 }
 
-// Guards against soaks that give the same ports to their processes.
-func TestSoaksShareNoPorts(t *testing.T) {
-	c := qt.New(t)
-	var one, other ports
-	defer one.release()
-	defer other.release()
-	taken := make(map[uint16]bool)
-	for range 40 {
-		for _, p := range []*ports{&one, &other} {
-			first, err := p.take(portsEach)
-			c.Assert(err, qt.IsNil)
-			for i := range uint16(portsEach) {
-				c.Assert(taken[first+i], qt.IsFalse)
-				taken[first+i] = true
-			}
-		}
-	}
-	c.Check(len(one.claims) > 1, qt.IsTrue)
-}
-
 // Guards against a check of withdrawn keys that cannot fail, and against
 // findings about entries that refuse them.
 func TestWithdrawnKeysAreChecked(t *testing.T) {
