Pace: learn it from gangs, and tell hosts that differ by a quarter apart

What callers saw: gangs that end late because single members are on slow hosts.

Cause: gangs were left out as evidence, on the assumption that their members advance together. They begin and end together; in between each advances at the pace of its host. Single tasks differ in length by a third, so a difference of a quarter between hosts did not show, and the limit of the classes was 1.4: on all deployments but one no host was ever slow or fast.

Change: members of gangs are observed from the first percentage above 0 and weigh six times as much as other runs; a host is slow or fast from 1.12 times on. TestPaceIsLearnedFromRuns/gang wants slow now, where it wanted typical: the assumption was wrong. It and two new cases of TestPaceOfHost fail with the old limit or without gangs.

--- a/internal/fleet/coordinator/host_pace.go
+++ b/internal/fleet/coordinator/host_pace.go
@@ -33,23 +33,45 @@
 
 // observeProgress records the rate of a run from its progress so far.
 func (t *term) observeProgress(r *run) {
-	if r.percent < 100 && r.percent-r.firstPercent >= minPacePercent {
+	if r.percent < 100 && r.percent-r.paceBegin().percent >= minPacePercent {
 		t.observeRun(r, r.percent, r.progressedAt)
 	}
 }
 
-// observeEnd records the rate of a run that is complete.
-func (t *term) observeEnd(r *run) { t.observeRun(r, 100, now()) }
+// observeEnd records the rate of a run that is complete. A gang ends as a whole, which
+// shows the pace of its slowest host only.
+func (t *term) observeEnd(r *run) {
+	if !r.attempt.definition().Gang {
+		t.observeRun(r, 100, now())
+	}
+}
+
+// progressPoint is a percentage that a run has reached at a time.
+type progressPoint struct {
+	percent int
+	at      time.Duration
+}
+
+// paceBegin returns from where on the progress of a run shows its rate: its first report,
+// or for a member of a gang, which waits for the others, the first one above 0.
+func (r *run) paceBegin() progressPoint {
+	if r.attempt.definition().Gang {
+		return r.moved
+	}
+	return progressPoint{r.firstPercent, r.startedAt}
+}
 
 // observeRun records what a run shows of its host and of its step when it has reached a
 // percentage at a time.
 func (t *term) observeRun(r *run, percent int, at time.Duration) {
-	if !t.settings().Adaptive || !r.undisturbed() || at <= r.startedAt || percent <= r.firstPercent {
+	begin := r.paceBegin()
+	if !t.settings().Adaptive || !r.undisturbed() || at <= begin.at || percent <= begin.percent {
 		return
 	}
-	runTime := (at - r.startedAt) * 100 / time.Duration(percent-r.firstPercent)
-	if r.showsPace() {
-		t.paces.tracker.Observe(r.host.name, r.minion, pace.Run{Task: r.task, Number: r.number}, 1/runTime.Seconds(), now())
+	runTime := (at - begin.at) * 100 / time.Duration(percent-begin.percent)
+	if r.progress().Checkpoint == "" { // A run that resumes begins with a pause.
+		run := pace.Run{Task: r.task, Number: r.number, Gang: r.attempt.definition().Gang}
+		t.paces.tracker.Observe(r.host.name, r.minion, run, 1/runTime.Seconds(), now())
 	}
 	r.attempt.job.recordRunTime(r, time.Duration(float64(runTime)*t.paceOfAttempt(r.attempt)))
 }
@@ -65,11 +87,6 @@
 	return !s.Gang || !s.RackLocal || !slices.ContainsFunc(r.attempt.runs, func(o *run) bool { return o.host.minion.Rack != rack })
 }
 
-// showsPace reports whether the rate of an undisturbed run can be compared with those of
-// other runs of its step. The members of a gang advance together, and a run that resumes
-// begins with a pause.
-func (r *run) showsPace() bool { return !r.attempt.definition().Gang && r.progress().Checkpoint == "" }
-
 // paceOfAttempt returns the pace of the slowest host of an attempt, 1 being typical.
 func (t *term) paceOfAttempt(a *attempt) float64 {
 	slowest := math.Inf(1)
--- a/internal/fleet/coordinator/host_pace_internal_test.go
+++ b/internal/fleet/coordinator/host_pace_internal_test.go
@@ -31,6 +31,7 @@
 		a := t.newAttempt(state, 0)
 		r := t.addRun(a, j.TaskID(0, i), 1, h, h.minion.Incarnation())
 		r.phase, r.reported, r.startedAt = running, true, now()-time.Second
+		r.moved = progressPoint{1, r.startedAt}
 		percent := others
 		if i < 4 {
 			percent = first
@@ -52,7 +53,7 @@
 	}{
 		"tasks":             {true, workload.Step{}, pace.Slow},
 		"not adaptive":      {false, workload.Step{}, pace.Typical},
-		"gang":              {true, workload.Step{Gang: true}, pace.Typical},
+		"gang":              {true, workload.Step{Gang: true}, pace.Slow},
 		"idle cores":        {true, workload.Step{BestEffort: true}, pace.Typical},
 		"away from data":    {true, workload.Step{DataRack: "other"}, pace.Typical},
 		"long-running task": {true, workload.Step{LongRunning: true}, pace.Typical},
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -45,6 +45,7 @@
 	startedAt        time.Duration // startedAt is when the run was placed or adopted, its start sent or answered, or the run first reported, whichever was last.
 	percent          int
 	firstPercent     int           // firstPercent is the percentage when the run was first reported; a run from a checkpoint may start above 0.
+	moved            progressPoint // moved is the first report of a percentage above 0; until then, the last report.
 	progressedAt     time.Duration // progressedAt is when the percentage or the speed last changed.
 	checkpoint       string
 	checkpointedAt   time.Duration // checkpointedAt is when the checkpoint last changed.
@@ -115,6 +116,9 @@
 	if !r.reported {
 		r.reported, r.firstPercent, r.startedAt = true, report.ProgressPercent, at
 	}
+	if r.moved.percent == 0 {
+		r.moved = progressPoint{report.ProgressPercent, at}
+	}
 	if report.ProgressPercent != r.percent {
 		r.percent, r.progressedAt = report.ProgressPercent, at
 	}
--- a/internal/fleet/pace/pace.go
+++ b/internal/fleet/pace/pace.go
@@ -50,13 +50,16 @@
 	// of a step is taken.
 	minRuns  = 4
 	minHosts = 2
-	// priorWeight is the weight, in fresh observations, of the assumption that a host
-	// is typical. The tasks of a step differ in length, so a single one proves little.
+	// priorWeight is the weight of the assumption that a host is typical, in fresh
+	// observations of tasks that are no gang. Those differ in length, so a single one
+	// proves little.
 	priorWeight = 2.0
+	// gangWeight is the weight of a member of a gang. All members do the same amount of
+	// work, so their rates differ by the paces of their hosts only.
+	gangWeight = 6.0
 	// classRatio is how many times slower or faster than the typical host a host has to
-	// be to leave the class Typical. A choice by pace leaves fewer whole hosts free, which
-	// outweighs smaller differences.
-	classRatio = 1.4
+	// be to leave the class Typical.
+	classRatio = 1.12
 	// keepShare is the share of classRatio down to which a host stays slow or fast, so
 	// that a host at the limit does not change its class all the time.
 	keepShare = 0.95
@@ -74,6 +77,15 @@
 type Run struct {
 	Task   workload.TaskID
 	Number int
+	Gang   bool // Gang is set for a member of a gang.
+}
+
+// weight returns the weight of a fresh observation of the run.
+func (r Run) weight() float64 {
+	if r.Gang {
+		return gangWeight
+	}
+	return 1
 }
 
 // Tracker holds the observations of one fleet. It is not safe for concurrent use.
@@ -144,7 +156,7 @@
 		r.observations = slices.DeleteFunc(r.observations, func(o observation) bool { return at-o.at > retention })
 		for _, o := range r.observations {
 			s := step{o.run.Task.Job, o.run.Task.Step}
-			steps[s] = append(steps[s], weighted{r, o.logRate, math.Exp2(-(at - o.at).Seconds() / halfLife.Seconds())})
+			steps[s] = append(steps[s], weighted{r, o.logRate, o.run.weight() * math.Exp2(-(at-o.at).Seconds()/halfLife.Seconds())})
 		}
 	}
 	maps.DeleteFunc(steps, func(_ step, runs []weighted) bool { return !enough(runs) })
--- a/internal/fleet/pace/pace_test.go
+++ b/internal/fleet/pace/pace_test.go
@@ -21,6 +21,7 @@
 	tasks       int
 	speed       map[int]float64 // speed holds the hosts that do not work at full speed.
 	rates       map[int]float64 // rates replaces the rate that a host reports.
+	gang        bool            // gang is set if the tasks are a gang; they are equally long.
 }
 
 // unevenness returns by how much the task of a round is longer than the typical one.
@@ -35,9 +36,12 @@
 		}
 		rate, replaced := b.rates[host]
 		if !replaced {
-			rate = speed / (8 * unevenness(i/b.hosts, host))
+			rate = speed / 8
+			if !b.gang {
+				rate /= unevenness(i/b.hosts, host)
+			}
 		}
-		run := pace.Run{Task: workload.TaskID{Job: workload.ID(fmt.Sprint("job-", id)), Index: i}, Number: 1}
+		run := pace.Run{Task: workload.TaskID{Job: workload.ID(fmt.Sprint("job-", id)), Index: i}, Number: 1, Gang: b.gang}
 		t.Observe(fmt.Sprint("host-", host), cmp.Or(b.incarnation, "first"), run, rate, b.begin)
 	}
 }
@@ -55,6 +59,8 @@
 		"uneven tasks":                    {[]batch{{hosts: 10, tasks: 40}}, 0, pace.Typical},
 		"few tasks":                       {[]batch{{hosts: 3, tasks: 3, speed: half}}, 0, pace.Typical},
 		"single host":                     {[]batch{{hosts: 1, tasks: 8, speed: half}}, 0, pace.Typical},
+		"slower by a quarter, one gang":   {[]batch{{hosts: 10, tasks: 10, speed: map[int]float64{0: 0.8}, gang: true}}, 0, pace.Slow},
+		"faster by a quarter, one gang":   {[]batch{{hosts: 10, tasks: 10, speed: map[int]float64{0: 1.25}, gang: true}}, 0, pace.Fast},
 		"one odd task among sound ones":   {[]batch{{hosts: 10, tasks: 30}, {hosts: 4, tasks: 4, speed: half}}, 0, pace.Typical},
 		"slow for a while":                {[]batch{{hosts: 10, tasks: 30, speed: half}, {begin: 15 * time.Second, hosts: 10, tasks: 40}, {begin: 20 * time.Second, hosts: 10, tasks: 40}}, 20 * time.Second, pace.Typical},
 		"remembered between two batches":  {[]batch{{hosts: 10, tasks: 40, speed: half}}, 15 * time.Second, pace.Slow},
