Admission: connections on which nothing was sent are unused, not slow

Cause: HTTP clients open a connection for a call and may send the call on another one that becomes free first. The new one stays open without a request. The door closes it after the time for a header, which is fine, and counted and logged it as a slow header.

Change: such a connection counts as unused, which is not logged.

Result: TestReasonOfOverdueConnections/nothing_sent fails on the code before and passes.

--- a/internal/traffic/admission/door.go
+++ b/internal/traffic/admission/door.go
@@ -268,7 +268,7 @@
 		d.count(SlowBody, c.peer)
 		c.interrupt(SlowBody) // The handler answers.
 		return
-	case idle:
+	case connected, idle: // Clients open connections ahead that they may not need.
 		d.count(Unused, c.peer)
 	case answering, closing:
 		d.count(SlowReader, c.peer)
--- a/internal/traffic/admission/door_internal_test.go
+++ b/internal/traffic/admission/door_internal_test.go
@@ -36,3 +36,31 @@
 		})
 	}
 }
+
+// Guards against clients with connections to spare that are reported as slow.
+func TestReasonOfOverdueConnections(t *testing.T) {
+	for name, tt := range map[string]struct {
+		phase phase
+		want  Reason
+	}{
+		"nothing sent":        {connected, Unused},
+		"no further request":  {idle, Unused},
+		"part of a header":    {heading, SlowHeader},
+		"answer not taken":    {answering, SlowReader},
+		"rest not taken back": {closing, SlowReader},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			d := New(Options{Name: "test", Share: ClientShare, Registry: metrics.For(t.Name()), Log: limitedlog.New(log.NewNopLogger())})
+			server, client := net.Pipe()
+			c.Cleanup(func() { _ = client.Close() })
+			conn := &connection{Conn: server, door: d.door}
+			c.Assert(d.admit(conn), qt.IsTrue)
+			conn.phase = tt.phase
+			conn.since = time.Now().Add(-time.Hour)
+			d.check(time.Now())
+			c.Check(d.connections, qt.HasLen, 0)
+			c.Check(d.counters[tt.want].Value(), qt.Equals, int64(1))
+		})
+	}
+}
