Coordinator: a task that is not heard of leaves the disruption budget after the notice time

Cause: the budget counted a run by its last report, however old, until the run was given up, which takes the whole lease. The same for a run whose minion has been restarted and has not reported it.

TestDisruptionBudgetCountsSilentTasks, with the new option present and the budget as before: 3 of 3 failed at "after the notice time".

Change: each run has the time of the last report that lists it. It counts as available for the notice time (bounds.noticeMs, NoticeTime) after that, less the time of a stop and at least 2.5 s. Without the setting silent tasks count as before. A task counts again with its next report; a successor counts what is reported to it.

TestReassignedRunIsNotServing failed without its part of the change. The signature of handleRunning has changed in one test; nothing there is checked less strictly.

--- a/cmd/hosted.go
+++ b/cmd/hosted.go
@@ -133,7 +133,7 @@
 		Coordinator: coordinator.Options{
 			MaxLease: s.MaxLease, GangStartTimeout: s.GangStartTimeout, TaskStopTimeout: s.TaskStopTimeout, StatusRetention: s.StatusRetention,
 			CheckpointRestoreTime: s.CheckpointRestoreTime, LeadershipTTL: s.MinLeadershipTTL,
-			Adaptive: s.Adaptive, EvacuationTimeout: s.EvacuationTimeout,
+			Adaptive: s.Adaptive, EvacuationTimeout: s.EvacuationTimeout, NoticeTime: s.NoticeTime,
 		},
 	}
 	if s.Adviser.IsValid() {
--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -81,6 +81,9 @@
 	ObservedRunTimes bool
 	// EvacuationTimeout is the longest time until no start reaches an evacuated data centre; 0 if none is evacuated.
 	EvacuationTimeout time.Duration
+	// NoticeTime is how long a long-running task may not have been at work before it counts as unavailable in its
+	// disruption budget; 0 where it counts as available until the lease of its host has expired.
+	NoticeTime time.Duration
 	// Adviser issues the start tickets for jobs of advised queues; nil if there is none.
 	Adviser Adviser
 }
--- /dev/null
+++ b/internal/fleet/coordinator/disruption_budget_internal_test.go
@@ -0,0 +1,45 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wasabihoist/internal/fleet/allocation"
+)
+
+// Guards against tasks that count as at work although nothing is known of them, and
+// against tasks on hosts that answer that count as away.
+func TestRemainingDisruptions(t *testing.T) {
+	const limit = 3 * time.Second
+	heard, silent, starting := sighting{true, limit - 1}, sighting{true, limit}, sighting{false, 0}
+	for name, tt := range map[string]struct {
+		tasks []sighting
+		want  int
+	}{
+		"all are at work":              {[]sighting{heard, heard, heard}, 1},
+		"one is silent":                {[]sighting{heard, silent, heard}, 0},
+		"one starts":                   {[]sighting{heard, heard, starting}, 0},
+		"one waits":                    {[]sighting{heard, heard}, 0},
+		"all are silent":               {[]sighting{silent, silent, silent}, -2},
+		"all are adopted, none listed": {[]sighting{starting, starting, starting}, -2},
+	} {
+		qt.Check(t, remainingDisruptions(3, 1, tt.tasks, limit), qt.Equals, tt.want, qt.Commentf("%s", name))
+	}
+	for name, tt := range map[string]struct{ notice, stop, want time.Duration }{
+		"no notice time":     {0, time.Second, allocation.Never},
+		"time for the stop":  {4500 * time.Millisecond, 1100 * time.Millisecond, 3400 * time.Millisecond},
+		"one report is late": {time.Second, 1100 * time.Millisecond, renewalWait + silenceTimeout},
+	} {
+		qt.Check(t, silenceLimit(tt.notice, tt.stop), qt.Equals, tt.want, qt.Commentf("%s", name))
+	}
+}
+
+// Guards against a task that counts as at work by a report of a former incarnation.
+func TestReassignedRunIsNotServing(t *testing.T) {
+	r := &run{attempt: &attempt{}, host: &hostState{}, phase: running, reported: true, percent: 100}
+	qt.Check(t, r.isServing(), qt.IsTrue)
+	(&term{}).reassignRun(r, false)
+	qt.Check(t, r.isServing(), qt.IsFalse)
+}
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -58,6 +58,7 @@
 	maxLease            time.Duration                  // maxLease of the coordinators; 0 for lease.
 	newest              *coordinator.Coordinator       // newest is the coordinator that was started last.
 	evacuationTimeout   time.Duration                  // evacuationTimeout of the coordinators; 0 if they don't follow evacuations.
+	noticeTime          time.Duration                  // noticeTime of the coordinators.
 	operatorsDown       atomic.Bool                    // operatorsDown is set while the operators' topic can't be read.
 }
 
@@ -120,7 +121,7 @@
 	catalogueReader := ledger.NewReader(operatorsStore{f.store, &f.operatorsDown}, operators, current, 0, log.NewNopLogger())
 	g.Go("plans", catalogueReader.Run)
 	options := coordinator.Options{
-		Name: name, MaxLease: cmp.Or(f.maxLease, lease), GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser, EvacuationTimeout: f.evacuationTimeout,
+		Name: name, MaxLease: cmp.Or(f.maxLease, lease), GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser, EvacuationTimeout: f.evacuationTimeout, NoticeTime: f.noticeTime,
 	}
 	coord := coordinator.New(options, f.store, topic, state, reader, current, catalogueReader.AsOf,
 		func(a netip.AddrPort) host.Client { return link{f.minions[a], &f.hooks} }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
--- a/internal/fleet/coordinator/long_running.go
+++ b/internal/fleet/coordinator/long_running.go
@@ -38,10 +38,11 @@
 	t.requeueRun(r, e.Checkpoint)
 }
 
-// isServing reports whether a long-running task serves and is not being
-// stopped. Such a task reports 100 percent once it has finished starting.
+// isServing reports whether a long-running task was at work by the last report of the
+// present incarnation of its minion, and is not being stopped. Such a task reports 100
+// percent once it has finished starting.
 func (r *run) isServing() bool {
-	return r.phase == running && r.percent >= 100 && !r.attempt.stopping
+	return r.phase == running && r.reported && r.percent >= 100 && !r.attempt.stopping
 }
 
 // stepKey identifies a step of a job.
@@ -50,31 +51,30 @@
 	step int
 }
 
-// disruptionBudget bounds how many tasks of a long-running step may be
-// unavailable at a time.
-type disruptionBudget struct {
+// stepBudget is the disruption budget of a step with what is left of it.
+type stepBudget struct {
 	id        int
-	remaining int // remaining is how many more of its tasks may be stopped.
+	remaining int // remaining is how many more of its tasks may be stopped; negative if too few are at work anyway.
 }
 
-// disruptionBudgets returns the budgets of the steps that have one. Every task
-// that does not serve counts as unavailable, whatever the cause.
-func (t *term) disruptionBudgets() map[stepKey]*disruptionBudget {
-	budgets := make(map[stepKey]*disruptionBudget)
+// disruptionBudgets returns the budgets of the steps that have one. Every task that is
+// not known to serve counts as unavailable, whatever the cause.
+func (t *term) disruptionBudgets() map[stepKey]*stepBudget {
+	at, limit := now(), silenceLimit(t.settings().NoticeTime, t.stopTimeout())
+	tasks := make(map[stepKey][]sighting)
 	for _, a := range t.attempts {
-		s := a.definition()
-		if !s.LongRunning || s.MaxUnavailable == 0 {
+		if s := a.definition(); !s.LongRunning || s.MaxUnavailable == 0 {
 			continue
 		}
 		key := stepKey{a.job, a.step}
-		if budgets[key] == nil {
-			budgets[key] = &disruptionBudget{id: len(budgets) + 1, remaining: s.MaxUnavailable - s.Count}
-		}
 		for _, r := range a.runs {
-			if r.isServing() {
-				budgets[key].remaining++
-			}
+			tasks[key] = append(tasks[key], sighting{r.isServing(), at - r.heardAt})
 		}
 	}
+	budgets := make(map[stepKey]*stepBudget, len(tasks))
+	for key, list := range tasks {
+		s := key.job.job.Step(key.step)
+		budgets[key] = &stepBudget{len(budgets) + 1, remainingDisruptions(s.Count, s.MaxUnavailable, list, limit)}
+	}
 	return budgets
 }
--- a/internal/fleet/coordinator/long_running_test.go
+++ b/internal/fleet/coordinator/long_running_test.go
@@ -105,6 +105,36 @@
 	f.waitFor("all are serving again", func() bool { return f.servingTasks(j.ID) == 3 })
 }
 
+// Guards against a stop of the last task at work while the host of the other one is
+// silent, also after a takeover, and against a budget that stays used up when the host
+// answers again.
+func TestDisruptionBudgetCountsSilentTasks(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "r1", "r2")
+	f.maxLease, f.noticeTime = 20*time.Second, 3*time.Second
+	stop := f.startCoordinator("one")
+	s := longRunning(2, 8)
+	s.MaxUnavailable = 1
+	j := f.submitWork(workload.Job{ID: "lasting", Priority: 2, Organisation: "other", Steps: []workload.Step{s}}, fleethost.Work{Duration: shortDuration, Lasting: true})
+	f.waitFor("both are serving", func() bool { return f.servingTasks(j.ID) == 2 })
+	time.Sleep(1200 * time.Millisecond) // Until the coordinator knows that, with the next report.
+	f.minionList[0].SetFaults(fleethost.Faults{Silent: true})
+	time.Sleep(f.noticeTime)
+	f.submit(workload.Job{ID: "urgent", Organisation: "owner", Steps: []workload.Step{step(1, 8)}}, 300*time.Millisecond)
+	serves := func(after string) {
+		for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			f.c.Assert(f.running(1, j.ID), qt.HasLen, 1, qt.Commentf("after %s", after))
+		}
+	}
+	serves("the notice time")
+	stop()
+	defer f.startCoordinator("two")()
+	serves("the takeover")
+	f.minionList[0].SetFaults(fleethost.Faults{})
+	f.awaitState("urgent", workload.Done)
+	f.waitFor("both are serving again", func() bool { return f.servingTasks(j.ID) == 2 })
+}
+
 // Guards against best-effort tasks that slow down tasks that serve users, also
 // when a former coordinator has throttled them and its successor doesn't know
 // their speed.
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -49,6 +49,7 @@
 	checkpoint       string
 	checkpointedAt   time.Duration // checkpointedAt is when the checkpoint last changed.
 	reported         bool          // reported is set once the incarnation in minion has reported the run.
+	heardAt          time.Duration // heardAt is when the last report was requested that lists the run as running; 0 before the first.
 	stopSent         bool          // stopSent is set once a stop was sent.
 	load             int           // load is what the minion last reported: a latency in milliseconds if the task serves users; see host.Run.
 	speedPercent     int           // speedPercent is the percentage of full speed at which the run works.
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -33,7 +33,7 @@
 			t.handleEndedRun(h, e)
 		}
 	}
-	t.handleRunning(h, report.Running)
+	t.handleRunning(h, report.Running, sent)
 	t.releaseUnexpected(h, report, sent)
 	t.throttleHost(h)
 	t.loseMissingRuns(h, report, sent)
@@ -88,9 +88,9 @@
 	return true
 }
 
-// handleRunning updates the runs that a minion reports, and stops unexpected
-// ones.
-func (t *term) handleRunning(h *hostState, running []host.Run) {
+// handleRunning updates the runs that a minion lists in a report that was requested
+// at sent, and stops unexpected ones.
+func (t *term) handleRunning(h *hostState, running []host.Run, sent time.Duration) {
 	for _, reported := range running {
 		t.recordStart(reported.Task.Job)
 		key := runKey{reported.Task, reported.Number}
@@ -103,6 +103,7 @@
 			t.markRunning(r)
 		}
 		r.update(reported)
+		r.heardAt = sent
 		t.observeProgress(r)
 		if r.attempt.stopping {
 			t.sendStop(r)
--- a/internal/fleet/coordinator/status_reports_internal_test.go
+++ b/internal/fleet/coordinator/status_reports_internal_test.go
@@ -49,7 +49,7 @@
 	h.client = client
 	report := func() {
 		for range 20 {
-			tm.handleRunning(h, []host.Run{{Task: workload.TaskID{Job: "odd"}, Number: 1}})
+			tm.handleRunning(h, []host.Run{{Task: workload.TaskID{Job: "odd"}, Number: 1}}, now())
 		}
 	}
 	for stops := range int64(3) {
