Coordinator: a gang takes as much of its disruption budget as it has tasks

Callers would have seen: a long-running gang of two with mayMiss 1 stopped as a whole, by preemption or because the host of one member leaves (AVAIL).

Cause: the budget counts tasks, the plan counted a gang as one unit, and hosts that leave did not ask the budget for the members on hosts that stay.

Change: disruptableUnits, used by the plan and, through mayLeave, by both ways of leaving. Tasks whose hosts all leave are stopped as before. A gang that may not be stopped ends when its host has left.

Open: a member that makes no progress still stops its gang, beyond the budget too.

--- a/internal/fleet/coordinator/disruption_budget.go
+++ b/internal/fleet/coordinator/disruption_budget.go
@@ -36,3 +36,7 @@
 	}
 	return remaining
 }
+
+// disruptableUnits returns how many units, of size tasks each that end together, may be
+// stopped.
+func disruptableUnits(remaining, size int) int { return max(0, remaining) / max(1, size) }
--- a/internal/fleet/coordinator/disruption_budget_internal_test.go
+++ b/internal/fleet/coordinator/disruption_budget_internal_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"wasabihoist/internal/fleet/allocation"
+	"wasabihoist/internal/fleet/workload"
 )
 
 // Guards against tasks that count as at work although nothing is known of them, and
@@ -43,3 +44,38 @@
 	(&term{}).reassignRun(r, false)
 	qt.Check(t, r.isServing(), qt.IsFalse)
 }
+
+// Guards against a stop of members of a gang on hosts that stay, beyond the budget of
+// their step, because the host of another member leaves or for more urgent work.
+func TestBudgetOfGangs(t *testing.T) {
+	for name, tt := range map[string]struct {
+		maxUnavailable int
+		age            time.Duration // age is that of the last report.
+		allLeave       bool
+		mayLeave       bool
+		allowed        int // allowed is the number of gangs that may be preempted.
+	}{
+		"budget for one":    {maxUnavailable: 1},
+		"budget for both":   {maxUnavailable: 2, mayLeave: true, allowed: 1},
+		"silent":            {maxUnavailable: 2, age: time.Minute},
+		"both hosts leave":  {maxUnavailable: 1, allLeave: true, mayLeave: true},
+		"without a budget":  {mayLeave: true},
+		"silent, no budget": {age: time.Minute, mayLeave: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tm := newIdleTerm(t, "a", "b")
+			tm.Apply(Options{NoticeTime: 4 * time.Second})
+			j := &jobState{job: workload.Job{ID: "job", Steps: []workload.Step{{Count: 2, Gang: true, LongRunning: true, MaxUnavailable: tt.maxUnavailable}}}}
+			j.progress = workload.NewProgress(j.job)
+			a := tm.newAttempt(j, 0)
+			tm.hosts["a"].minion.Draining, tm.hosts["b"].minion.Draining = true, tt.allLeave
+			for i, name := range []string{"a", "b"} {
+				r := tm.addRun(a, j.job.TaskID(0, i), 1, tm.hosts[name], name)
+				r.phase, r.reported, r.percent, r.heardAt = running, true, 100, now()-tt.age
+			}
+			c := qt.New(t)
+			c.Check(tm.mayLeave(a), qt.Equals, tt.mayLeave)
+			c.Check(tm.preemptibleUnits()[0].DisruptionsAllowed, qt.Equals, tt.allowed)
+		})
+	}
+}
--- a/internal/fleet/coordinator/leaving.go
+++ b/internal/fleet/coordinator/leaving.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		l.roomOnHosts = !l.savesWork && takeRoom(a, free)
-		if l.shouldMove() {
+		if l.shouldMove() && t.mayLeave(a) {
 			t.metrics.leavingMoved.Add(1)
 			t.stopAttempt(a, "the minion is about to leave", "leaves-in", l.leavesIn.Round(time.Millisecond), "left-at-least", l.low.Round(time.Millisecond),
 				"saved", l.savesWork, "room", l.roomOnHosts, "loss-core-seconds", t.preemptionCost(a))
--- a/internal/fleet/coordinator/long_running.go
+++ b/internal/fleet/coordinator/long_running.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"slices"
 	"time"
 
 	"wasabihoist/internal/fleet/host"
@@ -78,3 +79,14 @@
 	}
 	return budgets
 }
+
+// mayLeave reports whether the disruption budget permits to stop an attempt because
+// some of its hosts are about to leave. It does not bind tasks whose hosts all leave:
+// they end anyway.
+func (t *term) mayLeave(a *attempt) bool {
+	if !slices.ContainsFunc(a.runs, func(r *run) bool { return !r.host.minion.Draining }) {
+		return true
+	}
+	b := t.disruptionBudgets()[stepKey{a.job, a.step}]
+	return b == nil || disruptableUnits(b.remaining, len(a.runs)) > 0
+}
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -76,7 +76,7 @@
 		}
 		occurrence := a.job.job.Occurrence(a.step)
 		if s := budgets[stepKey{a.job, a.step}]; s != nil {
-			u.DisruptionGroup, u.DisruptionsAllowed = s.id, s.remaining
+			u.DisruptionGroup, u.DisruptionsAllowed = s.id, disruptableUnits(s.remaining, len(a.runs))
 		}
 		u.PreemptionCost = t.preemptionCost(a) + latenessCost(expected, occurrence, u.Rank, time.Now(), u.RemainingTime, t.settings().TaskStopTimeout+t.remainingTime(a.job, occurrence))
 		units = append(units, u)
--- a/internal/fleet/coordinator/progress.go
+++ b/internal/fleet/coordinator/progress.go
@@ -53,7 +53,7 @@
 				continue // leaveHosts decides.
 			}
 			leaving := r.host.minion.Draining && r.host.minion.Remaining-(at-r.host.lastContact) < drainMargin
-			if leaving && (a.definition().Checkpoints || a.definition().LongRunning) {
+			if leaving && (a.definition().Checkpoints || a.definition().LongRunning) && t.mayLeave(a) {
 				t.stopAttempt(a, "the minion is about to leave")
 				break
 			}
