Gateway: the age of the configuration counts time in which the host is suspended

Cause: configFresh used time.Since, whose monotonic clock stands still in a suspend.

A step of the wall clock does not change the age.

--- a/internal/record/ledger/reader.go
+++ b/internal/record/ledger/reader.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/base/boottime"
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/base/limitedlog"
 )
@@ -52,18 +53,25 @@
 
 	transfer     chan struct{} // transfer has one element while a caller reads a backlog or the newest records.
 	load         *keyLoad      // load is the load in progress, nil if none. The holder of transfer uses it.
-	readInterval atomic.Int64  // readInterval is the minimum time between two reads of Run, in nanoseconds.
+	clock        func() time.Duration
+	readInterval atomic.Int64 // readInterval is the minimum time between two reads of Run, in nanoseconds.
 
 	mu           sync.Mutex
 	loaded       bool          // loaded is set once the newest records of all keys are folded.
 	mustLoad     bool          // mustLoad is set until the newest records are folded, at first and after records have expired.
-	asOf         time.Time     // asOf is the start of the latest successful read.
+	asOf         instant       // asOf is the start of the latest successful read.
 	expiredAt    time.Time     // expiredAt is when records last expired unread.
 	failing      bool          // failing is set while reads fail; only changes are logged.
 	inFlight     *refreshCall  // inFlight is the refresh in progress, nil if none.
 	loadedSignal chan struct{} // loadedSignal is closed when loaded is set.
 }
 
+// instant is a point in time.
+type instant struct {
+	wall    time.Time
+	reading time.Duration // reading is that of the clock of the reader.
+}
+
 // refreshCall is a refresh that concurrent callers share.
 type refreshCall struct {
 	done      chan struct{}
@@ -80,10 +88,19 @@
 	logger = log.With(logger, "topic", topic)
 	return &Reader{
 		store: store, topic: topic, fold: fold, wait: wait, logger: logger, odd: limitedlog.New(logger),
-		transfer: make(chan struct{}, 1), mustLoad: true, loadedSignal: make(chan struct{}),
+		clock: boottime.Now, transfer: make(chan struct{}, 1), mustLoad: true, loadedSignal: make(chan struct{}),
 	}
 }
 
+// SetClock replaces the clock, which is boottime.Now. It must be called before any
+// other method.
+func (r *Reader) SetClock(clock func() time.Duration) { r.clock = clock }
+
+// Now reads the clock of ReadAt.
+func (r *Reader) Now() time.Duration { return r.clock() }
+
+func (r *Reader) instant() instant { return instant{time.Now(), r.clock()} }
+
 // SetReadInterval sets the minimum time between the starts of two reads of Run. The
 // default is none: each record is then read as soon as it is stored.
 func (r *Reader) SetReadInterval(d time.Duration) { r.readInterval.Store(int64(d)) }
@@ -92,11 +109,19 @@
 func (r *Reader) String() string { return "reader of " + string(r.topic) }
 
 // AsOf returns the time up to which all stored records are folded, zero before the
-// first load.
+// first load. Its age says nothing after a suspend or a step of the wall clock; see
+// ReadAt.
 func (r *Reader) AsOf() time.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.asOf
+	return r.asOf.wall
+}
+
+// ReadAt returns AsOf as a reading of Now, 0 before the first load.
+func (r *Reader) ReadAt() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asOf.reading
 }
 
 // Failing reports whether the last read has failed.
@@ -190,7 +215,7 @@
 // fold is up to date, it waits for new ones for up to the given time.
 func (r *Reader) readAndFold(ctx context.Context, wait time.Duration) error {
 	if wait > 0 && r.upToDate() {
-		start := time.Now()
+		start := r.instant()
 		page, err := r.readPage(ctx, r.fold.Next(), wait)
 		switch {
 		case errors.Is(err, ErrExpired):
@@ -219,7 +244,7 @@
 // folded when it fails, and only one caller transfers records at a time, so that a
 // backlog crosses the link once.
 func (r *Reader) catchUp(ctx context.Context) error {
-	start := time.Now()
+	start := r.instant()
 	select {
 	case r.transfer <- struct{}{}:
 		defer func() { <-r.transfer }()
@@ -359,7 +384,7 @@
 	r.mu.Lock()
 	first := !r.failing && ctx.Err() == nil
 	r.failing = r.failing || first
-	asOf := r.asOf
+	asOf := r.asOf.wall
 	r.mu.Unlock()
 	if first {
 		_ = level.Warn(r.logger).Log("event", "store lost", "as-of", asOf.UTC().Format(time.RFC3339Nano), "reason", err)
@@ -369,11 +394,11 @@
 
 // handleReadSuccess advances asOf to the start of a successful read and logs the end
 // of a series of failures.
-func (r *Reader) handleReadSuccess(start time.Time) {
+func (r *Reader) handleReadSuccess(start instant) {
 	r.mu.Lock()
 	recovered := r.failing
 	r.failing = false
-	if start.After(r.asOf) {
+	if start.reading > r.asOf.reading {
 		r.asOf = start
 	}
 	r.mu.Unlock()
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -181,9 +181,10 @@
 
 // configFresh reports whether the configuration in force was confirmed within
 // maxConfigAge and since the last denial, and is not older than that of any answer to
-// a forwarded call.
+// a forwarded call. Time in which the host is suspended counts.
 func (g *Gateway) configFresh() bool {
-	return g.configVersion() >= g.seenVersion.Load() && g.configReader.AsOf().UnixNano() >= g.lastDenial.Load() && time.Since(g.configReader.AsOf()) < time.Duration(g.maxConfigAge.Load())
+	readAt := g.configReader.ReadAt()
+	return g.configVersion() >= g.seenVersion.Load() && readAt > 0 && g.configReader.AsOf().UnixNano() >= g.lastDenial.Load() && int64(g.configReader.Now()-readAt) < g.maxConfigAge.Load()
 }
 
 // Serve answers a call within the client's timeout and logs it.
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-kit/log"
 
+	"wasabihoist/internal/base/boottime"
 	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/outlook"
 	"wasabihoist/internal/fleet/workload"
@@ -48,6 +50,7 @@
 	peer    *peer
 
 	jobReader, configReader *ledger.Reader
+	suspended               atomic.Int64 // suspended is how long the host was suspended, in nanoseconds.
 
 	peers []gateway.Peer // peers are the other entries; only peer unless a test replaces them.
 }
@@ -72,6 +75,7 @@
 	}, log.NewNopLogger())
 	jobReader := ledger.NewReader(store, topic, state, 20*time.Millisecond, log.NewNopLogger())
 	configReader := ledger.NewReader(store, operatorsTopic, current, 20*time.Millisecond, log.NewNopLogger())
+	configReader.SetClock(func() time.Duration { return boottime.Now() + time.Duration(f.suspended.Load()) })
 	f.gateway = gateway.New(gateway.Options{
 		Topic: topic, MaxConfigAge: maxConfigAge, Registry: metrics.For(f.c.Name()),
 		Decode: func(body []byte) (gateway.Submission, error) {
@@ -216,6 +220,23 @@
 	f.c.Check(f.call(gateway.Count, "/q/", "key2", "").Outcome, qt.Equals, gateway.Counted)
 }
 
+// Guards against accepting a key that was withdrawn while the host was suspended, and
+// against reporting the entry as ready then.
+func TestSuspendMakesTheConfigurationOld(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.gateway.SetMaxConfigAge(time.Minute)
+	f.store.SetFaults(fleetstore.Faults{Down: true})
+	f.c.Check(f.call(gateway.Count, "/q/", "key1", "").Outcome, qt.Equals, gateway.Counted)
+	f.suspended.Store(int64(time.Minute))
+	f.c.Check(f.gateway.Ready(), qt.IsFalse)
+	f.c.Check(f.call(gateway.Count, "/q/", "key1", "").Outcome, qt.Equals, gateway.Refused)
+	f.store.SetFaults(fleetstore.Faults{})
+	f.configure("2")
+	f.c.Check(f.call(gateway.Count, "/q/", "key1", "").Outcome, qt.Equals, gateway.Unauthorised)
+	f.c.Check(f.call(gateway.Count, "/q/", "key2", "").Outcome, qt.Equals, gateway.Counted)
+}
+
 // Guards against returning to an older configuration when its record arrives late.
 func TestConfigurationNeverGoesBack(t *testing.T) {
 	t.Parallel()
