Gateway: a denied call is confirmed by a clock that nobody sets

Cause: a call is answered only if the last read began after the last denied call, and that was compared in Unix nanoseconds.

Change: the time of a denial is a reading of the clock of the reader, as the age is.

No test of its own: the wall clock is not injected.

--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -147,7 +147,7 @@
 	logger        log.Logger
 	draining      atomic.Bool
 	maxConfigAge  atomic.Int64        // maxConfigAge is the current value of Options.MaxConfigAge, in nanoseconds.
-	lastDenial    atomic.Int64        // lastDenial is when the last call arrived that admit denied before the denial was confirmed, in Unix nanoseconds.
+	lastDenial    atomic.Int64        // lastDenial is when the last call arrived that admit denied before the denial was confirmed, as a reading of configReader.Now.
 	seenVersion   atomic.Int64        // seenVersion is the newest configuration version of the answers to forwarded calls.
 	appendTimeout adaptiveTimeout     // appendTimeout limits append attempts.
 	decoding      *semaphore.Weighted // decoding bounds how many jobs are decoded at a time, because they take most memory then.
@@ -184,7 +184,7 @@
 // a forwarded call. Time in which the host is suspended counts.
 func (g *Gateway) configFresh() bool {
 	readAt := g.configReader.ReadAt()
-	return g.configVersion() >= g.seenVersion.Load() && readAt > 0 && g.configReader.AsOf().UnixNano() >= g.lastDenial.Load() && int64(g.configReader.Now()-readAt) < g.maxConfigAge.Load()
+	return g.configVersion() >= g.seenVersion.Load() && readAt > 0 && int64(readAt) >= g.lastDenial.Load() && int64(g.configReader.Now()-readAt) < g.maxConfigAge.Load()
 }
 
 // Serve answers a call within the client's timeout and logs it.
@@ -247,7 +247,7 @@
 }
 
 func (g *Gateway) serve(ctx context.Context, c *activeCall) Answer {
-	arrivedAt := time.Now()
+	arrivedAt := g.configReader.Now()
 	if !g.configFresh() {
 		if answer, confirmed := g.confirmConfig(ctx, c); !confirmed {
 			return answer
@@ -257,10 +257,10 @@
 		return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "there is no configuration", RetryAfter: retryAfter})
 	}
 	admitted, denial := g.admit(c.Call)
-	if denial != nil && g.configReader.AsOf().Before(arrivedAt) {
+	if denial != nil && g.configReader.ReadAt() < arrivedAt {
 		// The configuration in force may be outdated. Until it is confirmed, no later
 		// call is answered by it.
-		raiseTo(&g.lastDenial, arrivedAt.UnixNano())
+		raiseTo(&g.lastDenial, int64(arrivedAt))
 		if g.refresh(ctx, g.configReader, refreshTimeout) != nil {
 			return g.forward(ctx, c, Answer{Outcome: Refused, Reason: "a denial cannot be confirmed", RetryAfter: retryAfter})
 		}
