Coordinator: the age of the operators' records uses the same clock

What could happen, by reading only: a start is sent after the bound on an evacuation if the host was suspended and its wall clock set back meanwhile, because the age was the larger one of the monotonic clock and the wall clock.

Change: operatorsReadAt replaces operatorsAsOf, a reading of boottime; readingAge goes. The lines of TestReadingAgeLeavesTimeForTheStart that set the reading are rewritten for it with the same bounds.

Result: the tests of evacuations and of the reading pass.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -104,7 +104,7 @@
 	state             *ledger.State
 	reader            *ledger.Reader
 	catalogue         *catalogue.Current
-	operatorsAsOf     func() time.Time // operatorsAsOf returns the time up to which catalogue has all records of the operators.
+	operatorsReadAt   func() time.Duration // operatorsReadAt returns the time up to which catalogue has all records of the operators.
 	dial              Dial
 	connectionRefused RefusalCheck
 	logger            log.Logger
@@ -125,15 +125,15 @@
 }
 
 // New returns a coordinator for the fleet whose ledger is in topic of store.
-// state and reader hold that ledger; the caller runs the reader. operatorsAsOf
-// returns the time up to which all records of the operators are in current, zero
-// before the first. The coordinator does not lead a term before Run.
+// state and reader hold that ledger; the caller runs the reader. operatorsReadAt
+// returns the time up to which all records of the operators are in current, as a
+// reading of boottime, 0 before the first. The coordinator does not lead a term before Run.
 func New(options Options, store ledger.Store, topic ledger.Topic, state *ledger.State, reader *ledger.Reader,
-	current *catalogue.Current, operatorsAsOf func() time.Time, dial Dial, connectionRefused RefusalCheck, registry *metrics.Registry, logger log.Logger,
+	current *catalogue.Current, operatorsReadAt func() time.Duration, dial Dial, connectionRefused RefusalCheck, registry *metrics.Registry, logger log.Logger,
 ) *Coordinator {
 	c := &Coordinator{
 		store: store, topic: topic, state: state, reader: reader,
-		catalogue: current, operatorsAsOf: operatorsAsOf, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
+		catalogue: current, operatorsReadAt: operatorsReadAt, dial: dial, connectionRefused: connectionRefused, logger: logger, metrics: newMetricSet(registry),
 		vacancy: vacancy{removed: collection.NewSet[string]()},
 	}
 	c.Apply(options)
--- a/internal/fleet/coordinator/evacuation.go
+++ b/internal/fleet/coordinator/evacuation.go
@@ -72,13 +72,6 @@
 	return timeout - maxLeaseDuration(validity)
 }
 
-// readingAge returns the age of a reading of the operators' records. The monotonic
-// clock of a time.Time stands still while the host is suspended, and the wall clock may
-// be set back: the larger one counts.
-func readingAge(asOf, at time.Time) time.Duration {
-	return max(at.Sub(asOf), at.Round(0).Sub(asOf.Round(0)))
-}
-
 // startsHeld reports whether no start may be sent, because an evacuation may be in
 // force that this process has not read yet. The load that this answers is a store that
 // serves the records of jobs but not those of the operators, and a process that was
@@ -89,14 +82,14 @@
 	if timeout == 0 {
 		return false
 	}
-	asOf := t.operatorsAsOf()
-	age := readingAge(asOf, time.Now())
-	held := asOf.IsZero() || age > maxReadingAge(timeout, t.startValidity())
+	readAt := t.operatorsReadAt()
+	age := now() - readAt
+	held := readAt == 0 || age > maxReadingAge(timeout, t.startValidity())
 	if held != t.evacuations.startsHeld {
 		t.evacuations.startsHeld = held
 		_ = level.Info(t.logger).Log("event", "starts held", "held", held, "operators-read", age.Round(time.Millisecond))
 	}
-	t.readEvacuations() // It is at least as new as asOf.
+	t.readEvacuations() // It is at least as new as readAt.
 	return held
 }
 
--- a/internal/fleet/coordinator/evacuation_internal_test.go
+++ b/internal/fleet/coordinator/evacuation_internal_test.go
@@ -67,11 +67,11 @@
 		age := maxReadingAge(timeout, validity)
 		qt.Check(t, age > 0, qt.IsTrue)
 		qt.Check(t, age+time.Duration(float64(validity)*(1+maxClockDrift)) < timeout, qt.IsTrue)
-		tm.operatorsAsOf = func() time.Time { return time.Now().Add(-age - time.Millisecond) }
+		tm.operatorsReadAt = func() time.Duration { return now() - age - time.Millisecond }
 		qt.Check(t, tm.startsHeld(), qt.IsTrue)
-		tm.operatorsAsOf = func() time.Time { return time.Now().Add(-age / 2) }
+		tm.operatorsReadAt = func() time.Duration { return now() - age/2 }
 		qt.Check(t, tm.startsHeld(), qt.IsFalse)
-		tm.operatorsAsOf = func() time.Time { return time.Time{} }
+		tm.operatorsReadAt = func() time.Duration { return 0 }
 		qt.Check(t, tm.startsHeld(), qt.IsTrue)
 	}
 }
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -123,7 +123,7 @@
 	options := coordinator.Options{
 		Name: name, MaxLease: cmp.Or(f.maxLease, lease), GangStartTimeout: time.Second, TaskStopTimeout: f.taskStopTime, StatusRetention: time.Minute, SilentHostRetention: f.silentHostRetention, Adviser: f.adviser, EvacuationTimeout: f.evacuationTimeout, NoticeTime: f.noticeTime,
 	}
-	coord := coordinator.New(options, f.store, topic, state, reader, current, catalogueReader.AsOf,
+	coord := coordinator.New(options, f.store, topic, state, reader, current, catalogueReader.ReadAt,
 		func(a netip.AddrPort) host.Client { return link{f.minions[a], &f.hooks} }, f.connectionRefused, metrics.For(f.c.Name()+name), logger)
 	f.newest = coord
 	g.Go("coordinator", coord.Run)
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -89,7 +89,7 @@
 	entryTransport := transport.New(nil, nil)
 	registry := metrics.For(o.Node)
 	o.Reloadable.Coordinator.Name = coordinator.CandidateName(self)
-	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, configurationReader.AsOf, dialAgent, transport.Refused, registry, logger)
+	c := coordinator.New(o.Reloadable.Coordinator, store, o.Topic, state, ledgerReader, current, configurationReader.ReadAt, dialAgent, transport.Refused, registry, logger)
 	g := gateway.New(gateway.Options{
 		Topic: o.Topic, MaxConfigAge: o.Reloadable.MaxConfigAge, HasAdviser: o.Reloadable.Coordinator.Adviser != nil, Decode: o.DecodeJob, Registry: registry, Peers: peers(o, self, state, entryTransport),
 	}, store, state, ledgerReader, configurationReader, current, logger)
