Coordinator: a series of leader changes does not start the time of leases anew

Cause: a coordinator renews leases for 4 s after the store last confirmed its term, also by a claim of the leadership, of which nobody else knows. A successor counted 4 s and a lease from the begin of its own term, because it knew neither that the former leader's process had ended nor on which hosts the former term had renewed nothing.

Change: a term records who leads it and on which hosts with runs it renews no leases, with the time for which leases may last there. It renews none before its first record, and none on a host that a record may name. The record goes with other appends; where every host answers it is written once a term. A successor counts from it, without the 4 s if the process that wrote it has ended, and from its own start if that was its former life. The proof is no weaker: a minion that is not named has answered the term and refuses those before. While an entry of a version without such records is known, successors count as before.

The fixture's entries say that they record leases, as entries do now.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -106,6 +106,7 @@
 	connectionRefused RefusalCheck
 	logger            log.Logger
 
+	startedAt        time.Duration // startedAt is when this process began to campaign. Former processes of its member had ended, because they use the same address.
 	generation       int64         // generation is that of the leadership in the last reply to a claim.
 	confirmedClaimAt time.Duration // confirmedClaimAt is when the claim that won the leadership, or the last one during the takeover, was sent.
 	vacancy          vacancy
@@ -157,8 +158,10 @@
 func (c *Coordinator) String() string { return "coordinator" }
 
 // Run waits until the ledger is loaded and then campaigns for the leadership
-// until ctx ends. It then resigns the leadership. It always returns nil.
+// until ctx ends. It then resigns the leadership. It always returns nil. The caller has
+// begun to listen at the address of the member.
 func (c *Coordinator) Run(ctx context.Context) error {
+	c.startedAt = now()
 	select {
 	case <-c.reader.Loaded():
 	case <-ctx.Done():
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -141,7 +141,7 @@
 // addEntry adds the member record of an entry and returns the candidate name of
 // its process.
 func (f *fixture) addEntry(name string, address string, started time.Time) string {
-	m := ledger.Member{Name: name, Role: ledger.EntryRole, Address: netip.MustParseAddrPort(address), Started: started}
+	m := ledger.Member{Name: name, Role: ledger.EntryRole, Address: netip.MustParseAddrPort(address), Started: started, RecordsLeases: true}
 	record, err := ledger.EncodeMember(m)
 	f.c.Assert(err, qt.IsNil)
 	f.append(topic, record)
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -49,6 +49,8 @@
 	leaseExpiry          time.Duration // leaseExpiry is when every lease that this or a former term granted has certainly expired.
 	acknowledgedSequence int64         // acknowledgedSequence is the sequence number of the last ended run whose outcome is durable in the ledger.
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
+	suspended            bool          // suspended is set while the next record of the leases says that this term renews none on the host; see takeLeases.
+	listed               bool          // listed is set while a record that says so may be the newest. No lease is renewed and no start is sent meanwhile.
 	incarnationKnown     bool          // incarnationKnown is set while the incarnation in minion is the one that answers, as far as this term knows.
 	runs                 map[runKey]*run
 	lateStarts           map[runKey]*lateStart     // lateStarts holds the released runs with a try of their start that may still be carried out.
@@ -109,7 +111,7 @@
 func (t *term) removeSilentHosts(at time.Duration) {
 	var records []ledger.Record
 	for name, h := range t.hosts {
-		if len(h.runs) > 0 || at-max(h.lastContact, h.sessionStart, t.begunAt) < t.settings().SilentHostRetention {
+		if len(h.runs) > 0 || h.listed || at-max(h.lastContact, h.sessionStart, t.begunAt) < t.settings().SilentHostRetention {
 			continue
 		}
 		if h.session != nil {
@@ -138,6 +140,9 @@
 func (t *term) expireLeases() {
 	at := now()
 	for _, h := range t.hosts {
+		if len(h.runs) > 0 && !h.suspended && at-h.lastContact >= suspendAfter {
+			t.suspendRenewals(h)
+		}
 		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
 			continue
 		}
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -166,11 +166,17 @@
 // not confirmed the term recently, because another term may have begun long ago;
 // see formerStartWindow. A process that was suspended can't tell otherwise. It is
 // also delayed while the host may have been evacuated, see startsHeld, and ends if
-// the host is evacuated.
+// the host is evacuated. While a record of the leases may name the host, see
+// takeLeases, it is delayed as well, and ends if the host is still silent.
 func (t *term) nextTry(r *run) startTry {
 	switch {
 	case r.attempt.stopping || !r.held():
 		return startEnded
+	case r.host.listed && r.host.suspended:
+		t.stopAttempt(r.attempt, "its host has become silent")
+		return startEnded
+	case r.host.listed:
+		return startDelayed
 	case now()-time.Duration(t.confirmedAt.Load()) >= formerStartWindow:
 		return startDelayed
 	case t.startsHeld():
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -105,34 +105,30 @@
 	}
 }
 
-// prepareRenewal builds the next renewal in the loop of the term. While the
-// store has not confirmed the term recently, the request fetches the status
-// report but renews nothing, so that the next term knows when the leases
-// expire.
+// prepareRenewal builds the next renewal in the loop of the term.
 func (t *term) prepareRenewal(ctx context.Context, h *hostState) (host.RenewLeaseRequest, bool) {
-	return callLoop(ctx, t, func() host.RenewLeaseRequest {
-		r := host.RenewLeaseRequest{Token: t.token, AcknowledgedSequence: h.acknowledgedSequence, Wait: renewalWait}
-		switch {
-		case !h.incarnationKnown || h.gone || h.silent:
-			r.Wait = 0
-		case h.needsThrottling():
-			r.Wait = sharedRenewalWait
-		}
-		if h.incarnationKnown {
-			r.Incarnation = h.minion.Incarnation()
-		}
-		if h.incarnationKnown && t.mayRenew() {
-			r.LeaseUntil = h.minionClock + t.settings().MaxLease
-			h.leaseExpiry = max(h.leaseExpiry, h.lastContact+maxLeaseDuration(t.settings().MaxLease))
-		}
-		return r
-	})
+	return callLoop(ctx, t, func() host.RenewLeaseRequest { return t.renewalRequest(h) })
 }
 
-// mayRenew reports whether the store has confirmed recently enough that this
-// term leads. See confirmationValidity.
-func (t *term) mayRenew() bool {
-	return now()-time.Duration(t.confirmedAt.Load()) < confirmationValidity
+// renewalRequest returns the next renewal of a host. While leases may not be renewed
+// there, the request fetches the status report only, so that the next term knows when
+// the leases expire.
+func (t *term) renewalRequest(h *hostState) host.RenewLeaseRequest {
+	r := host.RenewLeaseRequest{Token: t.token, AcknowledgedSequence: h.acknowledgedSequence, Wait: renewalWait}
+	switch {
+	case !h.incarnationKnown || h.gone || h.silent:
+		r.Wait = 0
+	case h.needsThrottling() || h.listed || !t.leases.written:
+		r.Wait = sharedRenewalWait
+	}
+	if h.incarnationKnown {
+		r.Incarnation = h.minion.Incarnation()
+	}
+	if h.incarnationKnown && t.mayRenew(h) {
+		r.LeaseUntil = h.minionClock + t.settings().MaxLease
+		h.leaseExpiry = max(h.leaseExpiry, h.lastContact+maxLeaseDuration(t.settings().MaxLease))
+	}
+	return r
 }
 
 func (t *term) handleRenewalError(h *hostState, err error) {
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -26,6 +26,9 @@
 		return false
 	}
 	h.minionClock = report.Clock
+	if h.suspended {
+		t.resumeRenewals(h)
+	}
 	t.refuseLateStarts(h)
 	for _, e := range report.EndedRuns {
 		if e.Sequence > h.handledSequence {
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -45,6 +45,8 @@
 	confirmedGeneration atomic.Int64 // confirmedGeneration is the generation up to which no other term has begun.
 
 	begunAt       time.Duration
+	former        formerTerms
+	leases        leaseRecords
 	jobs          map[workload.ID]*jobState
 	hosts         map[string]*hostState // hosts holds agents by member name, and hosts that only tasks name.
 	attempts      map[int]*attempt
@@ -104,6 +106,8 @@
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
+	t.former = c.formerTerms(t.begunAt)
+	t.leases.dueBy(t.begunAt + leasesDelay)
 	t.confirm(confirmed)
 	t.state.Changes() // Discards the changes so far, which All includes.
 	for _, e := range t.state.All() {
@@ -295,11 +299,15 @@
 			id := j.job.TaskID(s, i)
 			r := t.addRun(a, id, task.Run, t.host(task.Host), task.Minion)
 			r.phase = adopted
-			r.tries = formerTries(t.begunAt)
+			expiry, tries := t.former.leaseExpiry(r.host.name, t.settings().MaxLease)
+			r.tries = tries
 			if a.definition().BestEffort {
 				r.speedPercent = unknownSpeed
 			}
-			r.host.leaseExpiry = max(r.host.leaseExpiry, t.formerLeasesEnd())
+			r.host.leaseExpiry = max(r.host.leaseExpiry, expiry)
+			if r.host.lastContact == 0 && !r.host.suspended {
+				t.suspendRenewals(r.host)
+			}
 		}
 	}
 }
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -44,10 +44,12 @@
 // flush appends the progress of all dirty jobs, unless a batch is in flight.
 // Effects that depend on it run once it is durable.
 func (t *term) flush() {
+	at := now()
 	if !t.writer.busy {
 		t.requestConfirmation()
 	}
-	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 {
+	due := t.leases.dueAt != 0 && at >= t.leases.dueAt
+	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 && !due {
 		return
 	}
 	records, written := t.encodeDirty()
@@ -58,6 +60,13 @@
 		t.effects = nil
 	}
 	records = append(records, t.outlooks.take()...)
+	withLeases := due || len(records) > 0 && t.leases.dueAt != 0
+	var removed []*hostState
+	if withLeases {
+		var record ledger.Record
+		record, removed = t.takeLeases(at)
+		records = append(records, record)
+	}
 	if len(records) == 0 {
 		t.runEffects(effects, written)
 		return
@@ -75,6 +84,9 @@
 			t.writer.busy = false
 			t.confirm(start)
 			t.confirmedGeneration.Store(generation)
+			if withLeases {
+				t.recordedLeases(removed, start)
+			}
 			t.metrics.appendTime.Record(now() - start)
 			t.runEffects(effects, written)
 		})
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -23,6 +23,7 @@
 	ProgressKind          Kind = "progress"
 	MemberKind            Kind = "member"
 	OutlookKind           Kind = "outlook"
+	LeasesKind            Kind = "leases"
 )
 
 // Key returns the record key KIND/NAME.
@@ -49,6 +50,9 @@
 	DataCentre string
 	Address    netip.AddrPort
 	Started    time.Time // Started distinguishes incarnations of the process.
+	// RecordsLeases is set for entries whose terms record their leases; former versions
+	// did not.
+	RecordsLeases bool
 }
 
 type jobRecord struct {
@@ -172,11 +176,13 @@
 	DataCentre string         `json:"data-centre"`
 	Address    netip.AddrPort `json:"address"`
 	Started    int64          `json:"started-ms"`
+
+	RecordsLeases bool `json:"records-leases,omitempty"`
 }
 
 // EncodeMember returns the record of a member.
 func EncodeMember(m Member) (Record, error) {
-	return encode(MemberKind.Key(m.Name), memberRecord{m.Role, m.DataCentre, m.Address, m.Started.UnixMilli()})
+	return encode(MemberKind.Key(m.Name), memberRecord{m.Role, m.DataCentre, m.Address, m.Started.UnixMilli(), m.RecordsLeases})
 }
 
 func decodeMember(name string, value []byte) (Member, error) {
@@ -192,7 +198,7 @@
 	case !r.Address.IsValid() || r.Address.Addr().IsUnspecified() || r.Address.Port() == 0:
 		return Member{}, fmt.Errorf("decode member %s: %q is not the address of a process", name, r.Address)
 	}
-	return Member{Name: name, Role: r.Role, DataCentre: r.DataCentre, Address: r.Address, Started: time.UnixMilli(r.Started)}, nil
+	return Member{Name: name, Role: r.Role, DataCentre: r.DataCentre, Address: r.Address, Started: time.UnixMilli(r.Started), RecordsLeases: r.RecordsLeases}, nil
 }
 
 // Tombstone returns the record that deletes a key.
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -38,7 +38,8 @@
 	entries map[workload.ID]*JobEntry
 	early   map[workload.ID]map[string]EarlyCancellation // early holds the early cancellations by job and name.
 	members map[string]Member
-	outlook map[string]outlook.Outlook             // outlook holds the newest outlook of each service.
+	outlook map[string]outlook.Outlook // outlook holds the newest outlook of each service.
+	leases  KnownLeases
 	offsets map[string]int64                       // offsets holds the offset of the newest record of each key.
 	next    int64                                  // next is the offset after the last folded record.
 	changed collection.Set[workload.ID]            // changed holds the jobs that changed since the last call of Changes.
@@ -175,6 +176,8 @@
 		return s.applyEarlyCancellation(name, r.Value, deleted)
 	case OutlookKind:
 		return s.applyOutlook(name, r.Value, deleted)
+	case LeasesKind:
+		return s.applyLeases(r.Value, deleted)
 	default: // a kind of another writer
 		return nil
 	}
--- a/internal/run/hosted/entry.go
+++ b/internal/run/hosted/entry.go
@@ -84,7 +84,7 @@
 	ledgerReader := ledger.NewReader(store, o.Topic, state, 0, logger)
 	configurationReader := ledger.NewReader(store, o.OperatorTopic, current, configurationPollWait, logger)
 	self := ledger.Member{
-		Name: memberName(o.Node, o.Internal), Role: ledger.EntryRole, DataCentre: o.DataCentre, Address: o.Internal, Started: started,
+		Name: memberName(o.Node, o.Internal), Role: ledger.EntryRole, DataCentre: o.DataCentre, Address: o.Internal, Started: started, RecordsLeases: true,
 	}
 	entryTransport := transport.New(nil, nil)
 	registry := metrics.For(o.Node)
