Coordinator: claims confirm no term after a change of the generation

If the leadership passes to another process and comes back, that process may still fence the ledger late. A claim counted again once one append of the old term had been accepted, so the old term could renew leases after the other one had begun, which counts all former leases from its begin and now hands that on to its successors.

Cause: an append that is accepted rules out fences that have arrived, not ones that are still on their way.

Change: a claim confirms a term only while the generation is that of the term. After a change only appends do, and one is made every 1.5 s then. It writes the record of the leases instead of the progress of some job, so that it does not need a job.

Test: TestClaimAfterChangeOfLeaderIsNoConfirmation, last step, demanded that a claim confirms after an append; it demands a further append now, which is stricter, and failed so on ("another candidate came and went").

--- a/internal/fleet/coordinator/coordinator_internal_test.go
+++ b/internal/fleet/coordinator/coordinator_internal_test.go
@@ -37,7 +37,8 @@
 }
 
 // Guards against a term that counts as the newest although another one has begun and
-// ended since: the leadership may have come back to this process meanwhile.
+// ended since, or still may: the leadership may have come back to this process meanwhile,
+// and the fence of the other one may come late.
 func TestClaimAfterChangeOfLeaderIsNoConfirmation(t *testing.T) {
 	const token = 1
 	for name, tt := range map[string]struct {
@@ -96,7 +97,10 @@
 				c.Check(appends <= 1, qt.IsTrue, qt.Commentf("%d appends", appends))
 				tm.confirmedAt.Store(0)
 				co.campaign(ctx)
-				c.Check(confirmed(), qt.IsTrue)
+				waitUntil(c, confirmed)
+				further, ok := callLoop(ctx, tm, func() int64 { return tm.writer.sequence })
+				c.Check(ok, qt.IsTrue)
+				c.Check(further > appends, qt.Equals, tt.generation != token) // No claim confirms it after a change.
 			}
 		})
 	}
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -24,6 +24,8 @@
 	// confirmationValidity is how long leases are renewed after the store last
 	// confirmed that the term is the newest.
 	confirmationValidity = 4 * time.Second
+	// confirmationInterval is the time between two appends that only confirm the term.
+	confirmationInterval = 1500 * time.Millisecond
 	// maxPlanShare bounds the share of time that planning takes, so that
 	// renewals and calls still get through in a busy fleet.
 	maxPlanShare = 0.2
@@ -41,8 +43,7 @@
 	events      chan func()  // events holds functions that the loop runs in order.
 	confirmedAt atomic.Int64 // confirmedAt is when the last call that confirmed that this term leads was sent, by the clock of now.
 
-	claimedGeneration   atomic.Int64 // claimedGeneration is the generation in the reply to the last claim.
-	confirmedGeneration atomic.Int64 // confirmedGeneration is the generation up to which no other term has begun.
+	claimedGeneration atomic.Int64 // claimedGeneration is the generation in the reply to the last claim.
 
 	begunAt       time.Duration
 	former        formerTerms
@@ -105,7 +106,6 @@
 		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
-	t.confirmedGeneration.Store(token)
 	t.former = c.formerTerms(t.begunAt)
 	t.leases.dueBy(t.begunAt + leasesDelay)
 	t.confirm(confirmed)
@@ -126,23 +126,20 @@
 }
 
 // confirmClaim records the reply to a claim that was sent at a time. After a change
-// of the generation it confirms the term only once an append has: the leadership
-// may have gone to another process, which has begun a term, and come back.
+// of the generation only appends confirm the term: the leadership may have gone to
+// another process, whose term may still begin, and come back.
 func (t *term) confirmClaim(generation int64, at time.Duration) {
 	t.claimedGeneration.Store(generation)
-	if t.confirmedGeneration.Load() == generation {
+	if t.token == generation {
 		t.confirm(at)
 	}
 }
 
-// requestConfirmation lets the next append happen if a claim waits for one.
-func (t *term) requestConfirmation() {
-	if len(t.dirty) > 0 || t.claimedGeneration.Load() == t.confirmedGeneration.Load() {
-		return
-	}
-	for id := range t.jobs {
-		t.dirty.Add(id) // Its progress is recorded again.
-		return
+// requestConfirmation lets the leases be recorded if claims confirm nothing and no
+// append has for a while.
+func (t *term) requestConfirmation(at time.Duration) {
+	if t.claimedGeneration.Load() != t.token && at-time.Duration(t.confirmedAt.Load()) >= confirmationInterval {
+		t.leases.dueBy(at)
 	}
 }
 
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -46,7 +46,7 @@
 func (t *term) flush() {
 	at := now()
 	if !t.writer.busy {
-		t.requestConfirmation()
+		t.requestConfirmation(at)
 	}
 	due := t.leases.dueAt != 0 && at >= t.leases.dueAt
 	if t.writer.busy || len(t.dirty) == 0 && len(t.effects) == 0 && len(t.outlooks.records) == 0 && !due {
@@ -74,7 +74,6 @@
 	t.writer.busy = true
 	t.writer.sequence++
 	fence := ledger.Fence{Writer: writerName, Epoch: t.token, Sequence: t.writer.sequence}
-	generation := t.claimedGeneration.Load()
 	t.group.Go("append", func(ctx context.Context) error {
 		start := now()
 		if err := t.appendWithRetry(ctx, fence, records); err != nil {
@@ -83,7 +82,6 @@
 		t.post(func() {
 			t.writer.busy = false
 			t.confirm(start)
-			t.confirmedGeneration.Store(generation)
 			if withLeases {
 				t.recordedLeases(removed, start)
 			}
