Jobs record whether their starts need tickets of the adviser

Cause: whether a job needs tickets was looked up in the configuration in force by the name of its queue, and a queue that is not there counted as one without an adviser. The record of the job did not hold it.

Change: an entry records the use of the adviser with the job when it accepts it; the coordinator follows the record. Looked up by the queue's name otherwise: only the service, which falls back to the recorded one; priority, attempts, stretch and objective were recorded before.

Tests, seen failing with the field in the record but the look-up and the entry as before: TestAdviserUseIsThatOfTheAcceptance, TestAdvice (its third job, after 20 s) and TestJobRecordsTheUseOfTheAdviser. TestAdviserUseIsRecorded and the odd record guard the format; they have no code before.

--- a/internal/fleet/coordinator/advice.go
+++ b/internal/fleet/coordinator/advice.go
@@ -68,19 +68,30 @@
 	next *adviceQuery // next is the most urgent query that the last plan has found.
 }
 
+// usesAdviser reports whether the starts of a job need tickets. For a job that an
+// older version has accepted, the configuration in force decides; it may lack the
+// queue by now.
+func (t *term) usesAdviser(j *jobState) bool {
+	if j.job.Adviser != workload.AdviserNotRecorded {
+		return j.job.Adviser == workload.AdviserUsed
+	}
+	catalogue := t.catalogue.Get()
+	if catalogue == nil {
+		return false
+	}
+	queue, _ := catalogue.Queue(j.job.Queue)
+	return queue.UsesAdviser
+}
+
 // permittedHosts returns the names of the hosts with a valid ticket for a step,
-// or None if its queue does not use the adviser or the catalogue is not loaded.
+// or None if the job does not use the adviser.
 // If not all waiting tasks fit on those of these hosts where the step has not
 // failed, it also sets adviceCalls.next to a query about further hosts, unless a
 // query is set. It is called for the steps in order of urgency, so the most urgent
 // query is kept. For urgent work, hosts without free resources count as well,
 // because it may preempt other work there.
 func (t *term) permittedHosts(j *jobState, step int, service string, tasks int, rank allocation.Rank) collection.Option[collection.Set[string]] {
-	catalogue := t.catalogue.Get()
-	if catalogue == nil {
-		return collection.None[collection.Set[string]]()
-	}
-	if queue, ok := catalogue.Queue(j.job.Queue); !ok || !queue.UsesAdviser {
+	if !t.usesAdviser(j) {
 		return collection.None[collection.Set[string]]()
 	}
 	at := now()
--- a/internal/fleet/coordinator/avoidance_internal_test.go
+++ b/internal/fleet/coordinator/avoidance_internal_test.go
@@ -58,6 +58,30 @@
 	}
 }
 
+// Guards against an accepted job whose starts lack tickets, because its queue was
+// removed or changed afterwards.
+func TestAdviserUseIsThatOfTheAcceptance(t *testing.T) {
+	tm := newIdleTerm(t, "a")
+	for name, tt := range map[string]struct {
+		use   workload.AdviserUse
+		queue string
+		want  bool
+	}{
+		"used, queue removed":             {workload.AdviserUsed, "removed", true},
+		"used, queue uses it":             {workload.AdviserUsed, "advised", true},
+		"not used, queue uses it now":     {workload.AdviserNotUsed, "advised", false},
+		"older version, queue uses it":    {workload.AdviserNotRecorded, "advised", true},
+		"older version, queue is removed": {workload.AdviserNotRecorded, "removed", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			j := &jobState{job: workload.Job{ID: "job", Queue: tt.queue, Adviser: tt.use, Steps: []workload.Step{{Count: 1}}}, failuresByStep: make(map[int]*stepFailures)}
+			j.progress = workload.NewProgress(j.job)
+			_, restricted := tm.newDemand(j, 0, 1, allocation.Ordinary).AllowedHosts.Get()
+			qt.Check(t, restricted, qt.Equals, tt.want)
+		})
+	}
+}
+
 // Guards against a step that is excluded from every host that can run it, and against
 // one that returns to a faulty host while others have room.
 func TestAvoidFaultyHosts(t *testing.T) {
--- a/internal/fleet/coordinator/long_running_test.go
+++ b/internal/fleet/coordinator/long_running_test.go
@@ -168,4 +168,6 @@
 	second := f.submitWork(workload.Job{ID: "advised-2", Queue: advised, Priority: 2, Steps: []workload.Step{step(3, 4)}}, work)
 	f.awaitState(second.ID, workload.Done)
 	f.c.Check(f.starts(second.ID, 3), qt.Equals, 3)
+	removed := f.submitWork(workload.Job{ID: "advised-3", Queue: "removed", Adviser: workload.AdviserUsed, Steps: []workload.Step{step(1, 4)}}, work)
+	f.awaitState(removed.ID, workload.Done)
 }
--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -114,6 +114,25 @@
 	Attempts  int           // Attempts is the maximum number of failed runs of a task; at least 1.
 	Stretch   float64       // Stretch is a factor: the target completion time is Stretch * CriticalPath + Objective.
 	Objective time.Duration // Objective is the constant part of the target completion time.
+	Adviser   AdviserUse    // Adviser tells whether starts need tickets, as the queue said when the job was accepted.
+}
+
+// AdviserUse tells whether the starts of a job need tickets of the placement adviser.
+type AdviserUse int
+
+// The uses of the adviser.
+const (
+	AdviserNotRecorded AdviserUse = iota // AdviserNotRecorded is that of jobs that an older version has accepted.
+	AdviserNotUsed
+	AdviserUsed
+)
+
+// AdviserUseOf returns the use of the adviser by a queue.
+func AdviserUseOf(used bool) AdviserUse {
+	if used {
+		return AdviserUsed
+	}
+	return AdviserNotUsed
 }
 
 // CriticalPath returns the estimated duration of the longest chain of dependent
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -65,6 +65,7 @@
 	Repetitions  int          `json:"repetitions,omitempty"`
 	First        int64        `json:"first-ms,omitempty"`
 	Interval     int64        `json:"interval-ms,omitempty"`
+	Adviser      *bool        `json:"adviser,omitempty"` // Adviser is missing in records of older versions.
 }
 
 type stepRecord struct {
@@ -94,6 +95,10 @@
 		Submitted: j.Submitted.UnixMilli(), Priority: j.Priority, Attempts: j.Attempts,
 		Stretch: j.Stretch, Objective: j.Objective.Milliseconds(),
 	}
+	if j.Adviser != workload.AdviserNotRecorded {
+		used := j.Adviser == workload.AdviserUsed
+		r.Adviser = &used
+	}
 	if j.Scheduled() {
 		r.Repetitions, r.First, r.Interval = j.Schedule.Repetitions, j.Schedule.First.UnixMilli(), j.Schedule.Interval.Milliseconds()
 	}
@@ -122,6 +127,9 @@
 		Submitted: time.UnixMilli(r.Submitted), Priority: r.Priority, Attempts: r.Attempts,
 		Stretch: r.Stretch, Objective: fromMillis(r.Objective),
 	}
+	if r.Adviser != nil {
+		j.Adviser = workload.AdviserUseOf(*r.Adviser)
+	}
 	if r.Repetitions > 0 {
 		j.Schedule = workload.Schedule{Repetitions: r.Repetitions, First: time.UnixMilli(r.First), Interval: fromMillis(r.Interval)}
 	}
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -1,6 +1,7 @@
 package ledger_test
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"reflect"
@@ -22,7 +23,7 @@
 func sampleJob(id workload.ID) workload.Job {
 	return workload.Job{
 		ID: id, Queue: "q", Organisation: "o", Service: "app", Spec: "text", Submitted: time.UnixMilli(1000), Priority: 1,
-		Attempts: 2, Stretch: 1.5, Objective: 300 * time.Millisecond,
+		Attempts: 2, Stretch: 1.5, Objective: 300 * time.Millisecond, Adviser: workload.AdviserUsed,
 		Steps: []workload.Step{
 			{Count: 2, Need: workload.Resources{MilliCores: 1, MemoryMB: 2, Accelerators: 3}, Estimate: time.Second, Checkpoints: true, Gang: true, RackLocal: true},
 			{Count: 1, DependsOn: []int{0}, Label: "a", DataRack: "r1", SpreadLimit: 2, BestEffort: true, LongRunning: true, MaxUnavailable: 1, LatencyTarget: 20 * time.Millisecond, Image: "i"},
@@ -68,6 +69,20 @@
 	c.Check(e.State(), qt.Equals, workload.Running)
 }
 
+// Guards against a record that can't be told from that of an older version.
+func TestAdviserUseIsRecorded(t *testing.T) {
+	for _, use := range []workload.AdviserUse{workload.AdviserNotRecorded, workload.AdviserNotUsed, workload.AdviserUsed} {
+		c := qt.New(t)
+		j := sampleJob("j")
+		j.Adviser = use
+		record, err := ledger.EncodeJob(j)
+		c.Assert(err, qt.IsNil)
+		c.Check(bytes.Contains(record.Value, []byte("adviser")), qt.Equals, use != workload.AdviserNotRecorded)
+		e, _ := foldEach(c, []ledger.Record{record}).Job("j")
+		c.Check(e.Job, qt.DeepEquals, j)
+	}
+}
+
 // Guards against a progress record that omits the runs of an ended job that are still
 // stopping. A new coordinator would treat their resources as free.
 func TestEndedJobKeepsTheRunsThatAreStopping(t *testing.T) {
--- a/internal/record/ledger/odd_test.go
+++ b/internal/record/ledger/odd_test.go
@@ -49,6 +49,7 @@
 		"job/odd interval":               jobText(`"steps":[{"count":1}],"repetitions":1000,"interval-ms":9223372036854`),
 		"job/odd interval wraps":         jobText(`"steps":[{"count":1}],"repetitions":10,"interval-ms":9223372036854775807`),
 		"job/odd first":                  jobText(`"steps":[{"count":1}],"repetitions":1,"first-ms":9223372036854775807`),
+		"job/odd adviser":                jobText(`"adviser":"yes","steps":[{"count":1}]`),
 		"job/odd target":                 jobText(`"steps":[{"count":1,"target-ms":9223372036854775807}]`),
 		"job/":                           jobText(`"steps":[{"count":1}]`),
 		"progress/good nested":           nested(),
--- a/internal/role/gateway/describe.go
+++ b/internal/role/gateway/describe.go
@@ -33,5 +33,6 @@
 	return workload.Job{
 		ID: a.job, Queue: q.Name, Organisation: a.organisation, Service: q.Service, Spec: s.Spec, Steps: s.Steps, Schedule: s.Schedule,
 		Submitted: time.Now(), Priority: q.Priority, Attempts: q.Attempts, Stretch: q.Stretch, Objective: q.Objective,
+		Adviser: workload.AdviserUseOf(q.UsesAdviser),
 	}
 }
--- a/internal/role/gateway/gateway_test.go
+++ b/internal/role/gateway/gateway_test.go
@@ -258,6 +258,16 @@
 	f.c.Check(f.call(gateway.Count, "/q/", "key1", "").Outcome, qt.Equals, gateway.Counted)
 }
 
+// Guards against a job that follows what its queue says after it was accepted.
+func TestJobRecordsTheUseOfTheAdviser(t *testing.T) {
+	f := newFixture(t)
+	for queue, want := range map[string]workload.AdviserUse{"/q/": workload.AdviserNotUsed, "/advised/": workload.AdviserUsed} {
+		job, err := f.gateway.Describe(gateway.Call{Method: gateway.Submit, Host: "h", Path: queue + jobID, Key: "key1"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, job.Adviser, qt.Equals, want)
+	}
+}
+
 func TestDrainingEntryAnswersButIsNotReady(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t)
