Coordinator: every refused start delays its task, for longer each time

Any other host that refused all starts got them again and again at a fixed rate.

Cause: a refusal set what it showed about the host (draining, another incarnation, unhealthy, ticket dropped), and only refusals for want of room, unreadable or disconnected set a delay, of 300 ms for the whole job. What was set for the host ended with its next report or the next ticket, and then the task went there at once. A start answered as that of an ended run, or too late, was given up by the next report, without any delay.

Change: one policy, refusalDelay, a pure function: a task whose start was refused, for whatever reason, or came to nothing waits 50 ms, and twice as long each time, up to 2 s; up to 300 ms if it is urgent, which is what refusals with a delay cost it before. A report that lists a run of the task, or its end, ends the count; each delay ends with time. The wait of a whole job for 300 ms where a refusal shows nothing about the host stays. The plan is made when a delay ends, not up to 200 ms later. Log event "task delayed".

--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -123,17 +123,17 @@
 	return covered
 }
 
-// waitingTasks returns the indices of the tasks of a step that may be placed. A
-// gang is placed as a whole, so all its tasks have to wait and none may still
+// waitingTasks returns the indices of the tasks of a step that may be placed, so
+// that no delay after a refused start holds them. A gang is placed as a whole, so all its tasks have to wait and none may still
 // run anywhere.
 func (t *term) waitingTasks(j *jobState, step int) []int {
 	if !j.progress.StepReady(j.job, step) {
 		return nil
 	}
-	tasks := j.progress.Steps[step].Tasks
+	tasks, at := j.progress.Steps[step].Tasks, now()
 	var indices []int
 	for i, task := range tasks {
-		if task.Phase == workload.Waiting {
+		if task.Phase == workload.Waiting && at >= j.refusals[taskKey{step, i}].retryAt {
 			indices = append(indices, i)
 		}
 	}
--- a/internal/fleet/coordinator/minion_calls.go
+++ b/internal/fleet/coordinator/minion_calls.go
@@ -213,9 +213,11 @@
 		"try", r.tries.sent, "open-tries", r.tries.open, "took", ago(sent), "reason", err)
 }
 
-// handleStartRefusal records what a refused start shows about the host, so that
-// the next plan does not choose it again.
+// handleStartRefusal delays the task and records what a refused start shows about the
+// host, so that the next plan does not choose it again. Where it shows nothing, the
+// other tasks of the job wait too, because they would go there as well.
 func (t *term) handleStartRefusal(r *run, err error) {
+	t.delayTask(r)
 	switch {
 	case errors.Is(err, host.ErrDraining):
 		r.host.minion.Draining = true
@@ -260,6 +262,7 @@
 		}
 		return false
 	case timedOut:
+		t.delayTask(r)
 		r.host.health.recordRefusal(now())
 		r.attempt.job.retryAt = now() + placementRetryDelay
 		t.stopAttempt(r.attempt, "a start was not answered")
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -105,6 +105,9 @@
 			if r.tries.open > 0 && !r.reported {
 				h.health.recordRefusal(now()) // Its minion answers no starts.
 			}
+			if r.tries.sent > 0 && !r.reported && !r.attempt.stopping {
+				t.delayTask(r) // Its start was refused as that of an ended run, or has come to nothing.
+			}
 			t.loseRun(r, "the minion does not report it")
 		case r.missingSince == 0:
 			r.missingSince = now()
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -217,6 +217,7 @@
 	if r == nil {
 		return
 	}
+	r.endDelays()
 	a := r.attempt
 	j := a.job
 	if !r.isCurrent() || j.progress.State.Ended() {
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -103,6 +103,7 @@
 			t.markRunning(r)
 		}
 		r.update(reported)
+		r.endDelays()
 		t.observeProgress(r)
 		if r.attempt.stopping {
 			t.sendStop(r)
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -78,13 +78,14 @@
 	progressUnknown bool
 
 	cancelled      bool
-	activeRuns     int                   // activeRuns counts the runs that hold resources somewhere.
-	failuresByStep map[int]*stepFailures // failuresByStep holds the failed runs of each step; see the method failures.
-	startNoticedAt time.Duration         // startNoticedAt is when the first start of a task was noticed; 0 before, and once an append has it.
-	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
-	measured       map[int]time.Duration // measured holds how long the tasks of a step take by the progress of its fastest run.
-	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
-	expectation    expectation           // expectation holds the run times that its steps are expected to take.
+	activeRuns     int                       // activeRuns counts the runs that hold resources somewhere.
+	failuresByStep map[int]*stepFailures     // failuresByStep holds the failed runs of each step; see the method failures.
+	startNoticedAt time.Duration             // startNoticedAt is when the first start of a task was noticed; 0 before, and once an append has it.
+	retryAt        time.Duration             // retryAt is when the job may be placed again after a failed start.
+	refusals       map[taskKey]startRefusals // refusals holds those of tasks that have not run since; see startRefusals.
+	measured       map[int]time.Duration     // measured holds how long the tasks of a step take by the progress of its fastest run.
+	advice         map[int]*stepAdvice       // advice holds for each step what the adviser has replied.
+	expectation    expectation               // expectation holds the run times that its steps are expected to take.
 }
 
 // endedJob is a job whose records are removed at removeAt.
