Coordinator: a plan compares the delays of tasks with one reading of the clock

The plan has read the clock before for the delays of jobs.

Change: waitingTasks gets the time from the plan, so that all delays of a plan are compared with the same time.

The call in TestAvoidFaultyHosts passes the time.

--- a/internal/fleet/coordinator/avoidance_internal_test.go
+++ b/internal/fleet/coordinator/avoidance_internal_test.go
@@ -164,7 +164,7 @@
 			for _, f := range tt.probation {
 				tm.hosts[f.host].health.recordFailure("other", false, 0, now()-f.ago)
 			}
-			d := tm.newDemand(j, 0, len(tm.waitingTasks(j, 0)), allocation.Ordinary)
+			d := tm.newDemand(j, 0, len(tm.waitingTasks(j, 0, now())), allocation.Ordinary)
 			c.Check(d.AvoidedHosts.Sorted(), qt.DeepEquals, append([]string{}, tt.avoided...))
 			c.Check(d.ExcludedHosts.Sorted(), qt.DeepEquals, append([]string{}, tt.excluded...))
 		})
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		for s := o.firstStep(); s < o.firstStep()+len(j.job.Steps); s++ {
-			indices := t.waitingTasks(j, s)
+			indices := t.waitingTasks(j, s, at)
 			if len(indices) == 0 {
 				continue
 			}
@@ -123,14 +123,14 @@
 	return covered
 }
 
-// waitingTasks returns the indices of the tasks of a step that may be placed, so
-// that no delay after a refused start holds them. A gang is placed as a whole, so all its tasks have to wait and none may still
-// run anywhere.
-func (t *term) waitingTasks(j *jobState, step int) []int {
+// waitingTasks returns the indices of the tasks of a step that may be placed at a
+// time, when no delay after a refused start holds them any more. A gang is placed as a
+// whole, so all its tasks have to wait and none may still run anywhere.
+func (t *term) waitingTasks(j *jobState, step int, at time.Duration) []int {
 	if !j.progress.StepReady(j.job, step) {
 		return nil
 	}
-	tasks, at := j.progress.Steps[step].Tasks, now()
+	tasks := j.progress.Steps[step].Tasks
 	var indices []int
 	for i, task := range tasks {
 		if task.Phase == workload.Waiting && at >= j.refusals[taskKey{step, i}].retryAt {
