--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -107,6 +107,7 @@
 		}
 		r.update(reported)
 		r.heardAt = sent
+		r.endDelays()
 		t.observeProgress(r)
 		if r.attempt.stopping {
 			t.sendStop(r)
