Coordinator: compute what a plan needs once, not for each task

Callers saw nothing yet, but the entry that coordinates took up to 20 % of a core at 300 hosts, all that the smallest entry has, so that a larger site would see late decisions.

Cause: a plan added up the runs of each host for each demand and each late run, wrote the name of each incarnation anew for each look at a pace, went through all attempts and jobs for each competition, and ordered all work although nothing waited. After each event the term looked at the leases of all hosts.

Change: a host knows what its runs use; incarnations and labels are derived once for a description of a minion; remaining times, guarantees and the room of services are kept for one decision; loads are summed up once; room for slow runs once for a tick; lease expiry is looked at when it can have come; nothing is ordered while nothing waits, and an overload ends in the log then; bestFit uses one space and fills a host at once.

--- a/internal/fleet/allocation/allocation.go
+++ b/internal/fleet/allocation/allocation.go
@@ -181,7 +181,8 @@
 type planner struct {
 	hosts            []*hostState
 	racks            map[string][]*hostState
-	rackNames        []string // rackNames is sorted.
+	rackNames        []string    // rackNames is sorted.
+	candidates       []candidate // candidates is the space that bestFit uses, which keeps nothing there.
 	units            []Unit
 	usages           [][]hostUsage // usages holds what each unit uses on the known hosts.
 	isPreempted      []bool        // isPreempted is indexed like units.
@@ -361,7 +362,7 @@
 
 // usable reports whether tasks of the demand are permitted on the host and would
 // fit if it were empty.
-func usable(d Demand, h *hostState) bool {
+func usable(d *Demand, h *hostState) bool {
 	if h.OnProbation && h.busy {
 		return false
 	}
--- a/internal/fleet/allocation/choose.go
+++ b/internal/fleet/allocation/choose.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"slices"
 
+	"wasabihoist/internal/fleet/pace"
 	"wasabihoist/internal/fleet/workload"
 )
 
@@ -15,7 +17,7 @@
 	case d.DataRack != "":
 		return p.selectNearData(d, available)
 	default:
-		chosen, _ := fitByPace(d, p.hosts, available)
+		chosen, _ := p.fitByPace(d, p.hosts, available)
 		return chosen
 	}
 }
@@ -30,7 +32,7 @@
 	var best []*hostState
 	bestPlace, leastLeftover := 0, 0
 	for _, name := range p.rackNames {
-		chosen, place := fitByPace(d, p.racks[name], available)
+		chosen, place := p.fitByPace(d, p.racks[name], available)
 		if len(chosen) < d.Tasks {
 			continue
 		}
@@ -49,7 +51,7 @@
 		return best
 	}
 	if d.RelaxLocality || !p.fitsEmptyRack(d) {
-		chosen, _ := fitByPace(d, p.hosts, available)
+		chosen, _ := p.fitByPace(d, p.hosts, available)
 		return chosen
 	}
 	return nil
@@ -59,7 +61,7 @@
 // ended that ends by itself or that the gang may preempt.
 func (p *planner) fitsEmptyRack(d Demand) bool {
 	for _, name := range p.rackNames {
-		if len(bestFit(d, p.racks[name], p.freeOnceEmptied(d.Rank))) == d.Tasks {
+		if len(p.bestFit(d, p.racks[name], nil, p.freeOnceEmptied(d.Rank))) == d.Tasks {
 			return true
 		}
 	}
@@ -83,12 +85,12 @@
 // selectNearData prefers the rack with the data. Tasks that do not fit there wait,
 // unless locality is relaxed or the rack will not be able to hold them.
 func (p *planner) selectNearData(d Demand, available func(*hostState) workload.Resources) []*hostState {
-	near, _ := fitByPace(d, p.racks[d.DataRack], available)
+	near, _ := p.fitByPace(d, p.racks[d.DataRack], available)
 	if len(near) == d.Tasks || !d.RelaxLocality && p.fitsEmptyDataRack(d) {
 		return near
 	}
 	if d.Gang {
-		chosen, _ := fitByPace(d, p.hosts, available)
+		chosen, _ := p.fitByPace(d, p.hosts, available)
 		return chosen
 	}
 	rest := d
@@ -102,14 +104,14 @@
 		}
 		return a
 	}
-	return append(near, bestFit(rest, p.hosts, free)...)
+	return append(near, p.bestFit(rest, p.hosts, nil, free)...)
 }
 
 // fitsEmptyDataRack reports whether the rack with the data fits the whole gang, or at
 // least one task of a demand that is not a gang, once the work there has ended as in
 // fitsEmptyRack.
 func (p *planner) fitsEmptyDataRack(d Demand) bool {
-	chosen := len(bestFit(d, p.racks[d.DataRack], p.freeOnceEmptied(d.Rank)))
+	chosen := len(p.bestFit(d, p.racks[d.DataRack], nil, p.freeOnceEmptied(d.Rank)))
 	return chosen == d.Tasks || !d.Gang && chosen > 0
 }
 
@@ -123,35 +125,44 @@
 }
 
 // accepts reports whether one more task may be assigned to the host.
-func (c *candidate) accepts(d Demand) bool {
+func (c *candidate) accepts(d *Demand) bool {
 	return c.free.Fits(d.Need) && (d.SpreadLimit == 0 || c.stepTasks < d.SpreadLimit) && (!c.host.OnProbation || c.assigned == 0)
 }
 
+// assign appends the host to the chosen ones and takes what a task of a demand needs.
+func (c *candidate) assign(d *Demand, chosen []*hostState) []*hostState {
+	c.free = c.free.Sub(d.Need)
+	c.stepTasks++
+	c.assigned++
+	return append(chosen, c.host)
+}
+
 // bestFit assigns tasks one by one to the host with the fewest free accelerators and
 // cores, so that whole hosts stay free for large tasks. Best-effort tasks are spread
 // over the hosts with the most idle cores instead. For a gang it returns all or none.
-func bestFit(d Demand, hosts []*hostState, available func(*hostState) workload.Resources) []*hostState {
-	candidates := make([]candidate, 0, len(hosts))
+// It considers the hosts of the given paces only, all if there are none.
+func (p *planner) bestFit(d Demand, hosts []*hostState, paces []pace.Class, available func(*hostState) workload.Resources) []*hostState {
+	candidates := p.candidates[:0]
 	maxTasks := 0
 	for _, h := range hosts {
-		if free := available(h); free.Fits(d.Need) && usable(d, h) {
+		if paces != nil && !slices.Contains(paces, h.Pace) {
+			continue
+		}
+		if free := available(h); free.Fits(d.Need) && usable(&d, h) {
 			candidates = append(candidates, candidate{h, free, d.TasksByHost[h.Name], 0, d.AvoidedHosts.Has(h.Name)})
 			maxTasks += free.FitCount(d.Need)
 		}
 	}
+	p.candidates = candidates
 	if d.Gang && maxTasks < d.Tasks || maxTasks == 0 {
 		return nil
 	}
-	chosen := make([]*hostState, 0, d.Tasks)
-	for range d.Tasks {
-		best := bestCandidate(d, candidates)
-		if best == nil {
-			break
+	chosen := make([]*hostState, 0, min(d.Tasks, maxTasks))
+	for best := bestCandidate(&d, candidates); best != nil && len(chosen) < d.Tasks; best = bestCandidate(&d, candidates) {
+		chosen = best.assign(&d, chosen)
+		for !d.BestEffort && len(chosen) < d.Tasks && best.accepts(&d) { // The tightest host stays the tightest.
+			chosen = best.assign(&d, chosen)
 		}
-		best.free = best.free.Sub(d.Need)
-		best.stepTasks++
-		best.assigned++
-		chosen = append(chosen, best.host)
 	}
 	if d.Gang && len(chosen) < d.Tasks {
 		return nil
@@ -161,7 +172,7 @@
 
 // bestCandidate returns the preferred candidate that accepts one more task, nil
 // when none does.
-func bestCandidate(d Demand, candidates []candidate) *candidate {
+func bestCandidate(d *Demand, candidates []candidate) *candidate {
 	var best *candidate
 	for i := range candidates {
 		c := &candidates[i]
@@ -175,7 +186,7 @@
 // preferredOver reports whether a candidate comes before another one: hosts that are
 // not avoided first, then by the preferred pace and by best fit, or for best-effort demands by the fewest tasks
 // of the step, then the most idle cores.
-func (c *candidate) preferredOver(o *candidate, d Demand) bool {
+func (c *candidate) preferredOver(o *candidate, d *Demand) bool {
 	switch {
 	case c.avoided != o.avoided:
 		return o.avoided
--- a/internal/fleet/allocation/pace.go
+++ b/internal/fleet/allocation/pace.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 
 	"wasabihoist/internal/fleet/pace"
 	"wasabihoist/internal/fleet/workload"
@@ -47,27 +46,16 @@
 // faster hosts of its gang.
 //
 // It also returns the place of the group of paces that was used, less being preferred.
-func fitByPace(d Demand, hosts []*hostState, available func(*hostState) workload.Resources) (chosen []*hostState, place int) {
+func (p *planner) fitByPace(d Demand, hosts []*hostState, available func(*hostState) workload.Resources) (chosen []*hostState, place int) {
 	if d.Pace == AnyPace || !d.Gang {
-		return bestFit(d, hosts, available), 0
+		return p.bestFit(d, hosts, nil, available), 0
 	}
 	groups := paceGroups[d.Pace]
 	d.Pace = SpareFast // A gang of several paces takes as few fast hosts as possible.
 	for i, group := range groups {
-		if chosen := bestFit(d, ofPace(hosts, group), available); len(chosen) > 0 {
+		if chosen := p.bestFit(d, hosts, group, available); len(chosen) > 0 {
 			return chosen, i
 		}
 	}
-	return bestFit(d, hosts, available), len(groups)
-}
-
-// ofPace returns the hosts that work at one of the given paces.
-func ofPace(hosts []*hostState, classes []pace.Class) []*hostState {
-	var list []*hostState
-	for _, h := range hosts {
-		if slices.Contains(classes, h.Pace) {
-			list = append(list, h)
-		}
-	}
-	return list
+	return p.bestFit(d, hosts, nil, available), len(groups)
 }
--- a/internal/fleet/allocation/preempt.go
+++ b/internal/fleet/allocation/preempt.go
@@ -90,7 +90,7 @@
 // does not fit even if all less urgent units are preempted.
 func (p *planner) tryPreemption(d Demand, hosts []*hostState) *preemptionTrial {
 	reclaimable := func(h *hostState) workload.Resources { return p.reclaimable(h, d.Rank) }
-	if fitting := len(bestFit(d, hosts, reclaimable)); fitting == 0 || d.Gang && fitting < d.Tasks {
+	if fitting := len(p.bestFit(d, hosts, nil, reclaimable)); fitting == 0 || d.Gang && fitting < d.Tasks {
 		return nil
 	}
 	trial := &preemptionTrial{
@@ -159,7 +159,7 @@
 	var bestVictims []int
 	bestCost := 0.0
 	for _, h := range hosts {
-		if !usable(d, h) || d.SpreadLimit > 0 && d.TasksByHost[h.Name]+trial.tasks[h.index] >= d.SpreadLimit {
+		if !usable(&d, h) || d.SpreadLimit > 0 && d.TasksByHost[h.Name]+trial.tasks[h.index] >= d.SpreadLimit {
 			continue
 		}
 		victims, cost, ok := p.cheapestVictims(d, h, trial)
--- a/internal/fleet/allocation/reserve.go
+++ b/internal/fleet/allocation/reserve.go
@@ -120,7 +120,7 @@
 func (p *planner) earliestHosts(d Demand, hosts []*hostState, within time.Duration) ([]*hostState, time.Duration) {
 	var candidates []*reservationCandidate
 	for _, h := range hosts {
-		if usable(d, h) {
+		if usable(&d, h) {
 			candidates = append(candidates, &reservationCandidate{h, p.earliestFit(h, d.Need, 0), 0})
 		}
 	}
--- a/internal/fleet/coordinator/advice.go
+++ b/internal/fleet/coordinator/advice.go
@@ -88,18 +88,19 @@
 	need := j.job.Step(step).ReservedResources()
 	permitted := collection.NewSet[string]()
 	fitting := 0
+	failures := j.failures(step)
 	var candidates []*hostState
 	for _, h := range t.hosts {
 		if !h.acceptsWork(at) || h.minion.Service != service || advice.denied.Has(h.minion.ID) {
 			continue
 		}
 		fits := h.free().FitCount(need)
-		if ticket := advice.tickets[h.minion.Incarnation()]; ticket.usableUntil > at {
+		if ticket := advice.tickets[h.incarnation()]; ticket.usableUntil > at {
 			permitted.Add(h.name)
-			if !j.failures(step).failedOn(h.name) {
+			if !failures.failedOn(h.name) {
 				fitting += fits
 			}
-		} else if fits > 0 || rank <= allocation.Urgent {
+		} else if t.adviceCalls.next == nil && (fits > 0 || rank <= allocation.Urgent) {
 			candidates = append(candidates, h)
 		}
 	}
@@ -118,7 +119,7 @@
 	})
 	q := &adviceQuery{j, step, make(map[string]string)}
 	for _, h := range candidates[:min(len(candidates), adviceBatchSize)] {
-		q.minions[h.minion.ID] = h.minion.Incarnation()
+		q.minions[h.minion.ID] = h.incarnation()
 	}
 	return q
 }
@@ -189,7 +190,7 @@
 	if advice == nil {
 		return ""
 	}
-	return advice.tickets[h.minion.Incarnation()].text
+	return advice.tickets[h.incarnation()].text
 }
 
 // dropTicket removes a ticket that a minion has refused.
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -23,9 +23,13 @@
 // reservation come first, in the order of these, so that they don't lose their hosts
 // to each other.
 func (t *term) demands() ([]waitingStep, []allocation.Demand) {
-	guaranteed := t.withinGuarantee()
 	at := now()
 	reserved := t.headroom.reserve(t.urgentAccelerators(), at)
+	if !t.anyWaits() {
+		t.endOverloads()
+		return nil, nil
+	}
+	guaranteed := t.withinGuarantee()
 	var steps []waitingStep
 	var demands []allocation.Demand
 	rankOf := func(j *jobState) allocation.Rank { return allocation.RankOf(j.job.Priority, guaranteed.Has(j.job.ID)) }
@@ -61,6 +65,24 @@
 	return steps, demands
 }
 
+// anyWaits reports whether a task waits whose step may start. Most plans come after
+// changes that leave none.
+func (t *term) anyWaits() bool {
+	at := time.Now()
+	for _, j := range t.jobs {
+		for _, number := range j.activeOccurrences(at) {
+			first := number * len(j.job.Steps)
+			for s := first; s < first+len(j.job.Steps); s++ {
+				waits := func(task workload.Task) bool { return task.Phase == workload.Waiting }
+				if slices.ContainsFunc(j.progress.Steps[s].Tasks, waits) && j.progress.StepReady(j.job, s) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // urgentAccelerators returns the number of accelerators that the active
 // occurrences of urgent jobs, those of priority 0, need.
 func (t *term) urgentAccelerators() int {
@@ -99,6 +121,10 @@
 // withinGuarantee returns the jobs of priority 0 that the guarantees of their
 // organisations cover. Jobs accepted earlier are covered first.
 func (t *term) withinGuarantee() collection.Set[workload.ID] {
+	return once(t.known.guaranteed, struct{}{}, t.findWithinGuarantee)
+}
+
+func (t *term) findWithinGuarantee() collection.Set[workload.ID] {
 	covered := collection.NewSet[workload.ID]()
 	catalogue := t.catalogue.Get()
 	if catalogue == nil {
@@ -149,9 +175,10 @@
 	s := j.job.Step(step)
 	service := t.serviceOf(j)
 	tasksByHost := make(map[string]int)
-	for _, task := range j.progress.Steps[step].Tasks {
-		if task.Phase == workload.Placed {
-			tasksByHost[task.Host]++
+	placed := j.progress.Steps[step].Tasks
+	for i := range placed {
+		if placed[i].Phase == workload.Placed {
+			tasksByHost[placed[i].Host]++
 		}
 	}
 	occurrence := j.job.Occurrence(step)
@@ -190,17 +217,8 @@
 // remainingTime returns the estimated run time of the critical path through the
 // unfinished steps of an occurrence. A step in progress counts in full.
 func (t *term) remainingTime(j *jobState, occurrence int) time.Duration {
-	expected := t.expected(j)
-	ends := make([]time.Duration, len(expected.Steps))
-	var longest time.Duration
-	for i, s := range expected.Steps {
-		for _, d := range s.DependsOn {
-			ends[i] = max(ends[i], ends[d])
-		}
-		if !j.progress.StepFinished(occurrence*len(expected.Steps) + i) {
-			ends[i] += s.Estimate
-		}
-		longest = max(longest, ends[i])
-	}
-	return longest
+	return once(t.known.remaining, occurrenceKey{j, occurrence}, func() time.Duration {
+		first := occurrence * len(j.job.Steps)
+		return t.expected(j).LongestChain(func(step int) bool { return !j.progress.StepFinished(first + step) })
+	})
 }
--- a/internal/fleet/coordinator/forecast.go
+++ b/internal/fleet/coordinator/forecast.go
@@ -69,19 +69,17 @@
 			t.forgetForecast(j)
 		}
 	}()
-	steps, demands := t.demands()
-	hosts := t.hostModel()
-	plan := allocation.Decide(hosts, t.preemptibleUnits(), demands)
+	plan := t.decide()
 	f := Forecast{Known: known, Slack: t.slack(j, 0)}
-	for i, d := range demands {
-		if steps[d.ID].job != j {
+	for i, d := range plan.demands {
+		if plan.steps[d.ID].job != j {
 			continue
 		}
 		if len(f.Steps) == 0 {
 			f.Rank = d.Rank
 		}
-		s := t.forecastStep(d, plan)
-		s.Step, s.Before, s.Fits = steps[d.ID].step, i, allocation.CountFits(d, hosts)
+		s := t.forecastStep(d, plan.plan)
+		s.Step, s.Before, s.Fits = plan.steps[d.ID].step, i, allocation.CountFits(d, plan.hosts)
 		f.Steps = append(f.Steps, s)
 	}
 	return f
--- a/internal/fleet/coordinator/headroom.go
+++ b/internal/fleet/coordinator/headroom.go
@@ -49,12 +49,6 @@
 // headroomOf returns how many accelerators of a service ordinary work has to leave
 // free when that many are to be left free for urgent work.
 func (t *term) headroomOf(service string, headroom int) int {
-	free, capacity, at := 0, 0, now()
-	for _, h := range t.hosts {
-		if h.minion.Service == service && h.acceptsWork(at) {
-			free += h.free().Accelerators
-			capacity += h.minion.Capacity.Accelerators
-		}
-	}
-	return capHeadroom(headroom, free, capacity)
+	room := t.roomOf(service)
+	return capHeadroom(headroom, room.free.Accelerators, room.capacity.Accelerators)
 }
--- a/internal/fleet/coordinator/host_pace.go
+++ b/internal/fleet/coordinator/host_pace.go
@@ -117,8 +117,7 @@
 	if !t.settings().Adaptive {
 		return pace.Typical
 	}
-	_, class := t.paces.tracker.Of(h.name, h.minion.Incarnation())
-	return class
+	return t.paces.tracker.ClassOf(h.name, h.incarnation())
 }
 
 // slackShare is the share of its remaining run time that the slack of an occurrence has
--- a/internal/fleet/coordinator/hosts.go
+++ b/internal/fleet/coordinator/hosts.go
@@ -2,11 +2,14 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log/level"
 
+	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/base/group"
+	"wasabihoist/internal/fleet/allocation"
 	"wasabihoist/internal/fleet/host"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
@@ -51,6 +54,8 @@
 	handledSequence      int64         // handledSequence is the sequence number of the last ended run that was handled.
 	incarnationKnown     bool          // incarnationKnown is set while the incarnation in minion is the one that answers, as far as this term knows.
 	runs                 map[runKey]*run
+	used                 workload.Resources // used is what runs need together.
+	texts                hostTexts
 	lateStarts           map[runKey]*lateStart     // lateStarts holds the released runs with a try of their start that may still be carried out.
 	unexpected           map[runKey]*unexpectedRun // unexpected holds the reported runs that the term did not expect until they have ended.
 	health               health
@@ -59,6 +64,30 @@
 	endedRunsDurable     chan struct{} // endedRunsDurable signals that further ended runs are durable; it has capacity 1.
 }
 
+// hostTexts is what is derived of the description of a minion, with that of which it is.
+type hostTexts struct {
+	id          string
+	startedAt   time.Time
+	names       []string
+	incarnation string
+	labels      collection.Set[string]
+}
+
+// derived returns what is derived of the description of the minion. It changes with it.
+func (h *hostState) derived() *hostTexts {
+	d, m := &h.texts, &h.minion
+	if d.labels == nil || d.id != m.ID || !d.startedAt.Equal(m.StartedAt) || !slices.Equal(d.names, m.Labels) {
+		*d = hostTexts{m.ID, m.StartedAt, slices.Clone(m.Labels), m.Incarnation(), collection.NewSet(m.Labels...)}
+	}
+	return d
+}
+
+// incarnation returns the incarnation of the minion as it last described itself.
+func (h *hostState) incarnation() string { return h.derived().incarnation }
+
+// labels returns the labels of the minion. The set must not be modified.
+func (h *hostState) labels() collection.Set[string] { return h.derived().labels }
+
 // unexpectedRun is a run that this term has not started or has given up.
 type unexpectedRun struct {
 	need         workload.Resources
@@ -134,15 +163,26 @@
 	return ago(h.lastContact)
 }
 
-// expireLeases gives up the runs on hosts whose leases have certainly expired.
+// expireLeases gives up the runs on hosts whose leases have certainly expired. Between
+// two events it looks at the hosts only if one of them may have: those times only become
+// later, except on a host that gets a run.
 func (t *term) expireLeases() {
 	at := now()
+	if at < t.nextExpiryAt {
+		return
+	}
+	t.nextExpiryAt = allocation.Never
 	for _, h := range t.hosts {
-		if len(h.runs) == 0 || at <= h.leaseExpiry || at-h.lastContact < silenceTimeout {
+		if len(h.runs) == 0 {
+			continue
+		}
+		if expiry := max(h.leaseExpiry+1, h.lastContact+silenceTimeout); at < expiry {
+			t.nextExpiryAt = min(t.nextExpiryAt, expiry)
 			continue
 		}
+		t.nextExpiryAt = 0
 		if lost := t.loseRunsOn(h, "the lease has expired"); lost > 0 {
-			_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.minion.Incarnation(), "last-contact", h.contactAge(), "runs", lost)
+			_ = level.Warn(t.logger).Log("event", "leases lapsed", "host", h.name, "minion", h.incarnation(), "last-contact", h.contactAge(), "runs", lost)
 		}
 	}
 }
--- a/internal/fleet/coordinator/late_starts.go
+++ b/internal/fleet/coordinator/late_starts.go
@@ -23,7 +23,7 @@
 // refuseLateStarts stops the runs of late starts at a new incarnation of a minion,
 // which refuses the starts from then on.
 func (t *term) refuseLateStarts(h *hostState) {
-	at, incarnation, client := now(), h.minion.Incarnation(), h.client
+	at, incarnation, client := now(), h.incarnation(), h.client
 	for key, s := range h.lateStarts {
 		if at > s.until || host.IncarnationID(s.refusedBy) != h.minion.ID {
 			delete(h.lateStarts, key)
--- a/internal/fleet/coordinator/lateness.go
+++ b/internal/fleet/coordinator/lateness.go
@@ -82,6 +82,10 @@
 func (t *term) measure() {
 	for _, a := range t.attempts {
 		for _, r := range a.runs {
+			if r.measuredAt == r.progressedAt {
+				continue
+			}
+			r.measuredAt = r.progressedAt
 			if total, known := r.fullTime(); known {
 				if old := a.job.measured[a.step]; old == 0 || total < old {
 					if a.job.measured == nil {
@@ -115,14 +119,18 @@
 			groups[key] = append(groups[key], i)
 		}
 	}
+	if len(groups) == 0 {
+		return
+	}
+	loads := t.serviceLoads(rankOf)
 	position := make([]int, len(list)) // The others stay first.
 	for key, indices := range groups {
-		capacity := t.serviceCapacity(key.service)
+		capacity := t.roomOf(key.service).capacity
 		candidates := make([]lateness.Candidate, len(indices))
 		for n, i := range indices {
 			candidates[n] = t.candidate(list[i], capacity, at)
 		}
-		service := lateness.Order(candidates, t.load(key.rank, key.service, rankOf, capacity))
+		service := lateness.Order(candidates, loads[key.service].loadOf(key.rank))
 		t.reportOverload(key, service)
 		for place, n := range service.Order {
 			position[indices[n]] = place + 1
@@ -166,76 +174,106 @@
 		"overdue", service.Overdue, "late", service.Late, "worthless", service.Worthless)
 }
 
+// endOverloads notes that nothing gives way, because nothing waits.
+func (t *term) endOverloads() {
+	for c := range t.overloads {
+		t.reportOverload(c, lateness.Service{})
+	}
+}
+
 // candidate returns an occurrence as it competes for the room of its service.
 func (t *term) candidate(o occurrence, capacity workload.Resources, at time.Time) lateness.Candidate {
 	j := o.job
-	c := lateness.Candidate{
+	return lateness.Candidate{
 		Work: t.work(j, o.number, at), Organisation: j.job.Organisation, Need: t.remainingTime(j, o.number),
-		Waited: at.Sub(j.begin(o.number)),
+		Room: o.room(capacity), Waited: at.Sub(j.begin(o.number)),
 	}
+}
+
+// room returns for how long the waiting tasks of an occurrence would take all of a capacity.
+func (o occurrence) room(capacity workload.Resources) time.Duration {
+	j := o.job
+	var room time.Duration
 	for s := o.firstStep(); s < o.firstStep()+len(j.job.Steps); s++ {
 		waiting := 0
-		for _, task := range j.progress.Steps[s].Tasks {
-			if task.Phase == workload.Waiting {
+		tasks := j.progress.Steps[s].Tasks
+		for i := range tasks {
+			if tasks[i].Phase == workload.Waiting {
 				waiting++
 			}
 		}
-		c.Room += time.Duration(float64(waiting) * share(j.job.Step(s).ReservedResources(), capacity) * float64(j.job.Step(s).Estimate))
+		room += time.Duration(float64(waiting) * share(j.job.Step(s).ReservedResources(), capacity) * float64(j.job.Step(s).Estimate))
 	}
-	c.Room = min(c.Room, maxRoom)
-	return c
+	return min(room, maxRoom)
 }
 
 // maxRoom bounds the room of a job, so that the sum over all jobs doesn't overflow.
 const maxRoom = 7 * 24 * time.Hour
 
-// load returns the running work of a service, and the waiting work that is more urgent
+// serviceLoad is the work of a service by rank, as the time for which it would take all
+// of the room.
+type serviceLoad struct {
+	running time.Duration
+	overdue map[allocation.Rank]time.Duration // overdue is the part of running that was overdue when it started.
+	waiting map[allocation.Rank]time.Duration
+}
+
+// loadOf returns the running work of a service, and the waiting work that is more urgent
 // than a rank.
-func (t *term) load(rank allocation.Rank, service string, rankOf func(*jobState) allocation.Rank, capacity workload.Resources) lateness.Load {
-	var load lateness.Load
-	at := now()
+func (s serviceLoad) loadOf(rank allocation.Rank) lateness.Load {
+	load := lateness.Load{Taken: s.running, Overdue: s.overdue[rank]}
+	for other, room := range s.waiting {
+		if other < rank {
+			load.Taken += room
+		}
+	}
+	return load
+}
+
+// serviceLoads returns the loads of the services.
+func (t *term) serviceLoads(rankOf func(*jobState) allocation.Rank) map[string]*serviceLoad {
+	loads := make(map[string]*serviceLoad)
+	of := func(j *jobState) (string, *serviceLoad) {
+		service := t.serviceOf(j)
+		if loads[service] == nil {
+			loads[service] = &serviceLoad{overdue: make(map[allocation.Rank]time.Duration), waiting: make(map[allocation.Rank]time.Duration)}
+		}
+		return service, loads[service]
+	}
+	at, wall := now(), time.Now()
 	for _, a := range t.attempts {
-		other := rankOf(a.job)
-		if a.definition().LongRunning || t.serviceOf(a.job) != service {
+		if a.definition().LongRunning {
 			continue
 		}
+		service, load := of(a.job)
 		for _, r := range a.runs {
-			taken := time.Duration(share(r.need, capacity) * float64(r.expectedTimeLeft(at, t.expected(a.job).Step(a.step).Estimate)))
-			load.Taken += taken
-			if other == rank && a.overdue {
-				load.Overdue += taken
+			taken := time.Duration(share(r.need, t.roomOf(service).capacity) * float64(r.expectedTimeLeft(at, t.expected(a.job).Step(a.step).Estimate)))
+			load.running += taken
+			if a.overdue {
+				load.overdue[rankOf(a.job)] += taken
 			}
 		}
 	}
 	for _, j := range t.jobs {
-		if other := rankOf(j); other < rank && t.serviceOf(j) == service {
-			for _, number := range j.activeOccurrences(time.Now()) {
-				load.Taken += t.candidate(occurrence{job: j, number: number}, capacity, time.Now()).Room
-			}
-		}
-	}
-	return load
-}
-
-// serviceCapacity returns the capacity of the hosts of a service that accept work.
-func (t *term) serviceCapacity(service string) workload.Resources {
-	at := now()
-	var sum workload.Resources
-	for _, h := range t.hosts {
-		if h.minion.Service == service && h.acceptsWork(at) {
-			sum = sum.Add(h.minion.Capacity)
+		service, load := of(j)
+		for _, number := range j.activeOccurrences(wall) {
+			load.waiting[rankOf(j)] += occurrence{job: j, number: number}.room(t.roomOf(service).capacity)
 		}
 	}
-	return sum
+	return loads
 }
 
 // share returns the largest share of a capacity that a need takes of any resource.
 func share(need, capacity workload.Resources) float64 {
 	largest := 0.0
-	for _, part := range [][2]int{{need.MilliCores, capacity.MilliCores}, {need.MemoryMB, capacity.MemoryMB}, {need.Accelerators, capacity.Accelerators}} {
-		if part[0] > 0 {
-			largest = max(largest, float64(part[0])/float64(max(1, part[1])))
-		}
+	if need.MilliCores > 0 {
+		largest = float64(need.MilliCores) / float64(max(1, capacity.MilliCores))
+	}
+	if need.MemoryMB > 0 {
+		largest = max(largest, float64(need.MemoryMB)/float64(max(1, capacity.MemoryMB)))
+	}
+	if need.Accelerators > 0 {
+		largest = max(largest, float64(need.Accelerators)/float64(max(1, capacity.Accelerators)))
 	}
 	return min(1, largest)
 }
--- a/internal/fleet/coordinator/model.go
+++ b/internal/fleet/coordinator/model.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"wasabihoist/internal/base/collection"
 	"wasabihoist/internal/fleet/allocation"
 	"wasabihoist/internal/fleet/workload"
 )
@@ -25,11 +24,15 @@
 	for _, a := range t.attempts {
 		ending[a] = a.stopping || a.ended || t.endsSoon(a, at)
 	}
-	hosts := make([]allocation.Host, 0, len(t.hosts))
+	list := make([]*hostState, 0, len(t.hosts))
 	for _, h := range t.hosts {
-		if h.minion.ID == "" {
-			continue
+		if h.minion.ID != "" {
+			list = append(list, h)
 		}
+	}
+	slices.SortFunc(list, func(a, b *hostState) int { return cmp.Compare(a.name, b.name) })
+	hosts := make([]allocation.Host, 0, len(list))
+	for _, h := range list {
 		free, futureFree := h.free(), h.minion.Capacity
 		for _, r := range h.runs {
 			if !ending[r.attempt] {
@@ -37,20 +40,16 @@
 			}
 		}
 		hosts = append(hosts, allocation.Host{
-			Name: h.name, Rack: h.minion.Rack, Service: h.minion.Service, Labels: collection.NewSet(h.minion.Labels...),
+			Name: h.name, Rack: h.minion.Rack, Service: h.minion.Service, Labels: h.labels(),
 			Open: h.acceptsWork(at), OnProbation: h.health.onProbation(at), Capacity: h.minion.Capacity, Free: free, FutureFree: futureFree, Pace: t.paceOf(h),
 		})
 	}
-	slices.SortFunc(hosts, func(a, b allocation.Host) int { return cmp.Compare(a.Name, b.Name) })
 	return hosts
 }
 
 // free returns the resources of a host that no run holds.
 func (h *hostState) free() workload.Resources {
-	free := h.minion.Capacity
-	for _, r := range h.runs {
-		free = free.Sub(r.need)
-	}
+	free := h.minion.Capacity.Sub(h.used)
 	for _, u := range h.unexpected {
 		free = free.Sub(u.need)
 	}
@@ -61,7 +60,7 @@
 // preemption costs.
 func (t *term) preemptibleUnits() []allocation.Unit {
 	guaranteed := t.withinGuarantee()
-	at := now()
+	at, wall := now(), time.Now()
 	units := make([]allocation.Unit, 0, len(t.attempts))
 	budgets := t.disruptionBudgets()
 	for _, a := range t.attempts {
@@ -78,7 +77,7 @@
 		if s := budgets[stepKey{a.job, a.step}]; s != nil {
 			u.DisruptionGroup, u.DisruptionsAllowed = s.id, s.remaining
 		}
-		u.PreemptionCost = t.preemptionCost(a) + latenessCost(expected, occurrence, u.Rank, time.Now(), u.RemainingTime, t.settings().TaskStopTimeout+t.remainingTime(a.job, occurrence))
+		u.PreemptionCost = t.preemptionCost(a) + latenessCost(expected, occurrence, u.Rank, wall, u.RemainingTime, t.settings().TaskStopTimeout+t.remainingTime(a.job, occurrence))
 		units = append(units, u)
 	}
 	slices.SortFunc(units, func(a, b allocation.Unit) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/fleet/coordinator/outlook.go
+++ b/internal/fleet/coordinator/outlook.go
@@ -153,7 +153,7 @@
 // and waiting work of the class itself, which need not go before a new job, and work that
 // gives way because its result would be worthless.
 func (t *term) waits(service string) map[lateness.Class]time.Duration {
-	capacity, at := t.serviceCapacity(service), time.Now()
+	capacity, at := t.roomOf(service).capacity, time.Now()
 	room := make(map[lateness.Class]time.Duration)
 	for _, j := range t.jobs {
 		if j.job.HasLongRunning() || t.serviceOf(j) != service {
--- a/internal/fleet/coordinator/plan.go
+++ b/internal/fleet/coordinator/plan.go
@@ -36,15 +36,10 @@
 	if t.settings().Adaptive {
 		t.measure()
 	}
-	steps, demands := t.demands()
-	t.requestAdvice()
-	if len(demands) == 0 {
-		t.recordReservations(nil, allocation.Plan{}, now())
-		return
-	}
 	begin := now()
-	plan := allocation.Decide(t.hostModel(), t.preemptibleUnits(), demands)
-	t.metrics.planTime.Record(now() - begin)
+	d := t.decide()
+	steps, plan := d.steps, d.plan
+	t.requestAdvice()
 	for _, id := range plan.Preempted {
 		a, w := t.attempts[id], steps[plan.PreemptedFor[id]]
 		t.metrics.preemptions.Add(1)
@@ -88,8 +83,8 @@
 	for i, index := range indices {
 		h := t.hosts[hosts[i]]
 		id := j.job.TaskID(a.step, index)
-		j.progress.Place(id, run, h.name, h.minion.Incarnation())
-		t.addRun(a, id, run, h, h.minion.Incarnation()).ticket = t.ticketFor(j, a.step, h)
+		j.progress.Place(id, run, h.name, h.incarnation())
+		t.addRun(a, id, run, h, h.incarnation()).ticket = t.ticketFor(j, a.step, h)
 	}
 	occurrence := j.job.Occurrence(a.step)
 	a.overdue = time.Since(j.begin(occurrence)) > lateness.MaxWait && t.slack(j, occurrence) < 0
--- a/internal/fleet/coordinator/proof.go
+++ b/internal/fleet/coordinator/proof.go
@@ -131,7 +131,7 @@
 func (t *term) loseFormerRuns(h *hostState, report host.StatusReport, sent time.Duration) {
 	listed := listedRuns(report)
 	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() {
+		if r.minion == h.incarnation() {
 			continue
 		}
 		mayArrive, running := r.tries.mayReachNext(sent), listed[runKey{r.task, r.number}]
@@ -150,7 +150,7 @@
 // reassignRun attributes a run to the present incarnation of its minion. What the
 // former one has answered proves nothing about a try that may still arrive.
 func (t *term) reassignRun(r *run, mayArrive bool) {
-	r.minion = r.host.minion.Incarnation()
+	r.minion = r.host.incarnation()
 	r.reported, r.missingSince = false, 0
 	r.tries.openUntil = r.tries.lateUntil
 	if mayArrive {
@@ -173,7 +173,7 @@
 	}
 	listed := listedRuns(report)
 	for _, r := range runsOf(h) {
-		if r.minion == h.minion.Incarnation() && r.reported && !r.tries.mayReachNext(sent) && !listed[runKey{r.task, r.number}] {
+		if r.minion == h.incarnation() && r.reported && !r.tries.mayReachNext(sent) && !listed[runKey{r.task, r.number}] {
 			t.loseRun(r, "the minion has been restarted")
 		}
 	}
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -119,7 +119,7 @@
 			r.Wait = sharedRenewalWait
 		}
 		if h.incarnationKnown {
-			r.Incarnation = h.minion.Incarnation()
+			r.Incarnation = h.incarnation()
 		}
 		if h.incarnationKnown && t.mayRenew() {
 			r.LeaseUntil = h.minionClock + t.settings().MaxLease
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -46,6 +46,7 @@
 	percent          int
 	firstPercent     int           // firstPercent is the percentage when the run was first reported; a run from a checkpoint may start above 0.
 	progressedAt     time.Duration // progressedAt is when the percentage or the speed last changed.
+	measuredAt       time.Duration // measuredAt is the progressedAt of which the method measure has taken note.
 	checkpoint       string
 	checkpointedAt   time.Duration // checkpointedAt is when the checkpoint last changed.
 	reported         bool          // reported is set once the incarnation in minion has reported the run.
@@ -94,7 +95,12 @@
 	r.startedAt, r.speedPercent = now(), fullSpeed
 	r.progressedAt = r.startedAt
 	a.runs = append(a.runs, r)
+	if former := h.runs[runKey{id, number}]; former != nil {
+		h.used = h.used.Sub(former.need)
+	}
 	h.runs[runKey{id, number}] = r
+	h.used = h.used.Add(r.need)
+	t.nextExpiryAt = 0
 	a.job.activeRuns++
 	return r
 }
@@ -165,7 +171,10 @@
 // run.
 func (t *term) releaseRun(r *run) {
 	t.needsPlan = true
-	delete(r.host.runs, runKey{r.task, r.number})
+	if r.held() {
+		delete(r.host.runs, runKey{r.task, r.number})
+		r.host.used = r.host.used.Sub(r.need)
+	}
 	if r.tries.sent > 0 && r.tries.mayReachNext(now()) {
 		r.host.lateStarts[runKey{r.task, r.number}] = &lateStart{until: r.tries.lateUntil, refusedBy: r.minion}
 	}
@@ -212,7 +221,7 @@
 	t.recordStart(e.Task.Job)
 	r := h.runs[runKey{e.Task, e.Number}]
 	t.metrics.ends[e.Outcome].Add(1)
-	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name, "minion", h.minion.Incarnation(),
+	_ = level.Info(t.logger).Log("event", "run ended", "job", e.Task.Job, "task", e.Task, "run", e.Number, "host", h.name, "minion", h.incarnation(),
 		"outcome", e.Outcome, "end", e.Sequence, "expected", r != nil, "percent", percentOf(r))
 	if r == nil {
 		return
--- a/internal/fleet/coordinator/slow_run.go
+++ b/internal/fleet/coordinator/slow_run.go
@@ -36,11 +36,12 @@
 	if !t.settings().Adaptive {
 		return
 	}
+	rooms := make(map[paceRoom]int)
 	for _, a := range t.attempts {
 		if a.stopping || a.ended || a.definition().LongRunning || a.definition().BestEffort {
 			continue
 		}
-		s, known := t.slowRun(a, at)
+		s, known := t.slowRun(a, at, rooms)
 		if !known || !s.move() {
 			continue
 		}
@@ -52,8 +53,8 @@
 // slowRun describes an attempt as a run that may be moved. What is left of it is taken
 // from its progress, and how long that takes elsewhere from the pace of its hosts. It
 // reports false until the progress of all its runs is known, and for runs that are slow
-// for another reason than their hosts.
-func (t *term) slowRun(a *attempt, at time.Duration) (s slowRun, known bool) {
+// for another reason than their hosts. rooms holds the results of roomAtPace so far.
+func (t *term) slowRun(a *attempt, at time.Duration, rooms map[paceRoom]int) (s slowRun, known bool) {
 	var elapsed time.Duration
 	for _, r := range a.runs {
 		left, ok := r.timeLeft(at)
@@ -69,16 +70,26 @@
 	}
 	s.elsewhere += t.settings().TaskStopTimeout + time.Duration(float64(repeated)*t.paceOfAttempt(a))
 	s.slack = t.slack(a.job, a.job.job.Occurrence(a.step)) + t.expected(a.job).Step(a.step).Estimate
-	s.room = s.left > s.slack && t.roomAtPace(a.definition(), a.job.job.Service, len(a.runs), at)
+	s.room = s.left > s.slack && t.roomAtPace(paceRoom{a.job.job.Service, a.definition().ReservedResources()}, at, rooms) >= len(a.runs)
 	return s, true
 }
 
-// roomAtPace reports whether hosts that are not slow have room for a number of tasks.
-func (t *term) roomAtPace(s workload.Step, service string, tasks int, at time.Duration) bool {
-	for _, h := range t.hosts {
-		if h.minion.Service == service && h.acceptsWork(at) && t.paceOf(h) != pace.Slow {
-			tasks -= h.free().FitCount(s.ReservedResources())
+// paceRoom is what tasks with a need ask of the hosts of a service.
+type paceRoom struct {
+	service string
+	need    workload.Resources
+}
+
+// roomAtPace returns for how many tasks hosts that are not slow have room. It keeps the
+// result in rooms.
+func (t *term) roomAtPace(of paceRoom, at time.Duration, rooms map[paceRoom]int) int {
+	return once(rooms, of, func() int {
+		tasks := 0
+		for _, h := range t.hosts {
+			if h.minion.Service == of.service && h.acceptsWork(at) && t.paceOf(h) != pace.Slow {
+				tasks += h.free().FitCount(of.need)
+			}
 		}
-	}
-	return tasks <= 0
+		return tasks
+	})
 }
--- a/internal/fleet/coordinator/status_reports.go
+++ b/internal/fleet/coordinator/status_reports.go
@@ -50,7 +50,7 @@
 func (t *term) handleMinionGone(h *hostState) {
 	if !h.gone {
 		h.gone = true
-		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.minion.Incarnation(), "runs", len(h.runs))
+		_ = level.Warn(t.logger).Log("event", "minion gone", "host", h.name, "minion", h.incarnation(), "runs", len(h.runs))
 	}
 	t.loseRunsOn(h, "the minion is gone")
 	clear(h.unexpected)
@@ -72,7 +72,7 @@
 	if report.Minion.ID != "" {
 		if !sameIncarnation || h.minion.Draining != report.Minion.Draining {
 			_ = level.Info(t.logger).Log("event", "minion found", "host", h.name, "minion", report.Minion.Incarnation(), "rack", report.Minion.Rack,
-				"accelerators", report.Minion.Capacity.Accelerators, "draining", report.Minion.Draining, "remaining", report.Minion.Remaining, "former", h.minion.Incarnation())
+				"accelerators", report.Minion.Capacity.Accelerators, "draining", report.Minion.Draining, "remaining", report.Minion.Remaining, "former", h.incarnation())
 		}
 		h.minion = report.Minion
 		h.evacuated = t.evacuations.include(h)
@@ -141,7 +141,7 @@
 	if u == nil {
 		u = &unexpectedRun{}
 		h.unexpected[key] = u
-		_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.minion.Incarnation(), "outcome", "stopped")
+		_ = level.Warn(t.logger).Log("event", "unexpected run", "job", key.task.Job, "task", key.task, "run", key.number, "host", h.name, "minion", h.incarnation(), "outcome", "stopped")
 	}
 	if j := t.jobs[key.task.Job]; j != nil && j.job.StepOf(key.task) < j.job.StepCount() {
 		u.need = j.job.Step(j.job.StepOf(key.task)).ReservedResources()
@@ -150,7 +150,7 @@
 		return
 	}
 	u.stopInFlight = true
-	request := host.StopRequest{Incarnation: h.minion.Incarnation(), Token: t.token, Task: key.task, Number: key.number}
+	request := host.StopRequest{Incarnation: h.incarnation(), Token: t.token, Task: key.task, Number: key.number}
 	client := h.client
 	t.group.Go("stop unexpected run", func(ctx context.Context) error {
 		err := client.Stop(ctx, request)
@@ -167,9 +167,9 @@
 // acknowledgeEndedRuns lets the minion discard ended runs as soon as they are
 // durable.
 func (t *term) acknowledgeEndedRuns(h *hostState) {
-	sequence, incarnation := h.handledSequence, h.minion.Incarnation()
+	sequence, incarnation := h.handledSequence, h.incarnation()
 	t.effects = append(t.effects, func() {
-		if h.minion.Incarnation() != incarnation {
+		if h.incarnation() != incarnation {
 			return
 		}
 		h.acknowledgedSequence = max(h.acknowledgedSequence, sequence)
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -51,6 +51,7 @@
 	nextID        int
 	writer        writer
 	membersReadAt time.Duration // membersReadAt is when the members were last read.
+	nextExpiryAt  time.Duration // nextExpiryAt is not after the first time at which a lease may have expired; 0 if that is not known.
 	headroom      headroom
 	workSizes     workSizes
 	overloads     map[competition]overload
@@ -61,6 +62,7 @@
 	runTimes      runTimes
 	adviceCalls   adviceCalls
 	evacuations   evacuations
+	known         known
 	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
 	nextPlanAt    time.Duration               // nextPlanAt is when the next plan may be made.
 	dirty         collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
--- a/internal/fleet/pace/pace.go
+++ b/internal/fleet/pace/pace.go
@@ -126,6 +126,14 @@
 	return 1, Typical
 }
 
+// ClassOf returns the class of an incarnation of a host.
+func (t *Tracker) ClassOf(host, incarnation string) Class {
+	if r := t.hosts[host]; r != nil && r.incarnation == incarnation {
+		return r.class
+	}
+	return Typical
+}
+
 // Change is a host whose class has changed.
 type Change struct {
 	Host         string
--- a/internal/fleet/workload/job.go
+++ b/internal/fleet/workload/job.go
@@ -47,12 +47,16 @@
 // maxFitCount.
 func (r Resources) FitCount(need Resources) int {
 	count := maxFitCount
-	for _, freeAndNeed := range [][2]int{{r.MilliCores, need.MilliCores}, {r.MemoryMB, need.MemoryMB}, {r.Accelerators, need.Accelerators}} {
-		if freeAndNeed[1] > 0 {
-			count = min(count, freeAndNeed[0]/freeAndNeed[1])
-		}
+	if need.MilliCores > 0 {
+		count = r.MilliCores / need.MilliCores
+	}
+	if need.MemoryMB > 0 {
+		count = min(count, r.MemoryMB/need.MemoryMB)
+	}
+	if need.Accelerators > 0 {
+		count = min(count, r.Accelerators/need.Accelerators)
 	}
-	return max(0, count)
+	return max(0, min(count, maxFitCount))
 }
 
 // maxFitCount is the fit count of tasks that need nothing.
@@ -119,18 +123,34 @@
 // CriticalPath returns the estimated duration of the longest chain of dependent
 // steps. It does not overflow for a job that Validate accepts.
 func (j Job) CriticalPath() time.Duration {
-	ends := make([]time.Duration, len(j.Steps))
+	return j.LongestChain(func(int) bool { return true })
+}
+
+// LongestChain returns the estimated duration of the longest chain of dependent steps of
+// an occurrence, of which only the counted ones take time.
+func (j Job) LongestChain(counts func(step int) bool) time.Duration {
+	var few [commonSteps]time.Duration
+	ends := few[:]
+	if len(j.Steps) > len(few) {
+		ends = make([]time.Duration, len(j.Steps))
+	}
 	var longest time.Duration
-	for i, s := range j.Steps {
+	for i := range j.Steps {
+		s := &j.Steps[i]
 		for _, d := range s.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
-		ends[i] += s.Estimate
+		if counts(i) {
+			ends[i] += s.Estimate
+		}
 		longest = max(longest, ends[i])
 	}
 	return longest
 }
 
+// commonSteps is the number of steps up to which LongestChain needs no memory.
+const commonSteps = 16
+
 // Accelerators returns the sum of the accelerators of all tasks of one occurrence.
 func (j Job) Accelerators() int {
 	sum := 0
