Benchmarks of the coordinator hold the fleet as it is

The benchmarks of plans and ticks saw another fleet the longer they took: after 2.5 s no host accepted work, because none had answered meanwhile, and the cost of a tick fell with its speed. The times of hosts and runs are moved on before each operation now.

--- a/internal/fleet/coordinator/decision_internal_test.go
+++ b/internal/fleet/coordinator/decision_internal_test.go
@@ -122,13 +122,28 @@
 	c.Check(tm.host("host-000").runs, qt.HasLen, 1)
 }
 
+// holdTime moves the times of hosts and runs on, so that a benchmark sees the same fleet
+// however long it takes.
+func holdTime(t *term, last *time.Duration) {
+	passed := now() - *last
+	*last += passed
+	for _, h := range t.hosts {
+		h.lastContact += passed
+		for _, r := range h.runs {
+			r.startedAt, r.progressedAt = r.startedAt+passed, r.progressedAt+passed
+		}
+	}
+}
+
 // BenchmarkPlan makes one plan for a fleet of 300 hosts and carries nothing out. At the
 // users' sites nine plans of ten find that nothing waits.
 func BenchmarkPlan(b *testing.B) {
 	for name, size := range map[string]struct{ jobs, waiting int }{"full": {450, 150}, "two wait": {150, 2}, "none waits": {100, 0}} {
 		b.Run(name, func(b *testing.B) {
 			t := newBusyTerm(b, 300, size.jobs, size.waiting, 1)
+			at := now()
 			for b.Loop() {
+				holdTime(t, &at)
 				t.measure()
 				t.decide()
 			}
@@ -139,7 +154,9 @@
 // BenchmarkTick does what a busy term does on each tick and event beside the plan.
 func BenchmarkTick(b *testing.B) {
 	t := newBusyTerm(b, 300, 450, 150, 1)
+	at := now()
 	for b.Loop() {
+		holdTime(t, &at)
 		t.expireLeases()
 		t.checkProgress()
 		t.moveSlowRuns(now())
