Coordinator: learned run times are removed, no decision ever used them

Operators saw log lines "run times" and a page on them, and callers nothing: the option that would have made decisions use what was learned, Options.ObservedRunTimes, was set by no program. Learning took processor time with each report and each end of a run.

Change: the package calibration, coordinator/run_times.go, the option, the log lines, their tests and what pages said of them go; the design note stays as a note of what was tried. Decisions take the declared estimates as they did in every deployment.

--- a/internal/fleet/coordinator/coordinator.go
+++ b/internal/fleet/coordinator/coordinator.go
@@ -76,9 +76,6 @@
 	LeadershipTTL time.Duration
 	// Adaptive is set where the declarations of hosts and jobs may be wrong, so that decisions follow what their runs show.
 	Adaptive bool
-	// ObservedRunTimes is set where decisions use the run times that jobs and their queues have shown instead of the
-	// declared ones. It needs Adaptive. No program sets it; see docs/design/run-times.md.
-	ObservedRunTimes bool
 	// EvacuationTimeout is the longest time until no start reaches an evacuated data centre; 0 if none is evacuated.
 	EvacuationTimeout time.Duration
 	// Adviser issues the start tickets for jobs of advised queues; nil if there is none.
--- a/internal/fleet/coordinator/demands.go
+++ b/internal/fleet/coordinator/demands.go
@@ -46,7 +46,7 @@
 			d := t.newDemand(j, s, len(indices), rankOf(j))
 			d.ID = len(steps) // The demands are sorted below, the steps are not.
 			if d.Rank == allocation.Urgent {
-				d.MaxPreemptionCost = urgentCostRatio * float64(d.Tasks) * d.Need.CoreEquivalents() * taskWorkTime(t.expected(j).Step(s)).Seconds()
+				d.MaxPreemptionCost = urgentCostRatio * float64(d.Tasks) * d.Need.CoreEquivalents() * taskWorkTime(j.job.Step(s)).Seconds()
 			}
 			if reserved > 0 && d.Rank >= allocation.Ordinary && !j.job.Step(s).LongRunning && t.slack(j, o.number) > headroomSlack {
 				d.Headroom = t.headroomOf(d.Service, reserved)
@@ -104,7 +104,7 @@
 		for _, number := range j.activeOccurrences(at) {
 			latest := at
 			if !j.job.HasLongRunning() {
-				latest = latestStart(t.expected(j), number, t.remainingTime(j, number), at)
+				latest = latestStart(j.job, number, t.remainingTime(j, number), at)
 			}
 			list = append(list, occurrence{j, number, latest})
 		}
@@ -185,7 +185,7 @@
 	slack := t.slack(j, occurrence)
 	d := allocation.Demand{
 		Rank: rank, Service: service, Need: s.ReservedResources(), Tasks: tasks, Gang: s.Gang, RackLocal: s.RackLocal, DataRack: s.DataRack,
-		Label: s.Label, SpreadLimit: s.SpreadLimit, TasksByHost: tasksByHost, BestEffort: s.BestEffort, RunTime: t.expected(j).Step(step).Estimate, RelaxLocality: slack < 0,
+		Label: s.Label, SpreadLimit: s.SpreadLimit, TasksByHost: tasksByHost, BestEffort: s.BestEffort, RunTime: s.Estimate, RelaxLocality: slack < 0,
 		AllowedHosts: t.permittedHosts(j, step, service, tasks, rank),
 	}
 	if s.LongRunning {
@@ -211,7 +211,7 @@
 // slack returns how long an occurrence can still wait and finish by its due
 // time; negative if it is too late.
 func (t *term) slack(j *jobState, occurrence int) time.Duration {
-	return time.Until(t.expected(j).Due(occurrence)) - t.remainingTime(j, occurrence)
+	return time.Until(j.job.Due(occurrence)) - t.remainingTime(j, occurrence)
 }
 
 // remainingTime returns the estimated run time of the critical path through the
@@ -219,6 +219,6 @@
 func (t *term) remainingTime(j *jobState, occurrence int) time.Duration {
 	return once(t.known.remaining, occurrenceKey{j, occurrence}, func() time.Duration {
 		first := occurrence * len(j.job.Steps)
-		return t.expected(j).LongestChain(func(step int) bool { return !j.progress.StepFinished(first + step) })
+		return j.job.LongestChain(func(step int) bool { return !j.progress.StepFinished(first + step) })
 	})
 }
--- a/internal/fleet/coordinator/host_pace.go
+++ b/internal/fleet/coordinator/host_pace.go
@@ -41,17 +41,14 @@
 // observeEnd records the rate of a run that is complete.
 func (t *term) observeEnd(r *run) { t.observeRun(r, 100, now()) }
 
-// observeRun records what a run shows of its host and of its step when it has reached a
-// percentage at a time.
+// observeRun records what a run shows of its host when it has reached a percentage at a
+// time.
 func (t *term) observeRun(r *run, percent int, at time.Duration) {
-	if !t.settings().Adaptive || !r.undisturbed() || at <= r.startedAt || percent <= r.firstPercent {
+	if !t.settings().Adaptive || !r.undisturbed() || !r.showsPace() || at <= r.startedAt || percent <= r.firstPercent {
 		return
 	}
 	runTime := (at - r.startedAt) * 100 / time.Duration(percent-r.firstPercent)
-	if r.showsPace() {
-		t.paces.tracker.Observe(r.host.name, r.minion, pace.Run{Task: r.task, Number: r.number}, 1/runTime.Seconds(), now())
-	}
-	r.attempt.job.recordRunTime(r, time.Duration(float64(runTime)*t.paceOfAttempt(r.attempt)))
+	t.paces.tracker.Observe(r.host.name, r.minion, pace.Run{Task: r.task, Number: r.number}, 1/runTime.Seconds(), now())
 }
 
 // undisturbed reports whether nothing but its host makes a run slow. Throttled runs, runs
--- a/internal/fleet/coordinator/lateness.go
+++ b/internal/fleet/coordinator/lateness.go
@@ -247,7 +247,7 @@
 		}
 		service, load := of(a.job)
 		for _, r := range a.runs {
-			taken := time.Duration(share(r.need, t.roomOf(service).capacity) * float64(r.expectedTimeLeft(at, t.expected(a.job).Step(a.step).Estimate)))
+			taken := time.Duration(share(r.need, t.roomOf(service).capacity) * float64(r.expectedTimeLeft(at, a.definition().Estimate)))
 			load.running += taken
 			if a.overdue {
 				load.overdue[rankOf(a.job)] += taken
--- a/internal/fleet/coordinator/runs.go
+++ b/internal/fleet/coordinator/runs.go
@@ -242,7 +242,6 @@
 		t.observeEnd(r)
 		t.releaseRun(r)
 		j.progress.Finish(j.job, e.Task)
-		t.observeStep(j, a.step)
 		a.ended = true
 		t.recordChange(j)
 		t.forgetJob(j)
--- a/internal/fleet/coordinator/slow_run.go
+++ b/internal/fleet/coordinator/slow_run.go
@@ -69,7 +69,7 @@
 		s.elsewhere = t.settings().CheckpointRestoreTime
 	}
 	s.elsewhere += t.settings().TaskStopTimeout + time.Duration(float64(repeated)*t.paceOfAttempt(a))
-	s.slack = t.slack(a.job, a.job.job.Occurrence(a.step)) + t.expected(a.job).Step(a.step).Estimate
+	s.slack = t.slack(a.job, a.job.job.Occurrence(a.step)) + a.definition().Estimate
 	s.room = s.left > s.slack && t.roomAtPace(paceRoom{a.job.job.Service, a.definition().ReservedResources()}, at, rooms) >= len(a.runs)
 	return s, true
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -59,7 +59,6 @@
 	reservations  reservations
 	early         earlyCancellations
 	paces         hostPaces
-	runTimes      runTimes
 	adviceCalls   adviceCalls
 	evacuations   evacuations
 	known         known
@@ -86,7 +85,6 @@
 	retryAt        time.Duration         // retryAt is when the job may be placed again after a failed start.
 	measured       map[int]time.Duration // measured holds how long the tasks of a step take by the progress of its fastest run.
 	advice         map[int]*stepAdvice   // advice holds for each step what the adviser has replied.
-	expectation    expectation           // expectation holds the run times that its steps are expected to take.
 }
 
 // endedJob is a job whose records are removed at removeAt.
@@ -101,7 +99,7 @@
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
 		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)},
-		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(), runTimes: newRunTimes(),
+		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(),
 		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
@@ -203,7 +201,6 @@
 			t.checkProgress()
 			t.updatePaces(now())
 			t.moveSlowRuns(now())
-			t.logRunTimes(now())
 			t.writeStarts()
 			t.updateOutlooks()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
