Merge the costs of the coordinator

Learned run times are removed; a plan and a tick cost less. Merged with the lease records: the time of the next look at silent hosts counts in expireLeases, and a host that answers again resets it. The packages of internal/fleet pass on the merged code.

--- a/internal/fleet/coordinator/host_pace.go
+++ b/internal/fleet/coordinator/host_pace.go
@@ -61,19 +61,19 @@
 	return progressPoint{r.firstPercent, r.startedAt}
 }
 
-// observeRun records what a run shows of its host and of its step when it has reached a
-// percentage at a time.
+// observeRun records what a run shows of its host when it has reached a percentage at a
+// time.
 func (t *term) observeRun(r *run, percent int, at time.Duration) {
 	begin := r.paceBegin()
 	if !t.settings().Adaptive || !r.undisturbed() || at <= begin.at || percent <= begin.percent {
 		return
 	}
-	runTime := (at - begin.at) * 100 / time.Duration(percent-begin.percent)
-	if r.progress().Checkpoint == "" { // A run that resumes begins with a pause.
-		run := pace.Run{Task: r.task, Number: r.number, Gang: r.attempt.definition().Gang}
-		t.paces.tracker.Observe(r.host.name, r.minion, run, 1/runTime.Seconds(), now())
+	if r.progress().Checkpoint != "" { // A run that resumes begins with a pause.
+		return
 	}
-	r.attempt.job.recordRunTime(r, time.Duration(float64(runTime)*t.paceOfAttempt(r.attempt)))
+	runTime := (at - begin.at) * 100 / time.Duration(percent-begin.percent)
+	run := pace.Run{Task: r.task, Number: r.number, Gang: r.attempt.definition().Gang}
+	t.paces.tracker.Observe(r.host.name, r.minion, run, 1/runTime.Seconds(), now())
 }
 
 // undisturbed reports whether nothing but its host makes a run slow. Throttled runs, runs
@@ -134,8 +134,7 @@
 	if !t.settings().Adaptive {
 		return pace.Typical
 	}
-	_, class := t.paces.tracker.Of(h.name, h.minion.Incarnation())
-	return class
+	return t.paces.tracker.ClassOf(h.name, h.incarnation())
 }
 
 // slackShare is the share of its remaining run time that the slack of an occurrence has
--- a/internal/fleet/coordinator/leases.go
+++ b/internal/fleet/coordinator/leases.go
@@ -128,6 +128,7 @@
 // resumeRenewals ends the suspension of a host whose minion answers.
 func (t *term) resumeRenewals(h *hostState) {
 	h.suspended = false
+	t.nextExpiryAt = 0 // The host may become silent before that.
 	if h.listed {
 		t.leases.dueBy(now())
 	}
--- a/internal/fleet/coordinator/renewals.go
+++ b/internal/fleet/coordinator/renewals.go
@@ -122,7 +122,7 @@
 		r.Wait = sharedRenewalWait
 	}
 	if h.incarnationKnown {
-		r.Incarnation = h.minion.Incarnation()
+		r.Incarnation = h.incarnation()
 	}
 	if h.incarnationKnown && t.mayRenew(h) {
 		r.LeaseUntil = h.minionClock + t.settings().MaxLease
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -54,6 +54,7 @@
 	nextID        int
 	writer        writer
 	membersReadAt time.Duration // membersReadAt is when the members were last read.
+	nextExpiryAt  time.Duration // nextExpiryAt is not after the first time at which expireLeases has something to do; 0 if that is not known.
 	headroom      headroom
 	workSizes     workSizes
 	overloads     map[competition]overload
@@ -61,9 +62,9 @@
 	reservations  reservations
 	early         earlyCancellations
 	paces         hostPaces
-	runTimes      runTimes
 	adviceCalls   adviceCalls
 	evacuations   evacuations
+	known         known
 	needsPlan     bool                        // needsPlan is set when something has changed that a plan depends on.
 	nextPlanAt    time.Duration               // nextPlanAt is when the next plan may be made.
 	dirty         collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
@@ -88,7 +89,6 @@
 	refusals       map[taskKey]startRefusals // refusals holds those of tasks that have not run since; see startRefusals.
 	measured       map[int]time.Duration     // measured holds how long the tasks of a step take by the progress of its fastest run.
 	advice         map[int]*stepAdvice       // advice holds for each step what the adviser has replied.
-	expectation    expectation               // expectation holds the run times that its steps are expected to take.
 }
 
 // endedJob is a job whose records are removed at removeAt.
@@ -103,7 +103,7 @@
 		events: make(chan func(), eventBacklog), begunAt: now(),
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
 		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)},
-		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(), runTimes: newRunTimes(),
+		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(),
 		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
@@ -203,7 +203,6 @@
 			t.checkProgress()
 			t.updatePaces(now())
 			t.moveSlowRuns(now())
-			t.logRunTimes(now())
 			t.writeStarts()
 			t.updateOutlooks()
 			t.needsPlan = true // Work becomes late and quarantines end as time passes.
