Ledger: an ID belongs to the organisation that claimed it first

What callers saw: an organisation that submitted a job under an ID which another one used was answered 200, and 410 when it asked. After an entry had started, or the store had forgotten its history, that entry showed the second organisation's job, told the first one 410, and would have run the second job had it become the coordinator.

Cause: the record's key is the ID, and the store keeps the newest record of a key. Processes that have read both records let the first one count, those that start later can only take the last. Entries did not look whose the ID was, and took a confirmed append for an accepted job.

Change: each submission stores claim/ID/RANDOM in one append with job/ID. No claim replaces another one, and the first one counts for every process. An entry refuses an ID of another organisation (503, no Retry-After), and accepts a job when its own ledger shows it. The coordinator writes a job again that a later record has replaced. Cancellations name their organisation.

Changes to existing tests: cancellations in tests name the organisation, the stand-in that holds appends of jobs back looks at all records of an append, because the claim comes first, and the property test of pages and the table of odd records have claims as well.

--- a/internal/fleet/coordinator/early_cancellations.go
+++ b/internal/fleet/coordinator/early_cancellations.go
@@ -15,15 +15,16 @@
 	earlyCancellationScanInterval = time.Second
 )
 
-// earlyCancellations tracks the early cancellations in the ledger.
+// earlyCancellations tracks the early cancellations in the ledger, and the claims to IDs
+// without a job.
 type earlyCancellations struct {
 	scannedAt time.Duration
-	removeAt  map[string]time.Duration // removeAt holds by name when each of them may be removed.
+	removeAt  map[string]time.Duration // removeAt holds by key when each of them may be removed.
 }
 
-// removeEarlyCancellations removes the early cancellations whose retention is over. It
-// counts from when this term has first seen them, because the clocks of the entries that
-// have recorded them may differ.
+// removeEarlyCancellations removes the early cancellations whose retention is over, and
+// the claims that have had no job for as long. It counts from when this term has first
+// seen them, because the clocks of the entries that have recorded them may differ.
 func (t *term) removeEarlyCancellations(at time.Duration) {
 	if at-t.early.scannedAt < earlyCancellationScanInterval {
 		return
@@ -32,15 +33,21 @@
 	former := t.early.removeAt
 	t.early.removeAt = make(map[string]time.Duration)
 	var records []ledger.Record
-	for _, c := range t.state.EarlyCancellations() {
-		removeAt, known := former[c.Name]
+	track := func(tombstone ledger.Record, inUse bool) {
+		removeAt, known := former[tombstone.Key]
 		if !known {
 			removeAt = at + max(t.settings().StatusRetention, minEarlyCancellationRetention) + retentionMargin
 		}
-		if at >= removeAt && t.jobs[c.Job] == nil && len(records) < maxBatchRecords {
-			records = append(records, ledger.Tombstone(ledger.EarlyCancellationKind, c.Name))
+		if at >= removeAt && !inUse && len(records) < maxBatchRecords {
+			records = append(records, tombstone)
 		}
-		t.early.removeAt[c.Name] = removeAt
+		t.early.removeAt[tombstone.Key] = removeAt
+	}
+	for _, c := range t.state.EarlyCancellations() {
+		track(ledger.Tombstone(ledger.EarlyCancellationKind, c.Name), t.jobs[c.Job] != nil)
+	}
+	for _, name := range t.state.ClaimsWithoutJob() {
+		track(ledger.Tombstone(ledger.ClaimKind, name), false)
 	}
 	t.removeRecords(records)
 }
--- a/internal/fleet/coordinator/fixture_test.go
+++ b/internal/fleet/coordinator/fixture_test.go
@@ -180,7 +180,9 @@
 }
 
 func (f *fixture) cancel(id workload.ID) {
-	record, err := ledger.EncodeCancellation(id, time.Now())
+	f.c.Assert(f.reader.Refresh(context.Background()), qt.IsNil)
+	e, _ := f.state.Job(id)
+	record, err := ledger.EncodeCancellation(id, e.Job.Organisation, time.Now())
 	f.c.Assert(err, qt.IsNil)
 	f.append(topic, record)
 }
--- a/internal/fleet/coordinator/term.go
+++ b/internal/fleet/coordinator/term.go
@@ -66,6 +66,7 @@
 	dirty         collection.Set[workload.ID] // dirty holds the jobs whose latest progress is in no append yet.
 	effects       []func()                    // effects run once the progress of all dirty jobs is durable.
 	endedJobs     []endedJob
+	restoring     collection.Set[workload.ID] // restoring holds the jobs whose records are being written again.
 	endedIDs      collection.Set[workload.ID] // endedIDs holds the jobs that ended in this term; the ledger may show them as running for a moment.
 }
 
@@ -100,13 +101,14 @@
 		jobs: make(map[workload.ID]*jobState), hosts: make(map[string]*hostState),
 		attempts: make(map[int]*attempt), reservations: reservations{byGang: make(map[stepKey]*reservation)},
 		workSizes: make(workSizes), overloads: make(map[competition]overload), outlooks: newOutlooks(), paces: newHostPaces(), runTimes: newRunTimes(),
-		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](),
+		dirty: collection.NewSet[workload.ID](), endedIDs: collection.NewSet[workload.ID](), restoring: collection.NewSet[workload.ID](),
 	}
 	t.claimedGeneration.Store(token)
 	t.confirmedGeneration.Store(token)
 	t.confirm(confirmed)
 	t.state.Changes() // Discards the changes so far, which All includes.
 	for _, e := range t.state.All() {
+		t.restore(e)
 		t.adoptJob(e)
 	}
 	return t
@@ -229,6 +231,7 @@
 		if !ok {
 			continue
 		}
+		t.restore(e)
 		j := t.jobs[id]
 		if j == nil {
 			if !t.endedIDs.Has(id) && (e.Progress == nil || !e.Progress.State.Ended()) {
--- a/internal/fleet/coordinator/writer.go
+++ b/internal/fleet/coordinator/writer.go
@@ -222,10 +222,17 @@
 	var records []ledger.Record
 	at := now()
 	for len(t.endedJobs) > 0 && t.endedJobs[0].removeAt <= at && len(records) < maxBatchRecords {
-		id := string(t.endedJobs[0].id)
-		records = append(records, ledger.Tombstone(ledger.CancellationKind, id), ledger.Tombstone(ledger.ProgressKind, id), ledger.Tombstone(ledger.JobKind, id))
-		t.endedIDs.Remove(t.endedJobs[0].id)
+		ended := t.endedJobs[0].id
+		t.endedIDs.Remove(ended)
 		t.endedJobs = t.endedJobs[1:]
+		if e, ok := t.state.Job(ended); t.jobs[ended] != nil || ok && !e.State().Ended() {
+			continue // A former term has removed the records, and another job uses the ID.
+		}
+		id := string(ended)
+		records = append(records, ledger.Tombstone(ledger.CancellationKind, id), ledger.Tombstone(ledger.ProgressKind, id), ledger.Tombstone(ledger.JobKind, id))
+		for _, claim := range t.state.Claims(ended) {
+			records = append(records, ledger.Tombstone(ledger.ClaimKind, claim))
+		}
 	}
 	t.removeRecords(records)
 }
--- a/internal/record/ledger/codec.go
+++ b/internal/record/ledger/codec.go
@@ -20,6 +20,7 @@
 	JobKind               Kind = "job"
 	CancellationKind      Kind = "cancellation"
 	EarlyCancellationKind Kind = "early-cancellation"
+	ClaimKind             Kind = "claim"
 	ProgressKind          Kind = "progress"
 	MemberKind            Kind = "member"
 	OutlookKind           Kind = "outlook"
@@ -147,24 +148,26 @@
 }
 
 type cancellationRecord struct {
-	At int64 `json:"at-ms"`
+	At           int64   `json:"at-ms"`
+	Organisation *string `json:"organisation,omitempty"` // Organisation is absent in records of former versions.
 }
 
-// EncodeCancellation returns the cancellation record of a job.
-func EncodeCancellation(id workload.ID, at time.Time) (Record, error) {
-	return encode(CancellationKind.Key(string(id)), cancellationRecord{At: at.UnixMilli()})
+// EncodeCancellation returns the cancellation record of the job of an organisation.
+func EncodeCancellation(id workload.ID, organisation string, at time.Time) (Record, error) {
+	return encode(CancellationKind.Key(string(id)), cancellationRecord{at.UnixMilli(), &organisation})
 }
 
-// checkCancellation returns an error for a record that no entry has written.
-func checkCancellation(id string, value []byte) error {
+// decodeCancellation returns the organisation that has cancelled its job, nil if the
+// record names none, or an error for a record that no entry has written.
+func decodeCancellation(id string, value []byte) (organisation *string, err error) {
 	var r cancellationRecord
 	if err := json.Unmarshal(value, &r); err != nil {
-		return fmt.Errorf("decode cancellation of %s: %w", id, err)
+		return nil, fmt.Errorf("decode cancellation of %s: %w", id, err)
 	}
 	if r.At <= 0 {
-		return fmt.Errorf("decode cancellation of %s: it has no time", id)
+		return nil, fmt.Errorf("decode cancellation of %s: it has no time", id)
 	}
-	return nil
+	return r.Organisation, nil
 }
 
 type memberRecord struct {
--- a/internal/record/ledger/early_cancellation.go
+++ b/internal/record/ledger/early_cancellation.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
-	"strings"
 	"time"
 
 	"wasabihoist/internal/fleet/workload"
@@ -38,7 +37,7 @@
 }
 
 func decodeEarlyCancellation(name string, value []byte) (EarlyCancellation, error) {
-	id := earlyCancelledJob(name)
+	id := jobInName(name)
 	if id == "" {
 		return EarlyCancellation{}, errors.New("decode early cancellation: the key has no ID")
 	}
@@ -52,16 +51,10 @@
 	return EarlyCancellation{Name: name, Job: id, Organisation: r.Organisation, At: time.UnixMilli(r.At)}, nil
 }
 
-// earlyCancelledJob returns the ID in the name of an early cancellation.
-func earlyCancelledJob(name string) workload.ID {
-	id, _, _ := strings.Cut(name, "/")
-	return workload.ID(id)
-}
-
 // applyEarlyCancellation folds the record of an early cancellation. The job may have
 // been recorded before it, while the entry that records the cancellation did not know.
 func (s *State) applyEarlyCancellation(name string, value []byte, deleted bool) error {
-	id := earlyCancelledJob(name)
+	id := jobInName(name)
 	if deleted {
 		delete(s.early[id], name)
 		if len(s.early[id]) == 0 {
--- a/internal/record/ledger/ledger_test.go
+++ b/internal/record/ledger/ledger_test.go
@@ -130,7 +130,7 @@
 	j := sampleJob("j")
 	jobRecord, err := ledger.EncodeJob(j)
 	c.Assert(err, qt.IsNil)
-	cancelRecord, err := ledger.EncodeCancellation("j", time.Now())
+	cancelRecord, err := ledger.EncodeCancellation("j", "o", time.Now())
 	c.Assert(err, qt.IsNil)
 	done := workload.NewProgress(j)
 	done.State = workload.Done
@@ -206,12 +206,15 @@
 		return encode(ledger.EncodeProgress(p))
 	}
 	choices := []ledger.Record{
-		encode(ledger.EncodeJob(sampleJob("j"))), encode(ledger.EncodeCancellation("j", time.UnixMilli(1000))),
 		progress(workload.Running, 1), progress(workload.Running, 2), progress(workload.Done, 3),
 		{Key: "progress/j", Value: []byte("{")}, {Key: "progress/j", Value: []byte(progressText(`[{"waiting":5}]`))},
 		ledger.Tombstone(ledger.ProgressKind, "j"), ledger.Tombstone(ledger.JobKind, "j"), memberRecord(c, "m"),
 	}
 	for _, organisation := range []string{"o", "p"} {
+		job, claim := sampleJob("j"), ledger.NewClaim("j", organisation)
+		job.Organisation = organisation
+		choices = append(choices, encode(ledger.EncodeJob(job)), encode(ledger.EncodeClaim(claim)), ledger.Tombstone(ledger.ClaimKind, claim.Name),
+			encode(ledger.EncodeCancellation("j", organisation, time.UnixMilli(1000))))
 		cancellation := ledger.NewEarlyCancellation("j", organisation, time.UnixMilli(1000))
 		choices = append(choices, encode(ledger.EncodeEarlyCancellation(cancellation)), ledger.Tombstone(ledger.EarlyCancellationKind, cancellation.Name))
 	}
--- a/internal/record/ledger/odd_test.go
+++ b/internal/record/ledger/odd_test.go
@@ -96,6 +96,12 @@
 		"early-cancellation/good name":   `{"organisation":7,"at-ms":1000}`,
 		"early-cancellation/":            `{"organisation":"o","at-ms":1000}`,
 		"early-cancellation//1":          `{"organisation":"o","at-ms":1000}`,
+		"claim/good nested":              nested(),
+		"claim/good null":                `null`,
+		"claim/good bytes":               "\xff\x00",
+		"claim/good name":                `{"organisation":7}`,
+		"claim/":                         `{"organisation":"o"}`,
+		"claim//1":                       `{"organisation":"o"}`,
 		"member/odd nested":              nested(),
 		"member/odd port":                `{"role":"agent","address":"10.0.0.1:70000"}`,
 		"member/odd port 0":              `{"role":"agent","address":"10.0.0.1:0"}`,
@@ -164,7 +170,7 @@
 			}
 			c.Assert(apply(0, good[0]), qt.IsNil)
 			c.Assert(apply(1, good[1]), qt.IsNil)
-			c.Check(apply(2, odd), qt.ErrorMatches, `(?s)decode (job|progress of|cancellation of|early cancellation|member).*`)
+			c.Check(apply(2, odd), qt.ErrorMatches, `(?s)decode (job|progress of|cancellation of|early cancellation|claim|member).*`)
 			c.Check(s.Next(), qt.Equals, int64(3))
 			c.Assert(apply(3, good[2]), qt.IsNil)
 			e, ok := s.Job("good")
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -14,10 +14,13 @@
 type JobEntry struct {
 	Job              workload.Job
 	Accepted         bool               // Accepted is false while only a cancellation or progress record is known.
+	Displaced        bool               // Displaced is set while the newest job record is of an organisation to which the ID does not belong. A process that starts then can't read the job.
 	Progress         *workload.Progress // Progress is nil until it is first recorded. It must not be modified.
 	ProgressUnknown  bool               // ProgressUnknown is set while runs may exist that Progress doesn't name: the newest record of it can't be used, or is uncertain.
 	Cancelled        bool               // Cancelled is set by a cancellation recorded before the job ended, or before the job.
 	SubmissionOffset int64              // SubmissionOffset is the offset of the first job record that this process has seen.
+
+	canceller *string // canceller is the organisation that the cancellation names, nil if there is none or it names none.
 }
 
 // State returns the state of the job that callers see.
@@ -37,6 +40,7 @@
 	mu      sync.Mutex
 	entries map[workload.ID]*JobEntry
 	early   map[workload.ID]map[string]EarlyCancellation // early holds the early cancellations by job and name.
+	claims  map[workload.ID][]storedClaim                // claims holds the claims to each ID in no particular order.
 	members map[string]Member
 	outlook map[string]outlook.Outlook             // outlook holds the newest outlook of each service.
 	offsets map[string]int64                       // offsets holds the offset of the newest record of each key.
@@ -56,6 +60,7 @@
 func (s *State) reset() {
 	s.entries = make(map[workload.ID]*JobEntry)
 	s.early = make(map[workload.ID]map[string]EarlyCancellation)
+	s.claims = make(map[workload.ID][]storedClaim)
 	s.members = make(map[string]Member)
 	s.outlook = make(map[string]outlook.Outlook)
 	s.offsets = make(map[string]int64)
@@ -102,8 +107,8 @@
 			}
 		case JobKind, CancellationKind:
 			ordered.Add(ProgressKind.Key(name))
-		case EarlyCancellationKind:
-			ordered.Add(ProgressKind.Key(string(earlyCancelledJob(name))))
+		case EarlyCancellationKind, ClaimKind:
+			ordered.Add(ProgressKind.Key(string(jobInName(name))))
 		}
 	}
 	for key := range repeated {
@@ -173,6 +178,8 @@
 		return s.applyJob(kind, workload.ID(name), r, deleted)
 	case EarlyCancellationKind:
 		return s.applyEarlyCancellation(name, r.Value, deleted)
+	case ClaimKind:
+		return s.applyClaim(name, r, deleted)
 	case OutlookKind:
 		return s.applyOutlook(name, r.Value, deleted)
 	default: // a kind of another writer
@@ -224,22 +231,19 @@
 	}
 	s.changed.Add(id)
 	if kind == JobKind && deleted {
-		s.removePending(e)
-		delete(s.entries, id)
+		s.forget(id)
 		return nil
 	}
 	var err error
 	switch {
-	case kind == JobKind && !e.Accepted:
-		err = e.acceptJob(string(id), r)
-		if s.cancelledEarly(e) {
-			e.cancel()
-		}
+	case kind == JobKind:
+		err = s.acceptJob(e, id, r)
 	case kind == ProgressKind && !deleted:
 		err = e.readProgress(string(id), r.Value)
 	case kind == CancellationKind && !deleted:
-		if err = checkCancellation(string(id), r.Value); err == nil {
-			e.cancel()
+		var organisation *string
+		if organisation, err = decodeCancellation(string(id), r.Value); err == nil {
+			e.cancelBy(organisation)
 		}
 	}
 	s.updatePending(id, e)
@@ -251,10 +255,50 @@
 	e.Cancelled = e.Cancelled || e.Progress == nil || !e.Progress.State.Ended()
 }
 
-func (e *JobEntry) acceptJob(id string, r StoredRecord) error {
-	var err error
-	e.Job, err = decodeJob(id, r.Value)
-	e.Accepted, e.SubmissionOffset = err == nil, r.Offset
+// cancelBy marks the job as cancelled if it is one of the organisation, or if that is
+// nil. If the job is not known yet, that is checked when it is accepted.
+func (e *JobEntry) cancelBy(organisation *string) {
+	if e.Accepted && organisation != nil && *organisation != e.Job.Organisation {
+		return
+	}
+	e.canceller = organisation
+	e.cancel()
+}
+
+// forget removes the entry of a job that has left the ledger.
+func (s *State) forget(id workload.ID) {
+	if e := s.entries[id]; e != nil {
+		s.removePending(e)
+		delete(s.entries, id)
+		s.changed.Add(id)
+	}
+}
+
+// acceptJob folds the record of a job. The first one counts, unless the ID belongs to
+// another organisation.
+func (s *State) acceptJob(e *JobEntry, id workload.ID, r StoredRecord) error {
+	job, err := decodeJob(string(id), r.Value)
+	switch {
+	case e.Accepted:
+		e.Displaced = err == nil && job.Organisation != e.Job.Organisation
+		return nil
+	case err == nil && !s.mayHold(id, job.Organisation):
+		return nil
+	}
+	e.Job = job
+	err = e.accept(r.Offset, err)
+	if s.cancelledEarly(e) {
+		e.cancel()
+	}
+	return err
+}
+
+// accept completes an entry whose job was decoded with a result.
+func (e *JobEntry) accept(offset int64, err error) error {
+	e.Accepted, e.SubmissionOffset = err == nil, offset
+	if e.Accepted && e.canceller != nil && *e.canceller != e.Job.Organisation {
+		e.Cancelled, e.canceller = false, nil
+	}
 	if p := e.Progress; e.Accepted && p != nil { // It was recorded before the job.
 		e.Progress = nil
 		return e.setProgress(p)
--- a/internal/role/gateway/changes.go
+++ b/internal/role/gateway/changes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -19,6 +20,9 @@
 	if e, ok := g.state.Job(a.job); ok && e.Job.Organisation == a.organisation {
 		return Answer{Outcome: Accepted, Reason: "it was submitted before"}
 	}
+	if !g.state.MayHold(a.job, a.organisation) {
+		return idTaken
+	}
 	if _, cancelled := g.state.EarlyCancellation(a.job, a.organisation); cancelled {
 		return Answer{Outcome: Refused, Reason: "the job was cancelled before it was submitted"}
 	}
@@ -29,11 +33,7 @@
 	if denial != nil {
 		return *denial
 	}
-	stored := func() bool {
-		e, ok := g.state.Job(a.job)
-		return ok && e.Job.Organisation == a.organisation
-	}
-	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Accepted})
+	return g.writeChange(ctx, c, change{key: record.Key, attempt: func() (attempt, error) { return g.claimJob(a, record) }})
 }
 
 // encodeJob returns the record of a submitted job, or the answer to a call that has
@@ -89,15 +89,15 @@
 	if e.State().Ended() {
 		return Answer{Outcome: Known, State: e.State()}
 	}
-	record, err := ledger.EncodeCancellation(a.job, time.Now())
+	record, err := ledger.EncodeCancellation(a.job, a.organisation, time.Now())
 	if err != nil {
 		return Answer{Outcome: Invalid, Reason: err.Error()}
 	}
 	stored := func() bool {
 		e, ok := g.state.Job(a.job)
-		return ok && e.Cancelled
+		return ok && e.Cancelled && e.Job.Organisation == a.organisation
 	}
-	return g.writeRecord(ctx, c, record, stored, Answer{Outcome: Known, State: workload.Cancelled})
+	return g.writeChange(ctx, c, recordChange(record, stored, Answer{Outcome: Known, State: workload.Cancelled}))
 }
 
 // earlyCancellationValidity is for how long a repeated cancellation relies on the record
@@ -121,7 +121,7 @@
 		newest, ok := g.state.EarlyCancellation(a.job, a.organisation)
 		return ok && newest.Name == cancellation.Name
 	}
-	return g.writeRecord(ctx, c, record, stored, answer)
+	return g.writeChange(ctx, c, recordChange(record, stored, answer))
 }
 
 const (
@@ -137,10 +137,34 @@
 	maxReadAge = 1500 * time.Millisecond
 )
 
-// writeRecord makes a record durable and returns success. If the store is unreachable,
-// it forwards the call to other entries. stored reports whether the ledger shows the
-// record.
-func (g *Gateway) writeRecord(ctx context.Context, c *activeCall, record ledger.Record, stored func() bool, success Answer) Answer {
+// change is what a call writes to the ledger.
+type change struct {
+	key     string                  // key names the change in logs.
+	attempt func() (attempt, error) // attempt returns the next attempt to write it.
+}
+
+// attempt is one append of a change.
+type attempt struct {
+	records []ledger.Record
+	success Answer                // success is the answer once the store has confirmed the append.
+	shown   func() (Answer, bool) // shown returns the answer to the call if the ledger shows what has come of the attempt.
+	// contested is set if records of others decide what the append has come to. Then
+	// only shown tells.
+	contested bool
+}
+
+// recordChange returns the change that writes one record. stored reports whether the
+// ledger shows it.
+func recordChange(record ledger.Record, stored func() bool, success Answer) change {
+	shown := func() (Answer, bool) { return success, stored() }
+	return change{record.Key, func() (attempt, error) {
+		return attempt{records: []ledger.Record{record}, success: success, shown: shown}, nil
+	}}
+}
+
+// writeChange makes a change durable and returns what it has come to. If the store is
+// unreachable, it forwards the call to other entries.
+func (g *Gateway) writeChange(ctx context.Context, c *activeCall, ch change) Answer {
 	refusal := Answer{Outcome: Refused, Reason: "the store cannot be reached", RetryAfter: retryAfter}
 	if g.jobReader.Failing() { // Another entry may reach the store.
 		if answer := g.forward(ctx, c, refusal); c.Forwarded || answer.Outcome != Refused {
@@ -161,47 +185,63 @@
 		localCtx, cancel = context.WithTimeout(ctx, time.Duration(share*float64(time.Until(deadline))))
 		defer cancel()
 	}
-	err := g.appendWithRetries(localCtx, c, record, stored)
+	answer, err := g.appendWithRetries(localCtx, c, ch)
 	if err == nil {
-		return success
+		return answer
 	}
-	_ = level.Warn(g.logger).Log("event", "record not written", "key", record.Key, "attempts", c.attempts.made, "unproved", c.attempts.unproved, "reason", err)
+	_ = level.Warn(g.logger).Log("event", "record not written", "key", ch.key, "attempts", c.attempts.made, "unproved", c.attempts.unproved, "reason", err)
 	return g.forward(ctx, c, refusal)
 }
 
-// appendWithRetries retries until the record is durable or ctx ends. It returns the
+// appendWithRetries retries until the change is durable or ctx ends. It returns the
 // error of the last attempt, which says nothing about the earlier ones.
-func (g *Gateway) appendWithRetries(ctx context.Context, c *activeCall, record ledger.Record, stored func() bool) error {
+func (g *Gateway) appendWithRetries(ctx context.Context, c *activeCall, ch change) (Answer, error) {
 	for {
-		_, err := c.attempts.run(func() (Answer, error) { return Answer{Outcome: Accepted}, g.appendOnce(ctx, record, stored) })
+		a, err := ch.attempt()
+		if err != nil {
+			return Answer{}, err
+		}
+		answer, err := c.attempts.run(func() (Answer, error) { return g.appendOnce(ctx, a) })
 		if err == nil || group.Pause(ctx, appendRetryInterval) != nil {
-			return err
+			return answer, err
 		}
 	}
 }
 
-// appendOnce makes one attempt. It succeeds as soon as the ledger shows the record,
+// appendOnce makes one attempt. It succeeds as soon as the ledger shows the result,
 // even if the answer of the store is late or lost.
-func (g *Gateway) appendOnce(ctx context.Context, record ledger.Record, stored func() bool) error {
+func (g *Gateway) appendOnce(ctx context.Context, a attempt) (Answer, error) {
 	begin := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, g.appendTimeout.current())
+	appendCtx, cancel := context.WithTimeout(ctx, g.appendTimeout.current())
 	defer cancel()
-	watch := group.New(ctx)
+	watch := group.New(appendCtx)
+	var answer Answer
 	seen := false
 	watch.Every("ledger", ledgerPollInterval, func(context.Context) error {
-		if seen = stored(); seen {
+		if answer, seen = a.shown(); seen {
 			cancel()
 		}
 		return nil
 	})
-	err := g.store.Append(ctx, g.options.Topic, []ledger.Record{record})
+	err := g.store.Append(appendCtx, g.options.Topic, a.records)
 	watch.Stop()
 	if waitErr := watch.Wait(); waitErr != nil {
-		return waitErr
+		return Answer{}, waitErr
 	}
 	if seen {
-		return nil
+		return answer, nil
 	}
 	g.appendTimeout.observe(time.Since(begin), err == nil || errors.Is(err, ledger.ErrNotDone))
-	return err
+	if err != nil || !a.contested {
+		return a.success, err
+	}
+	// The append is not repeated: the store has it, and the reader is on its way there.
+	for {
+		if answer, seen = a.shown(); seen {
+			return answer, nil
+		}
+		if err := group.Pause(ctx, resultPollInterval); err != nil {
+			return Answer{}, fmt.Errorf("the record is stored, and the ledger does not show it: %w", err)
+		}
+	}
 }
--- a/internal/role/gateway/early_cancellation_test.go
+++ b/internal/role/gateway/early_cancellation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +29,7 @@
 // Append implements ledger.Store.
 func (s *lateStore) Append(ctx context.Context, to ledger.Topic, records []ledger.Record) error {
 	s.mu.Lock()
-	holdBack := s.held && strings.HasPrefix(records[0].Key, "job/")
+	holdBack := s.held && slices.ContainsFunc(records, func(r ledger.Record) bool { return strings.HasPrefix(r.Key, "job/") })
 	if holdBack {
 		s.late = append(s.late, records...)
 	}
--- a/internal/role/gateway/gateway.go
+++ b/internal/role/gateway/gateway.go
@@ -27,6 +27,9 @@
 	// ledgerPollInterval is the time between checks of the ledger while an append is
 	// unanswered.
 	ledgerPollInterval = 50 * time.Millisecond
+	// resultPollInterval is the time between checks of the ledger while a stored record
+	// is not folded yet.
+	resultPollInterval = 5 * time.Millisecond
 	// appendRetryInterval is the pause between two append attempts.
 	appendRetryInterval = 50 * time.Millisecond
 	// retryAfter is the retry delay for clients refused during an outage. The gateway
