Ledger: a refused record does not count once its claim is gone

What callers could have seen: two organisations submit one ID at the same time, every process that has read the first record ends before the coordinator has written it again, and 130 s later the claims without a job are removed. Then the second record, whose submission was refused, counts as a job and runs.

Cause: without claims the record of a job belongs to the organisation that it names, and only the claims were removed.

Evidence: TestJobsKeepTheirRecordsAndClaims with a coordinator that starts after the record was replaced; it fails without the new tombstone, a process that starts then has the job of the second organisation.

Change: the fold notes that the newest record is one to which the ID does not belong, also where it knows no job, and the coordinator removes it in the same append as the claims, before them.

--- a/internal/fleet/coordinator/displaced_internal_test.go
+++ b/internal/fleet/coordinator/displaced_internal_test.go
@@ -81,4 +81,15 @@
 	run(func() { tm.removeEarlyCancellations(time.Hour + minEarlyCancellationRetention + retentionMargin) })
 	c.Check(state.ClaimsWithoutJob(), qt.HasLen, 0)
 	c.Check(state.Claims("used"), qt.HasLen, 1)
+
+	submit("lost", "o", true) // A coordinator that starts now can't restore it.
+	submit("lost", "p", true)
+	tm.state = ledger.NewState()
+	tm.reader = ledger.NewReader(store, topic, tm.state, 0, log.NewNopLogger())
+	c.Assert(tm.reader.Refresh(context.Background()), qt.IsNil)
+	run(func() { tm.removeEarlyCancellations(2 * time.Hour) })
+	c.Check(tm.state.ClaimsWithoutJob(), qt.HasLen, 3)
+	run(func() { tm.removeEarlyCancellations(3 * time.Hour) })
+	c.Check(state.Claims("lost"), qt.HasLen, 0)
+	c.Check(owner("lost"), qt.Equals, "")
 }
--- a/internal/fleet/coordinator/early_cancellations.go
+++ b/internal/fleet/coordinator/early_cancellations.go
@@ -46,8 +46,8 @@
 	for _, c := range t.state.EarlyCancellations() {
 		track(ledger.Tombstone(ledger.EarlyCancellationKind, c.Name), t.jobs[c.Job] != nil)
 	}
-	for _, name := range t.state.ClaimsWithoutJob() {
-		track(ledger.Tombstone(ledger.ClaimKind, name), false)
+	for _, tombstone := range t.state.ClaimsWithoutJob() {
+		track(tombstone, false)
 	}
 	t.removeRecords(records)
 }
--- a/internal/record/ledger/claim.go
+++ b/internal/record/ledger/claim.go
@@ -90,7 +90,7 @@
 	}
 	if e := s.entries[id]; e != nil && e.Accepted && !s.mayHold(id, e.Job.Organisation) {
 		s.removePending(e)
-		e.Job, e.Accepted, e.Displaced, e.Cancelled = workload.Job{}, false, false, e.canceller != nil
+		e.Job, e.Accepted, e.Displaced, e.Cancelled = workload.Job{}, false, true, e.canceller != nil
 		s.changed.Add(id)
 	}
 	return nil
@@ -124,27 +124,32 @@
 }
 
 // Claims returns the names of the claims to an ID.
-func (s *State) Claims(id workload.ID) []string {
+func (s *State) Claims(id workload.ID) (names []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return claimNames(s.claims[id])
+	for _, c := range s.claims[id] {
+		names = append(names, c.Name)
+	}
+	return names
 }
 
-// ClaimsWithoutJob returns the names of the claims to IDs of which no job is known.
-func (s *State) ClaimsWithoutJob() (names []string) {
+// ClaimsWithoutJob returns the tombstones of the claims to IDs of which no job is known,
+// and before them those of records to which the ID does not belong: without the claims
+// they would count.
+func (s *State) ClaimsWithoutJob() (tombstones []Record) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, claims := range s.claims {
-		if e := s.entries[id]; e == nil || !e.Accepted {
-			names = append(names, claimNames(claims)...)
+		e := s.entries[id]
+		if e != nil && e.Accepted {
+			continue
+		}
+		if e != nil && e.Displaced {
+			tombstones = append(tombstones, Tombstone(JobKind, string(id)))
+		}
+		for _, c := range claims {
+			tombstones = append(tombstones, Tombstone(ClaimKind, c.Name))
 		}
 	}
-	return names
-}
-
-func claimNames(claims []storedClaim) (names []string) {
-	for _, c := range claims {
-		names = append(names, c.Name)
-	}
-	return names
+	return tombstones
 }
--- a/internal/record/ledger/state.go
+++ b/internal/record/ledger/state.go
@@ -283,9 +283,10 @@
 		e.Displaced = err == nil && job.Organisation != e.Job.Organisation
 		return nil
 	case err == nil && !s.mayHold(id, job.Organisation):
+		e.Displaced = true
 		return nil
 	}
-	e.Job = job
+	e.Job, e.Displaced = job, false
 	err = e.accept(r.Offset, err)
 	if s.cancelledEarly(e) {
 		e.cancel()
