--- a/internal/role/gateway/claim_test.go
+++ b/internal/role/gateway/claim_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wasabihoist/internal/base/group"
 	"wasabihoist/internal/fleet/workload"
 	"wasabihoist/internal/record/ledger"
 	"wasabihoist/internal/role/gateway"
@@ -67,12 +68,15 @@
 			}
 			if tt.atOnce {
 				appends := f.store.Appends()
-				go func() {
+				calls := group.New(f.c.Context())
+				defer func() { f.c.Check(calls.Wait(), qt.IsNil) }()
+				calls.Go("release", func(context.Context) error {
 					for f.store.Appends() == appends {
 						time.Sleep(time.Millisecond)
 					}
 					view.held.Store(false)
-				}()
+					return nil
+				})
 			} else {
 				second = tt.second(f)
 			}
@@ -102,9 +106,13 @@
 	other := f.another(view)
 	view.held.Store(true)
 	answers := make(chan gateway.Answer)
+	calls := group.New(f.c.Context())
 	submit := func(entry *fixture, key string) {
 		appends := f.store.Appends()
-		go func() { answers <- entry.call(gateway.Submit, "/q/"+jobID, key, "") }()
+		calls.Go("submit", func(context.Context) error {
+			answers <- entry.call(gateway.Submit, "/q/"+jobID, key, "")
+			return nil
+		})
 		for f.store.Appends() == appends {
 			time.Sleep(time.Millisecond)
 		}
@@ -114,6 +122,7 @@
 	f.store.Forget(topic)
 	view.held.Store(false)
 	f.c.Check([]gateway.Outcome{(<-answers).Outcome, (<-answers).Outcome}, qt.ContentEquals, []gateway.Outcome{gateway.Refused, gateway.Undecided})
+	f.c.Check(calls.Wait(), qt.IsNil)
 	f.c.Check(f.call(gateway.Submit, "/q/"+jobID, "key1", "").Outcome, qt.Equals, gateway.Accepted)
 	f.another(f.store).awaitState("/q/"+jobID, "key1", workload.Pending)
 	f.c.Check(other.call(gateway.Status, "/q/"+jobID, "other", "").Outcome, qt.Equals, gateway.UnknownJob)
